--- /dev/null
+++ b/Makefile
@@ -0,0 +1,74 @@
+# mimosapath: build, tests, demo and benchmarks.
+#
+#   make            build/mimosapath and build/libmimosapath.a
+#   make check      install packages, build, run all tests
+#   make demo       run the main job on this machine
+#   make bench      timed figures (QUICK=1 for a short run)
+#   make fuzz       coverage-guided fuzzing (SECONDS=n)
+
+PACKAGES = libh2o-evloop-dev libtirpc-dev libargtable2-dev libjson-c-dev \
+	libxxhash-dev libglib2.0-dev libssl-dev zlib1g-dev pkg-config gcc make \
+	clang clang-format clang-tidy libclang-rt-14-dev python3 perl curl
+
+BUILD ?= build
+CC = gcc
+SANITIZE ?=
+PKGS = libtirpc json-c glib-2.0 libxxhash libcrypto
+PROGRAM_PKGS = libh2o-evloop argtable2 libssl
+
+STATE = $(wildcard src/state/*.c)
+COORDINATION = $(wildcard src/coordination/*.c)
+PROTOCOL = $(wildcard src/protocol/*.c)
+PROGRAM = $(wildcard src/transport/*.c src/commands/*.c)
+LIBRARY = src/gen/wire_xdr.c $(STATE) $(COORDINATION)
+SOURCES = $(STATE) $(COORDINATION) $(PROTOCOL) $(PROGRAM)
+HEADERS = $(wildcard src/*/*.h)
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/Test*.c))
+FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/Fuzz*.c))
+
+CPPFLAGS = -Isrc -Itests -D_GNU_SOURCE -DH2O_USE_EPOLL=1 \
+	$(shell pkg-config --cflags $(PKGS) $(PROGRAM_PKGS) 2>/dev/null)
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror $(SANITIZE)
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
+PROGRAM_LDLIBS = $(shell pkg-config --libs $(PROGRAM_PKGS) 2>/dev/null) \
+	-lcrypto -lz $(LDLIBS)
+
+OBJ = $(BUILD)/obj
+LIBRARY_O = $(LIBRARY:src/%.c=$(OBJ)/%.o)
+PROGRAM_O = $(PROTOCOL:src/%.c=$(OBJ)/%.o) $(PROGRAM:src/%.c=$(OBJ)/%.o)
+
+.PHONY: all packages check test demo bench fuzz format lint clean slopes
+all: $(BUILD)/mimosapath $(BUILD)/libmimosapath.a
+
+$(BUILD)/mimosapath: $(PROGRAM_O) $(BUILD)/libmimosapath.a
+	$(CC) $(CFLAGS) -o $@ $(PROGRAM_O) $(BUILD)/libmimosapath.a \
+		$(PROGRAM_LDLIBS)
+
+$(BUILD)/libmimosapath.a: $(LIBRARY_O)
+	rm -f $@
+	ar rcs $@ $^
+
+# Generated code keeps the warnings of its generator.
+$(OBJ)/gen/%.o: src/gen/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c -o $@ $<
+
+$(OBJ)/%.o: src/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update && apt-get install -y $(PACKAGES); }
+
+format:
+	clang-format --dry-run -Werror $(SOURCES) $(HEADERS) \
+		$(wildcard tests/*.[ch] fuzz/*.[ch])
+
+lint:
+	clang-tidy --quiet $(SOURCES) -- $(CPPFLAGS) -std=gnu11
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/gen/wire.x
@@ -0,0 +1,427 @@
+/*
+ * Types shared by the system's own processes: commands of the replicated
+ * log, their results, messages between control replicas, calls of
+ * instances, and the snapshot.  Amounts are in thousandths of a token
+ * (mtok), times in milliseconds.
+ */
+
+const MP_NAME_MAX = 64;
+const MP_KEY_MAX = 160;
+const MP_HASH_BYTES = 16;
+const MP_NONCE_BYTES = 16;
+const MP_ADDRESS_MAX = 64;
+const MP_ANSWER_MAX = 16384;
+const MP_TEXT_MAX = 4194304;
+const MP_PAYLOAD_MAX = 4259840;
+const MP_ENTRIES_MAX = 1024;
+const MP_MEMBERS_MAX = 16;
+const MP_CHUNK_MAX = 262144;
+const MP_RECALLS_MAX = 1024;
+
+/* One life of one instance; boot numbers are never reused. */
+struct mp_holder {
+    string instance<MP_NAME_MAX>;
+    unsigned hyper boot;
+};
+
+enum mp_command_kind {
+    MP_CMD_NONE = 0,
+    MP_CMD_REGISTER = 1,
+    MP_CMD_FENCE = 2,
+    MP_CMD_DOCUMENT = 3,
+    MP_CMD_TOPUP = 4,
+    MP_CMD_OPEN = 5,
+    MP_CMD_SETTLE = 6,
+    MP_CMD_LEASE = 7,
+    MP_CMD_HANDIN = 8,
+    MP_CMD_OFFLINE = 9,
+    MP_CMD_WRITEOFF = 10,
+    MP_CMD_POISON = 11
+};
+
+enum mp_record_state {
+    MP_RECORD_NONE = 0,
+    MP_RECORD_OPEN = 1,
+    MP_RECORD_DONE = 2,
+    MP_RECORD_UNKNOWN = 3,
+    MP_RECORD_NOT_RUN = 4,
+    MP_RECORD_CANCELLED = 5,
+    MP_RECORD_ABANDONED = 6
+};
+
+struct mp_register {
+    string instance<MP_NAME_MAX>;
+    unsigned hyper nonce;
+};
+
+struct mp_document_put {
+    string submission<MP_KEY_MAX>;
+    string author<MP_NAME_MAX>;
+    unsigned hyper base_version;
+    hyper retention_ms;
+    string text<MP_TEXT_MAX>;
+};
+
+struct mp_topup {
+    string workspace<MP_NAME_MAX>;
+    string topup_id<MP_KEY_MAX>;
+    hyper amount_mtok;
+};
+
+struct mp_open {
+    mp_holder holder;
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    opaque body_hash[MP_HASH_BYTES];
+    hyper reserve_mtok;
+    bool at_most_once;
+    unsigned hyper open_id;
+};
+
+struct mp_settle {
+    mp_holder holder;
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    unsigned hyper open_id;
+    hyper spent_mtok;
+    mp_record_state outcome;
+    int status;
+    string content_type<MP_NAME_MAX>;
+    opaque answer<MP_ANSWER_MAX>;
+};
+
+/* seq orders the lease calls of one holder, so that repeats are harmless. */
+struct mp_lease {
+    mp_holder holder;
+    string workspace<MP_NAME_MAX>;
+    unsigned hyper seq;
+    hyper amount_mtok;
+};
+
+struct mp_offline {
+    mp_holder holder;
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    opaque body_hash[MP_HASH_BYTES];
+    hyper spent_mtok;
+};
+
+struct mp_poison {
+    opaque body_hash[MP_HASH_BYTES];
+    string target<MP_NAME_MAX>;
+};
+
+union mp_command_body switch (mp_command_kind kind) {
+case MP_CMD_REGISTER:
+    mp_register reg;
+case MP_CMD_FENCE:
+    mp_holder fence;
+case MP_CMD_DOCUMENT:
+    mp_document_put document;
+case MP_CMD_TOPUP:
+    mp_topup topup;
+case MP_CMD_OPEN:
+    mp_open open;
+case MP_CMD_SETTLE:
+    mp_settle settle;
+case MP_CMD_LEASE:
+    mp_lease lease;
+case MP_CMD_HANDIN:
+    mp_lease handin;
+case MP_CMD_OFFLINE:
+    mp_offline offline;
+case MP_CMD_WRITEOFF:
+    mp_holder writeoff;
+case MP_CMD_POISON:
+    mp_poison poison;
+default:
+    void;
+};
+
+/* at_ms is the leader's wall clock when it appended the command. */
+struct mp_command {
+    hyper at_ms;
+    mp_command_body body;
+};
+
+struct mp_result {
+    int code;
+    mp_record_state state;
+    unsigned hyper number;
+    hyper amount_mtok;
+    int status;
+    string content_type<MP_NAME_MAX>;
+    opaque answer<MP_ANSWER_MAX>;
+};
+
+/* ---- replicated log ---- */
+
+struct mp_member {
+    unsigned hyper id;
+    string instance<MP_NAME_MAX>;
+    string address<MP_ADDRESS_MAX>;
+    bool voter;
+};
+
+struct mp_members {
+    mp_member list<MP_MEMBERS_MAX>;
+};
+
+enum mp_entry_kind {
+    MP_ENTRY_COMMAND = 0,
+    MP_ENTRY_NOOP = 1,
+    MP_ENTRY_MEMBERS = 2
+};
+
+struct mp_entry {
+    unsigned hyper index;
+    unsigned hyper term;
+    mp_entry_kind kind;
+    opaque payload<MP_PAYLOAD_MAX>;
+};
+
+struct mp_hard_state {
+    unsigned hyper replica_id;
+    unsigned hyper term;
+    unsigned hyper vote;
+};
+
+struct mp_snapshot_head {
+    unsigned hyper index;
+    unsigned hyper term;
+    mp_members members;
+};
+
+enum mp_log_kind {
+    MP_LOG_HARD = 1,
+    MP_LOG_ENTRY = 2
+};
+
+/* A record of the log on disk.  An entry replaces all of its index and
+ * above that came before it. */
+union mp_log_record switch (mp_log_kind kind) {
+case MP_LOG_HARD:
+    mp_hard_state hard;
+case MP_LOG_ENTRY:
+    mp_entry entry;
+};
+
+struct mp_log_batch {
+    mp_log_record records<>;
+};
+
+struct mp_snapshot_file {
+    mp_snapshot_head head;
+    opaque data<>;
+};
+
+enum mp_raft_kind {
+    MP_RAFT_PREVOTE = 1,
+    MP_RAFT_PREVOTE_REPLY = 2,
+    MP_RAFT_VOTE = 3,
+    MP_RAFT_VOTE_REPLY = 4,
+    MP_RAFT_APPEND = 5,
+    MP_RAFT_APPEND_REPLY = 6,
+    MP_RAFT_SNAPSHOT = 7,
+    MP_RAFT_SNAPSHOT_REPLY = 8
+};
+
+/*
+ * index and log_term: the entry before the first of entries (APPEND), the
+ * last entry (votes), the last matching entry (APPEND_REPLY), the last
+ * entry covered (SNAPSHOT).  echo_ms: the sender's clock, returned as it
+ * came.
+ */
+struct mp_raft_message {
+    mp_raft_kind kind;
+    unsigned hyper from;
+    unsigned hyper to;
+    unsigned hyper term;
+    unsigned hyper index;
+    unsigned hyper log_term;
+    unsigned hyper commit;
+    hyper echo_ms;
+    bool ok;
+    mp_entry entries<MP_ENTRIES_MAX>;
+    unsigned hyper offset;
+    unsigned hyper total;
+    opaque chunk<MP_CHUNK_MAX>;
+    mp_members members;
+};
+
+/* ---- calls of instances ---- */
+
+struct mp_hello {
+    string instance<MP_NAME_MAX>;
+    opaque nonce[MP_NONCE_BYTES];
+};
+
+struct mp_propose {
+    mp_command command;
+};
+
+/* leader: address of the leader as the callee knows it, or empty. */
+struct mp_propose_reply {
+    int code;
+    string leader<MP_ADDRESS_MAX>;
+    mp_result result;
+};
+
+struct mp_sync {
+    mp_holder holder;
+    unsigned hyper document_version;
+    unsigned hyper poison_version;
+    bool draining;
+};
+
+struct mp_recall {
+    string workspace<MP_NAME_MAX>;
+};
+
+struct mp_sync_reply {
+    int code;
+    string leader<MP_ADDRESS_MAX>;
+    unsigned hyper document_version;
+    string document<MP_TEXT_MAX>;
+    unsigned hyper poison_version;
+    opaque poison<MP_CHUNK_MAX>;
+    mp_recall recalls<MP_RECALLS_MAX>;
+};
+
+/* What a replica without state learns from its peers. */
+struct mp_identify {
+    string instance<MP_NAME_MAX>;
+    string address<MP_ADDRESS_MAX>;
+    unsigned hyper replica_id;
+};
+
+struct mp_identify_reply {
+    unsigned hyper replica_id;
+    bool formed;
+    mp_members members;
+    bool is_leader;
+};
+
+struct mp_read {
+    string workspace<MP_NAME_MAX>;
+};
+
+struct mp_instance_status {
+    mp_holder holder;
+    unsigned hyper document_version;
+    hyper heard_ms;
+    bool draining;
+};
+
+struct mp_account_status {
+    string workspace<MP_NAME_MAX>;
+    hyper granted_mtok;
+    hyper settled_mtok;
+    hyper reserved_mtok;
+    hyper leased_mtok;
+};
+
+struct mp_read_reply {
+    int code;
+    string leader<MP_ADDRESS_MAX>;
+    unsigned hyper document_version;
+    string author<MP_NAME_MAX>;
+    string document<MP_TEXT_MAX>;
+    mp_members members;
+    unsigned hyper applied;
+    unsigned hyper term;
+    mp_account_status accounts<>;
+    mp_instance_status instances<>;
+};
+
+/* ---- snapshot of the replicated state ---- */
+
+struct mp_lease_image {
+    mp_holder holder;
+    unsigned hyper seq;
+    hyper amount_mtok;
+    hyper last_grant_mtok;
+    bool recalled;
+};
+
+struct mp_account_image {
+    string workspace<MP_NAME_MAX>;
+    hyper granted_mtok;
+    hyper settled_mtok;
+    hyper reserved_mtok;
+    mp_lease_image leases<>;
+};
+
+struct mp_record_image {
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    opaque body_hash[MP_HASH_BYTES];
+    mp_holder holder;
+    mp_record_state state;
+    bool at_most_once;
+    unsigned hyper open_id;
+    hyper reserve_mtok;
+    hyper spent_mtok;
+    hyper closed_ms;
+    unsigned int reruns;
+    int status;
+    string content_type<MP_NAME_MAX>;
+    opaque answer<MP_ANSWER_MAX>;
+};
+
+struct mp_incarnation_image {
+    string instance<MP_NAME_MAX>;
+    unsigned hyper boot;
+    unsigned hyper nonce;
+    bool fenced;
+};
+
+struct mp_marker_image {
+    string id<MP_KEY_MAX>;
+    string scope<MP_NAME_MAX>;
+    int code;
+    unsigned hyper number;
+    hyper amount_mtok;
+};
+
+struct mp_poison_image {
+    opaque body_hash[MP_HASH_BYTES];
+    unsigned int deaths;
+    string last_target<MP_NAME_MAX>;
+    hyper last_ms;
+};
+
+struct mp_machine_image {
+    unsigned hyper applied;
+    hyper now_ms;
+    hyper retention_ms;
+    unsigned hyper document_version;
+    string document_author<MP_NAME_MAX>;
+    string document<MP_TEXT_MAX>;
+    unsigned hyper poison_version;
+    mp_account_image accounts<>;
+    mp_record_image open_records<>;
+    mp_record_image closed_records<>;
+    mp_incarnation_image incarnations<>;
+    mp_marker_image topups<>;
+    mp_marker_image submissions<>;
+    mp_poison_image poisons<>;
+};
+
+/* ---- offline journal of an instance ---- */
+
+struct mp_journal_entry {
+    mp_offline request;
+    bool settled;
+};
+
+program MIMOSAPATH_PROGRAM {
+    version MIMOSAPATH_V1 {
+        mp_hello MP_PROC_HELLO(mp_hello) = 1;
+        mp_propose_reply MP_PROC_PROPOSE(mp_propose) = 2;
+        mp_sync_reply MP_PROC_SYNC(mp_sync) = 3;
+        mp_identify_reply MP_PROC_IDENTIFY(mp_identify) = 4;
+        mp_read_reply MP_PROC_READ(mp_read) = 5;
+        void MP_PROC_RAFT(mp_raft_message) = 6;
+    } = 1;
+} = 0x20004d50;
--- /dev/null
+++ b/src/state/Ledger.c
@@ -0,0 +1,723 @@
+#include "state/Ledger.h"
+
+#include "state/Error.h"
+#include "state/Fault.h"
+
+#include <string.h>
+
+/* ---- construction ---- */
+
+static void
+lease_delete(void *data)
+{
+    struct MpLease *this = data;
+    g_free(this->instance);
+    g_free(this);
+}
+
+static void
+account_delete(void *data)
+{
+    struct MpAccount *this = data;
+    g_ptr_array_unref(this->leases);
+    g_free(this->workspace);
+    g_free(this);
+}
+
+static void
+record_delete(void *data)
+{
+    struct MpRecord *this = data;
+    g_free(this->id);
+    g_free(this->content_type);
+    if (this->answer) {
+        g_bytes_unref(this->answer);
+    }
+    g_free(this);
+}
+
+void
+MpLedger_Init(struct MpLedger *this)
+{
+    *this = (struct MpLedger){.retention_ms = MP_RETENTION_MS};
+    this->accounts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_delete);
+    this->records =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_delete);
+    g_queue_init(&this->closed);
+}
+
+void
+MpLedger_Done(struct MpLedger *this)
+{
+    g_hash_table_unref(this->records);
+    g_hash_table_unref(this->accounts);
+}
+
+/* ---- look-up ---- */
+
+struct MpAccount *
+MpLedger_Find(const struct MpLedger *this, const char *workspace)
+{
+    return g_hash_table_lookup(this->accounts, workspace);
+}
+
+struct MpRecord *
+MpLedger_FindRecord(const struct MpLedger *this, const char *workspace,
+                    const char *key)
+{
+    char id[MP_NAME_MAX + MP_KEY_MAX + 2];
+    g_snprintf(id, sizeof(id), "%s\n%s", workspace, key);
+    return g_hash_table_lookup(this->records, id);
+}
+
+int64_t
+MpAccount_Free(const struct MpAccount *this)
+{
+    return this->granted_mtok - this->settled_mtok - this->reserved_mtok -
+           this->leased_mtok;
+}
+
+static struct MpAccount *
+account_of(struct MpLedger *this, const char *workspace)
+{
+    struct MpAccount *account = MpLedger_Find(this, workspace);
+    if (account) {
+        return account;
+    }
+    account = g_new0(struct MpAccount, 1);
+    account->workspace = g_strdup(workspace);
+    account->leases = g_ptr_array_new_with_free_func(lease_delete);
+    g_hash_table_insert(this->accounts, account->workspace, account);
+    return account;
+}
+
+static struct MpLease *
+find_lease(const struct MpAccount *account, const char *instance,
+           uint64_t boot)
+{
+    for (guint i = 0; i < account->leases->len; i++) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i);
+        if (lease->boot == boot && strcmp(lease->instance, instance) == 0) {
+            return lease;
+        }
+    }
+    return NULL;
+}
+
+static struct MpLease *
+lease_of(struct MpAccount *account, const struct mp_holder *holder)
+{
+    struct MpLease *lease =
+        find_lease(account, holder->instance, holder->boot);
+    if (lease) {
+        return lease;
+    }
+    lease = g_new0(struct MpLease, 1);
+    lease->instance = g_strdup(holder->instance);
+    lease->boot = holder->boot;
+    g_ptr_array_add(account->leases, lease);
+    return lease;
+}
+
+static bool
+is_amount(int64_t amount_mtok)
+{
+    return amount_mtok >= 0 && amount_mtok <= MP_AMOUNT_MAX_MTOK;
+}
+
+/* ---- grants and leases ---- */
+
+int
+MpLedger_Grant(struct MpLedger *this, const char *workspace,
+               int64_t amount_mtok)
+{
+    if (!is_amount(amount_mtok)) {
+        return MP_ERROR_OVERFLOW;
+    }
+    struct MpAccount *account = account_of(this, workspace);
+    if (account->granted_mtok + amount_mtok > MP_AMOUNT_MAX_MTOK) {
+        return MP_ERROR_OVERFLOW;
+    }
+    account->granted_mtok += amount_mtok;
+    return MP_OK;
+}
+
+/* A slice is at most this fraction of what is free, so that slices shrink
+ * as the budget runs dry. */
+#define SLICE_DIVISOR 16
+
+int
+MpLedger_Lease(struct MpLedger *this, const struct mp_lease *wanted,
+               struct mp_result *result)
+{
+    struct MpAccount *account = MpLedger_Find(this, wanted->workspace);
+    if (!account) {
+        return MP_ERROR_BUDGET;
+    }
+    if (!is_amount(wanted->amount_mtok)) {
+        return MP_ERROR_OVERFLOW;
+    }
+    struct MpLease *lease = lease_of(account, &wanted->holder);
+    if (wanted->seq > lease->seq) {
+        int64_t slice = MpAccount_Free(account) / SLICE_DIVISOR;
+        slice = MIN(slice, wanted->amount_mtok);
+        lease->seq = wanted->seq;
+        lease->last_grant_mtok = slice;
+        lease->amount_mtok += slice;
+        account->leased_mtok += slice;
+    }
+    result->number = wanted->seq;
+    result->amount_mtok = lease->amount_mtok;
+    return MP_OK;
+}
+
+int
+MpLedger_Handin(struct MpLedger *this, const struct mp_lease *back,
+                struct mp_result *result)
+{
+    struct MpAccount *account = MpLedger_Find(this, back->workspace);
+    if (!account) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    struct MpLease *lease =
+        find_lease(account, back->holder.instance, back->holder.boot);
+    if (!lease) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    if (back->seq > lease->seq && is_amount(back->amount_mtok)) {
+        int64_t amount = MIN(back->amount_mtok, lease->amount_mtok);
+        lease->seq = back->seq;
+        lease->amount_mtok -= amount;
+        account->leased_mtok -= amount;
+        lease->recalled = false;
+    }
+    result->number = back->seq;
+    result->amount_mtok = lease->amount_mtok;
+    return MP_OK;
+}
+
+/* Takes amount from the holder's lease first and from the free part for the
+ * rest.  Returns false and changes nothing when both are short. */
+static bool
+reserve_amount(struct MpAccount *account, const struct mp_holder *holder,
+               int64_t amount_mtok)
+{
+    struct MpLease *lease =
+        find_lease(account, holder->instance, holder->boot);
+    int64_t leased = lease ? MIN(lease->amount_mtok, amount_mtok) : 0;
+    if (amount_mtok - leased > MpAccount_Free(account)) {
+        return false;
+    }
+    if (lease) {
+        lease->amount_mtok -= leased;
+        account->leased_mtok -= leased;
+    }
+    account->reserved_mtok += amount_mtok;
+    return true;
+}
+
+/* Marks the leases of other incarnations for recall.  Returns whether the
+ * recall can cover the missing amount. */
+static bool
+recall_leases(struct MpAccount *account, int64_t amount_mtok)
+{
+    if (MpAccount_Free(account) + account->leased_mtok < amount_mtok) {
+        return false;
+    }
+    for (guint i = 0; i < account->leases->len; i++) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i);
+        lease->recalled = lease->recalled || lease->amount_mtok > 0;
+    }
+    return true;
+}
+
+/* ---- records ---- */
+
+static void
+record_close(struct MpLedger *this, struct MpRecord *record,
+             enum mp_record_state state, int64_t now_ms)
+{
+    record->state = state;
+    record->closed_ms = now_ms;
+    record->link.data = record;
+    g_queue_push_tail_link(&this->closed, &record->link);
+}
+
+static void
+record_unlink(struct MpLedger *this, struct MpRecord *record)
+{
+    if (record->link.data) {
+        g_queue_unlink(&this->closed, &record->link);
+        record->link.data = NULL;
+    }
+}
+
+static struct MpRecord *
+record_new(struct MpLedger *this, struct MpAccount *account, const char *key)
+{
+    struct MpRecord *record = g_new0(struct MpRecord, 1);
+    record->id = g_strdup_printf("%s\n%s", account->workspace, key);
+    record->key = strchr(record->id, '\n') + 1;
+    record->account = account;
+    record->content_type = g_strdup("");
+    g_hash_table_insert(this->records, record->id, record);
+    return record;
+}
+
+static void
+record_start(struct MpLedger *this, struct MpRecord *record,
+             const struct mp_open *open)
+{
+    record_unlink(this, record);
+    memcpy(record->body_hash, open->body_hash, MP_HASH_BYTES);
+    record->instance = g_intern_string(open->holder.instance);
+    record->boot = open->holder.boot;
+    record->state = MP_RECORD_OPEN;
+    record->at_most_once = open->at_most_once;
+    record->open_id = open->open_id;
+    record->reserve_mtok = open->reserve_mtok;
+}
+
+static void
+result_answer(struct mp_result *result, const struct MpRecord *record)
+{
+    result->state = record->state;
+    result->status = record->status;
+    result->amount_mtok = record->spent_mtok;
+    result->content_type = record->content_type;
+    if (record->answer) {
+        gsize size;
+        result->answer.answer_val =
+            (char *)g_bytes_get_data(record->answer, &size);
+        result->answer.answer_len = (u_int)size;
+    }
+}
+
+/* A repeat of an answered key: the recorded answer, or another run of a
+ * repeatable request that is not billed. */
+static int
+open_answered(struct MpRecord *record, struct mp_result *result)
+{
+    result_answer(result, record);
+    if (record->answer || record->at_most_once) {
+        return MP_ERROR_ALREADY_ANSWERED;
+    }
+    if (record->reruns >= MP_RERUNS_MAX) {
+        return MP_ERROR_ALREADY_ANSWERED;
+    }
+    record->reruns++;
+    return MP_OK;
+}
+
+static int
+reserve_or_recall(struct MpAccount *account, const struct mp_open *open)
+{
+    if (reserve_amount(account, &open->holder, open->reserve_mtok)) {
+        return MP_OK;
+    }
+    if (recall_leases(account, open->reserve_mtok)) {
+        return MP_ERROR_RECALLING;
+    }
+    return MP_ERROR_BUDGET;
+}
+
+/* Another attempt of a repeatable request that is still open elsewhere: the
+ * reservation moves to the new attempt. */
+static int
+open_taken_over(struct MpLedger *this, struct MpRecord *record,
+                const struct mp_open *open)
+{
+    struct MpAccount *account = record->account;
+    account->reserved_mtok -= record->reserve_mtok;
+    int code = reserve_or_recall(account, open);
+    if (code != MP_OK) {
+        account->reserved_mtok += record->reserve_mtok;
+        return code;
+    }
+    record_start(this, record, open);
+    return MP_OK;
+}
+
+/* A new attempt after a cancelled one, whose bill becomes part of the new
+ * reservation, so that the key has one bill in the end. */
+static int
+open_cancelled(struct MpLedger *this, struct MpRecord *record,
+               const struct mp_open *open)
+{
+    struct MpAccount *account = record->account;
+    if (record->reruns >= MP_RERUNS_MAX) {
+        return MP_ERROR_ALREADY_ANSWERED;
+    }
+    account->settled_mtok -= record->spent_mtok;
+    int code = reserve_or_recall(account, open);
+    if (code != MP_OK) {
+        account->settled_mtok += record->spent_mtok;
+        return code;
+    }
+    record->spent_mtok = 0;
+    record->reruns++;
+    record_start(this, record, open);
+    return MP_OK;
+}
+
+static int
+open_known(struct MpLedger *this, struct MpRecord *record,
+           const struct mp_open *open, struct mp_result *result)
+{
+    if (record->open_id == open->open_id &&
+        record->boot == open->holder.boot &&
+        strcmp(record->instance, open->holder.instance) == 0) {
+        return record->state == MP_RECORD_OPEN ? MP_OK : MP_ERROR_STALE;
+    }
+    if (memcmp(record->body_hash, open->body_hash, MP_HASH_BYTES) != 0 &&
+        record->state != MP_RECORD_NOT_RUN) {
+        return MP_ERROR_KEY_REUSED;
+    }
+    switch (record->state) {
+    case MP_RECORD_DONE:
+        return open_answered(record, result);
+    case MP_RECORD_UNKNOWN:
+        return MP_ERROR_OUTCOME_UNKNOWN;
+    case MP_RECORD_OPEN:
+        return record->at_most_once ? MP_ERROR_IN_PROGRESS
+                                    : open_taken_over(this, record, open);
+    case MP_RECORD_CANCELLED:
+        return open_cancelled(this, record, open);
+    default:
+        break;
+    }
+    int code = reserve_or_recall(record->account, open);
+    if (code == MP_OK) {
+        record_start(this, record, open);
+    }
+    return code;
+}
+
+int
+MpLedger_Open(struct MpLedger *this, const struct mp_open *open,
+              int64_t now_ms, struct mp_result *result)
+{
+    (void)now_ms;
+    struct MpAccount *account = MpLedger_Find(this, open->workspace);
+    if (!account) {
+        return MP_ERROR_BUDGET;
+    }
+    if (!is_amount(open->reserve_mtok)) {
+        return MP_ERROR_OVERFLOW;
+    }
+    result->state = MP_RECORD_OPEN;
+    struct MpRecord *record =
+        MpLedger_FindRecord(this, open->workspace, open->key);
+    if (record && !MP_FAULT(MP_FAULT_CLAIM_UNCHECKED)) {
+        return open_known(this, record, open, result);
+    }
+    int code = reserve_or_recall(account, open);
+    if (code != MP_OK) {
+        return code;
+    }
+    if (!record) {
+        record = record_new(this, account, open->key);
+    }
+    record_start(this, record, open);
+    return MP_OK;
+}
+
+static void
+record_keep_answer(struct MpRecord *record, const struct mp_settle *settle)
+{
+    record->status = settle->status;
+    g_free(record->content_type);
+    record->content_type = g_strdup(settle->content_type);
+    if (record->answer) {
+        g_bytes_unref(record->answer);
+        record->answer = NULL;
+    }
+    if (settle->answer.answer_len > 0) {
+        record->answer = g_bytes_new(settle->answer.answer_val,
+                                     settle->answer.answer_len);
+    }
+}
+
+/* The holder of an at-most-once request reports after it was fenced: the
+ * bill stands, the answer becomes known. */
+static int
+settle_unknown(struct MpRecord *record, const struct mp_settle *settle)
+{
+    if (settle->outcome == MP_RECORD_DONE) {
+        record->state = MP_RECORD_DONE;
+        record_keep_answer(record, settle);
+    }
+    return MP_OK;
+}
+
+static bool
+is_closing_state(enum mp_record_state state)
+{
+    return state == MP_RECORD_DONE || state == MP_RECORD_UNKNOWN ||
+           state == MP_RECORD_NOT_RUN || state == MP_RECORD_CANCELLED;
+}
+
+/* Leaves a closed record for an attempt whose opening has not come: it may
+ * still arrive, late, and must then reserve nothing. */
+static int
+settle_unopened(struct MpLedger *this, const struct mp_settle *settle,
+                int64_t now_ms)
+{
+    struct MpAccount *account = MpLedger_Find(this, settle->workspace);
+    if (!account) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    if (settle->outcome != MP_RECORD_NOT_RUN) {
+        return MP_ERROR_STALE;
+    }
+    struct MpRecord *record = record_new(this, account, settle->key);
+    record->instance = g_intern_string(settle->holder.instance);
+    record->boot = settle->holder.boot;
+    record->open_id = settle->open_id;
+    record_close(this, record, MP_RECORD_NOT_RUN, now_ms);
+    return MP_OK;
+}
+
+static int
+settle_open(struct MpLedger *this, struct MpRecord *record,
+            const struct mp_settle *settle, int64_t now_ms)
+{
+    int64_t spent = CLAMP(settle->spent_mtok, 0, record->reserve_mtok);
+    enum mp_record_state outcome = settle->outcome;
+    /* A run that was given up may still take effect: it is never repeated
+     * and is billed as run. */
+    if (outcome == MP_RECORD_CANCELLED && record->at_most_once) {
+        outcome = MP_RECORD_UNKNOWN;
+    }
+    if (outcome == MP_RECORD_UNKNOWN) {
+        spent = record->reserve_mtok;
+    }
+    if (outcome == MP_RECORD_NOT_RUN) {
+        spent = 0;
+    }
+    record->account->reserved_mtok -= record->reserve_mtok;
+    record->account->settled_mtok += spent;
+    record->spent_mtok = spent;
+    record->reserve_mtok = 0;
+    record_keep_answer(record, settle);
+    record_close(this, record, outcome, now_ms);
+    return MP_OK;
+}
+
+int
+MpLedger_Settle(struct MpLedger *this, const struct mp_settle *settle,
+                int64_t now_ms, struct mp_result *result)
+{
+    if (!is_closing_state(settle->outcome)) {
+        return MP_ERROR_INVALID;
+    }
+    struct MpRecord *record =
+        MpLedger_FindRecord(this, settle->workspace, settle->key);
+    if (!record) {
+        return settle_unopened(this, settle, now_ms);
+    }
+    if (record->open_id != settle->open_id ||
+        record->boot != settle->holder.boot ||
+        strcmp(record->instance, settle->holder.instance) != 0) {
+        return MP_ERROR_STALE;
+    }
+    result->state = record->state;
+    if (MP_FAULT(MP_FAULT_SETTLE_TWICE) && record->state == MP_RECORD_DONE) {
+        record->account->settled_mtok += settle->spent_mtok;
+        return MP_OK;
+    }
+    switch (record->state) {
+    case MP_RECORD_OPEN:
+        return settle_open(this, record, settle, now_ms);
+    case MP_RECORD_UNKNOWN:
+        return settle_unknown(record, settle);
+    case MP_RECORD_ABANDONED:
+        return MP_ERROR_STALE;
+    default:
+        return MP_OK;
+    }
+}
+
+/* ---- offline spending ---- */
+
+int
+MpLedger_Offline(struct MpLedger *this, const struct mp_offline *offline,
+                 int64_t now_ms, struct mp_result *result)
+{
+    struct MpAccount *account = MpLedger_Find(this, offline->workspace);
+    if (!account) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    struct MpRecord *record =
+        MpLedger_FindRecord(this, offline->workspace, offline->key);
+    if (record && record->state == MP_RECORD_DONE) {
+        result->amount_mtok = 0;
+        return memcmp(record->body_hash, offline->body_hash, MP_HASH_BYTES)
+                   ? MP_ERROR_KEY_REUSED
+                   : MP_OK;
+    }
+    if (record && record->at_most_once) {
+        return MP_ERROR_KEY_REUSED;
+    }
+    struct MpLease *lease = find_lease(account, offline->holder.instance,
+                                       offline->holder.boot);
+    if (!lease || !is_amount(offline->spent_mtok) ||
+        lease->amount_mtok < offline->spent_mtok) {
+        return MP_ERROR_BUDGET;
+    }
+    if (record && record->state == MP_RECORD_OPEN) {
+        account->reserved_mtok -= record->reserve_mtok;
+    }
+    if (record) {
+        account->settled_mtok -= record->spent_mtok;
+        record_unlink(this, record);
+    }
+    else {
+        record = record_new(this, account, offline->key);
+    }
+    lease->amount_mtok -= offline->spent_mtok;
+    account->leased_mtok -= offline->spent_mtok;
+    account->settled_mtok += offline->spent_mtok;
+    memcpy(record->body_hash, offline->body_hash, MP_HASH_BYTES);
+    record->instance = g_intern_string(offline->holder.instance);
+    record->boot = offline->holder.boot;
+    record->open_id = 0;
+    record->reserve_mtok = 0;
+    record->spent_mtok = offline->spent_mtok;
+    record_close(this, record, MP_RECORD_DONE, now_ms);
+    result->amount_mtok = offline->spent_mtok;
+    return MP_OK;
+}
+
+/* ---- dead incarnations ---- */
+
+static bool
+is_held_by(const struct MpRecord *record, const char *instance,
+           uint64_t boot)
+{
+    return record->state == MP_RECORD_OPEN && record->boot <= boot &&
+           strcmp(record->instance, instance) == 0;
+}
+
+static int
+compare_records(const void *a, const void *b)
+{
+    const struct MpRecord *const *x = a;
+    const struct MpRecord *const *y = b;
+    return strcmp((*x)->id, (*y)->id);
+}
+
+static int64_t
+drop_account_leases(struct MpAccount *account, const char *instance,
+                    uint64_t boot, bool only_empty)
+{
+    int64_t freed = 0;
+    for (guint i = account->leases->len; i > 0; i--) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i - 1);
+        if (lease->boot > boot || strcmp(lease->instance, instance) != 0) {
+            continue;
+        }
+        if (only_empty && lease->amount_mtok > 0 &&
+            !MP_FAULT(MP_FAULT_LEASE_TIMEOUT)) {
+            continue;
+        }
+        freed += lease->amount_mtok;
+        account->leased_mtok -= lease->amount_mtok;
+        g_ptr_array_remove_index(account->leases, i - 1);
+    }
+    return freed;
+}
+
+static int64_t
+drop_leases(struct MpLedger *this, const char *instance, uint64_t boot,
+            bool only_empty)
+{
+    GHashTableIter iter;
+    void *value;
+    int64_t freed = 0;
+    g_hash_table_iter_init(&iter, this->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        freed += drop_account_leases(value, instance, boot, only_empty);
+    }
+    return freed;
+}
+
+void
+MpLedger_Fence(struct MpLedger *this, const char *instance, uint64_t boot,
+               int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    GPtrArray *held = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, this->records);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (is_held_by(value, instance, boot)) {
+            g_ptr_array_add(held, value);
+        }
+    }
+    /* The order of closing must be the same on all replicas. */
+    g_ptr_array_sort(held, compare_records);
+    for (guint i = 0; i < held->len; i++) {
+        struct MpRecord *record = g_ptr_array_index(held, i);
+        int64_t spent = record->at_most_once ? record->reserve_mtok : 0;
+        record->account->reserved_mtok -= record->reserve_mtok;
+        record->account->settled_mtok += spent;
+        record->spent_mtok = spent;
+        record->reserve_mtok = 0;
+        record_close(this, record,
+                     record->at_most_once ? MP_RECORD_UNKNOWN
+                                          : MP_RECORD_ABANDONED,
+                     now_ms);
+    }
+    g_ptr_array_unref(held);
+    drop_leases(this, instance, boot, true);
+}
+
+int64_t
+MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot)
+{
+    return drop_leases(this, instance, boot, false);
+}
+
+void
+MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
+{
+    struct MpRecord *record;
+    while ((record = g_queue_peek_head(&this->closed)) &&
+           record->closed_ms + this->retention_ms <= now_ms) {
+        record_unlink(this, record);
+        g_hash_table_remove(this->records, record->id);
+    }
+}
+
+/* ---- checks ---- */
+
+static bool
+is_account_sound(const struct MpAccount *account)
+{
+    int64_t leased = 0;
+    for (guint i = 0; i < account->leases->len; i++) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i);
+        if (lease->amount_mtok < 0) {
+            return false;
+        }
+        leased += lease->amount_mtok;
+    }
+    return leased == account->leased_mtok && account->settled_mtok >= 0 &&
+           account->reserved_mtok >= 0 && MpAccount_Free(account) >= 0;
+}
+
+int
+MpLedger_Check(const struct MpLedger *this)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (!is_account_sound(value)) {
+            return MP_ERROR_CORRUPT;
+        }
+    }
+    return MP_OK;
+}
--- /dev/null
+++ b/src/state/Ledger.h
@@ -0,0 +1,161 @@
+#ifndef MP_STATE_LEDGER_H
+#define MP_STATE_LEDGER_H
+
+#include "gen/wire.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Ledger - prepaid budgets, leases of instances, and one record per request.
+ *
+ * All amounts are thousandths of a token (mtok).  For each account
+ *
+ *     settled + reserved + leased <= granted
+ *
+ * holds after every call; leased is the sum over the leases.  A request is
+ * opened before it is dispatched, which reserves its worst case, and settled
+ * once.  A record that is closed stays for the retention time, so that a
+ * repeat of its key is answered from it and not billed again.
+ *
+ * The ledger is deterministic: time enters as now_ms, and replicas that
+ * apply the same calls in the same order hold the same state.
+ */
+
+/* Largest amount in one call, and largest budget. */
+#define MP_AMOUNT_MAX_MTOK INT64_C(1000000000000000)
+
+/* Runs of an answered repeatable request that are not billed again. */
+#define MP_RERUNS_MAX 3
+
+/* Default time that closed records are kept. */
+#define MP_RETENTION_MS INT64_C(86400000)
+
+/* A slice of a budget that one incarnation may admit from. */
+struct MpLease {
+    char *instance;
+    uint64_t boot;
+    uint64_t seq;
+    int64_t amount_mtok;
+    int64_t last_grant_mtok;
+    bool recalled;
+};
+
+struct MpAccount {
+    char *workspace;
+    int64_t granted_mtok;
+    int64_t settled_mtok;
+    int64_t reserved_mtok;
+    int64_t leased_mtok;
+    GPtrArray *leases; /* of struct MpLease */
+};
+
+struct MpRecord {
+    char *id; /* workspace, newline, key */
+    const char *key;
+    struct MpAccount *account;
+    uint8_t body_hash[MP_HASH_BYTES];
+    const char *instance; /* interned */
+    uint64_t boot;
+    enum mp_record_state state;
+    bool at_most_once;
+    uint64_t open_id;
+    int64_t reserve_mtok;
+    int64_t spent_mtok;
+    int64_t closed_ms;
+    uint32_t reruns;
+    int32_t status;
+    char *content_type;
+    GBytes *answer;
+    GList link; /* in closed, while closed */
+};
+
+struct MpLedger {
+    GHashTable *accounts; /* workspace -> struct MpAccount */
+    GHashTable *records;  /* id -> struct MpRecord */
+    GQueue closed;        /* closed records, oldest first */
+    int64_t retention_ms;
+};
+
+void MpLedger_Init(struct MpLedger *this);
+void MpLedger_Done(struct MpLedger *this);
+
+/* Returns the account of workspace or NULL. */
+struct MpAccount *MpLedger_Find(const struct MpLedger *this,
+                                const char *workspace);
+
+/* Returns the record of key or NULL. */
+struct MpRecord *MpLedger_FindRecord(const struct MpLedger *this,
+                                     const char *workspace, const char *key);
+
+/* Returns what of account is neither settled, reserved nor leased. */
+int64_t MpAccount_Free(const struct MpAccount *this);
+
+/* Adds amount_mtok to the budget; the account is made on the first call.
+ * Errors: MP_ERROR_OVERFLOW. */
+int MpLedger_Grant(struct MpLedger *this, const char *workspace,
+                   int64_t amount_mtok);
+
+/*
+ * Opens a request: reserves its worst case and claims its key.
+ *
+ * Out: result->state is MP_RECORD_OPEN when the caller may dispatch,
+ * MP_RECORD_DONE with code MP_OK when it may run again unbilled.
+ * Errors: MP_ERROR_BUDGET, MP_ERROR_RECALLING (leases of others are called
+ * back, try again soon), MP_ERROR_KEY_REUSED, MP_ERROR_IN_PROGRESS,
+ * MP_ERROR_OUTCOME_UNKNOWN, MP_ERROR_ALREADY_ANSWERED (with the recorded
+ * answer, where one was kept, in result), MP_ERROR_STALE.
+ */
+int MpLedger_Open(struct MpLedger *this, const struct mp_open *open,
+                  int64_t now_ms, struct mp_result *result);
+
+/*
+ * Settles an open request once; never bills past its reservation.
+ * A repeat by the same open_id gets MP_OK.  Errors: MP_ERROR_STALE when
+ * another attempt or a fence has taken the record over.
+ */
+int MpLedger_Settle(struct MpLedger *this, const struct mp_settle *settle,
+                    int64_t now_ms, struct mp_result *result);
+
+/* Grants holder a slice of up to amount_mtok; result->amount_mtok is the
+ * size of the whole lease.  A repeat of seq grants nothing more. */
+int MpLedger_Lease(struct MpLedger *this, const struct mp_lease *lease,
+                   struct mp_result *result);
+
+/* Takes amount_mtok of the lease back, at most all of it. */
+int MpLedger_Handin(struct MpLedger *this, const struct mp_lease *lease,
+                    struct mp_result *result);
+
+/* Bills a request that ran from a lease while the quorum was away.  The
+ * first bill of a key counts. Errors: MP_ERROR_BUDGET when the lease does
+ * not hold the amount, MP_ERROR_KEY_REUSED. */
+int MpLedger_Offline(struct MpLedger *this, const struct mp_offline *offline,
+                     int64_t now_ms, struct mp_result *result);
+
+/* Closes the open records of a dead incarnation: repeatable requests
+ * unbilled, at-most-once requests as unknown and billed.  Leases stay
+ * counted, since the incarnation may still spend them. */
+void MpLedger_Fence(struct MpLedger *this, const char *instance,
+                    uint64_t boot, int64_t now_ms);
+
+/* Drops the leases of a dead incarnation; for an operator who knows that
+ * its process has ended. Returns the amount set free, mtok. */
+int64_t MpLedger_WriteOff(struct MpLedger *this, const char *instance,
+                          uint64_t boot);
+
+/* Forgets closed records older than the retention time. */
+void MpLedger_Expire(struct MpLedger *this, int64_t now_ms);
+
+/* Returns MP_OK or MP_ERROR_CORRUPT if an account breaks the invariant. */
+int MpLedger_Check(const struct MpLedger *this);
+
+/* Copies the state into and out of a snapshot image.  The strings of the
+ * image belong to the ledger until the image is encoded. */
+void MpLedger_Save(const struct MpLedger *this,
+                   struct mp_machine_image *image);
+void MpLedger_DropImage(struct mp_machine_image *image);
+int MpLedger_Load(struct MpLedger *this,
+                  const struct mp_machine_image *image);
+
+#endif
--- /dev/null
+++ b/src/state/Machine.c
@@ -0,0 +1,555 @@
+#include "state/Machine.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+#include "state/Fault.h"
+
+#include <string.h>
+
+/* ---- construction ---- */
+
+static void
+incarnation_delete(void *data)
+{
+    struct MpIncarnation *this = data;
+    g_free(this->instance);
+    g_free(this);
+}
+
+static void
+marker_delete(void *data)
+{
+    struct MpMarker *this = data;
+    g_free(this->id);
+    g_free(this->scope);
+    g_free(this);
+}
+
+static void
+poison_delete(void *data)
+{
+    struct MpPoison *this = data;
+    g_free(this->last_target);
+    g_free(this);
+}
+
+static guint
+hash_of_hash(const void *data)
+{
+    guint value;
+    memcpy(&value, data, sizeof(value));
+    return value;
+}
+
+static gboolean
+equal_hashes(const void *a, const void *b)
+{
+    return memcmp(a, b, MP_HASH_BYTES) == 0;
+}
+
+void
+MpMachine_Init(struct MpMachine *this)
+{
+    *this = (struct MpMachine){.document = g_strdup(""),
+                               .document_author = g_strdup("")};
+    MpLedger_Init(&this->ledger);
+    this->incarnations = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                               incarnation_delete);
+    this->topups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                         marker_delete);
+    this->submissions = g_hash_table_new_full(g_str_hash, g_str_equal,
+                                              g_free, marker_delete);
+    this->poisons = g_hash_table_new_full(hash_of_hash, equal_hashes, NULL,
+                                          poison_delete);
+    g_queue_init(&this->topup_order);
+    g_queue_init(&this->submission_order);
+}
+
+void
+MpMachine_Done(struct MpMachine *this)
+{
+    g_queue_clear(&this->topup_order);
+    g_queue_clear(&this->submission_order);
+    g_hash_table_unref(this->poisons);
+    g_hash_table_unref(this->submissions);
+    g_hash_table_unref(this->topups);
+    g_hash_table_unref(this->incarnations);
+    MpLedger_Done(&this->ledger);
+    g_free(this->document);
+    g_free(this->document_author);
+}
+
+/* ---- markers ---- */
+
+static struct MpMarker *
+marker_add(GHashTable *table, GQueue *order, const char *scope,
+           const char *id)
+{
+    struct MpMarker *marker = g_new0(struct MpMarker, 1);
+    marker->id = g_strdup(id);
+    marker->scope = g_strdup(scope);
+    char *name = g_strdup_printf("%s\n%s", scope, id);
+    g_hash_table_insert(table, name, marker);
+    g_queue_push_tail(order, name);
+    if (order->length > MP_MARKERS_MAX) {
+        g_hash_table_remove(table, g_queue_pop_head(order));
+    }
+    return marker;
+}
+
+static struct MpMarker *
+marker_find(GHashTable *table, const char *scope, const char *id)
+{
+    char name[MP_NAME_MAX + MP_KEY_MAX + 2];
+    g_snprintf(name, sizeof(name), "%s\n%s", scope, id);
+    return g_hash_table_lookup(table, name);
+}
+
+static int
+marker_answer(const struct MpMarker *marker, struct mp_result *result)
+{
+    result->number = marker->number;
+    result->amount_mtok = marker->amount_mtok;
+    return marker->code;
+}
+
+/* ---- commands ---- */
+
+bool
+MpMachine_IsCurrent(const struct MpMachine *this,
+                    const struct mp_holder *holder)
+{
+    const struct MpIncarnation *life =
+        g_hash_table_lookup(this->incarnations, holder->instance);
+    return life && life->boot == holder->boot && !life->fenced;
+}
+
+static void
+fence(struct MpMachine *this, struct MpIncarnation *life)
+{
+    if (life->boot > 0 && !life->fenced) {
+        MpLedger_Fence(&this->ledger, life->instance, life->boot,
+                       this->now_ms);
+    }
+    life->fenced = true;
+}
+
+static int
+apply_register(struct MpMachine *this, const struct mp_register *reg,
+               struct mp_result *result)
+{
+    struct MpIncarnation *life =
+        g_hash_table_lookup(this->incarnations, reg->instance);
+    if (life && life->nonce == reg->nonce && !life->fenced) {
+        result->number = life->boot;
+        return MP_OK;
+    }
+    if (!life) {
+        life = g_new0(struct MpIncarnation, 1);
+        life->instance = g_strdup(reg->instance);
+        g_hash_table_insert(this->incarnations, life->instance, life);
+    }
+    fence(this, life);
+    life->boot++;
+    life->nonce = reg->nonce;
+    life->fenced = false;
+    result->number = life->boot;
+    return MP_OK;
+}
+
+static int
+apply_fence(struct MpMachine *this, const struct mp_holder *holder)
+{
+    struct MpIncarnation *life =
+        g_hash_table_lookup(this->incarnations, holder->instance);
+    if (!life || life->boot != holder->boot) {
+        return MP_ERROR_STALE;
+    }
+    fence(this, life);
+    return MP_OK;
+}
+
+static int
+apply_document(struct MpMachine *this, const struct mp_document_put *put,
+               struct mp_result *result)
+{
+    struct MpMarker *marker =
+        marker_find(this->submissions, "", put->submission);
+    if (marker) {
+        return marker_answer(marker, result);
+    }
+    bool is_base = put->base_version == this->document_version;
+    if (MP_FAULT(MP_FAULT_DOCUMENT_BY_CONTENT)) {
+        is_base = strcmp(put->text, this->document) != 0;
+    }
+    marker =
+        marker_add(this->submissions, &this->submission_order, "",
+                   put->submission);
+    if (is_base) {
+        g_free(this->document);
+        g_free(this->document_author);
+        this->document = g_strdup(put->text);
+        this->document_author = g_strdup(put->author);
+        this->document_version++;
+        this->ledger.retention_ms = put->retention_ms;
+    }
+    marker->code = is_base ? MP_OK : MP_ERROR_VERSION;
+    marker->number = this->document_version;
+    return marker_answer(marker, result);
+}
+
+static int
+apply_topup(struct MpMachine *this, const struct mp_topup *topup,
+            struct mp_result *result)
+{
+    struct MpMarker *marker =
+        marker_find(this->topups, topup->workspace, topup->topup_id);
+    if (marker && !MP_FAULT(MP_FAULT_TOPUP_TWICE)) {
+        return marker_answer(marker, result);
+    }
+    int code = MpLedger_Grant(&this->ledger, topup->workspace,
+                              topup->amount_mtok);
+    if (code != MP_OK) {
+        return code;
+    }
+    if (!marker) {
+        marker = marker_add(this->topups, &this->topup_order,
+                            topup->workspace, topup->topup_id);
+    }
+    marker->amount_mtok =
+        MpLedger_Find(&this->ledger, topup->workspace)->granted_mtok;
+    return marker_answer(marker, result);
+}
+
+/* ---- poison requests ---- */
+
+static bool
+is_stopped(const struct MpMachine *this, const struct MpPoison *poison)
+{
+    return poison->deaths >= MP_POISON_DEATHS &&
+           poison->last_ms + MP_POISON_MS > this->now_ms;
+}
+
+/* A target that died while it ran the request; a second report of the same
+ * target counts no more. */
+static int
+apply_poison(struct MpMachine *this, const struct mp_poison *report)
+{
+    struct MpPoison *poison =
+        g_hash_table_lookup(this->poisons, report->body_hash);
+    if (!poison) {
+        poison = g_new0(struct MpPoison, 1);
+        memcpy(poison->body_hash, report->body_hash, MP_HASH_BYTES);
+        poison->last_target = g_strdup("");
+        g_hash_table_insert(this->poisons, poison->body_hash, poison);
+    }
+    if (poison->last_ms + MP_POISON_MS <= this->now_ms) {
+        poison->deaths = 0;
+    }
+    if (poison->deaths > 0 &&
+        strcmp(poison->last_target, report->target) == 0) {
+        return MP_OK;
+    }
+    g_free(poison->last_target);
+    poison->last_target = g_strdup(report->target);
+    poison->last_ms = this->now_ms;
+    poison->deaths++;
+    this->poison_version++;
+    return MP_OK;
+}
+
+static gboolean
+is_poison_old(void *key, void *value, void *user_data)
+{
+    (void)key;
+    const struct MpMachine *this = user_data;
+    const struct MpPoison *poison = value;
+    return poison->last_ms + MP_POISON_MS <= this->now_ms;
+}
+
+GByteArray *
+MpMachine_PoisonList(const struct MpMachine *this)
+{
+    GHashTableIter iter;
+    void *value;
+    GByteArray *list = g_byte_array_new();
+    g_hash_table_iter_init(&iter, this->poisons);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpPoison *poison = value;
+        if (is_stopped(this, poison) &&
+            list->len + MP_HASH_BYTES <= MP_CHUNK_MAX) {
+            g_byte_array_append(list, poison->body_hash, MP_HASH_BYTES);
+        }
+    }
+    return list;
+}
+
+/* ---- apply ---- */
+
+static int
+apply_open(struct MpMachine *this, const struct mp_open *open,
+           struct mp_result *result)
+{
+    if (!MpMachine_IsCurrent(this, &open->holder)) {
+        return MP_ERROR_FENCED;
+    }
+    const struct MpPoison *poison =
+        g_hash_table_lookup(this->poisons, open->body_hash);
+    if (poison && is_stopped(this, poison)) {
+        return MP_ERROR_POISON;
+    }
+    return MpLedger_Open(&this->ledger, open, this->now_ms, result);
+}
+
+static int
+apply_lease(struct MpMachine *this, const struct mp_lease *lease,
+            struct mp_result *result)
+{
+    if (!MpMachine_IsCurrent(this, &lease->holder)) {
+        return MP_ERROR_FENCED;
+    }
+    return MpLedger_Lease(&this->ledger, lease, result);
+}
+
+static int
+apply_body(struct MpMachine *this, const struct mp_command_body *body,
+           struct mp_result *result)
+{
+    switch (body->kind) {
+    case MP_CMD_REGISTER:
+        return apply_register(this, &body->mp_command_body_u.reg, result);
+    case MP_CMD_FENCE:
+        return apply_fence(this, &body->mp_command_body_u.fence);
+    case MP_CMD_DOCUMENT:
+        return apply_document(this, &body->mp_command_body_u.document,
+                              result);
+    case MP_CMD_TOPUP:
+        return apply_topup(this, &body->mp_command_body_u.topup, result);
+    case MP_CMD_OPEN:
+        return apply_open(this, &body->mp_command_body_u.open, result);
+    case MP_CMD_SETTLE:
+        return MpLedger_Settle(&this->ledger,
+                               &body->mp_command_body_u.settle, this->now_ms,
+                               result);
+    case MP_CMD_LEASE:
+        return apply_lease(this, &body->mp_command_body_u.lease, result);
+    case MP_CMD_HANDIN:
+        return MpLedger_Handin(&this->ledger,
+                               &body->mp_command_body_u.handin, result);
+    case MP_CMD_OFFLINE:
+        return MpLedger_Offline(&this->ledger,
+                                &body->mp_command_body_u.offline,
+                                this->now_ms, result);
+    case MP_CMD_WRITEOFF:
+        result->amount_mtok = MpLedger_WriteOff(
+            &this->ledger, body->mp_command_body_u.writeoff.instance,
+            body->mp_command_body_u.writeoff.boot);
+        return MP_OK;
+    case MP_CMD_POISON:
+        return apply_poison(this, &body->mp_command_body_u.poison);
+    default:
+        return MP_ERROR_INVALID;
+    }
+}
+
+int
+MpMachine_Apply(struct MpMachine *this, uint64_t index,
+                const struct mp_command *command, struct mp_result *result)
+{
+    *result = (struct mp_result){.content_type = (char *)""};
+    this->applied = index;
+    this->now_ms = MAX(this->now_ms, command->at_ms);
+    MpLedger_Expire(&this->ledger, this->now_ms);
+    guint old = g_hash_table_foreach_remove(this->poisons, is_poison_old,
+                                            this);
+    this->poison_version += old > 0;
+    result->code = apply_body(this, &command->body, result);
+    return result->code;
+}
+
+void
+MpMachine_Skip(struct MpMachine *this, uint64_t index)
+{
+    this->applied = index;
+}
+
+/* ---- snapshots ---- */
+
+static void
+save_incarnations(const struct MpMachine *this,
+                  struct mp_machine_image *image)
+{
+    GHashTableIter iter;
+    void *value;
+    guint count = g_hash_table_size(this->incarnations);
+    struct mp_incarnation_image *next =
+        g_new0(struct mp_incarnation_image, count);
+    image->incarnations.incarnations_len = count;
+    image->incarnations.incarnations_val = next;
+    g_hash_table_iter_init(&iter, this->incarnations);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpIncarnation *life = value;
+        *next++ = (struct mp_incarnation_image){.instance = life->instance,
+                                                .boot = life->boot,
+                                                .nonce = life->nonce,
+                                                .fenced = life->fenced};
+    }
+}
+
+static struct mp_marker_image *
+save_markers(GHashTable *table, const GQueue *order)
+{
+    struct mp_marker_image *images =
+        g_new0(struct mp_marker_image, order->length);
+    struct mp_marker_image *next = images;
+    for (const GList *link = order->head; link; link = link->next) {
+        const struct MpMarker *marker =
+            g_hash_table_lookup(table, link->data);
+        *next++ =
+            (struct mp_marker_image){.id = marker->id,
+                                     .scope = marker->scope,
+                                     .code = marker->code,
+                                     .number = marker->number,
+                                     .amount_mtok = marker->amount_mtok};
+    }
+    return images;
+}
+
+static void
+save_poisons(const struct MpMachine *this, struct mp_machine_image *image)
+{
+    GHashTableIter iter;
+    void *value;
+    guint count = g_hash_table_size(this->poisons);
+    struct mp_poison_image *next = g_new0(struct mp_poison_image, count);
+    image->poisons.poisons_len = count;
+    image->poisons.poisons_val = next;
+    g_hash_table_iter_init(&iter, this->poisons);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpPoison *poison = value;
+        next->deaths = poison->deaths;
+        next->last_target = poison->last_target;
+        next->last_ms = poison->last_ms;
+        memcpy(next->body_hash, poison->body_hash, MP_HASH_BYTES);
+        next++;
+    }
+}
+
+GBytes *
+MpMachine_Save(const struct MpMachine *this)
+{
+    struct mp_machine_image image = {
+        .applied = this->applied,
+        .now_ms = this->now_ms,
+        .retention_ms = this->ledger.retention_ms,
+        .document_version = this->document_version,
+        .document_author = this->document_author,
+        .document = this->document,
+        .poison_version = this->poison_version,
+    };
+    MpLedger_Save(&this->ledger, &image);
+    if (MP_FAULT(MP_FAULT_SNAPSHOT_DROPS_CLAIMS)) {
+        image.closed_records.closed_records_len = 0;
+    }
+    save_incarnations(this, &image);
+    save_poisons(this, &image);
+    image.topups.topups_len = this->topup_order.length;
+    image.topups.topups_val = save_markers(this->topups, &this->topup_order);
+    image.submissions.submissions_len = this->submission_order.length;
+    image.submissions.submissions_val =
+        save_markers(this->submissions, &this->submission_order);
+    GBytes *bytes = MpCodec_Encode(MP_XDR(mp_machine_image), &image);
+    MpLedger_DropImage(&image);
+    g_free(image.incarnations.incarnations_val);
+    g_free(image.poisons.poisons_val);
+    g_free(image.topups.topups_val);
+    g_free(image.submissions.submissions_val);
+    return bytes;
+}
+
+static void
+load_markers(GHashTable *table, GQueue *order,
+             const struct mp_marker_image *images, u_int count)
+{
+    for (u_int i = 0; i < count; i++) {
+        struct MpMarker *marker =
+            marker_add(table, order, images[i].scope, images[i].id);
+        marker->code = images[i].code;
+        marker->number = images[i].number;
+        marker->amount_mtok = images[i].amount_mtok;
+    }
+}
+
+static void
+load_incarnations(struct MpMachine *this,
+                  const struct mp_machine_image *image)
+{
+    for (u_int i = 0; i < image->incarnations.incarnations_len; i++) {
+        const struct mp_incarnation_image *from =
+            &image->incarnations.incarnations_val[i];
+        struct MpIncarnation *life = g_new0(struct MpIncarnation, 1);
+        life->instance = g_strdup(from->instance);
+        life->boot = from->boot;
+        life->nonce = from->nonce;
+        life->fenced = from->fenced;
+        g_hash_table_insert(this->incarnations, life->instance, life);
+    }
+}
+
+static void
+load_poisons(struct MpMachine *this, const struct mp_machine_image *image)
+{
+    for (u_int i = 0; i < image->poisons.poisons_len; i++) {
+        const struct mp_poison_image *from = &image->poisons.poisons_val[i];
+        struct MpPoison *poison = g_new0(struct MpPoison, 1);
+        memcpy(poison->body_hash, from->body_hash, MP_HASH_BYTES);
+        poison->deaths = from->deaths;
+        poison->last_target = g_strdup(from->last_target);
+        poison->last_ms = from->last_ms;
+        g_hash_table_insert(this->poisons, poison->body_hash, poison);
+    }
+}
+
+static int
+load_image(struct MpMachine *this, const struct mp_machine_image *image)
+{
+    g_free(this->document);
+    g_free(this->document_author);
+    this->document = g_strdup(image->document);
+    this->document_author = g_strdup(image->document_author);
+    this->document_version = image->document_version;
+    this->poison_version = image->poison_version;
+    this->applied = image->applied;
+    this->now_ms = image->now_ms;
+    this->ledger.retention_ms = image->retention_ms;
+    load_incarnations(this, image);
+    load_poisons(this, image);
+    load_markers(this->topups, &this->topup_order, image->topups.topups_val,
+                 image->topups.topups_len);
+    load_markers(this->submissions, &this->submission_order,
+                 image->submissions.submissions_val,
+                 image->submissions.submissions_len);
+    return MpLedger_Load(&this->ledger, image);
+}
+
+int
+MpMachine_Load(struct MpMachine *this, const void *data, size_t size)
+{
+    struct mp_machine_image image;
+    int code = MpCodec_Decode(MP_XDR(mp_machine_image), &image, data, size,
+                              sizeof(image));
+    if (code != MP_OK) {
+        return code;
+    }
+    struct MpMachine fresh;
+    MpMachine_Init(&fresh);
+    code = load_image(&fresh, &image);
+    MpCodec_Free(MP_XDR(mp_machine_image), &image);
+    if (code != MP_OK) {
+        MpMachine_Done(&fresh);
+        return code;
+    }
+    MpMachine_Done(this);
+    *this = fresh;
+    return MP_OK;
+}
--- /dev/null
+++ b/src/state/Machine.h
@@ -0,0 +1,95 @@
+#ifndef MP_STATE_MACHINE_H
+#define MP_STATE_MACHINE_H
+
+#include "state/Ledger.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Machine - the replicated state: ledger, document, incarnations.
+ *
+ * Commands of the replicated log are applied in order.  A command that was
+ * refused changes nothing but the machine's clock.  Repeats are harmless:
+ * top-ups carry an id, submissions of a document carry an id, requests an
+ * open_id, lease calls a sequence number, registrations a nonce.
+ */
+
+/* Ids of top-ups and of submissions that are remembered, of each kind. */
+#define MP_MARKERS_MAX 16384
+
+/* Targets that fail while they run one same request before it is stopped
+ * everywhere, and how long it stays stopped. */
+#define MP_POISON_DEATHS 2
+#define MP_POISON_MS INT64_C(3600000)
+
+struct MpIncarnation {
+    char *instance;
+    uint64_t boot;
+    uint64_t nonce;
+    bool fenced;
+};
+
+/* Outcome of a call with an id, kept to answer its repeats. */
+struct MpMarker {
+    char *id;
+    char *scope;
+    int32_t code;
+    uint64_t number;
+    int64_t amount_mtok;
+};
+
+struct MpPoison {
+    uint8_t body_hash[MP_HASH_BYTES];
+    uint32_t deaths;
+    char *last_target;
+    int64_t last_ms;
+};
+
+struct MpMachine {
+    struct MpLedger ledger;
+    GHashTable *incarnations; /* instance -> struct MpIncarnation */
+    GHashTable *topups;       /* workspace, newline, id -> struct MpMarker */
+    GQueue topup_order;
+    GHashTable *submissions; /* id -> struct MpMarker */
+    GQueue submission_order;
+    GHashTable *poisons; /* body hash -> struct MpPoison */
+    uint64_t poison_version;
+    uint64_t document_version;
+    char *document;
+    char *document_author;
+    uint64_t applied;
+    int64_t now_ms;
+};
+
+void MpMachine_Init(struct MpMachine *this);
+void MpMachine_Done(struct MpMachine *this);
+
+/* Applies the command of entry index.  result is cleared first; its strings
+ * belong to the machine and last until the next call.  Returns the code that
+ * is also in result->code. */
+int MpMachine_Apply(struct MpMachine *this, uint64_t index,
+                    const struct mp_command *command,
+                    struct mp_result *result);
+
+/* Moves past an entry that holds no command. */
+void MpMachine_Skip(struct MpMachine *this, uint64_t index);
+
+/* Returns whether holder is the newest life of its instance and not
+ * fenced. */
+bool MpMachine_IsCurrent(const struct MpMachine *this,
+                         const struct mp_holder *holder);
+
+/* Returns the hashes of stopped requests, concatenated, MP_HASH_BYTES
+ * each. */
+GByteArray *MpMachine_PoisonList(const struct MpMachine *this);
+
+/* Returns the whole state as bytes. */
+GBytes *MpMachine_Save(const struct MpMachine *this);
+
+/* Replaces the state by that of bytes.  Errors: MP_ERROR_CORRUPT, when the
+ * state is unchanged. */
+int MpMachine_Load(struct MpMachine *this, const void *data, size_t size);
+
+#endif
--- /dev/null
+++ b/src/state/Settings.c
@@ -0,0 +1,215 @@
+#include "state/Settings.h"
+
+#include "state/Document.h"
+
+#include <string.h>
+
+#define AT(type, member) .offset = offsetof(struct type, member)
+#define PATH_LENGTH_MAX 4096
+
+static const struct MpField listen_fields[] = {
+    {.name = "callers", .type = MP_FIELD_ADDRESS, AT(MpListen, callers),
+     .text = "Where callers connect; needed by a router."},
+    {.name = "operators", .type = MP_FIELD_ADDRESS,
+     AT(MpListen, operators),
+     .text = "Where operators and metrics connect."},
+    {.name = "rpc", .type = MP_FIELD_ADDRESS, AT(MpListen, rpc),
+     .text = "Where other instances connect; needed by a control "
+             "instance."},
+    {.name = NULL},
+};
+static const struct MpSchema listen_schema = {.name = "listen",
+                                              .size = sizeof(struct MpListen),
+                                              .fields = listen_fields};
+
+static const struct MpField peer_fields[] = {
+    {.name = "instance", .type = MP_FIELD_NAME, .required = true,
+     AT(MpPeer, instance), .text = "Name of a control instance."},
+    {.name = "rpc", .type = MP_FIELD_ADDRESS, .required = true,
+     AT(MpPeer, rpc), .text = "Its address for other instances."},
+    {.name = NULL},
+};
+static const struct MpSchema peer_schema = {.name = "control instance",
+                                            .size = sizeof(struct MpPeer),
+                                            .fields = peer_fields};
+
+static const struct MpField settings_fields[] = {
+    {.name = "instance", .type = MP_FIELD_NAME, .required = true,
+     AT(MpSettings, instance),
+     .text = "Name of this instance, unique in the fleet."},
+    {.name = "zone", .type = MP_FIELD_NAME, .required = true,
+     AT(MpSettings, zone), .text = "Availability zone of this instance."},
+    {.name = "roles", .type = MP_FIELD_NAMES, .required = true, .least = 1,
+     .most = 2, AT(MpSettings, roles),
+     .text = "`router` serves callers, `control` keeps the durable "
+             "state."},
+    {.name = "listen", .type = MP_FIELD_OBJECT, .required = true,
+     .schema = &listen_schema, AT(MpSettings, listen),
+     .text = "Addresses of this instance."},
+    {.name = "control", .type = MP_FIELD_LIST, .required = true,
+     .least = 1, .most = 7, .schema = &peer_schema,
+     AT(MpSettings, control),
+     .text = "The control instances, the same list on every instance."},
+    {.name = "data_folder", .type = MP_FIELD_STRING, .least = 1,
+     .most = PATH_LENGTH_MAX, AT(MpSettings, data_folder),
+     .text = "Folder for durable files; needed by a control instance."},
+    {.name = "fleet_key_file", .type = MP_FIELD_STRING, .least = 1,
+     .most = PATH_LENGTH_MAX, AT(MpSettings, fleet_key_file),
+     .text = "File with the secret that the instances share; needed when "
+             "there is more than one control instance."},
+    {.name = "operator_token_file", .type = MP_FIELD_STRING, .least = 1,
+     .most = PATH_LENGTH_MAX, AT(MpSettings, operator_token_file),
+     .text = "File with the token of operators; needed with "
+             "`listen.operators`."},
+    {.name = "first_document", .type = MP_FIELD_STRING, .least = 1,
+     .most = PATH_LENGTH_MAX, AT(MpSettings, first_document),
+     .text = "Document that is submitted when the fleet has none."},
+    {.name = "drain_ms", .type = MP_FIELD_INTEGER, .least = 0,
+     .most = 3600000, .standard = 600000, .unit = "ms",
+     AT(MpSettings, drain_ms),
+     .text = "Longest time that a stopping instance waits for its running "
+             "requests."},
+    {.name = "body_most_bytes", .type = MP_FIELD_INTEGER, .least = 1024,
+     .most = 67108864, .standard = 4194304, .unit = "bytes",
+     AT(MpSettings, body_most_bytes),
+     .text = "Largest body of a request."},
+    {.name = "requests_most", .type = MP_FIELD_INTEGER, .least = 1,
+     .most = 1000000, .standard = 4096, .unit = "requests",
+     AT(MpSettings, requests_most),
+     .text = "Requests at once on this instance, waiting ones included."},
+    {.name = NULL},
+};
+const struct MpSchema MpSettings_Schema = {.name = "settings",
+                                           .size = sizeof(struct MpSettings),
+                                           .fields = settings_fields};
+
+/* ---- rules over several keys ---- */
+
+static void
+need(const char *value, const char *path, const char *why,
+     GPtrArray *findings)
+{
+    if (!value) {
+        MpFindings_Add(findings, MP_FINDING_MISSING, 0, path, "%s", why);
+    }
+}
+
+static void
+check_roles(struct MpSettings *this, GPtrArray *findings)
+{
+    for (guint i = 0; i < this->roles->len; i++) {
+        const char *role = g_ptr_array_index(this->roles, i);
+        if (strcmp(role, "router") == 0) {
+            this->is_router = true;
+        }
+        else if (strcmp(role, "control") == 0) {
+            this->is_control = true;
+        }
+        else {
+            MpFindings_Add(findings, MP_FINDING_VALUE, 0, "roles",
+                           "\"%s\" is not a role; \"router\" and "
+                           "\"control\" are",
+                           role);
+        }
+    }
+}
+
+static void
+check_peers(const struct MpSettings *this, GPtrArray *findings)
+{
+    bool is_listed = false;
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < this->control->len; i++) {
+        const struct MpPeer *peer = g_ptr_array_index(this->control, i);
+        if (!peer->instance || !peer->rpc) {
+            continue;
+        }
+        if (!g_hash_table_add(names, peer->instance)) {
+            MpFindings_Add(findings, MP_FINDING_DUPLICATE, 0, "control",
+                           "instance \"%s\" stands twice", peer->instance);
+        }
+        is_listed = is_listed ||
+                    g_strcmp0(peer->instance, this->instance) == 0;
+    }
+    if (this->is_control && !is_listed) {
+        MpFindings_Add(findings, MP_FINDING_REFERENCE, 0, "control",
+                       "this control instance is not in the list");
+    }
+    g_hash_table_unref(names);
+}
+
+static void
+check_rules(struct MpSettings *this, GPtrArray *findings)
+{
+    check_roles(this, findings);
+    check_peers(this, findings);
+    if (this->is_router) {
+        need(this->listen.callers, "listen.callers",
+             "a router needs an address for callers", findings);
+    }
+    if (this->is_control) {
+        need(this->listen.rpc, "listen.rpc",
+             "a control instance needs an address for instances", findings);
+        need(this->data_folder, "data_folder",
+             "a control instance needs a data folder", findings);
+    }
+    if (this->listen.operators) {
+        need(this->operator_token_file, "operator_token_file",
+             "the address for operators needs a token", findings);
+    }
+    if (this->control->len > 1 || !this->is_control) {
+        need(this->fleet_key_file, "fleet_key_file",
+             "several instances need a shared secret", findings);
+    }
+}
+
+/* ---- life ---- */
+
+struct MpSettings *
+MpSettings_Load(const char *name, GPtrArray *findings)
+{
+    char *text = NULL;
+    gsize size = 0;
+    GError *error = NULL;
+    if (!g_file_get_contents(name, &text, &size, &error)) {
+        MpFindings_Add(findings, MP_FINDING_SYNTAX, 0, "", "%s",
+                       error->message);
+        g_error_free(error);
+        return NULL;
+    }
+    guint before = findings->len;
+    struct json_object *value = MpJson_Parse(text, size, findings);
+    g_free(text);
+    if (!value) {
+        return NULL;
+    }
+    struct MpSettings *this = g_new0(struct MpSettings, 1);
+    MpSchema_Decode(&MpSettings_Schema, value, "", this, findings);
+    json_object_put(value);
+    this->folder = g_path_get_dirname(name);
+    check_rules(this, findings);
+    if (findings->len > before) {
+        MpSettings_Delete(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+MpSettings_Delete(struct MpSettings *this)
+{
+    if (!this) {
+        return;
+    }
+    MpSchema_Free(&MpSettings_Schema, this);
+    g_free(this->folder);
+    g_free(this);
+}
+
+char *
+MpSettings_Path(const struct MpSettings *this, const char *name)
+{
+    return g_path_is_absolute(name) ? g_strdup(name)
+                                    : g_build_filename(this->folder, name,
+                                                       NULL);
+}
