--- /dev/null
+++ b/src/commands/CommandOperator.c
@@ -0,0 +1,357 @@
+#include "commands/Command.h"
+
+#include "commands/HttpCall.h"
+#include "state/Document.h"
+#include "state/Error.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The verbs of operators: each is one call of the control interface. */
+
+#define MTOK_PER_TOKEN 1000
+
+/* What all verbs need. */
+struct operator_args {
+    struct arg_str *address;
+    struct arg_file *token;
+};
+
+static struct operator_args
+operator_args(void)
+{
+    return (struct operator_args){
+        .address = arg_str1("a", "address", "ADDRESS",
+                            "operators' address of an instance"),
+        .token = arg_file1("t", "token-file", "FILE", "operator token")};
+}
+
+/* Returns header lines with the token, or NULL after a message. */
+static char *
+token_header(const struct operator_args *args, const char *more)
+{
+    char *text = NULL;
+    if (!g_file_get_contents(args->token->filename[0], &text, NULL, NULL)) {
+        fprintf(stderr, "mimosapath: cannot read the token file %s\n",
+                args->token->filename[0]);
+        return NULL;
+    }
+    g_strstrip(text);
+    char *header =
+        g_strdup_printf("authorization: Bearer %s\r\n%s", text, more);
+    g_free(text);
+    return header;
+}
+
+/* Does the call and prints its answer. */
+static int
+perform(const struct operator_args *args, struct MpHttpCall *call,
+        const char *more)
+{
+    char *headers = token_header(args, more);
+    if (!headers) {
+        return MP_EXIT_FAILED;
+    }
+    call->address = args->address->sval[0];
+    call->headers = headers;
+    int code = MpHttpCall_Do(call);
+    g_free(headers);
+    if (code != MP_OK) {
+        fprintf(stderr, "mimosapath: %s: %s\n", call->address,
+                MpError_Info(code)->message);
+        return MP_EXIT_FAILED;
+    }
+    if (call->status != 200) {
+        fprintf(stderr, "mimosapath: %s\n", call->answer->str);
+        return MP_EXIT_FAILED;
+    }
+    return MP_EXIT_OK;
+}
+
+static int
+print_call(const struct operator_args *args, struct MpHttpCall *call,
+           const char *more)
+{
+    int status = perform(args, call, more);
+    if (status == MP_EXIT_OK) {
+        struct json_object *root = json_tokener_parse(call->answer->str);
+        puts(root
+                 ? json_object_to_json_string_ext(
+                       root, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED)
+                 : call->answer->str);
+        json_object_put(root);
+    }
+    MpHttpCall_Done(call);
+    return status;
+}
+
+int
+MpCommandStatus_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    void *table[] = {args.address, args.token, MP_COMMON_ARGS};
+    int status =
+        MpCommand_Parse(argc, argv, table, "Shows the state of the fleet.");
+    if (status < 0) {
+        struct MpHttpCall call = {.method = "GET",
+                                  .path = "/control/v1/status"};
+        status = print_call(&args, &call, "");
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+int
+MpCommandWorkspace_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    struct arg_str *name =
+        arg_str1(NULL, NULL, "WORKSPACE", "name of the workspace");
+    void *table[] = {args.address, args.token, name, MP_COMMON_ARGS};
+    int status = MpCommand_Parse(argc, argv, table,
+                                 "Shows the account of a workspace, mtok.");
+    if (status < 0 && !MpSchema_IsName(name->sval[0])) {
+        fprintf(stderr, "mimosapath workspace: \"%s\" is no name\n",
+                name->sval[0]);
+        status = MP_EXIT_USAGE;
+    }
+    if (status < 0) {
+        char *path =
+            g_strdup_printf("/control/v1/workspaces/%s", name->sval[0]);
+        struct MpHttpCall call = {.method = "GET", .path = path};
+        status = print_call(&args, &call, "");
+        g_free(path);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+static int
+topup(const struct operator_args *args, const char *workspace,
+      const char *amount, const char *id)
+{
+    char *end;
+    int64_t tokens = strtoll(amount, &end, 10);
+    if (!MpSchema_IsName(workspace) || *end || tokens <= 0 ||
+        tokens > INT64_C(1000000000000)) {
+        fprintf(stderr, "mimosapath topup: WORKSPACE must be a name and "
+                        "TOKENS from 1 to 1000000000000\n");
+        return MP_EXIT_USAGE;
+    }
+    char *path =
+        g_strdup_printf("/control/v1/workspaces/%s/topups", workspace);
+    char *body = g_strdup_printf("{\"amount_mtok\":%" PRId64 "}",
+                                 tokens * MTOK_PER_TOKEN);
+    char *header = g_strdup_printf("idempotency-key: %s\r\n", id);
+    struct MpHttpCall call = {.method = "POST", .path = path, .body = body};
+    int status = print_call(args, &call, header);
+    g_free(header);
+    g_free(body);
+    g_free(path);
+    return status;
+}
+
+int
+MpCommandTopup_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    struct arg_str *id = arg_str1(
+        "i", "id", "ID", "name of this top-up; the same id counts once");
+    struct arg_str *name =
+        arg_str1(NULL, NULL, "WORKSPACE", "name of the workspace");
+    struct arg_str *amount =
+        arg_str1(NULL, NULL, "TOKENS", "amount, in whole tokens");
+    void *table[] = {args.address, args.token, id,
+                     name,         amount,     MP_COMMON_ARGS};
+    int status = MpCommand_Parse(argc, argv, table,
+                                 "Adds to the budget of a workspace.");
+    if (status < 0) {
+        status = topup(&args, name->sval[0], amount->sval[0], id->sval[0]);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+/* ---- document ---- */
+
+static int
+get_document(const struct operator_args *args, struct MpHttpCall *call)
+{
+    *call =
+        (struct MpHttpCall){.method = "GET", .path = "/control/v1/document"};
+    return perform(args, call, "");
+}
+
+static int
+put_document(const struct operator_args *args, const char *text,
+             const char *base, const char *id)
+{
+    char *header =
+        g_strdup_printf("if-match: \"%s\"\r\nidempotency-key: %s\r\n"
+                        "x-mimosapath-author: %s\r\n",
+                        base, id, g_get_user_name());
+    struct MpHttpCall call = {
+        .method = "PUT", .path = "/control/v1/document", .body = text};
+    int status = print_call(args, &call, header);
+    g_free(header);
+    return status;
+}
+
+/* Prints the lines that differ between two texts, without the lines that
+ * both begin or end with. */
+static void
+print_difference(const char *old_text, const char *new_text)
+{
+    char **old_lines = g_strsplit(old_text, "\n", -1);
+    char **new_lines = g_strsplit(new_text, "\n", -1);
+    guint old_end = g_strv_length(old_lines);
+    guint new_end = g_strv_length(new_lines);
+    guint start = 0;
+    while (start < old_end && start < new_end &&
+           strcmp(old_lines[start], new_lines[start]) == 0) {
+        start++;
+    }
+    while (old_end > start && new_end > start &&
+           strcmp(old_lines[old_end - 1], new_lines[new_end - 1]) == 0) {
+        old_end--;
+        new_end--;
+    }
+    for (guint i = start; i < old_end; i++) {
+        printf("-%u: %s\n", i + 1, old_lines[i]);
+    }
+    for (guint i = start; i < new_end; i++) {
+        printf("+%u: %s\n", i + 1, new_lines[i]);
+    }
+    g_strfreev(old_lines);
+    g_strfreev(new_lines);
+}
+
+static int
+diff_document(const struct operator_args *args, const char *text)
+{
+    struct MpHttpCall call;
+    int status = get_document(args, &call);
+    if (status == MP_EXIT_OK) {
+        printf("against version %s\n", call.etag ? call.etag : "?");
+        print_difference(call.answer->str, text);
+    }
+    MpHttpCall_Done(&call);
+    return status;
+}
+
+static int
+show_document(const struct operator_args *args)
+{
+    struct MpHttpCall call;
+    int status = get_document(args, &call);
+    if (status == MP_EXIT_OK) {
+        fprintf(stderr, "version %s\n", call.etag ? call.etag : "?");
+        fputs(call.answer->str, stdout);
+    }
+    MpHttpCall_Done(&call);
+    return status;
+}
+
+static int
+serve_document(const struct operator_args *args, const char *verb,
+               const char *file, const char *base, const char *id)
+{
+    char *text = NULL;
+    int status;
+    if (strcmp(verb, "get") == 0) {
+        return show_document(args);
+    }
+    bool is_put = strcmp(verb, "put") == 0;
+    if (!is_put && strcmp(verb, "diff") != 0) {
+        fprintf(stderr,
+                "mimosapath document: VERB must be get, put or diff\n");
+        return MP_EXIT_USAGE;
+    }
+    if (!file || (is_put && (!base || !id))) {
+        fprintf(stderr, "mimosapath document %s: needs --file%s\n", verb,
+                is_put ? ", --base and --id" : "");
+        return MP_EXIT_USAGE;
+    }
+    if (!g_file_get_contents(file, &text, NULL, NULL)) {
+        fprintf(stderr, "mimosapath document: cannot read %s\n", file);
+        return MP_EXIT_FAILED;
+    }
+    status = is_put ? put_document(args, text, base, id)
+                    : diff_document(args, text);
+    g_free(text);
+    return status;
+}
+
+int
+MpCommandDocument_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    struct arg_str *verb = arg_str1(NULL, NULL, "VERB", "get, put or diff");
+    struct arg_file *file =
+        arg_file0("f", "file", "FILE", "document to put or compare");
+    struct arg_str *base = arg_str0("b", "base", "VERSION",
+                                    "version that the change is based on");
+    struct arg_str *id = arg_str0("i", "id", "ID",
+                                  "name of this submission; the same id "
+                                  "gets the first answer");
+    void *table[] = {args.address, args.token, file,          base,
+                     id,           verb,       MP_COMMON_ARGS};
+    int status = MpCommand_Parse(argc, argv, table,
+                                 "Gets, puts or compares the document.");
+    if (status < 0) {
+        status = serve_document(&args, verb->sval[0],
+                                file->count > 0 ? file->filename[0] : NULL,
+                                base->count > 0 ? base->sval[0] : NULL,
+                                id->count > 0 ? id->sval[0] : NULL);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+/* ---- instances ---- */
+
+int
+MpCommandLedger_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    struct arg_str *instance = arg_str1("w", "write-off", "INSTANCE",
+                                        "instance whose process has ended");
+    struct arg_int *boot =
+        arg_int1("b", "boot", "N", "its boot number, as status shows it");
+    void *table[] = {args.address, args.token, instance, boot, MP_COMMON_ARGS};
+    int status = MpCommand_Parse(
+        argc, argv, table,
+        "Frees the leases of an instance that will not come back. Only for "
+        "a process that is known to have ended.");
+    if (status < 0) {
+        char *path = g_strdup_printf("/control/v1/instances/%s/writeoff",
+                                     instance->sval[0]);
+        char *body = g_strdup_printf("{\"boot\":%d}", boot->ival[0]);
+        struct MpHttpCall call = {
+            .method = "POST", .path = path, .body = body};
+        status = print_call(&args, &call, "");
+        g_free(body);
+        g_free(path);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+int
+MpCommandDrain_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    void *table[] = {args.address, args.token, MP_COMMON_ARGS};
+    int status = MpCommand_Parse(
+        argc, argv, table,
+        "Lets the instance at ADDRESS finish its requests and end.");
+    if (status < 0) {
+        struct MpHttpCall call = {.method = "POST",
+                                  .path = "/control/v1/drain"};
+        status = print_call(&args, &call, "");
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
--- /dev/null
+++ b/src/commands/CommandRun.c
@@ -0,0 +1,45 @@
+#include "commands/Command.h"
+
+#include "state/Error.h"
+#include "transport/Instance.h"
+#include "transport/Log.h"
+
+#include <stdio.h>
+
+static int
+run(const char *name)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct MpSettings *settings = MpSettings_Load(name, findings);
+    if (!settings) {
+        char *text = MpFindings_Text(findings, name);
+        fputs(text, stderr);
+        g_free(text);
+        g_ptr_array_unref(findings);
+        return MP_EXIT_FAILED;
+    }
+    g_ptr_array_unref(findings);
+    MpLog_Init(settings->instance);
+    int code = MpInstance_Run(settings);
+    if (code != MP_OK) {
+        MpLog_Event(LOG_CRIT, "stopped", "error=%s", MpError_Name(code));
+    }
+    MpSettings_Delete(settings);
+    return code == MP_OK ? MP_EXIT_OK : MP_EXIT_FAILED;
+}
+
+int
+MpCommandRun_Main(int argc, char **argv)
+{
+    struct arg_file *settings =
+        arg_file1("s", "settings", "FILE", "settings of the instance");
+    void *table[] = {settings, MP_COMMON_ARGS};
+    int status = MpCommand_Parse(
+        argc, argv, table,
+        "Runs an instance until SIGTERM or SIGINT, which drain it.");
+    if (status < 0) {
+        status = run(settings->filename[0]);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
--- /dev/null
+++ b/src/commands/HttpCall.c
@@ -0,0 +1,104 @@
+#include "commands/HttpCall.h"
+
+#include "state/Error.h"
+#include "transport/Loop.h"
+#include "transport/Upstream.h"
+
+#include <string.h>
+
+#define WAIT_MS 10000
+
+/* The loop of the command; it cannot be closed, so it is made once. */
+static struct MpLoop call_loop;
+static struct MpUpstreamContext call_context;
+static bool is_loop_made;
+static int call_code;
+
+static void
+on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
+{
+    struct MpHttpCall *this = owner;
+    this->status = status;
+    for (size_t i = 0; i < count; i++) {
+        if (h2o_memis(headers[i].name->base, headers[i].name->len,
+                      H2O_STRLIT("etag"))) {
+            g_free(this->etag);
+            this->etag =
+                g_strndup(headers[i].value.base, headers[i].value.len);
+        }
+    }
+}
+
+static void
+on_body(void *owner, const char *data, size_t size)
+{
+    struct MpHttpCall *this = owner;
+    g_string_append_len(this->answer, data, (gssize)size);
+}
+
+static void
+on_end(void *owner, enum MpUpstreamEnd end)
+{
+    (void)owner;
+    call_code = end == MP_UPSTREAM_WHOLE ? MP_OK : MP_ERROR_CLOSED;
+    MpLoop_Stop(&call_loop);
+}
+
+static const struct MpUpstreamClass call_class = {
+    .head = on_head, .body = on_body, .end = on_end};
+
+static void
+on_late(struct MpTimer *timer)
+{
+    (void)timer;
+    call_code = MP_ERROR_TIMEOUT;
+    MpLoop_Stop(&call_loop);
+}
+
+static GByteArray *
+build(const struct MpHttpCall *this)
+{
+    size_t size = this->body ? strlen(this->body) : 0;
+    char *head = g_strdup_printf("%s %s HTTP/1.1\r\nhost: %s\r\n"
+                                 "connection: close\r\n"
+                                 "content-length: %zu\r\n%s\r\n",
+                                 this->method, this->path, this->address, size,
+                                 this->headers);
+    GByteArray *request = g_byte_array_new();
+    g_byte_array_append(request, (const guint8 *)head, (guint)strlen(head));
+    if (size > 0) {
+        g_byte_array_append(request, (const guint8 *)this->body, (guint)size);
+    }
+    g_free(head);
+    return request;
+}
+
+int
+MpHttpCall_Do(struct MpHttpCall *this)
+{
+    struct sockaddr_in place;
+    struct MpTimer timer = {.place = NULL};
+    this->answer = g_string_new(NULL);
+    if (!MpLoop_ParseAddress(this->address, &place)) {
+        return MP_ERROR_INVALID;
+    }
+    if (!is_loop_made) {
+        is_loop_made = true;
+        MpLoop_Init(&call_loop);
+        MpUpstreamContext_Init(&call_context, &call_loop);
+    }
+    call_loop.stopped = false;
+    MpLoop_SetTimer(&call_loop, &timer, WAIT_MS, on_late, NULL);
+    MpUpstream_Start(&call_context, &call_class, this, this->address,
+                     this->method, build(this));
+    MpLoop_Run(&call_loop);
+    MpLoop_ClearTimer(&timer);
+    return call_code;
+}
+
+void
+MpHttpCall_Done(struct MpHttpCall *this)
+{
+    g_string_free(this->answer, TRUE);
+    g_free(this->etag);
+}
--- /dev/null
+++ b/src/coordination/Picker.c
@@ -0,0 +1,501 @@
+#include "coordination/Picker.h"
+
+#include "state/Error.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define EJECT_FAILURES 3
+#define EJECT_BASE_MS 1000
+#define EJECT_MOST_MS 30000
+/* A cached prefix is worth this share above the mean load. */
+#define BOUND_PERCENT 125
+#define BOUND_EXTRA 1
+/* A report older than this says nothing any more. */
+#define REPORT_OLD_MS 5000
+
+const char *const MpTargetHealth_Names[] = {
+    [MP_HEALTH_IN] = "in",           [MP_HEALTH_DRAINING] = "draining",
+    [MP_HEALTH_LEAVING] = "leaving", [MP_HEALTH_EJECTED] = "ejected",
+    [MP_HEALTH_PROBING] = "probing",
+};
+
+/* ---- targets ---- */
+
+static void
+target_delete(void *data)
+{
+    struct MpTarget *this = data;
+    g_hash_table_unref(this->blocks);
+    g_queue_clear_full(&this->block_order, g_free);
+    g_free(this->name);
+    g_free(this->address);
+    g_free(this->zone);
+    g_free(this);
+}
+
+static struct MpTarget *
+target_new(const char *name)
+{
+    struct MpTarget *this = g_new0(struct MpTarget, 1);
+    this->name = g_strdup(name);
+    this->blocks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_queue_init(&this->block_order);
+    return this;
+}
+
+static void
+forget_blocks(struct MpTarget *this)
+{
+    g_hash_table_remove_all(this->blocks);
+    g_queue_clear_full(&this->block_order, g_free);
+}
+
+/* A target at another address is another process. */
+static void
+target_configure(struct MpTarget *this, const struct MpTargetConf *conf)
+{
+    if (g_strcmp0(this->address, conf->address) != 0) {
+        MpTarget_NewLife(this);
+        this->failures = 0;
+        this->ejections = 0;
+        this->ejected_until_ms = 0;
+    }
+    g_free(this->address);
+    g_free(this->zone);
+    this->address = g_strdup(conf->address);
+    this->zone = g_strdup(conf->zone);
+    this->capacity = conf->capacity;
+    this->is_draining = conf->state == MP_TARGET_DRAIN;
+    this->is_listed = true;
+}
+
+void
+MpTarget_NewLife(struct MpTarget *this)
+{
+    forget_blocks(this);
+    this->report_sequence = 0;
+    this->event_sequence = 0;
+    this->is_leaving = false;
+}
+
+int64_t
+MpTarget_Load(const struct MpTarget *this)
+{
+    int64_t load = this->reported + this->own - this->own_at_report;
+    return MAX(load, this->own);
+}
+
+enum MpTargetHealth
+MpTarget_Health(const struct MpTarget *this, int64_t now_ms)
+{
+    if (this->is_draining || !this->is_listed) {
+        return MP_HEALTH_DRAINING;
+    }
+    if (this->is_leaving) {
+        return MP_HEALTH_LEAVING;
+    }
+    if (now_ms < this->ejected_until_ms) {
+        return MP_HEALTH_EJECTED;
+    }
+    return this->is_probing ? MP_HEALTH_PROBING : MP_HEALTH_IN;
+}
+
+void
+MpTarget_Start(struct MpTarget *this)
+{
+    this->own++;
+    this->picked++;
+    /* The first request after an ejection is the probe. */
+    this->is_probing = this->ejected_until_ms > 0;
+}
+
+static void
+eject(struct MpPicker *picker, struct MpTarget *this, int64_t now_ms)
+{
+    int64_t time_ms = EJECT_BASE_MS << MIN(this->ejections, 5);
+    this->ejected_until_ms = now_ms + MIN(time_ms, EJECT_MOST_MS);
+    this->ejections++;
+    this->failures = 0;
+    picker->ejections++;
+}
+
+void
+MpTarget_Finish(struct MpPicker *picker, struct MpTarget *this,
+                enum MpAttemptOutcome outcome, int64_t now_ms)
+{
+    bool was_probing = this->is_probing;
+    this->own = MAX(this->own - 1, 0);
+    this->is_probing = false;
+    if (outcome == MP_ATTEMPT_OK) {
+        this->failures = 0;
+        this->ejections = 0;
+        this->ejected_until_ms = 0;
+    }
+    else if (outcome == MP_ATTEMPT_FAILED) {
+        this->failures++;
+        if (was_probing || this->failures >= EJECT_FAILURES) {
+            eject(picker, this, now_ms);
+        }
+    }
+}
+
+void
+MpTarget_Report(struct MpTarget *this, const struct MpLoadReport *report,
+                int64_t now_ms)
+{
+    if (report->sequence < this->report_sequence) {
+        return;
+    }
+    this->report_sequence = report->sequence;
+    this->reported = report->running + report->waiting;
+    this->own_at_report = this->own;
+    this->report_ms = now_ms;
+    this->is_leaving = report->leaving;
+    /* It answers again: at-most-once requests, which are no probes, may go
+     * there once the time of the ejection is over. */
+    if (now_ms >= this->ejected_until_ms && !this->is_probing) {
+        this->ejected_until_ms = 0;
+    }
+}
+
+void
+MpTarget_ReportFailed(struct MpPicker *picker, struct MpTarget *this,
+                      int64_t now_ms)
+{
+    this->failures++;
+    if (this->failures >= EJECT_FAILURES && now_ms >= this->ejected_until_ms) {
+        eject(picker, this, now_ms);
+    }
+}
+
+/* ---- cached prefixes ---- */
+
+uint32_t
+MpPicker_HashBlocks(const void *text, size_t size, uint64_t *blocks)
+{
+    uint32_t count = 0;
+    uint64_t hash = 0;
+    for (size_t at = 0;
+         at + MP_PREFIX_BLOCK_BYTES <= size && count < MP_PREFIX_BLOCKS_MAX;
+         at += MP_PREFIX_BLOCK_BYTES) {
+        hash = XXH64((const char *)text + at, MP_PREFIX_BLOCK_BYTES, hash);
+        blocks[count++] = hash;
+    }
+    return count;
+}
+
+static void
+add_block(struct MpTarget *this, uint64_t block)
+{
+    if (g_hash_table_contains(this->blocks, &block)) {
+        return;
+    }
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = block;
+    g_hash_table_add(this->blocks, key);
+    g_queue_push_tail(&this->block_order, key);
+    if (this->block_order.length > MP_PREFIX_CACHE_MAX) {
+        uint64_t *oldest = g_queue_pop_head(&this->block_order);
+        /* The key may have been dropped and added again. */
+        if (g_hash_table_lookup(this->blocks, oldest) == oldest) {
+            g_hash_table_remove(this->blocks, oldest);
+        }
+        g_free(oldest);
+    }
+}
+
+void
+MpTarget_NoteBlocks(struct MpTarget *this, const uint64_t *blocks,
+                    uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        add_block(this, blocks[i]);
+    }
+}
+
+void
+MpTarget_CacheEvent(struct MpTarget *this, uint64_t sequence, uint64_t block,
+                    bool is_added)
+{
+    if (sequence <= this->event_sequence) {
+        return;
+    }
+    if (this->event_sequence > 0 && sequence > this->event_sequence + 1) {
+        forget_blocks(this);
+    }
+    this->event_sequence = sequence;
+    if (is_added) {
+        add_block(this, block);
+    }
+    else {
+        g_hash_table_remove(this->blocks, &block);
+    }
+}
+
+/* Returns how many blocks from the start are expected in the cache. */
+static uint32_t
+cached_blocks(const struct MpTarget *this, const struct MpPickQuery *query)
+{
+    uint32_t count = 0;
+    while (count < query->block_count &&
+           g_hash_table_contains(this->blocks, &query->blocks[count])) {
+        count++;
+    }
+    return count;
+}
+
+/* ---- picker ---- */
+
+void
+MpPicker_Init(struct MpPicker *this, const char *zone, uint32_t seed)
+{
+    *this = (struct MpPicker){.zone = g_strdup(zone)};
+    this->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_delete);
+    this->random = g_rand_new_with_seed(seed);
+}
+
+void
+MpPicker_Done(struct MpPicker *this)
+{
+    g_hash_table_unref(this->targets);
+    g_rand_free(this->random);
+    g_free(this->zone);
+}
+
+struct MpTarget *
+MpPicker_Find(const struct MpPicker *this, const char *name)
+{
+    return g_hash_table_lookup(this->targets, name);
+}
+
+void
+MpPicker_SetDocument(struct MpPicker *this, const struct MpDocument *document)
+{
+    GHashTableIter iter;
+    void *key;
+    void *value;
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct MpTarget *)value)->is_listed = false;
+    }
+    g_hash_table_iter_init(&iter, document->targets);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        struct MpTarget *target = MpPicker_Find(this, key);
+        if (!target) {
+            target = target_new(key);
+            g_hash_table_insert(this->targets, target->name, target);
+        }
+        target_configure(target, value);
+    }
+}
+
+/* Targets that may be taken for one request. */
+struct choice {
+    struct MpTarget **list;
+    guint count;
+    guint full;
+};
+
+static bool
+is_avoided(const struct MpPickQuery *query, const char *name)
+{
+    return query->avoid && MpDocument_Lists(query->avoid, name);
+}
+
+static bool
+is_usable(const struct MpTarget *target, int64_t now_ms)
+{
+    enum MpTargetHealth health = MpTarget_Health(target, now_ms);
+    return health == MP_HEALTH_IN;
+}
+
+static void
+add_choice(struct choice *choice, struct MpTarget *target)
+{
+    if (MpTarget_Load(target) >= target->capacity) {
+        choice->full++;
+        return;
+    }
+    choice->list[choice->count++] = target;
+}
+
+static void
+collect(struct MpPicker *this, const struct MpPickQuery *query, int64_t now_ms,
+        struct choice *choice)
+{
+    for (guint i = 0; i < query->names->len; i++) {
+        const char *name = g_ptr_array_index(query->names, i);
+        struct MpTarget *target = MpPicker_Find(this, name);
+        if (!target || is_avoided(query, name) || !is_usable(target, now_ms)) {
+            continue;
+        }
+        /* A request that must not run twice is no probe. */
+        if (query->at_most_once && target->ejected_until_ms > 0) {
+            continue;
+        }
+        add_choice(choice, target);
+    }
+}
+
+/* When more than half is ejected the fault may be on this side: ejected
+ * targets are taken again. */
+static void
+collect_ejected(struct MpPicker *this, const struct MpPickQuery *query,
+                int64_t now_ms, struct choice *choice)
+{
+    guint ejected = 0;
+    for (guint i = 0; i < query->names->len; i++) {
+        struct MpTarget *target =
+            MpPicker_Find(this, g_ptr_array_index(query->names, i));
+        ejected +=
+            target && MpTarget_Health(target, now_ms) == MP_HEALTH_EJECTED;
+    }
+    if (ejected * 2 <= query->names->len) {
+        return;
+    }
+    for (guint i = 0; i < query->names->len; i++) {
+        const char *name = g_ptr_array_index(query->names, i);
+        struct MpTarget *target = MpPicker_Find(this, name);
+        if (target && !is_avoided(query, name) &&
+            MpTarget_Health(target, now_ms) == MP_HEALTH_EJECTED) {
+            add_choice(choice, target);
+        }
+    }
+}
+
+static int64_t
+scaled_load(const struct MpTarget *target)
+{
+    return MpTarget_Load(target) * 1000 / MAX(target->capacity, 1);
+}
+
+static struct MpTarget *
+less_loaded(const struct MpPicker *this, struct MpTarget *a,
+            struct MpTarget *b)
+{
+    if (scaled_load(a) != scaled_load(b)) {
+        return scaled_load(a) < scaled_load(b) ? a : b;
+    }
+    return g_strcmp0(b->zone, this->zone) == 0 ? b : a;
+}
+
+static struct MpTarget *
+pick_two(struct MpPicker *this, const struct choice *choice)
+{
+    guint first =
+        (guint)g_rand_int_range(this->random, 0, (gint32)choice->count);
+    guint second =
+        (guint)g_rand_int_range(this->random, 0, (gint32)choice->count);
+    return less_loaded(this, choice->list[first], choice->list[second]);
+}
+
+static int64_t
+mean_load(const struct choice *choice)
+{
+    int64_t sum = 0;
+    for (guint i = 0; i < choice->count; i++) {
+        sum += MpTarget_Load(choice->list[i]);
+    }
+    return sum / choice->count;
+}
+
+/* Returns the target with the longest cached prefix whose load is within the
+ * bound, or NULL. */
+static struct MpTarget *
+pick_cached(const struct MpPickQuery *query, const struct choice *choice)
+{
+    struct MpTarget *best = NULL;
+    uint32_t best_blocks = 0;
+    int64_t bound = mean_load(choice) * BOUND_PERCENT / 100 + BOUND_EXTRA;
+    for (guint i = 0; i < choice->count; i++) {
+        struct MpTarget *target = choice->list[i];
+        uint32_t blocks = cached_blocks(target, query);
+        if (blocks == 0 || MpTarget_Load(target) > bound) {
+            continue;
+        }
+        if (blocks > best_blocks ||
+            (blocks == best_blocks &&
+             MpTarget_Load(target) < MpTarget_Load(best))) {
+            best = target;
+            best_blocks = blocks;
+        }
+    }
+    if (best) {
+        best->hit_blocks += best_blocks;
+    }
+    return best;
+}
+
+/* The surest target: no failures in a row, a fresh report, least load. */
+static struct MpTarget *
+pick_surest(struct MpPicker *this, const struct choice *choice, int64_t now_ms)
+{
+    struct MpTarget *best = NULL;
+    int64_t best_score = INT64_MAX;
+    for (guint i = 0; i < choice->count; i++) {
+        struct MpTarget *target = choice->list[i];
+        int64_t score = scaled_load(target) + target->failures * 10000;
+        score += now_ms - target->report_ms > REPORT_OLD_MS ? 5000 : 0;
+        score += g_rand_int_range(this->random, 0, 100);
+        if (score < best_score) {
+            best = target;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static struct MpTarget *
+pick_least_own(const struct choice *choice)
+{
+    struct MpTarget *best = choice->list[0];
+    for (guint i = 1; i < choice->count; i++) {
+        if (choice->list[i]->own < best->own) {
+            best = choice->list[i];
+        }
+    }
+    return best;
+}
+
+static struct MpTarget *
+pick_from(struct MpPicker *this, const struct MpPickQuery *query,
+          const struct choice *choice, int64_t now_ms)
+{
+    if (this->policy == MP_PICK_RANDOM) {
+        return choice
+            ->list[g_rand_int_range(this->random, 0, (gint32)choice->count)];
+    }
+    if (this->policy == MP_PICK_LEAST_OWN) {
+        return pick_least_own(choice);
+    }
+    if (query->at_most_once) {
+        return pick_surest(this, choice, now_ms);
+    }
+    struct MpTarget *cached =
+        query->block_count > 0 ? pick_cached(query, choice) : NULL;
+    return cached ? cached : pick_two(this, choice);
+}
+
+struct MpTarget *
+MpPicker_Pick(struct MpPicker *this, const struct MpPickQuery *query,
+              int64_t now_ms, int *code)
+{
+    struct choice choice = {
+        .list = g_new(struct MpTarget *, query->names->len + 1)};
+    collect(this, query, now_ms, &choice);
+    if (choice.count == 0 && choice.full == 0) {
+        collect_ejected(this, query, now_ms, &choice);
+    }
+    struct MpTarget *target = NULL;
+    if (choice.count > 0) {
+        target = pick_from(this, query, &choice, now_ms);
+    }
+    *code = choice.full > 0 ? MP_ERROR_LIMIT : MP_ERROR_NO_TARGET;
+    if (target) {
+        *code = MP_OK;
+    }
+    g_free(choice.list);
+    return target;
+}
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -30,8 +30,7 @@
 
 int
 MpRaft_Init(struct MpRaft *this, struct MpRaftPort *port, uint64_t id,
-            const struct MpRecovered *recovered, uint32_t seed,
-            int64_t now_ms)
+            const struct MpRecovered *recovered, uint32_t seed, int64_t now_ms)
 {
     *this = (struct MpRaft){.port = port,
                             .id = id,
@@ -207,8 +206,8 @@
     struct mp_snapshot_head head = {.index = this->snapshot_index,
                                     .term = this->snapshot_term,
                                     .members = this->snapshot_members};
-    struct MpRaftWrite *write = write_new(
-        this, MAX(this->snapshot_index + 1, this->first_index));
+    struct MpRaftWrite *write =
+        write_new(this, MAX(this->snapshot_index + 1, this->first_index));
     write->has_snapshot = true;
     write->head = MpCodec_Encode(MP_XDR(mp_snapshot_head), &head);
     write->data = g_bytes_ref(this->snapshot);
@@ -281,8 +280,7 @@
 static bool
 raises_term(const struct MpRaft *this, const struct mp_raft_message *message)
 {
-    return message->term > this->term &&
-           message->kind != MP_RAFT_PREVOTE &&
+    return message->term > this->term && message->kind != MP_RAFT_PREVOTE &&
            !(message->kind == MP_RAFT_PREVOTE_REPLY && message->ok);
 }
 
--- a/src/coordination/Raft.h
+++ b/src/coordination/Raft.h
@@ -98,7 +98,7 @@
     int64_t elected_ms;
     uint64_t commit;
     uint64_t applied;
-    GArray *log;       /* of struct MpLogEntry, from first_index */
+    GArray *log; /* of struct MpLogEntry, from first_index */
     uint64_t first_index;
     uint64_t before_term; /* term of the entry before first_index */
     uint64_t snapshot_index;
@@ -107,14 +107,14 @@
     struct mp_members snapshot_members;
     struct mp_members members; /* of the last membership entry in the log */
     uint64_t members_index;
-    GArray *progress;   /* of struct MpProgress, without this replica */
-    uint64_t write_seq; /* last write handed to the port */
-    uint64_t done_seq;  /* last write reported durable */
-    uint64_t vote_seq;  /* write that carries the own vote */
-    uint64_t written;   /* own log is handed to the port up to here */
-    uint64_t persisted; /* own log is durable up to here */
-    GQueue writes;      /* of struct pending_write */
-    GQueue held;        /* of struct held_message */
+    GArray *progress;     /* of struct MpProgress, without this replica */
+    uint64_t write_seq;   /* last write handed to the port */
+    uint64_t done_seq;    /* last write reported durable */
+    uint64_t vote_seq;    /* write that carries the own vote */
+    uint64_t written;     /* own log is handed to the port up to here */
+    uint64_t persisted;   /* own log is durable up to here */
+    GQueue writes;        /* of struct pending_write */
+    GQueue held;          /* of struct held_message */
     GByteArray *incoming; /* snapshot being received */
     uint64_t incoming_index;
     uint64_t incoming_term;
@@ -139,8 +139,8 @@
 void MpRaft_Tick(struct MpRaft *this, int64_t now_ms);
 
 /* Takes a message of another replica. */
-void MpRaft_Receive(struct MpRaft *this,
-                    const struct mp_raft_message *message, int64_t now_ms);
+void MpRaft_Receive(struct MpRaft *this, const struct mp_raft_message *message,
+                    int64_t now_ms);
 
 /* Reports that write seq and all before it are durable. */
 void MpRaft_Persisted(struct MpRaft *this, uint64_t seq, int64_t now_ms);
--- a/src/coordination/RaftElection.c
+++ b/src/coordination/RaftElection.c
@@ -7,9 +7,8 @@
 void
 MpRaft_ResetElection(struct MpRaft *this)
 {
-    this->deadline_ms =
-        this->now_ms + MP_RAFT_ELECTION_MS +
-        g_rand_int_range(this->random, 0, MP_RAFT_ELECTION_MS);
+    this->deadline_ms = this->now_ms + MP_RAFT_ELECTION_MS +
+                        g_rand_int_range(this->random, 0, MP_RAFT_ELECTION_MS);
 }
 
 uint32_t
@@ -37,8 +36,7 @@
 }
 
 static bool
-is_up_to_date(const struct MpRaft *this,
-              const struct mp_raft_message *message)
+is_up_to_date(const struct MpRaft *this, const struct mp_raft_message *message)
 {
     uint64_t last = MpRaft_LastIndex(this);
     uint64_t last_term = MpRaftLog_Term(this, last);
@@ -53,8 +51,7 @@
         struct MpProgress *peer =
             &g_array_index(this->progress, struct MpProgress, i);
         peer->granted = false;
-        struct mp_raft_message message =
-            MpRaft_Message(this, kind, peer->id);
+        struct mp_raft_message message = MpRaft_Message(this, kind, peer->id);
         message.term = term;
         message.index = MpRaft_LastIndex(this);
         message.log_term = MpRaftLog_Term(this, message.index);
@@ -114,8 +111,7 @@
 void
 MpRaft_CountVotes(struct MpRaft *this)
 {
-    uint32_t votes =
-        MpRaft_IsVoter(this) && is_own_vote_durable(this) ? 1 : 0;
+    uint32_t votes = MpRaft_IsVoter(this) && is_own_vote_durable(this) ? 1 : 0;
     for (guint i = 0; i < this->progress->len; i++) {
         struct MpProgress *peer =
             &g_array_index(this->progress, struct MpProgress, i);
@@ -190,16 +186,13 @@
 }
 
 void
-MpRaft_OnVoteReply(struct MpRaft *this,
-                   const struct mp_raft_message *message)
+MpRaft_OnVoteReply(struct MpRaft *this, const struct mp_raft_message *message)
 {
     bool is_vote = message->kind == MP_RAFT_VOTE_REPLY;
-    enum MpRaftRole role =
-        is_vote ? MP_ROLE_CANDIDATE : MP_ROLE_PRECANDIDATE;
+    enum MpRaftRole role = is_vote ? MP_ROLE_CANDIDATE : MP_ROLE_PRECANDIDATE;
     uint64_t term = is_vote ? this->term : this->term + 1;
     struct MpProgress *peer = MpRaft_FindProgress(this, message->from);
-    if (this->role != role || !message->ok || message->term != term ||
-        !peer) {
+    if (this->role != role || !message->ok || message->term != term || !peer) {
         return;
     }
     peer->granted = true;
--- a/src/coordination/RaftInternal.h
+++ b/src/coordination/RaftInternal.h
@@ -56,8 +56,7 @@
 void MpRaft_OnVoteReply(struct MpRaft *this,
                         const struct mp_raft_message *message);
 uint32_t MpRaft_Quorum(const struct MpRaft *this);
-struct MpProgress *MpRaft_FindProgress(const struct MpRaft *this,
-                                       uint64_t id);
+struct MpProgress *MpRaft_FindProgress(const struct MpRaft *this, uint64_t id);
 
 /* -- replication -- */
 void MpRaft_Broadcast(struct MpRaft *this, bool heartbeat);
--- a/src/coordination/RaftLog.c
+++ b/src/coordination/RaftLog.c
@@ -42,8 +42,7 @@
     if (last_index >= MpRaft_LastIndex(this)) {
         return;
     }
-    g_array_set_size(this->log,
-                     (guint)(last_index + 1 - this->first_index));
+    g_array_set_size(this->log, (guint)(last_index + 1 - this->first_index));
     this->persisted = MIN(this->persisted, last_index);
     this->written = MIN(this->written, last_index);
     for (GList *link = this->writes.head; link; link = link->next) {
--- a/src/coordination/RaftReplication.c
+++ b/src/coordination/RaftReplication.c
@@ -47,8 +47,7 @@
     message.log_term = MpRaftLog_Term(this, message.index);
     message.echo_ms = this->now_ms;
     if (!peer->in_flight) {
-        message.entries.entries_len =
-            fill_entries(this, peer->next, entries);
+        message.entries.entries_len = fill_entries(this, peer->next, entries);
         message.entries.entries_val = entries;
     }
     if (message.entries.entries_len > 0) {
@@ -138,8 +137,7 @@
 MpRaft_Apply(struct MpRaft *this)
 {
     while (this->applied < this->commit) {
-        const struct MpLogEntry *entry =
-            MpRaftLog_At(this, this->applied + 1);
+        const struct MpLogEntry *entry = MpRaftLog_At(this, this->applied + 1);
         if (!entry) {
             return;
         }
@@ -166,15 +164,14 @@
                      const struct mp_raft_message *message)
 {
     struct MpProgress *peer = MpRaft_FindProgress(this, message->from);
-    if (this->role != MP_ROLE_LEADER || !peer ||
-        message->term != this->term) {
+    if (this->role != MP_ROLE_LEADER || !peer || message->term != this->term) {
         return;
     }
     peer->acked_ms = MAX(peer->acked_ms, message->echo_ms);
     if (!message->ok) {
         peer->in_flight = false;
-        peer->next = MAX(peer->match + 1,
-                         MIN(peer->next - 1, message->index + 1));
+        peer->next =
+            MAX(peer->match + 1, MIN(peer->next - 1, message->index + 1));
     }
     else if (message->index >= peer->match) {
         peer->match = message->index;
@@ -224,12 +221,12 @@
             break;
         }
         MpRaftLog_Truncate(this, from->index - 1);
-        struct MpLogEntry entry = {
-            .index = from->index,
-            .term = from->term,
-            .kind = from->kind,
-            .payload = g_bytes_new(from->payload.payload_val,
-                                   from->payload.payload_len)};
+        struct MpLogEntry entry = {.index = from->index,
+                                   .term = from->term,
+                                   .kind = from->kind,
+                                   .payload =
+                                       g_bytes_new(from->payload.payload_val,
+                                                   from->payload.payload_len)};
         MpRaftLog_Append(this, entry);
         if (written == 0) {
             written = from->index;
@@ -268,8 +265,7 @@
         MpRaft_Write(this, written);
     }
     uint64_t match = message->index + message->entries.entries_len;
-    this->commit =
-        MAX(this->commit,
-            MIN(message->commit, MIN(match, MpRaft_LastIndex(this))));
+    this->commit = MAX(this->commit, MIN(message->commit,
+                                         MIN(match, MpRaft_LastIndex(this))));
     reply_append(this, message, true, match);
 }
--- a/src/coordination/RaftSnapshot.c
+++ b/src/coordination/RaftSnapshot.c
@@ -25,8 +25,7 @@
     message.offset = offset;
     message.total = size;
     message.members = this->snapshot_members;
-    message.chunk.chunk_len =
-        (u_int)MIN(size - offset, MP_RAFT_CHUNK_BYTES);
+    message.chunk.chunk_len = (u_int)MIN(size - offset, MP_RAFT_CHUNK_BYTES);
     message.chunk.chunk_val = (char *)data + offset;
     peer->in_flight = true;
     peer->sent_ms = this->now_ms;
@@ -38,8 +37,7 @@
                        const struct mp_raft_message *message)
 {
     struct MpProgress *peer = MpRaft_FindProgress(this, message->from);
-    if (this->role != MP_ROLE_LEADER || !peer ||
-        message->term != this->term) {
+    if (this->role != MP_ROLE_LEADER || !peer || message->term != this->term) {
         return;
     }
     peer->acked_ms = MAX(peer->acked_ms, message->echo_ms);
@@ -57,8 +55,8 @@
 static void
 replace_log(struct MpRaft *this, uint64_t index, uint64_t term)
 {
-    bool keeps_tail = MpRaftLog_At(this, index) &&
-                      MpRaftLog_Term(this, index) == term;
+    bool keeps_tail =
+        MpRaftLog_At(this, index) && MpRaftLog_Term(this, index) == term;
     if (keeps_tail) {
         g_array_remove_range(this->log, 0,
                              (guint)(index + 1 - this->first_index));
@@ -79,8 +77,7 @@
 static void
 install(struct MpRaft *this, const struct mp_raft_message *message)
 {
-    GBytes *data =
-        g_bytes_new(this->incoming->data, this->incoming->len);
+    GBytes *data = g_bytes_new(this->incoming->data, this->incoming->len);
     g_byte_array_set_size(this->incoming, 0);
     if (g_bytes_get_size(data) > 0 &&
         this->port->klass->load(this->port, data) != MP_OK) {
@@ -162,8 +159,7 @@
         return;
     }
     this->before_term = MpRaftLog_Term(this, keep_from - 1);
-    g_array_remove_range(this->log, 0,
-                         (guint)(keep_from - this->first_index));
+    g_array_remove_range(this->log, 0, (guint)(keep_from - this->first_index));
     this->first_index = keep_from;
 }
 
@@ -171,8 +167,7 @@
 is_snapshot_wanted(const struct MpRaft *this)
 {
     for (guint i = 0; i < this->progress->len; i++) {
-        if (g_array_index(this->progress, struct MpProgress, i)
-                .in_snapshot) {
+        if (g_array_index(this->progress, struct MpProgress, i).in_snapshot) {
             return true;
         }
     }
--- /dev/null
+++ b/src/protocol/Rpc.c
@@ -0,0 +1,310 @@
+#include "protocol/Rpc.h"
+
+#include "state/Error.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <string.h>
+
+#define RPC_VERSION 2
+#define LAST_FRAGMENT UINT32_C(0x80000000)
+#define PROCEDURE_COUNT 7
+#define SHA256_BYTES 32
+
+/* Codec of arguments and results that hold nothing. */
+static bool_t
+xdr_nothing(XDR *xdr, ...)
+{
+    (void)xdr;
+    return TRUE;
+}
+
+static const struct MpRpcProcedure procedures[PROCEDURE_COUNT] = {
+    [0] = {.name = "null", .argument = xdr_nothing, .result = xdr_nothing},
+    [MP_PROC_HELLO] = {.name = "hello",
+                       .argument = (xdrproc_t)xdr_mp_hello,
+                       .argument_size = sizeof(struct mp_hello),
+                       .result = (xdrproc_t)xdr_mp_hello,
+                       .result_size = sizeof(struct mp_hello)},
+    [MP_PROC_PROPOSE] = {.name = "propose",
+                         .argument = (xdrproc_t)xdr_mp_propose,
+                         .argument_size = sizeof(struct mp_propose),
+                         .result = (xdrproc_t)xdr_mp_propose_reply,
+                         .result_size = sizeof(struct mp_propose_reply)},
+    [MP_PROC_SYNC] = {.name = "sync",
+                      .argument = (xdrproc_t)xdr_mp_sync,
+                      .argument_size = sizeof(struct mp_sync),
+                      .result = (xdrproc_t)xdr_mp_sync_reply,
+                      .result_size = sizeof(struct mp_sync_reply)},
+    [MP_PROC_IDENTIFY] = {.name = "identify",
+                          .argument = (xdrproc_t)xdr_mp_identify,
+                          .argument_size = sizeof(struct mp_identify),
+                          .result = (xdrproc_t)xdr_mp_identify_reply,
+                          .result_size = sizeof(struct mp_identify_reply)},
+    [MP_PROC_READ] = {.name = "read",
+                      .argument = (xdrproc_t)xdr_mp_read,
+                      .argument_size = sizeof(struct mp_read),
+                      .result = (xdrproc_t)xdr_mp_read_reply,
+                      .result_size = sizeof(struct mp_read_reply)},
+    [MP_PROC_RAFT] = {.name = "raft",
+                      .argument = (xdrproc_t)xdr_mp_raft_message,
+                      .argument_size = sizeof(struct mp_raft_message),
+                      .result = xdr_nothing,
+                      .one_way = true},
+};
+
+const struct MpRpcProcedure *
+MpRpc_Procedure(uint32_t number)
+{
+    return number < PROCEDURE_COUNT ? &procedures[number] : NULL;
+}
+
+/* ---- message codes ---- */
+
+void
+MpRpcSession_Init(struct MpRpcSession *this, const uint8_t *fleet_key,
+                  bool is_client)
+{
+    *this = (struct MpRpcSession){.is_client = is_client};
+    memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
+    memcpy(this->key, fleet_key, MP_RPC_KEY_BYTES);
+}
+
+void
+MpRpcSession_SetKey(struct MpRpcSession *this, const char *client_nonce,
+                    const char *server_nonce)
+{
+    uint8_t nonces[2 * MP_NONCE_BYTES];
+    uint8_t digest[SHA256_BYTES];
+    unsigned int length = sizeof(digest);
+    memcpy(nonces, client_nonce, MP_NONCE_BYTES);
+    memcpy(nonces + MP_NONCE_BYTES, server_nonce, MP_NONCE_BYTES);
+    HMAC(EVP_sha256(), this->fleet_key, MP_RPC_KEY_BYTES, nonces,
+         sizeof(nonces), digest, &length);
+    memcpy(this->key, digest, MP_RPC_KEY_BYTES);
+    this->is_keyed = true;
+}
+
+void
+MpRpc_Nonce(char *nonce)
+{
+    if (RAND_bytes((unsigned char *)nonce, MP_NONCE_BYTES) != 1) {
+        g_error("no random bytes from the system");
+    }
+}
+
+static void
+compute_mac(const struct MpRpcSession *session, bool from_client,
+            uint64_t sequence, const uint8_t *body, size_t size, uint8_t *mac)
+{
+    struct {
+        uint64_t sequence;
+        uint64_t from_client;
+        char client_nonce[MP_NONCE_BYTES];
+    } head = {.sequence = GUINT64_TO_BE(sequence), .from_client = from_client};
+    memcpy(head.client_nonce, session->client_nonce, MP_NONCE_BYTES);
+    uint8_t digest[SHA256_BYTES];
+    unsigned int length = sizeof(digest);
+    GByteArray *text = g_byte_array_sized_new((guint)(sizeof(head) + size));
+    g_byte_array_append(text, (const guint8 *)&head, sizeof(head));
+    g_byte_array_append(text, body, (guint)size);
+    HMAC(EVP_sha256(), session->key, MP_RPC_KEY_BYTES, text->data, text->len,
+         digest, &length);
+    g_byte_array_unref(text);
+    memcpy(mac, digest, MP_RPC_MAC_BYTES);
+}
+
+int64_t
+MpRpc_RecordSize(const uint8_t *data, size_t size)
+{
+    uint32_t mark;
+    if (size < sizeof(mark)) {
+        return 0;
+    }
+    memcpy(&mark, data, sizeof(mark));
+    mark = GUINT32_FROM_BE(mark);
+    uint32_t length = mark & ~LAST_FRAGMENT;
+    if (!(mark & LAST_FRAGMENT) || length > MP_RPC_RECORD_MAX) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    return (int64_t)length + MP_RPC_MARK_BYTES;
+}
+
+int
+MpRpc_Open(struct MpRpcSession *session, const uint8_t *record, size_t size,
+           const uint8_t **body, size_t *body_size)
+{
+    uint8_t mac[MP_RPC_MAC_BYTES];
+    if (size < MP_RPC_MARK_BYTES + MP_RPC_MAC_BYTES) {
+        return MP_ERROR_CORRUPT;
+    }
+    *body = record + MP_RPC_MARK_BYTES;
+    *body_size = size - MP_RPC_MARK_BYTES - MP_RPC_MAC_BYTES;
+    compute_mac(session, !session->is_client, session->received, *body,
+                *body_size, mac);
+    if (CRYPTO_memcmp(mac, *body + *body_size, MP_RPC_MAC_BYTES) != 0) {
+        return MP_ERROR_AUTHENTICATION;
+    }
+    session->received++;
+    return MP_OK;
+}
+
+/* ---- writing ---- */
+
+static void
+seal(struct MpRpcSession *session, GByteArray *out, guint start)
+{
+    uint8_t mac[MP_RPC_MAC_BYTES];
+    guint size = out->len - start - MP_RPC_MARK_BYTES;
+    compute_mac(session, session->is_client, session->sent,
+                out->data + start + MP_RPC_MARK_BYTES, size, mac);
+    session->sent++;
+    g_byte_array_append(out, mac, sizeof(mac));
+    uint32_t mark = GUINT32_TO_BE(LAST_FRAGMENT | (size + MP_RPC_MAC_BYTES));
+    memcpy(out->data + start, &mark, sizeof(mark));
+}
+
+/* Encodes message and then its body at the end of out. */
+static int
+append_record(struct MpRpcSession *session, GByteArray *out,
+              xdrproc_t message_proc, void *message, xdrproc_t body_proc,
+              void *body)
+{
+    XDR xdr;
+    guint start = out->len;
+    unsigned long size = xdr_sizeof(message_proc, message);
+    if (body_proc) {
+        size += xdr_sizeof(body_proc, body);
+    }
+    if (size > MP_RPC_RECORD_MAX - MP_RPC_MAC_BYTES) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    g_byte_array_set_size(out, (guint)(start + MP_RPC_MARK_BYTES + size));
+    xdrmem_create(&xdr, (char *)out->data + start + MP_RPC_MARK_BYTES,
+                  (u_int)size, XDR_ENCODE);
+    bool ok =
+        message_proc(&xdr, message) && (!body_proc || body_proc(&xdr, body));
+    xdr_destroy(&xdr);
+    if (!ok) {
+        g_byte_array_set_size(out, start);
+        return MP_ERROR_TOO_LARGE;
+    }
+    seal(session, out, start);
+    return MP_OK;
+}
+
+int
+MpRpc_AppendCall(struct MpRpcSession *session, GByteArray *out, uint32_t xid,
+                 uint32_t procedure, const void *argument)
+{
+    struct rpc_msg message = {.rm_xid = xid, .rm_direction = CALL};
+    message.rm_call.cb_rpcvers = RPC_VERSION;
+    message.rm_call.cb_prog = MIMOSAPATH_PROGRAM;
+    message.rm_call.cb_vers = MIMOSAPATH_V1;
+    message.rm_call.cb_proc = procedure;
+    return append_record(session, out, (xdrproc_t)xdr_callmsg, &message,
+                         procedures[procedure].argument, (void *)argument);
+}
+
+int
+MpRpc_AppendReply(struct MpRpcSession *session, GByteArray *out, uint32_t xid,
+                  uint32_t procedure, const void *result)
+{
+    struct rpc_msg message = {.rm_xid = xid, .rm_direction = REPLY};
+    message.rm_reply.rp_stat = MSG_ACCEPTED;
+    message.acpted_rply.ar_stat = result ? SUCCESS : GARBAGE_ARGS;
+    message.acpted_rply.ar_results.where = (caddr_t)result;
+    message.acpted_rply.ar_results.proc = procedures[procedure].result;
+    return append_record(session, out, (xdrproc_t)xdr_replymsg, &message, NULL,
+                         NULL);
+}
+
+/* ---- reading ---- */
+
+int
+MpRpc_ReadHead(const uint8_t *body, size_t size, struct MpRpcHead *head)
+{
+    uint32_t words[2];
+    if (size < sizeof(words)) {
+        return MP_ERROR_CORRUPT;
+    }
+    memcpy(words, body, sizeof(words));
+    head->xid = GUINT32_FROM_BE(words[0]);
+    head->is_call = GUINT32_FROM_BE(words[1]) == CALL;
+    head->procedure = 0;
+    return MP_OK;
+}
+
+int
+MpRpc_ReadCall(const uint8_t *body, size_t size, struct MpRpcHead *head,
+               void **argument)
+{
+    XDR xdr;
+    char credentials[2][MAX_AUTH_BYTES];
+    struct rpc_msg message = {.rm_xid = 0};
+    message.rm_call.cb_cred.oa_base = credentials[0];
+    message.rm_call.cb_verf.oa_base = credentials[1];
+    *argument = NULL;
+    xdrmem_create(&xdr, (char *)body, (u_int)size, XDR_DECODE);
+    if (!xdr_callmsg(&xdr, &message)) {
+        return MP_ERROR_CORRUPT;
+    }
+    head->is_call = true;
+    head->xid = message.rm_xid;
+    head->procedure = message.rm_call.cb_proc;
+    const struct MpRpcProcedure *procedure = MpRpc_Procedure(head->procedure);
+    if (!procedure || message.rm_call.cb_prog != MIMOSAPATH_PROGRAM ||
+        message.rm_call.cb_vers != MIMOSAPATH_V1) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    *argument = g_malloc0(procedure->argument_size + 1);
+    if (!procedure->argument(&xdr, *argument)) {
+        MpRpc_FreeArgument(head->procedure, *argument);
+        *argument = NULL;
+        return MP_ERROR_CORRUPT;
+    }
+    return MP_OK;
+}
+
+int
+MpRpc_ReadResult(const uint8_t *body, size_t size, uint32_t number,
+                 void **result)
+{
+    XDR xdr;
+    char verifier[MAX_AUTH_BYTES];
+    const struct MpRpcProcedure *procedure = MpRpc_Procedure(number);
+    struct rpc_msg message = {.rm_xid = 0};
+    message.acpted_rply.ar_verf.oa_base = verifier;
+    *result = g_malloc0(procedure->result_size + 1);
+    message.acpted_rply.ar_results.where = *result;
+    message.acpted_rply.ar_results.proc = procedure->result;
+    xdrmem_create(&xdr, (char *)body, (u_int)size, XDR_DECODE);
+    if (!xdr_replymsg(&xdr, &message) ||
+        message.rm_reply.rp_stat != MSG_ACCEPTED ||
+        message.acpted_rply.ar_stat != SUCCESS) {
+        MpRpc_FreeResult(number, *result);
+        *result = NULL;
+        return MP_ERROR_CORRUPT;
+    }
+    return MP_OK;
+}
+
+void
+MpRpc_FreeArgument(uint32_t procedure, void *argument)
+{
+    if (argument) {
+        xdr_free(procedures[procedure].argument, argument);
+        g_free(argument);
+    }
+}
+
+void
+MpRpc_FreeResult(uint32_t procedure, void *result)
+{
+    if (result) {
+        xdr_free(procedures[procedure].result, result);
+        g_free(result);
+    }
+}
--- /dev/null
+++ b/src/protocol/Sse.c
@@ -0,0 +1,111 @@
+#include "protocol/Sse.h"
+
+#include "state/Error.h"
+
+#include <json.h>
+#include <string.h>
+
+#define DATA_PREFIX "data: "
+#define DONE_TEXT "[DONE]"
+
+void
+MpSse_Init(struct MpSse *this)
+{
+    *this = (struct MpSse){.buffer = g_byte_array_new()};
+}
+
+void
+MpSse_Done(struct MpSse *this)
+{
+    g_byte_array_unref(this->buffer);
+}
+
+static void
+drop_taken(struct MpSse *this)
+{
+    if (this->taken > 0) {
+        g_byte_array_remove_range(this->buffer, 0, (guint)this->taken);
+        this->taken = 0;
+    }
+}
+
+int
+MpSse_Feed(struct MpSse *this, const void *data, size_t size)
+{
+    drop_taken(this);
+    if (this->buffer->len + size > 2 * MP_SSE_EVENT_MAX) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    g_byte_array_append(this->buffer, data, (guint)size);
+    return MP_OK;
+}
+
+static int64_t
+member_number(struct json_object *object, const char *name)
+{
+    struct json_object *value;
+    return json_object_object_get_ex(object, name, &value)
+               ? json_object_get_int64(value)
+               : 0;
+}
+
+static void
+classify_json(struct MpSseEvent *event, const char *text, size_t size)
+{
+    struct json_tokener *tokener = json_tokener_new();
+    struct json_object *root = json_tokener_parse_ex(tokener, text, (int)size);
+    struct json_object *value;
+    if (json_object_is_type(root, json_type_object)) {
+        if (json_object_object_get_ex(root, "error", &value)) {
+            event->kind = MP_SSE_ERROR;
+        }
+        else if (json_object_object_get_ex(root, "usage", &value) &&
+                 json_object_is_type(value, json_type_object)) {
+            event->kind = MP_SSE_USAGE;
+            event->prompt_tokens = member_number(value, "prompt_tokens");
+            event->output_tokens = member_number(value, "completion_tokens");
+        }
+        else if (json_object_object_get_ex(root, "choices", &value) &&
+                 json_object_is_type(value, json_type_array) &&
+                 json_object_array_length(value) > 0) {
+            event->kind = MP_SSE_TOKEN;
+        }
+    }
+    json_object_put(root);
+    json_tokener_free(tokener);
+}
+
+static void
+classify(struct MpSseEvent *event)
+{
+    size_t prefix = strlen(DATA_PREFIX);
+    event->kind = MP_SSE_OTHER;
+    if (event->size < prefix ||
+        memcmp(event->text, DATA_PREFIX, prefix) != 0) {
+        return;
+    }
+    const char *text = event->text + prefix;
+    size_t size = event->size - prefix;
+    if (size >= strlen(DONE_TEXT) &&
+        memcmp(text, DONE_TEXT, strlen(DONE_TEXT)) == 0) {
+        event->kind = MP_SSE_DONE;
+        return;
+    }
+    classify_json(event, text, size);
+}
+
+bool
+MpSse_Next(struct MpSse *this, struct MpSseEvent *event)
+{
+    drop_taken(this);
+    const guint8 *end =
+        memmem(this->buffer->data, this->buffer->len, "\n\n", 2);
+    if (!end) {
+        return false;
+    }
+    *event = (struct MpSseEvent){.text = (const char *)this->buffer->data};
+    event->size = (size_t)(end - this->buffer->data) + 2;
+    this->taken = event->size;
+    classify(event);
+    return true;
+}
--- a/src/state/Codec.h
+++ b/src/state/Codec.h
@@ -18,8 +18,8 @@
 /* Decodes size bytes at data into object, which is cleared first.  Returns
  * MP_OK or MP_ERROR_CORRUPT, when all of object was freed.  Bytes left over
  * are an error too. */
-int MpCodec_Decode(xdrproc_t proc, void *object, const void *data,
-                   size_t size, size_t object_size);
+int MpCodec_Decode(xdrproc_t proc, void *object, const void *data, size_t size,
+                   size_t object_size);
 
 /* Frees what decoding allocated inside object, not object itself. */
 void MpCodec_Free(xdrproc_t proc, void *object);
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -97,8 +97,9 @@
 char *MpDocument_HashKey(const char *key);
 
 /* Returns the first route of service that matches, or NULL. */
-const struct MpRouteConf *MpServiceConf_Route(
-    const struct MpServiceConf *this, const char *method, const char *path);
+const struct MpRouteConf *MpServiceConf_Route(const struct MpServiceConf *this,
+                                              const char *method,
+                                              const char *path);
 
 /* Returns whether list holds name. */
 bool MpDocument_Lists(const GPtrArray *list, const char *name);
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -61,7 +61,7 @@
         "The instance is leaving and takes no new work."),
     ROW(MP_ERROR_NOT_READY, "not_ready", 503, MP_RUN_NO,
         "The instance has no document yet."),
-    ROW(MP_ERROR_POISON, "request_quarantined", 503, MP_RUN_NO,
+    ROW(MP_ERROR_POISON, "request_quarantined", 503, MP_RUN_UNKNOWN,
         "Targets failed while running this same request; it is stopped."),
     ROW(MP_ERROR_TARGET_FAILED, "target_failed", 504, MP_RUN_UNKNOWN,
         "The target failed before it answered."),
--- /dev/null
+++ b/src/state/Journal.c
@@ -0,0 +1,100 @@
+#include "state/Journal.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+#include "state/Frame.h"
+
+#define JOURNAL_NAME "journal"
+
+static void
+entry_delete(void *data)
+{
+    MpCodec_Free(MP_XDR(mp_journal_entry), data);
+    g_free(data);
+}
+
+static int
+read_entry(GHashTable *entries, const uint8_t *data, size_t size)
+{
+    struct mp_journal_entry *entry = g_new0(struct mp_journal_entry, 1);
+    int code = MpCodec_Decode(MP_XDR(mp_journal_entry), entry, data, size,
+                              sizeof(*entry));
+    if (code != MP_OK) {
+        g_free(entry);
+        return code;
+    }
+    char *id = g_strdup_printf("%s\n%s", entry->request.workspace,
+                               entry->request.key);
+    g_hash_table_replace(entries, id, entry);
+    return MP_OK;
+}
+
+static int
+read_all(struct MpJournal *this, GByteArray *file, GHashTable *entries)
+{
+    size_t at = 0;
+    while (at < file->len) {
+        size_t left = file->len - at;
+        size_t length = MpFrame_Check(file->data + at, left, &this->sequence);
+        if (length == 0) {
+            /* Only the last frame can be torn. */
+            if (MpFrame_HasGood(file->data + at + 1, left - 1)) {
+                return MP_ERROR_CORRUPT;
+            }
+            return this->disk->klass->truncate(this->disk, JOURNAL_NAME, at);
+        }
+        int code = read_entry(entries, file->data + at + MP_FRAME_HEAD_BYTES,
+                              length - MP_FRAME_HEAD_BYTES);
+        if (code != MP_OK) {
+            return code;
+        }
+        at += length;
+    }
+    return MP_OK;
+}
+
+int
+MpJournal_Open(struct MpJournal *this, struct MpDisk *disk,
+               GHashTable **entries)
+{
+    *this = (struct MpJournal){.disk = disk};
+    *entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_delete);
+    GByteArray *file = g_byte_array_new();
+    int code = disk->klass->read(disk, JOURNAL_NAME, file);
+    if (code == MP_ERROR_NOT_FOUND) {
+        code = MP_OK;
+    }
+    else if (code == MP_OK) {
+        code = read_all(this, file, *entries);
+    }
+    g_byte_array_unref(file);
+    return code;
+}
+
+int
+MpJournal_Append(struct MpJournal *this, const struct mp_journal_entry *entry)
+{
+    GBytes *payload = MpCodec_Encode(MP_XDR(mp_journal_entry), entry);
+    if (!payload) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    GByteArray *frame = g_byte_array_new();
+    MpFrame_Append(frame, ++this->sequence, payload);
+    int code = this->disk->klass->append(this->disk, JOURNAL_NAME, frame->data,
+                                         frame->len);
+    if (code == MP_OK) {
+        code = this->disk->klass->sync(this->disk, JOURNAL_NAME);
+    }
+    g_byte_array_unref(frame);
+    g_bytes_unref(payload);
+    return code;
+}
+
+int
+MpJournal_Clear(struct MpJournal *this)
+{
+    int code = this->disk->klass->truncate(this->disk, JOURNAL_NAME, 0);
+    return code == MP_OK ? this->disk->klass->sync(this->disk, JOURNAL_NAME)
+                         : code;
+}
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -166,8 +166,7 @@
 {
     size_t start = reader->at;
     skip_string(reader);
-    char *quoted =
-        g_strndup(reader->text + start, reader->at - start);
+    char *quoted = g_strndup(reader->text + start, reader->at - start);
     struct json_object *value = json_tokener_parse(quoted);
     char *key = g_strdup(value ? json_object_get_string(value) : quoted);
     json_object_put(value);
@@ -188,8 +187,7 @@
     while (reader->at < reader->size && reader->text[reader->at] == '"') {
         int line = line_of(reader->text, reader->at);
         char *key = read_key(reader);
-        char *inner = g_strdup_printf("%s%s%s", path, path[0] ? "." : "",
-                                      key);
+        char *inner = g_strdup_printf("%s%s%s", path, path[0] ? "." : "", key);
         if (!g_hash_table_add(seen, key)) {
             MpFindings_Add(findings, MP_FINDING_DUPLICATE, line, inner,
                            "the key stands twice in one object");
@@ -249,8 +247,8 @@
 parse_strict(const char *text, size_t size, GPtrArray *findings)
 {
     struct json_tokener *tokener = json_tokener_new_ex(MP_JSON_DEPTH_MAX);
-    json_tokener_set_flags(tokener, JSON_TOKENER_STRICT |
-                                        JSON_TOKENER_VALIDATE_UTF8);
+    json_tokener_set_flags(tokener,
+                           JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
     /* The closing NUL tells the parser that a number at the end is whole. */
     struct json_object *value =
         json_tokener_parse_ex(tokener, text, (int)size + 1);
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -168,7 +168,8 @@
         account->leased_mtok += slice;
     }
     result->number = wanted->seq;
-    result->amount_mtok = lease->amount_mtok;
+    result->amount_mtok =
+        wanted->seq == lease->seq ? lease->last_grant_mtok : 0;
     return MP_OK;
 }
 
@@ -188,6 +189,7 @@
     if (back->seq > lease->seq && is_amount(back->amount_mtok)) {
         int64_t amount = MIN(back->amount_mtok, lease->amount_mtok);
         lease->seq = back->seq;
+        lease->last_grant_mtok = 0;
         lease->amount_mtok -= amount;
         account->leased_mtok -= amount;
         lease->recalled = false;
@@ -197,27 +199,17 @@
     return MP_OK;
 }
 
-/* Takes amount from the holder's lease first and from the free part for the
- * rest.  Returns false and changes nothing when both are short. */
 static bool
-reserve_amount(struct MpAccount *account, const struct mp_holder *holder,
-               int64_t amount_mtok)
+reserve_amount(struct MpAccount *account, int64_t amount_mtok)
 {
-    struct MpLease *lease =
-        find_lease(account, holder->instance, holder->boot);
-    int64_t leased = lease ? MIN(lease->amount_mtok, amount_mtok) : 0;
-    if (amount_mtok - leased > MpAccount_Free(account)) {
+    if (amount_mtok > MpAccount_Free(account)) {
         return false;
     }
-    if (lease) {
-        lease->amount_mtok -= leased;
-        account->leased_mtok -= leased;
-    }
     account->reserved_mtok += amount_mtok;
     return true;
 }
 
-/* Marks the leases of other incarnations for recall.  Returns whether the
+/* Marks all leases for recall.  Returns whether the
  * recall can cover the missing amount. */
 static bool
 recall_leases(struct MpAccount *account, int64_t amount_mtok)
@@ -313,7 +305,7 @@
 static int
 reserve_or_recall(struct MpAccount *account, const struct mp_open *open)
 {
-    if (reserve_amount(account, &open->holder, open->reserve_mtok)) {
+    if (reserve_amount(account, open->reserve_mtok)) {
         return MP_OK;
     }
     if (recall_leases(account, open->reserve_mtok)) {
@@ -434,8 +426,8 @@
         record->answer = NULL;
     }
     if (settle->answer.answer_len > 0) {
-        record->answer = g_bytes_new(settle->answer.answer_val,
-                                     settle->answer.answer_len);
+        record->answer =
+            g_bytes_new(settle->answer.answer_val, settle->answer.answer_len);
     }
 }
 
@@ -560,8 +552,8 @@
     if (record && record->at_most_once) {
         return MP_ERROR_KEY_REUSED;
     }
-    struct MpLease *lease = find_lease(account, offline->holder.instance,
-                                       offline->holder.boot);
+    struct MpLease *lease =
+        find_lease(account, offline->holder.instance, offline->holder.boot);
     if (!lease || !is_amount(offline->spent_mtok) ||
         lease->amount_mtok < offline->spent_mtok) {
         return MP_ERROR_BUDGET;
@@ -593,8 +585,7 @@
 /* ---- dead incarnations ---- */
 
 static bool
-is_held_by(const struct MpRecord *record, const char *instance,
-           uint64_t boot)
+is_held_by(const struct MpRecord *record, const char *instance, uint64_t boot)
 {
     return record->state == MP_RECORD_OPEN && record->boot <= boot &&
            strcmp(record->instance, instance) == 0;
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -32,7 +32,8 @@
 /* Default time that closed records are kept. */
 #define MP_RETENTION_MS INT64_C(86400000)
 
-/* A slice of a budget that one incarnation may admit from. */
+/* A slice of a budget that one incarnation may spend while it cannot reach
+ * the quorum. */
 struct MpLease {
     char *instance;
     uint64_t boot;
@@ -102,8 +103,8 @@
  *
  * Out: result->state is MP_RECORD_OPEN when the caller may dispatch,
  * MP_RECORD_DONE with code MP_OK when it may run again unbilled.
- * Errors: MP_ERROR_BUDGET, MP_ERROR_RECALLING (leases of others are called
- * back, try again soon), MP_ERROR_KEY_REUSED, MP_ERROR_IN_PROGRESS,
+ * Errors: MP_ERROR_BUDGET, MP_ERROR_RECALLING (leases are called back,
+ * try again soon), MP_ERROR_KEY_REUSED, MP_ERROR_IN_PROGRESS,
  * MP_ERROR_OUTCOME_UNKNOWN, MP_ERROR_ALREADY_ANSWERED (with the recorded
  * answer, where one was kept, in result), MP_ERROR_STALE.
  */
@@ -118,8 +119,9 @@
 int MpLedger_Settle(struct MpLedger *this, const struct mp_settle *settle,
                     int64_t now_ms, struct mp_result *result);
 
-/* Grants holder a slice of up to amount_mtok; result->amount_mtok is the
- * size of the whole lease.  A repeat of seq grants nothing more. */
+/* Grants holder a slice of up to amount_mtok; result->amount_mtok is what
+ * was granted under this seq.  A repeat of the newest seq grants nothing
+ * more and gets the same answer; an older seq gets 0. */
 int MpLedger_Lease(struct MpLedger *this, const struct mp_lease *lease,
                    struct mp_result *result);
 
@@ -136,8 +138,8 @@
 /* Closes the open records of a dead incarnation: repeatable requests
  * unbilled, at-most-once requests as unknown and billed.  Leases stay
  * counted, since the incarnation may still spend them. */
-void MpLedger_Fence(struct MpLedger *this, const char *instance,
-                    uint64_t boot, int64_t now_ms);
+void MpLedger_Fence(struct MpLedger *this, const char *instance, uint64_t boot,
+                    int64_t now_ms);
 
 /* Drops the leases of a dead incarnation; for an operator who knows that
  * its process has ended. Returns the amount set free, mtok. */
@@ -155,7 +157,6 @@
 void MpLedger_Save(const struct MpLedger *this,
                    struct mp_machine_image *image);
 void MpLedger_DropImage(struct mp_machine_image *image);
-int MpLedger_Load(struct MpLedger *this,
-                  const struct mp_machine_image *image);
+int MpLedger_Load(struct MpLedger *this, const struct mp_machine_image *image);
 
 #endif
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -30,8 +30,7 @@
     *image = (struct mp_record_image){
         .workspace = record->account->workspace,
         .key = (char *)record->key,
-        .holder = {.instance = (char *)record->instance,
-                   .boot = record->boot},
+        .holder = {.instance = (char *)record->instance, .boot = record->boot},
         .state = record->state,
         .at_most_once = record->at_most_once,
         .open_id = record->open_id,
@@ -155,8 +154,8 @@
     record->content_type = g_strdup(image->content_type);
     memcpy(record->body_hash, image->body_hash, MP_HASH_BYTES);
     if (image->answer.answer_len > 0) {
-        record->answer = g_bytes_new(image->answer.answer_val,
-                                     image->answer.answer_len);
+        record->answer =
+            g_bytes_new(image->answer.answer_val, image->answer.answer_len);
     }
     g_hash_table_insert(this->records, record->id, record);
     if (record->state != MP_RECORD_OPEN) {
@@ -173,8 +172,7 @@
         load_account(this, &image->accounts.accounts_val[i]);
     }
     for (u_int i = 0; i < image->open_records.open_records_len; i++) {
-        int code =
-            load_record(this, &image->open_records.open_records_val[i]);
+        int code = load_record(this, &image->open_records.open_records_val[i]);
         if (code != MP_OK) {
             return code;
         }
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -55,12 +55,12 @@
     MpLedger_Init(&this->ledger);
     this->incarnations = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                                incarnation_delete);
-    this->topups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                         marker_delete);
-    this->submissions = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                              g_free, marker_delete);
-    this->poisons = g_hash_table_new_full(hash_of_hash, equal_hashes, NULL,
-                                          poison_delete);
+    this->topups =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
+    this->submissions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
+    this->poisons =
+        g_hash_table_new_full(hash_of_hash, equal_hashes, NULL, poison_delete);
     g_queue_init(&this->topup_order);
     g_queue_init(&this->submission_order);
 }
@@ -82,8 +82,7 @@
 /* ---- markers ---- */
 
 static struct MpMarker *
-marker_add(GHashTable *table, GQueue *order, const char *scope,
-           const char *id)
+marker_add(GHashTable *table, GQueue *order, const char *scope, const char *id)
 {
     struct MpMarker *marker = g_new0(struct MpMarker, 1);
     marker->id = g_strdup(id);
@@ -182,9 +181,8 @@
     if (MP_FAULT(MP_FAULT_DOCUMENT_BY_CONTENT)) {
         is_base = strcmp(put->text, this->document) != 0;
     }
-    marker =
-        marker_add(this->submissions, &this->submission_order, "",
-                   put->submission);
+    marker = marker_add(this->submissions, &this->submission_order, "",
+                        put->submission);
     if (is_base) {
         g_free(this->document);
         g_free(this->document_author);
@@ -207,14 +205,14 @@
     if (marker && !MP_FAULT(MP_FAULT_TOPUP_TWICE)) {
         return marker_answer(marker, result);
     }
-    int code = MpLedger_Grant(&this->ledger, topup->workspace,
-                              topup->amount_mtok);
+    int code =
+        MpLedger_Grant(&this->ledger, topup->workspace, topup->amount_mtok);
     if (code != MP_OK) {
         return code;
     }
     if (!marker) {
-        marker = marker_add(this->topups, &this->topup_order,
-                            topup->workspace, topup->topup_id);
+        marker = marker_add(this->topups, &this->topup_order, topup->workspace,
+                            topup->topup_id);
     }
     marker->amount_mtok =
         MpLedger_Find(&this->ledger, topup->workspace)->granted_mtok;
@@ -233,7 +231,8 @@
 /* A target that died while it ran the request; a second report of the same
  * target counts no more. */
 static int
-apply_poison(struct MpMachine *this, const struct mp_poison *report)
+apply_poison(struct MpMachine *this, const struct mp_poison *report,
+             struct mp_result *result)
 {
     struct MpPoison *poison =
         g_hash_table_lookup(this->poisons, report->body_hash);
@@ -248,6 +247,7 @@
     }
     if (poison->deaths > 0 &&
         strcmp(poison->last_target, report->target) == 0) {
+        result->number = poison->deaths;
         return MP_OK;
     }
     g_free(poison->last_target);
@@ -255,6 +255,7 @@
     poison->last_ms = this->now_ms;
     poison->deaths++;
     this->poison_version++;
+    result->number = poison->deaths;
     return MP_OK;
 }
 
@@ -321,32 +322,30 @@
     case MP_CMD_FENCE:
         return apply_fence(this, &body->mp_command_body_u.fence);
     case MP_CMD_DOCUMENT:
-        return apply_document(this, &body->mp_command_body_u.document,
-                              result);
+        return apply_document(this, &body->mp_command_body_u.document, result);
     case MP_CMD_TOPUP:
         return apply_topup(this, &body->mp_command_body_u.topup, result);
     case MP_CMD_OPEN:
         return apply_open(this, &body->mp_command_body_u.open, result);
     case MP_CMD_SETTLE:
-        return MpLedger_Settle(&this->ledger,
-                               &body->mp_command_body_u.settle, this->now_ms,
-                               result);
+        return MpLedger_Settle(&this->ledger, &body->mp_command_body_u.settle,
+                               this->now_ms, result);
     case MP_CMD_LEASE:
         return apply_lease(this, &body->mp_command_body_u.lease, result);
     case MP_CMD_HANDIN:
-        return MpLedger_Handin(&this->ledger,
-                               &body->mp_command_body_u.handin, result);
+        return MpLedger_Handin(&this->ledger, &body->mp_command_body_u.handin,
+                               result);
     case MP_CMD_OFFLINE:
         return MpLedger_Offline(&this->ledger,
-                                &body->mp_command_body_u.offline,
-                                this->now_ms, result);
+                                &body->mp_command_body_u.offline, this->now_ms,
+                                result);
     case MP_CMD_WRITEOFF:
         result->amount_mtok = MpLedger_WriteOff(
             &this->ledger, body->mp_command_body_u.writeoff.instance,
             body->mp_command_body_u.writeoff.boot);
         return MP_OK;
     case MP_CMD_POISON:
-        return apply_poison(this, &body->mp_command_body_u.poison);
+        return apply_poison(this, &body->mp_command_body_u.poison, result);
     default:
         return MP_ERROR_INVALID;
     }
@@ -360,8 +359,8 @@
     this->applied = index;
     this->now_ms = MAX(this->now_ms, command->at_ms);
     MpLedger_Expire(&this->ledger, this->now_ms);
-    guint old = g_hash_table_foreach_remove(this->poisons, is_poison_old,
-                                            this);
+    guint old =
+        g_hash_table_foreach_remove(this->poisons, is_poison_old, this);
     this->poison_version += old > 0;
     result->code = apply_body(this, &command->body, result);
     return result->code;
@@ -376,8 +375,7 @@
 /* ---- snapshots ---- */
 
 static void
-save_incarnations(const struct MpMachine *this,
-                  struct mp_machine_image *image)
+save_incarnations(const struct MpMachine *this, struct mp_machine_image *image)
 {
     GHashTableIter iter;
     void *value;
@@ -403,14 +401,12 @@
         g_new0(struct mp_marker_image, order->length);
     struct mp_marker_image *next = images;
     for (const GList *link = order->head; link; link = link->next) {
-        const struct MpMarker *marker =
-            g_hash_table_lookup(table, link->data);
-        *next++ =
-            (struct mp_marker_image){.id = marker->id,
-                                     .scope = marker->scope,
-                                     .code = marker->code,
-                                     .number = marker->number,
-                                     .amount_mtok = marker->amount_mtok};
+        const struct MpMarker *marker = g_hash_table_lookup(table, link->data);
+        *next++ = (struct mp_marker_image){.id = marker->id,
+                                           .scope = marker->scope,
+                                           .code = marker->code,
+                                           .number = marker->number,
+                                           .amount_mtok = marker->amount_mtok};
     }
     return images;
 }
@@ -481,8 +477,7 @@
 }
 
 static void
-load_incarnations(struct MpMachine *this,
-                  const struct mp_machine_image *image)
+load_incarnations(struct MpMachine *this, const struct mp_machine_image *image)
 {
     for (u_int i = 0; i < image->incarnations.incarnations_len; i++) {
         const struct mp_incarnation_image *from =
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -202,10 +202,9 @@
                            "entry %zu %s", i, fault);
             continue;
         }
-        if (g_ptr_array_find_with_equal_func(list, text, g_str_equal,
-                                             NULL)) {
-            MpFindings_Add(site->findings, MP_FINDING_DUPLICATE, 0,
-                           site->path, "entry \"%s\" stands twice", text);
+        if (g_ptr_array_find_with_equal_func(list, text, g_str_equal, NULL)) {
+            MpFindings_Add(site->findings, MP_FINDING_DUPLICATE, 0, site->path,
+                           "entry \"%s\" stands twice", text);
         }
         g_ptr_array_add(list, g_strdup(text));
     }
@@ -243,8 +242,8 @@
         wrong_type(site, "an object");
         return;
     }
-    if (!is_count_allowed(site, (size_t)json_object_object_length(
-                                    site->value))) {
+    if (!is_count_allowed(site,
+                          (size_t)json_object_object_length(site->value))) {
         return;
     }
     json_object_object_foreach(site->value, key, child)
@@ -462,13 +461,12 @@
 /* ---- description ---- */
 
 static const char *const type_names[] = {
-    [MP_FIELD_INTEGER] = "integer",   [MP_FIELD_BOOLEAN] = "boolean",
-    [MP_FIELD_STRING] = "string",     [MP_FIELD_NAME] = "name",
-    [MP_FIELD_ADDRESS] = "address",   [MP_FIELD_HASH] = "SHA-256",
-    [MP_FIELD_CHOICE] = "choice",     [MP_FIELD_NAMES] = "list of names",
-    [MP_FIELD_HASHES] = "list of SHA-256",
-    [MP_FIELD_OBJECT] = "object",     [MP_FIELD_LIST] = "list of objects",
-    [MP_FIELD_MAP] = "objects by name",
+    [MP_FIELD_INTEGER] = "integer",        [MP_FIELD_BOOLEAN] = "boolean",
+    [MP_FIELD_STRING] = "string",          [MP_FIELD_NAME] = "name",
+    [MP_FIELD_ADDRESS] = "address",        [MP_FIELD_HASH] = "SHA-256",
+    [MP_FIELD_CHOICE] = "choice",          [MP_FIELD_NAMES] = "list of names",
+    [MP_FIELD_HASHES] = "list of SHA-256", [MP_FIELD_OBJECT] = "object",
+    [MP_FIELD_LIST] = "list of objects",   [MP_FIELD_MAP] = "objects by name",
 };
 
 static void
@@ -487,10 +485,9 @@
     case MP_FIELD_HASHES:
     case MP_FIELD_LIST:
     case MP_FIELD_MAP:
-        g_string_append_printf(out, "%" PRId64 " to %" PRId64 "%s%s",
-                               field->least, field->most,
-                               field->unit ? " " : "",
-                               field->unit ? field->unit : "");
+        g_string_append_printf(
+            out, "%" PRId64 " to %" PRId64 "%s%s", field->least, field->most,
+            field->unit ? " " : "", field->unit ? field->unit : "");
         break;
     default:
         break;
--- a/src/state/Schema.h
+++ b/src/state/Schema.h
@@ -38,8 +38,8 @@
     enum MpFieldType type;
     size_t offset;
     bool required;
-    int64_t least; /* smallest integer, or shortest length */
-    int64_t most;  /* largest integer, longest length, or largest count */
+    int64_t least;    /* smallest integer, or shortest length */
+    int64_t most;     /* largest integer, longest length, or largest count */
     int64_t standard; /* value of an absent integer, boolean or choice */
     const char *unit;
     const char *const *choices; /* ends with NULL */
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -8,12 +8,17 @@
 #define PATH_LENGTH_MAX 4096
 
 static const struct MpField listen_fields[] = {
-    {.name = "callers", .type = MP_FIELD_ADDRESS, AT(MpListen, callers),
+    {.name = "callers",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpListen, callers),
      .text = "Where callers connect; needed by a router."},
-    {.name = "operators", .type = MP_FIELD_ADDRESS,
+    {.name = "operators",
+     .type = MP_FIELD_ADDRESS,
      AT(MpListen, operators),
      .text = "Where operators and metrics connect."},
-    {.name = "rpc", .type = MP_FIELD_ADDRESS, AT(MpListen, rpc),
+    {.name = "rpc",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpListen, rpc),
      .text = "Where other instances connect; needed by a control "
              "instance."},
     {.name = NULL},
@@ -23,10 +28,16 @@
                                               .fields = listen_fields};
 
 static const struct MpField peer_fields[] = {
-    {.name = "instance", .type = MP_FIELD_NAME, .required = true,
-     AT(MpPeer, instance), .text = "Name of a control instance."},
-    {.name = "rpc", .type = MP_FIELD_ADDRESS, .required = true,
-     AT(MpPeer, rpc), .text = "Its address for other instances."},
+    {.name = "instance",
+     .type = MP_FIELD_NAME,
+     .required = true,
+     AT(MpPeer, instance),
+     .text = "Name of a control instance."},
+    {.name = "rpc",
+     .type = MP_FIELD_ADDRESS,
+     .required = true,
+     AT(MpPeer, rpc),
+     .text = "Its address for other instances."},
     {.name = NULL},
 };
 static const struct MpSchema peer_schema = {.name = "control instance",
@@ -34,47 +45,87 @@
                                             .fields = peer_fields};
 
 static const struct MpField settings_fields[] = {
-    {.name = "instance", .type = MP_FIELD_NAME, .required = true,
+    {.name = "instance",
+     .type = MP_FIELD_NAME,
+     .required = true,
      AT(MpSettings, instance),
      .text = "Name of this instance, unique in the fleet."},
-    {.name = "zone", .type = MP_FIELD_NAME, .required = true,
-     AT(MpSettings, zone), .text = "Availability zone of this instance."},
-    {.name = "roles", .type = MP_FIELD_NAMES, .required = true, .least = 1,
-     .most = 2, AT(MpSettings, roles),
+    {.name = "zone",
+     .type = MP_FIELD_NAME,
+     .required = true,
+     AT(MpSettings, zone),
+     .text = "Availability zone of this instance."},
+    {.name = "roles",
+     .type = MP_FIELD_NAMES,
+     .required = true,
+     .least = 1,
+     .most = 2,
+     AT(MpSettings, roles),
      .text = "`router` serves callers, `control` keeps the durable "
              "state."},
-    {.name = "listen", .type = MP_FIELD_OBJECT, .required = true,
-     .schema = &listen_schema, AT(MpSettings, listen),
+    {.name = "listen",
+     .type = MP_FIELD_OBJECT,
+     .required = true,
+     .schema = &listen_schema,
+     AT(MpSettings, listen),
      .text = "Addresses of this instance."},
-    {.name = "control", .type = MP_FIELD_LIST, .required = true,
-     .least = 1, .most = 7, .schema = &peer_schema,
+    {.name = "control",
+     .type = MP_FIELD_LIST,
+     .required = true,
+     .least = 1,
+     .most = 7,
+     .schema = &peer_schema,
      AT(MpSettings, control),
      .text = "The control instances, the same list on every instance."},
-    {.name = "data_folder", .type = MP_FIELD_STRING, .least = 1,
-     .most = PATH_LENGTH_MAX, AT(MpSettings, data_folder),
+    {.name = "data_folder",
+     .type = MP_FIELD_STRING,
+     .least = 1,
+     .most = PATH_LENGTH_MAX,
+     AT(MpSettings, data_folder),
      .text = "Folder for durable files; needed by a control instance."},
-    {.name = "fleet_key_file", .type = MP_FIELD_STRING, .least = 1,
-     .most = PATH_LENGTH_MAX, AT(MpSettings, fleet_key_file),
+    {.name = "fleet_key_file",
+     .type = MP_FIELD_STRING,
+     .least = 1,
+     .most = PATH_LENGTH_MAX,
+     AT(MpSettings, fleet_key_file),
      .text = "File with the secret that the instances share; needed when "
              "there is more than one control instance."},
-    {.name = "operator_token_file", .type = MP_FIELD_STRING, .least = 1,
-     .most = PATH_LENGTH_MAX, AT(MpSettings, operator_token_file),
+    {.name = "operator_token_file",
+     .type = MP_FIELD_STRING,
+     .least = 1,
+     .most = PATH_LENGTH_MAX,
+     AT(MpSettings, operator_token_file),
      .text = "File with the token of operators; needed with "
              "`listen.operators`."},
-    {.name = "first_document", .type = MP_FIELD_STRING, .least = 1,
-     .most = PATH_LENGTH_MAX, AT(MpSettings, first_document),
+    {.name = "first_document",
+     .type = MP_FIELD_STRING,
+     .least = 1,
+     .most = PATH_LENGTH_MAX,
+     AT(MpSettings, first_document),
      .text = "Document that is submitted when the fleet has none."},
-    {.name = "drain_ms", .type = MP_FIELD_INTEGER, .least = 0,
-     .most = 3600000, .standard = 600000, .unit = "ms",
+    {.name = "drain_ms",
+     .type = MP_FIELD_INTEGER,
+     .least = 0,
+     .most = 3600000,
+     .standard = 600000,
+     .unit = "ms",
      AT(MpSettings, drain_ms),
      .text = "Longest time that a stopping instance waits for its running "
              "requests."},
-    {.name = "body_most_bytes", .type = MP_FIELD_INTEGER, .least = 1024,
-     .most = 67108864, .standard = 4194304, .unit = "bytes",
+    {.name = "body_most_bytes",
+     .type = MP_FIELD_INTEGER,
+     .least = 1024,
+     .most = 67108864,
+     .standard = 4194304,
+     .unit = "bytes",
      AT(MpSettings, body_most_bytes),
      .text = "Largest body of a request."},
-    {.name = "requests_most", .type = MP_FIELD_INTEGER, .least = 1,
-     .most = 1000000, .standard = 4096, .unit = "requests",
+    {.name = "requests_most",
+     .type = MP_FIELD_INTEGER,
+     .least = 1,
+     .most = 1000000,
+     .standard = 4096,
+     .unit = "requests",
      AT(MpSettings, requests_most),
      .text = "Requests at once on this instance, waiting ones included."},
     {.name = NULL},
@@ -86,8 +137,7 @@
 /* ---- rules over several keys ---- */
 
 static void
-need(const char *value, const char *path, const char *why,
-     GPtrArray *findings)
+need(const char *value, const char *path, const char *why, GPtrArray *findings)
 {
     if (!value) {
         MpFindings_Add(findings, MP_FINDING_MISSING, 0, path, "%s", why);
@@ -128,8 +178,8 @@
             MpFindings_Add(findings, MP_FINDING_DUPLICATE, 0, "control",
                            "instance \"%s\" stands twice", peer->instance);
         }
-        is_listed = is_listed ||
-                    g_strcmp0(peer->instance, this->instance) == 0;
+        is_listed =
+            is_listed || g_strcmp0(peer->instance, this->instance) == 0;
     }
     if (this->is_control && !is_listed) {
         MpFindings_Add(findings, MP_FINDING_REFERENCE, 0, "control",
@@ -209,7 +259,7 @@
 char *
 MpSettings_Path(const struct MpSettings *this, const char *name)
 {
-    return g_path_is_absolute(name) ? g_strdup(name)
-                                    : g_build_filename(this->folder, name,
-                                                       NULL);
+    return g_path_is_absolute(name)
+               ? g_strdup(name)
+               : g_build_filename(this->folder, name, NULL);
 }
--- a/src/state/Storage.c
+++ b/src/state/Storage.c
@@ -3,26 +3,18 @@
 #include "state/Codec.h"
 #include "state/Error.h"
 #include "state/Fault.h"
+#include "state/Frame.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <xxhash.h>
 
-#define FRAME_MAGIC UINT32_C(0x4d504c31)
-#define FRAME_HEAD_BYTES 24
 #define SNAPSHOT_NAME "snapshot"
 #define SNAPSHOT_HEAD_BYTES 8
 #define SEGMENT_PREFIX "log-"
 #define SEGMENT_NAME_BYTES 32
 
-struct frame_head {
-    uint32_t magic;
-    uint32_t length;
-    uint64_t sequence;
-    uint64_t checksum;
-};
-
 void
 MpLogEntry_Done(void *entry)
 {
@@ -30,63 +22,7 @@
     g_bytes_unref(this->payload);
 }
 
-/* ---- frames ---- */
-
-static uint64_t
-frame_checksum(uint64_t sequence, const void *payload, size_t length)
-{
-    return XXH64(payload, length, sequence);
-}
-
-static void
-frame_append(GByteArray *out, uint64_t sequence, GBytes *payload)
-{
-    gsize size;
-    const void *data = g_bytes_get_data(payload, &size);
-    struct frame_head head = {
-        .magic = GUINT32_TO_BE(FRAME_MAGIC),
-        .length = GUINT32_TO_BE((uint32_t)size),
-        .sequence = GUINT64_TO_BE(sequence),
-        .checksum = GUINT64_TO_BE(frame_checksum(sequence, data, size)),
-    };
-    G_STATIC_ASSERT(sizeof(head) == FRAME_HEAD_BYTES);
-    g_byte_array_append(out, (const guint8 *)&head, sizeof(head));
-    g_byte_array_append(out, data, (guint)size);
-}
-
-/* Returns the length of the good frame at data, or 0. */
-static size_t
-frame_check(const uint8_t *data, size_t size, uint64_t *sequence)
-{
-    struct frame_head head;
-    if (size < sizeof(head)) {
-        return 0;
-    }
-    memcpy(&head, data, sizeof(head));
-    size_t length = GUINT32_FROM_BE(head.length);
-    if (GUINT32_FROM_BE(head.magic) != FRAME_MAGIC ||
-        length > size - sizeof(head)) {
-        return 0;
-    }
-    *sequence = GUINT64_FROM_BE(head.sequence);
-    uint64_t sum = frame_checksum(*sequence, data + sizeof(head), length);
-    if (GUINT64_FROM_BE(head.checksum) != sum) {
-        return 0;
-    }
-    return sizeof(head) + length;
-}
-
-static bool
-has_good_frame(const uint8_t *data, size_t size)
-{
-    uint64_t sequence;
-    for (size_t at = 0; at + FRAME_HEAD_BYTES <= size; at++) {
-        if (frame_check(data + at, size - at, &sequence) > 0) {
-            return true;
-        }
-    }
-    return false;
-}
+/* ---- batches ---- */
 
 static GBytes *
 encode_batch(const struct mp_hard_state *hard,
@@ -187,17 +123,16 @@
     while (code == MP_OK && at < file->len) {
         uint64_t sequence;
         size_t length =
-            frame_check(file->data + at, file->len - at, &sequence);
+            MpFrame_Check(file->data + at, file->len - at, &sequence);
         if (length == 0) {
-            bool damaged = !is_last || has_good_frame(file->data + at + 1,
-                                                      file->len - at - 1);
-            code = damaged
-                       ? MP_ERROR_CORRUPT
-                       : cut_tail(this, out, name, at, file->len);
+            bool damaged = !is_last || MpFrame_HasGood(file->data + at + 1,
+                                                       file->len - at - 1);
+            code = damaged ? MP_ERROR_CORRUPT
+                           : cut_tail(this, out, name, at, file->len);
             break;
         }
-        code = recover_batch(out, file->data + at + FRAME_HEAD_BYTES,
-                             length - FRAME_HEAD_BYTES);
+        code = recover_batch(out, file->data + at + MP_FRAME_HEAD_BYTES,
+                             length - MP_FRAME_HEAD_BYTES);
         this->frame = sequence;
         at += length;
     }
@@ -263,8 +198,8 @@
     for (guint i = 0; i < names->len; i++) {
         uint64_t number;
         char rest;
-        if (sscanf(g_ptr_array_index(names, i),
-                   SEGMENT_PREFIX "%" SCNu64 "%c", &number, &rest) == 1) {
+        if (sscanf(g_ptr_array_index(names, i), SEGMENT_PREFIX "%" SCNu64 "%c",
+                   &number, &rest) == 1) {
             g_array_append_val(segments, number);
         }
     }
@@ -323,9 +258,9 @@
         return MP_ERROR_TOO_LARGE;
     }
     GByteArray *frame = g_byte_array_new();
-    frame_append(frame, ++this->frame, payload);
-    int code = this->disk->klass->append(this->disk, name, frame->data,
-                                         frame->len);
+    MpFrame_Append(frame, ++this->frame, payload);
+    int code =
+        this->disk->klass->append(this->disk, name, frame->data, frame->len);
     if (code == MP_OK && !MP_FAULT(MP_FAULT_SYNC_SKIPPED)) {
         code = this->disk->klass->sync(this->disk, name);
     }
@@ -355,8 +290,8 @@
     GByteArray *out = g_byte_array_sized_new((guint)size + sizeof(sum));
     g_byte_array_append(out, (const guint8 *)&sum, sizeof(sum));
     g_byte_array_append(out, encoded, (guint)size);
-    int code = this->disk->klass->replace(this->disk, SNAPSHOT_NAME,
-                                          out->data, out->len);
+    int code = this->disk->klass->replace(this->disk, SNAPSHOT_NAME, out->data,
+                                          out->len);
     this->synced_bytes += out->len;
     g_byte_array_unref(out);
     g_bytes_unref(body);
@@ -372,8 +307,7 @@
         uint64_t number = g_array_index(segments, uint64_t, i);
         if (number < this->segment) {
             char name[SEGMENT_NAME_BYTES];
-            g_snprintf(name, sizeof(name), SEGMENT_PREFIX "%" PRIu64,
-                       number);
+            g_snprintf(name, sizeof(name), SEGMENT_PREFIX "%" PRIu64, number);
             code = this->disk->klass->remove(this->disk, name);
         }
     }
@@ -396,9 +330,9 @@
     this->segment++;
     segment_name(this, name);
     GByteArray *frame = g_byte_array_new();
-    frame_append(frame, ++this->frame, payload);
-    code = this->disk->klass->replace(this->disk, name, frame->data,
-                                      frame->len);
+    MpFrame_Append(frame, ++this->frame, payload);
+    code =
+        this->disk->klass->replace(this->disk, name, frame->data, frame->len);
     g_byte_array_unref(frame);
     g_bytes_unref(payload);
     if (code == MP_OK) {
--- /dev/null
+++ b/src/transport/DiskTask.c
@@ -0,0 +1,152 @@
+#include "transport/DiskTask.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+
+#include <string.h>
+
+/* Tells the loop how far the disk is. */
+struct disk_message {
+    h2o_multithread_message_t super;
+    uint64_t seq;
+    int code;
+};
+
+/* Ends the thread; a write that no replica submits. */
+static struct MpRaftWrite stop_mark;
+
+static void
+on_messages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
+{
+    struct MpDiskTask *this =
+        H2O_STRUCT_FROM_MEMBER(struct MpDiskTask, outbox, receiver);
+    while (!h2o_linklist_is_empty(messages)) {
+        struct disk_message *message = H2O_STRUCT_FROM_MEMBER(
+            struct disk_message, super.link, messages->next);
+        h2o_linklist_unlink(&message->super.link);
+        this->done(this->owner, message->seq, message->code);
+        g_free(message);
+    }
+}
+
+static void
+report(struct MpDiskTask *this, uint64_t seq, int code)
+{
+    struct disk_message *message = g_new0(struct disk_message, 1);
+    message->seq = seq;
+    message->code = code;
+    h2o_multithread_send_message(&this->outbox, &message->super);
+}
+
+static int
+save_snapshot(struct MpDiskTask *this, const struct MpRaftWrite *write)
+{
+    struct mp_snapshot_head head;
+    gsize size;
+    const void *data = g_bytes_get_data(write->head, &size);
+    int code = MpCodec_Decode(MP_XDR(mp_snapshot_head), &head, data, size,
+                              sizeof(head));
+    if (code != MP_OK) {
+        return code;
+    }
+    code = MpStorage_SaveSnapshot(
+        this->storage, &head, write->data, &write->hard,
+        (const struct MpLogEntry *)write->entries->data, write->entries->len);
+    MpCodec_Free(MP_XDR(mp_snapshot_head), &head);
+    return code;
+}
+
+static bool
+is_joinable(const struct MpRaftWrite *write)
+{
+    return write != &stop_mark && !write->has_snapshot;
+}
+
+/* Adds the entries of the writes that wait to first. */
+static struct MpRaftWrite *
+join_waiting(struct MpDiskTask *this, struct MpRaftWrite *first)
+{
+    struct MpRaftWrite *next;
+    while ((next = g_async_queue_try_pop(this->inbox))) {
+        if (!is_joinable(next)) {
+            return next;
+        }
+        for (guint i = 0; i < next->entries->len; i++) {
+            struct MpLogEntry entry =
+                g_array_index(next->entries, struct MpLogEntry, i);
+            g_bytes_ref(entry.payload);
+            g_array_append_val(first->entries, entry);
+        }
+        first->hard = next->hard;
+        first->seq = next->seq;
+        this->writes++;
+        MpRaftWrite_Delete(next);
+    }
+    return NULL;
+}
+
+static int
+perform(struct MpDiskTask *this, struct MpRaftWrite *write)
+{
+    int code;
+    if (write->has_snapshot) {
+        code = save_snapshot(this, write);
+    }
+    else {
+        code =
+            MpStorage_Append(this->storage, &write->hard,
+                             (const struct MpLogEntry *)write->entries->data,
+                             write->entries->len);
+    }
+    this->writes++;
+    report(this, write->seq, code);
+    MpRaftWrite_Delete(write);
+    return code;
+}
+
+static void *
+run(void *data)
+{
+    struct MpDiskTask *this = data;
+    struct MpRaftWrite *next = NULL;
+    int code = MP_OK;
+    while (code == MP_OK) {
+        struct MpRaftWrite *write =
+            next ? next : g_async_queue_pop(this->inbox);
+        next = NULL;
+        if (write == &stop_mark) {
+            return NULL;
+        }
+        if (is_joinable(write)) {
+            next = join_waiting(this, write);
+        }
+        code = perform(this, write);
+    }
+    return NULL;
+}
+
+void
+MpDiskTask_Start(struct MpDiskTask *this, struct MpStorage *storage,
+                 struct MpLoop *loop,
+                 void (*done)(void *owner, uint64_t seq, int code),
+                 void *owner)
+{
+    *this =
+        (struct MpDiskTask){.storage = storage, .done = done, .owner = owner};
+    this->inbox = g_async_queue_new();
+    h2o_multithread_register_receiver(loop->queue, &this->outbox, on_messages);
+    h2o_multithread_create_thread(&this->thread, NULL, run, this);
+}
+
+void
+MpDiskTask_Submit(struct MpDiskTask *this, struct MpRaftWrite *write)
+{
+    g_async_queue_push(this->inbox, write);
+}
+
+void
+MpDiskTask_Stop(struct MpDiskTask *this)
+{
+    g_async_queue_push(this->inbox, &stop_mark);
+    pthread_join(this->thread, NULL);
+}
--- /dev/null
+++ b/src/transport/ErrorBody.h
@@ -0,0 +1,23 @@
+#ifndef MP_TRANSPORT_ERROR_BODY_H
+#define MP_TRANSPORT_ERROR_BODY_H
+
+#include <h2o.h>
+
+/*
+ * ErrorBody - the JSON body of a refusal:
+ *
+ *     {"error":{"type":…,"code":…,"message":…,"run":…}}
+ */
+
+/* Returns the body for code; detail, if not NULL, follows the message.  Free
+ * it with g_free. */
+char *MpErrorBody_Text(int code, const char *detail);
+
+/* The same in the memory of a request. */
+h2o_iovec_t MpErrorBody_InPool(h2o_mem_pool_t *pool, int code,
+                               const char *detail);
+
+/* Returns "no" or "unknown". */
+const char *MpErrorBody_Run(int code);
+
+#endif
--- /dev/null
+++ b/src/transport/Exchange.c
@@ -0,0 +1,625 @@
+#include "transport/Exchange.h"
+
+#include "transport/LeaseKeeper.h"
+
+#include <inttypes.h>
+#include <openssl/rand.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define QUEUE_WAIT_MS 2000
+#define OPEN_WAIT_MS 3000
+#define RECALL_RETRY_MS 100
+#define SETTLE_WAIT_MS 5000
+#define BUSY_RETRY_MS 250
+#define NO_QUORUM_RETRY_MS 1000
+#define IN_PROGRESS_RETRY_MS 1000
+/* Largest answer that is kept to be given again. */
+#define KEPT_ANSWER_BYTES 4096
+/* Bytes of a prompt that count as a token when an engine gave no usage. */
+#define BYTES_PER_TOKEN 4
+
+/* ---- reading the request ---- */
+
+static bool
+is_safe_method(const char *method)
+{
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 ||
+           strcmp(method, "OPTIONS") == 0;
+}
+
+static char *
+bearer_key(const h2o_req_t *req)
+{
+    char *header = MpHttp_Header(req, "authorization");
+    char *key = NULL;
+    if (header && g_ascii_strncasecmp(header, "Bearer ", 7) == 0 &&
+        header[7]) {
+        key = g_strdup(header + 7);
+    }
+    g_free(header);
+    return key;
+}
+
+static int
+identify_workspace(struct MpExchange *this, const h2o_req_t *req)
+{
+    char *key = bearer_key(req);
+    if (!key) {
+        return MP_ERROR_NO_KEY;
+    }
+    const char *name = MpDocument_WorkspaceOfKey(this->document, key);
+    g_free(key);
+    if (!name) {
+        return MP_ERROR_UNKNOWN_KEY;
+    }
+    this->workspace = g_strdup(name);
+    this->conf = g_hash_table_lookup(this->document->workspaces, name);
+    return MP_OK;
+}
+
+static bool
+is_key_sound(const char *key)
+{
+    size_t length = strlen(key);
+    for (size_t i = 0; i < length; i++) {
+        if (!g_ascii_isgraph(key[i])) {
+            return false;
+        }
+    }
+    return length > 0 && length <= MP_KEY_MAX;
+}
+
+static int
+read_key(struct MpExchange *this, const h2o_req_t *req, const char **why)
+{
+    this->key = MpHttp_Header(req, "idempotency-key");
+    if (!this->key) {
+        this->key = g_strconcat("auto-", this->request_id, NULL);
+        return MP_OK;
+    }
+    if (!is_key_sound(this->key)) {
+        *why = "Idempotency-Key must be 1 to 160 printable ASCII characters.";
+        return MP_ERROR_INVALID;
+    }
+    return MP_OK;
+}
+
+static int
+read_chat(struct MpExchange *this, const char **why)
+{
+    this->is_chat = true;
+    if (strcmp(this->method, "POST") != 0) {
+        return MP_ERROR_METHOD;
+    }
+    int code = MpChat_Parse(&this->chat, (const char *)this->body->data,
+                            this->body->len, why);
+    if (code != MP_OK) {
+        return code;
+    }
+    this->model =
+        g_hash_table_lookup(this->document->models, this->chat.model);
+    if (!this->model ||
+        !MpDocument_Lists(this->conf->models, this->chat.model)) {
+        return MP_ERROR_NOT_ALLOWED;
+    }
+    this->targets = this->model->targets;
+    this->queue_name = this->chat.model;
+    this->reserve_mtok = MpChat_WorstCase(&this->chat, this->model);
+    this->block_count = MpPicker_HashBlocks(
+        this->chat.prompt->str, this->chat.prompt->len, this->blocks);
+    struct json_object *options;
+    struct json_object *usage;
+    this->wants_usage =
+        json_object_object_get_ex(this->chat.root, "stream_options",
+                                  &options) &&
+        json_object_object_get_ex(options, "include_usage", &usage) &&
+        json_object_get_boolean(usage);
+    return MP_OK;
+}
+
+#define SERVICES_PREFIX "/services/"
+
+static int
+read_service(struct MpExchange *this)
+{
+    const char *name = this->path + strlen(SERVICES_PREFIX);
+    size_t length = strcspn(name, "/?");
+    char *service = g_strndup(name, length);
+    void *known;
+    this->service = g_hash_table_lookup(this->document->services, service);
+    bool is_allowed =
+        this->service && MpDocument_Lists(this->conf->services, service);
+    if (is_allowed) {
+        g_hash_table_lookup_extended(this->document->services, service, &known,
+                                     NULL);
+        this->queue_name = known;
+    }
+    g_free(service);
+    if (!is_allowed) {
+        return MP_ERROR_NOT_ALLOWED;
+    }
+    const char *rest = name + length;
+    char *route_path = g_strndup(rest, strcspn(rest, "?"));
+    const struct MpRouteConf *route =
+        MpServiceConf_Route(this->service, this->method, route_path);
+    g_free(route_path);
+    this->targets = this->service->targets;
+    this->at_most_once =
+        route ? route->at_most_once : !is_safe_method(this->method);
+    this->reserve_mtok = route && route->price_mtok >= 0
+                             ? route->price_mtok
+                             : this->service->price_mtok;
+    return MP_OK;
+}
+
+static void
+hash_body(struct MpExchange *this)
+{
+    XXH3_state_t *state = XXH3_createState();
+    XXH128_canonical_t canonical;
+    XXH3_128bits_reset(state);
+    XXH3_128bits_update(state, this->method, strlen(this->method) + 1);
+    XXH3_128bits_update(state, this->path, strlen(this->path) + 1);
+    XXH3_128bits_update(state, this->body->data, this->body->len);
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
+    memcpy(this->body_hash, canonical.digest, MP_HASH_BYTES);
+    XXH3_freeState(state);
+}
+
+static int
+read_request(struct MpExchange *this, const h2o_req_t *req, const char **why)
+{
+    int code = identify_workspace(this, req);
+    if (code == MP_OK) {
+        code = read_key(this, req, why);
+    }
+    if (code != MP_OK) {
+        return code;
+    }
+    hash_body(this);
+    if (strcmp(this->path, "/v1/chat/completions") == 0) {
+        return read_chat(this, why);
+    }
+    if (g_str_has_prefix(this->path, SERVICES_PREFIX)) {
+        return read_service(this);
+    }
+    return MP_ERROR_NOT_FOUND;
+}
+
+/* ---- life ---- */
+
+static char *
+make_request_id(struct MpRouter *router)
+{
+    uint64_t number = 0;
+    RAND_bytes((unsigned char *)&number, sizeof(number));
+    return g_strdup_printf("%s-%016" PRIx64, router->settings->instance,
+                           number);
+}
+
+static struct MpExchange *
+exchange_new(struct MpRouter *router, h2o_req_t *req)
+{
+    struct MpExchange *this = g_new0(struct MpExchange, 1);
+    this->router = router;
+    this->document = MpDocument_Ref(router->fleet.document);
+    this->began_ms = MpLoop_Now();
+    this->request_id = make_request_id(router);
+    this->method = g_strndup(req->method.base, req->method.len);
+    this->path = g_strndup(req->path.base, req->path.len);
+    this->body = g_byte_array_new();
+    this->body_type = MpHttp_Header(req, "content-type");
+    if (req->entity.len > 0) {
+        g_byte_array_append(this->body, (const guint8 *)req->entity.base,
+                            (guint)req->entity.len);
+    }
+    this->out = g_byte_array_new();
+    this->sending = g_byte_array_new();
+    this->answer = g_byte_array_new();
+    this->avoid = g_ptr_array_new_with_free_func(g_free);
+    this->content_type = g_strdup("");
+    this->link.data = this;
+    MpSse_Init(&this->sse);
+    g_queue_push_tail_link(&router->exchanges, &this->link);
+    MpExchange_AttachCaller(this, req);
+    return this;
+}
+
+static void
+exchange_free(struct MpExchange *this)
+{
+    g_queue_unlink(&this->router->exchanges, &this->link);
+    MpLoop_ClearTimer(&this->timer);
+    MpSse_Done(&this->sse);
+    MpChat_Done(&this->chat);
+    MpDocument_Unref(this->document);
+    g_ptr_array_unref(this->avoid);
+    g_byte_array_unref(this->body);
+    g_byte_array_unref(this->out);
+    g_byte_array_unref(this->sending);
+    g_byte_array_unref(this->answer);
+    g_free(this->workspace);
+    g_free(this->request_id);
+    g_free(this->key);
+    g_free(this->method);
+    g_free(this->path);
+    g_free(this->body_type);
+    g_free(this->content_type);
+    g_free(this->target_boot);
+    g_free(this);
+}
+
+/* Frees the exchange once neither caller nor quorum need it. */
+static void
+maybe_free(struct MpExchange *this)
+{
+    if (this->stage == MP_STAGE_ENDED && !this->req) {
+        exchange_free(this);
+    }
+}
+
+static void
+end(struct MpExchange *this)
+{
+    if (this->stage == MP_STAGE_ENDED) {
+        return;
+    }
+    this->stage = MP_STAGE_ENDED;
+    MpLoop_ClearTimer(&this->timer);
+    if (this->is_admitted) {
+        MpLimits_Leave(&this->router->limits, this->workspace);
+    }
+    MpRouter_WantPump(this->router);
+}
+
+/* ---- settlement ---- */
+
+int64_t
+MpExchange_Price(const struct MpExchange *this)
+{
+    if (!this->is_chat) {
+        return this->status < 400 ? this->reserve_mtok : 0;
+    }
+    int64_t prompt_tokens =
+        this->has_usage ? this->prompt_tokens
+                        : (int64_t)this->chat.prompt->len / BYTES_PER_TOKEN;
+    int64_t output_tokens =
+        this->has_usage ? this->output_tokens : this->tokens;
+    return prompt_tokens * this->model->prompt_price_mtok +
+           output_tokens * this->model->output_price_mtok;
+}
+
+void
+MpExchange_FinishSettled(struct MpExchange *this)
+{
+    if (!this->is_started) {
+        MpExchange_StartAnswer(this, this->status, this->content_type,
+                               this->answer->len);
+    }
+    MpExchange_Write(this, this->answer->data, this->answer->len);
+    MpExchange_FinishAnswer(this);
+    end(this);
+    maybe_free(this);
+}
+
+static void
+on_settled(void *data, int code, const struct mp_result *result)
+{
+    struct MpExchange *this = data;
+    MpLoop_ClearTimer(&this->timer);
+    if (code == MP_OK && result->code == MP_OK) {
+        MpMetrics_Count(&this->router->metrics, "mimosapath_settled_total",
+                        "workspace", this->workspace, 1);
+        if (!this->is_aborted) {
+            MpExchange_FinishSettled(this);
+            return;
+        }
+    }
+    else {
+        /* Another attempt has taken the key over, or a fence has. */
+        MpMetrics_Count(&this->router->metrics,
+                        "mimosapath_settle_refused_total", "cause",
+                        MpError_Name(result ? result->code : code), 1);
+        MpExchange_AbortAnswer(this, MP_ERROR_OUTCOME_UNKNOWN);
+    }
+    end(this);
+    maybe_free(this);
+}
+
+/* The quorum does not answer: the caller is told, and the settlement goes
+ * on in the background. */
+static void
+on_settle_late(struct MpTimer *timer)
+{
+    struct MpExchange *this = timer->data;
+    MpExchange_AbortAnswer(this, MP_ERROR_OUTCOME_UNKNOWN);
+}
+
+static void
+fill_settle(const struct MpExchange *this, struct mp_command *command,
+            enum mp_record_state outcome, int64_t spent_mtok)
+{
+    bool is_kept = this->at_most_once && outcome == MP_RECORD_DONE &&
+                   this->answer->len <= KEPT_ANSWER_BYTES;
+    command->body.kind = MP_CMD_SETTLE;
+    command->body.mp_command_body_u.settle = (struct mp_settle){
+        .holder = this->holder,
+        .workspace = this->workspace,
+        .key = this->key,
+        .open_id = this->open_id,
+        .spent_mtok = spent_mtok,
+        .outcome = outcome,
+        .status = this->status,
+        .content_type = is_kept ? this->content_type : (char *)"",
+        .answer = {.answer_val = (char *)this->answer->data,
+                   .answer_len = is_kept ? this->answer->len : 0},
+    };
+}
+
+void
+MpExchange_Settle(struct MpExchange *this, enum mp_record_state outcome,
+                  int64_t spent_mtok)
+{
+    struct mp_command command = {.at_ms = 0};
+    this->stage = MP_STAGE_SETTLING;
+    MpLoop_ClearTimer(&this->timer);
+    if (this->is_rerun) {
+        if (this->is_aborted) {
+            end(this);
+            maybe_free(this);
+            return;
+        }
+        MpExchange_FinishSettled(this);
+        return;
+    }
+    if (this->is_offline) {
+        MpLeaseKeeper_Settle(this->router->leases, this, spent_mtok);
+        return;
+    }
+    MpLoop_SetTimer(this->router->loop, &this->timer, SETTLE_WAIT_MS,
+                    on_settle_late, this);
+    fill_settle(this, &command, outcome, spent_mtok);
+    MpFleet_Propose(&this->router->fleet, &command, 0, on_settled, this);
+}
+
+/* ---- opening ---- */
+
+static void propose_open(struct MpExchange *this);
+
+static void
+release_target(struct MpExchange *this)
+{
+    if (this->target) {
+        MpTarget_Finish(&this->router->picker, this->target,
+                        MP_ATTEMPT_CANCELLED, MpLoop_Now());
+        this->target = NULL;
+        MpRouter_WantPump(this->router);
+    }
+}
+
+static void
+refuse_and_end(struct MpExchange *this, int code, int64_t retry_after_ms)
+{
+    release_target(this);
+    MpExchange_Refuse(this, code, NULL, retry_after_ms);
+    end(this);
+    maybe_free(this);
+}
+
+static void
+give_up_open(struct MpExchange *this, int code)
+{
+    refuse_and_end(this, code, NO_QUORUM_RETRY_MS);
+}
+
+static void
+on_recall_retry(struct MpTimer *timer)
+{
+    propose_open(timer->data);
+}
+
+static void
+replay_answer(struct MpExchange *this, const struct mp_result *result)
+{
+    release_target(this);
+    if (this->req && result->answer.answer_len > 0) {
+        MpHttp_AddHeader(this->req, "x-mimosapath-replayed", "yes");
+        MpExchange_StartAnswer(this, result->status, result->content_type,
+                               result->answer.answer_len);
+        MpExchange_Write(this, result->answer.answer_val,
+                         result->answer.answer_len);
+        MpExchange_FinishAnswer(this);
+    }
+    else {
+        MpExchange_Refuse(this, MP_ERROR_ALREADY_ANSWERED, NULL, 0);
+    }
+    end(this);
+    maybe_free(this);
+}
+
+static void
+on_open_refused(struct MpExchange *this, const struct mp_result *result)
+{
+    int code = result->code;
+    if (code == MP_ERROR_RECALLING &&
+        MpLoop_Now() + RECALL_RETRY_MS < this->deadline_ms) {
+        MpLoop_SetTimer(this->router->loop, &this->timer, RECALL_RETRY_MS,
+                        on_recall_retry, this);
+        return;
+    }
+    if (code == MP_ERROR_ALREADY_ANSWERED) {
+        replay_answer(this, result);
+        return;
+    }
+    refuse_and_end(this, code,
+                   code == MP_ERROR_IN_PROGRESS ? IN_PROGRESS_RETRY_MS : 0);
+}
+
+static void
+on_opened(void *data, int code, const struct mp_result *result)
+{
+    struct MpExchange *this = data;
+    if (code != MP_OK) {
+        MpLeaseKeeper_CloseOpen(this->router->leases, this);
+        if (this->req &&
+            MpLeaseKeeper_TryOffline(this->router->leases, this)) {
+            return;
+        }
+        give_up_open(this, code);
+        return;
+    }
+    if (result->code != MP_OK) {
+        on_open_refused(this, result);
+        return;
+    }
+    this->is_rerun = result->state == MP_RECORD_DONE;
+    if (!this->req) {
+        release_target(this);
+        this->is_aborted = true;
+        MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
+        return;
+    }
+    MpExchange_StartAttempt(this);
+}
+
+static void
+propose_open(struct MpExchange *this)
+{
+    struct mp_command command = {.body = {.kind = MP_CMD_OPEN}};
+    struct mp_open *open = &command.body.mp_command_body_u.open;
+    *open = (struct mp_open){.holder = this->holder,
+                             .workspace = this->workspace,
+                             .key = this->key,
+                             .reserve_mtok = this->reserve_mtok,
+                             .at_most_once = this->at_most_once,
+                             .open_id = this->open_id};
+    memcpy(open->body_hash, this->body_hash, MP_HASH_BYTES);
+    MpFleet_Propose(&this->router->fleet, &command, this->deadline_ms,
+                    on_opened, this);
+}
+
+void
+MpExchange_Open(struct MpExchange *this, struct MpTarget *target)
+{
+    MpLoop_ClearTimer(&this->timer);
+    this->target = target;
+    MpTarget_Start(target);
+    this->stage = MP_STAGE_OPENING;
+    this->open_id = ++this->router->next_open_id;
+    this->holder = MpFleet_Holder(&this->router->fleet);
+    this->deadline_ms = MpLoop_Now() + OPEN_WAIT_MS;
+    MpLeaseKeeper_NoteDemand(this->router->leases, this);
+    if (MpLeaseKeeper_IsCutOff(this->router->leases) &&
+        MpLeaseKeeper_TryOffline(this->router->leases, this)) {
+        return;
+    }
+    propose_open(this);
+}
+
+void
+MpExchange_RunOffline(struct MpExchange *this)
+{
+    if (!this->req) {
+        release_target(this);
+        this->is_aborted = true;
+        MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
+        return;
+    }
+    MpExchange_StartAttempt(this);
+}
+
+/* ---- arrival ---- */
+
+void
+MpExchange_Shed(struct MpExchange *this, int code)
+{
+    refuse_and_end(this, code, BUSY_RETRY_MS);
+}
+
+static void
+wait_for_target(struct MpExchange *this)
+{
+    int code;
+    struct MpTarget *target = MpRouter_Pick(this->router, this, &code);
+    this->stage = MP_STAGE_WAITING;
+    if (target) {
+        MpExchange_Open(this, target);
+        return;
+    }
+    this->item = (struct MpQueueItem){
+        .workspace = this->workspace,
+        .priority = this->conf->priority,
+        .deadline_ms = MpLoop_Now() + QUEUE_WAIT_MS,
+        .data = this,
+    };
+    if (code == MP_ERROR_NO_TARGET ||
+        MpRouter_Enqueue(this->router, this) != MP_OK) {
+        MpExchange_Shed(this, code);
+    }
+}
+
+static int
+admit(struct MpExchange *this, int64_t *retry_after_ms)
+{
+    if (MpFleet_IsPoison(&this->router->fleet, this->body_hash)) {
+        return MP_ERROR_POISON;
+    }
+    int code = MpLimits_Enter(
+        &this->router->limits, this->workspace, this->conf->concurrent_most,
+        this->conf->rate_per_s, MpLoop_Now(), retry_after_ms);
+    this->is_admitted = code == MP_OK;
+    return code;
+}
+
+void
+MpExchange_Begin(struct MpRouter *router, h2o_req_t *req)
+{
+    struct MpExchange *this = exchange_new(router, req);
+    const char *why = NULL;
+    int64_t retry_after_ms = 0;
+    int code = read_request(this, req, &why);
+    if (code == MP_OK) {
+        code = admit(this, &retry_after_ms);
+    }
+    if (code != MP_OK) {
+        MpExchange_Refuse(this, code, why, retry_after_ms);
+        end(this);
+        maybe_free(this);
+        return;
+    }
+    wait_for_target(this);
+}
+
+/* ---- the caller leaves ---- */
+
+void
+MpExchange_CallerGone(struct MpExchange *this)
+{
+    this->req = NULL;
+    this->caller = NULL;
+    switch (this->stage) {
+    case MP_STAGE_WAITING:
+        MpLoop_ClearTimer(&this->timer);
+        if (this->item.lane) {
+            MpFairQueue_Remove(
+                g_hash_table_lookup(this->router->queues, this->queue_name),
+                &this->item);
+        }
+        end(this);
+        break;
+    case MP_STAGE_RUNNING:
+        /* What must not run twice goes on, so that its outcome is known. */
+        if (!this->at_most_once && this->upstream) {
+            MpExchange_DropAttempt(this, MP_ATTEMPT_CANCELLED);
+            this->is_aborted = true;
+            MpExchange_Settle(this, MP_RECORD_CANCELLED,
+                              MpExchange_Price(this));
+            return;
+        }
+        break;
+    default:
+        break;
+    }
+    maybe_free(this);
+}
--- /dev/null
+++ b/src/transport/ExchangeCaller.c
@@ -0,0 +1,206 @@
+#include "transport/Exchange.h"
+
+#include "transport/ErrorBody.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Answers to the caller; see Exchange.h. */
+
+/* Bytes of an answer that may wait for a slow caller before the target is
+ * no longer read. */
+#define OUT_HIGH_BYTES 65536
+#define OUT_LOW_BYTES 16384
+
+/* ---- sending ---- */
+
+static void
+resume_target(struct MpExchange *this)
+{
+    if (this->upstream && this->out->len <= OUT_LOW_BYTES) {
+        MpUpstream_Resume(this->upstream);
+    }
+}
+
+static void
+flush(struct MpExchange *this)
+{
+    if (!this->req || !this->is_started || this->sending->len > 0) {
+        return;
+    }
+    if (this->out->len == 0 && !this->is_last) {
+        return;
+    }
+    GByteArray *full = this->out;
+    this->out = this->sending;
+    this->sending = full;
+    h2o_iovec_t buffer = {.base = (char *)full->data, .len = full->len};
+    h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+    h2o_req_t *req = this->req;
+    if (this->is_last && this->out->len == 0) {
+        state = this->is_aborted ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+    }
+    h2o_send(req, &buffer, full->len > 0 ? 1 : 0, state);
+}
+
+static void
+on_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+    struct MpExchange *this = ((struct MpCallerLink *)generator)->exchange;
+    (void)req;
+    if (this) {
+        g_byte_array_set_size(this->sending, 0);
+        flush(this);
+        resume_target(this);
+    }
+}
+
+static void
+detach(struct MpCallerLink *link)
+{
+    struct MpExchange *exchange = link->exchange;
+    if (exchange) {
+        link->exchange = NULL;
+        MpExchange_CallerGone(exchange);
+    }
+}
+
+static void
+on_stop(h2o_generator_t *generator, h2o_req_t *req)
+{
+    (void)req;
+    detach((struct MpCallerLink *)generator);
+}
+
+static void
+on_request_freed(void *data)
+{
+    detach(data);
+}
+
+void
+MpExchange_AttachCaller(struct MpExchange *this, h2o_req_t *req)
+{
+    struct MpCallerLink *link =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*link), on_request_freed);
+    *link = (struct MpCallerLink){
+        .super = {.proceed = on_proceed, .stop = on_stop}, .exchange = this};
+    this->req = req;
+    this->caller = link;
+}
+
+/* ---- refusals ---- */
+
+static void
+add_common_headers(h2o_req_t *req, int code, const char *request_id,
+                   int64_t retry_after_ms)
+{
+    char seconds[24];
+    if (request_id) {
+        MpHttp_AddHeader(req, "x-mimosapath-request", request_id);
+    }
+    MpHttp_AddHeader(req, "x-mimosapath-run", MpErrorBody_Run(code));
+    if (retry_after_ms > 0) {
+        g_snprintf(seconds, sizeof(seconds), "%" PRId64,
+                   (retry_after_ms + 999) / 1000);
+        MpHttp_AddHeader(req, "retry-after", seconds);
+    }
+}
+
+void
+MpExchange_SendError(h2o_req_t *req, int code, const char *detail,
+                     const char *request_id, int64_t retry_after_ms)
+{
+    char *text = MpErrorBody_Text(code, detail);
+    add_common_headers(req, code, request_id, retry_after_ms);
+    MpHttp_Send(req, MpError_Info(code)->http_status, "application/json", text,
+                strlen(text));
+    g_free(text);
+}
+
+void
+MpExchange_Refuse(struct MpExchange *this, int code, const char *detail,
+                  int64_t retry_after_ms)
+{
+    h2o_req_t *req = this->req;
+    MpMetrics_Count(&this->router->metrics, "mimosapath_refused_total",
+                    "cause", MpError_Name(code), 1);
+    if (!req || this->is_last) {
+        return;
+    }
+    /* The answer is handed over whole: h2o needs the exchange no more. */
+    this->is_last = true;
+    this->caller->exchange = NULL;
+    this->req = NULL;
+    this->caller = NULL;
+    MpExchange_SendError(req, code, detail, this->request_id, retry_after_ms);
+}
+
+/* ---- answers ---- */
+
+void
+MpExchange_StartAnswer(struct MpExchange *this, int32_t status,
+                       const char *content_type, size_t size)
+{
+    this->is_started = true;
+    if (!this->req) {
+        return;
+    }
+    this->req->res.status = status;
+    this->req->res.reason = "Answer";
+    this->req->res.content_length = size;
+    if (content_type[0]) {
+        MpHttp_AddHeader(this->req, "content-type", content_type);
+    }
+    MpHttp_AddHeader(this->req, "x-mimosapath-request", this->request_id);
+    h2o_start_response(this->req, &this->caller->super);
+}
+
+void
+MpExchange_Write(struct MpExchange *this, const void *data, size_t size)
+{
+    if (!this->req || size == 0) {
+        return;
+    }
+    g_byte_array_append(this->out, data, (guint)size);
+    flush(this);
+    if (this->upstream && this->out->len > OUT_HIGH_BYTES) {
+        MpUpstream_Pause(this->upstream);
+    }
+}
+
+void
+MpExchange_FinishAnswer(struct MpExchange *this)
+{
+    if (this->is_last) {
+        return;
+    }
+    this->is_last = true;
+    flush(this);
+}
+
+void
+MpExchange_AbortAnswer(struct MpExchange *this, int code)
+{
+    if (this->is_last) {
+        return;
+    }
+    if (!this->is_started) {
+        this->is_aborted = true;
+        MpExchange_Refuse(this, code, NULL, 0);
+        return;
+    }
+    this->is_aborted = true;
+    MpMetrics_Count(&this->router->metrics, "mimosapath_cut_total", "cause",
+                    MpError_Name(code), 1);
+    if (this->is_stream) {
+        char *text = MpErrorBody_Text(code, NULL);
+        char *event = g_strdup_printf("data: %s\n\n", text);
+        MpExchange_Write(this, event, strlen(event));
+        g_free(event);
+        g_free(text);
+    }
+    this->is_last = true;
+    flush(this);
+}
--- /dev/null
+++ b/src/transport/Fleet.c
@@ -0,0 +1,367 @@
+#include "transport/Fleet.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+#include "transport/Log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define SYNC_MS 250
+#define CALL_TIMEOUT_MS 700
+#define RETRY_MS 20
+#define REGISTER_DEADLINE_MS 2000
+
+/* ---- calls to the leader ---- */
+
+/* One call that is sent until it has an answer of the leader. */
+struct request {
+    struct MpFleet *fleet;
+    uint32_t procedure;
+    void *argument; /* owned */
+    int64_t deadline_ms;
+    guint asked; /* replica of the last try */
+    struct MpTimer timer;
+    MpProposeDone propose_done;
+    MpReadDone read_done;
+    void *data;
+};
+
+static void send_request(struct request *request);
+
+static void
+finish(struct request *request, int code, const void *result)
+{
+    if (request->propose_done) {
+        const struct mp_propose_reply *reply = result;
+        request->propose_done(request->data, code,
+                              reply ? &reply->result : NULL);
+    }
+    else {
+        request->read_done(request->data, code, result);
+    }
+    MpRpc_FreeArgument(request->procedure, request->argument);
+    g_free(request);
+}
+
+static void
+on_retry(struct MpTimer *timer)
+{
+    send_request(timer->data);
+}
+
+static void
+retry(struct request *request)
+{
+    struct MpFleet *this = request->fleet;
+    int64_t now_ms = MpLoop_Now();
+    if (request->deadline_ms > 0 && now_ms >= request->deadline_ms) {
+        finish(request, MP_ERROR_NO_QUORUM, NULL);
+        return;
+    }
+    this->retries++;
+    MpLoop_SetTimer(this->loop, &request->timer, RETRY_MS, on_retry, request);
+}
+
+/* Moves on to the replica at address, or to the next one. */
+static void
+follow_leader(struct MpFleet *this, guint asked, const char *address)
+{
+    for (guint i = 0; address[0] && i < this->clients->len; i++) {
+        const struct MpRpcClient *client = g_ptr_array_index(this->clients, i);
+        if (strcmp(client->address, address) == 0 && i != asked) {
+            this->leader = i;
+            return;
+        }
+    }
+    /* Another request may have found the leader meanwhile. */
+    if (this->leader == asked) {
+        this->leader = (asked + 1) % this->clients->len;
+    }
+}
+
+static void
+on_answer(void *data, int code, const void *result)
+{
+    struct request *request = data;
+    const char *leader = "";
+    int reply_code = code;
+    if (code == MP_OK && request->procedure == MP_PROC_PROPOSE) {
+        const struct mp_propose_reply *reply = result;
+        reply_code = reply->code;
+        leader = reply->leader;
+    }
+    else if (code == MP_OK) {
+        const struct mp_read_reply *reply = result;
+        reply_code = reply->code;
+        leader = reply->leader;
+    }
+    if (reply_code == MP_OK || reply_code == MP_ERROR_TOO_LARGE) {
+        finish(request, reply_code, reply_code == MP_OK ? result : NULL);
+        return;
+    }
+    follow_leader(request->fleet, request->asked, leader);
+    retry(request);
+}
+
+static void
+send_request(struct request *request)
+{
+    struct MpFleet *this = request->fleet;
+    request->asked = this->leader;
+    MpRpcClient_Call(g_ptr_array_index(this->clients, request->asked),
+                     request->procedure, request->argument, CALL_TIMEOUT_MS,
+                     on_answer, request);
+}
+
+static void *
+copy_argument(uint32_t procedure, const void *argument)
+{
+    const struct MpRpcProcedure *info = MpRpc_Procedure(procedure);
+    void *copy = g_malloc0(info->argument_size);
+    GBytes *bytes = MpCodec_Encode(info->argument, argument);
+    gsize size;
+    const void *data = bytes ? g_bytes_get_data(bytes, &size) : NULL;
+    if (!bytes || MpCodec_Decode(info->argument, copy, data, size,
+                                 info->argument_size) != MP_OK) {
+        g_free(copy);
+        copy = NULL;
+    }
+    if (bytes) {
+        g_bytes_unref(bytes);
+    }
+    return copy;
+}
+
+static struct request *
+request_new(struct MpFleet *this, uint32_t procedure, const void *argument,
+            int64_t deadline_ms)
+{
+    struct request *request = g_new0(struct request, 1);
+    request->fleet = this;
+    request->procedure = procedure;
+    request->argument = copy_argument(procedure, argument);
+    request->deadline_ms = deadline_ms;
+    return request;
+}
+
+void
+MpFleet_Propose(struct MpFleet *this, const struct mp_command *command,
+                int64_t deadline_ms, MpProposeDone done, void *data)
+{
+    struct mp_propose propose = {.command = *command};
+    struct request *request =
+        request_new(this, MP_PROC_PROPOSE, &propose, deadline_ms);
+    request->propose_done = done;
+    request->data = data;
+    this->proposals++;
+    if (!request->argument) {
+        finish(request, MP_ERROR_TOO_LARGE, NULL);
+        return;
+    }
+    send_request(request);
+}
+
+void
+MpFleet_Read(struct MpFleet *this, const char *workspace, int64_t deadline_ms,
+             MpReadDone done, void *data)
+{
+    struct mp_read read = {.workspace = (char *)workspace};
+    struct request *request =
+        request_new(this, MP_PROC_READ, &read, deadline_ms);
+    request->read_done = done;
+    request->data = data;
+    send_request(request);
+}
+
+/* ---- registration and document ---- */
+
+struct mp_holder
+MpFleet_Holder(const struct MpFleet *this)
+{
+    return (struct mp_holder){.instance = this->settings->instance,
+                              .boot = this->boot};
+}
+
+bool
+MpFleet_IsReady(const struct MpFleet *this)
+{
+    return this->boot > 0 && this->document;
+}
+
+bool
+MpFleet_IsPoison(const struct MpFleet *this, const uint8_t *body_hash)
+{
+    return g_hash_table_contains(this->poisons, body_hash);
+}
+
+static uint64_t
+random_number(void)
+{
+    char nonce[MP_NONCE_BYTES];
+    uint64_t number;
+    MpRpc_Nonce(nonce);
+    memcpy(&number, nonce, sizeof(number));
+    return number;
+}
+
+static void
+on_registered(void *data, int code, const struct mp_result *result)
+{
+    struct MpFleet *this = data;
+    this->is_registering = false;
+    if (code != MP_OK || result->code != MP_OK) {
+        return;
+    }
+    this->boot = result->number;
+    MpLog_Event(LOG_NOTICE, "registered", "boot=%" PRIu64, this->boot);
+    this->listener->registered(this->owner, this->boot);
+}
+
+static void
+register_now(struct MpFleet *this)
+{
+    struct mp_command command = {.body = {.kind = MP_CMD_REGISTER}};
+    if (this->is_registering) {
+        return;
+    }
+    this->is_registering = true;
+    command.body.mp_command_body_u.reg = (struct mp_register){
+        .instance = this->settings->instance, .nonce = this->nonce};
+    MpFleet_Propose(this, &command, MpLoop_Now() + REGISTER_DEADLINE_MS,
+                    on_registered, this);
+}
+
+static void
+take_document(struct MpFleet *this, const struct mp_sync_reply *reply)
+{
+    uint64_t current = this->document ? this->document->version : 0;
+    if (reply->document_version <= current || reply->document[0] == '\0') {
+        return;
+    }
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document =
+        MpDocument_Parse(reply->document, strlen(reply->document), findings);
+    g_ptr_array_unref(findings);
+    if (!document) {
+        MpLog_Event(LOG_ERR, "document-rejected", "version=%" PRIu64,
+                    (uint64_t)reply->document_version);
+        return;
+    }
+    document->version = reply->document_version;
+    MpDocument_Unref(this->document);
+    this->document = document;
+    this->applied_ms = (uint64_t)MpLoop_WallMs();
+    MpLog_Event(LOG_NOTICE, "document-in-force", "version=%" PRIu64,
+                document->version);
+    this->listener->document(this->owner, document);
+}
+
+static void
+take_poisons(struct MpFleet *this, const struct mp_sync_reply *reply)
+{
+    if (reply->poison_version == this->poison_version) {
+        return;
+    }
+    this->poison_version = reply->poison_version;
+    g_hash_table_remove_all(this->poisons);
+    for (u_int at = 0; at + MP_HASH_BYTES <= reply->poison.poison_len;
+         at += MP_HASH_BYTES) {
+        g_hash_table_add(
+            this->poisons,
+            g_memdup2(reply->poison.poison_val + at, MP_HASH_BYTES));
+    }
+}
+
+static void
+on_synced(void *data, int code, const void *result)
+{
+    struct MpFleet *this = data;
+    const struct mp_sync_reply *reply = result;
+    this->is_syncing = false;
+    if (code != MP_OK || reply->code == MP_ERROR_NOT_LEADER) {
+        follow_leader(this, this->leader, reply ? reply->leader : "");
+        return;
+    }
+    this->synced_ms = MpLoop_Now();
+    take_document(this, reply);
+    take_poisons(this, reply);
+    for (u_int i = 0; i < reply->recalls.recalls_len; i++) {
+        this->listener->recall(this->owner,
+                               reply->recalls.recalls_val[i].workspace);
+    }
+    if (reply->code == MP_ERROR_FENCED && this->boot > 0 &&
+        !this->is_draining) {
+        MpLog_Event(LOG_WARNING, "fenced", "boot=%" PRIu64, this->boot);
+        this->boot = 0;
+        this->nonce = random_number();
+    }
+}
+
+static void
+sync_now(struct MpFleet *this)
+{
+    struct mp_sync sync = {
+        .holder = MpFleet_Holder(this),
+        .document_version = this->document ? this->document->version : 0,
+        .poison_version = this->poison_version,
+        .draining = this->is_draining,
+    };
+    if (this->is_syncing) {
+        return;
+    }
+    this->is_syncing = true;
+    MpRpcClient_Call(g_ptr_array_index(this->clients, this->leader),
+                     MP_PROC_SYNC, &sync, CALL_TIMEOUT_MS, on_synced, this);
+}
+
+static void
+on_timer(struct MpTimer *timer)
+{
+    struct MpFleet *this = timer->data;
+    if (this->boot == 0) {
+        register_now(this);
+    }
+    else {
+        sync_now(this);
+    }
+    MpLoop_SetTimer(this->loop, &this->timer,
+                    this->document ? SYNC_MS : SYNC_MS / 5, on_timer, this);
+}
+
+static guint
+hash_of_body(const void *data)
+{
+    guint value;
+    memcpy(&value, data, sizeof(value));
+    return value;
+}
+
+static gboolean
+equal_bodies(const void *a, const void *b)
+{
+    return memcmp(a, b, MP_HASH_BYTES) == 0;
+}
+
+void
+MpFleet_Start(struct MpFleet *this, struct MpLoop *loop,
+              const struct MpSettings *settings, const uint8_t *fleet_key,
+              const struct MpFleetListener *listener, void *owner)
+{
+    *this = (struct MpFleet){.loop = loop,
+                             .settings = settings,
+                             .listener = listener,
+                             .owner = owner,
+                             .nonce = random_number()};
+    this->clients = g_ptr_array_new();
+    this->poisons =
+        g_hash_table_new_full(hash_of_body, equal_bodies, g_free, NULL);
+    for (guint i = 0; i < settings->control->len; i++) {
+        const struct MpPeer *peer = g_ptr_array_index(settings->control, i);
+        struct MpRpcClient *client = g_new0(struct MpRpcClient, 1);
+        MpRpcClient_Init(client, loop, peer->rpc, settings->instance,
+                         fleet_key);
+        g_ptr_array_add(this->clients, client);
+    }
+    MpLoop_SetTimer(loop, &this->timer, 0, on_timer, this);
+}
--- /dev/null
+++ b/src/transport/Fleet.h
@@ -0,0 +1,80 @@
+#ifndef MP_TRANSPORT_FLEET_H
+#define MP_TRANSPORT_FLEET_H
+
+#include "state/Document.h"
+#include "state/Settings.h"
+#include "transport/Loop.h"
+#include "transport/RpcLink.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Fleet - an instance's side of the control replicas: it finds the leader,
+ * proposes commands until they have an outcome, registers this incarnation
+ * and keeps the document up to date.
+ *
+ * Commands are idempotent, so a proposal whose answer is lost is sent again.
+ */
+
+/* result is NULL unless code is MP_OK; its own code is in result->code. */
+typedef void (*MpProposeDone)(void *data, int code,
+                              const struct mp_result *result);
+typedef void (*MpReadDone)(void *data, int code,
+                           const struct mp_read_reply *reply);
+
+struct MpFleetListener {
+    /* A newer document is in force. */
+    void (*document)(void *owner, struct MpDocument *document);
+    /* The registration changed; boot is the number of this incarnation. */
+    void (*registered)(void *owner, uint64_t boot);
+    /* A lease on workspace is called back. */
+    void (*recall)(void *owner, const char *workspace);
+};
+
+struct MpFleet {
+    struct MpLoop *loop;
+    const struct MpSettings *settings;
+    const struct MpFleetListener *listener;
+    void *owner;
+    GPtrArray *clients; /* of struct MpRpcClient, as in the settings */
+    guint leader;       /* index of the replica to ask */
+    uint64_t boot;      /* 0 until registered */
+    uint64_t nonce;
+    struct MpDocument *document; /* NULL until the first one */
+    GHashTable *poisons;         /* body hashes that are stopped */
+    uint64_t poison_version;
+    int64_t synced_ms; /* last answer of the leader */
+    bool is_draining;
+    bool is_syncing;
+    bool is_registering;
+    struct MpTimer timer;
+    uint64_t proposals;  /* counter */
+    uint64_t retries;    /* counter */
+    uint64_t applied_ms; /* wall clock when the document came into force */
+};
+
+void MpFleet_Start(struct MpFleet *this, struct MpLoop *loop,
+                   const struct MpSettings *settings, const uint8_t *fleet_key,
+                   const struct MpFleetListener *listener, void *owner);
+
+/* Proposes command and calls done once.  deadline_ms is a time of the
+ * monotonic clock after which done gets MP_ERROR_NO_QUORUM, and the outcome
+ * is not known; 0 means never. */
+void MpFleet_Propose(struct MpFleet *this, const struct mp_command *command,
+                     int64_t deadline_ms, MpProposeDone done, void *data);
+
+/* Reads from the leader; workspace "" reads all accounts. */
+void MpFleet_Read(struct MpFleet *this, const char *workspace,
+                  int64_t deadline_ms, MpReadDone done, void *data);
+
+/* Returns the holder for commands of this incarnation. */
+struct mp_holder MpFleet_Holder(const struct MpFleet *this);
+
+/* Returns whether callers can be served: registered, with a document. */
+bool MpFleet_IsReady(const struct MpFleet *this);
+
+/* Returns whether the request with this hash is stopped. */
+bool MpFleet_IsPoison(const struct MpFleet *this, const uint8_t *body_hash);
+
+#endif
--- /dev/null
+++ b/src/transport/HttpServer.c
@@ -0,0 +1,173 @@
+#include "transport/HttpServer.h"
+
+#include "state/Error.h"
+#include "transport/ErrorBody.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define ACCEPT_BATCH 64
+
+struct server_handler {
+    h2o_handler_t super;
+    struct MpHttpServer *server;
+};
+
+static int
+on_request(h2o_handler_t *handler, h2o_req_t *req)
+{
+    struct MpHttpServer *this = ((struct server_handler *)handler)->server;
+    this->handle(this->owner, req);
+    return 0;
+}
+
+/* ---- typed bodies for the errors of h2o itself ---- */
+
+static int
+error_of_status(int status)
+{
+    switch (status) {
+    case 413:
+        return MP_ERROR_TOO_LARGE;
+    case 404:
+        return MP_ERROR_NOT_FOUND;
+    default:
+        return MP_ERROR_INVALID;
+    }
+}
+
+static void
+send_typed(h2o_ostream_t *self, h2o_req_t *req, h2o_iovec_t *bufs,
+           size_t count, h2o_send_state_t state)
+{
+    h2o_iovec_t body =
+        MpErrorBody_InPool(&req->pool, error_of_status(req->res.status), NULL);
+    (void)bufs;
+    (void)count;
+    h2o_ostream_send_next(self, req, &body, 1, state);
+}
+
+static void
+on_setup_ostream(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+    (void)self;
+    if (req->res.status >= 400 &&
+        h2o_find_header_by_str(&req->res.headers,
+                               H2O_STRLIT("x-mimosapath-run"), -1) < 0) {
+        int code = error_of_status(req->res.status);
+        h2o_iovec_t body = MpErrorBody_InPool(&req->pool, code, NULL);
+        MpHttp_AddHeader(req, "x-mimosapath-run", "no");
+        h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       H2O_STRLIT("application/json"), 1);
+        req->res.content_length = body.len;
+        h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
+        stream->do_send = send_typed;
+        slot = &stream->next;
+    }
+    h2o_setup_next_ostream(req, slot);
+}
+
+/* ---- listening ---- */
+
+static void
+on_accept(h2o_socket_t *listener, const char *error)
+{
+    struct MpHttpServer *this = listener->data;
+    int yes = 1;
+    for (int i = 0; !error && i < ACCEPT_BATCH; i++) {
+        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+        if (!socket) {
+            return;
+        }
+        setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &yes,
+                   sizeof(yes));
+        h2o_accept(&this->accept, socket);
+    }
+}
+
+static void
+add_path(struct MpHttpServer *this, h2o_hostconf_t *host)
+{
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    struct server_handler *handler =
+        (struct server_handler *)h2o_create_handler(path, sizeof(*handler));
+    handler->super.on_req = on_request;
+    handler->server = this;
+    h2o_create_filter(path, sizeof(h2o_filter_t))->on_setup_ostream =
+        on_setup_ostream;
+    h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))
+        ->on_setup_ostream = on_setup_ostream;
+}
+
+int
+MpHttpServer_Start(struct MpHttpServer *this, struct MpLoop *loop,
+                   const char *address, size_t body_most_bytes,
+                   void (*handle)(void *owner, h2o_req_t *req), void *owner)
+{
+    *this =
+        (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
+    h2o_config_init(&this->config);
+    this->config.max_request_entity_size = body_most_bytes;
+    this->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosapath"));
+    this->config.http1.upgrade_to_http2 = 0;
+    h2o_hostconf_t *host = h2o_config_register_host(
+        &this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    add_path(this, host);
+    h2o_context_init(&this->context, loop->h2o, &this->config);
+    this->accept.ctx = &this->context;
+    this->accept.hosts = this->config.hosts;
+    this->listener =
+        MpLoop_Listen(loop, address, on_accept, this, &this->port);
+    return this->listener ? MP_OK : MP_ERROR_IO;
+}
+
+void
+MpHttpServer_StopListening(struct MpHttpServer *this)
+{
+    if (this->listener) {
+        h2o_socket_read_stop(this->listener);
+        h2o_socket_close(this->listener);
+        this->listener = NULL;
+    }
+    h2o_context_request_shutdown(&this->context);
+}
+
+/* ---- small helpers ---- */
+
+char *
+MpHttp_Header(const h2o_req_t *req, const char *name)
+{
+    ssize_t at = h2o_find_header_by_str(&req->headers, name, strlen(name), -1);
+    if (at < 0) {
+        return NULL;
+    }
+    h2o_iovec_t value = req->headers.entries[at].value;
+    return g_strndup(value.base, value.len);
+}
+
+bool
+MpHttp_Is(h2o_iovec_t vector, const char *text)
+{
+    return vector.len == strlen(text) &&
+           memcmp(vector.base, text, vector.len) == 0;
+}
+
+void
+MpHttp_AddHeader(h2o_req_t *req, const char *name, const char *value)
+{
+    h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+    h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name), 1,
+                          NULL, copy.base, copy.len);
+}
+
+void
+MpHttp_Send(h2o_req_t *req, int status, const char *content_type,
+            const char *body, size_t size)
+{
+    req->res.status = status;
+    req->res.reason = "Answer";
+    req->res.content_length = size;
+    MpHttp_AddHeader(req, "content-type", content_type);
+    h2o_send_inline(req, body, size);
+}
--- /dev/null
+++ b/src/transport/Instance.c
@@ -0,0 +1,292 @@
+#include "transport/Instance.h"
+
+#include "state/Error.h"
+#include "transport/Fleet.h"
+#include "transport/Log.h"
+#include "transport/OperatorServer.h"
+#include "transport/Replica.h"
+#include "transport/Router.h"
+
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+#include <signal.h>
+#include <string.h>
+
+#define SIGNAL_CHECK_MS 50
+/* A stopping leader stays this long, so that others can do their last calls
+ * and a new leader can be elected. */
+#define CONTROL_LINGER_MS 300
+
+struct instance {
+    struct MpLoop loop;
+    const struct MpSettings *settings;
+    uint8_t fleet_key[MP_RPC_KEY_BYTES];
+    struct MpReplica replica;
+    struct MpRouter router;
+    struct MpFleet fleet; /* of an instance that is no router */
+    struct MpOperatorServer operators;
+    struct MpTimer signal_timer;
+    struct MpTimer stop_timer;
+    struct MpTimer submit_timer;
+    char *first_document;
+    bool is_stopping;
+};
+
+static volatile sig_atomic_t stop_signal;
+
+static void
+on_signal(int number)
+{
+    stop_signal = number;
+}
+
+/* ---- secrets ---- */
+
+/* The key is the SHA-256 of the file; a single instance needs no file. */
+static int
+load_fleet_key(struct instance *this)
+{
+    const struct MpSettings *settings = this->settings;
+    unsigned int size = sizeof(this->fleet_key);
+    char *text = NULL;
+    gsize length = 0;
+    if (!settings->fleet_key_file) {
+        return RAND_bytes(this->fleet_key, sizeof(this->fleet_key)) == 1
+                   ? MP_OK
+                   : MP_ERROR_IO;
+    }
+    char *path = MpSettings_Path(settings, settings->fleet_key_file);
+    bool is_read = g_file_get_contents(path, &text, &length, NULL);
+    g_free(path);
+    if (!is_read || length == 0) {
+        g_free(text);
+        MpLog_Event(LOG_ERR, "fleet-key-unreadable", "file=%s",
+                    settings->fleet_key_file);
+        return MP_ERROR_IO;
+    }
+    EVP_Digest(text, length, this->fleet_key, &size, EVP_sha256(), NULL);
+    OPENSSL_cleanse(text, length);
+    g_free(text);
+    return MP_OK;
+}
+
+/* ---- the first document ---- */
+
+static void submit_first(struct instance *this);
+
+static void
+on_submit_timer(struct MpTimer *timer)
+{
+    submit_first(timer->data);
+}
+
+static void
+on_submitted(void *data, int code, const struct mp_result *result)
+{
+    struct instance *this = data;
+    if (code != MP_OK) {
+        MpLoop_SetTimer(&this->loop, &this->submit_timer, 1000,
+                        on_submit_timer, this);
+        return;
+    }
+    /* Another version is there already: the fleet has its document. */
+    MpLog_Event(LOG_INFO, "first-document", "result=%s",
+                MpError_Name(result->code));
+    g_clear_pointer(&this->first_document, g_free);
+}
+
+static void
+submit_first(struct instance *this)
+{
+    struct mp_command command = {.body = {.kind = MP_CMD_DOCUMENT}};
+    struct MpFleet *fleet = this->operators.fleet;
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document = MpDocument_Parse(
+        this->first_document, strlen(this->first_document), findings);
+    if (document) {
+        command.body.mp_command_body_u.document = (struct mp_document_put){
+            .submission = (char *)"first-document",
+            .author = this->settings->instance,
+            .base_version = 0,
+            .retention_ms = document->retention_s * 1000,
+            .text = this->first_document};
+        MpFleet_Propose(fleet, &command, MpLoop_Now() + 5000, on_submitted,
+                        this);
+        MpDocument_Unref(document);
+    }
+    else {
+        char *text = MpFindings_Text(findings, "first_document");
+        MpLog_Event(LOG_ERR, "first-document-faulty", "%s", text);
+        g_free(text);
+    }
+    g_ptr_array_unref(findings);
+}
+
+static int
+load_first_document(struct instance *this)
+{
+    const struct MpSettings *settings = this->settings;
+    if (!settings->first_document || !settings->is_control) {
+        return MP_OK;
+    }
+    char *path = MpSettings_Path(settings, settings->first_document);
+    bool is_read =
+        g_file_get_contents(path, &this->first_document, NULL, NULL);
+    g_free(path);
+    if (!is_read) {
+        MpLog_Event(LOG_ERR, "first-document-unreadable", "file=%s",
+                    settings->first_document);
+        return MP_ERROR_IO;
+    }
+    submit_first(this);
+    return MP_OK;
+}
+
+/* ---- stopping ---- */
+
+static void
+on_lingered(struct MpTimer *timer)
+{
+    struct instance *this = timer->data;
+    MpLoop_Stop(&this->loop);
+}
+
+static void
+on_drained(void *owner)
+{
+    struct instance *this = owner;
+    MpLoop_SetTimer(&this->loop, &this->stop_timer,
+                    this->settings->is_control ? CONTROL_LINGER_MS : 0,
+                    on_lingered, this);
+}
+
+static void
+begin_stop(struct instance *this)
+{
+    this->is_stopping = true;
+    if (this->settings->is_router) {
+        MpRouter_Drain(&this->router, on_drained, this);
+        return;
+    }
+    on_drained(this);
+}
+
+static void
+check_signal(struct MpTimer *timer)
+{
+    struct instance *this = timer->data;
+    if (stop_signal && !this->is_stopping) {
+        begin_stop(this);
+    }
+    MpLoop_SetTimer(&this->loop, &this->signal_timer, SIGNAL_CHECK_MS,
+                    check_signal, this);
+}
+
+static void
+handle_signals(struct instance *this)
+{
+    struct sigaction action = {.sa_handler = on_signal};
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    MpLoop_SetTimer(&this->loop, &this->signal_timer, SIGNAL_CHECK_MS,
+                    check_signal, this);
+}
+
+/* ---- start ---- */
+
+static void
+ignore_document(void *owner, struct MpDocument *document)
+{
+    (void)owner;
+    (void)document;
+}
+
+static void
+ignore_registered(void *owner, uint64_t boot)
+{
+    (void)owner;
+    (void)boot;
+}
+
+static void
+ignore_recall(void *owner, const char *workspace)
+{
+    (void)owner;
+    (void)workspace;
+}
+
+static const struct MpFleetListener quiet_listener = {
+    .document = ignore_document,
+    .registered = ignore_registered,
+    .recall = ignore_recall,
+};
+
+static int
+start_fleet(struct instance *this, struct MpFleet **fleet)
+{
+    const struct MpSettings *settings = this->settings;
+    if (settings->is_router) {
+        *fleet = &this->router.fleet;
+        return MpRouter_Start(&this->router, &this->loop, settings,
+                              this->fleet_key);
+    }
+    *fleet = &this->fleet;
+    MpFleet_Start(&this->fleet, &this->loop, settings, this->fleet_key,
+                  &quiet_listener, this);
+    return MP_OK;
+}
+
+static int
+start_operators(struct instance *this, struct MpFleet *fleet)
+{
+    const struct MpSettings *settings = this->settings;
+    this->operators.fleet = fleet;
+    if (!settings->listen.operators) {
+        return MP_OK;
+    }
+    return MpOperatorServer_Start(
+        &this->operators, &this->loop, settings, fleet,
+        settings->is_router ? &this->router : NULL,
+        settings->is_control ? &this->replica : NULL);
+}
+
+static int
+start(struct instance *this)
+{
+    struct MpFleet *fleet;
+    int code = load_fleet_key(this);
+    if (code == MP_OK && this->settings->is_control) {
+        code = MpReplica_Start(&this->replica, &this->loop, this->settings,
+                               this->fleet_key);
+    }
+    if (code == MP_OK) {
+        code = start_fleet(this, &fleet);
+    }
+    if (code == MP_OK) {
+        code = start_operators(this, fleet);
+    }
+    return code == MP_OK ? load_first_document(this) : code;
+}
+
+int
+MpInstance_Run(const struct MpSettings *settings)
+{
+    struct instance *this = g_new0(struct instance, 1);
+    this->settings = settings;
+    MpLoop_Init(&this->loop);
+    int code = start(this);
+    if (code != MP_OK) {
+        return code;
+    }
+    handle_signals(this);
+    MpLog_Event(LOG_NOTICE, "started", "zone=%s version=0.1.0",
+                settings->zone);
+    MpLoop_Run(&this->loop);
+    bool has_failed = settings->is_control && this->replica.is_failed;
+    if (settings->is_control) {
+        MpReplica_Stop(&this->replica);
+    }
+    MpLog_Event(LOG_NOTICE, "ended", "failed=%d", has_failed);
+    return has_failed ? MP_ERROR_IO : MP_OK;
+}
--- /dev/null
+++ b/src/transport/Instance.h
@@ -0,0 +1,14 @@
+#ifndef MP_TRANSPORT_INSTANCE_H
+#define MP_TRANSPORT_INSTANCE_H
+
+#include "state/Settings.h"
+
+/*
+ * Instance - one process of the fleet: its roles joined on one loop.
+ */
+
+/* Runs until a signal or a fatal failure.  Returns MP_OK after a drain, or
+ * the error that ended the instance. */
+int MpInstance_Run(const struct MpSettings *settings);
+
+#endif
--- /dev/null
+++ b/src/transport/Loop.c
@@ -0,0 +1,176 @@
+#include "transport/Loop.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 4096
+#define LONGEST_WAIT_MS 1000
+
+int64_t
+MpLoop_Now(void)
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+int64_t
+MpLoop_WallMs(void)
+{
+    return g_get_real_time() / 1000;
+}
+
+void
+MpLoop_Init(struct MpLoop *this)
+{
+    *this = (struct MpLoop){.now_ms = MpLoop_Now()};
+    this->h2o = h2o_evloop_create();
+    this->queue = h2o_multithread_create_queue(this->h2o);
+    this->timers = g_sequence_new(NULL);
+    this->hooks = g_array_new(false, false, sizeof(struct MpLoopHook));
+}
+
+void
+MpLoop_Done(struct MpLoop *this)
+{
+    g_sequence_free(this->timers);
+    g_array_unref(this->hooks);
+    /* h2o has no way to close a loop with sockets; the process ends. */
+}
+
+void
+MpLoop_AddHook(struct MpLoop *this, void (*call)(void *data), void *data)
+{
+    struct MpLoopHook hook = {.call = call, .data = data};
+    g_array_append_val(this->hooks, hook);
+}
+
+/* ---- timers ---- */
+
+static gint
+compare_timers(gconstpointer a, gconstpointer b, gpointer user_data)
+{
+    (void)user_data;
+    const struct MpTimer *x = a;
+    const struct MpTimer *y = b;
+    return x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms;
+}
+
+void
+MpLoop_ClearTimer(struct MpTimer *timer)
+{
+    if (timer->place) {
+        g_sequence_remove(timer->place);
+        timer->place = NULL;
+    }
+}
+
+void
+MpLoop_SetTimer(struct MpLoop *this, struct MpTimer *timer, int64_t delay_ms,
+                MpTimerCallback callback, void *data)
+{
+    MpLoop_ClearTimer(timer);
+    timer->callback = callback;
+    timer->data = data;
+    timer->at_ms = MpLoop_Now() + delay_ms;
+    timer->place =
+        g_sequence_insert_sorted(this->timers, timer, compare_timers, NULL);
+}
+
+static struct MpTimer *
+first_timer(struct MpLoop *this)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(this->timers);
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+static int32_t
+wait_time(struct MpLoop *this)
+{
+    struct MpTimer *timer = first_timer(this);
+    if (!timer) {
+        return LONGEST_WAIT_MS;
+    }
+    return (int32_t)CLAMP(timer->at_ms - MpLoop_Now(), 0, LONGEST_WAIT_MS);
+}
+
+static void
+fire_timers(struct MpLoop *this)
+{
+    struct MpTimer *timer;
+    this->now_ms = MpLoop_Now();
+    while ((timer = first_timer(this)) && timer->at_ms <= this->now_ms) {
+        MpLoop_ClearTimer(timer);
+        timer->callback(timer);
+    }
+}
+
+void
+MpLoop_Run(struct MpLoop *this)
+{
+    while (!this->stopped) {
+        h2o_evloop_run(this->h2o, wait_time(this));
+        fire_timers(this);
+        for (guint i = 0; i < this->hooks->len; i++) {
+            struct MpLoopHook *hook =
+                &g_array_index(this->hooks, struct MpLoopHook, i);
+            hook->call(hook->data);
+        }
+    }
+}
+
+void
+MpLoop_Stop(struct MpLoop *this)
+{
+    this->stopped = true;
+}
+
+/* ---- sockets ---- */
+
+bool
+MpLoop_ParseAddress(const char *address, struct sockaddr_in *out)
+{
+    char host[INET_ADDRSTRLEN];
+    const char *colon = strrchr(address, ':');
+    if (!colon || (size_t)(colon - address) >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, address, (size_t)(colon - address));
+    host[colon - address] = '\0';
+    *out = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10))};
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+h2o_socket_t *
+MpLoop_Listen(struct MpLoop *this, const char *address,
+              h2o_socket_cb on_accept, void *data, uint16_t *port)
+{
+    struct sockaddr_in place;
+    socklen_t length = sizeof(place);
+    int yes = 1;
+    if (!MpLoop_ParseAddress(address, &place)) {
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    if (bind(fd, (struct sockaddr *)&place, sizeof(place)) != 0 ||
+        listen(fd, LISTEN_BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)&place, &length) != 0) {
+        close(fd);
+        return NULL;
+    }
+    if (port) {
+        *port = ntohs(place.sin_port);
+    }
+    h2o_socket_t *socket =
+        h2o_evloop_socket_create(this->h2o, fd, H2O_SOCKET_FLAG_DONT_READ);
+    socket->data = data;
+    h2o_socket_read_start(socket, on_accept);
+    return socket;
+}
--- /dev/null
+++ b/src/transport/OperatorServer.c
@@ -0,0 +1,216 @@
+#include "transport/OperatorServer.h"
+
+#include "state/Error.h"
+#include "transport/Console.h"
+#include "transport/ControlApi.h"
+#include "transport/Exchange.h"
+
+#include <openssl/crypto.h>
+#include <string.h>
+
+#define BODY_MAX_BYTES (8 * 1024 * 1024)
+
+/* ---- calls ---- */
+
+static void
+on_request_freed(void *data)
+{
+    struct MpOperatorLink *link = data;
+    if (link->call) {
+        link->call->req = NULL;
+        link->call->link = NULL;
+    }
+}
+
+struct MpOperatorCall *
+MpOperatorCall_New(struct MpOperatorServer *server, h2o_req_t *req)
+{
+    struct MpOperatorCall *this = g_new0(struct MpOperatorCall, 1);
+    this->server = server;
+    this->req = req;
+    this->path = g_strndup(req->path.base, req->path.len);
+    this->link = h2o_mem_alloc_shared(&req->pool, sizeof(*this->link),
+                                      on_request_freed);
+    this->link->call = this;
+    return this;
+}
+
+void
+MpOperatorCall_Delete(struct MpOperatorCall *this)
+{
+    if (this->link) {
+        this->link->call = NULL;
+    }
+    g_free(this->path);
+    g_free(this->workspace);
+    g_free(this->document);
+    g_free(this);
+}
+
+void
+MpOperatorCall_Fail(struct MpOperatorCall *this, int code, const char *detail)
+{
+    if (this->req && this->is_console) {
+        char *page = MpConsole_ErrorPage(code, detail);
+        MpHttp_Send(this->req, MpError_Info(code)->http_status,
+                    "text/html; charset=utf-8", page, strlen(page));
+        g_free(page);
+    }
+    else if (this->req) {
+        MpExchange_SendError(this->req, code, detail, NULL, 0);
+    }
+    MpOperatorCall_Delete(this);
+}
+
+void
+MpOperatorCall_Answer(struct MpOperatorCall *this, int status,
+                      const char *content_type, const char *body)
+{
+    if (this->req) {
+        MpHttp_Send(this->req, status, content_type, body, strlen(body));
+    }
+    MpOperatorCall_Delete(this);
+}
+
+/* ---- token ---- */
+
+/* Compares digests, so that the time tells nothing of the token. */
+static bool
+is_token(const struct MpOperatorServer *this, const char *offered)
+{
+    char *wanted_hash = MpDocument_HashKey(this->token);
+    char *offered_hash = MpDocument_HashKey(offered);
+    bool is_same =
+        CRYPTO_memcmp(wanted_hash, offered_hash, strlen(wanted_hash)) == 0;
+    g_free(wanted_hash);
+    g_free(offered_hash);
+    return is_same;
+}
+
+static bool
+is_basic_token(const struct MpOperatorServer *this, const char *encoded)
+{
+    gsize size;
+    guchar *decoded = g_base64_decode(encoded, &size);
+    char *text = g_strndup((const char *)decoded, size);
+    const char *colon = strchr(text, ':');
+    bool is_right = colon && is_token(this, colon + 1);
+    g_free(text);
+    g_free(decoded);
+    return is_right;
+}
+
+static bool
+is_authorized(const struct MpOperatorServer *this, const h2o_req_t *req)
+{
+    char *header = MpHttp_Header(req, "authorization");
+    bool is_right = false;
+    if (header && g_str_has_prefix(header, "Bearer ")) {
+        is_right = is_token(this, header + strlen("Bearer "));
+    }
+    else if (header && g_str_has_prefix(header, "Basic ")) {
+        is_right = is_basic_token(this, header + strlen("Basic "));
+    }
+    g_free(header);
+    return is_right;
+}
+
+/* ---- metrics ---- */
+
+static void
+write_replica(struct MpReplica *replica, GString *out)
+{
+    const struct MpRaft *raft = &replica->raft;
+    MpMetrics_WriteValue(out, "mimosapath_raft_term", NULL, NULL,
+                         (int64_t)raft->term);
+    MpMetrics_WriteValue(out, "mimosapath_raft_leader", NULL, NULL,
+                         MpRaft_IsLeader(raft));
+    MpMetrics_WriteValue(out, "mimosapath_raft_applied", NULL, NULL,
+                         (int64_t)raft->applied);
+    MpMetrics_WriteValue(out, "mimosapath_raft_log_entries", NULL, NULL,
+                         raft->log->len);
+    MpMetrics_WriteValue(out, "mimosapath_disk_syncs_total", NULL, NULL,
+                         (int64_t)replica->storage.syncs);
+    MpMetrics_WriteValue(out, "mimosapath_disk_bytes_total", NULL, NULL,
+                         (int64_t)replica->storage.synced_bytes);
+    MpMetrics_WriteValue(out, "mimosapath_rpc_rejected_total", NULL, NULL,
+                         (int64_t)replica->server.rejected);
+    MpMetrics_WriteValue(out, "mimosapath_ledger_records", NULL, NULL,
+                         g_hash_table_size(replica->machine.ledger.records));
+}
+
+static void
+answer_metrics(struct MpOperatorServer *this, h2o_req_t *req)
+{
+    GString *out = g_string_new(NULL);
+    if (this->router) {
+        MpRouter_WriteMetrics(this->router, out);
+    }
+    if (this->replica) {
+        write_replica(this->replica, out);
+    }
+    MpMetrics_WriteValue(out, "mimosapath_operator_rejected_total", NULL, NULL,
+                         (int64_t)this->rejected);
+    MpHttp_Send(req, 200, "text/plain; version=0.0.4", out->str, out->len);
+    g_string_free(out, TRUE);
+}
+
+/* ---- requests ---- */
+
+static void
+on_request(void *owner, h2o_req_t *req)
+{
+    struct MpOperatorServer *this = owner;
+    if (MpHttp_Is(req->path, "/healthz")) {
+        MpHttp_Send(req, 200, "text/plain", "alive\n", 6);
+        return;
+    }
+    if (MpHttp_Is(req->path, "/metrics")) {
+        answer_metrics(this, req);
+        return;
+    }
+    if (!is_authorized(this, req)) {
+        this->rejected++;
+        MpHttp_AddHeader(req, "www-authenticate",
+                         "Basic realm=\"mimosapath\"");
+        MpExchange_SendError(req, MP_ERROR_AUTHENTICATION, NULL, NULL, 0);
+        return;
+    }
+    struct MpOperatorCall *call = MpOperatorCall_New(this, req);
+    if (g_str_has_prefix(call->path, "/control/v1/")) {
+        MpControlApi_Serve(call);
+        return;
+    }
+    MpConsole_Serve(call);
+}
+
+static char *
+read_token(const struct MpSettings *settings)
+{
+    char *text = NULL;
+    char *path = MpSettings_Path(settings, settings->operator_token_file);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        g_strstrip(text);
+    }
+    g_free(path);
+    return text;
+}
+
+int
+MpOperatorServer_Start(struct MpOperatorServer *this, struct MpLoop *loop,
+                       const struct MpSettings *settings,
+                       struct MpFleet *fleet, struct MpRouter *router,
+                       struct MpReplica *replica)
+{
+    *this = (struct MpOperatorServer){.loop = loop,
+                                      .settings = settings,
+                                      .fleet = fleet,
+                                      .router = router,
+                                      .replica = replica};
+    this->token = read_token(settings);
+    if (!this->token || !this->token[0]) {
+        return MP_ERROR_AUTHENTICATION;
+    }
+    return MpHttpServer_Start(&this->http, loop, settings->listen.operators,
+                              BODY_MAX_BYTES, on_request, this);
+}
--- /dev/null
+++ b/src/transport/Replica.c
@@ -0,0 +1,400 @@
+#include "transport/Replica.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+#include "transport/Log.h"
+#include "transport/ReplicaCalls.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 10
+#define SURVEY_MS 300
+#define IDENTITY_NAME "identity"
+#define IDENTIFY_TIMEOUT_MS 1000
+
+/* ---- messages to other replicas ---- */
+
+static struct MpRpcClient *
+client_of(struct MpReplica *this, const char *address)
+{
+    struct MpRpcClient *client = g_hash_table_lookup(this->clients, address);
+    if (!client) {
+        client = g_new0(struct MpRpcClient, 1);
+        MpRpcClient_Init(client, this->loop, address, this->settings->instance,
+                         this->fleet_key);
+        g_hash_table_insert(this->clients, client->address, client);
+    }
+    return client;
+}
+
+static const char *
+address_of(struct MpReplica *this, uint64_t id)
+{
+    const struct mp_member *member = MpRaft_Member(&this->raft, id);
+    return member ? member->address
+                  : g_hash_table_lookup(this->addresses, &id);
+}
+
+const char *
+MpReplica_LeaderAddress(struct MpReplica *this)
+{
+    const char *address =
+        this->raft.leader ? address_of(this, this->raft.leader) : NULL;
+    return address ? address : "";
+}
+
+static void
+port_send(struct MpRaftPort *port, const struct mp_raft_message *message)
+{
+    struct MpReplica *this = (struct MpReplica *)port;
+    const char *address = address_of(this, message->to);
+    if (address) {
+        MpRpcClient_Call(client_of(this, address), MP_PROC_RAFT, message, 0,
+                         NULL, NULL);
+    }
+}
+
+/* ---- disk ---- */
+
+static void
+port_persist(struct MpRaftPort *port, struct MpRaftWrite *write)
+{
+    struct MpReplica *this = (struct MpReplica *)port;
+    if (this->is_failed) {
+        MpRaftWrite_Delete(write);
+        return;
+    }
+    MpDiskTask_Submit(&this->disk_task, write);
+}
+
+/* After a failed write nothing is known of the disk: the replica must not
+ * go on as if it had a vote or a log. */
+static void
+disk_done(void *owner, uint64_t seq, int code)
+{
+    struct MpReplica *this = owner;
+    if (code != MP_OK) {
+        MpLog_Event(LOG_CRIT, "disk-failed", "error=%s", MpError_Name(code));
+        this->is_failed = true;
+        MpLoop_Stop(this->loop);
+        return;
+    }
+    MpRaft_Persisted(&this->raft, seq, MpLoop_Now());
+}
+
+/* ---- the replicated machine ---- */
+
+static void
+port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
+{
+    struct MpReplica *this = (struct MpReplica *)port;
+    struct mp_command command;
+    struct mp_result result = {.content_type = (char *)""};
+    gsize size;
+    const void *data = g_bytes_get_data(entry->payload, &size);
+    if (entry->kind != MP_ENTRY_COMMAND ||
+        MpCodec_Decode(MP_XDR(mp_command), &command, data, size,
+                       sizeof(command)) != MP_OK) {
+        MpMachine_Skip(&this->machine, entry->index);
+        MpReplica_FinishWaiting(this, entry, NULL);
+        return;
+    }
+    this->applied_commands++;
+    MpMachine_Apply(&this->machine, entry->index, &command, &result);
+    MpReplica_FinishWaiting(this, entry, &result);
+    MpCodec_Free(MP_XDR(mp_command), &command);
+}
+
+static GBytes *
+port_save(struct MpRaftPort *port)
+{
+    struct MpReplica *this = (struct MpReplica *)port;
+    return MpMachine_Save(&this->machine);
+}
+
+static int
+port_load(struct MpRaftPort *port, GBytes *data)
+{
+    struct MpReplica *this = (struct MpReplica *)port;
+    gsize size;
+    const void *bytes = g_bytes_get_data(data, &size);
+    return MpMachine_Load(&this->machine, bytes, size);
+}
+
+static const struct MpRaftPortClass replica_port_class = {
+    .send = port_send,
+    .persist = port_persist,
+    .apply = port_apply,
+    .save = port_save,
+    .load = port_load,
+};
+
+/* ---- forming the cluster ---- */
+
+struct identify_call {
+    struct MpReplica *replica;
+    char *address;
+    char *instance;
+};
+
+static void
+remember_address(struct MpReplica *this, uint64_t id, const char *address)
+{
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = id;
+    g_hash_table_replace(this->addresses, key, g_strdup(address));
+}
+
+/* All replicas of a new cluster are empty and know each other: they use the
+ * same first membership, which names their ids. */
+static void
+form_if_all_empty(struct MpReplica *this)
+{
+    guint count = this->settings->control->len;
+    if (g_hash_table_size(this->identified) + 1 < count) {
+        return;
+    }
+    struct mp_member *list = g_new0(struct mp_member, count);
+    for (guint i = 0; i < count; i++) {
+        const struct MpPeer *peer =
+            g_ptr_array_index(this->settings->control, i);
+        bool is_self = strcmp(peer->instance, this->settings->instance) == 0;
+        const uint64_t *id =
+            g_hash_table_lookup(this->identified, peer->instance);
+        list[i] = (struct mp_member){.id = is_self ? this->id : *id,
+                                     .instance = peer->instance,
+                                     .address = peer->rpc,
+                                     .voter = true};
+    }
+    struct mp_members members = {
+        .list = {.list_val = list, .list_len = count}};
+    MpRaft_Bootstrap(&this->raft, &members);
+    MpLog_Event(LOG_NOTICE, "cluster-formed", "replicas=%u", count);
+    g_free(list);
+}
+
+static bool
+lists_replica(const struct mp_members *members, uint64_t id)
+{
+    for (u_int i = 0; i < members->list.list_len; i++) {
+        if (members->list.list_val[i].id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+on_identified(void *data, int code, const void *result)
+{
+    struct identify_call *call = data;
+    struct MpReplica *this = call->replica;
+    const struct mp_identify_reply *reply = result;
+    if (code == MP_OK) {
+        remember_address(this, reply->replica_id, call->address);
+    }
+    if (code == MP_OK && this->raft.members.list.list_len == 0) {
+        if (reply->formed) {
+            if (lists_replica(&reply->members, this->id)) {
+                MpRaft_Bootstrap(&this->raft, &reply->members);
+            }
+        }
+        else {
+            uint64_t *id = g_new(uint64_t, 1);
+            *id = reply->replica_id;
+            g_hash_table_replace(this->identified, g_strdup(call->instance),
+                                 id);
+            form_if_all_empty(this);
+        }
+    }
+    g_free(call->address);
+    g_free(call->instance);
+    g_free(call);
+}
+
+static void
+identify_to(struct MpReplica *this, const struct MpPeer *peer)
+{
+    struct identify_call *call = g_new0(struct identify_call, 1);
+    struct mp_identify identify = {.instance = this->settings->instance,
+                                   .address = this->address,
+                                   .replica_id = this->id};
+    call->replica = this;
+    call->address = g_strdup(peer->rpc);
+    call->instance = g_strdup(peer->instance);
+    MpRpcClient_Call(client_of(this, peer->rpc), MP_PROC_IDENTIFY, &identify,
+                     IDENTIFY_TIMEOUT_MS, on_identified, call);
+}
+
+/* A replica that is not in the membership asks the others: to form a new
+ * cluster, or to be taken into theirs. */
+static void
+survey(struct MpReplica *this)
+{
+    if (MpRaft_Member(&this->raft, this->id)) {
+        return;
+    }
+    for (guint i = 0; i < this->settings->control->len; i++) {
+        const struct MpPeer *peer =
+            g_ptr_array_index(this->settings->control, i);
+        if (strcmp(peer->instance, this->settings->instance) != 0) {
+            identify_to(this, peer);
+        }
+    }
+    if (this->settings->control->len == 1 &&
+        this->raft.members.list.list_len == 0) {
+        form_if_all_empty(this);
+    }
+}
+
+/* ---- time ---- */
+
+static void
+note_role(struct MpReplica *this)
+{
+    bool is_leader = MpRaft_IsLeader(&this->raft);
+    if (is_leader == this->was_leader) {
+        return;
+    }
+    this->was_leader = is_leader;
+    this->elections_won += is_leader;
+    MpLog_Event(LOG_NOTICE, is_leader ? "leader-elected" : "leader-stopped",
+                "term=%" PRIu64, this->raft.term);
+    if (is_leader) {
+        MpReplica_ResetInstances(this);
+    }
+    else {
+        MpReplica_FailWaiting(this);
+    }
+}
+
+static void
+on_tick(struct MpTimer *timer)
+{
+    struct MpReplica *this = timer->data;
+    MpRaft_Tick(&this->raft, MpLoop_Now());
+    MpLoop_SetTimer(this->loop, &this->tick, TICK_MS, on_tick, this);
+}
+
+static void
+on_survey(struct MpTimer *timer)
+{
+    struct MpReplica *this = timer->data;
+    survey(this);
+    if (MpRaft_IsLeader(&this->raft)) {
+        MpMembership_Advance(&this->membership, &this->raft);
+        MpReplica_FenceSilent(this);
+    }
+    MpLoop_SetTimer(this->loop, &this->survey, SURVEY_MS, on_survey, this);
+}
+
+static void
+after_round(void *data)
+{
+    struct MpReplica *this = data;
+    note_role(this);
+    MpRaft_Flush(&this->raft);
+    MpReplica_ServeReads(this);
+}
+
+/* ---- start ---- */
+
+/* Reads the replica's id from the disk or makes one. */
+static int
+load_identity(struct MpReplica *this)
+{
+    struct MpDisk *disk = &this->disk.super;
+    GByteArray *text = g_byte_array_new();
+    int code = disk->klass->read(disk, IDENTITY_NAME, text);
+    if (code == MP_ERROR_NOT_FOUND) {
+        char nonce[MP_NONCE_BYTES];
+        MpRpc_Nonce(nonce);
+        memcpy(&this->id, nonce, sizeof(this->id));
+        this->id = MAX(this->id, 1);
+        char *line = g_strdup_printf("%016" PRIx64 "\n", this->id);
+        code = disk->klass->replace(disk, IDENTITY_NAME, line, strlen(line));
+        g_free(line);
+    }
+    else if (code == MP_OK) {
+        g_byte_array_append(text, (const guint8 *)"", 1);
+        this->id = strtoull((const char *)text->data, NULL, 16);
+        code = this->id ? MP_OK : MP_ERROR_CORRUPT;
+    }
+    g_byte_array_unref(text);
+    return code;
+}
+
+static int
+open_disk(struct MpReplica *this, struct MpRecovered *recovered)
+{
+    char *folder =
+        MpSettings_Path(this->settings, this->settings->data_folder);
+    int code = MpFileDisk_Init(&this->disk, folder);
+    g_free(folder);
+    if (code == MP_OK) {
+        code = load_identity(this);
+    }
+    if (code == MP_OK) {
+        code = MpStorage_Open(&this->storage, &this->disk.super, recovered);
+    }
+    if (code == MP_OK && recovered->cut_bytes > 0) {
+        MpLog_Event(LOG_WARNING, "log-tail-cut", "bytes=%" PRIu64,
+                    recovered->cut_bytes);
+    }
+    return code;
+}
+
+static void
+make_tables(struct MpReplica *this)
+{
+    this->clients = g_hash_table_new(g_str_hash, g_str_equal);
+    this->addresses =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    this->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    this->instances = g_hash_table_new(g_str_hash, g_str_equal);
+    this->identified =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->reads = g_ptr_array_new();
+    this->read_times = g_array_new(false, false, sizeof(int64_t));
+}
+
+int
+MpReplica_Start(struct MpReplica *this, struct MpLoop *loop,
+                const struct MpSettings *settings, const uint8_t *fleet_key)
+{
+    *this = (struct MpReplica){.port = {.klass = &replica_port_class},
+                               .loop = loop,
+                               .settings = settings};
+    memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
+    make_tables(this);
+    MpMachine_Init(&this->machine);
+    MpMembership_Init(&this->membership);
+    struct MpRecovered recovered = {.entries = NULL};
+    int code = open_disk(this, &recovered);
+    if (code != MP_OK) {
+        return code;
+    }
+    this->address = g_strdup(settings->listen.rpc);
+    MpDiskTask_Start(&this->disk_task, &this->storage, loop, disk_done, this);
+    code = MpRaft_Init(&this->raft, &this->port, this->id, &recovered,
+                       (uint32_t)this->id, MpLoop_Now());
+    MpRecovered_Done(&recovered);
+    if (code == MP_OK) {
+        code = MpRpcServer_Init(&this->server, &MpReplica_ServerClass, this,
+                                loop, settings->listen.rpc, fleet_key);
+    }
+    MpLoop_AddHook(loop, after_round, this);
+    MpLoop_SetTimer(loop, &this->tick, TICK_MS, on_tick, this);
+    MpLoop_SetTimer(loop, &this->survey, 0, on_survey, this);
+    return code;
+}
+
+void
+MpReplica_Stop(struct MpReplica *this)
+{
+    MpDiskTask_Stop(&this->disk_task);
+    MpFileDisk_Done(&this->disk);
+}
--- /dev/null
+++ b/src/transport/Replica.h
@@ -0,0 +1,80 @@
+#ifndef MP_TRANSPORT_REPLICA_H
+#define MP_TRANSPORT_REPLICA_H
+
+#include "coordination/Membership.h"
+#include "coordination/Raft.h"
+#include "state/Machine.h"
+#include "state/Settings.h"
+#include "transport/DiskTask.h"
+#include "transport/FileDisk.h"
+#include "transport/Loop.h"
+#include "transport/RpcLink.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Replica - one control replica: Raft and the replicated machine joined to
+ * the disk, to the other replicas, and to the calls of instances.
+ *
+ * The leader also watches the instances: one that has not been heard for
+ * MP_INSTANCE_DEAD_MS is fenced, so that its open requests are resolved.
+ */
+
+#define MP_INSTANCE_DEAD_MS 10000
+#define MP_INSTANCE_LEAVING_MS 2000
+
+/* What the leader last heard of an instance. */
+struct MpInstanceView {
+    char *instance;
+    uint64_t boot;
+    uint64_t document_version;
+    int64_t heard_ms;
+    bool draining;
+};
+
+struct MpReplica {
+    struct MpRaftPort port;
+    struct MpRaft raft;
+    struct MpMachine machine;
+    struct MpMembership membership;
+    struct MpFileDisk disk;
+    struct MpStorage storage;
+    struct MpDiskTask disk_task;
+    struct MpRpcServer server;
+    struct MpLoop *loop;
+    const struct MpSettings *settings;
+    char *address; /* own RPC address, with the port in use */
+    uint8_t fleet_key[MP_RPC_KEY_BYTES];
+    uint64_t id;
+    GHashTable *clients;    /* address -> struct MpRpcClient */
+    GHashTable *addresses;  /* replica id -> address */
+    GHashTable *waiting;    /* index -> struct waiting */
+    GHashTable *instances;  /* instance -> struct MpInstanceView */
+    GPtrArray *reads;       /* of struct MpRpcCall, wait for proof */
+    GArray *read_times;     /* of int64_t, arrival of each */
+    GHashTable *identified; /* instance -> struct mp_identify_reply seen */
+    struct MpTimer tick;
+    struct MpTimer survey;
+    bool is_failed;
+    bool was_leader;
+    uint64_t applied_commands; /* counter */
+    uint64_t elections_won;    /* counter */
+};
+
+/* Opens the data folder and starts.  Errors: MP_ERROR_LOCKED,
+ * MP_ERROR_CORRUPT, MP_ERROR_IO. */
+int MpReplica_Start(struct MpReplica *this, struct MpLoop *loop,
+                    const struct MpSettings *settings,
+                    const uint8_t *fleet_key);
+
+/* Finishes the writes that are queued. */
+void MpReplica_Stop(struct MpReplica *this);
+
+/* Fills reply with what the read asks for; the strings and lists belong to
+ * the replica, but for the arrays, which MpReplica_FreeRead frees. */
+void MpReplica_FillRead(struct MpReplica *this, const struct mp_read *read,
+                        struct mp_read_reply *reply);
+void MpReplica_FreeRead(struct mp_read_reply *reply);
+
+#endif
--- /dev/null
+++ b/src/transport/ReplicaCalls.c
@@ -0,0 +1,400 @@
+#include "transport/ReplicaCalls.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+#include "transport/Log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* A proposal in the log whose caller waits; keyed by index. */
+struct waiting {
+    uint64_t index;
+    uint64_t term;
+    struct MpRpcCall *call; /* NULL for proposals of the replica itself */
+};
+
+/* ---- proposals ---- */
+
+static void
+reply_propose(struct MpReplica *this, struct MpRpcCall *call, int code,
+              const struct mp_result *result)
+{
+    struct mp_propose_reply reply = {
+        .code = code, .leader = (char *)MpReplica_LeaderAddress(this)};
+    reply.result.content_type = (char *)"";
+    if (result) {
+        reply.result = *result;
+    }
+    MpRpcCall_Reply(call, &reply);
+}
+
+static int
+append_command(struct MpReplica *this, struct mp_command *command,
+               struct MpRpcCall *call)
+{
+    uint64_t index;
+    command->at_ms = MpLoop_WallMs();
+    GBytes *payload = MpCodec_Encode(MP_XDR(mp_command), command);
+    if (!payload) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    int code = MpRaft_Propose(&this->raft, MP_ENTRY_COMMAND, payload, &index);
+    g_bytes_unref(payload);
+    if (code == MP_OK) {
+        struct waiting *waiting = g_new0(struct waiting, 1);
+        waiting->index = index;
+        waiting->term = this->raft.term;
+        waiting->call = call;
+        g_hash_table_insert(this->waiting, &waiting->index, waiting);
+    }
+    return code;
+}
+
+static void
+on_propose(struct MpReplica *this, struct MpRpcCall *call)
+{
+    struct mp_propose *propose = call->argument;
+    int code = append_command(this, &propose->command, call);
+    if (code != MP_OK) {
+        reply_propose(this, call, code, NULL);
+    }
+}
+
+void
+MpReplica_FinishWaiting(struct MpReplica *this, const struct MpLogEntry *entry,
+                        const struct mp_result *result)
+{
+    struct waiting *waiting =
+        g_hash_table_lookup(this->waiting, &entry->index);
+    if (!waiting) {
+        return;
+    }
+    bool is_same = waiting->term == entry->term && result;
+    if (waiting->call) {
+        reply_propose(this, waiting->call,
+                      is_same ? MP_OK : MP_ERROR_NOT_LEADER,
+                      is_same ? result : NULL);
+    }
+    g_hash_table_remove(this->waiting, &entry->index);
+}
+
+void
+MpReplica_FailWaiting(struct MpReplica *this)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->waiting);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct waiting *waiting = value;
+        if (waiting->call) {
+            reply_propose(this, waiting->call, MP_ERROR_NOT_LEADER, NULL);
+        }
+    }
+    g_hash_table_remove_all(this->waiting);
+}
+
+/* ---- instances ---- */
+
+static struct MpInstanceView *
+view_of(struct MpReplica *this, const char *instance)
+{
+    struct MpInstanceView *view =
+        g_hash_table_lookup(this->instances, instance);
+    if (!view) {
+        view = g_new0(struct MpInstanceView, 1);
+        view->instance = g_strdup(instance);
+        view->heard_ms = MpLoop_Now();
+        g_hash_table_insert(this->instances, view->instance, view);
+    }
+    return view;
+}
+
+void
+MpReplica_ResetInstances(struct MpReplica *this)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->instances);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct MpInstanceView *view = value;
+        view->heard_ms = MpLoop_Now();
+    }
+}
+
+void
+MpReplica_FenceSilent(struct MpReplica *this)
+{
+    GHashTableIter iter;
+    void *value;
+    int64_t now_ms = MpLoop_Now();
+    g_hash_table_iter_init(&iter, this->machine.incarnations);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpIncarnation *life = value;
+        struct MpInstanceView *view = view_of(this, life->instance);
+        int64_t bound = view->draining && view->boot == life->boot
+                            ? MP_INSTANCE_LEAVING_MS
+                            : MP_INSTANCE_DEAD_MS;
+        if (life->fenced || now_ms - view->heard_ms < bound) {
+            continue;
+        }
+        struct mp_command command = {.body = {.kind = MP_CMD_FENCE}};
+        command.body.mp_command_body_u.fence =
+            (struct mp_holder){.instance = life->instance, .boot = life->boot};
+        view->heard_ms = now_ms;
+        if (append_command(this, &command, NULL) == MP_OK) {
+            MpLog_Event(LOG_WARNING, "instance-fenced",
+                        "instance=%s boot=%" PRIu64, life->instance,
+                        life->boot);
+        }
+    }
+}
+
+/* ---- reads ---- */
+
+static void
+add_recalls(struct MpReplica *this, const struct mp_holder *holder,
+            struct mp_sync_reply *reply)
+{
+    GHashTableIter iter;
+    void *value;
+    reply->recalls.recalls_val = g_new0(struct mp_recall, MP_RECALLS_MAX);
+    g_hash_table_iter_init(&iter, this->machine.ledger.accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           reply->recalls.recalls_len < MP_RECALLS_MAX) {
+        const struct MpAccount *account = value;
+        for (guint i = 0; i < account->leases->len; i++) {
+            const struct MpLease *lease =
+                g_ptr_array_index(account->leases, i);
+            if (lease->recalled && lease->boot == holder->boot &&
+                strcmp(lease->instance, holder->instance) == 0) {
+                reply->recalls.recalls_val[reply->recalls.recalls_len++]
+                    .workspace = account->workspace;
+            }
+        }
+    }
+}
+
+static void
+answer_sync(struct MpReplica *this, struct MpRpcCall *call)
+{
+    const struct mp_sync *sync = call->argument;
+    struct mp_sync_reply reply = {
+        .leader = (char *)MpReplica_LeaderAddress(this),
+        .document_version = this->machine.document_version,
+        .document = (char *)"",
+        .poison_version = this->machine.poison_version,
+    };
+    struct MpInstanceView *view = view_of(this, sync->holder.instance);
+    view->boot = sync->holder.boot;
+    view->document_version = sync->document_version;
+    view->draining = sync->draining;
+    view->heard_ms = MpLoop_Now();
+    GByteArray *poison = NULL;
+    if (!MpMachine_IsCurrent(&this->machine, &sync->holder)) {
+        reply.code = MP_ERROR_FENCED;
+    }
+    if (sync->document_version != this->machine.document_version) {
+        reply.document = this->machine.document;
+    }
+    if (sync->poison_version != this->machine.poison_version) {
+        poison = MpMachine_PoisonList(&this->machine);
+        reply.poison.poison_val = (char *)poison->data;
+        reply.poison.poison_len = poison->len;
+    }
+    add_recalls(this, &sync->holder, &reply);
+    MpRpcCall_Reply(call, &reply);
+    g_free(reply.recalls.recalls_val);
+    if (poison) {
+        g_byte_array_unref(poison);
+    }
+}
+
+static void
+fill_accounts(struct MpReplica *this, const struct mp_read *read,
+              struct mp_read_reply *reply)
+{
+    GHashTableIter iter;
+    void *value;
+    guint most = g_hash_table_size(this->machine.ledger.accounts);
+    struct mp_account_status *next =
+        g_new0(struct mp_account_status, most + 1);
+    reply->accounts.accounts_val = next;
+    g_hash_table_iter_init(&iter, this->machine.ledger.accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpAccount *account = value;
+        if (read->workspace[0] &&
+            strcmp(read->workspace, account->workspace) != 0) {
+            continue;
+        }
+        *next++ =
+            (struct mp_account_status){.workspace = account->workspace,
+                                       .granted_mtok = account->granted_mtok,
+                                       .settled_mtok = account->settled_mtok,
+                                       .reserved_mtok = account->reserved_mtok,
+                                       .leased_mtok = account->leased_mtok};
+    }
+    reply->accounts.accounts_len =
+        (u_int)(next - reply->accounts.accounts_val);
+}
+
+static void
+fill_instances(struct MpReplica *this, struct mp_read_reply *reply)
+{
+    GHashTableIter iter;
+    void *value;
+    guint most = g_hash_table_size(this->instances);
+    struct mp_instance_status *next =
+        g_new0(struct mp_instance_status, most + 1);
+    reply->instances.instances_len = most;
+    reply->instances.instances_val = next;
+    g_hash_table_iter_init(&iter, this->instances);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpInstanceView *view = value;
+        *next++ = (struct mp_instance_status){
+            .holder = {.instance = view->instance, .boot = view->boot},
+            .document_version = view->document_version,
+            .heard_ms = MpLoop_Now() - view->heard_ms,
+            .draining = view->draining};
+    }
+}
+
+void
+MpReplica_FillRead(struct MpReplica *this, const struct mp_read *read,
+                   struct mp_read_reply *reply)
+{
+    *reply = (struct mp_read_reply){
+        .leader = (char *)MpReplica_LeaderAddress(this),
+        .document_version = this->machine.document_version,
+        .author = this->machine.document_author,
+        .document = this->machine.document,
+        .members = this->raft.members,
+        .applied = this->raft.applied,
+        .term = this->raft.term,
+    };
+    fill_accounts(this, read, reply);
+    fill_instances(this, reply);
+}
+
+void
+MpReplica_FreeRead(struct mp_read_reply *reply)
+{
+    g_free(reply->accounts.accounts_val);
+    g_free(reply->instances.instances_val);
+}
+
+static void
+answer_read(struct MpReplica *this, struct MpRpcCall *call)
+{
+    struct mp_read_reply reply;
+    if (call->procedure == MP_PROC_SYNC) {
+        answer_sync(this, call);
+        return;
+    }
+    MpReplica_FillRead(this, call->argument, &reply);
+    MpRpcCall_Reply(call, &reply);
+    MpReplica_FreeRead(&reply);
+}
+
+/* Tells the caller to ask another replica. */
+static void
+refuse_read(struct MpReplica *this, struct MpRpcCall *call)
+{
+    char *leader = (char *)MpReplica_LeaderAddress(this);
+    if (call->procedure == MP_PROC_SYNC) {
+        struct mp_sync_reply reply = {.code = MP_ERROR_NOT_LEADER,
+                                      .leader = leader,
+                                      .document = (char *)""};
+        MpRpcCall_Reply(call, &reply);
+        return;
+    }
+    struct mp_read_reply reply = {.code = MP_ERROR_NOT_LEADER,
+                                  .leader = leader,
+                                  .author = (char *)"",
+                                  .document = (char *)""};
+    MpRpcCall_Reply(call, &reply);
+}
+
+void
+MpReplica_ServeReads(struct MpReplica *this)
+{
+    bool is_leader = MpRaft_IsLeader(&this->raft);
+    guint kept = 0;
+    for (guint i = 0; i < this->reads->len; i++) {
+        struct MpRpcCall *call = g_ptr_array_index(this->reads, i);
+        int64_t since_ms = g_array_index(this->read_times, int64_t, i);
+        if (!is_leader) {
+            refuse_read(this, call);
+        }
+        else if (MpRaft_CanRead(&this->raft, since_ms)) {
+            answer_read(this, call);
+        }
+        else {
+            g_ptr_array_index(this->reads, kept) = call;
+            g_array_index(this->read_times, int64_t, kept) = since_ms;
+            kept++;
+        }
+    }
+    g_ptr_array_set_size(this->reads, (gint)kept);
+    g_array_set_size(this->read_times, kept);
+}
+
+static void
+on_read(struct MpReplica *this, struct MpRpcCall *call)
+{
+    int64_t now_ms = MpLoop_Now();
+    g_ptr_array_add(this->reads, call);
+    g_array_append_val(this->read_times, now_ms);
+}
+
+/* ---- other calls ---- */
+
+static void
+on_identify(struct MpReplica *this, struct MpRpcCall *call)
+{
+    const struct mp_identify *identify = call->argument;
+    struct mp_identify_reply reply = {
+        .replica_id = this->id,
+        .formed = this->raft.members.list.list_len > 0,
+        .members = this->raft.members,
+        .is_leader = MpRaft_IsLeader(&this->raft),
+    };
+    if (reply.is_leader) {
+        MpMembership_Join(&this->membership, identify->instance,
+                          identify->address, identify->replica_id);
+    }
+    MpRpcCall_Reply(call, &reply);
+}
+
+static void
+on_raft(struct MpReplica *this, struct MpRpcCall *call)
+{
+    MpRaft_Receive(&this->raft, call->argument, MpLoop_Now());
+    MpRpcCall_Reply(call, NULL);
+}
+
+static void
+serve_call(void *owner, struct MpRpcCall *call)
+{
+    struct MpReplica *this = owner;
+    switch (call->procedure) {
+    case MP_PROC_PROPOSE:
+        on_propose(this, call);
+        break;
+    case MP_PROC_SYNC:
+    case MP_PROC_READ:
+        on_read(this, call);
+        break;
+    case MP_PROC_IDENTIFY:
+        on_identify(this, call);
+        break;
+    case MP_PROC_RAFT:
+        on_raft(this, call);
+        break;
+    default:
+        MpRpcCall_Reply(call, NULL);
+        break;
+    }
+}
+
+const struct MpRpcServerClass MpReplica_ServerClass = {.call = serve_call};
