--- /dev/null
+++ b/src/transport/Router.c
@@ -0,0 +1,307 @@
+#include "transport/Router.h"
+
+#include "transport/ErrorBody.h"
+#include "transport/Exchange.h"
+#include "transport/LeaseKeeper.h"
+#include "transport/Log.h"
+#include "transport/TargetPoller.h"
+
+#include <string.h>
+
+#define TICK_MS 50
+/* Time in which a balancer sees that a draining instance is not ready; new
+ * requests are still served in it. */
+#define DRAIN_NOTICE_MS 1500
+#define QUEUE_MOST 1024
+
+/* ---- picking and queues ---- */
+
+struct MpTarget *
+MpRouter_Pick(struct MpRouter *this, const struct MpExchange *exchange,
+              int *code)
+{
+    struct MpPickQuery query = {.names = exchange->targets,
+                                .blocks = exchange->blocks,
+                                .block_count = exchange->block_count,
+                                .at_most_once = exchange->at_most_once,
+                                .avoid = exchange->avoid};
+    return MpPicker_Pick(&this->picker, &query, MpLoop_Now(), code);
+}
+
+static struct MpFairQueue *
+queue_of(struct MpRouter *this, const char *name)
+{
+    struct MpFairQueue *queue = g_hash_table_lookup(this->queues, name);
+    if (!queue) {
+        queue = g_new0(struct MpFairQueue, 1);
+        MpFairQueue_Init(queue, QUEUE_MOST);
+        g_hash_table_insert(this->queues, g_strdup(name), queue);
+    }
+    return queue;
+}
+
+int
+MpRouter_Enqueue(struct MpRouter *this, struct MpExchange *exchange)
+{
+    return MpFairQueue_Push(queue_of(this, exchange->queue_name),
+                            &exchange->item);
+}
+
+void
+MpRouter_WantPump(struct MpRouter *this)
+{
+    this->pump_wanted = true;
+}
+
+static void
+shed_expired(struct MpFairQueue *queue, int64_t now_ms)
+{
+    struct MpQueueItem *item;
+    while ((item = MpFairQueue_PopExpired(queue, now_ms))) {
+        MpExchange_Shed(item->data, MP_ERROR_LIMIT);
+    }
+}
+
+static void
+pump_queue(struct MpRouter *this, struct MpFairQueue *queue)
+{
+    struct MpQueueItem *item;
+    while ((item = MpFairQueue_Peek(queue))) {
+        struct MpExchange *exchange = item->data;
+        int code;
+        struct MpTarget *target = MpRouter_Pick(this, exchange, &code);
+        if (!target && code == MP_ERROR_LIMIT) {
+            return;
+        }
+        MpFairQueue_Take(queue, item);
+        if (target) {
+            MpExchange_Open(exchange, target);
+        }
+        else {
+            MpExchange_Shed(exchange, code);
+        }
+    }
+}
+
+static void
+pump(struct MpRouter *this)
+{
+    GHashTableIter iter;
+    void *value;
+    this->pump_wanted = false;
+    g_hash_table_iter_init(&iter, this->queues);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        shed_expired(value, MpLoop_Now());
+        pump_queue(this, value);
+    }
+}
+
+static void
+after_round(void *data)
+{
+    struct MpRouter *this = data;
+    if (this->pump_wanted) {
+        pump(this);
+    }
+}
+
+/* ---- requests ---- */
+
+static bool
+is_ready(const struct MpRouter *this)
+{
+    return MpFleet_IsReady(&this->fleet) && !this->is_draining;
+}
+
+static void
+answer_ready(struct MpRouter *this, h2o_req_t *req)
+{
+    if (is_ready(this)) {
+        MpHttp_Send(req, 200, "text/plain", "ready\n", 6);
+        return;
+    }
+    MpExchange_SendError(
+        req, this->is_draining ? MP_ERROR_DRAINING : MP_ERROR_NOT_READY, NULL,
+        NULL, 1000);
+}
+
+static int
+refusal_now(const struct MpRouter *this)
+{
+    if (this->is_draining && MpLoop_Now() >= this->refuse_from_ms) {
+        return MP_ERROR_DRAINING;
+    }
+    if (!MpFleet_IsReady(&this->fleet)) {
+        return MP_ERROR_NOT_READY;
+    }
+    if (this->exchanges.length >= (guint)this->settings->requests_most) {
+        return MP_ERROR_LIMIT;
+    }
+    return MP_OK;
+}
+
+static void
+on_request(void *owner, h2o_req_t *req)
+{
+    struct MpRouter *this = owner;
+    if (MpHttp_Is(req->path, "/healthz")) {
+        MpHttp_Send(req, 200, "text/plain", "alive\n", 6);
+        return;
+    }
+    if (MpHttp_Is(req->path, "/readyz")) {
+        answer_ready(this, req);
+        return;
+    }
+    int code = refusal_now(this);
+    if (code != MP_OK) {
+        MpMetrics_Count(&this->metrics, "mimosapath_refused_total", "cause",
+                        MpError_Name(code), 1);
+        MpExchange_SendError(req, code, NULL, NULL, 1000);
+        return;
+    }
+    MpMetrics_Count(&this->metrics, "mimosapath_requests_total", NULL, NULL,
+                    1);
+    MpExchange_Begin(this, req);
+}
+
+/* ---- the fleet ---- */
+
+static void
+on_document(void *owner, struct MpDocument *document)
+{
+    struct MpRouter *this = owner;
+    MpPicker_SetDocument(&this->picker, document);
+    MpRouter_WantPump(this);
+}
+
+static void
+on_registered(void *owner, uint64_t boot)
+{
+    struct MpRouter *this = owner;
+    MpLeaseKeeper_Registered(this->leases, boot);
+}
+
+static void
+on_recall(void *owner, const char *workspace)
+{
+    struct MpRouter *this = owner;
+    MpLeaseKeeper_Recall(this->leases, workspace);
+}
+
+static const struct MpFleetListener fleet_listener = {
+    .document = on_document,
+    .registered = on_registered,
+    .recall = on_recall,
+};
+
+/* ---- drain ---- */
+
+static void
+on_timer(struct MpTimer *timer)
+{
+    struct MpRouter *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    pump(this);
+    if (this->is_draining && now_ms >= this->refuse_from_ms) {
+        MpHttpServer_StopListening(&this->http);
+        bool is_idle = this->exchanges.length == 0 &&
+                       MpLeaseKeeper_Outstanding(this->leases) == 0;
+        if (is_idle || now_ms >= this->drain_until_ms) {
+            MpLog_Event(LOG_NOTICE, "drained", "left=%u",
+                        this->exchanges.length);
+            this->drained(this->owner);
+            return;
+        }
+    }
+    MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
+}
+
+void
+MpRouter_Drain(struct MpRouter *this, void (*drained)(void *owner),
+               void *owner)
+{
+    if (this->is_draining) {
+        return;
+    }
+    this->is_draining = true;
+    this->fleet.is_draining = true;
+    this->drained = drained;
+    this->owner = owner;
+    this->refuse_from_ms = MpLoop_Now() + DRAIN_NOTICE_MS;
+    this->drain_until_ms = this->refuse_from_ms + this->settings->drain_ms;
+    MpLeaseKeeper_HandInAll(this->leases);
+    MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
+}
+
+/* ---- start ---- */
+
+int
+MpRouter_Start(struct MpRouter *this, struct MpLoop *loop,
+               const struct MpSettings *settings, const uint8_t *fleet_key)
+{
+    int code;
+    *this = (struct MpRouter){.loop = loop, .settings = settings};
+    g_queue_init(&this->exchanges);
+    this->queues = g_hash_table_new(g_str_hash, g_str_equal);
+    MpMetrics_Init(&this->metrics);
+    MpLimits_Init(&this->limits);
+    MpPicker_Init(&this->picker, settings->zone, g_random_int());
+    MpUpstreamContext_Init(&this->upstreams, loop);
+    this->poller = MpTargetPoller_New(this);
+    this->leases = MpLeaseKeeper_New(this, &code);
+    if (!this->leases) {
+        return code;
+    }
+    MpFleet_Start(&this->fleet, loop, settings, fleet_key, &fleet_listener,
+                  this);
+    MpLoop_AddHook(loop, after_round, this);
+    MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
+    return MpHttpServer_Start(&this->http, loop, settings->listen.callers,
+                              (size_t)settings->body_most_bytes, on_request,
+                              this);
+}
+
+/* ---- metrics ---- */
+
+static void
+write_target(GString *out, const struct MpTarget *target)
+{
+    int64_t now_ms = MpLoop_Now();
+    MpMetrics_WriteValue(out, "mimosapath_target_load", "target", target->name,
+                         MpTarget_Load(target));
+    MpMetrics_WriteValue(out, "mimosapath_target_in", "target", target->name,
+                         MpTarget_Health(target, now_ms) == MP_HEALTH_IN);
+    MpMetrics_WriteValue(out, "mimosapath_target_picked_total", "target",
+                         target->name, (int64_t)target->picked);
+}
+
+void
+MpRouter_WriteMetrics(struct MpRouter *this, GString *out)
+{
+    GHashTableIter iter;
+    void *value;
+    uint64_t sent = 0;
+    uint64_t received = 0;
+    MpMetrics_Write(&this->metrics, out);
+    g_hash_table_iter_init(&iter, this->picker.targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        write_target(out, value);
+    }
+    for (guint i = 0; i < this->fleet.clients->len; i++) {
+        const struct MpRpcClient *client =
+            g_ptr_array_index(this->fleet.clients, i);
+        sent += client->sent_bytes;
+        received += client->received_bytes;
+    }
+    MpMetrics_WriteValue(out, "mimosapath_control_sent_bytes_total", NULL,
+                         NULL, (int64_t)sent);
+    MpMetrics_WriteValue(out, "mimosapath_control_received_bytes_total", NULL,
+                         NULL, (int64_t)received);
+    MpMetrics_WriteValue(out, "mimosapath_requests_running", NULL, NULL,
+                         this->exchanges.length);
+    MpMetrics_WriteValue(out, "mimosapath_lease_held_mtok", NULL, NULL,
+                         MpLeaseKeeper_Held(this->leases));
+    MpMetrics_WriteValue(
+        out, "mimosapath_document_version", NULL, NULL,
+        this->fleet.document ? (int64_t)this->fleet.document->version : 0);
+}
--- /dev/null
+++ b/src/transport/RpcClient.c
@@ -0,0 +1,247 @@
+#include "transport/RpcLink.h"
+
+#include "state/Error.h"
+#include "transport/RpcConn.h"
+
+#include <string.h>
+
+/* The calling side of RpcLink; see RpcLink.h. */
+
+#define CHECK_MS 100
+#define PING_MS 400
+/* A connection on which nothing came back for this long is closed. */
+#define SILENCE_MS 1200
+#define RECONNECT_MS 200
+
+struct pending_call {
+    uint32_t procedure;
+    int64_t deadline_ms;
+    MpRpcDone done;
+    void *data;
+};
+
+static void
+pending_finish(struct pending_call *call, int code, const void *result)
+{
+    if (call->done) {
+        call->done(call->data, code, result);
+    }
+    g_free(call);
+}
+
+/* Ends all calls; new ones that their callbacks make are kept. */
+static void
+fail_pending(struct MpRpcClient *this, int code)
+{
+    GHashTable *old = this->pending;
+    GHashTableIter iter;
+    void *value;
+    this->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
+    g_hash_table_iter_init(&iter, old);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pending_finish(value, code, NULL);
+    }
+    g_hash_table_unref(old);
+}
+
+static int
+take_hello(struct MpRpcConn *conn, const struct mp_hello *hello)
+{
+    MpRpcSession_SetKey(&conn->session,
+                        (const char *)conn->session.client_nonce,
+                        hello->nonce);
+    conn->is_ready = true;
+    return MP_OK;
+}
+
+static int
+client_message(struct MpRpcConn *conn, const uint8_t *body, size_t size)
+{
+    struct MpRpcClient *this = conn->owner;
+    struct MpRpcHead head;
+    void *result;
+    int code = MpRpc_ReadHead(body, size, &head);
+    if (code != MP_OK || head.is_call) {
+        return MP_ERROR_CORRUPT;
+    }
+    if (!conn->is_ready) {
+        code = MpRpc_ReadResult(body, size, MP_PROC_HELLO, &result);
+        if (code == MP_OK) {
+            code = take_hello(conn, result);
+            MpRpc_FreeResult(MP_PROC_HELLO, result);
+        }
+        return code;
+    }
+    void *key = GUINT_TO_POINTER(head.xid);
+    struct pending_call *call = g_hash_table_lookup(this->pending, key);
+    if (!call) {
+        return MP_OK; /* The call has timed out. */
+    }
+    g_hash_table_remove(this->pending, key);
+    uint32_t procedure = call->procedure;
+    code = MpRpc_ReadResult(body, size, procedure, &result);
+    pending_finish(call, code, result);
+    MpRpc_FreeResult(procedure, result);
+    return MP_OK;
+}
+
+static void
+client_closed(struct MpRpcConn *conn)
+{
+    struct MpRpcClient *this = conn->owner;
+    if (this->conn == conn) {
+        this->conn = NULL;
+        this->retry_at_ms = MpLoop_Now() + RECONNECT_MS;
+        fail_pending(this, MP_ERROR_CLOSED);
+    }
+}
+
+static const struct MpRpcConnClass client_conn_class = {
+    .message = client_message, .closed = client_closed};
+
+static void
+on_connect(h2o_socket_t *socket, const char *error)
+{
+    struct MpRpcConn *conn = socket->data;
+    if (error) {
+        MpRpcConn_Close(conn);
+        return;
+    }
+    conn->heard_ms = MpLoop_Now();
+    MpRpcConn_Start(conn, socket);
+    MpRpcConn_Flush(conn);
+}
+
+/* Connects and queues the greeting; calls may follow once the answer has
+ * brought the other nonce. */
+static void
+connect_now(struct MpRpcClient *this)
+{
+    struct sockaddr_in place;
+    struct mp_hello hello = {.instance = this->instance};
+    this->retry_at_ms = MpLoop_Now() + RECONNECT_MS;
+    if (!MpLoop_ParseAddress(this->address, &place)) {
+        return;
+    }
+    h2o_socket_t *socket = h2o_socket_connect(
+        this->loop->h2o, (struct sockaddr *)&place, sizeof(place), on_connect);
+    if (!socket) {
+        return;
+    }
+    struct MpRpcConn *conn = MpRpcConn_New(&client_conn_class, this,
+                                           this->loop, this->fleet_key, true);
+    conn->received_bytes = &this->received_bytes;
+    conn->sent_bytes = &this->sent_bytes;
+    conn->socket = socket;
+    socket->data = conn;
+    MpRpc_Nonce(hello.nonce);
+    MpRpc_AppendCall(&conn->session, conn->out, 0, MP_PROC_HELLO, &hello);
+    memcpy(conn->session.client_nonce, hello.nonce, MP_NONCE_BYTES);
+    this->conn = conn;
+}
+
+static void
+append_call(struct MpRpcClient *this, uint32_t xid, uint32_t procedure,
+            const void *argument)
+{
+    MpRpc_AppendCall(&this->conn->session, this->conn->out, xid, procedure,
+                     argument);
+    MpRpcConn_Flush(this->conn);
+}
+
+static void
+expire_calls(struct MpRpcClient *this, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    GPtrArray *late = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, this->pending);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pending_call *call = value;
+        if (call->deadline_ms <= now_ms) {
+            g_ptr_array_add(late, call);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    for (guint i = 0; i < late->len; i++) {
+        pending_finish(g_ptr_array_index(late, i), MP_ERROR_TIMEOUT, NULL);
+    }
+    g_ptr_array_unref(late);
+}
+
+static void
+ping(struct MpRpcClient *this, int64_t now_ms)
+{
+    char nothing = 0;
+    if (now_ms - this->pinged_ms < PING_MS) {
+        return;
+    }
+    this->pinged_ms = now_ms;
+    append_call(this, ++this->next_xid, 0, &nothing);
+}
+
+static void
+on_timer(struct MpTimer *timer)
+{
+    struct MpRpcClient *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    expire_calls(this, now_ms);
+    if (!this->conn) {
+        if (now_ms >= this->retry_at_ms) {
+            connect_now(this);
+        }
+    }
+    else if (now_ms - this->conn->heard_ms > SILENCE_MS ||
+             this->conn->out->len > MP_RPC_OUT_MAX) {
+        this->silent_closed++;
+        MpRpcConn_Close(this->conn);
+    }
+    else if (this->conn->is_ready) {
+        ping(this, now_ms);
+    }
+    MpLoop_SetTimer(this->loop, &this->timer, CHECK_MS, on_timer, this);
+}
+
+void
+MpRpcClient_Init(struct MpRpcClient *this, struct MpLoop *loop,
+                 const char *address, const char *instance,
+                 const uint8_t *fleet_key)
+{
+    *this = (struct MpRpcClient){.loop = loop};
+    this->address = g_strdup(address);
+    this->instance = g_strdup(instance);
+    memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
+    this->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
+    connect_now(this);
+    MpLoop_SetTimer(loop, &this->timer, CHECK_MS, on_timer, this);
+}
+
+bool
+MpRpcClient_IsReady(const struct MpRpcClient *this)
+{
+    return this->conn && this->conn->is_ready;
+}
+
+void
+MpRpcClient_Call(struct MpRpcClient *this, uint32_t procedure,
+                 const void *argument, int64_t timeout_ms, MpRpcDone done,
+                 void *data)
+{
+    if (!MpRpcClient_IsReady(this)) {
+        if (done) {
+            done(data, MP_ERROR_CLOSED, NULL);
+        }
+        return;
+    }
+    uint32_t xid = ++this->next_xid;
+    this->calls++;
+    if (!MpRpc_Procedure(procedure)->one_way) {
+        struct pending_call *call = g_new0(struct pending_call, 1);
+        call->procedure = procedure;
+        call->deadline_ms = MpLoop_Now() + timeout_ms;
+        call->done = done;
+        call->data = data;
+        g_hash_table_insert(this->pending, GUINT_TO_POINTER(xid), call);
+    }
+    append_call(this, xid, procedure, argument);
+}
--- /dev/null
+++ b/src/transport/RpcServer.c
@@ -0,0 +1,126 @@
+#include "transport/RpcLink.h"
+
+#include "state/Error.h"
+#include "transport/RpcConn.h"
+
+#include <string.h>
+
+/* The answering side of RpcLink; see RpcLink.h. */
+
+static int
+answer_hello(struct MpRpcConn *conn, struct MpRpcCall *call)
+{
+    const struct mp_hello *hello = call->argument;
+    struct mp_hello answer = {.instance = (char *)""};
+    memcpy(conn->session.client_nonce, hello->nonce, MP_NONCE_BYTES);
+    MpRpc_Nonce(answer.nonce);
+    MpRpc_AppendReply(&conn->session, conn->out, call->xid, MP_PROC_HELLO,
+                      &answer);
+    MpRpcSession_SetKey(&conn->session, hello->nonce, answer.nonce);
+    conn->is_ready = true;
+    return MP_OK;
+}
+
+static void
+call_free(struct MpRpcCall *call)
+{
+    MpRpc_FreeArgument(call->procedure, call->argument);
+    g_free(call);
+}
+
+void
+MpRpcCall_Reply(struct MpRpcCall *this, const void *result)
+{
+    struct MpRpcConn *conn = this->conn;
+    if (conn) {
+        g_ptr_array_remove_fast(conn->calls, this);
+    }
+    if (conn && !MpRpc_Procedure(this->procedure)->one_way) {
+        int code = MpRpc_AppendReply(&conn->session, conn->out, this->xid,
+                                     this->procedure, result);
+        if (code != MP_OK) {
+            MpRpc_AppendReply(&conn->session, conn->out, this->xid,
+                              this->procedure, NULL);
+        }
+        MpRpcConn_Flush(conn);
+    }
+    call_free(this);
+}
+
+static int
+server_message(struct MpRpcConn *conn, const uint8_t *body, size_t size)
+{
+    struct MpRpcServer *server = conn->owner;
+    struct MpRpcHead head;
+    void *argument;
+    int code = MpRpc_ReadCall(body, size, &head, &argument);
+    if (code != MP_OK) {
+        return code;
+    }
+    struct MpRpcCall *call = g_new0(struct MpRpcCall, 1);
+    call->xid = head.xid;
+    call->procedure = head.procedure;
+    call->argument = argument;
+    call->conn = conn;
+    if (!conn->is_ready) {
+        code = head.procedure == MP_PROC_HELLO ? answer_hello(conn, call)
+                                               : MP_ERROR_AUTHENTICATION;
+        call_free(call);
+        return code;
+    }
+    if (head.procedure == 0 || head.procedure == MP_PROC_HELLO) {
+        char nothing = 0;
+        code = head.procedure == 0 ? MP_OK : MP_ERROR_AUTHENTICATION;
+        MpRpc_AppendReply(&conn->session, conn->out, call->xid, 0, &nothing);
+        call_free(call);
+        return code;
+    }
+    g_ptr_array_add(conn->calls, call);
+    server->klass->call(server->owner, call);
+    return MP_OK;
+}
+
+static void
+server_closed(struct MpRpcConn *conn)
+{
+    struct MpRpcServer *server = conn->owner;
+    for (guint i = 0; i < conn->calls->len; i++) {
+        struct MpRpcCall *call = g_ptr_array_index(conn->calls, i);
+        call->conn = NULL;
+    }
+    g_ptr_array_remove_fast(server->conns, conn);
+}
+
+static const struct MpRpcConnClass server_conn_class = {
+    .message = server_message, .closed = server_closed};
+
+static void
+on_accept(h2o_socket_t *listener, const char *error)
+{
+    struct MpRpcServer *this = listener->data;
+    h2o_socket_t *socket;
+    if (error || !(socket = h2o_evloop_socket_accept(listener))) {
+        return;
+    }
+    struct MpRpcConn *conn = MpRpcConn_New(&server_conn_class, this,
+                                           this->loop, this->fleet_key, false);
+    conn->received_bytes = &this->received_bytes;
+    conn->sent_bytes = &this->sent_bytes;
+    conn->rejected = &this->rejected;
+    g_ptr_array_add(this->conns, conn);
+    MpRpcConn_Start(conn, socket);
+}
+
+int
+MpRpcServer_Init(struct MpRpcServer *this,
+                 const struct MpRpcServerClass *klass, void *owner,
+                 struct MpLoop *loop, const char *address,
+                 const uint8_t *fleet_key)
+{
+    *this = (struct MpRpcServer){.klass = klass, .owner = owner, .loop = loop};
+    memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
+    this->conns = g_ptr_array_new();
+    h2o_socket_t *listener =
+        MpLoop_Listen(loop, address, on_accept, this, &this->port);
+    return listener ? MP_OK : MP_ERROR_IO;
+}
--- /dev/null
+++ b/src/transport/Worker.c
@@ -0,0 +1,54 @@
+#include "transport/Worker.h"
+
+/* A piece of work on its way to the worker and back. */
+struct job {
+    h2o_multithread_message_t super;
+    MpWork work;
+    MpWorkDone done;
+    void *data;
+    int code;
+};
+
+static void
+on_messages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
+{
+    (void)receiver;
+    while (!h2o_linklist_is_empty(messages)) {
+        struct job *job =
+            H2O_STRUCT_FROM_MEMBER(struct job, super.link, messages->next);
+        h2o_linklist_unlink(&job->super.link);
+        job->done(job->data, job->code);
+        g_free(job);
+    }
+}
+
+static void *
+run(void *data)
+{
+    struct MpWorker *this = data;
+    for (;;) {
+        struct job *job = g_async_queue_pop(this->inbox);
+        job->code = job->work(job->data);
+        h2o_multithread_send_message(&this->outbox, &job->super);
+    }
+    return NULL;
+}
+
+void
+MpWorker_Start(struct MpWorker *this, struct MpLoop *loop)
+{
+    this->inbox = g_async_queue_new();
+    h2o_multithread_register_receiver(loop->queue, &this->outbox, on_messages);
+    h2o_multithread_create_thread(&this->thread, NULL, run, this);
+}
+
+void
+MpWorker_Submit(struct MpWorker *this, MpWork work, MpWorkDone done,
+                void *data)
+{
+    struct job *job = g_new0(struct job, 1);
+    job->work = work;
+    job->done = done;
+    job->data = data;
+    g_async_queue_push(this->inbox, job);
+}
