Membership by joint consensus, and stateful fuzzing of ledger and cluster

Cause: with one-at-a-time changes a learner that died just after it had caught up became a voter of four with two gone, and the group stood still for ever; a new leader forgot which id replaces which; a replica whose membership entry was never committed believed itself a member; a replica that had lost synced entries was asked for them in an endless loop. Ruled out: removing the dead id first (two voters, no spare); a single swap (majorities of old and new need not meet). Change: joint memberships, next step derived from the membership alone, promotion only of learners that answer now, resends only after progress. FuzzLedger and FuzzCluster with agents, links, disks and clocks. Conclusion: keep joint memberships.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 CPPFLAGS = -Isrc -Itests -D_GNU_SOURCE -DH2O_USE_EPOLL=1 \
 	$(shell pkg-config --cflags $(PKGS) $(PROGRAM_PKGS) 2>/dev/null)
-CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror $(SANITIZE)
+CFLAGS = -std=c11 -O2 -g -Wall -Wextra -Werror $(SANITIZE)
 LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
 PROGRAM_LDLIBS = $(shell pkg-config --libs $(PROGRAM_PKGS) 2>/dev/null) \
 	-lcrypto -lz $(LDLIBS)
@@ -41,21 +41,25 @@
 all: $(BUILD)/mimosapath $(BUILD)/libmimosapath.a
 
 $(BUILD)/mimosapath: $(PROGRAM_O) $(BUILD)/libmimosapath.a
-	$(CC) $(CFLAGS) -o $@ $(PROGRAM_O) $(BUILD)/libmimosapath.a \
+	@echo "  LD  $@"
+	@$(CC) $(CFLAGS) -o $@ $(PROGRAM_O) $(BUILD)/libmimosapath.a \
 		$(PROGRAM_LDLIBS)
 
 $(BUILD)/libmimosapath.a: $(LIBRARY_O)
-	rm -f $@
-	ar rcs $@ $^
+	@echo "  AR  $@"
+	@rm -f $@
+	@ar rcs $@ $^
 
 # Generated code keeps the warnings of its generator.
 $(OBJ)/gen/%.o: src/gen/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c -o $@ $<
+	@echo "  CC  $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c -o $@ $<
 
 $(OBJ)/%.o: src/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	@echo "  CC  $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
@@ -68,7 +72,39 @@
 		$(wildcard tests/*.[ch] fuzz/*.[ch])
 
 lint:
-	clang-tidy --quiet $(SOURCES) -- $(CPPFLAGS) -std=gnu11
+	clang-tidy --quiet $(SOURCES) -- $(CPPFLAGS) -std=c11
 
 clean:
 	rm -rf $(BUILD)
+
+# ---- fuzzing ----
+# The fuzz build contains the deliberate faults of state/Fault.h and runs
+# under the address and undefined-behaviour sanitizers.
+
+FUZZ_SUPPORT = fuzz/MemoryDisk.c fuzz/Agents.c fuzz/Cluster.c
+FUZZ_SOURCES = src/gen/wire_xdr.c $(STATE) $(COORDINATION) $(PROTOCOL) \
+	$(FUZZ_SUPPORT)
+FUZZ_SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
+FUZZ_FLAGS = $(CPPFLAGS) -Ifuzz -DMP_TEST_FAULTS -std=c11 -O1 -g -w
+FUZZ_O = $(FUZZ_SOURCES:%.c=$(BUILD)/fuzz-obj/%.o)
+LIBFUZZER_O = $(FUZZ_SOURCES:%.c=$(BUILD)/libfuzzer-obj/%.o)
+LIBFUZZERS = $(patsubst fuzz/%.c,$(BUILD)/libfuzzer/%,$(wildcard fuzz/Fuzz*.c))
+.SECONDARY: $(FUZZ_O) $(LIBFUZZER_O)
+
+$(BUILD)/fuzz-obj/%.o: %.c $(HEADERS) $(wildcard fuzz/*.h)
+	@mkdir -p $(@D)
+	@$(CC) $(FUZZ_FLAGS) $(FUZZ_SANITIZE) -c -o $@ $<
+
+$(BUILD)/fuzz/%: fuzz/%.c fuzz/Driver.c $(FUZZ_O)
+	@mkdir -p $(@D)
+	@echo "  FUZZ $@"
+	@$(CC) $(FUZZ_FLAGS) $(FUZZ_SANITIZE) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/libfuzzer-obj/%.o: %.c $(HEADERS) $(wildcard fuzz/*.h)
+	@mkdir -p $(@D)
+	@clang $(FUZZ_FLAGS) $(FUZZ_SANITIZE),fuzzer-no-link -c -o $@ $<
+
+$(BUILD)/libfuzzer/%: fuzz/%.c fuzz/Driver.c $(LIBFUZZER_O)
+	@mkdir -p $(@D)
+	@clang $(FUZZ_FLAGS) -DMP_LIBFUZZER $(FUZZ_SANITIZE),fuzzer -o $@ $^ \
+		$(LDLIBS)
--- /dev/null
+++ b/fuzz/Cluster.c
@@ -0,0 +1,683 @@
+#include "Cluster.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SNAPSHOT_ENTRIES 12
+#define HEAL_ROUNDS_MOST 6000
+#define ROUND_MS 20
+
+/* ---- the port of a node ---- */
+
+static void
+flight_delete(void *data)
+{
+    struct Flight *this = data;
+    g_bytes_unref(this->bytes);
+    g_free(this);
+}
+
+static void
+port_send(struct MpRaftPort *port, const struct mp_raft_message *message)
+{
+    struct Node *node = (struct Node *)port;
+    struct Cluster *cluster = node->cluster;
+    if (cluster->flights->len >= CLUSTER_MESSAGES_MOST) {
+        return;
+    }
+    struct Flight *flight = g_new0(struct Flight, 1);
+    flight->from = node->number;
+    flight->to_id = message->to;
+    flight->bytes = MpCodec_Encode(MP_XDR(mp_raft_message), message);
+    g_ptr_array_add(cluster->flights, flight);
+}
+
+static void
+port_persist(struct MpRaftPort *port, struct MpRaftWrite *write)
+{
+    struct Node *node = (struct Node *)port;
+    g_queue_push_tail(&node->writes, write);
+}
+
+static void
+check_committed(struct Cluster *cluster, const struct MpLogEntry *entry)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(entry->payload, &size);
+    uint64_t sum = XXH64(data, size, entry->term + entry->kind);
+    uint64_t *known = g_hash_table_lookup(cluster->committed, &entry->index);
+    if (known && *known != sum) {
+        Fuzz_Fail("entry %" PRIu64 " was committed with two contents",
+                  entry->index);
+    }
+    if (!known) {
+        uint64_t *pair = g_new(uint64_t, 2);
+        pair[0] = sum;
+        pair[1] = entry->index;
+        g_hash_table_insert(cluster->committed, &pair[1], pair);
+    }
+}
+
+static void
+answer_proposal(struct Node *node, const struct MpLogEntry *entry,
+                const struct mp_result *result)
+{
+    struct Cluster *cluster = node->cluster;
+    for (guint i = 0; i < cluster->proposals->len; i++) {
+        struct Proposal proposal =
+            g_array_index(cluster->proposals, struct Proposal, i);
+        if (proposal.node != node->number ||
+            proposal.index != entry->index) {
+            continue;
+        }
+        g_array_remove_index_fast(cluster->proposals, i);
+        bool is_lost =
+            !cluster->is_healing && FuzzInput_Below(cluster->input, 4) == 0;
+        if (proposal.term == entry->term && !is_lost) {
+            cluster->acked_index = MAX(cluster->acked_index, entry->index);
+            Agents_Answer(&cluster->agents, proposal.task,
+                          proposal.generation, result);
+        }
+        return;
+    }
+}
+
+static void
+port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
+{
+    struct Node *node = (struct Node *)port;
+    struct mp_command command;
+    struct mp_result result;
+    gsize size;
+    const void *data = g_bytes_get_data(entry->payload, &size);
+    check_committed(node->cluster, entry);
+    if (entry->kind != MP_ENTRY_COMMAND) {
+        MpMachine_Skip(&node->machine, entry->index);
+        return;
+    }
+    if (MpCodec_Decode(MP_XDR(mp_command), &command, data, size,
+                       sizeof(command)) != MP_OK) {
+        Fuzz_Fail("a committed command cannot be read");
+    }
+    MpMachine_Apply(&node->machine, entry->index, &command, &result);
+    answer_proposal(node, entry, &result);
+    MpCodec_Free(MP_XDR(mp_command), &command);
+}
+
+static GBytes *
+port_save(struct MpRaftPort *port)
+{
+    return MpMachine_Save(&((struct Node *)port)->machine);
+}
+
+static int
+port_load(struct MpRaftPort *port, GBytes *bytes)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    return MpMachine_Load(&((struct Node *)port)->machine, data, size);
+}
+
+static const struct MpRaftPortClass node_port_class = {
+    .send = port_send,
+    .persist = port_persist,
+    .apply = port_apply,
+    .save = port_save,
+    .load = port_load,
+};
+
+/* ---- life of a node ---- */
+
+static void
+node_start(struct Node *this)
+{
+    struct MpRecovered recovered;
+    MpMachine_Init(&this->machine);
+    this->machine.ledger.retention_ms = INT64_MAX / 2;
+    MpMembership_Init(&this->membership);
+    g_queue_init(&this->writes);
+    if (MpStorage_Open(&this->storage, &this->disk.super, &recovered) !=
+        MP_OK) {
+        Fuzz_Fail("node %u cannot read its disk", this->number);
+    }
+    this->port.klass = &node_port_class;
+    if (MpRaft_Init(&this->raft, &this->port, this->id, &recovered,
+                    (uint32_t)(this->id * 31 + ++this->starts),
+                    this->clock_ms) != MP_OK) {
+        Fuzz_Fail("node %u cannot start", this->number);
+    }
+    MpRecovered_Done(&recovered);
+    this->raft.snapshot_entries = SNAPSHOT_ENTRIES;
+    this->read_since_ms = -1;
+    this->is_alive = true;
+}
+
+static void
+delete_write(void *data)
+{
+    MpRaftWrite_Delete(data);
+}
+
+static void
+node_crash(struct Node *this)
+{
+    struct Cluster *cluster = this->cluster;
+    g_queue_clear_full(&this->writes, delete_write);
+    MpRaft_Done(&this->raft);
+    MpMachine_Done(&this->machine);
+    MpMembership_Done(&this->membership);
+    MemoryDisk_Crash(&this->disk, cluster->input);
+    this->is_alive = false;
+    for (guint i = cluster->proposals->len; i > 0; i--) {
+        if (g_array_index(cluster->proposals, struct Proposal, i - 1).node ==
+            this->number) {
+            g_array_remove_index_fast(cluster->proposals, i - 1);
+        }
+    }
+}
+
+static struct Node *
+find_node(struct Cluster *this, uint64_t id)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        if (this->nodes[i].id == id) {
+            return &this->nodes[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+keeps_majority(struct Cluster *this, const struct MpRaft *raft,
+               const struct Node *lost)
+{
+    uint32_t voters[2] = {0, 0};
+    uint32_t kept[2] = {0, 0};
+    for (u_int i = 0; i < raft->members.list.list_len; i++) {
+        const struct mp_member *member = &raft->members.list.list_val[i];
+        const struct Node *node = find_node(this, member->id);
+        bool is_kept = node && node != lost;
+        voters[0] += member->voter;
+        kept[0] += member->voter && is_kept;
+        voters[1] += member->next;
+        kept[1] += member->next && is_kept;
+    }
+    return kept[0] > voters[0] / 2 &&
+           (!raft->members.joint || kept[1] > voters[1] / 2);
+}
+
+/* Whether the cluster outlives the loss of one more disk: in every
+ * membership that a node holds, the voters that keep their disks are a
+ * majority. */
+static bool
+can_lose_disk(struct Cluster *this, const struct Node *lost)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        if (!this->nodes[i].is_alive ||
+            !keeps_majority(this, &this->nodes[i].raft, lost)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+lose_disk(struct Cluster *this, struct Node *node)
+{
+    if (!can_lose_disk(this, node)) {
+        return;
+    }
+    node_crash(node);
+    MemoryDisk_Wipe(&node->disk);
+    node->id = ++this->next_id;
+    node_start(node);
+}
+
+static void
+node_write(struct Node *this)
+{
+    struct MpRaftWrite *write = g_queue_pop_head(&this->writes);
+    int code;
+    if (!write) {
+        return;
+    }
+    if (write->has_snapshot) {
+        struct mp_snapshot_head head;
+        gsize size;
+        const void *data = g_bytes_get_data(write->head, &size);
+        MpCodec_Decode(MP_XDR(mp_snapshot_head), &head, data, size,
+                       sizeof(head));
+        code = MpStorage_SaveSnapshot(
+            &this->storage, &head, write->data, &write->hard,
+            (struct MpLogEntry *)write->entries->data, write->entries->len);
+        MpCodec_Free(MP_XDR(mp_snapshot_head), &head);
+    }
+    else {
+        code = MpStorage_Append(&this->storage, &write->hard,
+                                (struct MpLogEntry *)write->entries->data,
+                                write->entries->len);
+    }
+    if (code != MP_OK) {
+        Fuzz_Fail("a write failed");
+    }
+    uint64_t seq = write->seq;
+    MpRaftWrite_Delete(write);
+    MpRaft_Persisted(&this->raft, seq, this->clock_ms);
+}
+
+/* ---- messages ---- */
+
+static void
+deliver(struct Cluster *this, guint place, bool is_kept)
+{
+    struct Flight *flight = g_ptr_array_index(this->flights, place);
+    struct Node *node = find_node(this, flight->to_id);
+    struct mp_raft_message message;
+    if (node && node->is_alive && !this->cut[flight->from][node->number]) {
+        gsize size;
+        const void *data = g_bytes_get_data(flight->bytes, &size);
+        if (MpCodec_Decode(MP_XDR(mp_raft_message), &message, data, size,
+                           sizeof(message)) != MP_OK) {
+            Fuzz_Fail("a message cannot be read");
+        }
+        MpRaft_Receive(&node->raft, &message, node->clock_ms);
+        MpCodec_Free(MP_XDR(mp_raft_message), &message);
+    }
+    if (!is_kept) {
+        g_ptr_array_remove_index(this->flights, place);
+    }
+}
+
+/* ---- checks ---- */
+
+static void
+check_leader(struct Cluster *this, struct Node *node)
+{
+    if (!MpRaft_IsLeader(&node->raft)) {
+        return;
+    }
+    uint64_t *id = g_hash_table_lookup(this->leaders, &node->raft.term);
+    if (id && *id != node->id) {
+        Fuzz_Fail("term %" PRIu64 " has two leaders", node->raft.term);
+    }
+    if (!id) {
+        uint64_t *pair = g_new(uint64_t, 2);
+        pair[0] = node->id;
+        pair[1] = node->raft.term;
+        g_hash_table_insert(this->leaders, &pair[1], pair);
+    }
+}
+
+static void
+check_read(struct Node *node)
+{
+    if (node->read_since_ms < 0 ||
+        !MpRaft_CanRead(&node->raft, node->read_since_ms)) {
+        return;
+    }
+    if (node->raft.applied < node->read_index) {
+        Fuzz_Fail("a read at node %u misses entry %" PRIu64, node->number,
+                  node->read_index);
+    }
+    node->read_since_ms = -1;
+}
+
+static void
+check_all(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        struct Node *node = &this->nodes[i];
+        if (!node->is_alive) {
+            continue;
+        }
+        check_leader(this, node);
+        check_read(node);
+        /* Only a state that has all that was acknowledged can be compared
+         * with it. */
+        if (node->raft.applied >= this->acked_index) {
+            Agents_Check(&this->agents, &node->machine);
+        }
+    }
+}
+
+/* ---- steps ---- */
+
+static void
+propose(struct Cluster *this, struct Node *node, uint32_t number)
+{
+    struct Task *task = &this->agents.tasks[number];
+    struct mp_command command;
+    uint64_t index;
+    if (task->kind == TASK_NONE || !node->is_alive ||
+        !MpRaft_IsLeader(&node->raft)) {
+        return;
+    }
+    Agents_Command(&this->agents, task, &command);
+    GBytes *payload = MpCodec_Encode(MP_XDR(mp_command), &command);
+    if (MpRaft_Propose(&node->raft, MP_ENTRY_COMMAND, payload, &index) ==
+        MP_OK) {
+        struct Proposal proposal = {.node = node->number,
+                                    .index = index,
+                                    .term = node->raft.term,
+                                    .task = number,
+                                    .generation = task->generation};
+        g_array_append_val(this->proposals, proposal);
+    }
+    g_bytes_unref(payload);
+}
+
+/* What an instance does every few hundred milliseconds. */
+static void
+identify(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        struct Node *node = &this->nodes[i];
+        for (uint32_t j = 0; node->is_alive && j < CLUSTER_NODES; j++) {
+            struct Node *leader = &this->nodes[j];
+            if (i != j && leader->is_alive &&
+                MpRaft_IsLeader(&leader->raft) && !this->cut[i][j] &&
+                !MpRaft_IsIncluded(&node->raft)) {
+                char name[8];
+                snprintf(name, sizeof(name), "n%u", i);
+                MpMembership_Join(&leader->membership, name, name, node->id);
+            }
+        }
+        if (node->is_alive) {
+            MpMembership_Advance(&node->membership, &node->raft);
+        }
+    }
+}
+
+static void
+tick(struct Node *node, int64_t time_ms)
+{
+    node->clock_ms += time_ms;
+    MpRaft_Tick(&node->raft, node->clock_ms);
+    MpRaft_Flush(&node->raft);
+}
+
+/* A message is lost, or held up for long. */
+static void
+lose_or_park(struct Cluster *this, uint32_t fate)
+{
+    if (this->flights->len == 0) {
+        return;
+    }
+    guint place = FuzzInput_Byte(this->input) % this->flights->len;
+    struct Flight *flight =
+        g_ptr_array_steal_index(this->flights, place);
+    if (fate > 0 && this->parked->len < CLUSTER_MESSAGES_MOST) {
+        g_ptr_array_add(this->parked, flight);
+        return;
+    }
+    flight_delete(flight);
+}
+
+static void
+release_parked(struct Cluster *this)
+{
+    while (this->parked->len > 0) {
+        g_ptr_array_add(this->flights,
+                        g_ptr_array_steal_index(this->parked, 0));
+    }
+}
+
+/* All clocks jump, so that elections start together. */
+static void
+jump_clocks(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        if (this->nodes[i].is_alive) {
+            tick(&this->nodes[i], 2 * MP_RAFT_ELECTION_MS);
+        }
+    }
+}
+
+static void
+fault_step(struct Cluster *this, struct Node *node)
+{
+    struct FuzzInput *input = this->input;
+    switch (FuzzInput_Below(input, 10)) {
+    case 0:
+        if (node->is_alive) {
+            node_crash(node);
+        }
+        break;
+    case 1:
+        jump_clocks(this);
+        break;
+    case 2:
+        this->cut[node->number][FuzzInput_Below(input, CLUSTER_NODES)] =
+            true;
+        break;
+    case 3:
+        memset(this->cut, 0, sizeof(this->cut));
+        break;
+    case 4:
+        lose_disk(this, node);
+        break;
+    case 5:
+        if (node->is_alive) {
+            node->read_since_ms = node->clock_ms;
+            node->read_index = this->acked_index;
+        }
+        break;
+    case 6:
+        release_parked(this);
+        break;
+    default:
+        lose_or_park(this, FuzzInput_Below(input, 4));
+        break;
+    }
+}
+
+static void
+run_quietly(struct Cluster *this, uint32_t rounds)
+{
+    for (uint32_t i = 0; i < rounds; i++) {
+        for (uint32_t j = 0; j < CLUSTER_NODES; j++) {
+            struct Node *node = &this->nodes[j];
+            if (node->is_alive) {
+                tick(node, ROUND_MS);
+                node_write(node);
+            }
+        }
+        while (this->flights->len > 0) {
+            uint32_t place = this->is_healing ? 0
+                                              : FuzzInput_Byte(this->input);
+            deliver(this, place % this->flights->len, false);
+        }
+        identify(this);
+    }
+}
+
+void
+Cluster_Step(struct Cluster *this)
+{
+    struct FuzzInput *input = this->input;
+    uint32_t choice = FuzzInput_Below(input, 16);
+    struct Node *node = &this->nodes[FuzzInput_Below(input, CLUSTER_NODES)];
+    if (choice < 2) {
+        fault_step(this, node);
+    }
+    else if (choice < 4 && !node->is_alive) {
+        node_start(node);
+    }
+    else if (choice < 7 && this->flights->len > 0) {
+        uint8_t place = FuzzInput_Byte(input);
+        deliver(this, place % this->flights->len, place >= 224);
+    }
+    else if (choice < 9 && node->is_alive) {
+        node_write(node);
+    }
+    else if (choice < 10 && node->is_alive) {
+        tick(node, FuzzInput_Byte(input));
+    }
+    else if (choice < 12) {
+        Agents_Act(&this->agents, input);
+    }
+    else if (choice < 15) {
+        uint32_t task = FuzzInput_Below(input, AGENT_TASKS);
+        for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+            propose(this, &this->nodes[i], task);
+        }
+        if (node->is_alive) {
+            MpRaft_Flush(&node->raft);
+        }
+    }
+    else {
+        run_quietly(this, 1 + FuzzInput_Below(input, 16));
+    }
+    check_all(this);
+    Fuzz_Steps++;
+}
+
+/* ---- healing ---- */
+
+static bool
+do_agree(struct Cluster *this)
+{
+    const struct Node *first = &this->nodes[0];
+    uint32_t leaders = 0;
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        const struct Node *node = &this->nodes[i];
+        leaders += MpRaft_IsLeader(&node->raft);
+        if (node->raft.applied != first->raft.applied ||
+            node->raft.applied != MpRaft_LastIndex(&node->raft) ||
+            !MpRaft_IsVoter(&node->raft) ||
+            node->raft.members.list.list_len != CLUSTER_NODES) {
+            return false;
+        }
+    }
+    return leaders == 1;
+}
+
+static void
+propose_all(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < AGENT_TASKS; i++) {
+        for (uint32_t j = 0; j < CLUSTER_NODES; j++) {
+            propose(this, &this->nodes[j], i);
+        }
+    }
+}
+
+/* Tells a reader of a failure where the replicas stand. */
+static void
+print_state(const struct Cluster *this)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        const struct MpRaft *raft = &this->nodes[i].raft;
+        fprintf(stderr,
+                "node %u id %" PRIu64 " role %d term %" PRIu64
+                " last %" PRIu64 " commit %" PRIu64 " applied %" PRIu64
+                " first %" PRIu64 " snapshot %" PRIu64 " members",
+                i, raft->id, raft->role, raft->term, MpRaft_LastIndex(raft),
+                raft->commit, raft->applied, raft->first_index,
+                raft->snapshot_index);
+        for (u_int j = 0; j < raft->members.list.list_len; j++) {
+            fprintf(stderr, " %" PRIu64 "%s%s",
+                    (uint64_t)raft->members.list.list_val[j].id,
+                    raft->members.list.list_val[j].voter ? "" : "?",
+                    raft->members.list.list_val[j].next ? "+" : "");
+        }
+        fprintf(stderr, " peers");
+        for (guint j = 0; j < raft->progress->len; j++) {
+            const struct MpProgress *peer =
+                &g_array_index(raft->progress, struct MpProgress, j);
+            fprintf(stderr, " %" PRIu64 ":%" PRIu64 "/%" PRIu64 "%s%s",
+                    peer->id, peer->match, peer->next,
+                    peer->in_flight ? "f" : "", peer->in_snapshot ? "s" : "");
+        }
+        fprintf(stderr, "\n");
+    }
+}
+
+void
+Cluster_Settle(struct Cluster *this)
+{
+    uint32_t rounds = 0;
+    memset(this->cut, 0, sizeof(this->cut));
+    release_parked(this);
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        if (!this->nodes[i].is_alive) {
+            node_start(&this->nodes[i]);
+        }
+    }
+    this->is_healing = true;
+    while (Agents_WindUp(&this->agents) || !do_agree(this)) {
+        if (rounds % 16 == 0) {
+            propose_all(this);
+        }
+        run_quietly(this, 1);
+        if (++rounds > HEAL_ROUNDS_MOST) {
+            print_state(this);
+            Fuzz_Fail("the replicas do not agree after healing");
+        }
+        Fuzz_Steps++;
+    }
+    check_all(this);
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        Agents_CheckEnd(&this->agents, &this->nodes[i].machine);
+    }
+}
+
+/* ---- cluster ---- */
+
+void
+Cluster_Init(struct Cluster *this, struct FuzzInput *input)
+{
+    struct mp_member list[CLUSTER_NODES];
+    char names[CLUSTER_NODES][8];
+    *this = (struct Cluster){.input = input, .next_id = CLUSTER_NODES};
+    this->flights = g_ptr_array_new_with_free_func(flight_delete);
+    this->parked = g_ptr_array_new_with_free_func(flight_delete);
+    this->proposals = g_array_new(false, false, sizeof(struct Proposal));
+    this->committed =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    this->leaders =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    Agents_Init(&this->agents);
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        snprintf(names[i], sizeof(names[i]), "n%u", i);
+        list[i] = (struct mp_member){.id = i + 1,
+                                     .instance = names[i],
+                                     .address = names[i],
+                                     .voter = true};
+    }
+    struct mp_members members = {
+        .list = {.list_val = list, .list_len = CLUSTER_NODES}};
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        struct Node *node = &this->nodes[i];
+        node->cluster = this;
+        node->number = i;
+        node->id = i + 1;
+        node->clock_ms = 1000 * i;
+        MemoryDisk_Init(&node->disk);
+        node_start(node);
+        MpRaft_Bootstrap(&node->raft, &members);
+        while (node->writes.length > 0) {
+            node_write(node);
+        }
+    }
+}
+
+void
+Cluster_Done(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
+        if (this->nodes[i].is_alive) {
+            node_crash(&this->nodes[i]);
+        }
+        MemoryDisk_Done(&this->nodes[i].disk);
+    }
+    g_ptr_array_unref(this->flights);
+    g_ptr_array_unref(this->parked);
+    g_array_unref(this->proposals);
+    g_hash_table_unref(this->committed);
+    g_hash_table_unref(this->leaders);
+}
--- /dev/null
+++ b/fuzz/FuzzLedger.c
@@ -0,0 +1,88 @@
+#include "Agents.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+
+/*
+ * FuzzLedger - the replicated machine alone, under agents whose answers are
+ * lost and repeated, with snapshots taken and loaded in between.
+ */
+
+#define END_STEPS_MOST 20000
+
+static void
+apply(struct MpMachine *machine, struct Agents *agents, uint32_t number,
+      bool is_answered)
+{
+    struct Task *task = &agents->tasks[number];
+    struct mp_command command;
+    struct mp_result result;
+    uint32_t generation = task->generation;
+    Agents_Command(agents, task, &command);
+    MpMachine_Apply(machine, machine->applied + 1, &command, &result);
+    if (is_answered) {
+        Agents_Answer(agents, number, generation, &result);
+    }
+}
+
+static void
+reload(struct MpMachine *machine)
+{
+    GBytes *bytes = MpMachine_Save(machine);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    MpMachine_Done(machine);
+    MpMachine_Init(machine);
+    if (MpMachine_Load(machine, data, size) != MP_OK) {
+        Fuzz_Fail("a snapshot cannot be loaded");
+    }
+    g_bytes_unref(bytes);
+}
+
+static void
+step(struct MpMachine *machine, struct Agents *agents,
+     struct FuzzInput *input)
+{
+    uint32_t choice = FuzzInput_Below(input, 8);
+    if (choice < 3) {
+        Agents_Act(agents, input);
+    }
+    else if (choice == 3 && FuzzInput_Below(input, 8) == 0) {
+        reload(machine);
+    }
+    else {
+        uint32_t number = FuzzInput_Below(input, AGENT_TASKS);
+        if (agents->tasks[number].kind != TASK_NONE) {
+            apply(machine, agents, number, choice < 7);
+        }
+    }
+    Agents_Check(agents, machine);
+    Fuzz_Steps++;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    struct FuzzInput input = {.data = data, .size = size};
+    struct MpMachine machine;
+    struct Agents agents;
+    MpMachine_Init(&machine);
+    machine.ledger.retention_ms = INT64_MAX / 2;
+    Agents_Init(&agents);
+    while (!FuzzInput_IsOver(&input)) {
+        step(&machine, &agents, &input);
+    }
+    for (int i = 0; Agents_WindUp(&agents); i++) {
+        uint32_t number = (uint32_t)i % AGENT_TASKS;
+        if (agents.tasks[number].kind != TASK_NONE) {
+            apply(&machine, &agents, number, true);
+        }
+        if (i > END_STEPS_MOST) {
+            Fuzz_Fail("the agents do not come to an end");
+        }
+        Fuzz_Steps++;
+    }
+    Agents_CheckEnd(&agents, &machine);
+    MpMachine_Done(&machine);
+    return 0;
+}
--- a/src/coordination/Membership.c
+++ b/src/coordination/Membership.c
@@ -6,6 +6,8 @@
 
 /* A learner this close to the leader's log becomes a voter. */
 #define CAUGHT_UP_ENTRIES 64
+/* An answer this young shows that a learner is there. */
+#define FRESH_MS 300
 
 static void
 member_delete(void *data)
@@ -44,12 +46,14 @@
 struct draft {
     struct mp_member list[MP_MEMBERS_MAX];
     u_int count;
+    bool is_joint;
 };
 
 static void
 draft_start(struct draft *draft, const struct mp_members *members)
 {
     draft->count = members->list.list_len;
+    draft->is_joint = false;
     memcpy(draft->list, members->list.list_val,
            draft->count * sizeof(struct mp_member));
 }
@@ -58,7 +62,8 @@
 draft_propose(struct draft *draft, struct MpRaft *raft)
 {
     struct mp_members members = {
-        .list = {.list_val = draft->list, .list_len = draft->count}};
+        .list = {.list_val = draft->list, .list_len = draft->count},
+        .joint = draft->is_joint};
     return MpRaft_ProposeMembers(raft, &members) == MP_OK;
 }
 
@@ -74,70 +79,131 @@
     return draft_propose(draft, raft);
 }
 
+/* A learner that has the log and answers now. */
 static bool
 is_caught_up(const struct MpRaft *raft, uint64_t id)
 {
     const struct MpProgress *progress = MpRaft_Progress(raft, id);
     return progress &&
            progress->match + CAUGHT_UP_ENTRIES >= MpRaft_LastIndex(raft) &&
-           progress->match > 0;
+           progress->match > 0 &&
+           raft->now_ms - progress->acked_ms < FRESH_MS;
 }
 
+/* Lets the member at place vote next, in the place of older ones of its
+ * instance.  Both memberships count until the change is committed, so that
+ * the newcomer may fail at any moment. */
 static bool
-promote(struct draft *draft, struct MpRaft *raft, uint64_t id)
+promote(struct draft *draft, struct MpRaft *raft, u_int place)
 {
     for (u_int i = 0; i < draft->count; i++) {
-        if (draft->list[i].id == id) {
-            draft->list[i].voter = true;
-        }
+        bool is_replaced = strcmp(draft->list[i].instance,
+                                  draft->list[place].instance) == 0;
+        draft->list[i].next =
+            i == place || (draft->list[i].voter && !is_replaced);
     }
+    draft->is_joint = true;
     return draft_propose(draft, raft);
 }
 
-/* Removes the replicas of instance other than id. */
+/* Ends a joint membership: those marked next are the voters. */
 static bool
-remove_others(struct draft *draft, struct MpRaft *raft,
-              const struct mp_member *join)
+leave_joint(struct draft *draft, struct MpRaft *raft)
 {
+    u_int kept = 0;
     for (u_int i = 0; i < draft->count; i++) {
-        if (draft->list[i].id != join->id &&
-            strcmp(draft->list[i].instance, join->instance) == 0) {
-            draft->list[i] = draft->list[draft->count - 1];
-            draft->count--;
-            return draft_propose(draft, raft);
+        bool is_dropped = draft->list[i].voter && !draft->list[i].next;
+        if (is_dropped) {
+            continue;
         }
+        draft->list[kept] = draft->list[i];
+        draft->list[kept].voter = draft->list[i].next;
+        draft->list[kept++].next = false;
     }
-    return false;
+    draft->count = kept;
+    return draft_propose(draft, raft);
 }
 
+/* Removes a member and keeps the order of the others. */
 static bool
-advance_one(struct MpRaft *raft, const struct mp_member *join)
+remove_member(struct draft *draft, struct MpRaft *raft, u_int place)
+{
+    memmove(&draft->list[place], &draft->list[place + 1],
+            (draft->count - place - 1) * sizeof(struct mp_member));
+    draft->count--;
+    return draft_propose(draft, raft);
+}
+
+/* Returns the place of the newest member of the instance at place: members
+ * are listed in the order in which they were added. */
+static u_int
+newest_of(const struct draft *draft, u_int place)
+{
+    u_int newest = place;
+    for (u_int i = place + 1; i < draft->count; i++) {
+        if (strcmp(draft->list[i].instance, draft->list[place].instance) ==
+            0) {
+            newest = i;
+        }
+    }
+    return newest;
+}
+
+/* The next step that follows from the membership alone, so that any later
+ * leader goes on where this one stops. */
+static bool
+advance_members(struct MpRaft *raft)
 {
     struct draft draft;
     draft_start(&draft, &raft->members);
-    const struct mp_member *member = MpRaft_Member(raft, join->id);
-    if (!member) {
-        return add_learner(&draft, raft, join);
+    if (raft->members.joint) {
+        return leave_joint(&draft, raft);
     }
-    if (!member->voter) {
-        return is_caught_up(raft, join->id) && promote(&draft, raft, join->id);
+    for (u_int i = 0; i < draft.count; i++) {
+        if (draft.list[i].voter) {
+            continue;
+        }
+        /* A learner that another one of its instance came after is gone. */
+        if (newest_of(&draft, i) != i) {
+            return remove_member(&draft, raft, i);
+        }
+        if (is_caught_up(raft, draft.list[i].id)) {
+            return promote(&draft, raft, i);
+        }
     }
-    return remove_others(&draft, raft, join);
+    return false;
 }
 
-bool
-MpMembership_Advance(struct MpMembership *this, struct MpRaft *raft)
+static bool
+add_joins(struct MpMembership *this, struct MpRaft *raft)
 {
     GHashTableIter iter;
     void *value;
-    if (!MpRaft_IsLeader(raft) || raft->members_index > raft->commit) {
-        return false;
-    }
     g_hash_table_iter_init(&iter, this->joins);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (advance_one(raft, value)) {
+        const struct mp_member *join = value;
+        struct draft draft;
+        draft_start(&draft, &raft->members);
+        if (raft->members.joint) {
+            return false;
+        }
+        if (!MpRaft_Member(raft, join->id) &&
+            add_learner(&draft, raft, join)) {
             return true;
         }
     }
     return false;
 }
+
+bool
+MpMembership_Advance(struct MpMembership *this, struct MpRaft *raft)
+{
+    bool is_changed = false;
+    if (MpRaft_IsLeader(raft) && raft->members_index <= raft->commit) {
+        is_changed = advance_members(raft) || add_joins(this, raft);
+    }
+    /* A replica repeats its call until it is a member; an old call must not
+     * bring back an id whose disk is gone. */
+    g_hash_table_remove_all(this->joins);
+    return is_changed;
+}
--- a/src/coordination/Membership.h
+++ b/src/coordination/Membership.h
@@ -10,14 +10,17 @@
  * Membership - replaces control replicas that lost their disk.
  *
  * A replica is known by a random id that lives on its disk.  One that comes
- * back with an empty disk has a new id: it is first added as a learner, made
- * a voter once it has the log, and only then is the old id of the same
- * instance removed.  Each step is one membership entry, and the next one
- * waits until it is committed.
+ * back with an empty disk has a new id: it is first added as a learner, and
+ * once it has the log it takes the place of the old id by a joint
+ * membership, in which decisions need a majority with the old id and one
+ * with the new id.  So the newcomer or one more replica may be lost at any
+ * moment of the repair.  Each step is one membership entry, and the next one
+ * waits until it is committed; what remains to do follows from the
+ * membership alone, so that any later leader goes on.
  */
 
 struct MpMembership {
-    GHashTable *joins; /* instance -> struct mp_member, newest id */
+    GHashTable *joins; /* instance -> struct mp_member, since the last step */
 };
 
 void MpMembership_Init(struct MpMembership *this);
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* A member hears its leader at least this often. */
+#define INCLUDED_MS 1000
+
 /* ---- construction ---- */
 
 static int
@@ -121,7 +124,17 @@
 MpRaft_IsVoter(const struct MpRaft *this)
 {
     const struct mp_member *self = MpRaft_Member(this, this->id);
-    return self && self->voter;
+    return self && (self->voter || (this->members.joint && self->next));
+}
+
+bool
+MpRaft_IsIncluded(const struct MpRaft *this)
+{
+    if (this->role == MP_ROLE_LEADER) {
+        return true;
+    }
+    return MpRaft_Member(this, this->id) && this->leader != 0 &&
+           this->now_ms - this->heard_ms < INCLUDED_MS;
 }
 
 uint64_t
@@ -437,33 +450,19 @@
 
 /* ---- reads ---- */
 
-static int
-compare_times(const void *a, const void *b)
+static int64_t
+acked_of(const struct MpRaft *this, uint64_t id)
 {
-    const int64_t *x = a;
-    const int64_t *y = b;
-    return *x > *y ? -1 : *x < *y;
+    const struct MpProgress *peer = MpRaft_FindProgress(this, id);
+    return peer ? peer->acked_ms : this->now_ms;
 }
 
 int64_t
 MpRaft_ProvedMs(const struct MpRaft *this)
 {
-    if (this->role != MP_ROLE_LEADER) {
-        return -1;
-    }
-    int64_t times[MP_MEMBERS_MAX];
-    uint32_t count = 0;
-    for (u_int i = 0; i < this->members.list.list_len; i++) {
-        const struct mp_member *member = &this->members.list.list_val[i];
-        if (!member->voter) {
-            continue;
-        }
-        const struct MpProgress *peer = MpRaft_FindProgress(this, member->id);
-        times[count++] = peer ? peer->acked_ms : this->now_ms;
-    }
-    qsort(times, count, sizeof(times[0]), compare_times);
-    uint32_t quorum = MpRaft_Quorum(this);
-    return count >= quorum && quorum > 0 ? times[quorum - 1] : -1;
+    return this->role == MP_ROLE_LEADER
+               ? MpRaftQuorum_Reached(this, acked_of)
+               : -1;
 }
 
 bool
--- a/src/coordination/RaftElection.c
+++ b/src/coordination/RaftElection.c
@@ -11,16 +11,6 @@
                         g_rand_int_range(this->random, 0, MP_RAFT_ELECTION_MS);
 }
 
-uint32_t
-MpRaft_Quorum(const struct MpRaft *this)
-{
-    uint32_t voters = 0;
-    for (u_int i = 0; i < this->members.list.list_len; i++) {
-        voters += this->members.list.list_val[i].voter ? 1 : 0;
-    }
-    return voters / 2 + 1;
-}
-
 void
 MpRaft_BecomeFollower(struct MpRaft *this, uint64_t term, uint64_t leader)
 {
@@ -108,17 +98,17 @@
            this->vote_seq <= this->done_seq;
 }
 
+static int64_t
+vote_of(const struct MpRaft *this, uint64_t id)
+{
+    const struct MpProgress *peer = MpRaft_FindProgress(this, id);
+    return peer ? peer->granted : is_own_vote_durable(this);
+}
+
 void
 MpRaft_CountVotes(struct MpRaft *this)
 {
-    uint32_t votes = MpRaft_IsVoter(this) && is_own_vote_durable(this) ? 1 : 0;
-    for (guint i = 0; i < this->progress->len; i++) {
-        struct MpProgress *peer =
-            &g_array_index(this->progress, struct MpProgress, i);
-        const struct mp_member *member = MpRaft_Member(this, peer->id);
-        votes += peer->granted && member && member->voter ? 1 : 0;
-    }
-    if (votes < MpRaft_Quorum(this)) {
+    if (MpRaftQuorum_Reached(this, vote_of) < 1) {
         return;
     }
     if (this->role == MP_ROLE_PRECANDIDATE) {
--- a/src/coordination/RaftInternal.h
+++ b/src/coordination/RaftInternal.h
@@ -29,6 +29,15 @@
                            const struct mp_members *from);
 void MpRaftLog_FreeMembers(struct mp_members *members);
 
+/* -- quorum (RaftQuorum.c) -- */
+
+/* Gives the value of one member, as its match index. */
+typedef int64_t (*MpMemberValue)(const struct MpRaft *this, uint64_t id);
+
+/* Returns the highest value that a majority has reached, of both sets of
+ * voters while the membership is joint; -1 without voters. */
+int64_t MpRaftQuorum_Reached(const struct MpRaft *this, MpMemberValue value);
+
 /* -- writing -- */
 
 /* Persists term and vote and the entries from first_index on; returns the
@@ -55,7 +64,6 @@
                           const struct mp_raft_message *message);
 void MpRaft_OnVoteReply(struct MpRaft *this,
                         const struct mp_raft_message *message);
-uint32_t MpRaft_Quorum(const struct MpRaft *this);
 struct MpProgress *MpRaft_FindProgress(const struct MpRaft *this, uint64_t id);
 
 /* -- replication -- */
--- a/src/coordination/RaftReplication.c
+++ b/src/coordination/RaftReplication.c
@@ -100,33 +100,18 @@
     return this->now_ms - since < CHECK_QUORUM_MS;
 }
 
-static int
-compare_indexes(const void *a, const void *b)
+static int64_t
+match_of(const struct MpRaft *this, uint64_t id)
 {
-    const uint64_t *x = a;
-    const uint64_t *y = b;
-    return *x > *y ? -1 : *x < *y;
+    const struct MpProgress *peer = MpRaft_FindProgress(this, id);
+    return (int64_t)(peer ? peer->match : this->persisted);
 }
 
 void
 MpRaft_AdvanceCommit(struct MpRaft *this)
 {
-    uint64_t indexes[MP_MEMBERS_MAX];
-    uint32_t count = 0;
-    for (u_int i = 0; i < this->members.list.list_len; i++) {
-        const struct mp_member *member = &this->members.list.list_val[i];
-        if (!member->voter) {
-            continue;
-        }
-        const struct MpProgress *peer = MpRaft_FindProgress(this, member->id);
-        indexes[count++] = peer ? peer->match : this->persisted;
-    }
-    uint32_t quorum = MpRaft_Quorum(this);
-    if (count < quorum) {
-        return;
-    }
-    qsort(indexes, count, sizeof(indexes[0]), compare_indexes);
-    uint64_t index = indexes[quorum - 1];
+    int64_t reached = MpRaftQuorum_Reached(this, match_of);
+    uint64_t index = (uint64_t)MAX(reached, 0);
     /* Only entries of the own term are committed by counting. */
     if (index > this->commit && MpRaftLog_Term(this, index) == this->term) {
         this->commit = index;
@@ -159,6 +144,24 @@
     }
 }
 
+static void
+take_match(struct MpRaft *this, struct MpProgress *peer, uint64_t index)
+{
+    if (index < peer->match) {
+        return;
+    }
+    peer->match = index;
+    /* The answer to a heartbeat says nothing of a batch under way. */
+    if (index >= peer->next) {
+        peer->in_flight = false;
+        peer->in_snapshot = false;
+        peer->next = index + 1;
+    }
+    MpRaft_AdvanceCommit(this);
+    MpRaft_Apply(this);
+    stop_if_removed(this);
+}
+
 void
 MpRaft_OnAppendReply(struct MpRaft *this,
                      const struct mp_raft_message *message)
@@ -167,26 +170,20 @@
     if (this->role != MP_ROLE_LEADER || !peer || message->term != this->term) {
         return;
     }
+    uint64_t before = peer->next;
     peer->acked_ms = MAX(peer->acked_ms, message->echo_ms);
-    if (!message->ok) {
-        peer->in_flight = false;
-        peer->next =
-            MAX(peer->match + 1, MIN(peer->next - 1, message->index + 1));
+    if (message->ok) {
+        take_match(this, peer, message->index);
     }
-    else if (message->index >= peer->match) {
-        peer->match = message->index;
-        /* The answer to a heartbeat says nothing of a batch under way. */
-        if (message->index >= peer->next) {
-            peer->in_flight = false;
-            peer->in_snapshot = false;
-            peer->next = message->index + 1;
-        }
-        MpRaft_AdvanceCommit(this);
-        MpRaft_Apply(this);
-        stop_if_removed(this);
+    else {
+        peer->in_flight = false;
+        peer->next = MAX(peer->match + 1,
+                         MIN(peer->next - 1, message->index + 1));
     }
-    if (this->role == MP_ROLE_LEADER && !peer->in_flight &&
-        peer->next <= MpRaft_LastIndex(this)) {
+    /* Without a change there is nothing to send before the next heartbeat;
+     * a replica that refuses what it once had would be asked for ever. */
+    if (this->role == MP_ROLE_LEADER && peer->next != before &&
+        !peer->in_flight && peer->next <= MpRaft_LastIndex(this)) {
         send_to(this, peer, false);
     }
 }
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -174,6 +174,7 @@
 	char *instance;
 	char *address;
 	bool_t voter;
+	bool_t next;
 };
 typedef struct mp_member mp_member;
 
@@ -182,6 +183,7 @@
 		u_int list_len;
 		mp_member *list_val;
 	} list;
+	bool_t joint;
 };
 typedef struct mp_members mp_members;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -161,10 +161,16 @@
     string instance<MP_NAME_MAX>;
     string address<MP_ADDRESS_MAX>;
     bool voter;
+    bool next;
 };
 
+/*
+ * While joint is set, decisions need a majority of the voters and a majority
+ * of the members marked next; next has no meaning else.
+ */
 struct mp_members {
     mp_member list<MP_MEMBERS_MAX>;
+    bool joint;
 };
 
 enum mp_entry_kind {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -283,6 +283,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->voter))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->next))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -294,6 +296,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MP_MEMBERS_MAX,
 		sizeof (mp_member), (xdrproc_t) xdr_mp_member))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->joint))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -233,7 +233,7 @@
 static void
 survey(struct MpReplica *this)
 {
-    if (MpRaft_Member(&this->raft, this->id)) {
+    if (MpRaft_IsIncluded(&this->raft)) {
         return;
     }
     for (guint i = 0; i < this->settings->control->len; i++) {
