make check and make demo: unit tests, fuzz with fixed seeds, scripted runs

Cause: nothing guarded the path; the first run under the address sanitizer found a use after free: h2o frees a request inside the send of its last part. Before: heap-use-after-free in on_proceed at the first streamed answer.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 LIBRARY = src/gen/wire_xdr.c $(STATE) $(COORDINATION)
 SOURCES = $(STATE) $(COORDINATION) $(PROTOCOL) $(PROGRAM)
 HEADERS = $(wildcard src/*/*.h)
+OWN_HEADERS = $(filter-out src/gen/%,$(HEADERS))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/Test*.c))
 FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/Fuzz*.c))
 
@@ -68,11 +69,12 @@
 		{ apt-get update && apt-get install -y $(PACKAGES); }
 
 format:
-	clang-format --dry-run -Werror $(SOURCES) $(HEADERS) \
+	@clang-format --dry-run -Werror $(SOURCES) $(OWN_HEADERS) \
 		$(wildcard tests/*.[ch] fuzz/*.[ch])
 
 lint:
-	clang-tidy --quiet $(SOURCES) -- $(CPPFLAGS) -std=c11
+	@printf '%s\n' $(SOURCES) | xargs -P $$(nproc) -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' _
 
 clean:
 	rm -rf $(BUILD)
@@ -108,3 +110,28 @@
 	@mkdir -p $(@D)
 	@clang $(FUZZ_FLAGS) -DMP_LIBFUZZER $(FUZZ_SANITIZE),fuzzer -o $@ $^ \
 		$(LDLIBS)
+
+# ---- tests ----
+
+TEST_FLAGS = $(CPPFLAGS) -Ifuzz -DMP_TEST_FAULTS $(CFLAGS) $(FUZZ_SANITIZE)
+
+$(BUILD)/tests/%: tests/%.c fuzz/Driver.c $(FUZZ_O)
+	@mkdir -p $(@D)
+	@echo "  TEST $@"
+	@$(CC) $(TEST_FLAGS) -DMP_LIBFUZZER -w -o $@ $^ $(LDLIBS)
+
+$(BUILD)/asan/mimosapath: $(SOURCES) $(HEADERS)
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)/asan \
+		SANITIZE="$(FUZZ_SANITIZE)" $(BUILD)/asan/mimosapath
+
+check: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) test
+
+test: format lint all $(TESTS) $(FUZZERS) $(BUILD)/asan/mimosapath
+	MIMOSAPATH=$(BUILD)/asan/mimosapath FUZZERS=$(BUILD)/fuzz \
+	ASAN_OPTIONS=detect_leaks=0 \
+	prove --exec tests/exec tests/fuzz.t $(TESTS) tests/runs.t
+
+demo: packages
+	@$(MAKE) --no-print-directory -j$$(nproc) all
+	@MIMOSAPATH=$(BUILD)/mimosapath python3 examples/demo.py
--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -78,8 +78,8 @@
     if (!task) {
         return;
     }
-    task->number = is_repeat ? FuzzInput_Below(input, this->topups)
-                             : this->topups++;
+    task->number =
+        is_repeat ? FuzzInput_Below(input, this->topups) : this->topups++;
     if (!is_repeat) {
         this->topup_mtok[task->number] =
             TOPUP_MTOK / 4 * (1 + FuzzInput_Below(input, 4));
@@ -104,8 +104,8 @@
                              : this->documents++;
     if (!is_repeat) {
         this->document_base[task->number] =
-            this->version_most - (FuzzInput_Below(input, 4) == 0 &&
-                                  this->version_most > 0);
+            this->version_most -
+            (FuzzInput_Below(input, 4) == 0 && this->version_most > 0);
     }
     task->base_version = this->document_base[task->number];
 }
@@ -254,8 +254,8 @@
 static struct mp_holder
 holder_of(const struct Task *task)
 {
-    return (struct mp_holder){
-        .instance = (char *)router_names[task->router], .boot = task->boot};
+    return (struct mp_holder){.instance = (char *)router_names[task->router],
+                              .boot = task->boot};
 }
 
 static void
@@ -321,11 +321,10 @@
 static void
 fill_lease(const struct Task *task, struct mp_command_body *body)
 {
-    struct mp_lease lease = {
-        .holder = holder_of(task),
-        .workspace = (char *)workspace_names[task->key],
-        .seq = task->number,
-        .amount_mtok = task->amount_mtok};
+    struct mp_lease lease = {.holder = holder_of(task),
+                             .workspace = (char *)workspace_names[task->key],
+                             .seq = task->number,
+                             .amount_mtok = task->amount_mtok};
     if (task->kind == TASK_LEASE) {
         body->kind = MP_CMD_LEASE;
         body->mp_command_body_u.lease = lease;
@@ -377,8 +376,7 @@
 {
     struct KeyOracle *key = &this->keys[task->key];
     if (key->not_run_id == task->open_id) {
-        Fuzz_Fail("key %u runs under an open id that was given up",
-                  task->key);
+        Fuzz_Fail("key %u runs under an open id that was given up", task->key);
     }
     key->runs++;
     if (is_at_most_once(task->key) && key->runs > 1) {
@@ -440,8 +438,7 @@
     }
     if (result->number != task->base_version + 1) {
         Fuzz_Fail("submission %u on base %" PRIu64 " became %" PRIu64,
-                  task->number, task->base_version,
-                  (uint64_t)result->number);
+                  task->number, task->base_version, (uint64_t)result->number);
     }
     for (uint32_t i = 0; i < this->documents; i++) {
         if (i != task->number && this->document_acked[i] == result->number) {
@@ -539,11 +536,9 @@
         struct Task *task = &this->tasks[i];
         bool is_own = task->kind != TASK_TOPUP &&
                       task->kind != TASK_DOCUMENT &&
-                      task->kind != TASK_FENCE &&
-                      task->kind != TASK_WRITEOFF;
+                      task->kind != TASK_FENCE && task->kind != TASK_WRITEOFF;
         /* Bills of offline runs are in the journal and survive. */
-        if (task->router == number && is_own &&
-            task->kind != TASK_OFFLINE) {
+        if (task->router == number && is_own && task->kind != TASK_OFFLINE) {
             task->kind = TASK_NONE;
             task->generation++;
         }
@@ -654,11 +649,10 @@
         const struct KeyOracle *key = &this->keys[i];
         char name[32];
         snprintf(name, sizeof(name), "k%u", i);
-        const struct MpRecord *record = MpLedger_FindRecord(
-            &machine->ledger, workspace_of_key(i), name);
-        if (key->is_billed &&
-            (!record || record->state != MP_RECORD_DONE ||
-             record->spent_mtok != key->billed_mtok)) {
+        const struct MpRecord *record =
+            MpLedger_FindRecord(&machine->ledger, workspace_of_key(i), name);
+        if (key->is_billed && (!record || record->state != MP_RECORD_DONE ||
+                               record->spent_mtok != key->billed_mtok)) {
             Fuzz_Fail("the bill of key %u is lost or changed", i);
         }
         if (record && key->not_run_id == record->open_id &&
@@ -692,8 +686,7 @@
             MpLedger_Find(&machine->ledger, workspace_names[i]);
         if (account &&
             (account->reserved_mtok != 0 || account->leased_mtok != 0)) {
-            Fuzz_Fail("w%u still has %" PRId64 " reserved, %" PRId64
-                      " leased",
+            Fuzz_Fail("w%u still has %" PRId64 " reserved, %" PRId64 " leased",
                       i, account->reserved_mtok, account->leased_mtok);
         }
     }
--- a/fuzz/Cluster.c
+++ b/fuzz/Cluster.c
@@ -70,8 +70,7 @@
     for (guint i = 0; i < cluster->proposals->len; i++) {
         struct Proposal proposal =
             g_array_index(cluster->proposals, struct Proposal, i);
-        if (proposal.node != node->number ||
-            proposal.index != entry->index) {
+        if (proposal.node != node->number || proposal.index != entry->index) {
             continue;
         }
         g_array_remove_index_fast(cluster->proposals, i);
@@ -79,8 +78,8 @@
             !cluster->is_healing && FuzzInput_Below(cluster->input, 4) == 0;
         if (proposal.term == entry->term && !is_lost) {
             cluster->acked_index = MAX(cluster->acked_index, entry->index);
-            Agents_Answer(&cluster->agents, proposal.task,
-                          proposal.generation, result);
+            Agents_Answer(&cluster->agents, proposal.task, proposal.generation,
+                          result);
         }
         return;
     }
@@ -378,9 +377,8 @@
         struct Node *node = &this->nodes[i];
         for (uint32_t j = 0; node->is_alive && j < CLUSTER_NODES; j++) {
             struct Node *leader = &this->nodes[j];
-            if (i != j && leader->is_alive &&
-                MpRaft_IsLeader(&leader->raft) && !this->cut[i][j] &&
-                !MpRaft_IsIncluded(&node->raft)) {
+            if (i != j && leader->is_alive && MpRaft_IsLeader(&leader->raft) &&
+                !this->cut[i][j] && !MpRaft_IsIncluded(&node->raft)) {
                 char name[8];
                 snprintf(name, sizeof(name), "n%u", i);
                 MpMembership_Join(&leader->membership, name, name, node->id);
@@ -408,8 +406,7 @@
         return;
     }
     guint place = FuzzInput_Byte(this->input) % this->flights->len;
-    struct Flight *flight =
-        g_ptr_array_steal_index(this->flights, place);
+    struct Flight *flight = g_ptr_array_steal_index(this->flights, place);
     if (fate > 0 && this->parked->len < CLUSTER_MESSAGES_MOST) {
         g_ptr_array_add(this->parked, flight);
         return;
@@ -451,8 +448,7 @@
         jump_clocks(this);
         break;
     case 2:
-        this->cut[node->number][FuzzInput_Below(input, CLUSTER_NODES)] =
-            true;
+        this->cut[node->number][FuzzInput_Below(input, CLUSTER_NODES)] = true;
         break;
     case 3:
         memset(this->cut, 0, sizeof(this->cut));
@@ -487,8 +483,8 @@
             }
         }
         while (this->flights->len > 0) {
-            uint32_t place = this->is_healing ? 0
-                                              : FuzzInput_Byte(this->input);
+            uint32_t place =
+                this->is_healing ? 0 : FuzzInput_Byte(this->input);
             deliver(this, place % this->flights->len, false);
         }
         identify(this);
@@ -573,9 +569,9 @@
     for (uint32_t i = 0; i < CLUSTER_NODES; i++) {
         const struct MpRaft *raft = &this->nodes[i].raft;
         fprintf(stderr,
-                "node %u id %" PRIu64 " role %d term %" PRIu64
-                " last %" PRIu64 " commit %" PRIu64 " applied %" PRIu64
-                " first %" PRIu64 " snapshot %" PRIu64 " members",
+                "node %u id %" PRIu64 " role %d term %" PRIu64 " last %" PRIu64
+                " commit %" PRIu64 " applied %" PRIu64 " first %" PRIu64
+                " snapshot %" PRIu64 " members",
                 i, raft->id, raft->role, raft->term, MpRaft_LastIndex(raft),
                 raft->commit, raft->applied, raft->first_index,
                 raft->snapshot_index);
--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -59,9 +59,9 @@
 
 struct Cluster {
     struct Node nodes[CLUSTER_NODES];
-    GPtrArray *flights;  /* of struct Flight */
-    GPtrArray *parked;   /* held up for long */
-    GArray *proposals;   /* of struct Proposal */
+    GPtrArray *flights; /* of struct Flight */
+    GPtrArray *parked;  /* held up for long */
+    GArray *proposals;  /* of struct Proposal */
     bool cut[CLUSTER_NODES][CLUSTER_NODES];
     GHashTable *committed; /* index -> checksum of the entry */
     GHashTable *leaders;   /* term -> id */
--- a/fuzz/Driver.c
+++ b/fuzz/Driver.c
@@ -45,8 +45,8 @@
 run_seed(uint32_t seed, size_t most)
 {
     GRand *random = g_rand_new_with_seed(seed);
-    size_t size = (size_t)g_rand_int_range(random, (gint32)most / 4,
-                                           (gint32)most);
+    size_t size =
+        (size_t)g_rand_int_range(random, (gint32)most / 4, (gint32)most);
     uint8_t *data = g_malloc(size);
     for (size_t i = 0; i < size; i++) {
         data[i] = (uint8_t)g_rand_int_range(random, 0, 256);
--- a/fuzz/FuzzLedger.c
+++ b/fuzz/FuzzLedger.c
@@ -40,8 +40,7 @@
 }
 
 static void
-step(struct MpMachine *machine, struct Agents *agents,
-     struct FuzzInput *input)
+step(struct MpMachine *machine, struct Agents *agents, struct FuzzInput *input)
 {
     uint32_t choice = FuzzInput_Below(input, 8);
     if (choice < 3) {
--- /dev/null
+++ b/fuzz/FuzzParsers.c
@@ -0,0 +1,213 @@
+#include "Input.h"
+
+#include "protocol/Chat.h"
+#include "protocol/Rpc.h"
+#include "protocol/Sse.h"
+#include "state/Codec.h"
+#include "state/Document.h"
+#include "state/Error.h"
+#include "state/Machine.h"
+#include "state/Settings.h"
+
+#include <string.h>
+
+/*
+ * FuzzParsers - every parser of bytes that come from outside: the document,
+ * bodies of requests, streams of engines, records between instances, and
+ * the snapshot.  The first byte chooses the parser.  Seeded cases are texts
+ * pieced together from fragments, so that they get past the first checks.
+ */
+
+static const char *const fragments[] = {
+    "{",
+    "}",
+    "[",
+    "]",
+    ":",
+    ",",
+    "\"",
+    "\\",
+    "//",
+    "/*",
+    "*/",
+    "\n",
+    "\"targets\":",
+    "\"workspaces\":",
+    "\"models\":",
+    "\"services\":",
+    "\"address\":\"127.0.0.1:1\"",
+    "\"zone\":\"a\"",
+    "\"capacity\":",
+    "1",
+    "-1",
+    "99999999999999999999",
+    "1e9",
+    "true",
+    "null",
+    "\"a\"",
+    "\"x\":",
+    "\"messages\":",
+    "\"role\":\"user\"",
+    "\"content\":\"hi\"",
+    "\"model\":\"m\"",
+    "\"stream\":true",
+    "\"max_tokens\":",
+    "data: ",
+    "[DONE]",
+    "\n\n",
+    "\"usage\":{\"prompt_tokens\":1}",
+    "\"choices\":[{}]",
+    "\\u0000",
+    "\xff",
+    "{}",
+    "\"key_hashes\":[]",
+};
+
+static GString *
+text_of(struct FuzzInput *input, int is_raw)
+{
+    GString *text = g_string_new(NULL);
+    while (!FuzzInput_IsOver(input)) {
+        uint8_t byte = FuzzInput_Byte(input);
+        if (is_raw) {
+            g_string_append_c(text, (char)byte);
+        }
+        else {
+            g_string_append(text, fragments[byte % G_N_ELEMENTS(fragments)]);
+        }
+    }
+    return text;
+}
+
+static void
+parse_document(const GString *text)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document =
+        MpDocument_Parse(text->str, text->len, findings);
+    if (!document && findings->len == 0) {
+        Fuzz_Fail("a document is refused without a finding");
+    }
+    if (document && findings->len > 0) {
+        Fuzz_Fail("a document with findings is accepted");
+    }
+    char *lines = MpFindings_Text(findings, "case");
+    g_free(lines);
+    MpDocument_Unref(document);
+    g_ptr_array_unref(findings);
+}
+
+static void
+parse_chat(const GString *text)
+{
+    struct MpChat chat;
+    const char *why = NULL;
+    struct MpModelConf model = {.prompt_price_mtok = 1,
+                                .output_price_mtok = 1,
+                                .output_tokens_most = 100};
+    if (MpChat_Parse(&chat, text->str, text->len, &why) == MP_OK) {
+        char *body = MpChat_EngineBody(&chat, &model, 3, "batch");
+        if (MpChat_Limit(&chat, &model) > model.output_tokens_most) {
+            Fuzz_Fail("the token limit is passed");
+        }
+        g_free(body);
+    }
+    else if (!why) {
+        Fuzz_Fail("a body is refused without a reason");
+    }
+    MpChat_Done(&chat);
+}
+
+/* However a stream is cut into pieces, its events are the same. */
+static void
+parse_stream(const GString *text)
+{
+    struct MpSse whole;
+    struct MpSse pieces;
+    struct MpSseEvent event;
+    size_t whole_bytes = 0;
+    size_t piece_bytes = 0;
+    MpSse_Init(&whole);
+    MpSse_Init(&pieces);
+    if (MpSse_Feed(&whole, text->str, text->len) == MP_OK) {
+        while (MpSse_Next(&whole, &event)) {
+            whole_bytes += event.size * (1 + event.kind);
+        }
+        for (gsize i = 0; i < text->len; i++) {
+            MpSse_Feed(&pieces, text->str + i, 1);
+            while (MpSse_Next(&pieces, &event)) {
+                piece_bytes += event.size * (1 + event.kind);
+            }
+        }
+        if (whole_bytes != piece_bytes) {
+            Fuzz_Fail("the pieces of a stream differ from the whole");
+        }
+    }
+    MpSse_Done(&whole);
+    MpSse_Done(&pieces);
+}
+
+static void
+parse_record(const GString *text)
+{
+    struct MpRpcSession session;
+    uint8_t key[MP_RPC_KEY_BYTES] = {0};
+    const uint8_t *body;
+    size_t size;
+    struct MpRpcHead head;
+    void *object;
+    const uint8_t *data = (const uint8_t *)text->str;
+    MpRpcSession_Init(&session, key, false);
+    int64_t length = MpRpc_RecordSize(data, text->len);
+    if (length > 0 && (size_t)length <= text->len &&
+        MpRpc_Open(&session, data, (size_t)length, &body, &size) == MP_OK) {
+        Fuzz_Fail("a record without a code is accepted");
+    }
+    /* Behind the code stand parsers too. */
+    if (MpRpc_ReadCall(data, text->len, &head, &object) == MP_OK) {
+        MpRpc_FreeArgument(head.procedure, object);
+    }
+    if (MpRpc_ReadResult(data, text->len, MP_PROC_READ, &object) == MP_OK) {
+        MpRpc_FreeResult(MP_PROC_READ, object);
+    }
+}
+
+static void
+parse_snapshot(const GString *text)
+{
+    struct MpMachine machine;
+    MpMachine_Init(&machine);
+    MpMachine_Load(&machine, text->str, text->len);
+    if (MpLedger_Check(&machine.ledger) != MP_OK) {
+        Fuzz_Fail("a snapshot that breaks the invariant is loaded");
+    }
+    MpMachine_Done(&machine);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    struct FuzzInput input = {.data = data, .size = size};
+    uint32_t choice = FuzzInput_Below(&input, 10);
+    GString *text = text_of(&input, choice >= 5);
+    switch (choice % 5) {
+    case 0:
+        parse_document(text);
+        break;
+    case 1:
+        parse_chat(text);
+        break;
+    case 2:
+        parse_stream(text);
+        break;
+    case 3:
+        parse_record(text);
+        break;
+    default:
+        parse_snapshot(text);
+        break;
+    }
+    g_string_free(text, TRUE);
+    Fuzz_Steps++;
+    return 0;
+}
--- a/src/coordination/Membership.c
+++ b/src/coordination/Membership.c
@@ -86,8 +86,7 @@
     const struct MpProgress *progress = MpRaft_Progress(raft, id);
     return progress &&
            progress->match + CAUGHT_UP_ENTRIES >= MpRaft_LastIndex(raft) &&
-           progress->match > 0 &&
-           raft->now_ms - progress->acked_ms < FRESH_MS;
+           progress->match > 0 && raft->now_ms - progress->acked_ms < FRESH_MS;
 }
 
 /* Lets the member at place vote next, in the place of older ones of its
@@ -97,8 +96,8 @@
 promote(struct draft *draft, struct MpRaft *raft, u_int place)
 {
     for (u_int i = 0; i < draft->count; i++) {
-        bool is_replaced = strcmp(draft->list[i].instance,
-                                  draft->list[place].instance) == 0;
+        bool is_replaced =
+            strcmp(draft->list[i].instance, draft->list[place].instance) == 0;
         draft->list[i].next =
             i == place || (draft->list[i].voter && !is_replaced);
     }
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -460,9 +460,8 @@
 int64_t
 MpRaft_ProvedMs(const struct MpRaft *this)
 {
-    return this->role == MP_ROLE_LEADER
-               ? MpRaftQuorum_Reached(this, acked_of)
-               : -1;
+    return this->role == MP_ROLE_LEADER ? MpRaftQuorum_Reached(this, acked_of)
+                                        : -1;
 }
 
 bool
--- a/src/coordination/RaftReplication.c
+++ b/src/coordination/RaftReplication.c
@@ -177,8 +177,8 @@
     }
     else {
         peer->in_flight = false;
-        peer->next = MAX(peer->match + 1,
-                         MIN(peer->next - 1, message->index + 1));
+        peer->next =
+            MAX(peer->match + 1, MIN(peer->next - 1, message->index + 1));
     }
     /* Without a change there is nothing to send before the next heartbeat;
      * a replica that refuses what it once had would be asked for ever. */
--- a/src/transport/DiskTask.c
+++ b/src/transport/DiskTask.c
@@ -7,7 +7,7 @@
 
 /* Tells the loop how far the disk is. */
 struct disk_message {
-    h2o_multithread_message_t super;
+    h2o_multithread_message_t super; /* first member */
     uint64_t seq;
     int code;
 };
@@ -20,13 +20,14 @@
 {
     struct MpDiskTask *this =
         H2O_STRUCT_FROM_MEMBER(struct MpDiskTask, outbox, receiver);
-    while (!h2o_linklist_is_empty(messages)) {
-        struct disk_message *message = H2O_STRUCT_FROM_MEMBER(
-            struct disk_message, super.link, messages->next);
-        h2o_linklist_unlink(&message->super.link);
+    GPtrArray *taken = g_ptr_array_new();
+    MpLoop_TakeMessages(messages, taken);
+    for (guint i = 0; i < taken->len; i++) {
+        struct disk_message *message = g_ptr_array_index(taken, i);
         this->done(this->owner, message->seq, message->code);
         g_free(message);
     }
+    g_ptr_array_unref(taken);
 }
 
 static void
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -23,6 +23,8 @@
     }
 }
 
+/* The last part may free the exchange: nothing may touch it afterwards
+ * unless its stage keeps it. */
 static void
 flush(struct MpExchange *this)
 {
@@ -51,8 +53,8 @@
     (void)req;
     if (this) {
         g_byte_array_set_size(this->sending, 0);
-        flush(this);
         resume_target(this);
+        flush(this);
     }
 }
 
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -75,7 +75,7 @@
         }
     }
     /* Another request may have found the leader meanwhile. */
-    if (this->leader == asked) {
+    if (this->leader == asked && this->clients->len > 0) {
         this->leader = (asked + 1) % this->clients->len;
     }
 }
--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -126,6 +126,19 @@
     this->stopped = true;
 }
 
+/* ---- messages ---- */
+
+void
+MpLoop_TakeMessages(h2o_linklist_t *messages, GPtrArray *out)
+{
+    while (!h2o_linklist_is_empty(messages)) {
+        h2o_multithread_message_t *message = H2O_STRUCT_FROM_MEMBER(
+            h2o_multithread_message_t, link, messages->next);
+        h2o_linklist_unlink(&message->link);
+        g_ptr_array_add(out, message);
+    }
+}
+
 /* ---- sockets ---- */
 
 bool
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -58,6 +58,9 @@
                      int64_t delay_ms, MpTimerCallback callback, void *data);
 void MpLoop_ClearTimer(struct MpTimer *timer);
 
+/* Moves the messages of a receiver into out, in their order. */
+void MpLoop_TakeMessages(h2o_linklist_t *messages, GPtrArray *out);
+
 /* Opens a listening socket for an address as 127.0.0.1:8080; port 0 lets the
  * system choose.  Returns the socket or NULL; *port is the port in use. */
 h2o_socket_t *MpLoop_Listen(struct MpLoop *this, const char *address,
--- a/src/transport/Worker.c
+++ b/src/transport/Worker.c
@@ -2,7 +2,7 @@
 
 /* A piece of work on its way to the worker and back. */
 struct job {
-    h2o_multithread_message_t super;
+    h2o_multithread_message_t super; /* first member */
     MpWork work;
     MpWorkDone done;
     void *data;
@@ -13,13 +13,14 @@
 on_messages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
 {
     (void)receiver;
-    while (!h2o_linklist_is_empty(messages)) {
-        struct job *job =
-            H2O_STRUCT_FROM_MEMBER(struct job, super.link, messages->next);
-        h2o_linklist_unlink(&job->super.link);
+    GPtrArray *taken = g_ptr_array_new();
+    MpLoop_TakeMessages(messages, taken);
+    for (guint i = 0; i < taken->len; i++) {
+        struct job *job = g_ptr_array_index(taken, i);
         job->done(job->data, job->code);
         g_free(job);
     }
+    g_ptr_array_unref(taken);
 }
 
 static void *
--- /dev/null
+++ b/tests/TestRpc.c
@@ -0,0 +1,136 @@
+#include "protocol/Rpc.h"
+#include "state/Error.h"
+
+#include <string.h>
+
+/* Records between instances: codes, replay, strangers. */
+
+struct link {
+    struct MpRpcSession client;
+    struct MpRpcSession server;
+    GByteArray *wire;
+};
+
+static void
+link_up(struct link *this, const void *data)
+{
+    uint8_t key[MP_RPC_KEY_BYTES];
+    char client_nonce[MP_NONCE_BYTES];
+    char server_nonce[MP_NONCE_BYTES];
+    (void)data;
+    memset(key, 5, sizeof(key));
+    MpRpc_Nonce(client_nonce);
+    MpRpc_Nonce(server_nonce);
+    MpRpcSession_Init(&this->client, key, true);
+    MpRpcSession_Init(&this->server, key, false);
+    memcpy(this->client.client_nonce, client_nonce, MP_NONCE_BYTES);
+    memcpy(this->server.client_nonce, client_nonce, MP_NONCE_BYTES);
+    MpRpcSession_SetKey(&this->client, client_nonce, server_nonce);
+    MpRpcSession_SetKey(&this->server, client_nonce, server_nonce);
+    this->wire = g_byte_array_new();
+}
+
+static void
+link_down(struct link *this, const void *data)
+{
+    (void)data;
+    g_byte_array_unref(this->wire);
+}
+
+static void
+send_read(struct link *this)
+{
+    struct mp_read read = {.workspace = (char *)"w"};
+    g_assert_cmpint(
+        MpRpc_AppendCall(&this->client, this->wire, 7, MP_PROC_READ, &read),
+        ==, MP_OK);
+}
+
+static int
+receive(struct link *this, const uint8_t **body, size_t *size)
+{
+    int64_t length = MpRpc_RecordSize(this->wire->data, this->wire->len);
+    g_assert_cmpint(length, ==, this->wire->len);
+    return MpRpc_Open(&this->server, this->wire->data, (size_t)length, body,
+                      size);
+}
+
+static void
+test_call(struct link *this, const void *data)
+{
+    const uint8_t *body;
+    size_t size;
+    struct MpRpcHead head;
+    void *argument;
+    (void)data;
+    send_read(this);
+    g_assert_cmpint(receive(this, &body, &size), ==, MP_OK);
+    g_assert_cmpint(MpRpc_ReadCall(body, size, &head, &argument), ==, MP_OK);
+    g_assert_cmpuint(head.xid, ==, 7);
+    g_assert_cmpuint(head.procedure, ==, MP_PROC_READ);
+    g_assert_cmpstr(((struct mp_read *)argument)->workspace, ==, "w");
+    MpRpc_FreeArgument(MP_PROC_READ, argument);
+}
+
+static void
+test_replay(struct link *this, const void *data)
+{
+    const uint8_t *body;
+    size_t size;
+    (void)data;
+    send_read(this);
+    g_assert_cmpint(receive(this, &body, &size), ==, MP_OK);
+    g_assert_cmpint(receive(this, &body, &size), ==, MP_ERROR_AUTHENTICATION);
+}
+
+static void
+test_changed(struct link *this, const void *data)
+{
+    const uint8_t *body;
+    size_t size;
+    (void)data;
+    send_read(this);
+    for (guint i = MP_RPC_MARK_BYTES; i < this->wire->len; i++) {
+        this->wire->data[i] ^= 1;
+        g_assert_cmpint(receive(this, &body, &size), ==,
+                        MP_ERROR_AUTHENTICATION);
+        this->wire->data[i] ^= 1;
+    }
+    g_assert_cmpint(receive(this, &body, &size), ==, MP_OK);
+}
+
+static void
+test_stranger(struct link *this, const void *data)
+{
+    const uint8_t *body;
+    size_t size;
+    (void)data;
+    this->client.key[0] ^= 1;
+    send_read(this);
+    g_assert_cmpint(receive(this, &body, &size), ==, MP_ERROR_AUTHENTICATION);
+}
+
+static void
+test_sizes(void)
+{
+    const uint8_t huge[] = {0xff, 0xff, 0xff, 0xff};
+    const uint8_t middle[] = {0x00, 0x00, 0x00, 0x10};
+    g_assert_cmpint(MpRpc_RecordSize(huge, 3), ==, 0);
+    g_assert_cmpint(MpRpc_RecordSize(huge, 4), ==, MP_ERROR_TOO_LARGE);
+    g_assert_cmpint(MpRpc_RecordSize(middle, 4), ==, MP_ERROR_TOO_LARGE);
+}
+
+#define CASE(name, function)                                                  \
+    g_test_add("/rpc/" name, struct link, NULL, link_up, function, link_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    CASE("a call arrives", test_call);
+    CASE("a record counts once", test_replay);
+    CASE("a changed record is refused", test_changed);
+    CASE("a stranger is refused", test_stranger);
+    g_test_add_func("/rpc/sizes are bounded", test_sizes);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/TestStorage.c
@@ -0,0 +1,157 @@
+#include "MemoryDisk.h"
+
+#include "state/Error.h"
+#include "state/Storage.h"
+
+#include <string.h>
+
+/* The log on disk: torn tails are cut, damage is not. */
+
+static struct MpLogEntry
+entry(uint64_t index, uint64_t term, const char *text)
+{
+    return (struct MpLogEntry){.index = index,
+                               .term = term,
+                               .payload = g_bytes_new(text, strlen(text))};
+}
+
+static void
+append(struct MpStorage *storage, uint64_t index, uint64_t term,
+       const char *text)
+{
+    struct mp_hard_state hard = {.replica_id = 1, .term = term};
+    struct MpLogEntry one = entry(index, term, text);
+    g_assert_cmpint(MpStorage_Append(storage, &hard, &one, 1), ==, MP_OK);
+    g_bytes_unref(one.payload);
+}
+
+static int
+reopen(struct MemoryDisk *disk, guint *entries, uint64_t *cut)
+{
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    int code = MpStorage_Open(&storage, &disk->super, &recovered);
+    *entries = recovered.entries->len;
+    *cut = recovered.cut_bytes;
+    MpRecovered_Done(&recovered);
+    return code;
+}
+
+static void
+test_torn_tail(void)
+{
+    struct MemoryDisk disk;
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    guint entries;
+    uint64_t cut;
+    MemoryDisk_Init(&disk);
+    MpStorage_Open(&storage, &disk.super, &recovered);
+    MpRecovered_Done(&recovered);
+    append(&storage, 1, 1, "one");
+    size_t whole = MemoryDisk_Size(&disk, "log-1");
+    append(&storage, 2, 1, "two");
+    size_t end = MemoryDisk_Size(&disk, "log-1");
+    for (size_t size = whole; size < end; size++) {
+        disk.super.klass->truncate(&disk.super, "log-1", whole);
+        append(&storage, 2, 1, "two");
+        disk.super.klass->truncate(&disk.super, "log-1", size);
+        g_assert_cmpint(reopen(&disk, &entries, &cut), ==, MP_OK);
+        g_assert_cmpuint(entries, ==, 1);
+        g_assert_cmpuint(cut, ==, size - whole);
+    }
+    MemoryDisk_Done(&disk);
+}
+
+static void
+test_damage(void)
+{
+    struct MemoryDisk disk;
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    guint entries;
+    uint64_t cut;
+    MemoryDisk_Init(&disk);
+    MpStorage_Open(&storage, &disk.super, &recovered);
+    MpRecovered_Done(&recovered);
+    append(&storage, 1, 1, "one");
+    size_t first = MemoryDisk_Size(&disk, "log-1");
+    append(&storage, 2, 1, "two");
+    for (size_t at = 0; at < first; at++) {
+        MemoryDisk_Damage(&disk, "log-1", at);
+        g_assert_cmpint(reopen(&disk, &entries, &cut), ==, MP_ERROR_CORRUPT);
+        MemoryDisk_Damage(&disk, "log-1", at);
+    }
+    g_assert_cmpint(reopen(&disk, &entries, &cut), ==, MP_OK);
+    g_assert_cmpuint(entries, ==, 2);
+    MemoryDisk_Done(&disk);
+}
+
+static void
+test_replaced_entries(void)
+{
+    struct MemoryDisk disk;
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    MemoryDisk_Init(&disk);
+    MpStorage_Open(&storage, &disk.super, &recovered);
+    MpRecovered_Done(&recovered);
+    append(&storage, 1, 1, "one");
+    append(&storage, 2, 1, "two");
+    append(&storage, 3, 1, "three");
+    append(&storage, 2, 2, "new two");
+    g_assert_cmpint(MpStorage_Open(&storage, &disk.super, &recovered), ==,
+                    MP_OK);
+    g_assert_cmpuint(recovered.entries->len, ==, 2);
+    g_assert_cmpuint(
+        g_array_index(recovered.entries, struct MpLogEntry, 1).term, ==, 2);
+    g_assert_cmpuint(recovered.hard.term, ==, 2);
+    MpRecovered_Done(&recovered);
+    MemoryDisk_Done(&disk);
+}
+
+static void
+test_snapshot(void)
+{
+    struct MemoryDisk disk;
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    struct mp_hard_state hard = {.replica_id = 1, .term = 3};
+    struct mp_snapshot_head head = {.index = 2, .term = 1};
+    struct MpLogEntry tail = entry(3, 3, "three");
+    GBytes *data = g_bytes_new("state", 5);
+    MemoryDisk_Init(&disk);
+    MpStorage_Open(&storage, &disk.super, &recovered);
+    MpRecovered_Done(&recovered);
+    append(&storage, 1, 1, "one");
+    append(&storage, 2, 1, "two");
+    g_assert_cmpint(
+        MpStorage_SaveSnapshot(&storage, &head, data, &hard, &tail, 1), ==,
+        MP_OK);
+    g_assert_cmpuint(MemoryDisk_Size(&disk, "log-1"), ==, 0);
+    g_assert_cmpint(MpStorage_Open(&storage, &disk.super, &recovered), ==,
+                    MP_OK);
+    g_assert_true(recovered.has_snapshot);
+    g_assert_cmpmem(recovered.snapshot.data.data_val,
+                    recovered.snapshot.data.data_len, "state", 5);
+    g_assert_cmpuint(recovered.entries->len, ==, 1);
+    MpRecovered_Done(&recovered);
+    MemoryDisk_Damage(&disk, "snapshot", 20);
+    g_assert_cmpint(MpStorage_Open(&storage, &disk.super, &recovered), ==,
+                    MP_ERROR_CORRUPT);
+    MpRecovered_Done(&recovered);
+    g_bytes_unref(tail.payload);
+    g_bytes_unref(data);
+    MemoryDisk_Done(&disk);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/storage/a torn tail is cut", test_torn_tail);
+    g_test_add_func("/storage/damage elsewhere stops", test_damage);
+    g_test_add_func("/storage/a later entry replaces", test_replaced_entries);
+    g_test_add_func("/storage/a snapshot holds the state", test_snapshot);
+    return g_test_run();
+}
