--- a/src/commands/StandInJob.c
+++ b/src/commands/StandInJob.c
@@ -92,6 +92,7 @@
     struct job_link *link = data;
     if (link->job) {
         struct MpStandInJob *job = link->job;
+        link->job = NULL;
         job->link = NULL;
         job->req = NULL;
         job_free(job);
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -314,6 +314,9 @@
     for (u_int i = 0; i < reply->members.list.list_len; i++) {
         const struct mp_member *member = &reply->members.list.list_val[i];
         struct json_object *item = json_object_new_object();
+        char id[20];
+        g_snprintf(id, sizeof(id), "%016" PRIx64, (uint64_t)member->id);
+        add_text(item, "replica", id);
         add_text(item, "instance", member->instance);
         add_text(item, "address", member->address);
         json_object_object_add(item, "voter",
--- a/src/transport/FileDisk.c
+++ b/src/transport/FileDisk.c
@@ -24,6 +24,7 @@
         return MP_ERROR_NOT_FOUND;
     case ENOSPC:
     case EDQUOT:
+    case EFBIG:
         return MP_ERROR_DISK_FULL;
     default:
         return MP_ERROR_IO;
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -189,6 +189,8 @@
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
     signal(SIGPIPE, SIG_IGN);
+    /* A file size limit is reported by write(2), as a full disk is. */
+    signal(SIGXFSZ, SIG_IGN);
     MpLoop_SetTimer(&this->loop, &this->signal_timer, SIGNAL_CHECK_MS,
                     check_signal, this);
 }
--- a/src/transport/LeaseKeeper.c
+++ b/src/transport/LeaseKeeper.c
@@ -13,14 +13,20 @@
 #define CUT_OFF_MS 2000
 /* A lease covers this much demand, and is renewed below half of it. */
 #define COVER_MS 30000
-/* Demand of a workspace without requests fades by half in this time. */
-#define FADE_MS 5000
+/* The sum of recent demand is about that of this time. */
+#define FADE_MS 7500
+/* A lease without demand for this long goes back. */
+#define IDLE_MS 10000
+/* A budget that runs dry is not asked for more with every tick. */
+#define ASK_AGAIN_MS 2000
 
 /* A slice of one workspace's budget. */
 struct held_lease {
     char *workspace;
     int64_t amount_mtok; /* may be spent from now on */
     int64_t recent_mtok; /* fading sum of what was asked for */
+    int64_t wanted_ms;   /* last demand */
+    int64_t asked_ms;    /* last call for more */
     uint64_t seq;
     bool is_asking;
     bool is_recalled; /* while asking: hand in what comes */
@@ -172,22 +178,38 @@
                     : NULL;
 }
 
+/* Hands in what is above amount_mtok. */
+static void
+shrink(struct MpLeaseKeeper *this, struct held_lease *lease,
+       int64_t amount_mtok)
+{
+    int64_t rest = lease->amount_mtok - amount_mtok;
+    lease->amount_mtok = amount_mtok;
+    hand_in(this, lease, MpFleet_Holder(&this->router->fleet), rest);
+}
+
 static void
 adjust(struct MpLeaseKeeper *this, struct held_lease *lease)
 {
     const struct MpWorkspaceConf *conf = conf_of(this, lease->workspace);
-    int64_t wanted = lease->recent_mtok * (COVER_MS / FADE_MS) / 2;
-    lease->recent_mtok -= lease->recent_mtok * TICK_MS / FADE_MS / 2;
+    int64_t wanted = lease->recent_mtok * (COVER_MS / FADE_MS);
+    bool is_idle = MpLoop_Now() - lease->wanted_ms > IDLE_MS;
+    lease->recent_mtok -= lease->recent_mtok / (FADE_MS / TICK_MS);
     if (lease->is_asking || MpLeaseKeeper_IsCutOff(this)) {
         return;
     }
-    if (!conf || conf->partition != MP_PARTITION_LEASE || wanted == 0) {
+    if (!conf || conf->partition != MP_PARTITION_LEASE || is_idle) {
+        lease->recent_mtok = 0;
         hand_in_all_of(this, lease);
-        return;
     }
-    if (lease->amount_mtok < wanted / 2) {
+    else if (lease->amount_mtok < wanted / 2 &&
+             MpLoop_Now() - lease->asked_ms > ASK_AGAIN_MS) {
+        lease->asked_ms = MpLoop_Now();
         ask_lease(this, lease, wanted - lease->amount_mtok);
     }
+    else if (lease->amount_mtok > 2 * wanted) {
+        shrink(this, lease, wanted);
+    }
 }
 
 static void
@@ -210,8 +232,9 @@
 {
     if (this->has_journal && !exchange->at_most_once &&
         exchange->conf->partition == MP_PARTITION_LEASE) {
-        lease_of(this, exchange->workspace)->recent_mtok +=
-            exchange->reserve_mtok;
+        struct held_lease *lease = lease_of(this, exchange->workspace);
+        lease->recent_mtok += exchange->reserve_mtok;
+        lease->wanted_ms = MpLoop_Now();
     }
 }
 
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -67,6 +67,9 @@
                       const char *content_type, const char *body)
 {
     if (this->req) {
+        if (status >= 400) {
+            MpHttp_AddHeader(this->req, "x-mimosapath-run", "no");
+        }
         MpHttp_Send(this->req, status, content_type, body, strlen(body));
     }
     MpOperatorCall_Delete(this);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -22,10 +23,17 @@
 TOKEN = "operator-token"
 
 
+held_ports = []
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody else gets: the socket stays bound, and a process
+    that sets SO_REUSEADDR can still listen there."""
+    probe = socket.socket()
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    probe.bind(("127.0.0.1", 0))
+    held_ports.append(probe)
+    return probe.getsockname()[1]
 
 
 def wait_for(check, seconds=15, step=0.02):
@@ -78,10 +86,53 @@
             return Answer(0, {}, type(error).__name__)
 
 
+class Relay:
+    """Carries connections to a port, until it is cut: then bytes vanish
+    while the connections stay open, as in a network partition."""
+
+    def __init__(self, target):
+        self.target = target
+        self.is_cut = False
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self.listener.getsockname()[1]
+        in_background(self.accept)
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            try:
+                far = socket.create_connection(("127.0.0.1", self.target), 5)
+            except OSError:
+                near.close()
+                continue
+            in_background(lambda n=near, f=far: self.carry(n, f))
+            in_background(lambda n=near, f=far: self.carry(f, n))
+
+    def carry(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                if not data:
+                    break
+                if not self.is_cut:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Fleet:
     def __init__(self, instances=3, control=3, engines=2, services=1,
                  partition="refuse", engine_options=(), service_options=(),
-                 budget_tokens=1000000, concurrent=64, disks=None):
+                 budget_tokens=1000000, concurrent=64, disks=None,
+                 behind_relay=(), limits=None):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         self.callers, self.operators, self.rpc = {}, {}, {}
@@ -93,6 +144,9 @@
         self.disks = self.control if disks is None else disks
         self.partition = partition
         self.concurrent = concurrent
+        self.behind_relay = behind_relay
+        self.relays = []
+        self.limits = limits or {}
         self.topup_count = 0
         self.engine_names = ["engine-%d" % i for i in range(engines)]
         self.service_names = ["service-%d" % i for i in range(services)]
@@ -150,8 +204,8 @@
             "roles": ["router"],
             "listen": {"callers": "127.0.0.1:%d" % self.callers[name],
                        "operators": "127.0.0.1:%d" % self.operators[name]},
-            "control": [{"instance": c, "rpc": "127.0.0.1:%d" % self.rpc[c]}
-                        for c in self.control],
+            "control": [{"instance": c, "rpc": "127.0.0.1:%d" % port}
+                        for c, port in self.control_ports(name)],
             "fleet_key_file": "fleet.key",
             "operator_token_file": "token",
             "drain_ms": 20000,
@@ -164,12 +218,28 @@
             settings["data_folder"] = "data-" + name
         self.write(name + ".json", json.dumps(settings))
 
+    def control_ports(self, name):
+        if name not in self.behind_relay:
+            return [(c, self.rpc[c]) for c in self.control]
+        pairs = []
+        for instance in self.control:
+            self.relays.append(Relay(self.rpc[instance]))
+            pairs.append((instance, self.relays[-1].port))
+        return pairs
+
+    def cut(self, is_cut=True):
+        for relay in self.relays:
+            relay.is_cut = is_cut
+
     # -- processes --
 
     def spawn(self, name, arguments):
         log = open(self.path(name + ".log"), "a")
+        size = self.limits.get(name)
         self.processes[name] = subprocess.Popen(
-            [PROGRAM] + arguments, stderr=log, stdout=log)
+            [PROGRAM] + arguments, stderr=log, stdout=log,
+            preexec_fn=(lambda: resource.setrlimit(
+                resource.RLIMIT_FSIZE, (size, size))) if size else None)
         log.close()
 
     def start(self, name):
--- a/tests/runs.t
+++ b/tests/runs.t
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 
 here = os.path.dirname(os.path.abspath(__file__))
 scripts = sorted(glob.glob(os.path.join(here, "runs", "*.py")))
@@ -11,34 +12,42 @@
 if chosen:
     scripts = [s for s in scripts if os.path.basename(s)[:-3] in
                chosen.split()]
-print("1..%d" % len(scripts))
 environment = dict(os.environ, PYTHONPATH=here, PYTHONDONTWRITEBYTECODE="1")
-failed = 0
-for number, script in enumerate(scripts, 1):
-    name = os.path.basename(script)[:-3]
-    expected_name = script[:-3] + ".expected"
+
+
+def run(script):
     try:
         result = subprocess.run([sys.executable, script], env=environment,
-                                stdout=subprocess.PIPE, text=True,
-                                timeout=180)
-        output, status = result.stdout, result.returncode
+                                stdout=subprocess.PIPE,
+                                stderr=subprocess.STDOUT, text=True,
+                                timeout=300)
+        return result.stdout, result.returncode
     except subprocess.TimeoutExpired as late:
-        output = (late.stdout or b"").decode() + "(timed out)\n"
-        status = 1
+        return (late.stdout or b"").decode() + "(timed out)\n", 1
+
+
+def compare(script, output, status):
+    expected_name = script[:-3] + ".expected"
     if os.environ.get("ACCEPT"):
         with open(expected_name, "w") as out:
             out.write(output)
     with open(expected_name) as source:
         expected = source.read()
-    good = status == 0 and output == expected
-    failed += not good
-    print("%s %d - run %s" % ("ok" if good else "not ok", number, name),
-          flush=True)
-    if not good:
-        print("# expected:")
-        for line in expected.splitlines():
-            print("#   " + line)
-        print("# seen, exit status %d:" % status)
-        for line in output.splitlines():
-            print("#   " + line)
+    if status == 0 and output == expected:
+        return []
+    return (["# expected:"] + ["#   " + l for l in expected.splitlines()] +
+            ["# seen, exit status %d:" % status] +
+            ["#   " + l for l in output.splitlines()])
+
+
+print("1..%d" % len(scripts))
+failed = 0
+with ThreadPoolExecutor(int(os.environ.get("RUNS_AT_ONCE", "3"))) as pool:
+    for number, (script, (output, status)) in enumerate(
+            zip(scripts, pool.map(run, scripts)), 1):
+        notes = compare(script, output, status)
+        failed += bool(notes)
+        name = os.path.basename(script)[:-3]
+        print("%s %d - run %s" % ("not ok" if notes else "ok", number, name))
+        print("".join(note + "\n" for note in notes), end="", flush=True)
 sys.exit(1 if failed else 0)
--- /dev/null
+++ b/tests/runs/operators_race.py
@@ -0,0 +1,34 @@
+"""Two operators from one version: one wins; a resent submission gets its
+first answer; a bad document changes nothing and names all its faults."""
+from fleet import Fleet, in_background
+
+with Fleet(instances=3, control=3) as fleet:
+    seen = {}
+
+    def put(name, value):
+        document = fleet.document()
+        document["services"]["s"]["timeout_ms"] = value
+        seen[name] = fleet.put_document(document, 1, "by-" + name, name)
+    threads = [in_background(lambda: put("i0", 1111)),
+               in_background(lambda: put("i1", 2222))]
+    for thread in threads:
+        thread.join(20)
+    print("statuses", sorted(a.status for a in seen.values()))
+    first = {name: (a.status, a.json().get("version"))
+             for name, a in seen.items()}
+    put("i0", 1111)
+    put("i1", 2222)
+    print("same answers", first == {n: (a.status, a.json().get("version"))
+                                    for n, a in seen.items()})
+    bad = fleet.document()
+    bad["models"]["m"]["targets"] = ["nowhere"]
+    bad["services"]["s"]["price"] = 1
+    bad["workspaces"]["w"]["rate_per_s"] = "fast"
+    answer = fleet.put_document(bad, 2, "bad")
+    print("bad", answer.status, sorted(
+        (f["path"], f["kind"]) for f in answer.json()["findings"]))
+    print("version", fleet.status()["document_version"])
+    print("no base", fleet.operate("PUT", "/control/v1/document", "{}",
+                                   {"idempotency-key": "x"}).status)
+    print("no token", fleet.operate("GET", "/control/v1/status", None,
+                                    {"authorization": "Bearer no"}).status)
--- /dev/null
+++ b/tests/runs/partition_refuse.py
@@ -0,0 +1,19 @@
+"""A partition of an instance whose workspace chose to refuse: nothing runs
+there, and nothing that was refused ran."""
+import time
+from fleet import Fleet
+
+with Fleet(instances=4, control=3, behind_relay=["i3"]) as fleet:
+    print("before", fleet.chat("i3", "id=a", key="a", tokens=3).status)
+    fleet.cut()
+    time.sleep(2.5)
+    answer = fleet.chat("i3", "id=b", key="b", tokens=3)
+    print("cut off", answer.status, answer.json()["error"]["type"],
+          "retry-after" in answer.headers, "runs", fleet.runs("b"))
+    print("elsewhere", fleet.chat("i0", "id=b", key="b", tokens=3).status)
+    fleet.cut(False)
+    print("healed", fleet.retry(lambda: fleet.chat(
+        "i3", "id=c", key="c", tokens=3)).status)
+    account = fleet.wait_settled()
+    bill = sum(len("user\nid=%s\n" % k) // 4 + 3 for k in "abc") * 1000
+    print("billed once", account["settled_mtok"] == bill)
--- /dev/null
+++ b/tests/runs/torn_log.py
@@ -0,0 +1,32 @@
+"""A torn tail is cut; damage elsewhere stops the replica; the others serve."""
+import glob
+import os
+import time
+from fleet import Fleet, wait_for
+
+with Fleet(instances=3, control=3) as fleet:
+    for number in range(5):
+        fleet.call("i0", "/services/s/lots", "id=x", key="k%d" % number)
+    victim = next(n for n in fleet.names if n != fleet.leader())
+    fleet.kill(victim)
+    log = max(glob.glob(fleet.path("data-%s/log-*" % victim)))
+    with open(log, "ab") as out:
+        out.write(b"MPL1\x00\x00\x01\x00 torn")
+    fleet.start(victim)
+    fleet.wait_ready([victim])
+    text = open(fleet.path(victim + ".log")).read()
+    print("tail cut", "log-tail-cut" in text,
+          fleet.call(victim, "/services/s/lots", "id=x",
+                     key="k3").headers.get("x-mimosapath-replayed"))
+    fleet.kill(victim)
+    with open(log, "r+b") as out:
+        out.seek(40)
+        byte = out.read(1)
+        out.seek(40)
+        out.write(bytes([byte[0] ^ 1]))
+    fleet.start(victim)
+    print("damaged exit", fleet.processes[victim].wait(10),
+          "corrupt" in open(fleet.path(victim + ".log")).read())
+    other = next(n for n in fleet.names if n != victim)
+    print("others serve", fleet.retry(lambda: fleet.chat(
+        other, "id=y", tokens=2)).status)
