--- a/Makefile
+++ b/Makefile
@@ -135,3 +135,17 @@
 demo: packages
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@MIMOSAPATH=$(BUILD)/mimosapath python3 examples/demo.py
+
+# ---- measurements ----
+
+$(BUILD)/bench/%: bench/%.c fuzz/MemoryDisk.c $(OBJ)/protocol/Rpc.o \
+		$(BUILD)/libmimosapath.a
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) -Ifuzz $(CFLAGS) -o $@ $^ -lcrypto $(LDLIBS)
+
+slopes: $(BUILD)/bench/Slopes all
+	@$(BUILD)/bench/Slopes
+	@MIMOSAPATH=$(BUILD)/mimosapath python3 bench/bench.py slopes
+
+bench: all
+	@MIMOSAPATH=$(BUILD)/mimosapath QUICK=$(QUICK) python3 bench/bench.py
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -88,6 +88,7 @@
 	char body_hash[MP_HASH_BYTES];
 	quad_t reserve_mtok;
 	bool_t at_most_once;
+	bool_t brief;
 	u_quad_t open_id;
 };
 typedef struct mp_open mp_open;
@@ -420,6 +421,7 @@
 	mp_holder holder;
 	mp_record_state state;
 	bool_t at_most_once;
+	bool_t brief;
 	u_quad_t open_id;
 	quad_t reserve_mtok;
 	quad_t spent_mtok;
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -68,6 +68,8 @@
     hyper amount_mtok;
 };
 
+/* brief: the caller gave no key, so that nobody can repeat the request; its
+ * record is kept just long enough for repeats between instances. */
 struct mp_open {
     mp_holder holder;
     string workspace<MP_NAME_MAX>;
@@ -75,6 +77,7 @@
     opaque body_hash[MP_HASH_BYTES];
     hyper reserve_mtok;
     bool at_most_once;
+    bool brief;
     unsigned hyper open_id;
 };
 
@@ -365,6 +368,7 @@
     mp_holder holder;
     mp_record_state state;
     bool at_most_once;
+    bool brief;
     unsigned hyper open_id;
     hyper reserve_mtok;
     hyper spent_mtok;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -99,6 +99,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->at_most_once))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->brief))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
 		 return FALSE;
 	return TRUE;
@@ -702,6 +704,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->at_most_once))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->brief))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->reserve_mtok))
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -185,11 +185,12 @@
     reader->at++;
     skip_blanks(reader);
     while (reader->at < reader->size && reader->text[reader->at] == '"') {
-        int line = line_of(reader->text, reader->at);
+        size_t start = reader->at;
         char *key = read_key(reader);
         char *inner = g_strdup_printf("%s%s%s", path, path[0] ? "." : "", key);
         if (!g_hash_table_add(seen, key)) {
-            MpFindings_Add(findings, MP_FINDING_DUPLICATE, line, inner,
+            MpFindings_Add(findings, MP_FINDING_DUPLICATE,
+                           line_of(reader->text, start), inner,
                            "the key stands twice in one object");
         }
         skip_blanks(reader);
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -45,6 +45,7 @@
     this->records =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_delete);
     g_queue_init(&this->closed);
+    g_queue_init(&this->brief);
 }
 
 void
@@ -226,6 +227,12 @@
 
 /* ---- records ---- */
 
+GQueue *
+MpLedger_QueueOf(struct MpLedger *this, const struct MpRecord *record)
+{
+    return record->is_brief ? &this->brief : &this->closed;
+}
+
 static void
 record_close(struct MpLedger *this, struct MpRecord *record,
              enum mp_record_state state, int64_t now_ms)
@@ -233,14 +240,14 @@
     record->state = state;
     record->closed_ms = now_ms;
     record->link.data = record;
-    g_queue_push_tail_link(&this->closed, &record->link);
+    g_queue_push_tail_link(MpLedger_QueueOf(this, record), &record->link);
 }
 
 static void
 record_unlink(struct MpLedger *this, struct MpRecord *record)
 {
     if (record->link.data) {
-        g_queue_unlink(&this->closed, &record->link);
+        g_queue_unlink(MpLedger_QueueOf(this, record), &record->link);
         record->link.data = NULL;
     }
 }
@@ -267,6 +274,7 @@
     record->boot = open->holder.boot;
     record->state = MP_RECORD_OPEN;
     record->at_most_once = open->at_most_once;
+    record->is_brief = open->brief;
     record->open_id = open->open_id;
     record->reserve_mtok = open->reserve_mtok;
 }
@@ -671,17 +679,25 @@
     return drop_leases(this, instance, boot, false);
 }
 
-void
-MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
+static void
+expire(struct MpLedger *this, GQueue *queue, int64_t before_ms)
 {
     struct MpRecord *record;
-    while ((record = g_queue_peek_head(&this->closed)) &&
-           record->closed_ms + this->retention_ms <= now_ms) {
+    while ((record = g_queue_peek_head(queue)) &&
+           record->closed_ms <= before_ms) {
         record_unlink(this, record);
         g_hash_table_remove(this->records, record->id);
     }
 }
 
+void
+MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
+{
+    expire(this, &this->closed, now_ms - this->retention_ms);
+    expire(this, &this->brief,
+           now_ms - MIN(this->retention_ms, MP_BRIEF_RETENTION_MS));
+}
+
 /* ---- checks ---- */
 
 static bool
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -29,6 +29,9 @@
 /* Runs of an answered repeatable request that are not billed again. */
 #define MP_RERUNS_MAX 3
 
+/* Time that a record is kept whose key no caller knows. */
+#define MP_BRIEF_RETENTION_MS INT64_C(120000)
+
 /* Default time that closed records are kept. */
 #define MP_RETENTION_MS INT64_C(86400000)
 
@@ -61,6 +64,7 @@
     uint64_t boot;
     enum mp_record_state state;
     bool at_most_once;
+    bool is_brief;
     uint64_t open_id;
     int64_t reserve_mtok;
     int64_t spent_mtok;
@@ -76,6 +80,7 @@
     GHashTable *accounts; /* workspace -> struct MpAccount */
     GHashTable *records;  /* id -> struct MpRecord */
     GQueue closed;        /* closed records, oldest first */
+    GQueue brief;         /* closed records whose key nobody knows */
     int64_t retention_ms;
 };
 
@@ -149,6 +154,9 @@
 /* Forgets closed records older than the retention time. */
 void MpLedger_Expire(struct MpLedger *this, int64_t now_ms);
 
+/* Returns the queue in which record waits for its end, once closed. */
+GQueue *MpLedger_QueueOf(struct MpLedger *this, const struct MpRecord *record);
+
 /* Returns MP_OK or MP_ERROR_CORRUPT if an account breaks the invariant. */
 int MpLedger_Check(const struct MpLedger *this);
 
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -33,6 +33,7 @@
         .holder = {.instance = (char *)record->instance, .boot = record->boot},
         .state = record->state,
         .at_most_once = record->at_most_once,
+        .brief = record->is_brief,
         .open_id = record->open_id,
         .reserve_mtok = record->reserve_mtok,
         .spent_mtok = record->spent_mtok,
@@ -77,7 +78,7 @@
     GHashTableIter iter;
     void *value;
     save_accounts(this, image);
-    guint closed = this->closed.length;
+    guint closed = this->closed.length + this->brief.length;
     guint open = g_hash_table_size(this->records) - closed;
     struct mp_record_image *next = g_new0(struct mp_record_image, open);
     image->open_records.open_records_val = next;
@@ -95,6 +96,9 @@
     for (GList *link = this->closed.head; link; link = link->next) {
         save_record(link->data, next++);
     }
+    for (GList *link = this->brief.head; link; link = link->next) {
+        save_record(link->data, next++);
+    }
 }
 
 void
@@ -145,6 +149,7 @@
     record->boot = image->holder.boot;
     record->state = image->state;
     record->at_most_once = image->at_most_once;
+    record->is_brief = image->brief;
     record->open_id = image->open_id;
     record->reserve_mtok = image->reserve_mtok;
     record->spent_mtok = image->spent_mtok;
@@ -160,7 +165,7 @@
     g_hash_table_insert(this->records, record->id, record);
     if (record->state != MP_RECORD_OPEN) {
         record->link.data = record;
-        g_queue_push_tail_link(&this->closed, &record->link);
+        g_queue_push_tail_link(MpLedger_QueueOf(this, record), &record->link);
     }
     return MP_OK;
 }
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -44,6 +44,9 @@
                                             .size = sizeof(struct MpPeer),
                                             .fields = peer_fields};
 
+static const char *const routing_names[] = {"affinity", "random", "least_own",
+                                            NULL};
+
 static const struct MpField settings_fields[] = {
     {.name = "instance",
      .type = MP_FIELD_NAME,
@@ -128,6 +131,12 @@
      .unit = "requests",
      AT(MpSettings, requests_most),
      .text = "Requests at once on this instance, waiting ones included."},
+    {.name = "routing",
+     .type = MP_FIELD_CHOICE,
+     .choices = routing_names,
+     AT(MpSettings, routing),
+     .text = "How targets are picked; `random` and `least_own` are "
+             "baselines for measurements."},
     {.name = NULL},
 };
 const struct MpSchema MpSettings_Schema = {.name = "settings",
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -34,6 +34,7 @@
     int64_t drain_ms;
     int64_t body_most_bytes;
     int64_t requests_most;
+    int32_t routing; /* enum MpPickPolicy */
     bool is_router;
     bool is_control;
     char *folder;
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -76,6 +76,7 @@
     this->key = MpHttp_Header(req, "idempotency-key");
     if (!this->key) {
         this->key = g_strconcat("auto-", this->request_id, NULL);
+        this->is_brief = true;
         return MP_OK;
     }
     if (!is_key_sound(this->key)) {
@@ -493,6 +494,7 @@
                              .key = this->key,
                              .reserve_mtok = this->reserve_mtok,
                              .at_most_once = this->at_most_once,
+                             .brief = this->is_brief,
                              .open_id = this->open_id};
     memcpy(open->body_hash, this->body_hash, MP_HASH_BYTES);
     MpFleet_Propose(&this->router->fleet, &command, this->deadline_ms,
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -63,6 +63,7 @@
     char *workspace;
     char *request_id;
     char *key;
+    bool is_brief; /* the caller gave no key */
     char *method;
     char *path;
     uint8_t body_hash[MP_HASH_BYTES];
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -246,6 +246,7 @@
     MpMetrics_Init(&this->metrics);
     MpLimits_Init(&this->limits);
     MpPicker_Init(&this->picker, settings->zone, g_random_int());
+    this->picker.policy = (enum MpPickPolicy)settings->routing;
     MpUpstreamContext_Init(&this->upstreams, loop);
     this->poller = MpTargetPoller_New(this);
     this->leases = MpLeaseKeeper_New(this, &code);
