--- /dev/null
+++ b/bench/bench.py
@@ -0,0 +1,424 @@
+#!/usr/bin/env python3
+"""Measurements with real processes, as ratios and counts of one run.
+
+    bench.py            all, prints  bench NAME VALUE UNIT target BOUND pass|miss
+    bench.py slopes     control traffic and processor time per request
+    bench.py NAME ...   single parts
+
+QUICK=1 shortens every part.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+here = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(here, "..", "tests"))
+from fleet import PROGRAM, Fleet, in_background, request, wait_for  # noqa
+
+QUICK = bool(os.environ.get("QUICK"))
+SECONDS = 4 if QUICK else 15
+TICKS = os.sysconf("SC_CLK_TCK")
+WORKSPACES = {"w%d" % i: "key-w%d" % i for i in range(10)}
+ENGINE = ["--token-us", "8000", "--batch-us", "400", "--prefill-us", "3000",
+          "--slots", "16", "--cache-blocks", "256"]
+
+
+def bench(name, value, unit, bound, good=None):
+    if good is None:
+        good = value <= bound
+    shown = "%.3f" % value if isinstance(value, float) else value
+    print("bench %s %s %s target %s %s" % (name, shown, unit, bound,
+                                           "pass" if good else "miss"),
+          flush=True)
+
+
+def deployment(**options):
+    """10 instances, 20 engines, 3 services, as in the brief."""
+    defaults = dict(instances=10, control=3, engines=20, services=3,
+                    workspaces=WORKSPACES, concurrent=4000, capacity=16,
+                    engine_options=ENGINE, budget_tokens=10 ** 9)
+    defaults.update(options)
+    return Fleet(**defaults)
+
+
+def start_load(fleet, rate, seconds=SECONDS, mix="plumeau", seed=1,
+               direct=None, workspaces=10, more=()):
+    ports = direct or [fleet.callers[n] for n in fleet.names]
+    command = [PROGRAM, "load", "--rate", str(rate), "--seconds",
+               str(seconds), "--mix", mix, "--seed", str(seed), "--quiet",
+               "--workspaces", str(workspaces)] + list(more)
+    if direct:
+        command.append("--direct")
+    for port in ports:
+        command += ["--instance", "127.0.0.1:%d" % port]
+    return subprocess.Popen(command, stdout=subprocess.PIPE,
+                            stderr=subprocess.DEVNULL, text=True)
+
+
+def load(fleet, rate, **options):
+    return json.loads(start_load(fleet, rate, **options).communicate()[0])
+
+
+def total(report, name):
+    return sum(kind[name] for kind in report["kinds"].values())
+
+
+def quantile(report, name, which="p95"):
+    return report["histograms"].get(name, {}).get(which, 0)
+
+
+def runs_of(fleet):
+    counts = {}
+    for name in fleet.targets:
+        try:
+            with open(fleet.path(name + ".runs")) as log:
+                for line in log:
+                    counts[line.strip()] = counts.get(line.strip(), 0) + 1
+        except FileNotFoundError:
+            pass
+    return counts
+
+
+def audit(fleet, reports, prefix):
+    """Joins what callers saw, what targets ran and what was billed."""
+    runs = runs_of(fleet)
+    double = lied = wrong = 0
+    for report in reports:
+        wrong += total(report, "wrong")
+        for key in report["keys"]:
+            ran = runs.get("%s:%s" % (key["workspace"], key["key"]), 0)
+            double += key["kind"] == "booking" and ran > 1
+            lied += key["all_not_run"] and not key["answered"] and ran > 0
+    over = 0
+    for name in fleet.workspaces:
+        account = fleet.account(name)
+        used = (account["settled_mtok"] + account["reserved_mtok"] +
+                account["leased_mtok"])
+        over += max(0, used - account["budget_mtok"])
+    bench(prefix + ".overspend", over, "mtok", 0)
+    bench(prefix + ".double_runs", double, "requests", 0)
+    bench(prefix + ".not_run_but_ran", lied, "requests", 0)
+    bench(prefix + ".wrong_or_short", wrong, "answers", 0)
+    lost = sum(total(r, "lost") + total(r, "cut") for r in reports)
+    sent = sum(total(r, "sent") for r in reports)
+    bench(prefix + ".lost", lost, "of %d requests" % sent, 0)
+
+
+def metrics(fleet, name):
+    values = {}
+    answer = request(fleet.operators[name], "GET", "/metrics")
+    for line in answer.body.splitlines():
+        series, _, value = line.rpartition(" ")
+        values[series] = float(value)
+    return values
+
+
+def processor(fleet, name):
+    with open("/proc/%d/stat" % fleet.processes[name].pid) as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def memory_mb(fleet, name):
+    with open("/proc/%d/status" % fleet.processes[name].pid) as status:
+        for line in status:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+# ---- parts ----
+
+def latency():
+    """The same load straight to a target and through one instance."""
+    engine = ["--token-us", "4000", "--batch-us", "0", "--prefill-us", "0",
+              "--slots", "400"]
+    with Fleet(instances=3, control=3, engines=1, services=1,
+               workspaces={"w0": "key-w0"}, concurrent=4000, capacity=400,
+               engine_options=engine, budget_tokens=10 ** 9) as fleet:
+        port = fleet.targets["engine-0"]
+        rate = 100
+        options = dict(mix="recipes", workspaces=1)
+        straight = load(fleet, rate, direct=[port], **options)
+        through = load(fleet, rate, seed=2, **options)
+        for name, series, bound in (
+                ("first_token", "first_token_us{kind=\"recipe\"}", 10000),
+                ("between_tokens", "between_tokens_us{kind=\"recipe\"}",
+                 1000)):
+            near = quantile(straight, series)
+            far = quantile(through, series)
+            bench("latency.%s_added_p95" % name, far - near,
+                  "us (%d against %d)" % (far, near), bound)
+        seconds = SECONDS
+        bench("latency.answered_ratio",
+              total(through, "answered") / max(total(straight, "answered"),
+                                               1),
+              "of the direct load at %d requests/s" % rate, 0.98,
+              total(through, "answered") >=
+              0.98 * total(straight, "answered"))
+        calls = dict(mix="bookings", workspaces=1)
+        for rate in ((800,) if QUICK else (400, 800, 1600)):
+            report = load(fleet, rate, seed=rate, seconds=min(seconds, 6),
+                          **calls)
+            print("# bookings at %d/s: answered %d of %d, p50 %d us, p95 "
+                  "%d us" % (rate, total(report, "answered"),
+                             total(report, "sent"),
+                             quantile(report, "answer_us{kind=\"booking\"}",
+                                      "p50"),
+                             quantile(report,
+                                      "answer_us{kind=\"booking\"}")),
+                  flush=True)
+
+
+def steady():
+    """Both deployments under steady load; control traffic of a router."""
+    for mix in ("plumeau", "zawadzki"):
+        with deployment() as fleet:
+            router = "i5"
+            load(fleet, 50, seconds=2, mix=mix, seed=7)
+            before, cpu = metrics(fleet, router), processor(fleet, router)
+            began = time.monotonic()
+            report = load(fleet, 100, mix=mix)
+            passed = time.monotonic() - began
+            after = metrics(fleet, router)
+            control = sum(after[n] - before[n] for n in (
+                "mimosapath_control_sent_bytes_total",
+                "mimosapath_control_received_bytes_total"))
+            served = (after["mimosapath_requests_total"] -
+                      before["mimosapath_requests_total"])
+            print("# %s: %s" % (mix, json.dumps(
+                {k: v for k, v in report["kinds"].items()})), flush=True)
+            false = total(report, "no_budget")
+            bench(mix + ".false_refusals", false / total(report, "sent"),
+                  "of requests", 0.001)
+            print("# %s: %.0f control bytes a request, %.0f KB/s, %.1f%% of "
+                  "a core in all at %.0f requests/s" % (
+                      mix, control / max(served, 1), control / passed / 1000,
+                      100 * (processor(fleet, router) - cpu) / passed,
+                      served / passed), flush=True)
+            audit(fleet, [report], mix)
+
+
+def control():
+    """Control traffic of one router of ten at 38 requests a second."""
+    with deployment() as fleet:
+        router = "i5"
+        for mix in ("plumeau", "zawadzki"):
+            before, cpu = metrics(fleet, router), processor(fleet, router)
+            began = time.monotonic()
+            report = subprocess.run(
+                [PROGRAM, "load", "--rate", "38", "--seconds", str(SECONDS),
+                 "--mix", mix, "--quiet", "--workspaces", "10", "--seed",
+                 "3" + str(len(mix)), "--instance",
+                 "127.0.0.1:%d" % fleet.callers[router]],
+                stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+            passed = time.monotonic() - began
+            after = metrics(fleet, router)
+            sent = total(json.loads(report.stdout), "sent")
+            used = sum(after[n] - before[n] for n in (
+                "mimosapath_control_sent_bytes_total",
+                "mimosapath_control_received_bytes_total"))
+            bench("control.%s.traffic" % mix, used / passed / 1000,
+                  "KB/s at %.0f requests/s" % (sent / passed), 18.0)
+            bench("control.%s.processor" % mix, 100 * (
+                after["mimosapath_control_busy_us_total"] -
+                before["mimosapath_control_busy_us_total"]) / 1e6 / passed,
+                "% of a core, at most", 3.3)
+            print("# control %s: all of the router's work is %.2f%% of a "
+                  "core" % (mix, 100 * (processor(fleet, router) - cpu) /
+                            passed), flush=True)
+
+
+def dry():
+    """A budget's last 5% drains from all instances at once."""
+    with deployment(workspaces={"w0": "key-w0"}, budget_tokens=0) as fleet:
+        fleet.topup("w0", 12000)
+        report = load(fleet, 150, workspaces=1)
+        account = fleet.wait_settled() if False else fleet.account("w0")
+        refused = [k for k in report["keys"] if k["status"] == 402]
+        left = account["budget_mtok"] - account["settled_mtok"]
+        # Worst case of a booking is 10 tokens: while that much is unspent a
+        # refused booking is a false refusal.
+        false = sum(1 for k in refused if k["kind"] in ("booking", "stock")
+                    and left >= 10000)
+        drained = [k for k in report["keys"]]
+        bench("dry.false_refusals", false / max(len(drained), 1),
+              "of requests (left %d mtok, refused %d)" % (left,
+                                                          len(refused)),
+              0.01)
+        bench("dry.overspend", max(0, -left), "mtok", 0)
+
+
+def burst():
+    """Eight times the load for some seconds."""
+    with deployment() as fleet:
+        calm = start_load(fleet, 60, seconds=SECONDS)
+        time.sleep(2)
+        peak = load(fleet, 480, seconds=3, seed=2)
+        calm = json.loads(calm.communicate()[0])
+        for name, report in (("calm", calm), ("peak", peak)):
+            print("# burst %s: %s" % (name, json.dumps(report["kinds"])),
+                  flush=True)
+        audit(fleet, [calm, peak], "burst")
+
+
+def failures():
+    """Leader and instance killed, a target crash, poison, under load."""
+    with deployment() as fleet:
+        running = start_load(fleet, 80, seconds=SECONDS + 8)
+        time.sleep(2)
+        leader = fleet.leader()
+        other = next(n for n in fleet.names[3:])
+        began = time.monotonic()
+        fleet.kill(leader)
+        probe = next(n for n in fleet.names if n != leader)
+        call = {"authorization": "Bearer key-w0"}
+        wait_for(lambda: request(fleet.callers[probe], "GET",
+                                 "/services/s/stock", None,
+                                 call).status == 200, 20, 0.01)
+        bench("failures.admission_resumes", time.monotonic() - began, "s",
+              3.0)
+        fleet.start(leader)
+        time.sleep(1)
+        fleet.kill(other)
+        time.sleep(1)
+        fleet.kill("engine-3")
+        time.sleep(1)
+        fleet.start(other)
+        report = json.loads(running.communicate()[0])
+        print("# failures: %s" % json.dumps(report["kinds"]), flush=True)
+        audit(fleet, [report], "failures")
+        alive = [n for n in fleet.engine_names
+                 if fleet.processes[n].poll() is None]
+        poison = load(fleet, 10, seconds=2, mix="recipes", seed=9,
+                      workspaces=1, more=["--marks", "x"])
+        assert poison
+        body = json.dumps({"model": "m", "messages": [
+            {"role": "user", "content": "id=p #crash"}]})
+        for number in range(20):
+            request(fleet.callers[fleet.names[number % 10]], "POST",
+                    "/v1/chat/completions", body, call)
+        dead = sum(1 for n in alive
+                   if fleet.processes[n].poll() is not None)
+        bench("failures.poison_kills", dead, "targets", 2)
+
+
+def documents():
+    """A document in force on 10 instances, and new work after a drain."""
+    with deployment() as fleet:
+        worst = 0.0
+        for number in range(3 if QUICK else 10):
+            document = fleet.document()
+            document["retention_s"] = 1000 + number
+            began = time.monotonic()
+            answer = fleet.put_document(document, number + 1,
+                                        "p%d" % number)
+            assert answer.status == 200, answer.body
+            wait_for(lambda: all(
+                metrics(fleet, n)["mimosapath_document_version"] ==
+                number + 2 for n in fleet.names), 10, 0.01)
+            worst = max(worst, time.monotonic() - began)
+        bench("document.in_force", worst, "s", 4.0)
+        running = start_load(fleet, 100, seconds=8)
+        time.sleep(1)
+        request(fleet.targets["engine-1"], "POST", "/leave")
+        time.sleep(4)
+        path = fleet.path("engine-1.runs")
+        before = sum(1 for _ in open(path)) if os.path.exists(path) else 0
+        running.communicate()
+        after = sum(1 for _ in open(path)) if os.path.exists(path) else 0
+        bench("document.new_work_on_leaving", after - before, "requests", 0)
+
+
+def routing():
+    """Prefix hits and first tokens against the two baselines."""
+    seen = {}
+    for policy in ("random", "least_own", "affinity"):
+        with deployment(routing=policy) as fleet:
+            report = load(fleet, 130, mix="zawadzki")
+            hits = asked = 0
+            for name in fleet.engine_names:
+                state = request(fleet.targets[name], "GET", "/status").json()
+                hits += state["hit_blocks"]
+                asked += state["asked_blocks"]
+            first = quantile(report, "first_token_us{kind=\"recipe\"}")
+            seen[policy] = (hits / max(asked, 1), first)
+            print("# routing %s: hit rate %.3f, first token p50 %d p95 %d "
+                  "us" % (policy, hits / max(asked, 1), quantile(
+                      report, "first_token_us{kind=\"recipe\"}", "p50"),
+                      first), flush=True)
+    for policy in ("random", "least_own"):
+        bench("routing.hit_rate_against_" + policy,
+              seen["affinity"][0] / max(seen[policy][0], 1e-9), "ratio", 1.0,
+              seen["affinity"][0] > seen[policy][0])
+        bench("routing.first_token_p95_against_" + policy,
+              seen["affinity"][1] / max(seen[policy][1], 1), "ratio", 1.0,
+              seen["affinity"][1] < seen[policy][1])
+
+
+def slopes():
+    """Control bytes and processor time per request, idle cost."""
+    with Fleet(instances=4, control=3, engines=2, services=2,
+               workspaces={"w0": "key-w0"}, concurrent=4000, capacity=4000,
+               budget_tokens=10 ** 9) as fleet:
+        name = "i3"
+        def sample():
+            values = metrics(fleet, name)
+            return (values["mimosapath_control_sent_bytes_total"],
+                    values["mimosapath_control_received_bytes_total"],
+                    values.get("mimosapath_requests_total", 0),
+                    processor(fleet, name), processor(fleet, "i0") +
+                    processor(fleet, "i1") + processor(fleet, "i2"),
+                    time.monotonic())
+        first = sample()
+        time.sleep(SECONDS)
+        second = sample()
+        idle = second[5] - first[5]
+        print("slope control traffic idle %.0f bytes/s out, %.0f in; "
+              "processor %.2f%% of a core" % (
+                  (second[0] - first[0]) / idle,
+                  (second[1] - first[1]) / idle,
+                  100 * (second[3] - first[3]) / idle))
+        command = start_load(fleet, 200, mix="bookings", workspaces=1,
+                             direct=None)
+        command.kill()
+        command.communicate()
+        first = sample()
+        one = subprocess.run(
+            [PROGRAM, "load", "--rate", "200", "--seconds", str(SECONDS),
+             "--mix", "bookings", "--quiet", "--instance",
+             "127.0.0.1:%d" % fleet.callers[name]],
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        assert one.returncode == 0
+        third = sample()
+        count = third[2] - first[2]
+        passed = third[5] - first[5]
+        print("slope control traffic per request %.0f bytes out, %.0f in" % (
+            ((third[0] - first[0]) - (second[0] - first[0]) / idle * 0) /
+            count, (third[1] - first[1]) / count))
+        print("slope processor per request %.0f us at the router (all of "
+              "it), %.0f us at the three control replicas together" % (
+                  (third[3] - first[3]) / count * 1e6,
+                  (third[4] - first[4]) / count * 1e6))
+        print("slope control replica memory %.1f MB" % max(
+            memory_mb(fleet, n) for n in fleet.control))
+        syncs = [metrics(fleet, n) for n in fleet.control]
+        leader = max(syncs, key=lambda v: v["mimosapath_raft_leader"])
+        print("slope log %.0f bytes, %.2f syncs per request at the leader "
+              "(%d requests in %.0f s)" % (
+                  leader["mimosapath_disk_bytes_total"] / count,
+                  leader["mimosapath_disk_syncs_total"] / count, count,
+                  passed))
+
+
+PARTS = {"latency": latency, "steady": steady,
+         "control": control, "dry": dry, "burst": burst,
+         "failures": failures, "documents": documents, "routing": routing}
+
+for part in sys.argv[1:] or PARTS:
+    print("# " + part, flush=True)
+    (slopes if part == "slopes" else PARTS[part])()
--- a/src/commands/StandIn.h
+++ b/src/commands/StandIn.h
@@ -14,8 +14,8 @@
  *
  * As an engine it batches continuously: a token of a request takes the base
  * time and a share more for each other request in the batch; prompt blocks
- * that are not in its bounded cache cost prefill time; higher priorities
- * enter the batch first.  Load reports lag and cache events come late, with
+ * that are not in its bounded cache cost prefill time, one prompt after the
+ * other; higher priorities enter the batch first.  Load reports lag and cache events come late, with
  * gaps if asked.  It does not model attention, memory pressure inside the
  * batch, or network between accelerators.
  *
@@ -74,6 +74,7 @@
     char boot[32];
     GQueue waiting[3]; /* of struct MpStandInJob, by priority */
     int64_t running;
+    int64_t prefill_until_ms; /* prompts before this time are computed */
     GHashTable *runs;  /* key -> struct MpRunCount */
     GHashTable *cache; /* hash -> struct MpCachedBlock */
     GQueue cache_order;
--- a/src/commands/StandInJob.c
+++ b/src/commands/StandInJob.c
@@ -299,13 +299,17 @@
     h2o_start_response(this->req, &this->link->super);
 }
 
+/* The engine computes one prompt after the other. */
 static int64_t
 prefill_ms(struct MpStandInJob *this)
 {
-    uint32_t hits =
-        MpStandIn_Lookup(this->owner, this->blocks, this->block_count);
+    struct MpStandIn *owner = this->owner;
+    int64_t now_ms = MpLoop_Now();
+    uint32_t hits = MpStandIn_Lookup(owner, this->blocks, this->block_count);
     int64_t missing = this->block_count - hits;
-    return missing * this->owner->options.prefill_us / 1000;
+    owner->prefill_until_ms = MAX(owner->prefill_until_ms, now_ms) +
+                              missing * owner->options.prefill_us / 1000;
+    return owner->prefill_until_ms - now_ms;
 }
 
 static void
--- a/src/coordination/Picker.c
+++ b/src/coordination/Picker.c
@@ -8,9 +8,10 @@
 #define EJECT_FAILURES 3
 #define EJECT_BASE_MS 1000
 #define EJECT_MOST_MS 30000
-/* A cached prefix is worth this share above the mean load. */
+/* A cached prefix is worth this share above the mean load, and this part of
+ * the capacity more. */
 #define BOUND_PERCENT 125
-#define BOUND_EXTRA 1
+#define BOUND_DIVISOR 4
 /* A report older than this says nothing any more. */
 #define REPORT_OLD_MS 5000
 
@@ -185,23 +186,43 @@
     return count;
 }
 
+/* The table maps a block to its link in the order of use. */
+static void
+drop_block(struct MpTarget *this, uint64_t block)
+{
+    GList *link = g_hash_table_lookup(this->blocks, &block);
+    if (link) {
+        g_hash_table_remove(this->blocks, &block);
+        g_free(link->data);
+        g_queue_delete_link(&this->block_order, link);
+    }
+}
+
 static void
 add_block(struct MpTarget *this, uint64_t block)
 {
-    if (g_hash_table_contains(this->blocks, &block)) {
+    GList *link = g_hash_table_lookup(this->blocks, &block);
+    if (link) {
+        g_queue_unlink(&this->block_order, link);
+        g_queue_push_tail_link(&this->block_order, link);
         return;
     }
     uint64_t *key = g_new(uint64_t, 1);
     *key = block;
-    g_hash_table_add(this->blocks, key);
     g_queue_push_tail(&this->block_order, key);
+    g_hash_table_insert(this->blocks, key, this->block_order.tail);
     if (this->block_order.length > MP_PREFIX_CACHE_MAX) {
-        uint64_t *oldest = g_queue_pop_head(&this->block_order);
-        /* The key may have been dropped and added again. */
-        if (g_hash_table_lookup(this->blocks, oldest) == oldest) {
-            g_hash_table_remove(this->blocks, oldest);
-        }
-        g_free(oldest);
+        drop_block(this, *(uint64_t *)this->block_order.head->data);
+    }
+}
+
+/* Events that were missed are taken for evictions: what was used longest ago
+ * is no longer counted on. */
+static void
+drop_oldest(struct MpTarget *this, uint64_t count)
+{
+    for (; count > 0 && this->block_order.head; count--) {
+        drop_block(this, *(uint64_t *)this->block_order.head->data);
     }
 }
 
@@ -221,15 +242,15 @@
     if (sequence <= this->event_sequence) {
         return;
     }
-    if (this->event_sequence > 0 && sequence > this->event_sequence + 1) {
-        forget_blocks(this);
+    if (this->event_sequence > 0) {
+        drop_oldest(this, sequence - this->event_sequence - 1);
     }
     this->event_sequence = sequence;
     if (is_added) {
         add_block(this, block);
     }
     else {
-        g_hash_table_remove(this->blocks, &block);
+        drop_block(this, block);
     }
 }
 
@@ -408,10 +429,11 @@
 {
     struct MpTarget *best = NULL;
     uint32_t best_blocks = 0;
-    int64_t bound = mean_load(choice) * BOUND_PERCENT / 100 + BOUND_EXTRA;
+    int64_t mean = mean_load(choice) * BOUND_PERCENT / 100;
     for (guint i = 0; i < choice->count; i++) {
         struct MpTarget *target = choice->list[i];
         uint32_t blocks = cached_blocks(target, query);
+        int64_t bound = mean + MAX(target->capacity / BOUND_DIVISOR, 1);
         if (blocks == 0 || MpTarget_Load(target) > bound) {
             continue;
         }
--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -74,7 +74,7 @@
     uint32_t ejections;
     int64_t ejected_until_ms;
     bool is_probing; /* one request tests the target after an ejection */
-    GHashTable *blocks;
+    GHashTable *blocks; /* block -> its link in block_order */
     GQueue block_order;
     uint64_t event_sequence;
     uint64_t picked;     /* counter */
@@ -129,8 +129,8 @@
 void MpTarget_ReportFailed(struct MpPicker *picker, struct MpTarget *this,
                            int64_t now_ms);
 
-/* Takes a cache event; when events are missing, what was known is dropped,
- * since blocks may have left the cache unseen. */
+/* Takes a cache event; for each event that is missing the block used longest
+ * ago is dropped, since blocks may have left the cache unseen. */
 void MpTarget_CacheEvent(struct MpTarget *this, uint64_t sequence,
                          uint64_t block, bool is_added);
 
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -129,6 +129,9 @@
 struct mp_poison {
 	char body_hash[MP_HASH_BYTES];
 	char *target;
+	char *workspace;
+	char *key;
+	u_quad_t open_id;
 };
 typedef struct mp_poison mp_poison;
 
@@ -295,14 +298,16 @@
 typedef struct mp_hello mp_hello;
 
 struct mp_propose {
-	mp_command command;
+	mp_command_body body;
 };
 typedef struct mp_propose mp_propose;
 
 struct mp_propose_reply {
 	int code;
 	char *leader;
-	mp_result result;
+	int result_code;
+	mp_record_state state;
+	mp_result *detail;
 };
 typedef struct mp_propose_reply mp_propose_reply;
 
@@ -311,6 +316,7 @@
 	u_quad_t document_version;
 	u_quad_t poison_version;
 	bool_t draining;
+	bool_t whole;
 };
 typedef struct mp_sync mp_sync;
 
@@ -323,6 +329,10 @@
 	int code;
 	char *leader;
 	u_quad_t document_version;
+	u_quad_t base_version;
+	u_int prefix;
+	u_int suffix;
+	u_quad_t checksum;
 	char *document;
 	u_quad_t poison_version;
 	struct {
@@ -353,6 +363,7 @@
 
 struct mp_read {
 	char *workspace;
+	char *key;
 };
 typedef struct mp_read mp_read;
 
@@ -382,6 +393,7 @@
 	mp_members members;
 	u_quad_t applied;
 	u_quad_t term;
+	mp_record_state record;
 	struct {
 		u_int accounts_len;
 		mp_account_status *accounts_val;
@@ -458,6 +470,9 @@
 	u_int deaths;
 	char *last_target;
 	quad_t last_ms;
+	char *workspace;
+	char *key;
+	u_quad_t open_id;
 };
 typedef struct mp_poison_image mp_poison_image;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -109,9 +109,13 @@
     hyper spent_mtok;
 };
 
+/* A target died while it ran the request of this open record. */
 struct mp_poison {
     opaque body_hash[MP_HASH_BYTES];
     string target<MP_NAME_MAX>;
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    unsigned hyper open_id;
 };
 
 union mp_command_body switch (mp_command_kind kind) {
@@ -266,14 +270,20 @@
 };
 
 struct mp_propose {
-    mp_command command;
+    mp_command_body body;
 };
 
-/* leader: address of the leader as the callee knows it, or empty. */
+/*
+ * leader: address of the leader as the callee knows it, when it is not the
+ * callee.  detail: the whole result, when it has more than code and state,
+ * which keeps the common answers short.
+ */
 struct mp_propose_reply {
     int code;
     string leader<MP_ADDRESS_MAX>;
-    mp_result result;
+    int result_code;
+    mp_record_state state;
+    mp_result *detail;
 };
 
 struct mp_sync {
@@ -281,16 +291,26 @@
     unsigned hyper document_version;
     unsigned hyper poison_version;
     bool draining;
+    bool whole; /* a patch could not be applied: send the whole text */
 };
 
 struct mp_recall {
     string workspace<MP_NAME_MAX>;
 };
 
+/*
+ * document: the whole text when base_version is 0, else what stands between
+ * the first prefix and the last suffix bytes of that version, with the
+ * checksum of the result; empty when the caller has the version.
+ */
 struct mp_sync_reply {
     int code;
     string leader<MP_ADDRESS_MAX>;
     unsigned hyper document_version;
+    unsigned hyper base_version;
+    unsigned int prefix;
+    unsigned int suffix;
+    unsigned hyper checksum;
     string document<MP_TEXT_MAX>;
     unsigned hyper poison_version;
     opaque poison<MP_CHUNK_MAX>;
@@ -311,8 +331,10 @@
     bool is_leader;
 };
 
+/* key: asks for the record of this key alone; empty asks for the state. */
 struct mp_read {
     string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
 };
 
 struct mp_instance_status {
@@ -339,6 +361,7 @@
     mp_members members;
     unsigned hyper applied;
     unsigned hyper term;
+    mp_record_state record;
     mp_account_status accounts<>;
     mp_instance_status instances<>;
 };
@@ -399,6 +422,9 @@
     unsigned int deaths;
     string last_target<MP_NAME_MAX>;
     hyper last_ms;
+    string workspace<MP_NAME_MAX>;
+    string key<MP_KEY_MAX>;
+    unsigned hyper open_id;
 };
 
 struct mp_machine_image {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -177,6 +177,12 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->target, MP_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, MP_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -477,7 +483,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_mp_command (xdrs, &objp->command))
+	 if (!xdr_mp_command_body (xdrs, &objp->body))
 		 return FALSE;
 	return TRUE;
 }
@@ -491,7 +497,11 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->leader, MP_ADDRESS_MAX))
 		 return FALSE;
-	 if (!xdr_mp_result (xdrs, &objp->result))
+	 if (!xdr_int (xdrs, &objp->result_code))
+		 return FALSE;
+	 if (!xdr_mp_record_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->detail, sizeof (mp_result), (xdrproc_t) xdr_mp_result))
 		 return FALSE;
 	return TRUE;
 }
@@ -509,6 +519,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -533,6 +545,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suffix))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->checksum))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->document, MP_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->poison_version))
@@ -582,6 +602,8 @@
 
 	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, MP_KEY_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -640,6 +662,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
+	 if (!xdr_mp_record_state (xdrs, &objp->record))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, ~0,
 		sizeof (mp_account_status), (xdrproc_t) xdr_mp_account_status))
 		 return FALSE;
@@ -773,6 +797,12 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->last_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, MP_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -63,6 +63,9 @@
         "The instance has no document yet."),
     ROW(MP_ERROR_POISON, "request_quarantined", 503, MP_RUN_UNKNOWN,
         "Targets failed while running this same request; it is stopped."),
+    ROW(MP_ERROR_HELD_BACK, "request_held_back", 503, MP_RUN_UNKNOWN,
+        "A target failed while it ran this same request; it is tried by one "
+        "caller at a time."),
     ROW(MP_ERROR_TARGET_FAILED, "target_failed", 504, MP_RUN_UNKNOWN,
         "The target failed before it answered."),
     ROW(MP_ERROR_STREAM_CUT, "stream_cut", 504, MP_RUN_UNKNOWN,
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -210,12 +210,12 @@
     return true;
 }
 
-/* Marks all leases for recall.  Returns whether the
- * recall can cover the missing amount. */
+/* Marks all leases for recall.  Returns whether what is leased or reserved
+ * now can still cover the amount. */
 static bool
 recall_leases(struct MpAccount *account, int64_t amount_mtok)
 {
-    if (MpAccount_Free(account) + account->leased_mtok < amount_mtok) {
+    if (account->granted_mtok - account->settled_mtok < amount_mtok) {
         return false;
     }
     for (guint i = 0; i < account->leases->len; i++) {
@@ -394,6 +394,12 @@
     return code;
 }
 
+bool
+MpLedger_HasRun(enum mp_record_state state)
+{
+    return state != MP_RECORD_NONE && state != MP_RECORD_NOT_RUN;
+}
+
 int
 MpLedger_Open(struct MpLedger *this, const struct mp_open *open,
               int64_t now_ms, struct mp_result *result)
@@ -406,11 +412,17 @@
     if (!is_amount(open->reserve_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
-    result->state = MP_RECORD_OPEN;
     struct MpRecord *record =
         MpLedger_FindRecord(this, open->workspace, open->key);
+    enum mp_record_state before = record ? record->state : MP_RECORD_NONE;
+    result->state = before;
     if (record && !MP_FAULT(MP_FAULT_CLAIM_UNCHECKED)) {
-        return open_known(this, record, open, result);
+        int known = open_known(this, record, open, result);
+        if (known == MP_OK && record->state == MP_RECORD_OPEN) {
+            result->state = MP_RECORD_OPEN;
+            result->number = MpLedger_HasRun(before);
+        }
+        return known;
     }
     int code = reserve_or_recall(account, open);
     if (code != MP_OK) {
@@ -420,6 +432,7 @@
         record = record_new(this, account, open->key);
     }
     record_start(this, record, open);
+    result->state = MP_RECORD_OPEN;
     return MP_OK;
 }
 
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -106,8 +106,10 @@
 /*
  * Opens a request: reserves its worst case and claims its key.
  *
- * Out: result->state is MP_RECORD_OPEN when the caller may dispatch,
- * MP_RECORD_DONE with code MP_OK when it may run again unbilled.
+ * Out: result->state is MP_RECORD_OPEN when the caller may dispatch, and
+ * result->number then tells whether an earlier attempt may have run;
+ * MP_RECORD_DONE with code MP_OK when it may run again unbilled; the state
+ * that the record had, with an error.
  * Errors: MP_ERROR_BUDGET, MP_ERROR_RECALLING (leases are called back,
  * try again soon), MP_ERROR_KEY_REUSED, MP_ERROR_IN_PROGRESS,
  * MP_ERROR_OUTCOME_UNKNOWN, MP_ERROR_ALREADY_ANSWERED (with the recorded
@@ -116,6 +118,9 @@
 int MpLedger_Open(struct MpLedger *this, const struct mp_open *open,
                   int64_t now_ms, struct mp_result *result);
 
+/* Returns whether a target may have got the request of a record in state. */
+bool MpLedger_HasRun(enum mp_record_state state);
+
 /*
  * Settles an open request once; never bills past its reservation.
  * A repeat by the same open_id gets MP_OK.  Errors: MP_ERROR_STALE when
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -30,6 +30,8 @@
 {
     struct MpPoison *this = data;
     g_free(this->last_target);
+    g_free(this->workspace);
+    g_free(this->key);
     g_free(this);
 }
 
@@ -240,6 +242,8 @@
         poison = g_new0(struct MpPoison, 1);
         memcpy(poison->body_hash, report->body_hash, MP_HASH_BYTES);
         poison->last_target = g_strdup("");
+        poison->workspace = g_strdup("");
+        poison->key = g_strdup("");
         g_hash_table_insert(this->poisons, poison->body_hash, poison);
     }
     if (poison->last_ms + MP_POISON_MS <= this->now_ms) {
@@ -252,6 +256,11 @@
     }
     g_free(poison->last_target);
     poison->last_target = g_strdup(report->target);
+    g_free(poison->workspace);
+    g_free(poison->key);
+    poison->workspace = g_strdup(report->workspace);
+    poison->key = g_strdup(report->key);
+    poison->open_id = report->open_id;
     poison->last_ms = this->now_ms;
     poison->deaths++;
     this->poison_version++;
@@ -285,21 +294,71 @@
     return list;
 }
 
+/* Whether the open record that was reported last is still open: while it is,
+ * nobody else tries the same request. */
+static bool
+is_being_tried(const struct MpMachine *this, const struct MpPoison *poison,
+               const struct mp_open *open)
+{
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->ledger, poison->workspace, poison->key);
+    return record && record->state == MP_RECORD_OPEN &&
+           record->open_id == poison->open_id &&
+           open->open_id != poison->open_id;
+}
+
+/* A request that has killed a target is tried by one attempt at a time, and
+ * by none after it has killed enough. */
+static int
+check_poison(struct MpMachine *this, const struct mp_open *open)
+{
+    struct MpPoison *poison =
+        g_hash_table_lookup(this->poisons, open->body_hash);
+    if (!poison) {
+        return MP_OK;
+    }
+    if (is_stopped(this, poison)) {
+        return MP_ERROR_POISON;
+    }
+    return is_being_tried(this, poison, open) ? MP_ERROR_HELD_BACK : MP_OK;
+}
+
+/* The attempt that was let through is the one that is waited for. */
+static void
+note_try(struct MpMachine *this, const struct mp_open *open)
+{
+    struct MpPoison *poison =
+        g_hash_table_lookup(this->poisons, open->body_hash);
+    if (poison) {
+        g_free(poison->workspace);
+        g_free(poison->key);
+        poison->workspace = g_strdup(open->workspace);
+        poison->key = g_strdup(open->key);
+        poison->open_id = open->open_id;
+    }
+}
+
 /* ---- apply ---- */
 
 static int
 apply_open(struct MpMachine *this, const struct mp_open *open,
            struct mp_result *result)
 {
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->ledger, open->workspace, open->key);
+    result->state = record ? record->state : MP_RECORD_NONE;
     if (!MpMachine_IsCurrent(this, &open->holder)) {
         return MP_ERROR_FENCED;
     }
-    const struct MpPoison *poison =
-        g_hash_table_lookup(this->poisons, open->body_hash);
-    if (poison && is_stopped(this, poison)) {
-        return MP_ERROR_POISON;
+    int code = check_poison(this, open);
+    if (code != MP_OK) {
+        return code;
+    }
+    code = MpLedger_Open(&this->ledger, open, this->now_ms, result);
+    if (code == MP_OK && result->state == MP_RECORD_OPEN) {
+        note_try(this, open);
     }
-    return MpLedger_Open(&this->ledger, open, this->now_ms, result);
+    return code;
 }
 
 static int
@@ -426,6 +485,9 @@
         next->deaths = poison->deaths;
         next->last_target = poison->last_target;
         next->last_ms = poison->last_ms;
+        next->workspace = poison->workspace;
+        next->key = poison->key;
+        next->open_id = poison->open_id;
         memcpy(next->body_hash, poison->body_hash, MP_HASH_BYTES);
         next++;
     }
@@ -501,6 +563,9 @@
         poison->deaths = from->deaths;
         poison->last_target = g_strdup(from->last_target);
         poison->last_ms = from->last_ms;
+        poison->workspace = g_strdup(from->workspace);
+        poison->key = g_strdup(from->key);
+        poison->open_id = from->open_id;
         g_hash_table_insert(this->poisons, poison->body_hash, poison);
     }
 }
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -45,6 +45,9 @@
     uint32_t deaths;
     char *last_target;
     int64_t last_ms;
+    char *workspace; /* the open record whose run was reported last */
+    char *key;
+    uint64_t open_id;
 };
 
 struct MpMachine {
--- a/src/transport/ErrorBody.c
+++ b/src/transport/ErrorBody.c
@@ -6,13 +6,14 @@
 #include <json.h>
 
 const char *
-MpErrorBody_Run(int code)
+MpErrorBody_Run(int code, bool may_have_run)
 {
-    return MpError_Info(code)->run == MP_RUN_NO ? "no" : "unknown";
+    bool is_sure = MpError_Info(code)->run == MP_RUN_NO && !may_have_run;
+    return is_sure ? "no" : "unknown";
 }
 
 char *
-MpErrorBody_Text(int code, const char *detail)
+MpErrorBody_Text(int code, const char *detail, bool may_have_run)
 {
     const struct MpErrorInfo *info = MpError_Info(code);
     char *message = detail ? g_strdup_printf("%s %s", info->message, detail)
@@ -21,8 +22,9 @@
     json_object_object_add(error, "type", json_object_new_string(info->name));
     json_object_object_add(error, "code", json_object_new_int(code));
     json_object_object_add(error, "message", json_object_new_string(message));
-    json_object_object_add(error, "run",
-                           json_object_new_string(MpErrorBody_Run(code)));
+    json_object_object_add(
+        error, "run",
+        json_object_new_string(MpErrorBody_Run(code, may_have_run)));
     struct json_object *root = json_object_new_object();
     json_object_object_add(root, "error", error);
     char *text =
@@ -35,7 +37,7 @@
 h2o_iovec_t
 MpErrorBody_InPool(h2o_mem_pool_t *pool, int code, const char *detail)
 {
-    char *text = MpErrorBody_Text(code, detail);
+    char *text = MpErrorBody_Text(code, detail, false);
     h2o_iovec_t body = h2o_strdup(pool, text, SIZE_MAX);
     g_free(text);
     return body;
--- a/src/transport/ErrorBody.h
+++ b/src/transport/ErrorBody.h
@@ -2,6 +2,7 @@
 #define MP_TRANSPORT_ERROR_BODY_H
 
 #include <h2o.h>
+#include <stdbool.h>
 
 /*
  * ErrorBody - the JSON body of a refusal:
@@ -9,15 +10,16 @@
  *     {"error":{"type":…,"code":…,"message":…,"run":…}}
  */
 
-/* Returns the body for code; detail, if not NULL, follows the message.  Free
+/* Returns the body for code; detail, if not NULL, follows the message.
+ * may_have_run says that an earlier attempt may have reached a target.  Free
  * it with g_free. */
-char *MpErrorBody_Text(int code, const char *detail);
+char *MpErrorBody_Text(int code, const char *detail, bool may_have_run);
 
 /* The same in the memory of a request. */
 h2o_iovec_t MpErrorBody_InPool(h2o_mem_pool_t *pool, int code,
                                const char *detail);
 
 /* Returns "no" or "unknown". */
-const char *MpErrorBody_Run(int code);
+const char *MpErrorBody_Run(int code, bool may_have_run);
 
 #endif
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -1,5 +1,6 @@
 #include "transport/Exchange.h"
 
+#include "state/Ledger.h"
 #include "transport/LeaseKeeper.h"
 
 #include <inttypes.h>
@@ -9,7 +10,8 @@
 
 #define QUEUE_WAIT_MS 2000
 #define OPEN_WAIT_MS 3000
-#define RECALL_RETRY_MS 100
+#define RECALL_RETRY_MS 50
+#define LOOKUP_WAIT_MS 400
 #define SETTLE_WAIT_MS 5000
 #define BUSY_RETRY_MS 250
 #define NO_QUORUM_RETRY_MS 1000
@@ -400,14 +402,38 @@
 }
 
 static void
-refuse_and_end(struct MpExchange *this, int code, int64_t retry_after_ms)
+refuse_now(struct MpExchange *this, int code, int64_t retry_after_ms)
 {
-    release_target(this);
     MpExchange_Refuse(this, code, NULL, retry_after_ms);
     end(this);
     maybe_free(this);
 }
 
+static void
+on_looked_up(void *data, int code, const struct mp_read_reply *reply)
+{
+    struct MpExchange *this = data;
+    this->may_have_run = code != MP_OK || MpLedger_HasRun(reply->record);
+    refuse_now(this, this->refusal, this->refusal_retry_ms);
+}
+
+/* Refuses a request that was not opened.  The caller of a named key may have
+ * sent it before: "not run" is said only if the ledger shows it. */
+static void
+refuse_and_end(struct MpExchange *this, int code, int64_t retry_after_ms)
+{
+    release_target(this);
+    if (this->is_brief || this->may_have_run || !this->req) {
+        refuse_now(this, code, retry_after_ms);
+        return;
+    }
+    this->stage = MP_STAGE_REFUSING;
+    this->refusal = code;
+    this->refusal_retry_ms = retry_after_ms;
+    MpFleet_Lookup(&this->router->fleet, this->workspace, this->key,
+                   MpLoop_Now() + LOOKUP_WAIT_MS, on_looked_up, this);
+}
+
 static void
 give_up_open(struct MpExchange *this, int code)
 {
@@ -443,9 +469,11 @@
 on_open_refused(struct MpExchange *this, const struct mp_result *result)
 {
     int code = result->code;
-    if (code == MP_ERROR_RECALLING &&
-        MpLoop_Now() + RECALL_RETRY_MS < this->deadline_ms) {
-        MpLoop_SetTimer(this->router->loop, &this->timer, RECALL_RETRY_MS,
+    bool may_change = code == MP_ERROR_RECALLING || code == MP_ERROR_HELD_BACK;
+    this->recall_wait_ms = MAX(2 * this->recall_wait_ms, RECALL_RETRY_MS);
+    if (may_change &&
+        MpLoop_Now() + this->recall_wait_ms < this->deadline_ms) {
+        MpLoop_SetTimer(this->router->loop, &this->timer, this->recall_wait_ms,
                         on_recall_retry, this);
         return;
     }
@@ -453,8 +481,12 @@
         replay_answer(this, result);
         return;
     }
-    refuse_and_end(this, code,
-                   code == MP_ERROR_IN_PROGRESS ? IN_PROGRESS_RETRY_MS : 0);
+    /* The ledger has answered: its word on the record is the last one. */
+    release_target(this);
+    this->may_have_run = MpLedger_HasRun(result->state);
+    refuse_now(
+        this, code,
+        code == MP_ERROR_IN_PROGRESS || may_change ? IN_PROGRESS_RETRY_MS : 0);
 }
 
 static void
@@ -475,6 +507,7 @@
         return;
     }
     this->is_rerun = result->state == MP_RECORD_DONE;
+    this->may_have_run = this->is_rerun || result->number != 0;
     if (!this->req) {
         release_target(this);
         this->is_aborted = true;
@@ -584,6 +617,10 @@
     if (code == MP_OK) {
         code = admit(this, &retry_after_ms);
     }
+    if (code == MP_ERROR_LIMIT) {
+        refuse_and_end(this, code, retry_after_ms);
+        return;
+    }
     if (code != MP_OK) {
         MpExchange_Refuse(this, code, why, retry_after_ms);
         end(this);
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -21,6 +21,7 @@
  *     running   an attempt is at a target
  *     settling  the bill is on its way to the quorum; the last part of the
  *               answer is held back until it is durable
+ *     refusing  the ledger is asked whether the key has run before
  *     ended     settled, or refused
  *
  * Since the end of an answer is sent only after the settlement is durable, a
@@ -33,6 +34,7 @@
     MP_STAGE_OPENING,
     MP_STAGE_RUNNING,
     MP_STAGE_SETTLING,
+    MP_STAGE_REFUSING,
     MP_STAGE_ENDED
 };
 
@@ -87,8 +89,11 @@
     bool is_rerun;   /* answered before; this run is not billed */
     bool is_offline; /* runs from a lease, without the quorum */
     bool is_admitted;
+    int refusal; /* while refusing */
+    int64_t refusal_retry_ms;
     int64_t began_ms;
     int64_t deadline_ms;
+    int64_t recall_wait_ms;
     struct MpTimer timer;
 
     /* the attempt */
@@ -97,7 +102,8 @@
     struct MpSse sse;
     GPtrArray *avoid; /* names of targets tried */
     uint32_t attempts;
-    bool was_sent; /* a target may have got the request */
+    bool was_sent;     /* a target may have got the request */
+    bool may_have_run; /* an earlier request with this key may have */
     char *target_boot;
     bool is_stream; /* the answer is a stream of events */
     bool is_done;   /* the end mark of the stream was seen */
@@ -133,7 +139,8 @@
 void MpExchange_AbortAnswer(struct MpExchange *this, int code);
 /* Answers outside an exchange, with the typed error body. */
 void MpExchange_SendError(h2o_req_t *req, int code, const char *detail,
-                          const char *request_id, int64_t retry_after_ms);
+                          const char *request_id, int64_t retry_after_ms,
+                          bool may_have_run);
 
 /* -- target (ExchangeTarget.c) -- */
 void MpExchange_StartAttempt(struct MpExchange *this);
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -95,14 +95,14 @@
 /* ---- refusals ---- */
 
 static void
-add_common_headers(h2o_req_t *req, int code, const char *request_id,
+add_common_headers(h2o_req_t *req, const char *run, const char *request_id,
                    int64_t retry_after_ms)
 {
     char seconds[24];
     if (request_id) {
         MpHttp_AddHeader(req, "x-mimosapath-request", request_id);
     }
-    MpHttp_AddHeader(req, "x-mimosapath-run", MpErrorBody_Run(code));
+    MpHttp_AddHeader(req, "x-mimosapath-run", run);
     if (retry_after_ms > 0) {
         g_snprintf(seconds, sizeof(seconds), "%" PRId64,
                    (retry_after_ms + 999) / 1000);
@@ -112,10 +112,12 @@
 
 void
 MpExchange_SendError(h2o_req_t *req, int code, const char *detail,
-                     const char *request_id, int64_t retry_after_ms)
+                     const char *request_id, int64_t retry_after_ms,
+                     bool may_have_run)
 {
-    char *text = MpErrorBody_Text(code, detail);
-    add_common_headers(req, code, request_id, retry_after_ms);
+    char *text = MpErrorBody_Text(code, detail, may_have_run);
+    add_common_headers(req, MpErrorBody_Run(code, may_have_run), request_id,
+                       retry_after_ms);
     MpHttp_Send(req, MpError_Info(code)->http_status, "application/json", text,
                 strlen(text));
     g_free(text);
@@ -136,7 +138,8 @@
     this->caller->exchange = NULL;
     this->req = NULL;
     this->caller = NULL;
-    MpExchange_SendError(req, code, detail, this->request_id, retry_after_ms);
+    MpExchange_SendError(req, code, detail, this->request_id, retry_after_ms,
+                         this->may_have_run || this->was_sent);
 }
 
 /* ---- answers ---- */
@@ -197,7 +200,7 @@
     MpMetrics_Count(&this->router->metrics, "mimosapath_cut_total", "cause",
                     MpError_Name(code), 1);
     if (this->is_stream) {
-        char *text = MpErrorBody_Text(code, NULL);
+        char *text = MpErrorBody_Text(code, NULL, true);
         char *event = g_strdup_printf("data: %s\n\n", text);
         MpExchange_Write(this, event, strlen(event));
         g_free(event);
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -201,6 +201,9 @@
     struct mp_command command = {.body = {.kind = MP_CMD_POISON}};
     struct mp_poison *poison = &command.body.mp_command_body_u.poison;
     poison->target = (char *)target;
+    poison->workspace = this->workspace;
+    poison->key = this->key;
+    poison->open_id = this->open_id;
     memcpy(poison->body_hash, this->body_hash, MP_HASH_BYTES);
     MpFleet_Propose(&this->router->fleet, &command, MpLoop_Now() + 2000,
                     on_poison_reported, this);
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -2,6 +2,7 @@
 
 #include "state/Codec.h"
 #include "state/Error.h"
+#include "state/TextPatch.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
@@ -29,13 +30,26 @@
 
 static void send_request(struct request *request);
 
+static void
+finish_proposal(struct request *request, int code,
+                const struct mp_propose_reply *reply)
+{
+    if (!reply) {
+        request->propose_done(request->data, code, NULL);
+        return;
+    }
+    struct mp_result brief = {.code = reply->result_code,
+                              .state = reply->state,
+                              .content_type = (char *)""};
+    request->propose_done(request->data, code,
+                          reply->detail ? reply->detail : &brief);
+}
+
 static void
 finish(struct request *request, int code, const void *result)
 {
     if (request->propose_done) {
-        const struct mp_propose_reply *reply = result;
-        request->propose_done(request->data, code,
-                              reply ? &reply->result : NULL);
+        finish_proposal(request, code, result);
     }
     else {
         request->read_done(request->data, code, result);
@@ -149,7 +163,7 @@
 MpFleet_Propose(struct MpFleet *this, const struct mp_command *command,
                 int64_t deadline_ms, MpProposeDone done, void *data)
 {
-    struct mp_propose propose = {.command = *command};
+    struct mp_propose propose = {.body = command->body};
     struct request *request =
         request_new(this, MP_PROC_PROPOSE, &propose, deadline_ms);
     request->propose_done = done;
@@ -163,10 +177,10 @@
 }
 
 void
-MpFleet_Read(struct MpFleet *this, const char *workspace, int64_t deadline_ms,
-             MpReadDone done, void *data)
+MpFleet_Lookup(struct MpFleet *this, const char *workspace, const char *key,
+               int64_t deadline_ms, MpReadDone done, void *data)
 {
-    struct mp_read read = {.workspace = (char *)workspace};
+    struct mp_read read = {.workspace = (char *)workspace, .key = (char *)key};
     struct request *request =
         request_new(this, MP_PROC_READ, &read, deadline_ms);
     request->read_done = done;
@@ -174,6 +188,13 @@
     send_request(request);
 }
 
+void
+MpFleet_Read(struct MpFleet *this, const char *workspace, int64_t deadline_ms,
+             MpReadDone done, void *data)
+{
+    MpFleet_Lookup(this, workspace, "", deadline_ms, done, data);
+}
+
 /* ---- registration and document ---- */
 
 struct mp_holder
@@ -232,22 +253,48 @@
                     on_registered, this);
 }
 
+/* Returns the new text, or NULL when its patch does not fit. */
+static char *
+text_of_reply(struct MpFleet *this, const struct mp_sync_reply *reply)
+{
+    this->wants_whole = false;
+    if (reply->base_version == 0) {
+        return g_strdup(reply->document);
+    }
+    struct MpTextPatch patch = {.prefix = reply->prefix,
+                                .suffix = reply->suffix,
+                                .checksum = reply->checksum};
+    bool is_base =
+        this->document && this->document->version == reply->base_version;
+    char *text = is_base ? MpTextPatch_Apply(&patch, this->document_text,
+                                             reply->document)
+                         : NULL;
+    this->wants_whole = !text;
+    return text;
+}
+
 static void
 take_document(struct MpFleet *this, const struct mp_sync_reply *reply)
 {
     uint64_t current = this->document ? this->document->version : 0;
-    if (reply->document_version <= current || reply->document[0] == '\0') {
+    if (reply->document_version <= current ||
+        (reply->base_version == 0 && reply->document[0] == '\0')) {
         return;
     }
+    char *text = text_of_reply(this, reply);
     GPtrArray *findings = MpFindings_New();
     struct MpDocument *document =
-        MpDocument_Parse(reply->document, strlen(reply->document), findings);
+        text ? MpDocument_Parse(text, strlen(text), findings) : NULL;
     g_ptr_array_unref(findings);
     if (!document) {
         MpLog_Event(LOG_ERR, "document-rejected", "version=%" PRIu64,
                     (uint64_t)reply->document_version);
+        this->wants_whole = true;
+        g_free(text);
         return;
     }
+    g_free(this->document_text);
+    this->document_text = text;
     document->version = reply->document_version;
     MpDocument_Unref(this->document);
     this->document = document;
@@ -306,6 +353,7 @@
         .document_version = this->document ? this->document->version : 0,
         .poison_version = this->poison_version,
         .draining = this->is_draining,
+        .whole = this->wants_whole,
     };
     if (this->is_syncing) {
         return;
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -42,7 +42,9 @@
     uint64_t boot;      /* 0 until registered */
     uint64_t nonce;
     struct MpDocument *document; /* NULL until the first one */
-    GHashTable *poisons;         /* body hashes that are stopped */
+    char *document_text;
+    bool wants_whole;    /* a patch did not fit */
+    GHashTable *poisons; /* body hashes that are stopped */
     uint64_t poison_version;
     int64_t synced_ms; /* last answer of the leader */
     bool is_draining;
@@ -68,6 +70,11 @@
 void MpFleet_Read(struct MpFleet *this, const char *workspace,
                   int64_t deadline_ms, MpReadDone done, void *data);
 
+/* Reads the state of the record of one key, in reply->record. */
+void MpFleet_Lookup(struct MpFleet *this, const char *workspace,
+                    const char *key, int64_t deadline_ms, MpReadDone done,
+                    void *data);
+
 /* Returns the holder for commands of this incarnation. */
 struct mp_holder MpFleet_Holder(const struct MpFleet *this);
 
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -57,7 +57,7 @@
         g_free(page);
     }
     else if (this->req) {
-        MpExchange_SendError(this->req, code, detail, NULL, 0);
+        MpExchange_SendError(this->req, code, detail, NULL, 0, false);
     }
     MpOperatorCall_Delete(this);
 }
@@ -176,7 +176,8 @@
         this->rejected++;
         MpHttp_AddHeader(req, "www-authenticate",
                          "Basic realm=\"mimosapath\"");
-        MpExchange_SendError(req, MP_ERROR_AUTHENTICATION, NULL, NULL, 0);
+        MpExchange_SendError(req, MP_ERROR_AUTHENTICATION, NULL, NULL, 0,
+                             false);
         return;
     }
     struct MpOperatorCall *call = MpOperatorCall_New(this, req);
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -86,6 +86,31 @@
 
 /* ---- the replicated machine ---- */
 
+static void
+document_delete(void *data)
+{
+    struct MpDocumentText *this = data;
+    g_free(this->text);
+    g_free(this);
+}
+
+/* Keeps the newest versions, so that instances get what changed. */
+static void
+keep_document(struct MpReplica *this)
+{
+    const struct MpDocumentText *newest = g_queue_peek_tail(&this->documents);
+    if (newest && newest->version >= this->machine.document_version) {
+        return;
+    }
+    struct MpDocumentText *kept = g_new0(struct MpDocumentText, 1);
+    kept->version = this->machine.document_version;
+    kept->text = g_strdup(this->machine.document);
+    g_queue_push_tail(&this->documents, kept);
+    if (this->documents.length > MP_DOCUMENTS_KEPT) {
+        document_delete(g_queue_pop_head(&this->documents));
+    }
+}
+
 static void
 port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
 {
@@ -103,6 +128,9 @@
     }
     this->applied_commands++;
     MpMachine_Apply(&this->machine, entry->index, &command, &result);
+    if (command.body.kind == MP_CMD_DOCUMENT) {
+        keep_document(this);
+    }
     MpReplica_FinishWaiting(this, entry, &result);
     MpCodec_Free(MP_XDR(mp_command), &command);
 }
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -33,6 +33,14 @@
     bool draining;
 };
 
+/* A version of the document, kept to send what changed since. */
+struct MpDocumentText {
+    uint64_t version;
+    char *text;
+};
+
+#define MP_DOCUMENTS_KEPT 8
+
 struct MpReplica {
     struct MpRaftPort port;
     struct MpRaft raft;
@@ -53,6 +61,7 @@
     GHashTable *instances;  /* instance -> struct MpInstanceView */
     GPtrArray *reads;       /* of struct MpRpcCall, wait for proof */
     GArray *read_times;     /* of int64_t, arrival of each */
+    GQueue documents;       /* of struct MpDocumentText, newest last */
     GHashTable *identified; /* instance -> struct mp_identify_reply seen */
     struct MpTimer tick;
     struct MpTimer survey;
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -2,6 +2,7 @@
 
 #include "state/Codec.h"
 #include "state/Error.h"
+#include "state/TextPatch.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
@@ -16,26 +17,36 @@
 
 /* ---- proposals ---- */
 
+static bool
+has_detail(const struct mp_result *result)
+{
+    return result->number != 0 || result->amount_mtok != 0 ||
+           result->status != 0 || result->answer.answer_len > 0;
+}
+
 static void
 reply_propose(struct MpReplica *this, struct MpRpcCall *call, int code,
               const struct mp_result *result)
 {
-    struct mp_propose_reply reply = {
-        .code = code, .leader = (char *)MpReplica_LeaderAddress(this)};
-    reply.result.content_type = (char *)"";
+    struct mp_propose_reply reply = {.code = code, .leader = (char *)""};
+    if (code != MP_OK) {
+        reply.leader = (char *)MpReplica_LeaderAddress(this);
+    }
     if (result) {
-        reply.result = *result;
+        reply.result_code = result->code;
+        reply.state = result->state;
+        reply.detail = has_detail(result) ? (struct mp_result *)result : NULL;
     }
     MpRpcCall_Reply(call, &reply);
 }
 
 static int
-append_command(struct MpReplica *this, struct mp_command *command,
+append_command(struct MpReplica *this, const struct mp_command_body *body,
                struct MpRpcCall *call)
 {
     uint64_t index;
-    command->at_ms = MpLoop_WallMs();
-    GBytes *payload = MpCodec_Encode(MP_XDR(mp_command), command);
+    struct mp_command command = {.at_ms = MpLoop_WallMs(), .body = *body};
+    GBytes *payload = MpCodec_Encode(MP_XDR(mp_command), &command);
     if (!payload) {
         return MP_ERROR_TOO_LARGE;
     }
@@ -55,7 +66,7 @@
 on_propose(struct MpReplica *this, struct MpRpcCall *call)
 {
     struct mp_propose *propose = call->argument;
-    int code = append_command(this, &propose->command, call);
+    int code = append_command(this, &propose->body, call);
     if (code != MP_OK) {
         reply_propose(this, call, code, NULL);
     }
@@ -138,11 +149,11 @@
         if (life->fenced || now_ms - view->heard_ms < bound) {
             continue;
         }
-        struct mp_command command = {.body = {.kind = MP_CMD_FENCE}};
-        command.body.mp_command_body_u.fence =
+        struct mp_command_body body = {.kind = MP_CMD_FENCE};
+        body.mp_command_body_u.fence =
             (struct mp_holder){.instance = life->instance, .boot = life->boot};
         view->heard_ms = now_ms;
-        if (append_command(this, &command, NULL) == MP_OK) {
+        if (append_command(this, &body, NULL) == MP_OK) {
             MpLog_Event(LOG_WARNING, "instance-fenced",
                         "instance=%s boot=%" PRIu64, life->instance,
                         life->boot);
@@ -175,6 +186,45 @@
     }
 }
 
+static const char *
+text_of_version(struct MpReplica *this, uint64_t version)
+{
+    for (GList *at = this->documents.head; at; at = at->next) {
+        const struct MpDocumentText *kept = at->data;
+        if (kept->version == version) {
+            return kept->text;
+        }
+    }
+    return NULL;
+}
+
+/* Sends what the instance lacks of the document: nothing, the part that
+ * changed, or the whole.  Returns text to be freed after the reply. */
+static char *
+fill_document(struct MpReplica *this, const struct mp_sync *sync,
+              struct mp_sync_reply *reply)
+{
+    if (sync->document_version == this->machine.document_version) {
+        return NULL;
+    }
+    const char *base = text_of_version(this, sync->document_version);
+    if (!base || sync->whole) {
+        reply->document = this->machine.document;
+        return NULL;
+    }
+    struct MpTextPatch patch;
+    MpTextPatch_Make(&patch, base, this->machine.document);
+    size_t size = strlen(this->machine.document);
+    char *middle = g_strndup(this->machine.document + patch.prefix,
+                             size - patch.prefix - patch.suffix);
+    reply->base_version = sync->document_version;
+    reply->prefix = patch.prefix;
+    reply->suffix = patch.suffix;
+    reply->checksum = patch.checksum;
+    reply->document = middle;
+    return middle;
+}
+
 static void
 answer_sync(struct MpReplica *this, struct MpRpcCall *call)
 {
@@ -194,9 +244,7 @@
     if (!MpMachine_IsCurrent(&this->machine, &sync->holder)) {
         reply.code = MP_ERROR_FENCED;
     }
-    if (sync->document_version != this->machine.document_version) {
-        reply.document = this->machine.document;
-    }
+    char *middle = fill_document(this, sync, &reply);
     if (sync->poison_version != this->machine.poison_version) {
         poison = MpMachine_PoisonList(&this->machine);
         reply.poison.poison_val = (char *)poison->data;
@@ -205,6 +253,7 @@
     add_recalls(this, &sync->holder, &reply);
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
+    g_free(middle);
     if (poison) {
         g_byte_array_unref(poison);
     }
@@ -283,14 +332,31 @@
     g_free(reply->instances.instances_val);
 }
 
+static void
+answer_lookup(struct MpReplica *this, struct MpRpcCall *call)
+{
+    const struct mp_read *read = call->argument;
+    struct mp_read_reply reply = {
+        .leader = (char *)"", .author = (char *)"", .document = (char *)""};
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->machine.ledger, read->workspace, read->key);
+    reply.record = record ? record->state : MP_RECORD_NONE;
+    MpRpcCall_Reply(call, &reply);
+}
+
 static void
 answer_read(struct MpReplica *this, struct MpRpcCall *call)
 {
     struct mp_read_reply reply;
+    const struct mp_read *read = call->argument;
     if (call->procedure == MP_PROC_SYNC) {
         answer_sync(this, call);
         return;
     }
+    if (read->key[0]) {
+        answer_lookup(this, call);
+        return;
+    }
     MpReplica_FillRead(this, call->argument, &reply);
     MpRpcCall_Reply(call, &reply);
     MpReplica_FreeRead(&reply);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -122,7 +122,7 @@
     }
     MpExchange_SendError(
         req, this->is_draining ? MP_ERROR_DRAINING : MP_ERROR_NOT_READY, NULL,
-        NULL, 1000);
+        NULL, 1000, false);
 }
 
 static int
@@ -156,7 +156,10 @@
     if (code != MP_OK) {
         MpMetrics_Count(&this->metrics, "mimosapath_refused_total", "cause",
                         MpError_Name(code), 1);
-        MpExchange_SendError(req, code, NULL, NULL, 1000);
+        /* The key of a resend cannot be looked up here. */
+        char *key = MpHttp_Header(req, "idempotency-key");
+        MpExchange_SendError(req, code, NULL, NULL, 1000, key != NULL);
+        g_free(key);
         return;
     }
     MpMetrics_Count(&this->metrics, "mimosapath_requests_total", NULL, NULL,
@@ -283,6 +286,7 @@
     void *value;
     uint64_t sent = 0;
     uint64_t received = 0;
+    uint64_t busy_ns = 0;
     MpMetrics_Write(&this->metrics, out);
     g_hash_table_iter_init(&iter, this->picker.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -293,11 +297,14 @@
             g_ptr_array_index(this->fleet.clients, i);
         sent += client->sent_bytes;
         received += client->received_bytes;
+        busy_ns += client->busy_ns;
     }
     MpMetrics_WriteValue(out, "mimosapath_control_sent_bytes_total", NULL,
                          NULL, (int64_t)sent);
     MpMetrics_WriteValue(out, "mimosapath_control_received_bytes_total", NULL,
                          NULL, (int64_t)received);
+    MpMetrics_WriteValue(out, "mimosapath_control_busy_us_total", NULL, NULL,
+                         (int64_t)(busy_ns / 1000));
     MpMetrics_WriteValue(out, "mimosapath_requests_running", NULL, NULL,
                          this->exchanges.length);
     MpMetrics_WriteValue(out, "mimosapath_lease_held_mtok", NULL, NULL,
--- a/src/transport/RpcClient.c
+++ b/src/transport/RpcClient.c
@@ -132,6 +132,7 @@
                                            this->loop, this->fleet_key, true);
     conn->received_bytes = &this->received_bytes;
     conn->sent_bytes = &this->sent_bytes;
+    conn->busy_ns = &this->busy_ns;
     conn->socket = socket;
     socket->data = conn;
     MpRpc_Nonce(hello.nonce);
@@ -173,7 +174,9 @@
 ping(struct MpRpcClient *this, int64_t now_ms)
 {
     char nothing = 0;
-    if (now_ms - this->pinged_ms < PING_MS) {
+    /* What was heard a moment ago needs no ping. */
+    if (now_ms - this->pinged_ms < PING_MS ||
+        now_ms - this->conn->heard_ms < PING_MS) {
         return;
     }
     this->pinged_ms = now_ms;
@@ -233,6 +236,7 @@
         }
         return;
     }
+    uint64_t began_ns = MpRpcConn_ThreadNs();
     uint32_t xid = ++this->next_xid;
     this->calls++;
     if (!MpRpc_Procedure(procedure)->one_way) {
@@ -244,4 +248,5 @@
         g_hash_table_insert(this->pending, GUINT_TO_POINTER(xid), call);
     }
     append_call(this, xid, procedure, argument);
+    this->busy_ns += MpRpcConn_ThreadNs() - began_ns;
 }
--- a/src/transport/RpcConn.c
+++ b/src/transport/RpcConn.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <time.h>
 
 struct MpRpcConn *
 MpRpcConn_New(const struct MpRpcConnClass *klass, void *owner,
@@ -77,10 +78,19 @@
     return code == MP_OK ? this->klass->message(this, body, body_size) : code;
 }
 
+uint64_t
+MpRpcConn_ThreadNs(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return (uint64_t)now.tv_sec * 1000000000 + (uint64_t)now.tv_nsec;
+}
+
 static void
 on_read(h2o_socket_t *socket, const char *error)
 {
     struct MpRpcConn *this = socket->data;
+    uint64_t began_ns = MpRpcConn_ThreadNs();
     if (error) {
         MpRpcConn_Close(this);
         return;
@@ -103,6 +113,9 @@
     *this->received_bytes += at;
     h2o_buffer_consume(&socket->input, at);
     MpRpcConn_Flush(this);
+    if (this->busy_ns) {
+        *this->busy_ns += MpRpcConn_ThreadNs() - began_ns;
+    }
 }
 
 void
--- a/src/transport/RpcConn.h
+++ b/src/transport/RpcConn.h
@@ -37,6 +37,7 @@
     int64_t heard_ms;
     uint64_t *received_bytes;
     uint64_t *sent_bytes;
+    uint64_t *busy_ns; /* processor time, or NULL */
     uint64_t *rejected;
     bool is_open;  /* the socket is connected */
     bool is_ready; /* keys are exchanged */
@@ -49,6 +50,9 @@
                                 const uint8_t *fleet_key, bool is_client);
 void MpRpcConn_Start(struct MpRpcConn *this, h2o_socket_t *socket);
 
+/* Returns the processor time of this thread, ns. */
+uint64_t MpRpcConn_ThreadNs(void);
+
 /* Writes what was appended to out. */
 void MpRpcConn_Flush(struct MpRpcConn *this);
 void MpRpcConn_Close(struct MpRpcConn *this);
--- a/src/transport/RpcLink.h
+++ b/src/transport/RpcLink.h
@@ -75,6 +75,8 @@
     uint64_t received_bytes;
     uint64_t sent_bytes;
     uint64_t calls;
+    uint64_t busy_ns;       /* processor time of calls and their answers, with
+                               what the callers of this module do in them */
     uint64_t silent_closed; /* connections closed for silence */
 };
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -132,7 +132,8 @@
     def __init__(self, instances=3, control=3, engines=2, services=1,
                  partition="refuse", engine_options=(), service_options=(),
                  budget_tokens=1000000, concurrent=64, disks=None,
-                 behind_relay=(), limits=None):
+                 behind_relay=(), limits=None, workspaces=None,
+                 capacity=64, routing=None):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         self.callers, self.operators, self.rpc = {}, {}, {}
@@ -147,6 +148,9 @@
         self.behind_relay = behind_relay
         self.relays = []
         self.limits = limits or {}
+        self.workspaces = workspaces or {"w": KEY}
+        self.capacity = capacity
+        self.routing = routing
         self.topup_count = 0
         self.engine_names = ["engine-%d" % i for i in range(engines)]
         self.service_names = ["service-%d" % i for i in range(services)]
@@ -164,8 +168,8 @@
             self.write_settings(name)
             self.start(name)
         self.wait_ready()
-        if budget_tokens:
-            self.topup("w", budget_tokens)
+        for workspace in self.workspaces if budget_tokens else []:
+            self.topup(workspace, budget_tokens)
 
     # -- files --
 
@@ -178,7 +182,7 @@
 
     def document(self):
         targets = {n: {"address": "127.0.0.1:%d" % p, "zone": "a",
-                       "capacity": 64}
+                       "capacity": self.capacity}
                    for n, p in self.targets.items()}
         return {
             "targets": targets,
@@ -190,12 +194,13 @@
                              "resumes": True}},
             "services": {"s": {"targets": self.service_names,
                                "price_mtok": 10000, "timeout_ms": 3000}},
-            "workspaces": {"w": {
-                "key_hashes": [hashlib.sha256(KEY.encode()).hexdigest()],
+            "workspaces": {name: {
+                "key_hashes": [hashlib.sha256(key.encode()).hexdigest()],
                 "models": ["m"], "services": ["s"],
                 "concurrent_most": self.concurrent,
                 "rate_per_s": 100000,
-                "partition": self.partition}},
+                "partition": self.partition}
+                for name, key in self.workspaces.items()},
         }
 
     def write_settings(self, name):
@@ -214,6 +219,8 @@
             settings["roles"].append("control")
             settings["listen"]["rpc"] = "127.0.0.1:%d" % self.rpc[name]
             settings["first_document"] = "document.json"
+        if self.routing:
+            settings["routing"] = self.routing
         if name in self.disks:
             settings["data_folder"] = "data-" + name
         self.write(name + ".json", json.dumps(settings))
