--- a/src/commands/StandIn.h
+++ b/src/commands/StandIn.h
@@ -15,9 +15,9 @@
  * As an engine it batches continuously: a token of a request takes the base
  * time and a share more for each other request in the batch; prompt blocks
  * that are not in its bounded cache cost prefill time, one prompt after the
- * other; higher priorities enter the batch first.  Load reports lag and cache events come late, with
- * gaps if asked.  It does not model attention, memory pressure inside the
- * batch, or network between accelerators.
+ * other; higher priorities enter the batch first.  Load reports lag and cache
+ * events come late, with gaps if asked.  It does not model attention, memory
+ * pressure inside the batch, or network between accelerators.
  *
  * Marks in the text of a request cause faults: #crash ends the process,
  * #stall stops after the first token, #silent never answers, #late answers
@@ -75,8 +75,8 @@
     GQueue waiting[3]; /* of struct MpStandInJob, by priority */
     int64_t running;
     int64_t prefill_until_ms; /* prompts before this time are computed */
-    GHashTable *runs;  /* key -> struct MpRunCount */
-    GHashTable *cache; /* hash -> struct MpCachedBlock */
+    GHashTable *runs;         /* key -> struct MpRunCount */
+    GHashTable *cache;        /* hash -> struct MpCachedBlock */
     GQueue cache_order;
     GQueue events;  /* of struct MpCacheEvent */
     GQueue samples; /* of struct MpLoadSample */
--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -73,7 +73,7 @@
     uint32_t failures; /* in a row */
     uint32_t ejections;
     int64_t ejected_until_ms;
-    bool is_probing; /* one request tests the target after an ejection */
+    bool is_probing;    /* one request tests the target after an ejection */
     GHashTable *blocks; /* block -> its link in block_order */
     GQueue block_order;
     uint64_t event_sequence;
