--- a/tests/TestLedger.c
+++ b/tests/TestLedger.c
@@ -224,10 +224,15 @@
     struct mp_command command = {.body = {.kind = MP_CMD_POISON}};
     struct mp_poison *poison = &command.body.mp_command_body_u.poison;
     memset(poison->body_hash, 7, MP_HASH_BYTES);
+    poison->workspace = (char *)"w";
+    poison->key = (char *)"a";
+    poison->open_id = 1;
     poison->target = (char *)"engine-1";
     apply(this, &command);
     apply(this, &command);
     g_assert_cmpint(open_key(this, "a", 1, false, 7), ==, MP_OK);
+    /* While one attempt tries it, no other one may. */
+    g_assert_cmpint(open_key(this, "e", 9, false, 7), ==, MP_ERROR_HELD_BACK);
     poison->target = (char *)"engine-2";
     apply(this, &command);
     g_assert_cmpint(open_key(this, "b", 2, false, 7), ==, MP_ERROR_POISON);
--- a/tests/TestRpc.c
+++ b/tests/TestRpc.c
@@ -40,7 +40,7 @@
 static void
 send_read(struct link *this)
 {
-    struct mp_read read = {.workspace = (char *)"w"};
+    struct mp_read read = {.workspace = (char *)"w", .key = (char *)""};
     g_assert_cmpint(
         MpRpc_AppendCall(&this->client, this->wire, 7, MP_PROC_READ, &read),
         ==, MP_OK);
