--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,8 @@
 # The fuzz build contains the deliberate faults of state/Fault.h and runs
 # under the address and undefined-behaviour sanitizers.
 
-FUZZ_SUPPORT = fuzz/MemoryDisk.c fuzz/Agents.c fuzz/Cluster.c
+FUZZ_SUPPORT = fuzz/MemoryDisk.c fuzz/Agents.c fuzz/AgentsCheck.c \
+	fuzz/Cluster.c fuzz/ClusterNode.c
 FUZZ_SOURCES = src/gen/wire_xdr.c $(STATE) $(COORDINATION) $(PROTOCOL) \
 	$(FUZZ_SUPPORT)
 FUZZ_SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
--- a/bench/bench.py
+++ b/bench/bench.py
@@ -391,57 +391,73 @@
 
 def slopes():
     """Control bytes and processor time per request, idle cost."""
-    with Fleet(instances=4, control=3, engines=2, services=2,
+    with Fleet(instances=6, control=3, engines=2, services=4,
                workspaces={"w0": "key-w0"}, concurrent=4000, capacity=4000,
                budget_tokens=10 ** 9) as fleet:
-        name = "i3"
+        routers, targets = fleet.names[3:], len(fleet.targets)
+
         def sample():
-            values = metrics(fleet, name)
-            return (values["mimosapath_control_sent_bytes_total"],
-                    values["mimosapath_control_received_bytes_total"],
-                    values.get("mimosapath_requests_total", 0),
-                    processor(fleet, name), processor(fleet, "i0") +
-                    processor(fleet, "i1") + processor(fleet, "i2"),
-                    time.monotonic())
-        first = sample()
-        time.sleep(SECONDS)
-        second = sample()
-        idle = second[5] - first[5]
-        print("slope control traffic idle %.0f bytes/s out, %.0f in; "
-              "processor %.2f%% of a core" % (
-                  (second[0] - first[0]) / idle,
-                  (second[1] - first[1]) / idle,
-                  100 * (second[3] - first[3]) / idle))
-        command = start_load(fleet, 200, mix="bookings", workspaces=1,
-                             direct=None)
-        command.kill()
-        command.communicate()
-        first = sample()
-        one = subprocess.run(
-            [PROGRAM, "load", "--rate", "200", "--seconds", str(SECONDS),
-             "--mix", "bookings", "--quiet", "--instance",
-             "127.0.0.1:%d" % fleet.callers[name]],
-            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
-        assert one.returncode == 0
-        third = sample()
-        count = third[2] - first[2]
-        passed = third[5] - first[5]
-        print("slope control traffic per request %.0f bytes out, %.0f in" % (
-            ((third[0] - first[0]) - (second[0] - first[0]) / idle * 0) /
-            count, (third[1] - first[1]) / count))
-        print("slope processor per request %.0f us at the router (all of "
-              "it), %.0f us at the three control replicas together" % (
-                  (third[3] - first[3]) / count * 1e6,
-                  (third[4] - first[4]) / count * 1e6))
-        print("slope control replica memory %.1f MB" % max(
-            memory_mb(fleet, n) for n in fleet.control))
-        syncs = [metrics(fleet, n) for n in fleet.control]
-        leader = max(syncs, key=lambda v: v["mimosapath_raft_leader"])
-        print("slope log %.0f bytes, %.2f syncs per request at the leader "
-              "(%d requests in %.0f s)" % (
-                  leader["mimosapath_disk_bytes_total"] / count,
-                  leader["mimosapath_disk_syncs_total"] / count, count,
-                  passed))
+            values = [metrics(fleet, n) for n in routers]
+            leader = max((metrics(fleet, n) for n in fleet.control),
+                         key=lambda v: v["mimosapath_raft_leader"])
+            return {
+                "out": sum(v["mimosapath_control_sent_bytes_total"]
+                           for v in values),
+                "in": sum(v["mimosapath_control_received_bytes_total"]
+                          for v in values),
+                "busy": sum(v["mimosapath_control_busy_us_total"]
+                            for v in values),
+                "count": sum(v.get("mimosapath_requests_total", 0)
+                             for v in values),
+                "router": sum(processor(fleet, n) for n in routers),
+                "control": sum(processor(fleet, n) for n in fleet.control),
+                "log": leader["mimosapath_disk_bytes_total"],
+                "syncs": leader["mimosapath_disk_syncs_total"],
+                "time": time.monotonic()}
+
+        def passed(work):
+            first = sample()
+            work()
+            second = sample()
+            return {k: second[k] - first[k] for k in first}
+
+        idle = passed(lambda: time.sleep(SECONDS))
+        seconds = idle["time"]
+        print("slope idle router: %.0f bytes/s out, %.0f in; %.2f%% of a "
+              "core with %d targets" % (
+                  idle["out"] / seconds / 3, idle["in"] / seconds / 3,
+                  100 * idle["router"] / seconds / 3, targets))
+        print("slope idle control replica: %.2f%% of a core (6 instances "
+              "synchronise, and it routes too)" % (
+                  100 * idle["control"] / seconds / 3))
+        for rate in (100, 600, 1800):
+            ports = [fleet.callers[n] for n in routers]
+
+            def work():
+                command = [PROGRAM, "load", "--rate", str(rate),
+                           "--seconds", str(min(SECONDS, 8)), "--mix",
+                           "bookings", "--quiet"]
+                for port in ports:
+                    command += ["--instance", "127.0.0.1:%d" % port]
+                subprocess.run(command, stdout=subprocess.DEVNULL,
+                               stderr=subprocess.DEVNULL, check=True)
+            used = passed(work)
+            count, spent = used["count"], used["time"]
+            base = {k: idle[k] / seconds * spent for k in idle}
+            print("slope at %d requests/s: %.0f bytes out, %.0f in, %.0f us "
+                  "of control at the router; %.0f us of all its work; %.0f "
+                  "us at the three control replicas; %.0f bytes and %.2f "
+                  "syncs at the leader, each per request" % (
+                      count / spent, (used["out"] - base["out"]) / count,
+                      (used["in"] - base["in"]) / count,
+                      (used["busy"] - base["busy"]) / count,
+                      (used["router"] - base["router"]) / count * 1e6,
+                      (used["control"] - base["control"]) / count * 1e6,
+                      used["log"] / count, used["syncs"] / count),
+                  flush=True)
+        print("slope memory %.1f MB a router, %.1f MB a control replica" % (
+            max(memory_mb(fleet, n) for n in routers),
+            max(memory_mb(fleet, n) for n in fleet.control)))
 
 
 PARTS = {"latency": latency, "steady": steady,
--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -11,12 +11,12 @@
 /* ---- names ---- */
 
 static const char *const router_names[AGENT_ROUTERS] = {"r0", "r1", "r2"};
-static const char *const workspace_names[AGENT_WORKSPACES] = {"w0", "w1"};
+const char *const Agents_WorkspaceNames[AGENT_WORKSPACES] = {"w0", "w1"};
 
-static const char *
-workspace_of_key(uint32_t key)
+const char *
+Agents_WorkspaceOfKey(uint32_t key)
 {
-    return workspace_names[key % AGENT_WORKSPACES];
+    return Agents_WorkspaceNames[key % AGENT_WORKSPACES];
 }
 
 static bool
@@ -261,7 +261,7 @@
 static void
 fill_request(const struct Task *task, struct mp_command_body *body)
 {
-    char *workspace = (char *)workspace_of_key(task->key);
+    char *workspace = (char *)Agents_WorkspaceOfKey(task->key);
     snprintf(key_text, sizeof(key_text), "k%u", task->key);
     if (task->kind == TASK_OPEN) {
         body->kind = MP_CMD_OPEN;
@@ -304,7 +304,7 @@
     if (task->kind == TASK_TOPUP) {
         body->kind = MP_CMD_TOPUP;
         body->mp_command_body_u.topup = (struct mp_topup){
-            .workspace = (char *)workspace_of_key(task->number),
+            .workspace = (char *)Agents_WorkspaceOfKey(task->number),
             .topup_id = id_text,
             .amount_mtok = task->amount_mtok};
         return;
@@ -322,7 +322,8 @@
 fill_lease(const struct Task *task, struct mp_command_body *body)
 {
     struct mp_lease lease = {.holder = holder_of(task),
-                             .workspace = (char *)workspace_names[task->key],
+                             .workspace =
+                                 (char *)Agents_WorkspaceNames[task->key],
                              .seq = task->number,
                              .amount_mtok = task->amount_mtok};
     if (task->kind == TASK_LEASE) {
@@ -578,116 +579,3 @@
     }
     return this->wind_phase <= 2;
 }
-
-/* ---- checks ---- */
-
-static void
-check_topups(const struct Agents *this, const struct MpMachine *machine)
-{
-    int64_t granted[AGENT_WORKSPACES] = {0};
-    for (uint32_t i = 0; i < this->topups; i++) {
-        char name[64];
-        snprintf(name, sizeof(name), "%s\ni%u", workspace_of_key(i), i);
-        bool is_in = g_hash_table_contains(machine->topups, name);
-        if (this->topup_acked[i] && !is_in) {
-            Fuzz_Fail("acknowledged top-up %u is lost", i);
-        }
-        granted[i % AGENT_WORKSPACES] += is_in ? this->topup_mtok[i] : 0;
-    }
-    for (uint32_t i = 0; i < AGENT_WORKSPACES; i++) {
-        const struct MpAccount *account =
-            MpLedger_Find(&machine->ledger, workspace_names[i]);
-        int64_t budget = account ? account->granted_mtok : 0;
-        if (budget != granted[i]) {
-            Fuzz_Fail("budget of w%u is %" PRId64 ", granted %" PRId64, i,
-                      budget, granted[i]);
-        }
-    }
-}
-
-/* The accounts must be the sums of their records. */
-static void
-check_sums(const struct MpMachine *machine)
-{
-    GHashTableIter iter;
-    void *value;
-    int64_t spent[AGENT_WORKSPACES] = {0};
-    int64_t reserved[AGENT_WORKSPACES] = {0};
-    g_hash_table_iter_init(&iter, machine->ledger.records);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct MpRecord *record = value;
-        int workspace = record->account->workspace[1] - '0';
-        spent[workspace] += record->spent_mtok;
-        reserved[workspace] += record->reserve_mtok;
-    }
-    for (uint32_t i = 0; i < AGENT_WORKSPACES; i++) {
-        const struct MpAccount *account =
-            MpLedger_Find(&machine->ledger, workspace_names[i]);
-        if (!account) {
-            continue;
-        }
-        if (account->settled_mtok != spent[i]) {
-            Fuzz_Fail("w%u settled %" PRId64 ", its records %" PRId64, i,
-                      account->settled_mtok, spent[i]);
-        }
-        if (account->reserved_mtok != reserved[i]) {
-            Fuzz_Fail("w%u reserved %" PRId64 ", its records %" PRId64, i,
-                      account->reserved_mtok, reserved[i]);
-        }
-        if (account->settled_mtok + account->reserved_mtok +
-                account->leased_mtok >
-            account->granted_mtok) {
-            Fuzz_Fail("w%u is overspent", i);
-        }
-    }
-}
-
-static void
-check_bills(const struct Agents *this, const struct MpMachine *machine)
-{
-    for (uint32_t i = 0; i < AGENT_KEYS; i++) {
-        const struct KeyOracle *key = &this->keys[i];
-        char name[32];
-        snprintf(name, sizeof(name), "k%u", i);
-        const struct MpRecord *record =
-            MpLedger_FindRecord(&machine->ledger, workspace_of_key(i), name);
-        if (key->is_billed && (!record || record->state != MP_RECORD_DONE ||
-                               record->spent_mtok != key->billed_mtok)) {
-            Fuzz_Fail("the bill of key %u is lost or changed", i);
-        }
-        if (record && key->not_run_id == record->open_id &&
-            record->state == MP_RECORD_OPEN) {
-            Fuzz_Fail("key %u is open again under an id given up", i);
-        }
-    }
-}
-
-void
-Agents_Check(const struct Agents *this, const struct MpMachine *machine)
-{
-    if (MpLedger_Check(&machine->ledger) != MP_OK) {
-        Fuzz_Fail("an account breaks its invariant");
-    }
-    check_topups(this, machine);
-    check_sums(machine);
-    check_bills(this, machine);
-    if (machine->document_version < this->version_most) {
-        Fuzz_Fail("document version fell from %" PRIu64 " to %" PRIu64,
-                  this->version_most, machine->document_version);
-    }
-}
-
-void
-Agents_CheckEnd(const struct Agents *this, const struct MpMachine *machine)
-{
-    Agents_Check(this, machine);
-    for (uint32_t i = 0; i < AGENT_WORKSPACES; i++) {
-        const struct MpAccount *account =
-            MpLedger_Find(&machine->ledger, workspace_names[i]);
-        if (account &&
-            (account->reserved_mtok != 0 || account->leased_mtok != 0)) {
-            Fuzz_Fail("w%u still has %" PRId64 " reserved, %" PRId64 " leased",
-                      i, account->reserved_mtok, account->leased_mtok);
-        }
-    }
-}
--- a/fuzz/Agents.h
+++ b/fuzz/Agents.h
@@ -81,6 +81,11 @@
     uint32_t wind_phase;
 };
 
+extern const char *const Agents_WorkspaceNames[AGENT_WORKSPACES];
+
+/* Returns the workspace that a key or a top-up belongs to. */
+const char *Agents_WorkspaceOfKey(uint32_t key);
+
 void Agents_Init(struct Agents *this);
 
 /* Starts a task that the input chooses.  leases switches the tasks of leases
--- a/fuzz/Cluster.c
+++ b/fuzz/Cluster.c
@@ -7,178 +7,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define SNAPSHOT_ENTRIES 12
 #define HEAL_ROUNDS_MOST 6000
 #define ROUND_MS 20
 
-/* ---- the port of a node ---- */
-
-static void
-flight_delete(void *data)
-{
-    struct Flight *this = data;
-    g_bytes_unref(this->bytes);
-    g_free(this);
-}
-
-static void
-port_send(struct MpRaftPort *port, const struct mp_raft_message *message)
-{
-    struct Node *node = (struct Node *)port;
-    struct Cluster *cluster = node->cluster;
-    if (cluster->flights->len >= CLUSTER_MESSAGES_MOST) {
-        return;
-    }
-    struct Flight *flight = g_new0(struct Flight, 1);
-    flight->from = node->number;
-    flight->to_id = message->to;
-    flight->bytes = MpCodec_Encode(MP_XDR(mp_raft_message), message);
-    g_ptr_array_add(cluster->flights, flight);
-}
-
-static void
-port_persist(struct MpRaftPort *port, struct MpRaftWrite *write)
-{
-    struct Node *node = (struct Node *)port;
-    g_queue_push_tail(&node->writes, write);
-}
-
-static void
-check_committed(struct Cluster *cluster, const struct MpLogEntry *entry)
-{
-    gsize size;
-    const void *data = g_bytes_get_data(entry->payload, &size);
-    uint64_t sum = XXH64(data, size, entry->term + entry->kind);
-    uint64_t *known = g_hash_table_lookup(cluster->committed, &entry->index);
-    if (known && *known != sum) {
-        Fuzz_Fail("entry %" PRIu64 " was committed with two contents",
-                  entry->index);
-    }
-    if (!known) {
-        uint64_t *pair = g_new(uint64_t, 2);
-        pair[0] = sum;
-        pair[1] = entry->index;
-        g_hash_table_insert(cluster->committed, &pair[1], pair);
-    }
-}
-
-static void
-answer_proposal(struct Node *node, const struct MpLogEntry *entry,
-                const struct mp_result *result)
-{
-    struct Cluster *cluster = node->cluster;
-    for (guint i = 0; i < cluster->proposals->len; i++) {
-        struct Proposal proposal =
-            g_array_index(cluster->proposals, struct Proposal, i);
-        if (proposal.node != node->number || proposal.index != entry->index) {
-            continue;
-        }
-        g_array_remove_index_fast(cluster->proposals, i);
-        bool is_lost =
-            !cluster->is_healing && FuzzInput_Below(cluster->input, 4) == 0;
-        if (proposal.term == entry->term && !is_lost) {
-            cluster->acked_index = MAX(cluster->acked_index, entry->index);
-            Agents_Answer(&cluster->agents, proposal.task, proposal.generation,
-                          result);
-        }
-        return;
-    }
-}
-
-static void
-port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
-{
-    struct Node *node = (struct Node *)port;
-    struct mp_command command;
-    struct mp_result result;
-    gsize size;
-    const void *data = g_bytes_get_data(entry->payload, &size);
-    check_committed(node->cluster, entry);
-    if (entry->kind != MP_ENTRY_COMMAND) {
-        MpMachine_Skip(&node->machine, entry->index);
-        return;
-    }
-    if (MpCodec_Decode(MP_XDR(mp_command), &command, data, size,
-                       sizeof(command)) != MP_OK) {
-        Fuzz_Fail("a committed command cannot be read");
-    }
-    MpMachine_Apply(&node->machine, entry->index, &command, &result);
-    answer_proposal(node, entry, &result);
-    MpCodec_Free(MP_XDR(mp_command), &command);
-}
-
-static GBytes *
-port_save(struct MpRaftPort *port)
-{
-    return MpMachine_Save(&((struct Node *)port)->machine);
-}
-
-static int
-port_load(struct MpRaftPort *port, GBytes *bytes)
-{
-    gsize size;
-    const void *data = g_bytes_get_data(bytes, &size);
-    return MpMachine_Load(&((struct Node *)port)->machine, data, size);
-}
-
-static const struct MpRaftPortClass node_port_class = {
-    .send = port_send,
-    .persist = port_persist,
-    .apply = port_apply,
-    .save = port_save,
-    .load = port_load,
-};
-
-/* ---- life of a node ---- */
-
-static void
-node_start(struct Node *this)
-{
-    struct MpRecovered recovered;
-    MpMachine_Init(&this->machine);
-    this->machine.ledger.retention_ms = INT64_MAX / 2;
-    MpMembership_Init(&this->membership);
-    g_queue_init(&this->writes);
-    if (MpStorage_Open(&this->storage, &this->disk.super, &recovered) !=
-        MP_OK) {
-        Fuzz_Fail("node %u cannot read its disk", this->number);
-    }
-    this->port.klass = &node_port_class;
-    if (MpRaft_Init(&this->raft, &this->port, this->id, &recovered,
-                    (uint32_t)(this->id * 31 + ++this->starts),
-                    this->clock_ms) != MP_OK) {
-        Fuzz_Fail("node %u cannot start", this->number);
-    }
-    MpRecovered_Done(&recovered);
-    this->raft.snapshot_entries = SNAPSHOT_ENTRIES;
-    this->read_since_ms = -1;
-    this->is_alive = true;
-}
-
-static void
-delete_write(void *data)
-{
-    MpRaftWrite_Delete(data);
-}
-
-static void
-node_crash(struct Node *this)
-{
-    struct Cluster *cluster = this->cluster;
-    g_queue_clear_full(&this->writes, delete_write);
-    MpRaft_Done(&this->raft);
-    MpMachine_Done(&this->machine);
-    MpMembership_Done(&this->membership);
-    MemoryDisk_Crash(&this->disk, cluster->input);
-    this->is_alive = false;
-    for (guint i = cluster->proposals->len; i > 0; i--) {
-        if (g_array_index(cluster->proposals, struct Proposal, i - 1).node ==
-            this->number) {
-            g_array_remove_index_fast(cluster->proposals, i - 1);
-        }
-    }
-}
-
 static struct Node *
 find_node(struct Cluster *this, uint64_t id)
 {
@@ -230,42 +61,10 @@
     if (!can_lose_disk(this, node)) {
         return;
     }
-    node_crash(node);
+    Node_Crash(node);
     MemoryDisk_Wipe(&node->disk);
     node->id = ++this->next_id;
-    node_start(node);
-}
-
-static void
-node_write(struct Node *this)
-{
-    struct MpRaftWrite *write = g_queue_pop_head(&this->writes);
-    int code;
-    if (!write) {
-        return;
-    }
-    if (write->has_snapshot) {
-        struct mp_snapshot_head head;
-        gsize size;
-        const void *data = g_bytes_get_data(write->head, &size);
-        MpCodec_Decode(MP_XDR(mp_snapshot_head), &head, data, size,
-                       sizeof(head));
-        code = MpStorage_SaveSnapshot(
-            &this->storage, &head, write->data, &write->hard,
-            (struct MpLogEntry *)write->entries->data, write->entries->len);
-        MpCodec_Free(MP_XDR(mp_snapshot_head), &head);
-    }
-    else {
-        code = MpStorage_Append(&this->storage, &write->hard,
-                                (struct MpLogEntry *)write->entries->data,
-                                write->entries->len);
-    }
-    if (code != MP_OK) {
-        Fuzz_Fail("a write failed");
-    }
-    uint64_t seq = write->seq;
-    MpRaftWrite_Delete(write);
-    MpRaft_Persisted(&this->raft, seq, this->clock_ms);
+    Node_Start(node);
 }
 
 /* ---- messages ---- */
@@ -411,7 +210,7 @@
         g_ptr_array_add(this->parked, flight);
         return;
     }
-    flight_delete(flight);
+    Flight_Delete(flight);
 }
 
 static void
@@ -441,7 +240,7 @@
     switch (FuzzInput_Below(input, 10)) {
     case 0:
         if (node->is_alive) {
-            node_crash(node);
+            Node_Crash(node);
         }
         break;
     case 1:
@@ -479,7 +278,7 @@
             struct Node *node = &this->nodes[j];
             if (node->is_alive) {
                 tick(node, ROUND_MS);
-                node_write(node);
+                Node_Write(node);
             }
         }
         while (this->flights->len > 0) {
@@ -501,14 +300,14 @@
         fault_step(this, node);
     }
     else if (choice < 4 && !node->is_alive) {
-        node_start(node);
+        Node_Start(node);
     }
     else if (choice < 7 && this->flights->len > 0) {
         uint8_t place = FuzzInput_Byte(input);
         deliver(this, place % this->flights->len, place >= 224);
     }
     else if (choice < 9 && node->is_alive) {
-        node_write(node);
+        Node_Write(node);
     }
     else if (choice < 10 && node->is_alive) {
         tick(node, FuzzInput_Byte(input));
@@ -601,7 +400,7 @@
     release_parked(this);
     for (uint32_t i = 0; i < this->count; i++) {
         if (!this->nodes[i].is_alive) {
-            node_start(&this->nodes[i]);
+            Node_Start(&this->nodes[i]);
         }
     }
     this->is_healing = true;
@@ -631,8 +430,8 @@
     char names[CLUSTER_NODES_MOST][8];
     uint32_t count = FuzzInput_Below(input, 4) == 0 ? 5 : 3;
     *this = (struct Cluster){.input = input, .count = count, .next_id = count};
-    this->flights = g_ptr_array_new_with_free_func(flight_delete);
-    this->parked = g_ptr_array_new_with_free_func(flight_delete);
+    this->flights = g_ptr_array_new_with_free_func(Flight_Delete);
+    this->parked = g_ptr_array_new_with_free_func(Flight_Delete);
     this->proposals = g_array_new(false, false, sizeof(struct Proposal));
     this->committed =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -655,10 +454,10 @@
         node->id = i + 1;
         node->clock_ms = 1000 * i;
         MemoryDisk_Init(&node->disk);
-        node_start(node);
+        Node_Start(node);
         MpRaft_Bootstrap(&node->raft, &members);
         while (node->writes.length > 0) {
-            node_write(node);
+            Node_Write(node);
         }
     }
 }
@@ -668,7 +467,7 @@
 {
     for (uint32_t i = 0; i < this->count; i++) {
         if (this->nodes[i].is_alive) {
-            node_crash(&this->nodes[i]);
+            Node_Crash(&this->nodes[i]);
         }
         MemoryDisk_Done(&this->nodes[i].disk);
     }
--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -73,6 +73,14 @@
     bool is_healing;      /* nothing is lost any more */
 };
 
+/* -- ClusterNode.c -- */
+void Flight_Delete(void *flight);
+void Node_Start(struct Node *this);
+/* Ends the process; its disk keeps what was synced and part of the rest. */
+void Node_Crash(struct Node *this);
+/* Makes the oldest write durable. */
+void Node_Write(struct Node *this);
+
 void Cluster_Init(struct Cluster *this, struct FuzzInput *input);
 void Cluster_Done(struct Cluster *this);
 
--- /dev/null
+++ b/fuzz/ClusterNode.c
@@ -0,0 +1,212 @@
+#include "Cluster.h"
+
+#include "state/Codec.h"
+#include "state/Error.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* One replica of a Cluster: its port, its disk, its life. */
+
+#define SNAPSHOT_ENTRIES 12
+
+/* ---- the port of a node ---- */
+
+void
+Flight_Delete(void *data)
+{
+    struct Flight *this = data;
+    g_bytes_unref(this->bytes);
+    g_free(this);
+}
+
+static void
+port_send(struct MpRaftPort *port, const struct mp_raft_message *message)
+{
+    struct Node *node = (struct Node *)port;
+    struct Cluster *cluster = node->cluster;
+    if (cluster->flights->len >= CLUSTER_MESSAGES_MOST) {
+        return;
+    }
+    struct Flight *flight = g_new0(struct Flight, 1);
+    flight->from = node->number;
+    flight->to_id = message->to;
+    flight->bytes = MpCodec_Encode(MP_XDR(mp_raft_message), message);
+    g_ptr_array_add(cluster->flights, flight);
+}
+
+static void
+port_persist(struct MpRaftPort *port, struct MpRaftWrite *write)
+{
+    struct Node *node = (struct Node *)port;
+    g_queue_push_tail(&node->writes, write);
+}
+
+static void
+check_committed(struct Cluster *cluster, const struct MpLogEntry *entry)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(entry->payload, &size);
+    uint64_t sum = XXH64(data, size, entry->term + entry->kind);
+    uint64_t *known = g_hash_table_lookup(cluster->committed, &entry->index);
+    if (known && *known != sum) {
+        Fuzz_Fail("entry %" PRIu64 " was committed with two contents",
+                  entry->index);
+    }
+    if (!known) {
+        uint64_t *pair = g_new(uint64_t, 2);
+        pair[0] = sum;
+        pair[1] = entry->index;
+        g_hash_table_insert(cluster->committed, &pair[1], pair);
+    }
+}
+
+static void
+answer_proposal(struct Node *node, const struct MpLogEntry *entry,
+                const struct mp_result *result)
+{
+    struct Cluster *cluster = node->cluster;
+    for (guint i = 0; i < cluster->proposals->len; i++) {
+        struct Proposal proposal =
+            g_array_index(cluster->proposals, struct Proposal, i);
+        if (proposal.node != node->number || proposal.index != entry->index) {
+            continue;
+        }
+        g_array_remove_index_fast(cluster->proposals, i);
+        bool is_lost =
+            !cluster->is_healing && FuzzInput_Below(cluster->input, 4) == 0;
+        if (proposal.term == entry->term && !is_lost) {
+            cluster->acked_index = MAX(cluster->acked_index, entry->index);
+            Agents_Answer(&cluster->agents, proposal.task, proposal.generation,
+                          result);
+        }
+        return;
+    }
+}
+
+static void
+port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
+{
+    struct Node *node = (struct Node *)port;
+    struct mp_command command;
+    struct mp_result result;
+    gsize size;
+    const void *data = g_bytes_get_data(entry->payload, &size);
+    check_committed(node->cluster, entry);
+    if (entry->kind != MP_ENTRY_COMMAND) {
+        MpMachine_Skip(&node->machine, entry->index);
+        return;
+    }
+    if (MpCodec_Decode(MP_XDR(mp_command), &command, data, size,
+                       sizeof(command)) != MP_OK) {
+        Fuzz_Fail("a committed command cannot be read");
+    }
+    MpMachine_Apply(&node->machine, entry->index, &command, &result);
+    answer_proposal(node, entry, &result);
+    MpCodec_Free(MP_XDR(mp_command), &command);
+}
+
+static GBytes *
+port_save(struct MpRaftPort *port)
+{
+    return MpMachine_Save(&((struct Node *)port)->machine);
+}
+
+static int
+port_load(struct MpRaftPort *port, GBytes *bytes)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    return MpMachine_Load(&((struct Node *)port)->machine, data, size);
+}
+
+static const struct MpRaftPortClass node_port_class = {
+    .send = port_send,
+    .persist = port_persist,
+    .apply = port_apply,
+    .save = port_save,
+    .load = port_load,
+};
+
+/* ---- life of a node ---- */
+
+void
+Node_Start(struct Node *this)
+{
+    struct MpRecovered recovered;
+    MpMachine_Init(&this->machine);
+    this->machine.ledger.retention_ms = INT64_MAX / 2;
+    MpMembership_Init(&this->membership);
+    g_queue_init(&this->writes);
+    if (MpStorage_Open(&this->storage, &this->disk.super, &recovered) !=
+        MP_OK) {
+        Fuzz_Fail("node %u cannot read its disk", this->number);
+    }
+    this->port.klass = &node_port_class;
+    if (MpRaft_Init(&this->raft, &this->port, this->id, &recovered,
+                    (uint32_t)(this->id * 31 + ++this->starts),
+                    this->clock_ms) != MP_OK) {
+        Fuzz_Fail("node %u cannot start", this->number);
+    }
+    MpRecovered_Done(&recovered);
+    this->raft.snapshot_entries = SNAPSHOT_ENTRIES;
+    this->read_since_ms = -1;
+    this->is_alive = true;
+}
+
+static void
+delete_write(void *data)
+{
+    MpRaftWrite_Delete(data);
+}
+
+void
+Node_Crash(struct Node *this)
+{
+    struct Cluster *cluster = this->cluster;
+    g_queue_clear_full(&this->writes, delete_write);
+    MpRaft_Done(&this->raft);
+    MpMachine_Done(&this->machine);
+    MpMembership_Done(&this->membership);
+    MemoryDisk_Crash(&this->disk, cluster->input);
+    this->is_alive = false;
+    for (guint i = cluster->proposals->len; i > 0; i--) {
+        if (g_array_index(cluster->proposals, struct Proposal, i - 1).node ==
+            this->number) {
+            g_array_remove_index_fast(cluster->proposals, i - 1);
+        }
+    }
+}
+
+void
+Node_Write(struct Node *this)
+{
+    struct MpRaftWrite *write = g_queue_pop_head(&this->writes);
+    int code;
+    if (!write) {
+        return;
+    }
+    if (write->has_snapshot) {
+        struct mp_snapshot_head head;
+        gsize size;
+        const void *data = g_bytes_get_data(write->head, &size);
+        MpCodec_Decode(MP_XDR(mp_snapshot_head), &head, data, size,
+                       sizeof(head));
+        code = MpStorage_SaveSnapshot(
+            &this->storage, &head, write->data, &write->hard,
+            (struct MpLogEntry *)write->entries->data, write->entries->len);
+        MpCodec_Free(MP_XDR(mp_snapshot_head), &head);
+    }
+    else {
+        code = MpStorage_Append(&this->storage, &write->hard,
+                                (struct MpLogEntry *)write->entries->data,
+                                write->entries->len);
+    }
+    if (code != MP_OK) {
+        Fuzz_Fail("a write failed");
+    }
+    uint64_t seq = write->seq;
+    MpRaftWrite_Delete(write);
+    MpRaft_Persisted(&this->raft, seq, this->clock_ms);
+}
--- a/src/protocol/Sse.c
+++ b/src/protocol/Sse.c
@@ -1,6 +1,7 @@
 #include "protocol/Sse.h"
 
 #include "state/Error.h"
+#include "state/Json.h"
 
 #include <json.h>
 #include <string.h>
@@ -40,15 +41,6 @@
     return MP_OK;
 }
 
-static int64_t
-member_number(struct json_object *object, const char *name)
-{
-    struct json_object *value;
-    return json_object_object_get_ex(object, name, &value)
-               ? json_object_get_int64(value)
-               : 0;
-}
-
 static void
 classify_json(struct MpSseEvent *event, const char *text, size_t size)
 {
@@ -62,8 +54,8 @@
         else if (json_object_object_get_ex(root, "usage", &value) &&
                  json_object_is_type(value, json_type_object)) {
             event->kind = MP_SSE_USAGE;
-            event->prompt_tokens = member_number(value, "prompt_tokens");
-            event->output_tokens = member_number(value, "completion_tokens");
+            event->prompt_tokens = MpJson_Number(value, "prompt_tokens");
+            event->output_tokens = MpJson_Number(value, "completion_tokens");
         }
         else if (json_object_object_get_ex(root, "choices", &value) &&
                  json_object_is_type(value, json_type_array) &&
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -293,3 +293,12 @@
     g_free(reader.text);
     return value;
 }
+
+int64_t
+MpJson_Number(struct json_object *object, const char *name)
+{
+    struct json_object *value;
+    return json_object_object_get_ex(object, name, &value)
+               ? json_object_get_int64(value)
+               : 0;
+}
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <json.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /*
  * Json - strict reading of JSON with comments, and the list of findings.
@@ -52,4 +53,7 @@
 struct json_object *MpJson_Parse(const char *text, size_t size,
                                  GPtrArray *findings);
 
+/* Returns a whole number that is a member of object, or 0. */
+int64_t MpJson_Number(struct json_object *object, const char *name);
+
 #endif
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "state/Fault.h"
+#include "state/LedgerInternal.h"
 
 #include <string.h>
 
@@ -93,9 +94,9 @@
     return account;
 }
 
-static struct MpLease *
-find_lease(const struct MpAccount *account, const char *instance,
-           uint64_t boot)
+struct MpLease *
+MpLedger_FindLease(const struct MpAccount *account, const char *instance,
+                   uint64_t boot)
 {
     for (guint i = 0; i < account->leases->len; i++) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
@@ -110,7 +111,7 @@
 lease_of(struct MpAccount *account, const struct mp_holder *holder)
 {
     struct MpLease *lease =
-        find_lease(account, holder->instance, holder->boot);
+        MpLedger_FindLease(account, holder->instance, holder->boot);
     if (lease) {
         return lease;
     }
@@ -121,8 +122,8 @@
     return lease;
 }
 
-static bool
-is_amount(int64_t amount_mtok)
+bool
+MpLedger_IsAmount(int64_t amount_mtok)
 {
     return amount_mtok >= 0 && amount_mtok <= MP_AMOUNT_MAX_MTOK;
 }
@@ -133,7 +134,7 @@
 MpLedger_Grant(struct MpLedger *this, const char *workspace,
                int64_t amount_mtok)
 {
-    if (!is_amount(amount_mtok)) {
+    if (!MpLedger_IsAmount(amount_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
     struct MpAccount *account = account_of(this, workspace);
@@ -156,7 +157,7 @@
     if (!account) {
         return MP_ERROR_BUDGET;
     }
-    if (!is_amount(wanted->amount_mtok)) {
+    if (!MpLedger_IsAmount(wanted->amount_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
     struct MpLease *lease = lease_of(account, &wanted->holder);
@@ -183,11 +184,11 @@
         return MP_ERROR_NOT_FOUND;
     }
     struct MpLease *lease =
-        find_lease(account, back->holder.instance, back->holder.boot);
+        MpLedger_FindLease(account, back->holder.instance, back->holder.boot);
     if (!lease) {
         return MP_ERROR_NOT_FOUND;
     }
-    if (back->seq > lease->seq && is_amount(back->amount_mtok)) {
+    if (back->seq > lease->seq && MpLedger_IsAmount(back->amount_mtok)) {
         int64_t amount = MIN(back->amount_mtok, lease->amount_mtok);
         lease->seq = back->seq;
         lease->last_grant_mtok = 0;
@@ -233,9 +234,9 @@
     return record->is_brief ? &this->brief : &this->closed;
 }
 
-static void
-record_close(struct MpLedger *this, struct MpRecord *record,
-             enum mp_record_state state, int64_t now_ms)
+void
+MpLedger_CloseRecord(struct MpLedger *this, struct MpRecord *record,
+                     enum mp_record_state state, int64_t now_ms)
 {
     record->state = state;
     record->closed_ms = now_ms;
@@ -243,8 +244,8 @@
     g_queue_push_tail_link(MpLedger_QueueOf(this, record), &record->link);
 }
 
-static void
-record_unlink(struct MpLedger *this, struct MpRecord *record)
+void
+MpLedger_UnlinkRecord(struct MpLedger *this, struct MpRecord *record)
 {
     if (record->link.data) {
         g_queue_unlink(MpLedger_QueueOf(this, record), &record->link);
@@ -252,8 +253,9 @@
     }
 }
 
-static struct MpRecord *
-record_new(struct MpLedger *this, struct MpAccount *account, const char *key)
+struct MpRecord *
+MpLedger_NewRecord(struct MpLedger *this, struct MpAccount *account,
+                   const char *key)
 {
     struct MpRecord *record = g_new0(struct MpRecord, 1);
     record->id = g_strdup_printf("%s\n%s", account->workspace, key);
@@ -268,7 +270,7 @@
 record_start(struct MpLedger *this, struct MpRecord *record,
              const struct mp_open *open)
 {
-    record_unlink(this, record);
+    MpLedger_UnlinkRecord(this, record);
     memcpy(record->body_hash, open->body_hash, MP_HASH_BYTES);
     record->instance = g_intern_string(open->holder.instance);
     record->boot = open->holder.boot;
@@ -409,7 +411,7 @@
     if (!account) {
         return MP_ERROR_BUDGET;
     }
-    if (!is_amount(open->reserve_mtok)) {
+    if (!MpLedger_IsAmount(open->reserve_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
     struct MpRecord *record =
@@ -429,7 +431,7 @@
         return code;
     }
     if (!record) {
-        record = record_new(this, account, open->key);
+        record = MpLedger_NewRecord(this, account, open->key);
     }
     record_start(this, record, open);
     result->state = MP_RECORD_OPEN;
@@ -484,11 +486,11 @@
     if (settle->outcome != MP_RECORD_NOT_RUN) {
         return MP_ERROR_STALE;
     }
-    struct MpRecord *record = record_new(this, account, settle->key);
+    struct MpRecord *record = MpLedger_NewRecord(this, account, settle->key);
     record->instance = g_intern_string(settle->holder.instance);
     record->boot = settle->holder.boot;
     record->open_id = settle->open_id;
-    record_close(this, record, MP_RECORD_NOT_RUN, now_ms);
+    MpLedger_CloseRecord(this, record, MP_RECORD_NOT_RUN, now_ms);
     return MP_OK;
 }
 
@@ -514,7 +516,7 @@
     record->spent_mtok = spent;
     record->reserve_mtok = 0;
     record_keep_answer(record, settle);
-    record_close(this, record, outcome, now_ms);
+    MpLedger_CloseRecord(this, record, outcome, now_ms);
     return MP_OK;
 }
 
@@ -551,193 +553,3 @@
         return MP_OK;
     }
 }
-
-/* ---- offline spending ---- */
-
-int
-MpLedger_Offline(struct MpLedger *this, const struct mp_offline *offline,
-                 int64_t now_ms, struct mp_result *result)
-{
-    struct MpAccount *account = MpLedger_Find(this, offline->workspace);
-    if (!account) {
-        return MP_ERROR_NOT_FOUND;
-    }
-    struct MpRecord *record =
-        MpLedger_FindRecord(this, offline->workspace, offline->key);
-    if (record && record->state == MP_RECORD_DONE) {
-        result->amount_mtok = 0;
-        return memcmp(record->body_hash, offline->body_hash, MP_HASH_BYTES)
-                   ? MP_ERROR_KEY_REUSED
-                   : MP_OK;
-    }
-    if (record && record->at_most_once) {
-        return MP_ERROR_KEY_REUSED;
-    }
-    struct MpLease *lease =
-        find_lease(account, offline->holder.instance, offline->holder.boot);
-    if (!lease || !is_amount(offline->spent_mtok) ||
-        lease->amount_mtok < offline->spent_mtok) {
-        return MP_ERROR_BUDGET;
-    }
-    if (record && record->state == MP_RECORD_OPEN) {
-        account->reserved_mtok -= record->reserve_mtok;
-    }
-    if (record) {
-        account->settled_mtok -= record->spent_mtok;
-        record_unlink(this, record);
-    }
-    else {
-        record = record_new(this, account, offline->key);
-    }
-    lease->amount_mtok -= offline->spent_mtok;
-    account->leased_mtok -= offline->spent_mtok;
-    account->settled_mtok += offline->spent_mtok;
-    memcpy(record->body_hash, offline->body_hash, MP_HASH_BYTES);
-    record->instance = g_intern_string(offline->holder.instance);
-    record->boot = offline->holder.boot;
-    record->open_id = 0;
-    record->reserve_mtok = 0;
-    record->spent_mtok = offline->spent_mtok;
-    record_close(this, record, MP_RECORD_DONE, now_ms);
-    result->amount_mtok = offline->spent_mtok;
-    return MP_OK;
-}
-
-/* ---- dead incarnations ---- */
-
-static bool
-is_held_by(const struct MpRecord *record, const char *instance, uint64_t boot)
-{
-    return record->state == MP_RECORD_OPEN && record->boot <= boot &&
-           strcmp(record->instance, instance) == 0;
-}
-
-static int
-compare_records(const void *a, const void *b)
-{
-    const struct MpRecord *const *x = a;
-    const struct MpRecord *const *y = b;
-    return strcmp((*x)->id, (*y)->id);
-}
-
-static int64_t
-drop_account_leases(struct MpAccount *account, const char *instance,
-                    uint64_t boot, bool only_empty)
-{
-    int64_t freed = 0;
-    for (guint i = account->leases->len; i > 0; i--) {
-        struct MpLease *lease = g_ptr_array_index(account->leases, i - 1);
-        if (lease->boot > boot || strcmp(lease->instance, instance) != 0) {
-            continue;
-        }
-        if (only_empty && lease->amount_mtok > 0 &&
-            !MP_FAULT(MP_FAULT_LEASE_TIMEOUT)) {
-            continue;
-        }
-        freed += lease->amount_mtok;
-        account->leased_mtok -= lease->amount_mtok;
-        g_ptr_array_remove_index(account->leases, i - 1);
-    }
-    return freed;
-}
-
-static int64_t
-drop_leases(struct MpLedger *this, const char *instance, uint64_t boot,
-            bool only_empty)
-{
-    GHashTableIter iter;
-    void *value;
-    int64_t freed = 0;
-    g_hash_table_iter_init(&iter, this->accounts);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        freed += drop_account_leases(value, instance, boot, only_empty);
-    }
-    return freed;
-}
-
-void
-MpLedger_Fence(struct MpLedger *this, const char *instance, uint64_t boot,
-               int64_t now_ms)
-{
-    GHashTableIter iter;
-    void *value;
-    GPtrArray *held = g_ptr_array_new();
-    g_hash_table_iter_init(&iter, this->records);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (is_held_by(value, instance, boot)) {
-            g_ptr_array_add(held, value);
-        }
-    }
-    /* The order of closing must be the same on all replicas. */
-    g_ptr_array_sort(held, compare_records);
-    for (guint i = 0; i < held->len; i++) {
-        struct MpRecord *record = g_ptr_array_index(held, i);
-        int64_t spent = record->at_most_once ? record->reserve_mtok : 0;
-        record->account->reserved_mtok -= record->reserve_mtok;
-        record->account->settled_mtok += spent;
-        record->spent_mtok = spent;
-        record->reserve_mtok = 0;
-        record_close(this, record,
-                     record->at_most_once ? MP_RECORD_UNKNOWN
-                                          : MP_RECORD_ABANDONED,
-                     now_ms);
-    }
-    g_ptr_array_unref(held);
-    drop_leases(this, instance, boot, true);
-}
-
-int64_t
-MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot)
-{
-    return drop_leases(this, instance, boot, false);
-}
-
-static void
-expire(struct MpLedger *this, GQueue *queue, int64_t before_ms)
-{
-    struct MpRecord *record;
-    while ((record = g_queue_peek_head(queue)) &&
-           record->closed_ms <= before_ms) {
-        record_unlink(this, record);
-        g_hash_table_remove(this->records, record->id);
-    }
-}
-
-void
-MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
-{
-    expire(this, &this->closed, now_ms - this->retention_ms);
-    expire(this, &this->brief,
-           now_ms - MIN(this->retention_ms, MP_BRIEF_RETENTION_MS));
-}
-
-/* ---- checks ---- */
-
-static bool
-is_account_sound(const struct MpAccount *account)
-{
-    int64_t leased = 0;
-    for (guint i = 0; i < account->leases->len; i++) {
-        struct MpLease *lease = g_ptr_array_index(account->leases, i);
-        if (lease->amount_mtok < 0) {
-            return false;
-        }
-        leased += lease->amount_mtok;
-    }
-    return leased == account->leased_mtok && account->settled_mtok >= 0 &&
-           account->reserved_mtok >= 0 && MpAccount_Free(account) >= 0;
-}
-
-int
-MpLedger_Check(const struct MpLedger *this)
-{
-    GHashTableIter iter;
-    void *value;
-    g_hash_table_iter_init(&iter, this->accounts);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (!is_account_sound(value)) {
-            return MP_ERROR_CORRUPT;
-        }
-    }
-    return MP_OK;
-}
--- /dev/null
+++ b/src/state/LedgerFence.c
@@ -0,0 +1,200 @@
+#include "state/Ledger.h"
+
+#include "state/Error.h"
+#include "state/Fault.h"
+#include "state/LedgerInternal.h"
+
+#include <string.h>
+
+/* What happens without a quorum and after a death: offline bills, fences,
+ * write-offs, expiry, and the check of the invariant; see Ledger.h. */
+
+/* ---- offline spending ---- */
+
+int
+MpLedger_Offline(struct MpLedger *this, const struct mp_offline *offline,
+                 int64_t now_ms, struct mp_result *result)
+{
+    struct MpAccount *account = MpLedger_Find(this, offline->workspace);
+    if (!account) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    struct MpRecord *record =
+        MpLedger_FindRecord(this, offline->workspace, offline->key);
+    if (record && record->state == MP_RECORD_DONE) {
+        result->amount_mtok = 0;
+        return memcmp(record->body_hash, offline->body_hash, MP_HASH_BYTES)
+                   ? MP_ERROR_KEY_REUSED
+                   : MP_OK;
+    }
+    if (record && record->at_most_once) {
+        return MP_ERROR_KEY_REUSED;
+    }
+    struct MpLease *lease = MpLedger_FindLease(
+        account, offline->holder.instance, offline->holder.boot);
+    if (!lease || !MpLedger_IsAmount(offline->spent_mtok) ||
+        lease->amount_mtok < offline->spent_mtok) {
+        return MP_ERROR_BUDGET;
+    }
+    if (record && record->state == MP_RECORD_OPEN) {
+        account->reserved_mtok -= record->reserve_mtok;
+    }
+    if (record) {
+        account->settled_mtok -= record->spent_mtok;
+        MpLedger_UnlinkRecord(this, record);
+    }
+    else {
+        record = MpLedger_NewRecord(this, account, offline->key);
+    }
+    lease->amount_mtok -= offline->spent_mtok;
+    account->leased_mtok -= offline->spent_mtok;
+    account->settled_mtok += offline->spent_mtok;
+    memcpy(record->body_hash, offline->body_hash, MP_HASH_BYTES);
+    record->instance = g_intern_string(offline->holder.instance);
+    record->boot = offline->holder.boot;
+    record->open_id = 0;
+    record->reserve_mtok = 0;
+    record->spent_mtok = offline->spent_mtok;
+    MpLedger_CloseRecord(this, record, MP_RECORD_DONE, now_ms);
+    result->amount_mtok = offline->spent_mtok;
+    return MP_OK;
+}
+
+/* ---- dead incarnations ---- */
+
+static bool
+is_held_by(const struct MpRecord *record, const char *instance, uint64_t boot)
+{
+    return record->state == MP_RECORD_OPEN && record->boot <= boot &&
+           strcmp(record->instance, instance) == 0;
+}
+
+static int
+compare_records(const void *a, const void *b)
+{
+    const struct MpRecord *const *x = a;
+    const struct MpRecord *const *y = b;
+    return strcmp((*x)->id, (*y)->id);
+}
+
+static int64_t
+drop_account_leases(struct MpAccount *account, const char *instance,
+                    uint64_t boot, bool only_empty)
+{
+    int64_t freed = 0;
+    for (guint i = account->leases->len; i > 0; i--) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i - 1);
+        if (lease->boot > boot || strcmp(lease->instance, instance) != 0) {
+            continue;
+        }
+        if (only_empty && lease->amount_mtok > 0 &&
+            !MP_FAULT(MP_FAULT_LEASE_TIMEOUT)) {
+            continue;
+        }
+        freed += lease->amount_mtok;
+        account->leased_mtok -= lease->amount_mtok;
+        g_ptr_array_remove_index(account->leases, i - 1);
+    }
+    return freed;
+}
+
+static int64_t
+drop_leases(struct MpLedger *this, const char *instance, uint64_t boot,
+            bool only_empty)
+{
+    GHashTableIter iter;
+    void *value;
+    int64_t freed = 0;
+    g_hash_table_iter_init(&iter, this->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        freed += drop_account_leases(value, instance, boot, only_empty);
+    }
+    return freed;
+}
+
+void
+MpLedger_Fence(struct MpLedger *this, const char *instance, uint64_t boot,
+               int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    GPtrArray *held = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, this->records);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (is_held_by(value, instance, boot)) {
+            g_ptr_array_add(held, value);
+        }
+    }
+    /* The order of closing must be the same on all replicas. */
+    g_ptr_array_sort(held, compare_records);
+    for (guint i = 0; i < held->len; i++) {
+        struct MpRecord *record = g_ptr_array_index(held, i);
+        int64_t spent = record->at_most_once ? record->reserve_mtok : 0;
+        record->account->reserved_mtok -= record->reserve_mtok;
+        record->account->settled_mtok += spent;
+        record->spent_mtok = spent;
+        record->reserve_mtok = 0;
+        MpLedger_CloseRecord(this, record,
+                             record->at_most_once ? MP_RECORD_UNKNOWN
+                                                  : MP_RECORD_ABANDONED,
+                             now_ms);
+    }
+    g_ptr_array_unref(held);
+    drop_leases(this, instance, boot, true);
+}
+
+int64_t
+MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot)
+{
+    return drop_leases(this, instance, boot, false);
+}
+
+static void
+expire(struct MpLedger *this, GQueue *queue, int64_t before_ms)
+{
+    struct MpRecord *record;
+    while ((record = g_queue_peek_head(queue)) &&
+           record->closed_ms <= before_ms) {
+        MpLedger_UnlinkRecord(this, record);
+        g_hash_table_remove(this->records, record->id);
+    }
+}
+
+void
+MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
+{
+    expire(this, &this->closed, now_ms - this->retention_ms);
+    expire(this, &this->brief,
+           now_ms - MIN(this->retention_ms, MP_BRIEF_RETENTION_MS));
+}
+
+/* ---- checks ---- */
+
+static bool
+is_account_sound(const struct MpAccount *account)
+{
+    int64_t leased = 0;
+    for (guint i = 0; i < account->leases->len; i++) {
+        struct MpLease *lease = g_ptr_array_index(account->leases, i);
+        if (lease->amount_mtok < 0) {
+            return false;
+        }
+        leased += lease->amount_mtok;
+    }
+    return leased == account->leased_mtok && account->settled_mtok >= 0 &&
+           account->reserved_mtok >= 0 && MpAccount_Free(account) >= 0;
+}
+
+int
+MpLedger_Check(const struct MpLedger *this)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (!is_account_sound(value)) {
+            return MP_ERROR_CORRUPT;
+        }
+    }
+    return MP_OK;
+}
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -1,8 +1,8 @@
 #include "state/Machine.h"
 
-#include "state/Codec.h"
 #include "state/Error.h"
 #include "state/Fault.h"
+#include "state/MachineInternal.h"
 
 #include <string.h>
 
@@ -44,9 +44,9 @@
     g_free(this);
 }
 
-static void
-add_history(struct MpMachine *this, uint64_t version, int64_t at_ms,
-            const char *author, const char *submission)
+void
+MpMachine_AddHistory(struct MpMachine *this, uint64_t version, int64_t at_ms,
+                     const char *author, const char *submission)
 {
     struct mp_history *entry = g_new0(struct mp_history, 1);
     entry->document_version = version;
@@ -109,8 +109,9 @@
 
 /* ---- markers ---- */
 
-static struct MpMarker *
-marker_add(GHashTable *table, GQueue *order, const char *scope, const char *id)
+struct MpMarker *
+MpMachine_AddMarker(GHashTable *table, GQueue *order, const char *scope,
+                    const char *id)
 {
     struct MpMarker *marker = g_new0(struct MpMarker, 1);
     marker->id = g_strdup(id);
@@ -209,8 +210,8 @@
     if (MP_FAULT(MP_FAULT_DOCUMENT_BY_CONTENT)) {
         is_base = strcmp(put->text, this->document) != 0;
     }
-    marker = marker_add(this->submissions, &this->submission_order, "",
-                        put->submission);
+    marker = MpMachine_AddMarker(this->submissions, &this->submission_order,
+                                 "", put->submission);
     if (is_base) {
         g_free(this->document);
         g_free(this->document_author);
@@ -218,8 +219,8 @@
         this->document_author = g_strdup(put->author);
         this->document_version++;
         this->ledger.retention_ms = put->retention_ms;
-        add_history(this, this->document_version, this->now_ms, put->author,
-                    put->submission);
+        MpMachine_AddHistory(this, this->document_version, this->now_ms,
+                             put->author, put->submission);
     }
     marker->code = is_base ? MP_OK : MP_ERROR_VERSION;
     marker->number = this->document_version;
@@ -241,8 +242,8 @@
         return code;
     }
     if (!marker) {
-        marker = marker_add(this->topups, &this->topup_order, topup->workspace,
-                            topup->topup_id);
+        marker = MpMachine_AddMarker(this->topups, &this->topup_order,
+                                     topup->workspace, topup->topup_id);
     }
     marker->amount_mtok =
         MpLedger_Find(&this->ledger, topup->workspace)->granted_mtok;
@@ -458,205 +459,3 @@
 {
     this->applied = index;
 }
-
-/* ---- snapshots ---- */
-
-static void
-save_incarnations(const struct MpMachine *this, struct mp_machine_image *image)
-{
-    GHashTableIter iter;
-    void *value;
-    guint count = g_hash_table_size(this->incarnations);
-    struct mp_incarnation_image *next =
-        g_new0(struct mp_incarnation_image, count);
-    image->incarnations.incarnations_len = count;
-    image->incarnations.incarnations_val = next;
-    g_hash_table_iter_init(&iter, this->incarnations);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct MpIncarnation *life = value;
-        *next++ = (struct mp_incarnation_image){.instance = life->instance,
-                                                .boot = life->boot,
-                                                .nonce = life->nonce,
-                                                .fenced = life->fenced};
-    }
-}
-
-static struct mp_marker_image *
-save_markers(GHashTable *table, const GQueue *order)
-{
-    struct mp_marker_image *images =
-        g_new0(struct mp_marker_image, order->length);
-    struct mp_marker_image *next = images;
-    for (const GList *link = order->head; link; link = link->next) {
-        const struct MpMarker *marker = g_hash_table_lookup(table, link->data);
-        *next++ = (struct mp_marker_image){.id = marker->id,
-                                           .scope = marker->scope,
-                                           .code = marker->code,
-                                           .number = marker->number,
-                                           .amount_mtok = marker->amount_mtok};
-    }
-    return images;
-}
-
-static void
-save_poisons(const struct MpMachine *this, struct mp_machine_image *image)
-{
-    GHashTableIter iter;
-    void *value;
-    guint count = g_hash_table_size(this->poisons);
-    struct mp_poison_image *next = g_new0(struct mp_poison_image, count);
-    image->poisons.poisons_len = count;
-    image->poisons.poisons_val = next;
-    g_hash_table_iter_init(&iter, this->poisons);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct MpPoison *poison = value;
-        next->deaths = poison->deaths;
-        next->last_target = poison->last_target;
-        next->last_ms = poison->last_ms;
-        next->workspace = poison->workspace;
-        next->key = poison->key;
-        next->open_id = poison->open_id;
-        memcpy(next->body_hash, poison->body_hash, MP_HASH_BYTES);
-        next++;
-    }
-}
-
-struct mp_history *
-MpMachine_History(const struct MpMachine *this)
-{
-    struct mp_history *list = g_new0(struct mp_history, this->history.length);
-    struct mp_history *next = list;
-    for (const GList *at = this->history.head; at; at = at->next) {
-        *next++ = *(const struct mp_history *)at->data;
-    }
-    return list;
-}
-
-GBytes *
-MpMachine_Save(const struct MpMachine *this)
-{
-    struct mp_machine_image image = {
-        .applied = this->applied,
-        .now_ms = this->now_ms,
-        .retention_ms = this->ledger.retention_ms,
-        .document_version = this->document_version,
-        .document_author = this->document_author,
-        .document = this->document,
-        .poison_version = this->poison_version,
-    };
-    MpLedger_Save(&this->ledger, &image);
-    if (MP_FAULT(MP_FAULT_SNAPSHOT_DROPS_CLAIMS)) {
-        image.closed_records.closed_records_len = 0;
-    }
-    save_incarnations(this, &image);
-    save_poisons(this, &image);
-    image.topups.topups_len = this->topup_order.length;
-    image.topups.topups_val = save_markers(this->topups, &this->topup_order);
-    image.submissions.submissions_len = this->submission_order.length;
-    image.submissions.submissions_val =
-        save_markers(this->submissions, &this->submission_order);
-    image.history.history_val = MpMachine_History(this);
-    image.history.history_len = this->history.length;
-    GBytes *bytes = MpCodec_Encode(MP_XDR(mp_machine_image), &image);
-    g_free(image.history.history_val);
-    MpLedger_DropImage(&image);
-    g_free(image.incarnations.incarnations_val);
-    g_free(image.poisons.poisons_val);
-    g_free(image.topups.topups_val);
-    g_free(image.submissions.submissions_val);
-    return bytes;
-}
-
-static void
-load_markers(GHashTable *table, GQueue *order,
-             const struct mp_marker_image *images, u_int count)
-{
-    for (u_int i = 0; i < count; i++) {
-        struct MpMarker *marker =
-            marker_add(table, order, images[i].scope, images[i].id);
-        marker->code = images[i].code;
-        marker->number = images[i].number;
-        marker->amount_mtok = images[i].amount_mtok;
-    }
-}
-
-static void
-load_incarnations(struct MpMachine *this, const struct mp_machine_image *image)
-{
-    for (u_int i = 0; i < image->incarnations.incarnations_len; i++) {
-        const struct mp_incarnation_image *from =
-            &image->incarnations.incarnations_val[i];
-        struct MpIncarnation *life = g_new0(struct MpIncarnation, 1);
-        life->instance = g_strdup(from->instance);
-        life->boot = from->boot;
-        life->nonce = from->nonce;
-        life->fenced = from->fenced;
-        g_hash_table_insert(this->incarnations, life->instance, life);
-    }
-}
-
-static void
-load_poisons(struct MpMachine *this, const struct mp_machine_image *image)
-{
-    for (u_int i = 0; i < image->poisons.poisons_len; i++) {
-        const struct mp_poison_image *from = &image->poisons.poisons_val[i];
-        struct MpPoison *poison = g_new0(struct MpPoison, 1);
-        memcpy(poison->body_hash, from->body_hash, MP_HASH_BYTES);
-        poison->deaths = from->deaths;
-        poison->last_target = g_strdup(from->last_target);
-        poison->last_ms = from->last_ms;
-        poison->workspace = g_strdup(from->workspace);
-        poison->key = g_strdup(from->key);
-        poison->open_id = from->open_id;
-        g_hash_table_insert(this->poisons, poison->body_hash, poison);
-    }
-}
-
-static int
-load_image(struct MpMachine *this, const struct mp_machine_image *image)
-{
-    g_free(this->document);
-    g_free(this->document_author);
-    this->document = g_strdup(image->document);
-    this->document_author = g_strdup(image->document_author);
-    this->document_version = image->document_version;
-    this->poison_version = image->poison_version;
-    this->applied = image->applied;
-    this->now_ms = image->now_ms;
-    this->ledger.retention_ms = image->retention_ms;
-    load_incarnations(this, image);
-    load_poisons(this, image);
-    load_markers(this->topups, &this->topup_order, image->topups.topups_val,
-                 image->topups.topups_len);
-    load_markers(this->submissions, &this->submission_order,
-                 image->submissions.submissions_val,
-                 image->submissions.submissions_len);
-    for (u_int i = 0; i < image->history.history_len; i++) {
-        const struct mp_history *from = &image->history.history_val[i];
-        add_history(this, from->document_version, from->at_ms, from->author,
-                    from->submission);
-    }
-    return MpLedger_Load(&this->ledger, image);
-}
-
-int
-MpMachine_Load(struct MpMachine *this, const void *data, size_t size)
-{
-    struct mp_machine_image image;
-    int code = MpCodec_Decode(MP_XDR(mp_machine_image), &image, data, size,
-                              sizeof(image));
-    if (code != MP_OK) {
-        return code;
-    }
-    struct MpMachine fresh;
-    MpMachine_Init(&fresh);
-    code = load_image(&fresh, &image);
-    MpCodec_Free(MP_XDR(mp_machine_image), &image);
-    if (code != MP_OK) {
-        MpMachine_Done(&fresh);
-        return code;
-    }
-    MpMachine_Done(this);
-    *this = fresh;
-    return MP_OK;
-}
--- a/src/transport/ConsoleEdit.c
+++ b/src/transport/ConsoleEdit.c
@@ -331,9 +331,7 @@
 on_topped_up(void *data, int code, const struct mp_result *result)
 {
     struct MpOperatorCall *call = data;
-    code = code == MP_OK ? result->code : code;
-    if (code != MP_OK) {
-        MpOperatorCall_Fail(call, code, NULL);
+    if (!MpOperatorCall_Succeeded(call, code, result)) {
         return;
     }
     GString *page = MpHtml_Page("Topped up");
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -214,9 +214,7 @@
 on_topped_up(void *data, int code, const struct mp_result *result)
 {
     struct MpOperatorCall *call = data;
-    code = code == MP_OK ? result->code : code;
-    if (code != MP_OK) {
-        MpOperatorCall_Fail(call, code, NULL);
+    if (!MpOperatorCall_Succeeded(call, code, result)) {
         return;
     }
     struct json_object *root = json_object_new_object();
@@ -408,9 +406,7 @@
 on_written_off(void *data, int code, const struct mp_result *result)
 {
     struct MpOperatorCall *call = data;
-    code = code == MP_OK ? result->code : code;
-    if (code != MP_OK) {
-        MpOperatorCall_Fail(call, code, NULL);
+    if (!MpOperatorCall_Succeeded(call, code, result)) {
         return;
     }
     struct json_object *root = json_object_new_object();
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -6,7 +6,6 @@
 #include <inttypes.h>
 #include <openssl/rand.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define QUEUE_WAIT_MS 2000
 #define OPEN_WAIT_MS 3000
@@ -22,175 +21,6 @@
 /* Bytes of a prompt that count as a token when an engine gave no usage. */
 #define BYTES_PER_TOKEN 4
 
-/* ---- reading the request ---- */
-
-static bool
-is_safe_method(const char *method)
-{
-    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 ||
-           strcmp(method, "OPTIONS") == 0;
-}
-
-static char *
-bearer_key(const h2o_req_t *req)
-{
-    char *header = MpHttp_Header(req, "authorization");
-    char *key = NULL;
-    if (header && g_ascii_strncasecmp(header, "Bearer ", 7) == 0 &&
-        header[7]) {
-        key = g_strdup(header + 7);
-    }
-    g_free(header);
-    return key;
-}
-
-static int
-identify_workspace(struct MpExchange *this, const h2o_req_t *req)
-{
-    char *key = bearer_key(req);
-    if (!key) {
-        return MP_ERROR_NO_KEY;
-    }
-    const char *name = MpDocument_WorkspaceOfKey(this->document, key);
-    g_free(key);
-    if (!name) {
-        return MP_ERROR_UNKNOWN_KEY;
-    }
-    this->workspace = g_strdup(name);
-    this->conf = g_hash_table_lookup(this->document->workspaces, name);
-    return MP_OK;
-}
-
-static bool
-is_key_sound(const char *key)
-{
-    size_t length = strlen(key);
-    for (size_t i = 0; i < length; i++) {
-        if (!g_ascii_isgraph(key[i])) {
-            return false;
-        }
-    }
-    return length > 0 && length <= MP_KEY_MAX;
-}
-
-static int
-read_key(struct MpExchange *this, const h2o_req_t *req, const char **why)
-{
-    this->key = MpHttp_Header(req, "idempotency-key");
-    if (!this->key) {
-        this->key = g_strconcat("auto-", this->request_id, NULL);
-        this->is_brief = true;
-        return MP_OK;
-    }
-    if (!is_key_sound(this->key)) {
-        *why = "Idempotency-Key must be 1 to 160 printable ASCII characters.";
-        return MP_ERROR_INVALID;
-    }
-    return MP_OK;
-}
-
-static int
-read_chat(struct MpExchange *this, const char **why)
-{
-    this->is_chat = true;
-    if (strcmp(this->method, "POST") != 0) {
-        return MP_ERROR_METHOD;
-    }
-    int code = MpChat_Parse(&this->chat, (const char *)this->body->data,
-                            this->body->len, why);
-    if (code != MP_OK) {
-        return code;
-    }
-    this->model =
-        g_hash_table_lookup(this->document->models, this->chat.model);
-    if (!this->model ||
-        !MpDocument_Lists(this->conf->models, this->chat.model)) {
-        return MP_ERROR_NOT_ALLOWED;
-    }
-    this->targets = this->model->targets;
-    this->queue_name = this->chat.model;
-    this->reserve_mtok = MpChat_WorstCase(&this->chat, this->model);
-    this->block_count = MpPicker_HashBlocks(
-        this->chat.prompt->str, this->chat.prompt->len, this->blocks);
-    struct json_object *options;
-    struct json_object *usage;
-    this->wants_usage =
-        json_object_object_get_ex(this->chat.root, "stream_options",
-                                  &options) &&
-        json_object_object_get_ex(options, "include_usage", &usage) &&
-        json_object_get_boolean(usage);
-    return MP_OK;
-}
-
-#define SERVICES_PREFIX "/services/"
-
-static int
-read_service(struct MpExchange *this)
-{
-    const char *name = this->path + strlen(SERVICES_PREFIX);
-    size_t length = strcspn(name, "/?");
-    char *service = g_strndup(name, length);
-    void *known;
-    this->service = g_hash_table_lookup(this->document->services, service);
-    bool is_allowed =
-        this->service && MpDocument_Lists(this->conf->services, service);
-    if (is_allowed) {
-        g_hash_table_lookup_extended(this->document->services, service, &known,
-                                     NULL);
-        this->queue_name = known;
-    }
-    g_free(service);
-    if (!is_allowed) {
-        return MP_ERROR_NOT_ALLOWED;
-    }
-    const char *rest = name + length;
-    char *route_path = g_strndup(rest, strcspn(rest, "?"));
-    const struct MpRouteConf *route =
-        MpServiceConf_Route(this->service, this->method, route_path);
-    g_free(route_path);
-    this->targets = this->service->targets;
-    this->at_most_once =
-        route ? route->at_most_once : !is_safe_method(this->method);
-    this->reserve_mtok = route && route->price_mtok >= 0
-                             ? route->price_mtok
-                             : this->service->price_mtok;
-    return MP_OK;
-}
-
-static void
-hash_body(struct MpExchange *this)
-{
-    XXH3_state_t *state = XXH3_createState();
-    XXH128_canonical_t canonical;
-    XXH3_128bits_reset(state);
-    XXH3_128bits_update(state, this->method, strlen(this->method) + 1);
-    XXH3_128bits_update(state, this->path, strlen(this->path) + 1);
-    XXH3_128bits_update(state, this->body->data, this->body->len);
-    XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
-    memcpy(this->body_hash, canonical.digest, MP_HASH_BYTES);
-    XXH3_freeState(state);
-}
-
-static int
-read_request(struct MpExchange *this, const h2o_req_t *req, const char **why)
-{
-    int code = identify_workspace(this, req);
-    if (code == MP_OK) {
-        code = read_key(this, req, why);
-    }
-    if (code != MP_OK) {
-        return code;
-    }
-    hash_body(this);
-    if (strcmp(this->path, "/v1/chat/completions") == 0) {
-        return read_chat(this, why);
-    }
-    if (g_str_has_prefix(this->path, SERVICES_PREFIX)) {
-        return read_service(this);
-    }
-    return MP_ERROR_NOT_FOUND;
-}
-
 /* ---- life ---- */
 
 static char *
@@ -615,7 +445,7 @@
     struct MpExchange *this = exchange_new(router, req);
     const char *why = NULL;
     int64_t retry_after_ms = 0;
-    int code = read_request(this, req, &why);
+    int code = MpExchange_Read(this, req, &why);
     if (code == MP_OK) {
         code = admit(this, &retry_after_ms);
     }
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -127,6 +127,12 @@
 /* Gives up a request that has waited too long. */
 void MpExchange_Shed(struct MpExchange *this, int code);
 
+/* -- request (ExchangeRequest.c) -- */
+/* Reads what the caller asks for: workspace, key, model or service, price.
+ * Returns MP_OK or the error to refuse it with, and a sentence in *why. */
+int MpExchange_Read(struct MpExchange *this, const h2o_req_t *req,
+                    const char **why);
+
 /* -- caller (ExchangeCaller.c) -- */
 void MpExchange_AttachCaller(struct MpExchange *this, h2o_req_t *req);
 void MpExchange_Refuse(struct MpExchange *this, int code, const char *detail,
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -62,6 +62,19 @@
     MpOperatorCall_Delete(this);
 }
 
+bool
+MpOperatorCall_Succeeded(struct MpOperatorCall *this, int code,
+                         const struct mp_result *result)
+{
+    if (code == MP_OK) {
+        code = result->code;
+    }
+    if (code != MP_OK) {
+        MpOperatorCall_Fail(this, code, NULL);
+    }
+    return code == MP_OK;
+}
+
 void
 MpOperatorCall_Answer(struct MpOperatorCall *this, int status,
                       const char *content_type, const char *body)
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -54,6 +54,10 @@
 /* Sends a typed error and frees the call. */
 void MpOperatorCall_Fail(struct MpOperatorCall *this, int code,
                          const char *detail);
+/* Returns whether a proposal was carried out; if not, it has failed the
+ * call. */
+bool MpOperatorCall_Succeeded(struct MpOperatorCall *this, int code,
+                              const struct mp_result *result);
 /* Sends body as JSON or HTML and frees the call. */
 void MpOperatorCall_Answer(struct MpOperatorCall *this, int status,
                            const char *content_type, const char *body);
--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -57,15 +57,6 @@
 
 /* ---- the answer ---- */
 
-static int64_t
-number_of(struct json_object *root, const char *name)
-{
-    struct json_object *value;
-    return json_object_object_get_ex(root, name, &value)
-               ? json_object_get_int64(value)
-               : 0;
-}
-
 static void
 take_events(struct MpTarget *target, struct json_object *root)
 {
@@ -115,9 +106,9 @@
     if (is_sound) {
         struct json_object *value;
         struct MpLoadReport report = {
-            .sequence = (uint64_t)number_of(root, "sequence"),
-            .running = number_of(root, "running"),
-            .waiting = number_of(root, "waiting"),
+            .sequence = (uint64_t)MpJson_Number(root, "sequence"),
+            .running = MpJson_Number(root, "running"),
+            .waiting = MpJson_Number(root, "waiting"),
             .leaving = json_object_object_get_ex(root, "leaving", &value) &&
                        json_object_get_boolean(value),
         };
