Large parts of the state travel apart; size measured for real

Cause: with 31,000 workspaces the status page failed: accounts and the whole document together passed the largest record, and the caller asked again until its time was over.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -460,9 +460,50 @@
             max(memory_mb(fleet, n) for n in fleet.control)))
 
 
+def size():
+    """A document with 31,000 workspaces and their budgets, for real."""
+    count = 3000 if QUICK else 31000
+    with Fleet(instances=3, control=3, engines=1, services=1) as fleet:
+        document = fleet.document()
+        for number in range(count):
+            document["workspaces"]["w%d" % number] = {
+                "key_hashes": ["%064x" % number], "models": ["m"]}
+        began = time.monotonic()
+        answer = fleet.put_document(document, 1, "large")
+        assert answer.status == 200, answer.body
+        wait_for(lambda: all(
+            metrics(fleet, n)["mimosapath_document_version"] == 2
+            for n in fleet.names), 30, 0.01)
+        bench("size.large_document_in_force", time.monotonic() - began,
+              "s (%d workspaces, first time whole)" % count, 4.0)
+        document["retention_s"] = 7777
+        began = time.monotonic()
+        fleet.put_document(document, 2, "large-2")
+        wait_for(lambda: all(
+            metrics(fleet, n)["mimosapath_document_version"] == 3
+            for n in fleet.names), 30, 0.01)
+        bench("size.change_in_force", time.monotonic() - began,
+              "s (%d workspaces, by patch)" % count, 4.0)
+
+        def top_up(part):
+            for number in range(part, count, 6):
+                fleet.operate("POST", "/control/v1/workspaces/w%d/topups" %
+                              number, '{"amount_mtok": 1000000}',
+                              {"idempotency-key": "t"},
+                              fleet.names[part % 3])
+        threads = [in_background(lambda p=p: top_up(p)) for p in range(6)]
+        for thread in threads:
+            thread.join()
+        accounts = fleet.status()["workspaces"]
+        bench("size.control_memory", max(
+            memory_mb(fleet, n) for n in fleet.control),
+            "MB (%d budgets and workspaces)" % len(accounts), 256.0)
+
+
 PARTS = {"latency": latency, "steady": steady,
          "control": control, "dry": dry, "burst": burst,
-         "failures": failures, "documents": documents, "routing": routing}
+         "failures": failures, "documents": documents, "routing": routing,
+         "size": size}
 
 for part in sys.argv[1:] or PARTS:
     print("# " + part, flush=True)
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -361,7 +361,15 @@
 };
 typedef struct mp_identify_reply mp_identify_reply;
 
+enum mp_read_part {
+	MP_READ_STATE = 0,
+	MP_READ_DOCUMENT = 1,
+	MP_READ_RECORD = 2,
+};
+typedef enum mp_read_part mp_read_part;
+
 struct mp_read {
+	mp_read_part part;
 	char *workspace;
 	char *key;
 	u_quad_t document_version;
@@ -621,6 +629,7 @@
 extern  bool_t xdr_mp_sync_reply (XDR *, mp_sync_reply*);
 extern  bool_t xdr_mp_identify (XDR *, mp_identify*);
 extern  bool_t xdr_mp_identify_reply (XDR *, mp_identify_reply*);
+extern  bool_t xdr_mp_read_part (XDR *, mp_read_part*);
 extern  bool_t xdr_mp_read (XDR *, mp_read*);
 extern  bool_t xdr_mp_instance_status (XDR *, mp_instance_status*);
 extern  bool_t xdr_mp_account_status (XDR *, mp_account_status*);
@@ -670,6 +679,7 @@
 extern bool_t xdr_mp_sync_reply ();
 extern bool_t xdr_mp_identify ();
 extern bool_t xdr_mp_identify_reply ();
+extern bool_t xdr_mp_read_part ();
 extern bool_t xdr_mp_read ();
 extern bool_t xdr_mp_instance_status ();
 extern bool_t xdr_mp_account_status ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -331,9 +331,17 @@
     bool is_leader;
 };
 
-/* key: asks for the record of this key alone; empty asks for the state.
- * document_version: asks for the document of that version; 0 is the newest. */
+/* Large parts of the state travel apart, each within one record. */
+enum mp_read_part {
+    MP_READ_STATE = 0,
+    MP_READ_DOCUMENT = 1,
+    MP_READ_RECORD = 2
+};
+
+/* part: the accounts and instances, the document of document_version (0 is
+ * the newest), or the record of key. */
 struct mp_read {
+    mp_read_part part;
     string workspace<MP_NAME_MAX>;
     string key<MP_KEY_MAX>;
     unsigned hyper document_version;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -595,11 +595,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_read_part (XDR *xdrs, mp_read_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_read (XDR *xdrs, mp_read *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_mp_read_part (xdrs, &objp->part))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->key, MP_KEY_MAX))
--- a/src/protocol/Rpc.h
+++ b/src/protocol/Rpc.h
@@ -20,7 +20,7 @@
 
 #define MP_RPC_MAC_BYTES 16
 #define MP_RPC_KEY_BYTES 32
-#define MP_RPC_RECORD_MAX (MP_PAYLOAD_MAX + 65536)
+#define MP_RPC_RECORD_MAX (2 * MP_PAYLOAD_MAX)
 #define MP_RPC_MARK_BYTES 4
 
 /* Codecs of one procedure. */
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -451,14 +451,14 @@
     const char *rest = call->path + strlen(PREFIX);
     if (g_str_has_prefix(rest, "document?version=") &&
         is_method(call, "GET")) {
-        MpFleet_ReadVersion(
+        MpFleet_ReadDocument(
             call->server->fleet,
             strtoull(rest + strlen("document?version="), NULL, 10), deadline(),
             on_document_read, call);
     }
     else if (strcmp(rest, "document") == 0 && is_method(call, "GET")) {
-        MpFleet_Read(call->server->fleet, "", deadline(), on_document_read,
-                     call);
+        MpFleet_ReadDocument(call->server->fleet, 0, deadline(),
+                             on_document_read, call);
     }
     else if (strcmp(rest, "document") == 0 && is_method(call, "PUT")) {
         put_document(call);
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -197,8 +197,8 @@
 }
 
 void
-MpFleet_ReadVersion(struct MpFleet *this, uint64_t version,
-                    int64_t deadline_ms, MpReadDone done, void *data)
+MpFleet_ReadDocument(struct MpFleet *this, uint64_t version,
+                     int64_t deadline_ms, MpReadDone done, void *data)
 {
     struct mp_read read = {.workspace = (char *)"",
                            .key = (char *)"",
@@ -210,7 +210,10 @@
 MpFleet_Read(struct MpFleet *this, const char *workspace, int64_t deadline_ms,
              MpReadDone done, void *data)
 {
-    MpFleet_Lookup(this, workspace, "", deadline_ms, done, data);
+    struct mp_read read = {.part = MP_READ_STATE,
+                           .workspace = (char *)workspace,
+                           .key = (char *)""};
+    send_read(this, &read, deadline_ms, done, data);
 }
 
 /* ---- registration and document ---- */
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -66,14 +66,15 @@
 void MpFleet_Propose(struct MpFleet *this, const struct mp_command *command,
                      int64_t deadline_ms, MpProposeDone done, void *data);
 
-/* Reads from the leader; workspace "" reads all accounts. */
+/* Reads accounts, instances and members from the leader; workspace "" reads
+ * all accounts. */
 void MpFleet_Read(struct MpFleet *this, const char *workspace,
                   int64_t deadline_ms, MpReadDone done, void *data);
 
-/* Reads the state with the document of an earlier version, if the leader
- * still has it; else done gets MP_ERROR_NOT_FOUND. */
-void MpFleet_ReadVersion(struct MpFleet *this, uint64_t version,
-                         int64_t deadline_ms, MpReadDone done, void *data);
+/* Reads the document of a version, 0 for the newest; done gets
+ * MP_ERROR_NOT_FOUND for one that the leader no longer has. */
+void MpFleet_ReadDocument(struct MpFleet *this, uint64_t version,
+                          int64_t deadline_ms, MpReadDone done, void *data);
 
 /* Reads the state of the record of one key, in reply->record. */
 void MpFleet_Lookup(struct MpFleet *this, const char *workspace,
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -330,6 +330,19 @@
           compare_instances);
 }
 
+static void
+fill_text(struct MpReplica *this, uint64_t version,
+          struct mp_read_reply *reply)
+{
+    const char *text =
+        version > 0 ? text_of_version(this, version) : this->machine.document;
+    reply->code = text ? MP_OK : MP_ERROR_NOT_FOUND;
+    reply->document = (char *)(text ? text : "");
+    if (version > 0) {
+        reply->document_version = version;
+    }
+}
+
 void
 MpReplica_FillRead(struct MpReplica *this, const struct mp_read *read,
                    struct mp_read_reply *reply)
@@ -338,16 +351,14 @@
         .leader = (char *)MpReplica_LeaderAddress(this),
         .document_version = this->machine.document_version,
         .author = this->machine.document_author,
-        .document = this->machine.document,
+        .document = (char *)"",
         .members = this->raft.members,
         .applied = this->raft.applied,
         .term = this->raft.term,
     };
-    if (read->document_version > 0) {
-        const char *text = text_of_version(this, read->document_version);
-        reply->code = text ? MP_OK : MP_ERROR_NOT_FOUND;
-        reply->document = (char *)(text ? text : "");
-        reply->document_version = read->document_version;
+    if (read->part == MP_READ_DOCUMENT) {
+        fill_text(this, read->document_version, reply);
+        return;
     }
     reply->history.history_val = MpMachine_History(&this->machine);
     reply->history.history_len = this->machine.history.length;
@@ -384,7 +395,7 @@
         answer_sync(this, call);
         return;
     }
-    if (read->key[0]) {
+    if (read->part == MP_READ_RECORD) {
         answer_lookup(this, call);
         return;
     }
--- a/tests/TestRpc.c
+++ b/tests/TestRpc.c
@@ -120,6 +120,29 @@
     g_assert_cmpint(MpRpc_RecordSize(middle, 4), ==, MP_ERROR_TOO_LARGE);
 }
 
+/* The state of the largest fleet fits into one record. */
+static void
+test_large_state(struct link *this, const void *data)
+{
+    const u_int count = 55000;
+    struct mp_account_status *list = g_new0(struct mp_account_status, count);
+    struct mp_read_reply reply = {
+        .leader = (char *)"", .author = (char *)"", .document = (char *)""};
+    char name[MP_NAME_MAX + 1];
+    (void)data;
+    memset(name, 'w', MP_NAME_MAX);
+    name[MP_NAME_MAX] = '\0';
+    for (u_int i = 0; i < count; i++) {
+        list[i].workspace = name;
+    }
+    reply.accounts.accounts_len = count;
+    reply.accounts.accounts_val = list;
+    g_assert_cmpint(
+        MpRpc_AppendReply(&this->server, this->wire, 1, MP_PROC_READ, &reply),
+        ==, MP_OK);
+    g_free(list);
+}
+
 #define CASE(name, function)                                                  \
     g_test_add("/rpc/" name, struct link, NULL, link_up, function, link_down)
 
@@ -131,6 +154,7 @@
     CASE("a record counts once", test_replay);
     CASE("a changed record is refused", test_changed);
     CASE("a stranger is refused", test_stranger);
+    CASE("a large state fits", test_large_state);
     g_test_add_func("/rpc/sizes are bounded", test_sizes);
     return g_test_run();
 }
