--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -192,7 +192,9 @@
 MpFleet_Lookup(struct MpFleet *this, const char *workspace, const char *key,
                int64_t deadline_ms, MpReadDone done, void *data)
 {
-    struct mp_read read = {.workspace = (char *)workspace, .key = (char *)key};
+    struct mp_read read = {.part = MP_READ_RECORD,
+                           .workspace = (char *)workspace,
+                           .key = (char *)key};
     send_read(this, &read, deadline_ms, done, data);
 }
 
@@ -200,7 +202,8 @@
 MpFleet_ReadDocument(struct MpFleet *this, uint64_t version,
                      int64_t deadline_ms, MpReadDone done, void *data)
 {
-    struct mp_read read = {.workspace = (char *)"",
+    struct mp_read read = {.part = MP_READ_DOCUMENT,
+                           .workspace = (char *)"",
                            .key = (char *)"",
                            .document_version = version};
     send_read(this, &read, deadline_ms, done, data);
