--- a/tests/examples.t
+++ b/tests/examples.t
@@ -34,6 +34,11 @@
     report $? "$file"
 done
 rm -f /tmp/faulty.$$
+program_text=$("$program" check --describe)
+case "$(cat docs/CONFIGURATION.md)" in
+*"$program_text") report 0 "docs/CONFIGURATION.md is what the program prints" ;;
+*) report 1 "docs/CONFIGURATION.md is what the program prints" ;;
+esac
 for words in "run" "run --settings" "check --nonsense" "nonsense" "topup"; do
     # shellcheck disable=SC2086
     "$program" $words >/dev/null 2>&1
