--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -124,9 +124,24 @@
            output_tokens * this->model->output_price_mtok;
 }
 
+static void
+note_answer(struct MpExchange *this)
+{
+    struct MpMetrics *metrics = &this->router->metrics;
+    uint64_t time_ms = (uint64_t)(MpLoop_Now() - this->began_ms);
+    MpHistogram_Add(MpMetrics_Histogram(metrics, "mimosapath_answer_ms",
+                                        "workspace", this->workspace),
+                    time_ms);
+    MpHistogram_Add(MpMetrics_Histogram(metrics, "mimosapath_answer_ms",
+                                        "class",
+                                        MpClass_Names[this->conf->priority]),
+                    time_ms);
+}
+
 void
 MpExchange_FinishSettled(struct MpExchange *this)
 {
+    note_answer(this);
     if (!this->is_started) {
         MpExchange_StartAnswer(this, this->status, this->content_type,
                                this->answer->len);
@@ -254,6 +269,9 @@
 refuse_and_end(struct MpExchange *this, int code, int64_t retry_after_ms)
 {
     release_target(this);
+    if (!this->is_brief && MpLeaseKeeper_IsCutOff(this->router->leases)) {
+        this->may_have_run = true; /* nobody can be asked */
+    }
     if (this->is_brief || this->may_have_run || !this->req) {
         refuse_now(this, code, retry_after_ms);
         return;
@@ -377,8 +395,11 @@
     this->holder = MpFleet_Holder(&this->router->fleet);
     this->deadline_ms = MpLoop_Now() + OPEN_WAIT_MS;
     MpLeaseKeeper_NoteDemand(this->router->leases, this);
-    if (MpLeaseKeeper_IsCutOff(this->router->leases) &&
-        MpLeaseKeeper_TryOffline(this->router->leases, this)) {
+    if (MpLeaseKeeper_IsCutOff(this->router->leases)) {
+        /* Nothing is proposed that could pile up through the partition. */
+        if (!MpLeaseKeeper_TryOffline(this->router->leases, this)) {
+            refuse_and_end(this, MP_ERROR_NO_QUORUM, NO_QUORUM_RETRY_MS);
+        }
         return;
     }
     propose_open(this);
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -11,6 +11,9 @@
 #define SYNC_MS 250
 #define CALL_TIMEOUT_MS 700
 #define RETRY_MS 20
+/* A call that has failed often is repeated at this pace. */
+#define RETRY_MOST_MS 500
+#define RETRIES_FAST 64
 #define REGISTER_DEADLINE_MS 2000
 
 /* ---- calls to the leader ---- */
@@ -22,6 +25,7 @@
     void *argument; /* owned */
     int64_t deadline_ms;
     guint asked; /* replica of the last try */
+    uint32_t tries;
     struct MpTimer timer;
     MpProposeDone propose_done;
     MpReadDone read_done;
@@ -73,8 +77,10 @@
         finish(request, MP_ERROR_NO_QUORUM, NULL);
         return;
     }
+    int64_t wait_ms = request->tries > RETRIES_FAST ? RETRY_MOST_MS : RETRY_MS;
     this->retries++;
-    MpLoop_SetTimer(this->loop, &request->timer, RETRY_MS, on_retry, request);
+    request->tries++;
+    MpLoop_SetTimer(this->loop, &request->timer, wait_ms, on_retry, request);
 }
 
 /* Moves on to the replica at address, or to the next one. */
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -303,6 +303,8 @@
                          NULL, (int64_t)sent);
     MpMetrics_WriteValue(out, "mimosapath_control_received_bytes_total", NULL,
                          NULL, (int64_t)received);
+    MpMetrics_WriteValue(out, "mimosapath_proposals_total", NULL, NULL,
+                         (int64_t)this->fleet.proposals);
     MpMetrics_WriteValue(out, "mimosapath_control_busy_us_total", NULL, NULL,
                          (int64_t)(busy_ns / 1000));
     MpMetrics_WriteValue(out, "mimosapath_requests_running", NULL, NULL,
--- a/src/transport/RpcConn.c
+++ b/src/transport/RpcConn.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <time.h>
 
+/* Largest record before the keys are exchanged. */
+#define HELLO_MAX_BYTES 1024
+
 struct MpRpcConn *
 MpRpcConn_New(const struct MpRpcConnClass *klass, void *owner,
               struct MpLoop *loop, const uint8_t *fleet_key, bool is_client)
@@ -100,6 +103,11 @@
     while (at < socket->input->size) {
         const uint8_t *data = (const uint8_t *)socket->input->bytes + at;
         int64_t size = MpRpc_RecordSize(data, socket->input->size - at);
+        /* Nobody who has not shown the key makes this end hold much. */
+        if (size > HELLO_MAX_BYTES && !this->is_ready) {
+            MpRpcConn_Close(this);
+            return;
+        }
         if (size == 0 ||
             (size > 0 && (size_t)size > socket->input->size - at)) {
             break;
--- a/tests/runs/partition_refuse.py
+++ b/tests/runs/partition_refuse.py
@@ -1,7 +1,7 @@
 """A partition of an instance whose workspace chose to refuse: nothing runs
 there, and nothing that was refused ran."""
 import time
-from fleet import Fleet
+from fleet import Fleet, request
 
 with Fleet(instances=4, control=3, behind_relay=["i3"]) as fleet:
     print("before", fleet.chat("i3", "id=a", key="a", tokens=3).status)
@@ -10,6 +10,13 @@
     answer = fleet.chat("i3", "id=b", key="b", tokens=3)
     print("cut off", answer.status, answer.json()["error"]["type"],
           "retry-after" in answer.headers, "runs", fleet.runs("b"))
+    def proposals():
+        text = request(fleet.operators["i3"], "GET", "/metrics").body
+        return [l for l in text.splitlines() if "proposals_total" in l]
+    before = proposals()
+    print("many", {fleet.chat("i3", "id=m", tokens=2).status
+                   for _ in range(40)}, "proposed nothing",
+          proposals() == before)
     print("elsewhere", fleet.chat("i0", "id=b", key="b", tokens=3).status)
     fleet.cut(False)
     print("healed", fleet.retry(lambda: fleet.chat(
