Fuzz for settings and forms; bench compares the callers' sum with the ledger

Cause: two parsers had no fuzz target, and double bills had no line of their own in the bench; the p95 between tokens hid in histogram steps of a quarter. Change: MpSettings_Parse takes text; FuzzParsers reads settings and forms; bench prints means and the difference between callers' sum and ledger.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -152,6 +152,11 @@
             near = quantile(straight, series)
             far = quantile(through, series)
             bench("latency.%s_added_p95" % name, far - near,
+                  "us (%d against %d, in steps of a quarter)" % (far, near),
+                  bound)
+            near = quantile(straight, series, "mean")
+            far = quantile(through, series, "mean")
+            bench("latency.%s_added_mean" % name, far - near,
                   "us (%d against %d)" % (far, near), bound)
         seconds = SECONDS
         bench("latency.answered_ratio",
@@ -266,6 +271,8 @@
             bill = sum(p for _, p in spent)
             print("# dry %s: callers' sum %d, ledger %d mtok" % (
                 mix, bill, account["settled_mtok"]), flush=True)
+            bench("dry.%s.double_or_lost_bills" % mix,
+                  abs(bill - account["settled_mtok"]), "mtok", 0)
             false = last = 0
             for key in keys:
                 before = sum(p for t, p in spent if t <= key["ended_ms"])
--- a/fuzz/FuzzParsers.c
+++ b/fuzz/FuzzParsers.c
@@ -8,6 +8,7 @@
 #include "state/Error.h"
 #include "state/Machine.h"
 #include "state/Settings.h"
+#include "transport/FormData.h"
 
 #include <string.h>
 
@@ -184,28 +185,85 @@
     MpMachine_Done(&machine);
 }
 
+static void
+parse_settings(const GString *text)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct MpSettings *settings =
+        MpSettings_Parse(text->str, text->len, ".", findings);
+    if (!settings == (findings->len == 0)) {
+        Fuzz_Fail("settings and findings do not fit together");
+    }
+    MpSettings_Delete(settings);
+    g_ptr_array_unref(findings);
+}
+
+/* What was encoded comes back as it was. */
+static void
+parse_form(const GString *text)
+{
+    GHashTable *form = MpFormData_Parse(text->str, text->len);
+    if (form) {
+        g_hash_table_unref(form);
+    }
+    if (!g_utf8_validate(text->str, (gssize)text->len, NULL)) {
+        return;
+    }
+    char *escaped = g_uri_escape_string(text->str, NULL, FALSE);
+    char *pair = g_strdup_printf("a=%s&b=1", escaped);
+    form = MpFormData_Parse(pair, strlen(pair));
+    if (!form || strcmp(MpFormData_Get(form, "a"), text->str) != 0 ||
+        strcmp(MpFormData_Get(form, "b"), "1") != 0) {
+        Fuzz_Fail("a field of a form is changed on its way");
+    }
+    g_hash_table_unref(form);
+    g_free(pair);
+    g_free(escaped);
+}
+
+/* First bytes from which settings and forms are chosen. */
+#define SETTINGS_FROM 224
+#define FORMS_FROM 240
+#define CHOICE_NONE 99
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     struct FuzzInput input = {.data = data, .size = size};
-    uint32_t choice = FuzzInput_Below(&input, 10);
+    uint8_t first = FuzzInput_Byte(&input);
+    uint32_t choice = first % 10;
     GString *text = text_of(&input, choice >= 5);
-    switch (choice % 5) {
+    if (first >= FORMS_FROM) {
+        parse_form(text);
+        choice = CHOICE_NONE;
+    }
+    else if (first >= SETTINGS_FROM) {
+        parse_settings(text);
+        choice = CHOICE_NONE;
+    }
+    switch (choice) {
     case 0:
+    case 5:
         parse_document(text);
         break;
     case 1:
+    case 6:
         parse_chat(text);
         break;
     case 2:
+    case 7:
         parse_stream(text);
         break;
     case 3:
+    case 8:
         parse_record(text);
         break;
-    default:
+    case 4:
+    case 9:
         parse_snapshot(text);
         break;
+    default:
+        break;
     }
     g_string_free(text, TRUE);
     Fuzz_Steps++;
--- a/src/commands/Load.c
+++ b/src/commands/Load.c
@@ -178,6 +178,10 @@
         struct json_object *item = json_object_new_object();
         json_object_object_add(
             item, "count", json_object_new_int64((int64_t)histogram->count));
+        json_object_object_add(
+            item, "mean",
+            json_object_new_int64(
+                (int64_t)(histogram->sum / MAX(histogram->count, 1))));
         json_object_object_add(
             item, "p50",
             json_object_new_int64(
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -225,27 +225,18 @@
 /* ---- life ---- */
 
 struct MpSettings *
-MpSettings_Load(const char *name, GPtrArray *findings)
+MpSettings_Parse(const char *text, size_t size, const char *folder,
+                 GPtrArray *findings)
 {
-    char *text = NULL;
-    gsize size = 0;
-    GError *error = NULL;
-    if (!g_file_get_contents(name, &text, &size, &error)) {
-        MpFindings_Add(findings, MP_FINDING_SYNTAX, 0, "", "%s",
-                       error->message);
-        g_error_free(error);
-        return NULL;
-    }
     guint before = findings->len;
     struct json_object *value = MpJson_Parse(text, size, findings);
-    g_free(text);
     if (!value) {
         return NULL;
     }
     struct MpSettings *this = g_new0(struct MpSettings, 1);
     MpSchema_Decode(&MpSettings_Schema, value, "", this, findings);
     json_object_put(value);
-    this->folder = g_path_get_dirname(name);
+    this->folder = g_strdup(folder);
     check_rules(this, findings);
     if (findings->len > before) {
         MpSettings_Delete(this);
@@ -254,6 +245,25 @@
     return this;
 }
 
+struct MpSettings *
+MpSettings_Load(const char *name, GPtrArray *findings)
+{
+    char *text = NULL;
+    gsize size = 0;
+    GError *error = NULL;
+    if (!g_file_get_contents(name, &text, &size, &error)) {
+        MpFindings_Add(findings, MP_FINDING_SYNTAX, 0, "", "%s",
+                       error->message);
+        g_error_free(error);
+        return NULL;
+    }
+    char *folder = g_path_get_dirname(name);
+    struct MpSettings *this = MpSettings_Parse(text, size, folder, findings);
+    g_free(folder);
+    g_free(text);
+    return this;
+}
+
 void
 MpSettings_Delete(struct MpSettings *this)
 {
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -42,6 +42,11 @@
 
 extern const struct MpSchema MpSettings_Schema;
 
+/* Validates text; relative names are relative to folder.  Returns the
+ * settings or NULL with findings. */
+struct MpSettings *MpSettings_Parse(const char *text, size_t size,
+                                    const char *folder, GPtrArray *findings);
+
 /* Reads and validates a file.  Returns the settings or NULL with findings.
  * Errors of the file itself are findings too. */
 struct MpSettings *MpSettings_Load(const char *name, GPtrArray *findings);
