Known red: a crashing request sent at one moment under many keys

Cause: deaths are counted before a request is tried elsewhere, but attempts that are under way at the first death are not held back. Ruled out: holding back equal bodies before any death, since equal stock checks must run at once. No check or bound is changed.

--- /dev/null
+++ b/tests/red/poison_at_once.py
@@ -0,0 +1,14 @@
+"""Known red: the same crashing request, sent at one moment under different
+keys, before the death of any target is known.  At most two targets may die."""
+from fleet import Fleet, in_background
+
+with Fleet(instances=3, control=3, engines=6) as fleet:
+    threads = [in_background(lambda n=n: fleet.chat(
+        "i%d" % (n % 3), "id=x #crash", key="poison-%d" % n, tokens=5))
+        for n in range(8)]
+    for thread in threads:
+        thread.join(30)
+    dead = sum(fleet.processes[n].poll() is not None
+               for n in fleet.engine_names)
+    print("dead", dead, "bound 2")
+    raise SystemExit(dead > 2)
