--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 #   make fuzz       coverage-guided fuzzing (SECONDS=n)
 
 PACKAGES = libh2o-evloop-dev libtirpc-dev libargtable2-dev libjson-c-dev \
-	libxxhash-dev libglib2.0-dev libssl-dev zlib1g-dev pkg-config gcc make \
+	libxxhash-dev libglib2.0-dev libssl-dev zlib1g-dev libhttp-parser-dev \
+	pkg-config gcc make \
 	clang clang-format clang-tidy libclang-rt-14-dev python3 perl curl
 
 BUILD ?= build
@@ -19,24 +20,26 @@
 STATE = $(wildcard src/state/*.c)
 COORDINATION = $(wildcard src/coordination/*.c)
 PROTOCOL = $(wildcard src/protocol/*.c)
+PLATFORM = $(wildcard platform/*.c)
 PROGRAM = $(wildcard src/transport/*.c src/commands/*.c)
 LIBRARY = src/gen/wire_xdr.c $(STATE) $(COORDINATION)
-SOURCES = $(STATE) $(COORDINATION) $(PROTOCOL) $(PROGRAM)
-HEADERS = $(wildcard src/*/*.h)
+SOURCES = $(STATE) $(COORDINATION) $(PROTOCOL) $(PROGRAM) $(PLATFORM)
+HEADERS = $(wildcard src/*/*.h platform/*.h)
 OWN_HEADERS = $(filter-out src/gen/%,$(HEADERS))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/Test*.c))
 FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/Fuzz*.c))
 
-CPPFLAGS = -Isrc -Itests -D_GNU_SOURCE -DH2O_USE_EPOLL=1 \
+CPPFLAGS = -Isrc -Iplatform -Itests -D_GNU_SOURCE -DH2O_USE_EPOLL=1 \
 	$(shell pkg-config --cflags $(PKGS) $(PROGRAM_PKGS) 2>/dev/null)
 CFLAGS = -std=c11 -O2 -g -Wall -Wextra -Werror $(SANITIZE)
 LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
 PROGRAM_LDLIBS = $(shell pkg-config --libs $(PROGRAM_PKGS) 2>/dev/null) \
-	-lcrypto -lz $(LDLIBS)
+	-lhttp_parser -lcrypto -lz $(LDLIBS)
 
 OBJ = $(BUILD)/obj
 LIBRARY_O = $(LIBRARY:src/%.c=$(OBJ)/%.o)
-PROGRAM_O = $(PROTOCOL:src/%.c=$(OBJ)/%.o) $(PROGRAM:src/%.c=$(OBJ)/%.o)
+PROGRAM_O = $(PROTOCOL:src/%.c=$(OBJ)/%.o) $(PROGRAM:src/%.c=$(OBJ)/%.o) \
+	$(PLATFORM:%.c=$(OBJ)/%.o)
 
 .PHONY: all packages check test demo bench fuzz format lint clean slopes
 all: $(BUILD)/mimosapath $(BUILD)/libmimosapath.a
@@ -57,6 +60,11 @@
 	@echo "  CC  $<"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c -o $@ $<
 
+$(OBJ)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	@echo "  CC  $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+
 $(OBJ)/%.o: src/%.c
 	@mkdir -p $(@D)
 	@echo "  CC  $<"
--- /dev/null
+++ b/src/commands/Dialects.c
@@ -0,0 +1,18 @@
+#include "PlatformDialect.h"
+
+#include <string.h>
+
+/* The dialects that this program speaks. */
+static const struct MpDialect *const dialects[] = {&MpDialect_Own,
+                                                   &MpDialect_Platform, NULL};
+
+const struct MpDialect *
+MpDialect_Find(const char *name)
+{
+    for (size_t i = 0; dialects[i]; i++) {
+        if (strcmp(name ? name : MpDialect_Own.name, dialects[i]->name) == 0) {
+            return dialects[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/coordination/CallFacts.c
@@ -0,0 +1,86 @@
+#include "coordination/CallFacts.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PART_ID_MAX 64
+
+bool
+MpCallFacts_Number(const char *text, size_t size, int64_t *number)
+{
+    int64_t value = 0;
+    if (size == 0) {
+        return false;
+    }
+    for (size_t i = 0; i < size; i++) {
+        int digit = text[i] - '0';
+        if (digit < 0 || digit > 9 || value > (INT64_MAX - digit) / 10) {
+            return false;
+        }
+        value = value * 10 + digit;
+    }
+    *number = value;
+    return true;
+}
+
+bool
+MpCallFacts_ReadTokens(struct MpCallFacts *this, const char *text, size_t size)
+{
+    int64_t prompt;
+    int64_t output;
+    const char *comma = memchr(text, ',', size);
+    if (!comma) {
+        return false;
+    }
+    size_t first = (size_t)(comma - text);
+    if (!MpCallFacts_Number(text, first, &prompt) ||
+        !MpCallFacts_Number(comma + 1, size - first - 1, &output)) {
+        return false;
+    }
+    this->prompt_tokens = prompt;
+    this->output_tokens_most = output;
+    return true;
+}
+
+/* Reads one ID:TOKENS; the part's name depends on all before it, as a cache
+ * holds a part only behind its predecessors. */
+static bool
+read_part(struct MpCallFacts *this, const char *text, size_t size)
+{
+    int64_t tokens;
+    const char *colon = memchr(text, ':', size);
+    if (!colon || colon == text || colon - text > PART_ID_MAX) {
+        return false;
+    }
+    size_t id_size = (size_t)(colon - text);
+    if (!MpCallFacts_Number(colon + 1, size - id_size - 1, &tokens)) {
+        return false;
+    }
+    if (this->part_count == MP_PARTS_MAX) {
+        this->parts[MP_PARTS_MAX - 1].tokens += tokens;
+        return true;
+    }
+    uint64_t before =
+        this->part_count > 0 ? this->parts[this->part_count - 1].id : 0;
+    this->parts[this->part_count++] = (struct MpPart){
+        .id = XXH64(text, id_size, before), .tokens = tokens};
+    return true;
+}
+
+bool
+MpCallFacts_ReadParts(struct MpCallFacts *this, const char *text, size_t size)
+{
+    size_t at = 0;
+    this->part_count = 0;
+    while (at < size) {
+        const char *comma = memchr(text + at, ',', size - at);
+        size_t end = comma ? (size_t)(comma - text) : size;
+        if (!read_part(this, text + at, end - at)) {
+            this->part_count = 0;
+            return false;
+        }
+        at = end + 1;
+    }
+    return this->part_count > 0;
+}
--- /dev/null
+++ b/src/coordination/Forward.c
@@ -0,0 +1,92 @@
+#include "coordination/Forward.h"
+
+#include <glib.h>
+
+void
+MpForward_Init(struct MpForward *this, const struct MpPathConf *path,
+               int64_t caller_ms, int64_t resume_after, int64_t now_ms)
+{
+    int64_t most_ms = path->timeout_ms;
+    if (caller_ms > 0) {
+        most_ms = MIN(most_ms, caller_ms);
+    }
+    *this = (struct MpForward){
+        .began_ms = now_ms,
+        .deadline_ms = now_ms + most_ms,
+        .attempts_most = path->attempts_most,
+        .repeat = (enum MpRepeat)path->repeat,
+        .is_stream = path->stream,
+        .last_event = resume_after,
+    };
+}
+
+void
+MpForward_Sent(struct MpForward *this)
+{
+    this->sends++;
+}
+
+int64_t
+MpForward_Left(const struct MpForward *this, int64_t now_ms)
+{
+    return MAX(this->deadline_ms - now_ms, 0);
+}
+
+static enum MpForwardStep
+give_up(const struct MpForward *this)
+{
+    if (this->is_head_sent) {
+        return MP_STEP_CUT;
+    }
+    return this->may_have_run ? MP_STEP_FAIL : MP_STEP_REFUSE;
+}
+
+enum MpForwardStep
+MpForward_Ended(struct MpForward *this, enum MpFate fate, bool has_budget,
+                int64_t now_ms)
+{
+    bool may_repeat = fate == MP_FATE_NOT_RUN;
+    if (fate != MP_FATE_NOT_RUN) {
+        this->may_have_run = true;
+        this->runs++;
+        may_repeat = this->repeat != MP_REPEAT_ONCE &&
+                     this->runs < this->attempts_most;
+    }
+    if (this->is_head_sent && this->repeat != MP_REPEAT_RESUME) {
+        may_repeat = false;
+    }
+    if (!may_repeat || !has_budget || this->sends >= MP_FORWARD_SENDS_MOST ||
+        MpForward_Left(this, now_ms) < MP_FORWARD_LEAST_MS) {
+        return give_up(this);
+    }
+    return this->is_head_sent ? MP_STEP_RESUME : MP_STEP_SEND;
+}
+
+bool
+MpForward_MayRepeatFailure(const struct MpForward *this, bool has_budget,
+                           int64_t now_ms)
+{
+    return has_budget && this->repeat == MP_REPEAT_ANY &&
+           !this->is_head_sent && this->runs + 1 < this->attempts_most &&
+           this->sends < MP_FORWARD_SENDS_MOST &&
+           MpForward_Left(this, now_ms) >= MP_FORWARD_LEAST_MS;
+}
+
+enum MpForwardStep
+MpForward_NoTarget(const struct MpForward *this)
+{
+    return give_up(this);
+}
+
+enum MpForwardStep
+MpForward_Expired(const struct MpForward *this)
+{
+    return this->sends > 0 && !this->is_head_sent ? MP_STEP_FAIL
+                                                  : give_up(this);
+}
+
+bool
+MpForward_OutlivesCaller(const struct MpForward *this)
+{
+    return this->repeat == MP_REPEAT_ONCE && !this->is_stream;
+}
--- a/src/coordination/Membership.c
+++ b/src/coordination/Membership.c
@@ -173,6 +173,35 @@
     return false;
 }
 
+/* Drops a voter that has been silent, once others have come in its place:
+ * a cluster keeps the number of voters that it was formed with. */
+static bool
+drop_silent(struct MpRaft *raft)
+{
+    struct draft draft;
+    u_int voters = 0;
+    u_int silent = MP_MEMBERS_MAX;
+    draft_start(&draft, &raft->members);
+    for (u_int i = 0; i < draft.count; i++) {
+        const struct MpProgress *progress =
+            MpRaft_Progress(raft, draft.list[i].id);
+        voters += draft.list[i].voter;
+        if (draft.list[i].voter && progress &&
+            raft->now_ms - progress->acked_ms > MP_VOTER_SILENT_MS &&
+            raft->now_ms - raft->elected_ms > MP_VOTER_SILENT_MS) {
+            silent = i;
+        }
+    }
+    if (silent == MP_MEMBERS_MAX || voters <= MP_VOTERS_LEAST) {
+        return false;
+    }
+    for (u_int i = 0; i < draft.count; i++) {
+        draft.list[i].next = draft.list[i].voter && i != silent;
+    }
+    draft.is_joint = true;
+    return draft_propose(&draft, raft);
+}
+
 static bool
 add_joins(struct MpMembership *this, struct MpRaft *raft)
 {
@@ -199,7 +228,8 @@
 {
     bool is_changed = false;
     if (MpRaft_IsLeader(raft) && raft->members_index <= raft->commit) {
-        is_changed = advance_members(raft) || add_joins(this, raft);
+        is_changed = advance_members(raft) || add_joins(this, raft) ||
+                     drop_silent(raft);
     }
     /* A replica repeats its call until it is a member; an old call must not
      * bring back an id whose disk is gone. */
--- a/src/coordination/Membership.h
+++ b/src/coordination/Membership.h
@@ -19,6 +19,12 @@
  * membership alone, so that any later leader goes on.
  */
 
+/* A voter that has not answered for this long may be dropped; longer than
+ * an election, shorter than the pause between two planned exchanges. */
+#define MP_VOTER_SILENT_MS 1500
+/* Voters that are kept whatever happens: they bear the loss of one. */
+#define MP_VOTERS_LEAST 3
+
 struct MpMembership {
     GHashTable *joins; /* instance -> struct mp_member, since the last step */
 };
--- /dev/null
+++ b/src/coordination/Roster.c
@@ -0,0 +1,455 @@
+#include "coordination/Roster.h"
+
+#include "state/Error.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Weight of the newest sample in a moving average. */
+#define AVERAGE_WEIGHT 0.1
+/* A target whose errors exceed the pool's by this much is used less. */
+#define ERROR_MARGIN 0.2
+/* What an error in excess costs, as waiting time, ms. */
+#define ERROR_COST_MS 2000
+/* What another zone costs, as waiting time, ms: twice its distance. */
+#define OTHER_ZONE_MS 2
+/* Time that one waiting request adds, ms: a mean prompt. */
+#define WAITING_MS 60
+/* Time that one running request adds to the others' steps and prompts, ms. */
+#define RUNNING_MS 1
+/* Part of a prompt that is taken to be cached where all instances send it. */
+#define SHARED_GUESS 0.7
+/* Slowest that a target is taken to be. */
+#define SLOWNESS_MOST 8.0
+
+/* ---- life ---- */
+
+void
+MpListedTarget_Delete(void *data)
+{
+    struct MpListedTarget *this = data;
+    g_free(this->incarnation);
+    g_free(this->pool);
+    g_free(this->address);
+    g_free(this->zone);
+    g_free(this);
+}
+
+static void
+target_unref(struct MpRoster *this, struct MpPoolTarget *target)
+{
+    if (--target->references > 0) {
+        return;
+    }
+    this->dropped(this->owner, target);
+    g_hash_table_unref(target->cached);
+    g_free(target->incarnation);
+    g_free(target->pool);
+    g_free(target->address);
+    g_free(target->zone);
+    g_free(target);
+}
+
+void
+MpRoster_Init(struct MpRoster *this, const char *zone,
+              void (*dropped)(void *owner, struct MpPoolTarget *target),
+              void *owner)
+{
+    *this = (struct MpRoster){
+        .zone = g_strdup(zone), .dropped = dropped, .owner = owner};
+    this->targets = g_hash_table_new(g_str_hash, g_str_equal);
+    this->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify)g_ptr_array_unref);
+}
+
+static GPtrArray *
+pool_of(struct MpRoster *this, const char *name)
+{
+    GPtrArray *pool = g_hash_table_lookup(this->pools, name);
+    if (!pool) {
+        pool = g_ptr_array_new();
+        g_hash_table_insert(this->pools, g_strdup(name), pool);
+    }
+    return pool;
+}
+
+static struct MpPoolTarget *
+target_new(struct MpRoster *this, const struct MpListedTarget *entry)
+{
+    struct MpPoolTarget *target = g_new0(struct MpPoolTarget, 1);
+    target->incarnation = g_strdup(entry->incarnation);
+    target->pool = g_strdup(entry->pool);
+    target->address = g_strdup(entry->address);
+    target->zone = g_strdup(entry->zone);
+    target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
+    target->slowness = 1.0;
+    target->cached =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    target->references = 1;
+    g_hash_table_insert(this->targets, target->incarnation, target);
+    g_ptr_array_add(pool_of(this, target->pool), target);
+    return target;
+}
+
+/* ---- the list ---- */
+
+static void
+forget(struct MpRoster *this, struct MpPoolTarget *target)
+{
+    target->is_gone = true;
+    g_ptr_array_remove(pool_of(this, target->pool), target);
+    g_hash_table_remove(this->targets, target->incarnation);
+    target_unref(this, target);
+}
+
+/* A target that starts again under its name at another place, or later, is
+ * another one. */
+static bool
+is_same(const struct MpPoolTarget *target, const struct MpListedTarget *entry)
+{
+    return strcmp(target->address, entry->address) == 0 &&
+           strcmp(target->pool, entry->pool) == 0;
+}
+
+static uint32_t
+take_entry(struct MpRoster *this, const struct MpListedTarget *entry,
+           int64_t now_ms)
+{
+    struct MpPoolTarget *target =
+        g_hash_table_lookup(this->targets, entry->incarnation);
+    uint32_t changes = 0;
+    if (target && !is_same(target, entry)) {
+        forget(this, target);
+        target = NULL;
+    }
+    if (!target) {
+        target = target_new(this, entry);
+        changes = 1;
+    }
+    changes += target->is_leaving != entry->is_leaving;
+    target->is_leaving = entry->is_leaving;
+    target->is_listed = true;
+    target->slots = entry->slots;
+    target->cold_until_ms = now_ms + entry->cold_ms;
+    return changes;
+}
+
+uint32_t
+MpRoster_Update(struct MpRoster *this, const GPtrArray *list, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    uint32_t changes = 0;
+    GPtrArray *missing = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct MpPoolTarget *)value)->is_listed = false;
+    }
+    for (guint i = 0; i < list->len; i++) {
+        changes += take_entry(this, g_ptr_array_index(list, i), now_ms);
+    }
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (!((struct MpPoolTarget *)value)->is_listed) {
+            g_ptr_array_add(missing, value);
+        }
+    }
+    for (guint i = 0; i < missing->len; i++) {
+        forget(this, g_ptr_array_index(missing, i));
+    }
+    changes += missing->len;
+    g_ptr_array_unref(missing);
+    this->version += changes > 0;
+    this->listed_ms = now_ms;
+    return changes;
+}
+
+/* ---- the choice ---- */
+
+static bool
+is_usable(const struct MpPoolTarget *target, const struct MpPickAsk *ask,
+          int64_t now_ms)
+{
+    if (target->is_leaving || target->is_gone ||
+        target->paused_until_ms > now_ms) {
+        return false;
+    }
+    /* After a pause one attempt goes ahead; one that must not run twice is
+     * no trial. */
+    if (target->failures > 0 && (target->is_on_trial || ask->is_once)) {
+        return false;
+    }
+    return !ask->avoid ||
+           !g_ptr_array_find((GPtrArray *)ask->avoid, target, NULL);
+}
+
+/* Requests at the target by its last word and what was sent since; the word
+ * loses weight with its age. */
+static double
+told(const struct MpPoolTarget *target, int32_t value, int64_t now_ms)
+{
+    int64_t age_ms = now_ms - target->told_ms;
+    if (target->told_ms == 0 || age_ms >= MP_LOAD_KEEP_MS) {
+        return 0.0;
+    }
+    return value * (1.0 - (double)age_ms / MP_LOAD_KEEP_MS);
+}
+
+static double
+running_at(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    double seen = told(target, target->told_running, now_ms);
+    return MAX(seen + target->sent_since, (double)target->running);
+}
+
+static double
+waiting_at(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    return told(target, target->told_waiting, now_ms);
+}
+
+static bool
+is_full(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    return target->slots > 0 &&
+           running_at(target, now_ms) >= (double)target->slots;
+}
+
+/* The part under which requests of one kind go together: the last one that
+ * others share. */
+static uint64_t
+affinity_of(const struct MpCallFacts *facts)
+{
+    if (facts->part_count == 0) {
+        return 0;
+    }
+    return facts->parts[facts->part_count >= 2 ? facts->part_count - 2 : 0].id;
+}
+
+/* Rank of a target for a part, the same on all instances. */
+static uint64_t
+rank_of(const struct MpPoolTarget *target, uint64_t part)
+{
+    uint64_t pair[2] = {target->hash, part};
+    return XXH64(pair, sizeof(pair), 0);
+}
+
+/* Tokens of the prompt that the target has to read. */
+static int64_t
+tokens_to_read(const struct MpPoolTarget *target,
+               const struct MpCallFacts *facts, bool is_home, int64_t now_ms)
+{
+    int64_t cached = 0;
+    double shared = 0;
+    for (uint32_t i = 0; i < facts->part_count; i++) {
+        const struct MpPart *part = &facts->parts[i];
+        const int64_t *used_ms =
+            g_hash_table_lookup(target->cached, &part->id);
+        if (used_ms && now_ms - *used_ms < MP_CACHE_KEEP_MS) {
+            cached += part->tokens + (int64_t)shared;
+            shared = 0;
+            continue;
+        }
+        if (!is_home || i + 1 >= facts->part_count) {
+            break;
+        }
+        shared += SHARED_GUESS * (double)part->tokens;
+    }
+    cached += (int64_t)shared;
+    return MAX(facts->prompt_tokens - cached, 0);
+}
+
+static double
+mean_error_rate(const GPtrArray *pool)
+{
+    double sum = 0;
+    for (guint i = 0; i < pool->len; i++) {
+        sum += ((struct MpPoolTarget *)g_ptr_array_index(pool, i))->error_rate;
+    }
+    return pool->len > 0 ? sum / pool->len : 0;
+}
+
+static double
+wait_at(const struct MpPoolTarget *target, const struct MpPickAsk *ask,
+        int64_t tokens, int64_t now_ms)
+{
+    double wait_ms = waiting_at(target, now_ms) * WAITING_MS +
+                     running_at(target, now_ms) * RUNNING_MS;
+    if (ask->is_engine) {
+        wait_ms += (double)(target->prefill_tokens + tokens) /
+                   MP_PREFILL_TOKENS_PER_MS;
+    }
+    else {
+        double load = running_at(target, now_ms) / MAX(target->slots, 1);
+        wait_ms += load * WAITING_MS;
+    }
+    return wait_ms * target->slowness;
+}
+
+int
+MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
+              int64_t now_ms, struct MpPicked *picked)
+{
+    const GPtrArray *pool = g_hash_table_lookup(this->pools, ask->pool);
+    uint64_t part = affinity_of(ask->facts);
+    const struct MpPoolTarget *home = NULL;
+    uint64_t home_rank = 0;
+    double best_cost = 0;
+    bool has_usable = false;
+    *picked = (struct MpPicked){.target = NULL};
+    if (!pool) {
+        return MP_ERROR_NO_TARGET;
+    }
+    for (guint i = 0; part && i < pool->len; i++) {
+        const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        uint64_t rank = rank_of(target, part);
+        if (is_usable(target, ask, now_ms) && (!home || rank > home_rank)) {
+            home = target;
+            home_rank = rank;
+        }
+    }
+    double errors = mean_error_rate(pool) + ERROR_MARGIN;
+    for (guint i = 0; i < pool->len; i++) {
+        struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        if (!is_usable(target, ask, now_ms)) {
+            continue;
+        }
+        has_usable = true;
+        if (is_full(target, now_ms) && ask->is_engine) {
+            continue;
+        }
+        int64_t tokens =
+            tokens_to_read(target, ask->facts, target == home, now_ms);
+        double wait_ms = wait_at(target, ask, tokens, now_ms);
+        double cost = wait_ms + (strcmp(target->zone, this->zone) != 0
+                                     ? OTHER_ZONE_MS
+                                     : 0);
+        cost += MAX(target->error_rate - errors, 0) * ERROR_COST_MS;
+        cost += g_random_double();
+        if (!picked->target || cost < best_cost) {
+            best_cost = cost;
+            *picked = (struct MpPicked){.target = target,
+                                        .wait_ms = (int64_t)wait_ms,
+                                        .prefill_tokens = tokens};
+        }
+    }
+    if (picked->target) {
+        return MP_OK;
+    }
+    return has_usable ? MP_ERROR_LIMIT : MP_ERROR_NO_TARGET;
+}
+
+/* ---- attempts ---- */
+
+static void
+remember_parts(struct MpPoolTarget *this, const struct MpCallFacts *facts,
+               int64_t now_ms)
+{
+    for (uint32_t i = 0; i < facts->part_count; i++) {
+        int64_t *used_ms =
+            g_hash_table_lookup(this->cached, &facts->parts[i].id);
+        if (used_ms) {
+            *used_ms = now_ms;
+            continue;
+        }
+        /* The key is the first member of the pair, the time the second. */
+        int64_t *pair = g_new(int64_t, 2);
+        pair[0] = (int64_t)facts->parts[i].id;
+        pair[1] = now_ms;
+        g_hash_table_insert(this->cached, pair, &pair[1]);
+    }
+}
+
+static gboolean
+is_part_old(void *key, void *value, void *now_ms)
+{
+    (void)key;
+    return *(int64_t *)now_ms - *(int64_t *)value >= MP_CACHE_KEEP_MS;
+}
+
+/* Entries after which old ones are looked for. */
+#define CACHED_MOST 4096
+
+void
+MpPoolTarget_Begin(struct MpPoolTarget *this, const struct MpCallFacts *facts,
+                   int64_t prefill_tokens, int64_t now_ms)
+{
+    this->references++;
+    this->picked++;
+    this->running++;
+    this->waiting++;
+    this->sent_since++;
+    this->prefill_tokens += prefill_tokens;
+    this->is_on_trial = this->failures > 0;
+    remember_parts(this, facts, now_ms);
+    if (g_hash_table_size(this->cached) > CACHED_MOST) {
+        g_hash_table_foreach_remove(this->cached, is_part_old, &now_ms);
+    }
+}
+
+void
+MpPoolTarget_Answered(struct MpPoolTarget *this, int64_t prefill_tokens,
+                      int64_t took_ms, int64_t expected_ms)
+{
+    this->waiting--;
+    this->prefill_tokens -= prefill_tokens;
+    double ratio = (double)(took_ms + 20) / (double)(expected_ms + 20);
+    ratio = CLAMP(ratio * this->slowness, 1.0, SLOWNESS_MOST);
+    this->slowness += AVERAGE_WEIGHT * (ratio - this->slowness);
+}
+
+static void
+note_failure(struct MpPoolTarget *this, int64_t now_ms)
+{
+    int64_t pause_ms =
+        MIN((int64_t)MP_PAUSE_MS << MIN(this->failures, 8), MP_PAUSE_MOST_MS);
+    this->failures++;
+    this->paused_until_ms = now_ms + pause_ms;
+}
+
+void
+MpPoolTarget_End(struct MpRoster *roster, struct MpPoolTarget *this,
+                 bool has_answered, int64_t prefill_tokens,
+                 enum MpTargetOutcome outcome, int64_t now_ms)
+{
+    bool is_error = outcome == MP_OUTCOME_ERROR;
+    this->running--;
+    this->is_on_trial = false;
+    if (!has_answered) {
+        this->waiting--;
+        this->prefill_tokens -= prefill_tokens;
+    }
+    switch (outcome) {
+    case MP_OUTCOME_OK:
+    case MP_OUTCOME_ERROR:
+    case MP_OUTCOME_FULL:
+        this->failures = 0;
+        break;
+    case MP_OUTCOME_GONE:
+        this->is_leaving = true;
+        break;
+    case MP_OUTCOME_FAILED:
+        note_failure(this, now_ms);
+        break;
+    case MP_OUTCOME_CANCELLED:
+        break;
+    }
+    if (outcome == MP_OUTCOME_OK || is_error) {
+        this->error_rate += AVERAGE_WEIGHT * (is_error - this->error_rate);
+    }
+    target_unref(roster, this);
+}
+
+void
+MpPoolTarget_Told(struct MpPoolTarget *this, int64_t running, int64_t waiting,
+                  int64_t slots, int64_t now_ms)
+{
+    this->told_running = (int32_t)CLAMP(running, 0, INT32_MAX);
+    this->told_waiting = (int32_t)CLAMP(waiting, 0, INT32_MAX);
+    this->told_ms = now_ms;
+    this->sent_since = 0;
+    if (slots > 0) {
+        this->slots = slots;
+    }
+}
--- /dev/null
+++ b/src/coordination/Roster.h
@@ -0,0 +1,146 @@
+#ifndef MP_COORDINATION_ROSTER_H
+#define MP_COORDINATION_ROSTER_H
+
+#include "coordination/CallFacts.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Roster - the targets of the pools as one instance knows them, and the
+ * choice among them.
+ *
+ * What is known comes from the target list (late), from the load that
+ * targets tell in their answers (late too), from what this instance has
+ * sent since, and from how its attempts ended.
+ */
+
+/* Prompt tokens that an engine reads in a millisecond, until it is measured;
+ * source: the sheets of both deployments. */
+#define MP_PREFILL_TOKENS_PER_MS 38
+/* How long a part of a prompt is taken to stay in an engine's cache, ms;
+ * source: prompts of a busy engine fill its memory in about this time. */
+#define MP_CACHE_KEEP_MS 10000
+/* Age at which a load report no longer counts, ms. */
+#define MP_LOAD_KEEP_MS 1500
+/* Pause of a target after a failure, doubled with each further one, ms. */
+#define MP_PAUSE_MS 400
+#define MP_PAUSE_MOST_MS 3200
+
+/* One target as a list tells it. */
+struct MpListedTarget {
+    char *incarnation; /* name of this start of the target */
+    char *pool;
+    char *address;
+    char *zone;
+    int64_t slots;
+    bool is_leaving;
+    int64_t cold_ms; /* how long it stays slow after its start */
+    int64_t born_ms; /* wall clock of its start, 0 when it is not told */
+};
+
+void MpListedTarget_Delete(void *this);
+
+/* How an attempt at a target ended, for its health. */
+enum MpTargetOutcome {
+    MP_OUTCOME_OK,        /* it answered */
+    MP_OUTCOME_FULL,      /* it turned the request away */
+    MP_OUTCOME_ERROR,     /* it answered with a failure of its own */
+    MP_OUTCOME_FAILED,    /* no connection, a reset, or silence */
+    MP_OUTCOME_GONE,      /* another target has its address */
+    MP_OUTCOME_CANCELLED  /* tells nothing */
+};
+
+struct MpPoolTarget {
+    char *incarnation;
+    char *pool;
+    char *address;
+    char *zone;
+    int64_t slots;
+    uint64_t hash; /* of the incarnation */
+    bool is_listed;
+    bool is_leaving;
+    bool is_gone;
+    int64_t cold_until_ms;
+    /* load */
+    int32_t running;         /* attempts of this instance */
+    int32_t waiting;         /* ... without a first answer */
+    int64_t prefill_tokens;  /* ... and their tokens that are not cached */
+    int32_t told_running;    /* by the target, of all instances */
+    int32_t told_waiting;
+    int32_t sent_since;      /* attempts of this instance since it told */
+    int64_t told_ms;         /* 0: never */
+    /* health */
+    uint32_t failures; /* in a row */
+    int64_t paused_until_ms;
+    bool is_on_trial; /* one attempt shows whether it is back */
+    double error_rate;
+    double slowness; /* measured against expected time to first answer */
+    uint64_t picked;
+    GHashTable *cached; /* part id -> time of last use */
+    void *connections;  /* of the transport */
+    uint32_t references;
+};
+
+struct MpRoster {
+    char *zone;
+    GHashTable *targets; /* incarnation -> struct MpPoolTarget */
+    GHashTable *pools;   /* name -> GPtrArray of struct MpPoolTarget */
+    void (*dropped)(void *owner, struct MpPoolTarget *target);
+    void *owner;
+    uint64_t version; /* of the list: counts its changes */
+    int64_t listed_ms;
+};
+
+/* dropped is called before a target is forgotten. */
+void MpRoster_Init(struct MpRoster *this, const char *zone,
+                   void (*dropped)(void *owner, struct MpPoolTarget *target),
+                   void *owner);
+
+/* Takes a whole list: targets that are not in it get nothing new. Returns
+ * the number of targets that came, left or changed their state. */
+uint32_t MpRoster_Update(struct MpRoster *this, const GPtrArray *list,
+                         int64_t now_ms);
+
+/* What is asked of a target. */
+struct MpPickAsk {
+    const char *pool;
+    const struct MpCallFacts *facts;
+    bool is_once;    /* the surest target, not the cheapest */
+    bool is_engine;  /* the pool is one of engines */
+    const GPtrArray *avoid; /* of struct MpPoolTarget */
+};
+
+/* The choice, and what it rests on. */
+struct MpPicked {
+    struct MpPoolTarget *target;
+    int64_t wait_ms;        /* until the prompt is read, expected */
+    int64_t prefill_tokens; /* that are not cached there */
+};
+
+/* Returns MP_OK, MP_ERROR_NO_TARGET when there is no healthy one, or
+ * MP_ERROR_LIMIT when all that are healthy are full. */
+int MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
+                  int64_t now_ms, struct MpPicked *picked);
+
+/* Notes an attempt; the target is kept until it has ended. */
+void MpPoolTarget_Begin(struct MpPoolTarget *this,
+                        const struct MpCallFacts *facts,
+                        int64_t prefill_tokens, int64_t now_ms);
+
+/* Notes the first answer of an attempt, after took_ms; expected_ms is what
+ * the choice rested on. */
+void MpPoolTarget_Answered(struct MpPoolTarget *this, int64_t prefill_tokens,
+                           int64_t took_ms, int64_t expected_ms);
+
+/* Notes the end of an attempt that had has_answered or not. */
+void MpPoolTarget_End(struct MpRoster *roster, struct MpPoolTarget *this,
+                      bool has_answered, int64_t prefill_tokens,
+                      enum MpTargetOutcome outcome, int64_t now_ms);
+
+/* Takes what the target told of its load. */
+void MpPoolTarget_Told(struct MpPoolTarget *this, int64_t running,
+                       int64_t waiting, int64_t slots, int64_t now_ms);
+
+#endif
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -25,6 +25,8 @@
 #define MP_MEMBERS_MAX 16
 #define MP_CHUNK_MAX 262144
 #define MP_RECALLS_MAX 1024
+#define MP_GRANTS_MAX 65536
+#define MP_TARGETS_MAX 4096
 
 struct mp_holder {
 	char *instance;
@@ -45,6 +47,7 @@
 	MP_CMD_OFFLINE = 9,
 	MP_CMD_WRITEOFF = 10,
 	MP_CMD_POISON = 11,
+	MP_CMD_SLICES = 12,
 };
 typedef enum mp_command_kind mp_command_kind;
 
@@ -65,10 +68,21 @@
 };
 typedef struct mp_register mp_register;
 
+struct mp_grant {
+	char *workspace;
+	quad_t prepaid_mtok;
+};
+typedef struct mp_grant mp_grant;
+
 struct mp_document_put {
 	char *submission;
 	char *author;
 	u_quad_t base_version;
+	u_quad_t number;
+	struct {
+		u_int grants_len;
+		mp_grant *grants_val;
+	} grants;
 	quad_t retention_ms;
 	char *text;
 };
@@ -117,6 +131,24 @@
 };
 typedef struct mp_lease mp_lease;
 
+struct mp_slice {
+	char *workspace;
+	quad_t spent_mtok;
+	quad_t hold_mtok;
+	quad_t need_mtok;
+};
+typedef struct mp_slice mp_slice;
+
+struct mp_slices {
+	mp_holder holder;
+	u_quad_t seq;
+	struct {
+		u_int list_len;
+		mp_slice *list_val;
+	} list;
+};
+typedef struct mp_slices mp_slices;
+
 struct mp_offline {
 	mp_holder holder;
 	char *workspace;
@@ -149,6 +181,7 @@
 		mp_offline offline;
 		mp_holder writeoff;
 		mp_poison poison;
+		mp_slices slices;
 	} mp_command_body_u;
 };
 typedef struct mp_command_body mp_command_body;
@@ -159,6 +192,12 @@
 };
 typedef struct mp_command mp_command;
 
+struct mp_slice_held {
+	quad_t held_mtok;
+	quad_t free_mtok;
+};
+typedef struct mp_slice_held mp_slice_held;
+
 struct mp_result {
 	int code;
 	mp_record_state state;
@@ -170,6 +209,10 @@
 		u_int answer_len;
 		char *answer_val;
 	} answer;
+	struct {
+		u_int slices_len;
+		mp_slice_held *slices_val;
+	} slices;
 };
 typedef struct mp_result mp_result;
 
@@ -320,6 +363,11 @@
 };
 typedef struct mp_sync mp_sync;
 
+struct mp_address {
+	char *address;
+};
+typedef struct mp_address mp_address;
+
 struct mp_recall {
 	char *workspace;
 };
@@ -343,6 +391,11 @@
 		u_int recalls_len;
 		mp_recall *recalls_val;
 	} recalls;
+	struct {
+		u_int replicas_len;
+		mp_address *replicas_val;
+	} replicas;
+	u_int instances;
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
@@ -355,6 +408,7 @@
 
 struct mp_identify_reply {
 	u_quad_t replica_id;
+	char *instance;
 	bool_t formed;
 	mp_members members;
 	bool_t is_leader;
@@ -431,6 +485,7 @@
 	u_quad_t seq;
 	quad_t amount_mtok;
 	quad_t last_grant_mtok;
+	quad_t spent_mtok;
 	bool_t recalled;
 };
 typedef struct mp_lease_image mp_lease_image;
@@ -438,6 +493,8 @@
 struct mp_account_image {
 	char *workspace;
 	quad_t granted_mtok;
+	quad_t prepaid_mtok;
+	quad_t highest_mtok;
 	quad_t settled_mtok;
 	quad_t reserved_mtok;
 	struct {
@@ -599,15 +656,19 @@
 extern  bool_t xdr_mp_command_kind (XDR *, mp_command_kind*);
 extern  bool_t xdr_mp_record_state (XDR *, mp_record_state*);
 extern  bool_t xdr_mp_register (XDR *, mp_register*);
+extern  bool_t xdr_mp_grant (XDR *, mp_grant*);
 extern  bool_t xdr_mp_document_put (XDR *, mp_document_put*);
 extern  bool_t xdr_mp_topup (XDR *, mp_topup*);
 extern  bool_t xdr_mp_open (XDR *, mp_open*);
 extern  bool_t xdr_mp_settle (XDR *, mp_settle*);
 extern  bool_t xdr_mp_lease (XDR *, mp_lease*);
+extern  bool_t xdr_mp_slice (XDR *, mp_slice*);
+extern  bool_t xdr_mp_slices (XDR *, mp_slices*);
 extern  bool_t xdr_mp_offline (XDR *, mp_offline*);
 extern  bool_t xdr_mp_poison (XDR *, mp_poison*);
 extern  bool_t xdr_mp_command_body (XDR *, mp_command_body*);
 extern  bool_t xdr_mp_command (XDR *, mp_command*);
+extern  bool_t xdr_mp_slice_held (XDR *, mp_slice_held*);
 extern  bool_t xdr_mp_result (XDR *, mp_result*);
 extern  bool_t xdr_mp_member (XDR *, mp_member*);
 extern  bool_t xdr_mp_members (XDR *, mp_members*);
@@ -625,6 +686,7 @@
 extern  bool_t xdr_mp_propose (XDR *, mp_propose*);
 extern  bool_t xdr_mp_propose_reply (XDR *, mp_propose_reply*);
 extern  bool_t xdr_mp_sync (XDR *, mp_sync*);
+extern  bool_t xdr_mp_address (XDR *, mp_address*);
 extern  bool_t xdr_mp_recall (XDR *, mp_recall*);
 extern  bool_t xdr_mp_sync_reply (XDR *, mp_sync_reply*);
 extern  bool_t xdr_mp_identify (XDR *, mp_identify*);
@@ -649,15 +711,19 @@
 extern bool_t xdr_mp_command_kind ();
 extern bool_t xdr_mp_record_state ();
 extern bool_t xdr_mp_register ();
+extern bool_t xdr_mp_grant ();
 extern bool_t xdr_mp_document_put ();
 extern bool_t xdr_mp_topup ();
 extern bool_t xdr_mp_open ();
 extern bool_t xdr_mp_settle ();
 extern bool_t xdr_mp_lease ();
+extern bool_t xdr_mp_slice ();
+extern bool_t xdr_mp_slices ();
 extern bool_t xdr_mp_offline ();
 extern bool_t xdr_mp_poison ();
 extern bool_t xdr_mp_command_body ();
 extern bool_t xdr_mp_command ();
+extern bool_t xdr_mp_slice_held ();
 extern bool_t xdr_mp_result ();
 extern bool_t xdr_mp_member ();
 extern bool_t xdr_mp_members ();
@@ -675,6 +741,7 @@
 extern bool_t xdr_mp_propose ();
 extern bool_t xdr_mp_propose_reply ();
 extern bool_t xdr_mp_sync ();
+extern bool_t xdr_mp_address ();
 extern bool_t xdr_mp_recall ();
 extern bool_t xdr_mp_sync_reply ();
 extern bool_t xdr_mp_identify ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -17,6 +17,8 @@
 const MP_MEMBERS_MAX = 16;
 const MP_CHUNK_MAX = 262144;
 const MP_RECALLS_MAX = 1024;
+const MP_GRANTS_MAX = 65536;
+const MP_TARGETS_MAX = 4096;
 
 /* One life of one instance; boot numbers are never reused. */
 struct mp_holder {
@@ -36,7 +38,8 @@
     MP_CMD_HANDIN = 8,
     MP_CMD_OFFLINE = 9,
     MP_CMD_WRITEOFF = 10,
-    MP_CMD_POISON = 11
+    MP_CMD_POISON = 11,
+    MP_CMD_SLICES = 12
 };
 
 enum mp_record_state {
@@ -54,10 +57,21 @@
     unsigned hyper nonce;
 };
 
+/* The prepaid amount of a workspace, in all. */
+struct mp_grant {
+    string workspace<MP_NAME_MAX>;
+    hyper prepaid_mtok;
+};
+
+/* number: version set by the operator, the highest is in force; 0 asks for
+ * compare-and-set on base_version.  grants: the prepaid amounts that the text
+ * names. */
 struct mp_document_put {
     string submission<MP_KEY_MAX>;
     string author<MP_NAME_MAX>;
     unsigned hyper base_version;
+    unsigned hyper number;
+    mp_grant grants<MP_GRANTS_MAX>;
     hyper retention_ms;
     string text<MP_TEXT_MAX>;
 };
@@ -101,6 +115,24 @@
     hyper amount_mtok;
 };
 
+/*
+ * The part of a budget that a router holds.  spent_mtok: all that this
+ * incarnation has spent so far.  hold_mtok: what it wants to have left, or
+ * gives the rest back.  need_mtok: the smallest grant that is of use now.
+ */
+struct mp_slice {
+    string workspace<MP_NAME_MAX>;
+    hyper spent_mtok;
+    hyper hold_mtok;
+    hyper need_mtok;
+};
+
+struct mp_slices {
+    mp_holder holder;
+    unsigned hyper seq;
+    mp_slice list<MP_GRANTS_MAX>;
+};
+
 struct mp_offline {
     mp_holder holder;
     string workspace<MP_NAME_MAX>;
@@ -141,6 +173,8 @@
     mp_holder writeoff;
 case MP_CMD_POISON:
     mp_poison poison;
+case MP_CMD_SLICES:
+    mp_slices slices;
 default:
     void;
 };
@@ -151,6 +185,12 @@
     mp_command_body body;
 };
 
+/* What is left of a slice, and what of the budget nobody holds. */
+struct mp_slice_held {
+    hyper held_mtok;
+    hyper free_mtok;
+};
+
 struct mp_result {
     int code;
     mp_record_state state;
@@ -159,6 +199,7 @@
     int status;
     string content_type<MP_NAME_MAX>;
     opaque answer<MP_ANSWER_MAX>;
+    mp_slice_held slices<MP_GRANTS_MAX>;
 };
 
 /* ---- replicated log ---- */
@@ -294,6 +335,10 @@
     bool whole; /* a patch could not be applied: send the whole text */
 };
 
+struct mp_address {
+    string address<MP_ADDRESS_MAX>;
+};
+
 struct mp_recall {
     string workspace<MP_NAME_MAX>;
 };
@@ -315,6 +360,8 @@
     unsigned hyper poison_version;
     opaque poison<MP_CHUNK_MAX>;
     mp_recall recalls<MP_RECALLS_MAX>;
+    mp_address replicas<MP_MEMBERS_MAX>;
+    unsigned int instances; /* that were heard of lately */
 };
 
 /* What a replica without state learns from its peers. */
@@ -326,6 +373,7 @@
 
 struct mp_identify_reply {
     unsigned hyper replica_id;
+    string instance<MP_NAME_MAX>;
     bool formed;
     mp_members members;
     bool is_leader;
@@ -392,12 +440,15 @@
     unsigned hyper seq;
     hyper amount_mtok;
     hyper last_grant_mtok;
+    hyper spent_mtok;
     bool recalled;
 };
 
 struct mp_account_image {
     string workspace<MP_NAME_MAX>;
     hyper granted_mtok;
+    hyper prepaid_mtok;
+    hyper highest_mtok;
     hyper settled_mtok;
     hyper reserved_mtok;
     mp_lease_image leases<>;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -49,6 +49,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_grant (XDR *xdrs, mp_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->prepaid_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_document_put (XDR *xdrs, mp_document_put *objp)
 {
@@ -60,6 +72,11 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, MP_GRANTS_MAX,
+		sizeof (mp_grant), (xdrproc_t) xdr_mp_grant))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->retention_ms))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->text, MP_TEXT_MAX))
@@ -148,6 +165,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_slice (XDR *xdrs, mp_slice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->spent_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->hold_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->need_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_slices (XDR *xdrs, mp_slices *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_mp_holder (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MP_GRANTS_MAX,
+		sizeof (mp_slice), (xdrproc_t) xdr_mp_slice))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_offline (XDR *xdrs, mp_offline *objp)
 {
@@ -238,6 +286,10 @@
 		 if (!xdr_mp_poison (xdrs, &objp->mp_command_body_u.poison))
 			 return FALSE;
 		break;
+	case MP_CMD_SLICES:
+		 if (!xdr_mp_slices (xdrs, &objp->mp_command_body_u.slices))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
@@ -256,6 +308,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_slice_held (XDR *xdrs, mp_slice_held *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->held_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->free_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_result (XDR *xdrs, mp_result *objp)
 {
@@ -275,6 +339,9 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, MP_ANSWER_MAX))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->slices.slices_val, (u_int *) &objp->slices.slices_len, MP_GRANTS_MAX,
+		sizeof (mp_slice_held), (xdrproc_t) xdr_mp_slice_held))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -524,6 +591,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_address (XDR *xdrs, mp_address *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->address, MP_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_recall (XDR *xdrs, mp_recall *objp)
 {
@@ -562,6 +639,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->recalls.recalls_val, (u_int *) &objp->recalls.recalls_len, MP_RECALLS_MAX,
 		sizeof (mp_recall), (xdrproc_t) xdr_mp_recall))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, MP_MEMBERS_MAX,
+		sizeof (mp_address), (xdrproc_t) xdr_mp_address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->instances))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -586,6 +668,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->replica_id))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, MP_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->formed))
 		 return FALSE;
 	 if (!xdr_mp_members (xdrs, &objp->members))
@@ -719,6 +803,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->last_grant_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->spent_mtok))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->recalled))
 		 return FALSE;
 	return TRUE;
@@ -733,6 +819,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->granted_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->prepaid_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->highest_mtok))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->settled_mtok))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->reserved_mtok))
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -59,6 +59,59 @@
     int64_t timeout_ms;
 };
 
+/* What a request on a path may do when its fate is not known. */
+enum MpRepeat {
+    MP_REPEAT_ONCE,  /* it must not run twice */
+    MP_REPEAT_ANY,   /* it may run again */
+    MP_REPEAT_RESUME /* another target may go on where the stream stopped */
+};
+
+/* A part of the requests of a path. */
+struct MpShareConf {
+    char *pool;
+    int64_t weight;
+};
+
+/* Requests of one host whose path begins with prefix; the longest prefix
+ * counts. */
+struct MpPathConf {
+    char *name;
+    char *host;
+    char *prefix;
+    int32_t repeat; /* enum MpRepeat */
+    bool stream;
+    bool anonymous;
+    bool affinity; /* the requests name the parts of their prompts */
+    int64_t timeout_ms;
+    int64_t latency_target_ms;
+    int64_t event_gap_ms;
+    int64_t priority; /* 0 is the most urgent */
+    int64_t attempts_most;
+    GPtrArray *shares; /* of struct MpShareConf */
+};
+
+/* What the engines of a pool can do. */
+struct MpEngineConf {
+    int64_t slots;         /* 0: the pool is no pool of engines */
+    int64_t memory_tokens;
+    int64_t event_tokens;  /* most tokens in one event of a stream */
+};
+
+/* Targets that the target list names under the name of the pool. */
+struct MpPoolConf {
+    char *health_path;
+    int64_t connections_most; /* of one target, from the whole fleet */
+    struct MpEngineConf engine;
+};
+
+/* What callers of paths may send. */
+struct MpLimitConf {
+    int64_t header_most_bytes;
+    int64_t body_most_bytes;
+    int64_t header_timeout_ms;
+    int64_t idle_timeout_ms;
+};
+
 struct MpWorkspaceConf {
     GPtrArray *key_hashes;
     GPtrArray *models;
@@ -67,6 +120,8 @@
     int64_t rate_per_s;
     int32_t priority;  /* enum MpClass */
     int32_t partition; /* enum MpPartitionPolicy */
+    int64_t rank;      /* goes before the priority of a path; -1: none */
+    int64_t prepaid_tokens; /* granted in all; -1: by top-ups alone */
 };
 
 struct MpDocument {
@@ -77,10 +132,31 @@
     GHashTable *services;
     GHashTable *targets;
     GHashTable *workspaces;
+    GPtrArray *paths;  /* of struct MpPathConf */
+    GHashTable *pools; /* name -> struct MpPoolConf */
+    struct MpLimitConf limits;
+    GHashTable *by_host; /* host -> GPtrArray of paths, longest first */
     GHashTable *by_key; /* key hash -> workspace name, not owned */
 };
 
 extern const struct MpSchema MpDocument_Schema;
+extern const struct MpSchema MpDocument_PathSchema;
+extern const struct MpSchema MpDocument_ShareSchema;
+extern const struct MpSchema MpDocument_PoolSchema;
+extern const struct MpSchema MpDocument_WorkspaceSchema;
+
+/* Returns a document with nothing in it, with one reference; for dialects
+ * that fill it from a text of their own. */
+struct MpDocument *MpDocument_New(void);
+
+/* Checks what a dialect has filled in and makes the indexes.  Returns the
+ * document, or NULL when there are findings. */
+struct MpDocument *MpDocument_Finish(struct MpDocument *this,
+                                     GPtrArray *findings);
+
+/* Returns the path of host with the longest prefix of path, or NULL. */
+const struct MpPathConf *MpDocument_Path(const struct MpDocument *this,
+                                         const char *host, const char *path);
 
 /* Parses and validates text.  Returns the document with one reference, or
  * NULL with findings. */
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -142,6 +142,26 @@
         return MP_ERROR_OVERFLOW;
     }
     account->granted_mtok += amount_mtok;
+    account->highest_mtok = MAX(account->highest_mtok, account->granted_mtok);
+    return MP_OK;
+}
+
+int
+MpLedger_SetPrepaid(struct MpLedger *this, const char *workspace,
+                    int64_t prepaid_mtok)
+{
+    if (!MpLedger_IsAmount(prepaid_mtok)) {
+        return MP_ERROR_OVERFLOW;
+    }
+    struct MpAccount *account = account_of(this, workspace);
+    int64_t granted_mtok =
+        account->granted_mtok - account->prepaid_mtok + prepaid_mtok;
+    if (granted_mtok > MP_AMOUNT_MAX_MTOK) {
+        return MP_ERROR_OVERFLOW;
+    }
+    account->prepaid_mtok = prepaid_mtok;
+    account->granted_mtok = granted_mtok;
+    account->highest_mtok = MAX(account->highest_mtok, granted_mtok);
     return MP_OK;
 }
 
@@ -162,7 +182,7 @@
     }
     struct MpLease *lease = lease_of(account, &wanted->holder);
     if (wanted->seq > lease->seq) {
-        int64_t slice = MpAccount_Free(account) / SLICE_DIVISOR;
+        int64_t slice = MAX(MpAccount_Free(account), 0) / SLICE_DIVISOR;
         slice = MIN(slice, wanted->amount_mtok);
         lease->seq = wanted->seq;
         lease->last_grant_mtok = slice;
@@ -175,6 +195,60 @@
     return MP_OK;
 }
 
+/* Moves what was spent since the last report from the slice to the bill. */
+static void
+settle_slice(struct MpAccount *account, struct MpLease *lease,
+             int64_t spent_mtok)
+{
+    int64_t new_mtok =
+        CLAMP(spent_mtok - lease->spent_mtok, 0, lease->amount_mtok);
+    lease->spent_mtok += new_mtok;
+    lease->amount_mtok -= new_mtok;
+    account->leased_mtok -= new_mtok;
+    account->settled_mtok += new_mtok;
+}
+
+/* Returns the change of a slice that brings it to hold_mtok: less at once,
+ * more as far as the budget allows. */
+static int64_t
+slice_change(const struct MpAccount *account, const struct MpLease *lease,
+             const struct mp_slice *wanted)
+{
+    int64_t change_mtok = wanted->hold_mtok - lease->amount_mtok;
+    if (change_mtok <= 0) {
+        return change_mtok;
+    }
+    int64_t free_mtok = MAX(MpAccount_Free(account), 0);
+    int64_t most_mtok = free_mtok / SLICE_DIVISOR;
+    if (wanted->need_mtok <= free_mtok) {
+        most_mtok = MAX(most_mtok, wanted->need_mtok);
+    }
+    return MIN(change_mtok, most_mtok);
+}
+
+void
+MpLedger_Slice(struct MpLedger *this, const struct mp_holder *holder,
+               uint64_t seq, const struct mp_slice *wanted,
+               struct mp_slice_held *held)
+{
+    struct MpAccount *account = MpLedger_Find(this, wanted->workspace);
+    *held = (struct mp_slice_held){.held_mtok = 0};
+    if (!account || !MpLedger_IsAmount(wanted->hold_mtok) ||
+        !MpLedger_IsAmount(wanted->need_mtok)) {
+        return;
+    }
+    struct MpLease *lease = lease_of(account, holder);
+    if (seq > lease->seq) {
+        lease->seq = seq;
+        settle_slice(account, lease, wanted->spent_mtok);
+        int64_t change_mtok = slice_change(account, lease, wanted);
+        lease->amount_mtok += change_mtok;
+        account->leased_mtok += change_mtok;
+    }
+    held->held_mtok = lease->amount_mtok;
+    held->free_mtok = MAX(MpAccount_Free(account), 0);
+}
+
 int
 MpLedger_Handin(struct MpLedger *this, const struct mp_lease *back,
                 struct mp_result *result)
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -14,7 +14,8 @@
  *
  *     settled + reserved + leased <= granted
  *
- * holds after every call; leased is the sum over the leases.  A request is
+ * holds after every call, but where a document has lowered the prepaid
+ * amount: then the largest amount that was granted is the bound.  leased is the sum over the leases.  A request is
  * opened before it is dispatched, which reserves its worst case, and settled
  * once.  A record that is closed stays for the retention time, so that a
  * repeat of its key is answered from it and not billed again.
@@ -43,12 +44,15 @@
     uint64_t seq;
     int64_t amount_mtok;
     int64_t last_grant_mtok;
+    int64_t spent_mtok; /* settled from this slice so far */
     bool recalled;
 };
 
 struct MpAccount {
     char *workspace;
     int64_t granted_mtok;
+    int64_t prepaid_mtok; /* the part of granted that the document names */
+    int64_t highest_mtok; /* largest granted so far */
     int64_t settled_mtok;
     int64_t reserved_mtok;
     int64_t leased_mtok;
@@ -103,6 +107,19 @@
 int MpLedger_Grant(struct MpLedger *this, const char *workspace,
                    int64_t amount_mtok);
 
+/* Makes prepaid_mtok the amount that the document grants in all, beside
+ * top-ups.  Lowered below what is used, nothing more is granted.
+ * Errors: MP_ERROR_OVERFLOW. */
+int MpLedger_SetPrepaid(struct MpLedger *this, const char *workspace,
+                        int64_t prepaid_mtok);
+
+/* Settles what holder has spent from its slice, and grants more or takes
+ * back.  held tells what is left of the slice.  A seq that is not higher than
+ * the last one of the holder changes nothing. */
+void MpLedger_Slice(struct MpLedger *this, const struct mp_holder *holder,
+                    uint64_t seq, const struct mp_slice *wanted,
+                    struct mp_slice_held *held);
+
 /*
  * Opens a request: reserves its worst case and claims its key.
  *
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -182,7 +182,9 @@
         leased += lease->amount_mtok;
     }
     return leased == account->leased_mtok && account->settled_mtok >= 0 &&
-           account->reserved_mtok >= 0 && MpAccount_Free(account) >= 0;
+           account->reserved_mtok >= 0 &&
+           MpAccount_Free(account) + account->highest_mtok >=
+               account->granted_mtok;
 }
 
 int
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -19,6 +19,7 @@
             .seq = lease->seq,
             .amount_mtok = lease->amount_mtok,
             .last_grant_mtok = lease->last_grant_mtok,
+            .spent_mtok = lease->spent_mtok,
             .recalled = lease->recalled,
         };
     }
@@ -65,6 +66,8 @@
         const struct MpAccount *account = value;
         next->workspace = account->workspace;
         next->granted_mtok = account->granted_mtok;
+        next->prepaid_mtok = account->prepaid_mtok;
+        next->highest_mtok = account->highest_mtok;
         next->settled_mtok = account->settled_mtok;
         next->reserved_mtok = account->reserved_mtok;
         save_leases(account, next);
@@ -118,6 +121,8 @@
     MpLedger_Grant(this, image->workspace, 0);
     struct MpAccount *account = MpLedger_Find(this, image->workspace);
     account->granted_mtok = image->granted_mtok;
+    account->prepaid_mtok = image->prepaid_mtok;
+    account->highest_mtok = image->highest_mtok;
     account->settled_mtok = image->settled_mtok;
     account->reserved_mtok = image->reserved_mtok;
     for (u_int i = 0; i < image->leases.leases_len; i++) {
@@ -128,6 +133,7 @@
         lease->seq = from->seq;
         lease->amount_mtok = from->amount_mtok;
         lease->last_grant_mtok = from->last_grant_mtok;
+        lease->spent_mtok = from->spent_mtok;
         lease->recalled = from->recalled;
         account->leased_mtok += from->amount_mtok;
         g_ptr_array_add(account->leases, lease);
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -105,6 +105,7 @@
     MpLedger_Done(&this->ledger);
     g_free(this->document);
     g_free(this->document_author);
+    g_free(this->slices_held);
 }
 
 /* ---- markers ---- */
@@ -197,10 +198,45 @@
     return MP_OK;
 }
 
+static void
+put_document(struct MpMachine *this, const struct mp_document_put *put,
+             uint64_t version)
+{
+    g_free(this->document);
+    g_free(this->document_author);
+    this->document = g_strdup(put->text);
+    this->document_author = g_strdup(put->author);
+    this->document_version = version;
+    this->ledger.retention_ms = put->retention_ms;
+    for (u_int i = 0; i < put->grants.grants_len; i++) {
+        const struct mp_grant *grant = &put->grants.grants_val[i];
+        MpLedger_SetPrepaid(&this->ledger, grant->workspace,
+                            grant->prepaid_mtok);
+    }
+    MpMachine_AddHistory(this, version, this->now_ms, put->author,
+                         put->submission);
+}
+
+/* The operator numbers the versions and the highest is in force: one that is
+ * not higher has been overtaken, or is here already. */
+static int
+apply_numbered(struct MpMachine *this, const struct mp_document_put *put,
+               struct mp_result *result)
+{
+    if (put->number > this->document_version) {
+        put_document(this, put, put->number);
+    }
+    result->number = this->document_version;
+    return MP_OK;
+}
+
 static int
 apply_document(struct MpMachine *this, const struct mp_document_put *put,
                struct mp_result *result)
 {
+    if (put->number > 0) {
+        return apply_numbered(this, put, result);
+    }
     struct MpMarker *marker =
         marker_find(this->submissions, "", put->submission);
     if (marker) {
@@ -213,14 +249,7 @@
     marker = MpMachine_AddMarker(this->submissions, &this->submission_order,
                                  "", put->submission);
     if (is_base) {
-        g_free(this->document);
-        g_free(this->document_author);
-        this->document = g_strdup(put->text);
-        this->document_author = g_strdup(put->author);
-        this->document_version++;
-        this->ledger.retention_ms = put->retention_ms;
-        MpMachine_AddHistory(this, this->document_version, this->now_ms,
-                             put->author, put->submission);
+        put_document(this, put, this->document_version + 1);
     }
     marker->code = is_base ? MP_OK : MP_ERROR_VERSION;
     marker->number = this->document_version;
@@ -400,6 +429,27 @@
     return MpLedger_Lease(&this->ledger, lease, result);
 }
 
+/* The answer holds until the next command. */
+static int
+apply_slices(struct MpMachine *this, const struct mp_slices *slices,
+             struct mp_result *result)
+{
+    if (!MpMachine_IsCurrent(this, &slices->holder)) {
+        return MP_ERROR_FENCED;
+    }
+    u_int count = slices->list.list_len;
+    this->slices_held =
+        g_renew(struct mp_slice_held, this->slices_held, count + 1);
+    for (u_int i = 0; i < count; i++) {
+        MpLedger_Slice(&this->ledger, &slices->holder, slices->seq,
+                       &slices->list.list_val[i], &this->slices_held[i]);
+    }
+    result->number = slices->seq;
+    result->slices.slices_val = this->slices_held;
+    result->slices.slices_len = count;
+    return MP_OK;
+}
+
 static int
 apply_body(struct MpMachine *this, const struct mp_command_body *body,
            struct mp_result *result)
@@ -434,6 +484,8 @@
         return MP_OK;
     case MP_CMD_POISON:
         return apply_poison(this, &body->mp_command_body_u.poison, result);
+    case MP_CMD_SLICES:
+        return apply_slices(this, &body->mp_command_body_u.slices, result);
     default:
         return MP_ERROR_INVALID;
     }
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -66,6 +66,7 @@
     char *document;
     char *document_author;
     GQueue history; /* of struct mp_history, oldest first */
+    struct mp_slice_held *slices_held; /* answer of the last command */
     uint64_t applied;
     int64_t now_ms;
 };
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -88,6 +88,27 @@
     *(int64_t *)place(site) = number;
 }
 
+/* A decimal number, kept in thousandths. */
+static void
+decode_milli(const struct site *site)
+{
+    const struct MpField *field = site->field;
+    if (!json_object_is_type(site->value, json_type_double) &&
+        !json_object_is_type(site->value, json_type_int)) {
+        wrong_type(site, "a number");
+        return;
+    }
+    double number = json_object_get_double(site->value) * 1000;
+    if (!(number >= (double)field->least && number <= (double)field->most)) {
+        MpFindings_Add(site->findings, MP_FINDING_RANGE, 0, site->path,
+                       "must be %g to %g%s%s", (double)field->least / 1000,
+                       (double)field->most / 1000, field->unit ? " " : "",
+                       field->unit ? field->unit : "");
+        return;
+    }
+    *(int64_t *)place(site) = (int64_t)(number + 0.5);
+}
+
 static void
 decode_boolean(const struct site *site)
 {
@@ -267,6 +288,9 @@
     case MP_FIELD_INTEGER:
         decode_integer(site);
         break;
+    case MP_FIELD_MILLI:
+        decode_milli(site);
+        break;
     case MP_FIELD_BOOLEAN:
         decode_boolean(site);
         break;
@@ -301,6 +325,7 @@
     void *at = (char *)target + field->offset;
     switch (field->type) {
     case MP_FIELD_INTEGER:
+    case MP_FIELD_MILLI:
         *(int64_t *)at = field->standard;
         break;
     case MP_FIELD_BOOLEAN:
@@ -465,7 +490,8 @@
 /* ---- description ---- */
 
 static const char *const type_names[] = {
-    [MP_FIELD_INTEGER] = "integer",        [MP_FIELD_BOOLEAN] = "boolean",
+    [MP_FIELD_INTEGER] = "integer",        [MP_FIELD_MILLI] = "decimal",
+    [MP_FIELD_BOOLEAN] = "boolean",
     [MP_FIELD_STRING] = "string",          [MP_FIELD_NAME] = "name",
     [MP_FIELD_ADDRESS] = "address",        [MP_FIELD_HASH] = "SHA-256",
     [MP_FIELD_CHOICE] = "choice",          [MP_FIELD_NAMES] = "list of names",
@@ -483,6 +509,12 @@
                                    field->choices[i]);
         }
         break;
+    case MP_FIELD_MILLI:
+        g_string_append_printf(
+            out, "%g to %g%s%s", (double)field->least / 1000,
+            (double)field->most / 1000, field->unit ? " " : "",
+            field->unit ? field->unit : "");
+        break;
     case MP_FIELD_INTEGER:
     case MP_FIELD_STRING:
     case MP_FIELD_NAMES:
@@ -507,6 +539,9 @@
     else if (field->type == MP_FIELD_INTEGER) {
         g_string_append_printf(out, "%" PRId64, field->standard);
     }
+    else if (field->type == MP_FIELD_MILLI) {
+        g_string_append_printf(out, "%g", (double)field->standard / 1000);
+    }
     else if (field->type == MP_FIELD_BOOLEAN) {
         g_string_append(out, field->standard ? "true" : "false");
     }
--- a/src/state/Schema.h
+++ b/src/state/Schema.h
@@ -18,6 +18,7 @@
 
 enum MpFieldType {
     MP_FIELD_INTEGER, /* int64_t */
+    MP_FIELD_MILLI,   /* int64_t; a decimal number, in thousandths */
     MP_FIELD_BOOLEAN, /* bool */
     MP_FIELD_STRING,  /* char * */
     MP_FIELD_NAME,    /* char *; letters, digits, dot, dash, underscore */
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -2,6 +2,7 @@
 
 #include "state/Document.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define AT(type, member) .offset = offsetof(struct type, member)
@@ -21,6 +22,15 @@
      AT(MpListen, rpc),
      .text = "Where other instances connect; needed by a control "
              "instance."},
+    {.name = "ready",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpListen, ready),
+     .text = "Where a balancer asks whether callers can be served, if not "
+             "at `callers`."},
+    {.name = "metrics",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpListen, metrics),
+     .text = "Where counters and histograms are told without a token."},
     {.name = NULL},
 };
 static const struct MpSchema listen_schema = {.name = "listen",
@@ -44,6 +54,67 @@
                                             .size = sizeof(struct MpPeer),
                                             .fields = peer_fields};
 
+static const struct MpField seed_fields[] = {
+    {.name = "address",
+     .type = MP_FIELD_ADDRESS,
+     .required = true,
+     AT(MpSeed, address),
+     .text = "Any address of a control instance; only its host counts."},
+    {.name = NULL},
+};
+static const struct MpSchema seed_schema = {
+    .name = "seed", .size = sizeof(struct MpSeed), .fields = seed_fields};
+
+static const struct MpField target_list_fields[] = {
+    {.name = "address",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpTargetListConf, address),
+     .text = "Who tells the targets, beside the document."},
+    {.name = "interval_ms",
+     .type = MP_FIELD_INTEGER,
+     .least = 50,
+     .most = 3600000,
+     .standard = 1000,
+     .unit = "ms",
+     AT(MpTargetListConf, interval_ms),
+     .text = "Pause between two readings of the list."},
+    {.name = NULL},
+};
+static const struct MpSchema target_list_schema = {
+    .name = "target list",
+    .size = sizeof(struct MpTargetListConf),
+    .fields = target_list_fields};
+
+static const struct MpField retry_fields[] = {
+    {.name = "ratio",
+     .type = MP_FIELD_MILLI,
+     .most = 10000,
+     .standard = 200,
+     AT(MpRetryConf, ratio_permille),
+     .text = "Attempts beyond the first, as a part of a pool's requests."},
+    {.name = "slack",
+     .type = MP_FIELD_INTEGER,
+     .most = 1000000,
+     .standard = 20,
+     .unit = "attempts",
+     AT(MpRetryConf, slack),
+     .text = "Such attempts that are always allowed in a window, over the "
+             "whole fleet."},
+    {.name = "window_s",
+     .type = MP_FIELD_MILLI,
+     .least = 100,
+     .most = 3600000,
+     .standard = 10000,
+     .unit = "s",
+     AT(MpRetryConf, window_ms),
+     .text = "Time over which attempts are counted."},
+    {.name = NULL},
+};
+static const struct MpSchema retry_schema = {.name = "retries",
+                                             .size =
+                                                 sizeof(struct MpRetryConf),
+                                             .fields = retry_fields};
+
 static const char *const routing_names[] = {"affinity", "random", "least_own",
                                             NULL};
 
@@ -74,12 +145,53 @@
      .text = "Addresses of this instance."},
     {.name = "control",
      .type = MP_FIELD_LIST,
-     .required = true,
-     .least = 1,
      .most = 7,
      .schema = &peer_schema,
      AT(MpSettings, control),
-     .text = "The control instances, the same list on every instance."},
+     .text = "The control instances, the same list on every instance; or "
+             "`seeds`."},
+    {.name = "seeds",
+     .type = MP_FIELD_LIST,
+     .most = 7,
+     .schema = &seed_schema,
+     AT(MpSettings, seeds),
+     .text = "Control instances that are known, where they may change; the "
+             "others are learned from them."},
+    {.name = "rpc_port",
+     .type = MP_FIELD_INTEGER,
+     .least = 1,
+     .most = 65535,
+     .standard = 7700,
+     AT(MpSettings, rpc_port),
+     .text = "Port of `listen.rpc` on all control instances; used with "
+             "`seeds`."},
+    {.name = "bootstrap",
+     .type = MP_FIELD_BOOLEAN,
+     .standard = 1,
+     AT(MpSettings, bootstrap),
+     .text = "Whether control instances that are all empty may form a new "
+             "cluster."},
+    {.name = "dialect",
+     .type = MP_FIELD_NAME,
+     AT(MpSettings, dialect),
+     .text = "Names of the headers, calls and fields that callers, targets "
+             "and operators use; `own` if it is not set."},
+    {.name = "fleet_key",
+     .type = MP_FIELD_STRING,
+     .least = 16,
+     .most = 256,
+     AT(MpSettings, fleet_key),
+     .text = "The secret that the instances share, where it is no file."},
+    {.name = "target_list",
+     .type = MP_FIELD_OBJECT,
+     .schema = &target_list_schema,
+     AT(MpSettings, target_list),
+     .text = "List of targets that come and go."},
+    {.name = "retries",
+     .type = MP_FIELD_OBJECT,
+     .schema = &retry_schema,
+     AT(MpSettings, retries),
+     .text = "Bound of further attempts on the routes of the document."},
     {.name = "data_folder",
      .type = MP_FIELD_STRING,
      .least = 1,
@@ -115,6 +227,24 @@
      AT(MpSettings, drain_ms),
      .text = "Longest time that a stopping instance waits for its running "
              "requests."},
+    {.name = "drain_notice_ms",
+     .type = MP_FIELD_INTEGER,
+     .least = 0,
+     .most = 600000,
+     .standard = 1500,
+     .unit = "ms",
+     AT(MpSettings, drain_notice_ms),
+     .text = "Time in which a balancer notices that a stopping instance is "
+             "not ready; new requests are still served in it."},
+    {.name = "stop_within_s",
+     .type = MP_FIELD_MILLI,
+     .least = 0,
+     .most = 3600000,
+     .standard = 0,
+     .unit = "s",
+     AT(MpSettings, stop_within_ms),
+     .text = "Time after which a stopping instance is killed; it ends a "
+             "little before.  0 for none: then `drain_ms` counts."},
     {.name = "body_most_bytes",
      .type = MP_FIELD_INTEGER,
      .least = 1024,
@@ -190,7 +320,7 @@
         is_listed =
             is_listed || g_strcmp0(peer->instance, this->instance) == 0;
     }
-    if (this->is_control && !is_listed) {
+    if (this->is_control && !is_listed && this->seeds->len == 0) {
         MpFindings_Add(findings, MP_FINDING_REFERENCE, 0, "control",
                        "this control instance is not in the list");
     }
@@ -212,12 +342,16 @@
         need(this->data_folder, "data_folder",
              "a control instance needs a data folder", findings);
     }
-    if (this->listen.operators) {
+    if (this->control->len == 0 && this->seeds->len == 0) {
+        MpFindings_Add(findings, MP_FINDING_MISSING, 0, "control",
+                       "name the control instances, or `seeds`");
+    }
+    if (this->listen.operators && !this->dialect) {
         need(this->operator_token_file, "operator_token_file",
              "the address for operators needs a token", findings);
     }
-    if (this->control->len > 1 || !this->is_control) {
-        need(this->fleet_key_file, "fleet_key_file",
+    if (this->control->len != 1 || !this->is_control) {
+        need(this->fleet_key ? this->fleet_key : this->fleet_key_file, "fleet_key_file",
              "several instances need a shared secret", findings);
     }
 }
@@ -275,6 +409,24 @@
     g_free(this);
 }
 
+GPtrArray *
+MpSettings_Replicas(const struct MpSettings *this)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < this->control->len; i++) {
+        const struct MpPeer *peer = g_ptr_array_index(this->control, i);
+        g_ptr_array_add(list, g_strdup(peer->rpc));
+    }
+    for (guint i = 0; i < this->seeds->len; i++) {
+        const struct MpSeed *seed = g_ptr_array_index(this->seeds, i);
+        const char *colon = strrchr(seed->address, ':');
+        g_ptr_array_add(list, g_strdup_printf("%.*s:%" PRId64,
+                                              (int)(colon - seed->address),
+                                              seed->address, this->rpc_port));
+    }
+    return list;
+}
+
 char *
 MpSettings_Path(const struct MpSettings *this, const char *name)
 {
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -14,6 +14,8 @@
     char *callers;
     char *operators;
     char *rpc;
+    char *ready;
+    char *metrics;
 };
 
 struct MpPeer {
@@ -21,17 +23,45 @@
     char *rpc;
 };
 
+/* An instance that knows others of the fleet. */
+struct MpSeed {
+    char *address; /* only its host counts */
+};
+
+/* Where the list of targets is to be had, beside those of the document. */
+struct MpTargetListConf {
+    char *address;
+    int64_t interval_ms;
+};
+
+/* What the requests of a service may cost beyond their first attempt, over
+ * the whole fleet. */
+struct MpRetryConf {
+    int64_t ratio_permille;
+    int64_t slack;
+    int64_t window_ms;
+};
+
 struct MpSettings {
     char *instance;
     char *zone;
     struct MpListen listen;
     GPtrArray *roles;
     GPtrArray *control; /* of struct MpPeer */
+    GPtrArray *seeds;   /* of struct MpSeed */
+    int64_t rpc_port;
+    bool bootstrap;
+    char *dialect;
+    char *fleet_key;
+    struct MpTargetListConf target_list;
+    struct MpRetryConf retries;
     char *data_folder;
     char *fleet_key_file;
     char *operator_token_file;
     char *first_document;
     int64_t drain_ms;
+    int64_t drain_notice_ms;
+    int64_t stop_within_ms;
     int64_t body_most_bytes;
     int64_t requests_most;
     int32_t routing; /* enum MpPickPolicy */
@@ -52,6 +82,10 @@
 struct MpSettings *MpSettings_Load(const char *name, GPtrArray *findings);
 void MpSettings_Delete(struct MpSettings *this);
 
+/* Returns the RPC addresses of the control replicas that the settings name,
+ * as char *; unref it after use. */
+GPtrArray *MpSettings_Replicas(const struct MpSettings *this);
+
 /* Returns name as a path relative to the settings file; free with g_free. */
 char *MpSettings_Path(const struct MpSettings *this, const char *name);
 
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -15,6 +15,7 @@
 #define RETRY_MOST_MS 500
 #define RETRIES_FAST 64
 #define REGISTER_DEADLINE_MS 2000
+#define MP_NO_REPLICA G_MAXUINT
 
 /* ---- calls to the leader ---- */
 
@@ -83,10 +84,38 @@
     MpLoop_SetTimer(this->loop, &request->timer, wait_ms, on_retry, request);
 }
 
+/* Returns the place of the replica at address, MP_NO_REPLICA for none. */
+static guint
+find_replica(const struct MpFleet *this, const char *address)
+{
+    for (guint i = 0; i < this->clients->len; i++) {
+        const struct MpRpcClient *client = g_ptr_array_index(this->clients, i);
+        if (strcmp(client->address, address) == 0) {
+            return i;
+        }
+    }
+    return MP_NO_REPLICA;
+}
+
+static void
+add_replica(struct MpFleet *this, const char *address)
+{
+    if (find_replica(this, address) != MP_NO_REPLICA) {
+        return;
+    }
+    struct MpRpcClient *client = g_new0(struct MpRpcClient, 1);
+    MpRpcClient_Init(client, this->loop, address, this->settings->instance,
+                     this->fleet_key);
+    g_ptr_array_add(this->clients, client);
+}
+
 /* Moves on to the replica at address, or to the next one. */
 static void
 follow_leader(struct MpFleet *this, guint asked, const char *address)
 {
+    if (address[0]) {
+        add_replica(this, address);
+    }
     for (guint i = 0; address[0] && i < this->clients->len; i++) {
         const struct MpRpcClient *client = g_ptr_array_index(this->clients, i);
         if (strcmp(client->address, address) == 0 && i != asked) {
@@ -314,7 +343,7 @@
     char *text = text_of_reply(this, reply);
     GPtrArray *findings = MpFindings_New();
     struct MpDocument *document =
-        text ? MpDocument_Parse(text, strlen(text), findings) : NULL;
+        text ? this->dialect->parse_document(text, strlen(text), findings) : NULL;
     g_ptr_array_unref(findings);
     if (!document) {
         MpLog_Event(LOG_ERR, "document-rejected", "version=%" PRIu64,
@@ -325,7 +354,7 @@
     }
     g_free(this->document_text);
     this->document_text = text;
-    document->version = reply->document_version;
+    document->version = reply->document_version; /* an own text has none */
     MpDocument_Unref(this->document);
     this->document = document;
     this->applied_ms = (uint64_t)MpLoop_WallMs();
@@ -363,6 +392,10 @@
     this->synced_ms = MpLoop_Now();
     take_document(this, reply);
     take_poisons(this, reply);
+    this->instances = reply->instances;
+    for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
+        add_replica(this, reply->replicas.replicas_val[i].address);
+    }
     for (u_int i = 0; i < reply->recalls.recalls_len; i++) {
         this->listener->recall(this->owner,
                                reply->recalls.recalls_val[i].workspace);
@@ -428,18 +461,18 @@
 {
     *this = (struct MpFleet){.loop = loop,
                              .settings = settings,
+                             .dialect = MpDialect_Find(settings->dialect),
                              .listener = listener,
                              .owner = owner,
                              .nonce = random_number()};
     this->clients = g_ptr_array_new();
     this->poisons =
         g_hash_table_new_full(hash_of_body, equal_bodies, g_free, NULL);
-    for (guint i = 0; i < settings->control->len; i++) {
-        const struct MpPeer *peer = g_ptr_array_index(settings->control, i);
-        struct MpRpcClient *client = g_new0(struct MpRpcClient, 1);
-        MpRpcClient_Init(client, loop, peer->rpc, settings->instance,
-                         fleet_key);
-        g_ptr_array_add(this->clients, client);
+    memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
+    GPtrArray *replicas = MpSettings_Replicas(settings);
+    for (guint i = 0; i < replicas->len; i++) {
+        add_replica(this, g_ptr_array_index(replicas, i));
     }
+    g_ptr_array_unref(replicas);
     MpLoop_SetTimer(loop, &this->timer, 0, on_timer, this);
 }
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_FLEET_H
 #define MP_TRANSPORT_FLEET_H
 
+#include "protocol/Dialect.h"
 #include "state/Document.h"
 #include "state/Settings.h"
 #include "transport/Loop.h"
@@ -33,6 +34,8 @@
 };
 
 struct MpFleet {
+    uint8_t fleet_key[MP_RPC_KEY_BYTES];
+    const struct MpDialect *dialect;
     struct MpLoop *loop;
     const struct MpSettings *settings;
     const struct MpFleetListener *listener;
@@ -51,6 +54,7 @@
     bool is_syncing;
     bool is_registering;
     struct MpTimer timer;
+    uint32_t instances;  /* that are registered, as the leader counts */
     uint64_t proposals;  /* counter */
     uint64_t retries;    /* counter */
     uint64_t applied_ms; /* wall clock when the document came into force */
--- /dev/null
+++ b/src/transport/Gateway.c
@@ -0,0 +1,235 @@
+#include "transport/Gateway.h"
+
+#include "state/Error.h"
+#include "transport/GatewayCall.h"
+#include "transport/HttpServer.h"
+#include "transport/Log.h"
+#include "transport/TargetList.h"
+
+#include <string.h>
+
+#define TICK_MS 100
+/* A report of slices that has no answer by then is repeated, ms. */
+#define REPORT_WAIT_MS 900
+
+/* ---- slices ---- */
+
+static void
+on_slices(void *data, int code, const struct mp_result *result)
+{
+    struct MpGateway *this = data;
+    bool is_answered = code == MP_OK && result->code == MP_OK;
+    MpSlices_Take(&this->slices, is_answered ? result : NULL);
+    if (is_answered && this->is_leaving && this->calls.length == 0) {
+        this->is_returned = true;
+    }
+    GList *link = this->calls.head;
+    while (link) {
+        struct MpGatewayCall *call = link->data;
+        link = link->next;
+        if (call->stage == MP_CALL_BUDGET) {
+            MpGatewayCall_RetryBudget(call, is_answered);
+        }
+    }
+}
+
+void
+MpGateway_ReportSlices(struct MpGateway *this)
+{
+    struct mp_command command = {.body = {.kind = MP_CMD_SLICES}};
+    struct mp_slices *report = &command.body.mp_command_body_u.slices;
+    int64_t now_ms = MpLoop_Now();
+    if (!MpSlices_IsDue(&this->slices, now_ms)) {
+        return;
+    }
+    report->holder = MpFleet_Holder(this->fleet);
+    MpSlices_Report(&this->slices, report, now_ms);
+    if (report->list.list_len > 0 || this->is_leaving) {
+        MpFleet_Propose(this->fleet, &command, now_ms + REPORT_WAIT_MS,
+                        on_slices, this);
+    }
+    else {
+        MpSlices_Take(&this->slices, NULL);
+    }
+    g_free(report->list.list_val);
+}
+
+/* ---- targets ---- */
+
+static void
+on_target_dropped(void *owner, struct MpPoolTarget *target)
+{
+    (void)owner;
+    if (target->connections) {
+        MpTargetPlace_Delete(target->connections);
+        target->connections = NULL;
+    }
+}
+
+static void
+sweep_connections(struct MpGateway *this, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->roster.targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpPoolTarget *target = value;
+        if (target->connections) {
+            MpTargetPlace_Sweep(target->connections, now_ms);
+        }
+    }
+}
+
+struct MpRetryBudget *
+MpGateway_Retries(struct MpGateway *this, const char *pool)
+{
+    struct MpRetryBudget *budget = g_hash_table_lookup(this->retries, pool);
+    if (!budget) {
+        const struct MpRetryConf *conf = &this->settings->retries;
+        budget = g_new0(struct MpRetryBudget, 1);
+        MpRetryBudget_Init(budget, conf->window_ms, conf->ratio_permille,
+                           conf->slack);
+        g_hash_table_insert(this->retries, g_strdup(pool), budget);
+    }
+    return budget;
+}
+
+/* ---- requests ---- */
+
+bool
+MpGateway_Takes(const struct MpGateway *this, const h2o_req_t *req)
+{
+    const struct MpDocument *document = this->fleet->document;
+    if (this->dialect->is_strict) {
+        return true;
+    }
+    if (!document || document->paths->len == 0) {
+        return false;
+    }
+    char *host = g_ascii_strdown(req->input.authority.base,
+                                 (gssize)req->input.authority.len);
+    char *path = g_strndup(req->input.path.base, req->input.path.len);
+    bool is_path = MpDocument_Path(document, host, path) != NULL;
+    g_free(host);
+    g_free(path);
+    return is_path;
+}
+
+void
+MpGateway_Serve(struct MpGateway *this, h2o_req_t *req)
+{
+    if (this->is_leaving) {
+        req->http1_is_persistent = 0;
+    }
+    MpGatewayCall_Begin(this, req);
+}
+
+/* ---- time ---- */
+
+static void
+on_timer(struct MpTimer *timer)
+{
+    struct MpGateway *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    GList *link = this->calls.head;
+    while (link) {
+        struct MpGatewayCall *call = link->data;
+        link = link->next;
+        MpGatewayCall_CheckCaller(call, now_ms);
+    }
+    MpGateway_ReportSlices(this);
+    sweep_connections(this, now_ms);
+    MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
+}
+
+/* ---- life ---- */
+
+void
+MpGateway_SetDocument(struct MpGateway *this,
+                      const struct MpDocument *document)
+{
+    GHashTableIter iter;
+    void *name;
+    void *value;
+    g_hash_table_iter_init(&iter, document->workspaces);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const struct MpWorkspaceConf *workspace = value;
+        if (workspace->prepaid_tokens >= 0) {
+            MpSlices_Add(&this->slices, name);
+        }
+    }
+    MpTargetList_Wake(this->list);
+}
+
+void
+MpGateway_Registered(struct MpGateway *this, uint64_t boot)
+{
+    MpSlices_Registered(&this->slices, boot);
+}
+
+void
+MpGateway_Leave(struct MpGateway *this)
+{
+    this->is_leaving = true;
+    this->slices.is_leaving = true;
+}
+
+bool
+MpGateway_IsIdle(const struct MpGateway *this)
+{
+    bool has_slices = this->slices.boot > 0 &&
+                      g_hash_table_size(this->slices.slices) > 0;
+    return this->calls.length == 0 && (!has_slices || this->is_returned);
+}
+
+void
+MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
+                const struct MpSettings *settings, struct MpFleet *fleet,
+                struct MpMetrics *metrics)
+{
+    *this = (struct MpGateway){.loop = loop,
+                               .settings = settings,
+                               .dialect = MpDialect_Find(settings->dialect),
+                               .fleet = fleet,
+                               .metrics = metrics};
+    g_queue_init(&this->calls);
+    MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
+    MpSlices_Init(&this->slices);
+    this->retries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->list = MpTargetList_New(this);
+    MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
+}
+
+/* ---- metrics ---- */
+
+void
+MpGateway_WriteMetrics(const struct MpGateway *this, GString *out)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->roster.targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpPoolTarget *target = value;
+        const struct MpTargetPlace *place = target->connections;
+        MpMetrics_WriteValue(out, "mimosapath_pool_target_running", "target",
+                             target->incarnation, target->running);
+        MpMetrics_WriteValue(out, "mimosapath_pool_target_picked_total",
+                             "target", target->incarnation,
+                             (int64_t)target->picked);
+        MpMetrics_WriteValue(out, "mimosapath_pool_target_failures", "target",
+                             target->incarnation, target->failures);
+        if (place) {
+            MpMetrics_WriteValue(out, "mimosapath_connections_opened_total",
+                                 "target", target->incarnation,
+                                 (int64_t)place->opened);
+        }
+    }
+    MpMetrics_WriteValue(out, "mimosapath_path_requests_running", NULL, NULL,
+                         this->calls.length);
+    MpMetrics_WriteValue(out, "mimosapath_slices_held_mtok", NULL, NULL,
+                         MpSlices_Held(&this->slices));
+    MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
+                         (int64_t)this->retries_refused);
+    MpTargetList_WriteMetrics(this->list, out);
+}
--- /dev/null
+++ b/src/transport/Gateway.h
@@ -0,0 +1,74 @@
+#ifndef MP_TRANSPORT_GATEWAY_H
+#define MP_TRANSPORT_GATEWAY_H
+
+#include "coordination/RetryBudget.h"
+#include "coordination/Roster.h"
+#include "coordination/Slices.h"
+#include "protocol/Dialect.h"
+#include "state/Metrics.h"
+#include "state/Settings.h"
+#include "transport/Fleet.h"
+#include "transport/Loop.h"
+
+#include <h2o.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Gateway - requests on the paths of the document: from the caller to a
+ * target of a pool and back.
+ *
+ * What is decided stands in coordination: Forward, Roster, Slices and
+ * RetryBudget.  The gateway carries it out.
+ */
+
+struct MpTargetList;
+
+struct MpGateway {
+    struct MpLoop *loop;
+    const struct MpSettings *settings;
+    const struct MpDialect *dialect;
+    struct MpFleet *fleet;
+    struct MpMetrics *metrics;
+    struct MpRoster roster;
+    struct MpSlices slices;
+    GHashTable *retries; /* pool -> struct MpRetryBudget */
+    GQueue calls;        /* of struct MpGatewayCall */
+    struct MpTargetList *list;
+    struct MpTimer timer;
+    uint64_t retries_refused; /* counter */
+    bool is_leaving;
+    bool is_returned; /* the slices are given back */
+};
+
+void MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
+                     const struct MpSettings *settings, struct MpFleet *fleet,
+                     struct MpMetrics *metrics);
+
+/* Takes a request of a caller; answers it sooner or later. */
+void MpGateway_Serve(struct MpGateway *this, h2o_req_t *req);
+
+/* Returns whether a path of the document takes the request. */
+bool MpGateway_Takes(const struct MpGateway *this, const h2o_req_t *req);
+
+/* Takes a new document, and a new registration. */
+void MpGateway_SetDocument(struct MpGateway *this,
+                           const struct MpDocument *document);
+void MpGateway_Registered(struct MpGateway *this, uint64_t boot);
+
+/* Asks callers to leave after their answers. */
+void MpGateway_Leave(struct MpGateway *this);
+
+/* Returns whether nothing runs and all slices are given back. */
+bool MpGateway_IsIdle(const struct MpGateway *this);
+
+/* Returns the budget of further attempts of pool. */
+struct MpRetryBudget *MpGateway_Retries(struct MpGateway *this,
+                                        const char *pool);
+
+/* Reports slices now, if a report is due. */
+void MpGateway_ReportSlices(struct MpGateway *this);
+
+void MpGateway_WriteMetrics(const struct MpGateway *this, GString *out);
+
+#endif
--- /dev/null
+++ b/src/transport/GatewayCall.h
@@ -0,0 +1,64 @@
+#ifndef MP_TRANSPORT_GATEWAY_CALL_H
+#define MP_TRANSPORT_GATEWAY_CALL_H
+
+#include "coordination/Forward.h"
+#include "transport/CallerAnswer.h"
+#include "transport/Gateway.h"
+#include "transport/TargetConn.h"
+
+/*
+ * GatewayCall - one request on a path, from its arrival to its end.
+ */
+
+enum MpCallStage {
+    MP_CALL_BUDGET,  /* waits for a part of the workspace's budget */
+    MP_CALL_RUNNING, /* an attempt is at a target */
+    MP_CALL_ENDED    /* the answer is on its way to the caller */
+};
+
+struct MpGatewayCall {
+    struct MpGateway *gateway;
+    enum MpCallStage stage;
+    GList link;
+    struct MpTimer timer;
+    struct MpForward forward;
+    struct MpCallFacts facts;
+    struct MpDocument *document;
+    const struct MpPathConf *path;
+    const char *workspace; /* of the document; NULL for anonymous paths */
+    const char *pool;
+    char *id;
+    GByteArray *head; /* request line and headers that all attempts share */
+    GByteArray *body;
+    bool is_head; /* method HEAD */
+    struct MpCallerAnswer answer;
+    /* budget */
+    int64_t reserved_mtok;
+    uint64_t boot;
+    uint32_t budget_rounds;
+    /* the attempt */
+    struct MpPoolTarget *target;
+    struct MpTargetConn *conn;
+    GPtrArray *avoid;
+    int64_t sent_ms;
+    int64_t wait_ms;
+    int64_t prefill_tokens;
+    bool has_answered;
+    bool is_relayed; /* the answer of this attempt goes to the caller */
+    bool is_events;
+    int status;
+    GByteArray *partial; /* an event that has not ended */
+    int64_t first_ms;    /* first byte of an answer, 0: none yet */
+    int64_t checked_ms;  /* when the caller was last looked for */
+};
+
+/* Takes a request; answers it sooner or later. */
+void MpGatewayCall_Begin(struct MpGateway *gateway, h2o_req_t *req);
+
+/* Tries again to get a part of the budget, after a report was answered. */
+void MpGatewayCall_RetryBudget(struct MpGatewayCall *this, bool is_answered);
+
+/* Looks whether the caller has left. */
+void MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/transport/GatewayRequest.c
@@ -0,0 +1,264 @@
+#include "transport/GatewayRequest.h"
+
+#include "state/Error.h"
+#include "transport/HttpServer.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Headers that concern one connection only. */
+static const char *const hop_headers[] = {
+    "connection",        "keep-alive", "proxy-connection", "te",
+    "trailer",           "upgrade",    "expect",           "content-length",
+    "transfer-encoding", "host",       NULL};
+
+static bool
+is_named(const char *name, size_t size, const char *const *list)
+{
+    for (size_t i = 0; list[i]; i++) {
+        if (strlen(list[i]) == size &&
+            g_ascii_strncasecmp(list[i], name, size) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the Connection header names the header as one of its own. */
+static bool
+is_listed(const char *connection, const char *name, size_t size)
+{
+    if (!connection) {
+        return false;
+    }
+    char **tokens = g_strsplit(connection, ",", -1);
+    bool is_found = false;
+    for (char **token = tokens; *token && !is_found; token++) {
+        g_strstrip(*token);
+        is_found = strlen(*token) == size &&
+                   g_ascii_strncasecmp(*token, name, size) == 0;
+    }
+    g_strfreev(tokens);
+    return is_found;
+}
+
+/* ---- the caller's request ---- */
+
+static const char *
+header_of(const h2o_req_t *req, const char *name, size_t *size)
+{
+    ssize_t at = h2o_find_header_by_str(&req->headers, name, strlen(name), -1);
+    if (at < 0) {
+        return NULL;
+    }
+    *size = req->headers.entries[at].value.len;
+    return req->headers.entries[at].value.base;
+}
+
+/* h2o finds headers by their name in lower case. */
+static const char *
+find(const h2o_req_t *req, const char *name, size_t *size)
+{
+    char lower[64];
+    g_strlcpy(lower, name, sizeof(lower));
+    for (char *at = lower; *at; at++) {
+        *at = g_ascii_tolower(*at);
+    }
+    return header_of(req, lower, size);
+}
+
+static int
+read_facts(struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    const struct MpCallerNames *names = &call->gateway->dialect->caller;
+    struct MpCallFacts *facts = &call->facts;
+    size_t size;
+    const char *value = find(req, names->deadline, &size);
+    facts->resume_after = -1;
+    if (value && !MpCallFacts_Number(value, size, &facts->deadline_ms)) {
+        return MP_ERROR_INVALID;
+    }
+    value = find(req, names->resume, &size);
+    if (value && !MpCallFacts_Number(value, size, &facts->resume_after)) {
+        return MP_ERROR_INVALID;
+    }
+    value = find(req, names->tokens, &size);
+    if (value && !MpCallFacts_ReadTokens(facts, value, size)) {
+        return MP_ERROR_INVALID;
+    }
+    value = find(req, names->parts, &size);
+    if (value && call->path->affinity) {
+        MpCallFacts_ReadParts(facts, value, size);
+    }
+    value = find(req, names->request, &size);
+    call->id = value ? g_strndup(value, size) : NULL;
+    return MP_OK;
+}
+
+static int
+read_workspace(struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    const struct MpCallerNames *names = &call->gateway->dialect->caller;
+    size_t prefix = strlen(names->key_prefix);
+    size_t size;
+    if (call->path->anonymous) {
+        return MP_OK;
+    }
+    const char *value = find(req, names->key, &size);
+    if (!value || size < prefix ||
+        g_ascii_strncasecmp(value, names->key_prefix, prefix) != 0) {
+        return MP_ERROR_NO_KEY;
+    }
+    char *key = g_strndup(value + prefix, size - prefix);
+    call->workspace = MpDocument_WorkspaceOfKey(call->document, key);
+    g_free(key);
+    return call->workspace ? MP_OK : MP_ERROR_UNKNOWN_KEY;
+}
+
+static const struct MpPathConf *
+path_of(const struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    char *host = g_ascii_strdown(req->input.authority.base,
+                                 (gssize)req->input.authority.len);
+    char *path = g_strndup(req->input.path.base, req->input.path.len);
+    const struct MpPathConf *conf =
+        MpDocument_Path(call->document, host, path);
+    g_free(host);
+    g_free(path);
+    return conf;
+}
+
+static void
+append(GByteArray *out, const char *data, size_t size)
+{
+    g_byte_array_append(out, (const guint8 *)data, (guint)size);
+}
+
+static void
+append_text(GByteArray *out, const char *text)
+{
+    append(out, text, strlen(text));
+}
+
+static void
+append_header(GByteArray *out, const char *name, const char *value)
+{
+    append_text(out, name);
+    append_text(out, ": ");
+    append_text(out, value);
+    append_text(out, "\r\n");
+}
+
+/* The request line, and the headers that the target gets as they came. */
+static void
+make_head(struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    const struct MpTargetNames *names = &call->gateway->dialect->target;
+    const char *const own[] = {names->deadline, names->incarnation,
+                               names->workspace, names->resume, NULL};
+    char *connection = MpHttp_Header(req, "connection");
+    call->head = g_byte_array_sized_new(512);
+    append(call->head, req->input.method.base, req->input.method.len);
+    append_text(call->head, " ");
+    append(call->head, req->input.path.base, req->input.path.len);
+    append_text(call->head, " HTTP/1.1\r\nHost: ");
+    append(call->head, req->input.authority.base, req->input.authority.len);
+    append_text(call->head, "\r\n");
+    for (size_t i = 0; i < req->headers.size; i++) {
+        const h2o_header_t *header = &req->headers.entries[i];
+        const char *name = header->name->base;
+        size_t size = header->name->len;
+        if (is_named(name, size, hop_headers) || is_named(name, size, own) ||
+            is_named(name, size, names->reserved) ||
+            is_listed(connection, name, size)) {
+            continue;
+        }
+        append(call->head, name, size);
+        append_text(call->head, ": ");
+        append(call->head, header->value.base, header->value.len);
+        append_text(call->head, "\r\n");
+    }
+    g_free(connection);
+}
+
+int
+MpGatewayRequest_Read(struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    if (MpHttp_IsFramedTwice(req)) {
+        return MP_ERROR_INVALID;
+    }
+    call->path = path_of(call, req);
+    if (!call->path) {
+        return MP_ERROR_NOT_FOUND;
+    }
+    int code = read_workspace(call, req);
+    if (code == MP_OK) {
+        code = read_facts(call, req);
+    }
+    if (code != MP_OK) {
+        return code;
+    }
+    if ((int64_t)req->entity.len > call->document->limits.body_most_bytes) {
+        return MP_ERROR_TOO_LARGE;
+    }
+    call->is_head = MpHttp_Is(req->input.method, "HEAD");
+    make_head(call, req);
+    if (req->entity.base) {
+        call->body = g_byte_array_sized_new((guint)req->entity.len);
+        append(call->body, req->entity.base, req->entity.len);
+    }
+    return MP_OK;
+}
+
+/* ---- the target's request ---- */
+
+GByteArray *
+MpGatewayRequest_Make(const struct MpGatewayCall *call,
+                      const struct MpPoolTarget *target, int64_t left_ms)
+{
+    const struct MpTargetNames *names = &call->gateway->dialect->target;
+    char number[24];
+    guint body = call->body ? call->body->len : 0;
+    GByteArray *out = g_byte_array_sized_new(call->head->len + body + 256);
+    append(out, (const char *)call->head->data, call->head->len);
+    g_snprintf(number, sizeof(number), "%" PRId64, left_ms);
+    append_header(out, names->deadline, number);
+    append_header(out, names->incarnation, target->incarnation);
+    if (call->workspace) {
+        append_header(out, names->workspace, call->workspace);
+    }
+    if (call->forward.last_event >= 0) {
+        g_snprintf(number, sizeof(number), "%" PRId64,
+                   call->forward.last_event);
+        append_header(out, names->resume, number);
+    }
+    if (call->body) {
+        g_snprintf(number, sizeof(number), "%u", body);
+        append_header(out, "Content-Length", number);
+    }
+    append_text(out, "\r\n");
+    if (body > 0) {
+        append(out, (const char *)call->body->data, body);
+    }
+    return out;
+}
+
+/* ---- the target's answer ---- */
+
+void
+MpGatewayRequest_CopyHead(const struct MpTargetHead *head, h2o_req_t *req)
+{
+    for (size_t i = 0; i < head->count; i++) {
+        const struct MpTargetHeader *header = &head->headers[i];
+        if (is_named(header->name, header->name_size, hop_headers)) {
+            continue;
+        }
+        h2o_iovec_t name =
+            h2o_strdup(&req->pool, header->name, header->name_size);
+        h2o_iovec_t value =
+            h2o_strdup(&req->pool, header->value, header->value_size);
+        h2o_strtolower(name.base, name.len);
+        h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+                              name.len, 1, NULL, value.base, value.len);
+    }
+}
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -146,6 +146,37 @@
     return g_strndup(value.base, value.len);
 }
 
+/* Returns whether the line at text is a header of this name. */
+static bool
+is_header_line(const char *text, size_t size, const char *name)
+{
+    size_t length = strlen(name);
+    return size > length && text[length] == ':' &&
+           g_ascii_strncasecmp(text, name, length) == 0;
+}
+
+bool
+MpHttp_IsFramedTwice(const h2o_req_t *req)
+{
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    const char *text = socket->input->bytes;
+    size_t size = socket->input->size;
+    int sizes = 0;
+    /* The raw head is still in the buffer; h2o keeps one of the headers. */
+    while (size > 0) {
+        const char *end = memchr(text, '\n', size);
+        size_t line = end ? (size_t)(end - text) + 1 : size;
+        if (line <= 2) {
+            break;
+        }
+        sizes += is_header_line(text, line, "content-length") ||
+                 is_header_line(text, line, "transfer-encoding");
+        text += line;
+        size -= line;
+    }
+    return sizes > 1;
+}
+
 bool
 MpHttp_Is(h2o_iovec_t vector, const char *text)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -39,6 +39,10 @@
 /* Copies a header's value, or returns NULL; free it with g_free. */
 char *MpHttp_Header(const h2o_req_t *req, const char *name);
 
+/* Returns whether the head of the request that is being handled tells the
+ * size of its body more than once, so that others may see another end. */
+bool MpHttp_IsFramedTwice(const h2o_req_t *req);
+
 /* Returns whether text equals the vector. */
 bool MpHttp_Is(h2o_iovec_t vector, const char *text);
 
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -50,6 +50,11 @@
     unsigned int size = sizeof(this->fleet_key);
     char *text = NULL;
     gsize length = 0;
+    if (settings->fleet_key) {
+        EVP_Digest(settings->fleet_key, strlen(settings->fleet_key),
+                   this->fleet_key, &size, EVP_sha256(), NULL);
+        return MP_OK;
+    }
     if (!settings->fleet_key_file) {
         return RAND_bytes(this->fleet_key, sizeof(this->fleet_key)) == 1
                    ? MP_OK
@@ -244,7 +249,7 @@
 {
     const struct MpSettings *settings = this->settings;
     this->operators.fleet = fleet;
-    if (!settings->listen.operators) {
+    if (!settings->listen.operators && !settings->listen.metrics) {
         return MP_OK;
     }
     return MpOperatorServer_Start(
--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -1,8 +1,13 @@
 #include "transport/Log.h"
 
+#include <fcntl.h>
+#include <inttypes.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define FIELD_EVENT "MP_EVENT"
@@ -10,6 +15,49 @@
 
 static char *log_instance;
 
+/* What may be written now, and what was left out. */
+static int64_t allowance_bytes = MP_LOG_BYTES_PER_S;
+static int64_t allowance_ms;
+static uint64_t left_out;
+static uint64_t left_out_told;
+
+static void
+refill(void)
+{
+    int64_t now_ms = g_get_monotonic_time() / 1000;
+    int64_t gain = (now_ms - allowance_ms) * MP_LOG_BYTES_PER_S / 1000;
+    if (gain > 0) {
+        allowance_bytes = MIN(allowance_bytes + gain, MP_LOG_BYTES_PER_S);
+        allowance_ms = now_ms;
+    }
+}
+
+/* Normal lines leave a part of the allowance to those that tell failures. */
+static bool
+is_allowed(int priority, size_t size)
+{
+    int64_t kept = priority >= LOG_INFO
+                       ? MP_LOG_BYTES_PER_S *
+                             (1000 - MP_LOG_NORMAL_PERMILLE) / 1000
+                       : 0;
+    refill();
+    return allowance_bytes - (int64_t)size >= kept;
+}
+
+uint64_t
+MpLog_LeftOut(void)
+{
+    return left_out;
+}
+
+static void
+put(const char *line, size_t size)
+{
+    ssize_t written = write(STDOUT_FILENO, line, size);
+    allowance_bytes -= (int64_t)size;
+    left_out += written < 0;
+}
+
 static const char *
 field_text(const GLogField *fields, gsize count, const char *key)
 {
@@ -21,6 +69,20 @@
     return "";
 }
 
+static void
+tell_left_out(const char *time)
+{
+    if (left_out == left_out_told) {
+        return;
+    }
+    char *line = g_strdup_printf(
+        "<%d>%s %s lines-left-out count=%" PRIu64 "\n", LOG_NOTICE, time,
+        log_instance ? log_instance : "-", left_out - left_out_told);
+    left_out_told = left_out;
+    put(line, strlen(line));
+    g_free(line);
+}
+
 static GLogWriterOutput
 write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
            gpointer user_data)
@@ -34,17 +96,32 @@
         "<%s>%s %s %s %s\n", field_text(fields, count, FIELD_PRIORITY), time,
         log_instance ? log_instance : "-", event[0] ? event : "message",
         field_text(fields, count, "MESSAGE"));
-    ssize_t written = write(STDERR_FILENO, line, strlen(line));
+    int priority = atoi(field_text(fields, count, FIELD_PRIORITY));
+    size_t size = strlen(line);
+    if (!is_allowed(priority, size)) {
+        left_out++;
+    }
+    else {
+        tell_left_out(time);
+        put(line, size);
+    }
     g_free(line);
     g_free(time);
     g_date_time_unref(now);
-    return written < 0 ? G_LOG_WRITER_UNHANDLED : G_LOG_WRITER_HANDLED;
+    return G_LOG_WRITER_HANDLED;
 }
 
 void
 MpLog_Init(const char *instance)
 {
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
     log_instance = g_strdup(instance);
+    /* A terminal or file is shared with others and does not block. */
+    struct stat info;
+    if (flags >= 0 && fstat(STDOUT_FILENO, &info) == 0 &&
+        S_ISFIFO(info.st_mode)) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
     g_log_set_writer_func(write_line, NULL, NULL);
 }
 
--- /dev/null
+++ b/src/transport/NumberedDocument.c
@@ -0,0 +1,161 @@
+#include "transport/NumberedDocument.h"
+
+#include "state/Error.h"
+#include "transport/Log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* An operator goes to another instance after a second; the proposal goes on
+ * for this long, ms. */
+#define PUT_WAIT_MS 3000
+#define GET_WAIT_MS 900
+#define MTOK_PER_TOKEN 1000
+
+static const struct MpDialect *
+dialect_of(const struct MpOperatorServer *server)
+{
+    return server->fleet->dialect;
+}
+
+static bool
+is_call(const h2o_req_t *req, const char *method, const char *path)
+{
+    return path && MpHttp_Is(req->method, method) && MpHttp_Is(req->path, path);
+}
+
+bool
+MpNumberedDocument_Takes(const struct MpOperatorServer *server,
+                         const h2o_req_t *req)
+{
+    const struct MpDialect *dialect = dialect_of(server);
+    return dialect->is_numbered &&
+           (is_call(req, "POST", dialect->put_document) ||
+            is_call(req, "GET", dialect->get_document));
+}
+
+/* ---- reading ---- */
+
+static void
+on_read(void *data, int code, const struct mp_read_reply *reply)
+{
+    struct MpOperatorCall *call = data;
+    if (code == MP_OK && reply->document_version == 0) {
+        code = MP_ERROR_NOT_READY;
+    }
+    MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "document-read",
+                "error=%s version=%" PRIu64, MpError_Name(code),
+                code == MP_OK ? (uint64_t)reply->document_version : 0);
+    if (code != MP_OK) {
+        MpOperatorCall_Fail(call, MP_ERROR_NOT_READY, NULL);
+        return;
+    }
+    MpOperatorCall_Answer(call, 200, "application/json", reply->document);
+}
+
+/* ---- submitting ---- */
+
+static void
+on_put(void *data, int code, const struct mp_result *result)
+{
+    struct MpOperatorCall *call = data;
+    if (code == MP_OK) {
+        code = result->code;
+    }
+    MpLog_Event(code == MP_OK ? LOG_NOTICE : LOG_WARNING,
+                "document-submitted",
+                "error=%s version=%" PRIu64 " in_force=%" PRIu64,
+                MpError_Name(code), call->number,
+                code == MP_OK ? (uint64_t)result->number : 0);
+    if (code != MP_OK) {
+        /* The outcome is not known: the operator sends it again. */
+        MpOperatorCall_Fail(call, MP_ERROR_NO_QUORUM, NULL);
+        return;
+    }
+    char *text = g_strdup_printf("{\"version\":%" PRIu64 "}", call->number);
+    MpOperatorCall_Answer(call, 200, "application/json", text);
+    g_free(text);
+}
+
+static struct mp_grant *
+list_grants(const struct MpDocument *document, u_int *count)
+{
+    GHashTableIter iter;
+    void *name;
+    void *value;
+    struct mp_grant *list = g_new0(
+        struct mp_grant, g_hash_table_size(document->workspaces) + 1);
+    *count = 0;
+    g_hash_table_iter_init(&iter, document->workspaces);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const struct MpWorkspaceConf *workspace = value;
+        if (workspace->prepaid_tokens >= 0) {
+            list[(*count)++] = (struct mp_grant){
+                .workspace = name,
+                .prepaid_mtok = workspace->prepaid_tokens * MTOK_PER_TOKEN};
+        }
+    }
+    return list;
+}
+
+static void
+propose(struct MpOperatorCall *call, const struct MpDocument *document)
+{
+    struct mp_command command = {.body = {.kind = MP_CMD_DOCUMENT}};
+    struct mp_document_put *put = &command.body.mp_command_body_u.document;
+    char *submission =
+        g_strdup_printf("number-%" PRIu64, document->version);
+    *put = (struct mp_document_put){
+        .submission = submission,
+        .author = (char *)"",
+        .number = document->version,
+        .retention_ms = document->retention_s * 1000,
+        .text = call->document};
+    put->grants.grants_val = list_grants(document, &put->grants.grants_len);
+    call->number = document->version;
+    MpFleet_Propose(call->server->fleet, &command, MpLoop_Now() + PUT_WAIT_MS,
+                    on_put, call);
+    g_free(put->grants.grants_val);
+    g_free(submission);
+}
+
+static void
+refuse(struct MpOperatorCall *call, const GPtrArray *findings)
+{
+    char *text = MpFindings_Text(findings, "document");
+    MpLog_Event(LOG_WARNING, "document-refused", "findings=%u first=%s",
+                findings->len,
+                ((struct MpFinding *)g_ptr_array_index(findings, 0))->text);
+    MpOperatorCall_Fail(call, MP_ERROR_INVALID, text);
+    g_free(text);
+}
+
+static void
+put_document(struct MpOperatorCall *call)
+{
+    h2o_iovec_t body = call->req->entity;
+    GPtrArray *findings = MpFindings_New();
+    call->document = g_strndup(body.len ? body.base : "", body.len);
+    struct MpDocument *document = dialect_of(call->server)
+                                      ->parse_document(call->document,
+                                                       body.len, findings);
+    if (document) {
+        propose(call, document);
+        MpDocument_Unref(document);
+    }
+    else {
+        refuse(call, findings);
+    }
+    g_ptr_array_unref(findings);
+}
+
+void
+MpNumberedDocument_Serve(struct MpOperatorCall *call)
+{
+    if (MpHttp_Is(call->req->method, "GET")) {
+        MpFleet_ReadDocument(call->server->fleet, 0,
+                             MpLoop_Now() + GET_WAIT_MS, on_read, call);
+        return;
+    }
+    put_document(call);
+}
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -4,11 +4,13 @@
 #include "transport/Console.h"
 #include "transport/ControlApi.h"
 #include "transport/Exchange.h"
+#include "transport/NumberedDocument.h"
 
 #include <openssl/crypto.h>
 #include <string.h>
 
 #define BODY_MAX_BYTES (8 * 1024 * 1024)
+#define METRICS_BODY_BYTES 1024
 
 /* ---- calls ---- */
 
@@ -94,6 +96,9 @@
 static bool
 is_token(const struct MpOperatorServer *this, const char *offered)
 {
+    if (!this->token) {
+        return false;
+    }
     char *wanted_hash = MpDocument_HashKey(this->token);
     char *offered_hash = MpDocument_HashKey(offered);
     bool is_same =
@@ -171,6 +176,12 @@
     g_string_free(out, TRUE);
 }
 
+static void
+on_metrics_request(void *owner, h2o_req_t *req)
+{
+    answer_metrics(owner, req);
+}
+
 /* ---- requests ---- */
 
 static void
@@ -185,6 +196,10 @@
         answer_metrics(this, req);
         return;
     }
+    if (MpNumberedDocument_Takes(this, req)) {
+        MpNumberedDocument_Serve(MpOperatorCall_New(this, req));
+        return;
+    }
     if (!is_authorized(this, req)) {
         this->rejected++;
         MpHttp_AddHeader(req, "www-authenticate",
@@ -205,6 +220,9 @@
 read_token(const struct MpSettings *settings)
 {
     char *text = NULL;
+    if (!settings->operator_token_file) {
+        return NULL;
+    }
     char *path = MpSettings_Path(settings, settings->operator_token_file);
     if (g_file_get_contents(path, &text, NULL, NULL)) {
         g_strstrip(text);
@@ -225,9 +243,19 @@
                                       .router = router,
                                       .replica = replica};
     this->token = read_token(settings);
-    if (!this->token || !this->token[0]) {
+    /* Without a token only the dialect's own calls are open. */
+    if ((!this->token || !this->token[0]) && !fleet->dialect->is_numbered) {
         return MP_ERROR_AUTHENTICATION;
     }
+    int code = MP_OK;
+    if (settings->listen.metrics) {
+        code = MpHttpServer_Start(&this->metrics, loop,
+                                  settings->listen.metrics, METRICS_BODY_BYTES,
+                                  on_metrics_request, this);
+    }
+    if (code != MP_OK || !settings->listen.operators) {
+        return code;
+    }
     return MpHttpServer_Start(&this->http, loop, settings->listen.operators,
                               BODY_MAX_BYTES, on_request, this);
 }
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -16,6 +16,7 @@
 
 struct MpOperatorServer {
     struct MpHttpServer http;
+    struct MpHttpServer metrics; /* where counters are told, if apart */
     struct MpLoop *loop;
     const struct MpSettings *settings;
     struct MpFleet *fleet;
@@ -39,6 +40,7 @@
     char *path;
     char *workspace;
     char *document;
+    uint64_t number; /* version that the operator gave the document */
     bool is_console;
 };
 
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -164,7 +164,6 @@
 struct identify_call {
     struct MpReplica *replica;
     char *address;
-    char *instance;
 };
 
 static void
@@ -175,31 +174,67 @@
     g_hash_table_replace(this->addresses, key, g_strdup(address));
 }
 
+static void
+identified_delete(void *data)
+{
+    struct mp_member *this = data;
+    g_free(this->instance);
+    g_free(this->address);
+    g_free(this);
+}
+
+static void
+remember_identity(struct MpReplica *this, const char *address,
+                  const char *instance, uint64_t id)
+{
+    struct mp_member *member = g_new0(struct mp_member, 1);
+    *member = (struct mp_member){.id = id,
+                                 .instance = g_strdup(instance),
+                                 .address = g_strdup(address),
+                                 .voter = true};
+    g_hash_table_replace(this->identified, member->address, member);
+}
+
+static void
+add_peer(struct MpReplica *this, const char *address)
+{
+    if (!g_ptr_array_find_with_equal_func(this->peers, address, g_str_equal,
+                                          NULL)) {
+        g_ptr_array_add(this->peers, g_strdup(address));
+    }
+}
+
+/* Compares two entries of a list of addresses. */
+static gint
+compare_addresses(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
 /* All replicas of a new cluster are empty and know each other: they use the
- * same first membership, which names their ids. */
+ * same first membership, in the order of their addresses. */
 static void
 form_if_all_empty(struct MpReplica *this)
 {
-    guint count = this->settings->control->len;
-    if (g_hash_table_size(this->identified) + 1 < count) {
-        return;
+    GPtrArray *seeds = MpSettings_Replicas(this->settings);
+    struct mp_member *list = g_new0(struct mp_member, seeds->len);
+    guint count = 0;
+    g_ptr_array_sort(seeds, compare_addresses);
+    remember_identity(this, this->address, this->settings->instance, this->id);
+    for (guint i = 0; i < seeds->len; i++) {
+        const struct mp_member *member = g_hash_table_lookup(
+            this->identified, g_ptr_array_index(seeds, i));
+        if (member) {
+            list[count++] = *member;
+        }
     }
-    struct mp_member *list = g_new0(struct mp_member, count);
-    for (guint i = 0; i < count; i++) {
-        const struct MpPeer *peer =
-            g_ptr_array_index(this->settings->control, i);
-        bool is_self = strcmp(peer->instance, this->settings->instance) == 0;
-        const uint64_t *id =
-            g_hash_table_lookup(this->identified, peer->instance);
-        list[i] = (struct mp_member){.id = is_self ? this->id : *id,
-                                     .instance = peer->instance,
-                                     .address = peer->rpc,
-                                     .voter = true};
+    if (count == seeds->len && this->settings->bootstrap) {
+        struct mp_members members = {
+            .list = {.list_val = list, .list_len = count}};
+        MpRaft_Bootstrap(&this->raft, &members);
+        MpLog_Event(LOG_NOTICE, "cluster-formed", "replicas=%u", count);
     }
-    struct mp_members members = {
-        .list = {.list_val = list, .list_len = count}};
-    MpRaft_Bootstrap(&this->raft, &members);
-    MpLog_Event(LOG_NOTICE, "cluster-formed", "replicas=%u", count);
+    g_ptr_array_unref(seeds);
     g_free(list);
 }
 
@@ -214,6 +249,19 @@
     return false;
 }
 
+/* Learns from a replica of a cluster that has been formed. */
+static void
+take_members(struct MpReplica *this, const struct mp_members *members)
+{
+    for (u_int i = 0; i < members->list.list_len; i++) {
+        add_peer(this, members->list.list_val[i].address);
+    }
+    if (this->raft.members.list.list_len == 0 &&
+        lists_replica(members, this->id)) {
+        MpRaft_Bootstrap(&this->raft, members);
+    }
+}
+
 static void
 on_identified(void *data, int code, const void *result)
 {
@@ -223,36 +271,28 @@
     if (code == MP_OK) {
         remember_address(this, reply->replica_id, call->address);
     }
-    if (code == MP_OK && this->raft.members.list.list_len == 0) {
-        if (reply->formed) {
-            if (lists_replica(&reply->members, this->id)) {
-                MpRaft_Bootstrap(&this->raft, &reply->members);
-            }
-        }
-        else {
-            uint64_t *id = g_new(uint64_t, 1);
-            *id = reply->replica_id;
-            g_hash_table_replace(this->identified, g_strdup(call->instance),
-                                 id);
-            form_if_all_empty(this);
-        }
+    if (code == MP_OK && reply->formed) {
+        take_members(this, &reply->members);
+    }
+    else if (code == MP_OK && this->raft.members.list.list_len == 0) {
+        remember_identity(this, call->address, reply->instance,
+                          reply->replica_id);
+        form_if_all_empty(this);
     }
     g_free(call->address);
-    g_free(call->instance);
     g_free(call);
 }
 
 static void
-identify_to(struct MpReplica *this, const struct MpPeer *peer)
+identify_to(struct MpReplica *this, const char *address)
 {
     struct identify_call *call = g_new0(struct identify_call, 1);
     struct mp_identify identify = {.instance = this->settings->instance,
                                    .address = this->address,
                                    .replica_id = this->id};
     call->replica = this;
-    call->address = g_strdup(peer->rpc);
-    call->instance = g_strdup(peer->instance);
-    MpRpcClient_Call(client_of(this, peer->rpc), MP_PROC_IDENTIFY, &identify,
+    call->address = g_strdup(address);
+    MpRpcClient_Call(client_of(this, address), MP_PROC_IDENTIFY, &identify,
                      IDENTIFY_TIMEOUT_MS, on_identified, call);
 }
 
@@ -264,15 +304,14 @@
     if (MpRaft_IsIncluded(&this->raft)) {
         return;
     }
-    for (guint i = 0; i < this->settings->control->len; i++) {
-        const struct MpPeer *peer =
-            g_ptr_array_index(this->settings->control, i);
-        if (strcmp(peer->instance, this->settings->instance) != 0) {
-            identify_to(this, peer);
+    guint count = this->peers->len;
+    for (guint i = 0; i < count; i++) {
+        const char *address = g_ptr_array_index(this->peers, i);
+        if (strcmp(address, this->address) != 0) {
+            identify_to(this, address);
         }
     }
-    if (this->settings->control->len == 1 &&
-        this->raft.members.list.list_len == 0) {
+    if (count == 1 && this->raft.members.list.list_len == 0) {
         form_if_all_empty(this);
     }
 }
@@ -383,8 +422,9 @@
     this->waiting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     this->instances = g_hash_table_new(g_str_hash, g_str_equal);
-    this->identified =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->identified = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                             identified_delete);
+    this->peers = MpSettings_Replicas(this->settings);
     this->reads = g_ptr_array_new();
     this->read_times = g_array_new(false, false, sizeof(int64_t));
 }
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -62,7 +62,8 @@
     GPtrArray *reads;       /* of struct MpRpcCall, wait for proof */
     GArray *read_times;     /* of int64_t, arrival of each */
     GQueue documents;       /* of struct MpDocumentText, newest last */
-    GHashTable *identified; /* instance -> struct mp_identify_reply seen */
+    GPtrArray *peers;       /* of char *, addresses of replicas */
+    GHashTable *identified; /* address -> struct mp_member, while empty */
     struct MpTimer tick;
     struct MpTimer survey;
     bool is_failed;
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -22,7 +22,8 @@
 has_detail(const struct mp_result *result)
 {
     return result->number != 0 || result->amount_mtok != 0 ||
-           result->status != 0 || result->answer.answer_len > 0;
+           result->status != 0 || result->answer.answer_len > 0 ||
+           result->slices.slices_len > 0;
 }
 
 static void
@@ -226,6 +227,20 @@
     return middle;
 }
 
+/* Routers learn where the replicas are, as these may be exchanged. */
+static void
+fill_replicas(const struct MpReplica *this, struct mp_address *replicas,
+              struct mp_sync_reply *reply)
+{
+    const struct mp_members *members = &this->raft.members;
+    for (u_int i = 0; i < members->list.list_len; i++) {
+        replicas[i].address = members->list.list_val[i].address;
+    }
+    reply->replicas.replicas_val = replicas;
+    reply->replicas.replicas_len = members->list.list_len;
+    reply->instances = g_hash_table_size(this->instances);
+}
+
 static void
 answer_sync(struct MpReplica *this, struct MpRpcCall *call)
 {
@@ -246,6 +261,8 @@
         reply.code = MP_ERROR_FENCED;
     }
     char *middle = fill_document(this, sync, &reply);
+    struct mp_address replicas[MP_MEMBERS_MAX];
+    fill_replicas(this, replicas, &reply);
     if (sync->poison_version != this->machine.poison_version) {
         poison = MpMachine_PoisonList(&this->machine);
         reply.poison.poison_val = (char *)poison->data;
@@ -463,6 +480,7 @@
     const struct mp_identify *identify = call->argument;
     struct mp_identify_reply reply = {
         .replica_id = this->id,
+        .instance = this->settings->instance,
         .formed = this->raft.members.list.list_len > 0,
         .members = this->raft.members,
         .is_leader = MpRaft_IsLeader(&this->raft),
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -9,10 +9,10 @@
 #include <string.h>
 
 #define TICK_MS 50
-/* Time in which a balancer sees that a draining instance is not ready; new
- * requests are still served in it. */
-#define DRAIN_NOTICE_MS 1500
+/* An instance that is killed after a while ends this long before, ms. */
+#define STOP_MARGIN_MS 400
 #define QUEUE_MOST 1024
+#define READY_BODY_BYTES 1024
 
 /* ---- picking and queues ---- */
 
@@ -110,7 +110,10 @@
 static bool
 is_ready(const struct MpRouter *this)
 {
-    return MpFleet_IsReady(&this->fleet) && !this->is_draining;
+    bool has_all = this->gateway.dialect->is_strict
+                       ? this->fleet.document != NULL
+                       : MpFleet_IsReady(&this->fleet);
+    return has_all && !this->is_draining;
 }
 
 static void
@@ -144,6 +147,10 @@
 on_request(void *owner, h2o_req_t *req)
 {
     struct MpRouter *this = owner;
+    if (MpGateway_Takes(&this->gateway, req)) {
+        MpGateway_Serve(&this->gateway, req);
+        return;
+    }
     if (MpHttp_Is(req->path, "/healthz")) {
         MpHttp_Send(req, 200, "text/plain", "alive\n", 6);
         return;
@@ -167,6 +174,13 @@
     MpExchange_Begin(this, req);
 }
 
+/* A balancer asks, at an address of its own. */
+static void
+on_ready_request(void *owner, h2o_req_t *req)
+{
+    answer_ready(owner, req);
+}
+
 /* ---- the fleet ---- */
 
 static void
@@ -174,6 +188,9 @@
 {
     struct MpRouter *this = owner;
     MpPicker_SetDocument(&this->picker, document);
+    MpGateway_SetDocument(&this->gateway, document);
+    this->http.context.http1.req_timeout.timeout =
+        (uint64_t)document->limits.idle_timeout_ms;
     MpRouter_WantPump(this);
 }
 
@@ -182,6 +199,7 @@
 {
     struct MpRouter *this = owner;
     MpLeaseKeeper_Registered(this->leases, boot);
+    MpGateway_Registered(&this->gateway, boot);
 }
 
 static void
@@ -208,7 +226,8 @@
     if (this->is_draining && now_ms >= this->refuse_from_ms) {
         MpHttpServer_StopListening(&this->http);
         bool is_idle = this->exchanges.length == 0 &&
-                       MpLeaseKeeper_Outstanding(this->leases) == 0;
+                       MpLeaseKeeper_Outstanding(this->leases) == 0 &&
+                       MpGateway_IsIdle(&this->gateway);
         if (is_idle || now_ms >= this->drain_until_ms) {
             MpLog_Event(LOG_NOTICE, "drained", "left=%u",
                         this->exchanges.length);
@@ -230,8 +249,13 @@
     this->fleet.is_draining = true;
     this->drained = drained;
     this->owner = owner;
-    this->refuse_from_ms = MpLoop_Now() + DRAIN_NOTICE_MS;
+    this->refuse_from_ms = MpLoop_Now() + this->settings->drain_notice_ms;
     this->drain_until_ms = this->refuse_from_ms + this->settings->drain_ms;
+    if (this->settings->stop_within_ms > 0) {
+        this->drain_until_ms = MpLoop_Now() + this->settings->stop_within_ms -
+                               STOP_MARGIN_MS;
+    }
+    MpGateway_Leave(&this->gateway);
     MpLeaseKeeper_HandInAll(this->leases);
     MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
 }
@@ -258,11 +282,18 @@
     }
     MpFleet_Start(&this->fleet, loop, settings, fleet_key, &fleet_listener,
                   this);
+    MpGateway_Start(&this->gateway, loop, settings, &this->fleet,
+                    &this->metrics);
     MpLoop_AddHook(loop, after_round, this);
     MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
-    return MpHttpServer_Start(&this->http, loop, settings->listen.callers,
+    code = MpHttpServer_Start(&this->http, loop, settings->listen.callers,
                               (size_t)settings->body_most_bytes, on_request,
                               this);
+    if (code == MP_OK && settings->listen.ready) {
+        code = MpHttpServer_Start(&this->ready, loop, settings->listen.ready,
+                                  READY_BODY_BYTES, on_ready_request, this);
+    }
+    return code;
 }
 
 /* ---- metrics ---- */
@@ -307,6 +338,7 @@
                          (int64_t)this->fleet.proposals);
     MpMetrics_WriteValue(out, "mimosapath_control_busy_us_total", NULL, NULL,
                          (int64_t)(busy_ns / 1000));
+    MpGateway_WriteMetrics(&this->gateway, out);
     MpMetrics_WriteValue(out, "mimosapath_requests_running", NULL, NULL,
                          this->exchanges.length);
     MpMetrics_WriteValue(out, "mimosapath_lease_held_mtok", NULL, NULL,
--- a/src/transport/Router.h
+++ b/src/transport/Router.h
@@ -7,6 +7,7 @@
 #include "state/Metrics.h"
 #include "state/Settings.h"
 #include "transport/Fleet.h"
+#include "transport/Gateway.h"
 #include "transport/HttpServer.h"
 #include "transport/Loop.h"
 #include "transport/Upstream.h"
@@ -34,6 +35,8 @@
     struct MpTargetPoller *poller;
     struct MpLeaseKeeper *leases;
     struct MpHttpServer http;
+    struct MpHttpServer ready; /* where a balancer asks, if apart */
+    struct MpGateway gateway;
     GQueue exchanges; /* of struct MpExchange */
     uint64_t next_open_id;
     bool is_draining;
--- /dev/null
+++ b/src/transport/TargetList.c
@@ -0,0 +1,188 @@
+#include "transport/TargetList.h"
+
+#include "state/Error.h"
+#include "transport/Log.h"
+#include "transport/TargetConn.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* A page that has not come by then is given up, ms. */
+#define PAGE_WAIT_MS 1000
+/* Pause after a failure, doubled with each further one, ms. */
+#define RETRY_MS 200
+#define RETRY_MOST_MS 3000
+#define PAGES_MOST 256
+
+struct MpTargetList {
+    struct MpGateway *gateway;
+    struct MpTargetPlace *place;
+    struct MpTargetConn *conn;
+    struct MpTimer timer;
+    GPtrArray *targets; /* of the pages so far */
+    GByteArray *body;
+    int status;
+    uint32_t pages;
+    uint32_t unreadable;
+    uint32_t failures; /* in a row */
+    uint64_t calls;    /* counter */
+    char *next;
+};
+
+static void read_page(struct MpTargetList *this);
+
+static void
+on_timer(struct MpTimer *timer)
+{
+    struct MpTargetList *this = timer->data;
+    g_ptr_array_set_size(this->targets, 0);
+    g_clear_pointer(&this->next, g_free);
+    this->pages = 0;
+    this->unreadable = 0;
+    read_page(this);
+}
+
+static void
+wait_for(struct MpTargetList *this, int64_t wait_ms)
+{
+    MpLoop_SetTimer(this->gateway->loop, &this->timer, wait_ms, on_timer,
+                    this);
+}
+
+static void
+page_failed(struct MpTargetList *this, const char *why)
+{
+    if (this->failures == 0) {
+        MpLog_Event(LOG_WARNING, "target-list-lost", "why=%s status=%d", why,
+                    this->status);
+    }
+    int64_t wait_ms = MIN(RETRY_MS << MIN(this->failures, 8), RETRY_MOST_MS);
+    this->failures++;
+    wait_for(this, MAX(wait_ms,
+                       this->gateway->settings->target_list.interval_ms));
+}
+
+static void
+take_list(struct MpTargetList *this)
+{
+    struct MpRoster *roster = &this->gateway->roster;
+    uint32_t changes = MpRoster_Update(roster, this->targets, MpLoop_Now());
+    if (this->failures > 0) {
+        MpLog_Event(LOG_NOTICE, "target-list-back", "failures=%u",
+                    this->failures);
+    }
+    this->failures = 0;
+    if (changes > 0) {
+        MpLog_Event(LOG_INFO, "targets-changed",
+                    "version=%" PRIu64 " targets=%u changes=%u unreadable=%u",
+                    roster->version, this->targets->len, changes,
+                    this->unreadable);
+    }
+    wait_for(this, this->gateway->settings->target_list.interval_ms);
+}
+
+static void
+on_head(void *owner, const struct MpTargetHead *head)
+{
+    struct MpTargetList *this = owner;
+    this->status = head->status;
+}
+
+static void
+on_body(void *owner, const char *data, size_t size)
+{
+    struct MpTargetList *this = owner;
+    g_byte_array_append(this->body, (const guint8 *)data, (guint)size);
+}
+
+static void
+on_end(void *owner, enum MpTargetEnd end)
+{
+    struct MpTargetList *this = owner;
+    const struct MpDialect *dialect = this->gateway->dialect;
+    this->conn = NULL;
+    g_clear_pointer(&this->next, g_free);
+    if (end != MP_TARGET_WHOLE || this->status != 200) {
+        page_failed(this, end == MP_TARGET_WHOLE ? "status" : "connection");
+        return;
+    }
+    if (dialect->parse_targets((const char *)this->body->data, this->body->len,
+                               this->targets, &this->unreadable,
+                               &this->next) != MP_OK) {
+        page_failed(this, "unreadable");
+        return;
+    }
+    this->pages++;
+    if (this->next && this->pages < PAGES_MOST) {
+        read_page(this);
+        return;
+    }
+    take_list(this);
+}
+
+static const struct MpTargetConnClass page_class = {
+    .head = on_head, .body = on_body, .end = on_end};
+
+static void
+on_page_late(struct MpTimer *timer)
+{
+    struct MpTargetList *this = timer->data;
+    MpTargetConn_Cancel(this->conn);
+    this->conn = NULL;
+    page_failed(this, "silent");
+}
+
+static void
+read_page(struct MpTargetList *this)
+{
+    const struct MpDialect *dialect = this->gateway->dialect;
+    GByteArray *bytes = g_byte_array_new();
+    char *text = g_strdup_printf(
+        "GET %s%s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
+        dialect->list_path, this->next ? this->next : "",
+        this->place->address);
+    g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text));
+    g_free(text);
+    g_byte_array_set_size(this->body, 0);
+    this->status = 0;
+    this->calls++;
+    struct MpTargetRequest request = {.bytes = bytes};
+    this->conn =
+        MpTargetPlace_Send(this->place, &page_class, this, &request);
+    MpLoop_SetTimer(this->gateway->loop, &this->timer, PAGE_WAIT_MS,
+                    on_page_late, this);
+}
+
+struct MpTargetList *
+MpTargetList_New(struct MpGateway *gateway)
+{
+    const char *address = gateway->settings->target_list.address;
+    struct MpTargetList *this = g_new0(struct MpTargetList, 1);
+    this->gateway = gateway;
+    this->targets =
+        g_ptr_array_new_with_free_func(MpListedTarget_Delete);
+    this->body = g_byte_array_new();
+    if (address) {
+        this->place = MpTargetPlace_New(gateway->loop, address);
+    }
+    return this;
+}
+
+void
+MpTargetList_Wake(struct MpTargetList *this)
+{
+    if (this->place && !this->timer.place) {
+        wait_for(this, 0);
+    }
+}
+
+void
+MpTargetList_WriteMetrics(const struct MpTargetList *this, GString *out)
+{
+    MpMetrics_WriteValue(out, "mimosapath_target_list_calls_total", NULL, NULL,
+                         (int64_t)this->calls);
+    MpMetrics_WriteValue(out, "mimosapath_target_list_failures", NULL, NULL,
+                         this->failures);
+    MpMetrics_WriteValue(out, "mimosapath_target_list_unreadable", NULL, NULL,
+                         this->unreadable);
+}
