--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -94,7 +94,7 @@
         MAX(open_mtok, 0) + slice->free_mtok < amount_mtok) {
         return MP_ERROR_BUDGET;
     }
-    slice->need_mtok = MAX(slice->need_mtok, amount_mtok);
+    slice->need_mtok += amount_mtok;
     return MP_ERROR_RECALLING;
 }
 
@@ -161,7 +161,7 @@
 {
     fade(slice, now_ms);
     int64_t hold_mtok = slice->reserved_mtok +
-                        MAX(cover(this, slice), slice->need_mtok);
+                        cover(this, slice) + slice->need_mtok;
     if (is_idle(slice, hold_mtok)) {
         return false;
     }
@@ -210,9 +210,13 @@
 }
 
 void
-MpSlices_Take(struct MpSlices *this, const struct mp_result *result)
+MpSlices_Take(struct MpSlices *this, const struct mp_result *result,
+              int64_t now_ms)
 {
     this->is_reporting = false;
+    if (result) {
+        this->answered_ms = now_ms;
+    }
     for (guint i = 0; i < this->asked->len; i++) {
         struct MpSlice *slice = g_ptr_array_index(this->asked, i);
         if (result && i < result->slices.slices_len) {
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -16,8 +16,8 @@
  * was spent so far: a lost or doubled report changes nothing.
  */
 
-/* A slice covers the demand of this time: longer than a partition of 7 s. */
-#define MP_SLICE_COVER_MS 8000
+/* A slice covers the demand of this time: a partition of 7 s, with bursts. */
+#define MP_SLICE_COVER_MS 12000
 /* ... and at most this part of what nobody holds. */
 #define MP_SLICE_DIVISOR 16
 /* Pause between reports, ms; a request that waits reports at once. */
@@ -35,7 +35,7 @@
     int64_t spent_mtok;    /* in this incarnation */
     int64_t reported_mtok; /* spent, as in the report under way */
     int64_t free_mtok;     /* what nobody holds, by the last answer */
-    int64_t need_mtok;     /* largest worst case that waits for a grant */
+    int64_t need_mtok;     /* worst cases that wait for a grant */
     double demand_mtok;    /* worst cases, fading */
     int64_t demand_ms;     /* when it was last faded */
     bool is_known;         /* an answer has come */
@@ -49,6 +49,7 @@
     bool is_reporting;
     bool is_leaving; /* gives all back */
     int64_t reported_ms;
+    int64_t answered_ms; /* when the last answer came */
 };
 
 void MpSlices_Init(struct MpSlices *this);
@@ -84,7 +85,8 @@
                      int64_t now_ms);
 
 /* Takes the answer, NULL when none came. */
-void MpSlices_Take(struct MpSlices *this, const struct mp_result *result);
+void MpSlices_Take(struct MpSlices *this, const struct mp_result *result,
+                   int64_t now_ms);
 
 /* Returns what may be spent now, mtok, over all workspaces. */
 int64_t MpSlices_Held(const struct MpSlices *this);
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -168,6 +168,10 @@
 void MpLedger_Fence(struct MpLedger *this, const char *instance, uint64_t boot,
                     int64_t now_ms);
 
+/* Returns whether the incarnation has open records. */
+bool MpLedger_HasOpen(const struct MpLedger *this, const char *instance,
+                      uint64_t boot);
+
 /* Drops the leases of a dead incarnation; for an operator who knows that
  * its process has ended. Returns the amount set free, mtok. */
 int64_t MpLedger_WriteOff(struct MpLedger *this, const char *instance,
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -160,6 +160,23 @@
     }
 }
 
+bool
+MpLedger_HasOpen(const struct MpLedger *this, const char *instance,
+                 uint64_t boot)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->records);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpRecord *record = value;
+        if (record->state == MP_RECORD_OPEN && record->boot == boot &&
+            strcmp(record->instance, instance) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 MpLedger_Expire(struct MpLedger *this, int64_t now_ms)
 {
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -19,7 +19,7 @@
 {
     struct MpGateway *this = data;
     bool is_answered = code == MP_OK && result->code == MP_OK;
-    MpSlices_Take(&this->slices, is_answered ? result : NULL);
+    MpSlices_Take(&this->slices, is_answered ? result : NULL, MpLoop_Now());
     if (is_answered && this->is_leaving && this->calls.length == 0) {
         this->is_returned = true;
     }
@@ -49,7 +49,7 @@
                         on_slices, this);
     }
     else {
-        MpSlices_Take(&this->slices, NULL);
+        MpSlices_Take(&this->slices, NULL, now_ms);
     }
     g_free(report->list.list_val);
 }
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -12,9 +12,9 @@
 
 /* Amounts of the ledger are thousandths of a token. */
 #define MTOK_PER_TOKEN 1000
-/* Longest wait for a part of the budget, and its rounds. */
-#define BUDGET_WAIT_MS 1500
-#define BUDGET_ROUNDS 4
+/* Longest wait for a part of the budget, ms: a quorum that is there answers
+ * within a few round trips and syncs. */
+#define BUDGET_WAIT_MS 300
 /* Pause between two looks for a caller, ms. */
 #define CALLER_CHECK_MS 200
 /* When a caller may come back, ms. */
@@ -463,8 +463,57 @@
     send_attempt(this, &picked);
 }
 
+/* ---- time ---- */
+
+static void
+on_deadline(struct MpTimer *timer)
+{
+    struct MpGatewayCall *this = timer->data;
+    enum MpForwardStep step = MpForward_Expired(&this->forward);
+    if (step == MP_STEP_FAIL) {
+        this->forward.may_have_run = true;
+    }
+    drop_attempt(this, this->has_answered ? MP_OUTCOME_CANCELLED
+                                          : MP_OUTCOME_FAILED);
+    give_up(this, step, MP_ERROR_TIMEOUT, 0);
+}
+
+static void
+set_deadline(struct MpGatewayCall *this)
+{
+    MpLoop_SetTimer(this->gateway->loop, &this->timer,
+                    MpForward_Left(&this->forward, MpLoop_Now()), on_deadline,
+                    this);
+}
+
 /* ---- budget ---- */
 
+static void
+log_slice(const struct MpGatewayCall *this, const char *event)
+{
+    const struct MpSlices *slices = &this->gateway->slices;
+    const struct MpSlice *slice =
+        g_hash_table_lookup(slices->slices, this->workspace);
+    MpLog_Event(LOG_WARNING, event,
+                "id=%s workspace=%s wanted_mtok=%" PRId64 " held_mtok=%" PRId64
+                " reserved_mtok=%" PRId64 " free_mtok=%" PRId64
+                " answer_age_ms=%" PRId64 " rounds=%u",
+                this->id ? this->id : "-", this->workspace,
+                this->reserved_mtok, slice->held_mtok, slice->reserved_mtok,
+                slice->free_mtok, MpLoop_Now() - slices->answered_ms,
+                this->budget_rounds);
+}
+
+/* Another instance may hold what this one cannot get now. */
+static void
+on_budget_late(struct MpTimer *timer)
+{
+    struct MpGatewayCall *this = timer->data;
+    log_slice(this, "budget-unanswered");
+    this->reserved_mtok = 0;
+    refuse(this, MP_ERROR_NO_QUORUM, RETRY_NO_QUORUM_MS);
+}
+
 void
 MpGatewayCall_RetryBudget(struct MpGatewayCall *this, bool is_answered)
 {
@@ -474,11 +523,13 @@
     if (code == MP_OK) {
         this->boot = this->gateway->slices.boot;
         this->stage = MP_CALL_RUNNING;
+        set_deadline(this);
         start_attempt(this);
         return;
     }
     this->budget_rounds += is_answered;
-    if (code == MP_ERROR_BUDGET || this->budget_rounds >= BUDGET_ROUNDS) {
+    if (code == MP_ERROR_BUDGET) {
+        log_slice(this, "budget-short");
         this->reserved_mtok = 0;
         refuse(this, MP_ERROR_BUDGET, 0);
     }
@@ -499,29 +550,13 @@
     }
     this->stage = MP_CALL_BUDGET;
     this->reserved_mtok = tokens * MTOK_PER_TOKEN;
+    MpLoop_SetTimer(this->gateway->loop, &this->timer, BUDGET_WAIT_MS,
+                    on_budget_late, this);
     MpGatewayCall_RetryBudget(this, false);
 }
 
 /* ---- the caller ---- */
 
-static void
-on_deadline(struct MpTimer *timer)
-{
-    struct MpGatewayCall *this = timer->data;
-    if (this->stage == MP_CALL_BUDGET) {
-        this->reserved_mtok = 0;
-        refuse(this, MP_ERROR_NO_QUORUM, RETRY_NO_QUORUM_MS);
-        return;
-    }
-    enum MpForwardStep step = MpForward_Expired(&this->forward);
-    if (step == MP_STEP_FAIL) {
-        this->forward.may_have_run = true;
-    }
-    drop_attempt(this, this->has_answered ? MP_OUTCOME_CANCELLED
-                                          : MP_OUTCOME_FAILED);
-    give_up(this, step, MP_ERROR_TIMEOUT, 0);
-}
-
 static void
 on_caller_gone(void *owner)
 {
@@ -615,7 +650,6 @@
                    this->facts.resume_after, now_ms);
     this->pool = choose_pool(this->path);
     MpRetryBudget_Request(MpGateway_Retries(gateway, this->pool), now_ms);
-    MpLoop_SetTimer(gateway->loop, &this->timer,
-                    MpForward_Left(&this->forward, now_ms), on_deadline, this);
+    set_deadline(this);
     take_budget(this);
 }
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -148,7 +148,9 @@
         int64_t bound = view->draining && view->boot == life->boot
                             ? MP_INSTANCE_LEAVING_MS
                             : MP_INSTANCE_DEAD_MS;
-        if (life->fenced || now_ms - view->heard_ms < bound) {
+        if (life->fenced || now_ms - view->heard_ms < bound ||
+            !MpLedger_HasOpen(&this->machine.ledger, life->instance,
+                              life->boot)) {
             continue;
         }
         struct mp_command_body body = {.kind = MP_CMD_FENCE};
@@ -227,6 +229,22 @@
     return middle;
 }
 
+/* Returns how many instances were heard of lately. */
+static u_int
+count_instances(const struct MpReplica *this)
+{
+    GHashTableIter iter;
+    void *value;
+    u_int count = 0;
+    int64_t now_ms = MpLoop_Now();
+    g_hash_table_iter_init(&iter, this->instances);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpInstanceView *view = value;
+        count += now_ms - view->heard_ms < MP_INSTANCE_DEAD_MS;
+    }
+    return count;
+}
+
 /* Routers learn where the replicas are, as these may be exchanged. */
 static void
 fill_replicas(const struct MpReplica *this, struct mp_address *replicas,
@@ -238,7 +256,7 @@
     }
     reply->replicas.replicas_val = replicas;
     reply->replicas.replicas_len = members->list.list_len;
-    reply->instances = g_hash_table_size(this->instances);
+    reply->instances = count_instances(this);
 }
 
 static void
