A slice may be a quarter of what is free

Cause: a large workspace's callers stick to one router; a sixteenth of the free budget lasted it 0.7 s when it was cut off from the replicas. Change: grants of slices go up to a quarter of what nobody holds.

--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -1,6 +1,7 @@
 #include "coordination/Slices.h"
 
 #include "state/Error.h"
+#include "state/Ledger.h"
 
 #include <math.h>
 
@@ -143,7 +144,7 @@
         slice->demand_mtok * MP_SLICE_COVER_MS / (double)MP_SLICE_FADE_MS;
     int64_t least_mtok = slice->free_mtok / MP_SLICE_IDLE_DIVISOR;
     return MIN(MAX((int64_t)mtok, least_mtok),
-               slice->free_mtok / MP_SLICE_DIVISOR);
+               slice->free_mtok / MP_LEDGER_SLICE_DIVISOR);
 }
 
 /* A slice that neither changes nor is wanted needs no report. */
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -18,8 +18,6 @@
 
 /* A slice covers the demand of this time: a partition of 7 s, with bursts. */
 #define MP_SLICE_COVER_MS 12000
-/* ... and at most this part of what nobody holds. */
-#define MP_SLICE_DIVISOR 16
 /* Pause between reports, ms; a request that waits reports at once. */
 #define MP_SLICE_REPORT_MS 1000
 /* A slice without demand holds this part, so that the first request of a
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -219,7 +219,7 @@
         return change_mtok;
     }
     int64_t free_mtok = MAX(MpAccount_Free(account), 0);
-    int64_t most_mtok = free_mtok / SLICE_DIVISOR;
+    int64_t most_mtok = free_mtok / MP_LEDGER_SLICE_DIVISOR;
     if (wanted->need_mtok <= free_mtok) {
         most_mtok = MAX(most_mtok, wanted->need_mtok);
     }
