--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -142,18 +142,20 @@
     }
     double mtok =
         slice->demand_mtok * MP_SLICE_COVER_MS / (double)MP_SLICE_FADE_MS;
-    int64_t least_mtok = slice->free_mtok / MP_SLICE_IDLE_DIVISOR;
+    int64_t least_mtok = slice->free_mtok /
+                         (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1));
     return MIN(MAX((int64_t)mtok, least_mtok),
                slice->free_mtok / MP_LEDGER_SLICE_DIVISOR);
 }
 
-/* A slice that neither changes nor is wanted needs no report. */
+/* A slice that holds nothing and is not wanted needs no report.  One that
+ * holds something does: what it may hold shrinks with what is free. */
 static bool
-is_idle(const struct MpSlice *slice, int64_t hold_mtok)
+is_idle(const struct MpSlice *slice)
 {
     return slice->is_known && slice->need_mtok == 0 &&
            slice->spent_mtok == slice->reported_mtok &&
-           hold_mtok == slice->held_mtok;
+           slice->held_mtok <= 0 && slice->free_mtok <= 0;
 }
 
 static bool
@@ -163,7 +165,7 @@
     fade(slice, now_ms);
     int64_t hold_mtok = slice->reserved_mtok +
                         cover(this, slice) + slice->need_mtok;
-    if (is_idle(slice, hold_mtok)) {
+    if (is_idle(slice)) {
         return false;
     }
     *out = (struct mp_slice){.workspace = slice->workspace,
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -20,9 +20,10 @@
 #define MP_SLICE_COVER_MS 12000
 /* Pause between reports, ms; a request that waits reports at once. */
 #define MP_SLICE_REPORT_MS 1000
-/* A slice without demand holds this part, so that the first request of a
- * workspace need not wait for a grant. */
-#define MP_SLICE_IDLE_DIVISOR 512
+/* Without demand all routers together hold this part of what is free: a
+ * router may be cut off before it has seen a workspace's traffic, and one
+ * that dies takes no more than its share of it. */
+#define MP_SLICE_IDLE_DIVISOR 4
 /* Time over which demand is averaged, ms. */
 #define MP_SLICE_FADE_MS 4000
 
@@ -45,6 +46,7 @@
     uint64_t boot;      /* 0 until this incarnation is registered */
     uint64_t seq;
     bool is_reporting;
+    uint32_t instances; /* that share what is held without demand */
     bool is_leaving; /* gives all back */
     int64_t reported_ms;
     int64_t answered_ms; /* when the last answer came */
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -43,6 +43,7 @@
         return;
     }
     report->holder = MpFleet_Holder(this->fleet);
+    this->slices.instances = this->fleet->instances;
     MpSlices_Report(&this->slices, report, now_ms);
     if (report->list.list_len > 0 || this->is_leaving) {
         MpFleet_Propose(this->fleet, &command, now_ms + REPORT_WAIT_MS,
