--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -27,7 +27,7 @@
 /* A router's slice grows by at most this part of what nobody holds: a large
  * caller may send all its requests to one router, and what is left for the
  * others shrinks, but does not end. */
-#define MP_LEDGER_SLICE_DIVISOR 4
+#define MP_LEDGER_SLICE_DIVISOR 3
 
 /* Largest amount in one call, and largest budget. */
 #define MP_AMOUNT_MAX_MTOK INT64_C(1000000000000000)
