All slices together take 40 percent of what is left; settings are read again

Change: the ledger bounds the slices of living routers together and tells each what it should hold; SIGHUP and a changed file read the settings.

--- a/src/commands/CommandRun.c
+++ b/src/commands/CommandRun.c
@@ -20,7 +20,7 @@
     }
     g_ptr_array_unref(findings);
     MpLog_Init(settings->instance);
-    int code = MpInstance_Run(settings);
+    int code = MpInstance_Run(settings, name);
     if (code != MP_OK) {
         MpLog_Event(LOG_CRIT, "stopped", "error=%s", MpError_Name(code));
     }
--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -1,7 +1,6 @@
 #include "coordination/Slices.h"
 
 #include "state/Error.h"
-#include "state/Ledger.h"
 
 #include <math.h>
 
@@ -144,8 +143,8 @@
         slice->demand_mtok * MP_SLICE_COVER_MS / (double)MP_SLICE_FADE_MS;
     int64_t least_mtok = slice->free_mtok /
                          (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1));
-    return MIN(MAX((int64_t)mtok, least_mtok),
-               slice->free_mtok / MP_LEDGER_SLICE_DIVISOR);
+    int64_t most_mtok = slice->most_mtok - slice->reserved_mtok;
+    return CLAMP(MAX((int64_t)mtok, least_mtok), 0, MAX(most_mtok, 0));
 }
 
 /* A slice that holds nothing and is not wanted needs no report.  One that
@@ -206,6 +205,7 @@
 take_held(struct MpSlice *slice, const struct mp_slice_held *held)
 {
     slice->free_mtok = held->free_mtok;
+    slice->most_mtok = held->most_mtok;
     slice->held_mtok =
         held->held_mtok - (slice->spent_mtok - slice->reported_mtok);
     slice->need_mtok = 0;
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -34,6 +34,7 @@
     int64_t spent_mtok;    /* in this incarnation */
     int64_t reported_mtok; /* spent, as in the report under way */
     int64_t free_mtok;     /* what nobody holds, by the last answer */
+    int64_t most_mtok;     /* to be held for the others' sake */
     int64_t need_mtok;     /* worst cases that wait for a grant */
     double demand_mtok;    /* worst cases, fading */
     int64_t demand_ms;     /* when it was last faded */
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -195,6 +195,7 @@
 struct mp_slice_held {
 	quad_t held_mtok;
 	quad_t free_mtok;
+	quad_t most_mtok;
 };
 typedef struct mp_slice_held mp_slice_held;
 
@@ -487,6 +488,7 @@
 	quad_t last_grant_mtok;
 	quad_t spent_mtok;
 	bool_t recalled;
+	bool_t dead;
 };
 typedef struct mp_lease_image mp_lease_image;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -185,10 +185,12 @@
     mp_command_body body;
 };
 
-/* What is left of a slice, and what of the budget nobody holds. */
+/* What is left of a slice, what of the budget nobody holds, and what the
+ * router should hold at most for the others' sake. */
 struct mp_slice_held {
     hyper held_mtok;
     hyper free_mtok;
+    hyper most_mtok;
 };
 
 struct mp_result {
@@ -442,6 +444,7 @@
     hyper last_grant_mtok;
     hyper spent_mtok;
     bool recalled;
+    bool dead; /* its incarnation has ended */
 };
 
 struct mp_account_image {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -317,6 +317,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->free_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->most_mtok))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -807,6 +809,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->recalled))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->dead))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -208,8 +208,23 @@
     account->settled_mtok += new_mtok;
 }
 
+/* Returns what the slices of living routers may take in all; *live is what
+ * they take now. */
+static int64_t
+slices_most(const struct MpAccount *account, int64_t *live_mtok)
+{
+    int64_t dead_mtok = 0;
+    for (guint i = 0; i < account->leases->len; i++) {
+        const struct MpLease *lease = g_ptr_array_index(account->leases, i);
+        dead_mtok += lease->is_dead ? lease->amount_mtok : 0;
+    }
+    *live_mtok = account->leased_mtok - dead_mtok;
+    int64_t left_mtok = MAX(MpAccount_Free(account) + *live_mtok, 0);
+    return left_mtok / 1000 * MP_LEDGER_SLICES_PERMILLE;
+}
+
 /* Returns the change of a slice that brings it to hold_mtok: less at once,
- * more as far as the budget allows. */
+ * more as far as all slices together and the budget allow. */
 static int64_t
 slice_change(const struct MpAccount *account, const struct MpLease *lease,
              const struct mp_slice *wanted)
@@ -218,12 +233,27 @@
     if (change_mtok <= 0) {
         return change_mtok;
     }
+    int64_t live_mtok;
     int64_t free_mtok = MAX(MpAccount_Free(account), 0);
-    int64_t most_mtok = free_mtok / MP_LEDGER_SLICE_DIVISOR;
+    int64_t most_mtok = slices_most(account, &live_mtok) - live_mtok;
     if (wanted->need_mtok <= free_mtok) {
         most_mtok = MAX(most_mtok, wanted->need_mtok);
     }
-    return MIN(change_mtok, most_mtok);
+    return CLAMP(change_mtok, 0, MAX(MIN(most_mtok, free_mtok), 0));
+}
+
+/* Returns the part of a slice that leaves room for the others: all shrink
+ * alike while they take too much. */
+static int64_t
+slice_most(const struct MpAccount *account, const struct MpLease *lease)
+{
+    int64_t live_mtok;
+    int64_t most_mtok = slices_most(account, &live_mtok);
+    if (live_mtok <= most_mtok) {
+        return lease->amount_mtok + (most_mtok - live_mtok);
+    }
+    return (int64_t)((double)lease->amount_mtok * (double)most_mtok /
+                     (double)live_mtok);
 }
 
 void
@@ -247,6 +277,7 @@
     }
     held->held_mtok = lease->amount_mtok;
     held->free_mtok = MAX(MpAccount_Free(account), 0);
+    held->most_mtok = slice_most(account, lease);
 }
 
 int
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -24,10 +24,9 @@
  * apply the same calls in the same order hold the same state.
  */
 
-/* A router's slice grows by at most this part of what nobody holds: a large
- * caller may send all its requests to one router, and what is left for the
- * others shrinks, but does not end. */
-#define MP_LEDGER_SLICE_DIVISOR 3
+/* Slices of living routers take at most this part of what is left of a
+ * budget, in thousandths: that much is stranded when all of them die. */
+#define MP_LEDGER_SLICES_PERMILLE 400
 
 /* Largest amount in one call, and largest budget. */
 #define MP_AMOUNT_MAX_MTOK INT64_C(1000000000000000)
@@ -51,6 +50,7 @@
     int64_t last_grant_mtok;
     int64_t spent_mtok; /* settled from this slice so far */
     bool recalled;
+    bool is_dead; /* its incarnation has ended; it stays counted */
 };
 
 struct MpAccount {
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -77,6 +77,24 @@
     return strcmp((*x)->id, (*y)->id);
 }
 
+/* The slices of an incarnation that has ended stay counted, since nobody
+ * knows what it has spent. */
+static void
+mark_dead(struct MpLedger *this, const char *instance, uint64_t boot)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpAccount *account = value;
+        for (guint i = 0; i < account->leases->len; i++) {
+            struct MpLease *lease = g_ptr_array_index(account->leases, i);
+            lease->is_dead |= lease->boot <= boot &&
+                              strcmp(lease->instance, instance) == 0;
+        }
+    }
+}
+
 static int64_t
 drop_account_leases(struct MpAccount *account, const char *instance,
                     uint64_t boot, bool only_empty)
@@ -140,6 +158,7 @@
                              now_ms);
     }
     g_ptr_array_unref(held);
+    mark_dead(this, instance, boot);
     drop_leases(this, instance, boot, true);
 }
 
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -21,6 +21,7 @@
             .last_grant_mtok = lease->last_grant_mtok,
             .spent_mtok = lease->spent_mtok,
             .recalled = lease->recalled,
+            .dead = lease->is_dead,
         };
     }
 }
@@ -135,6 +136,7 @@
         lease->last_grant_mtok = from->last_grant_mtok;
         lease->spent_mtok = from->spent_mtok;
         lease->recalled = from->recalled;
+        lease->is_dead = from->dead;
         account->leased_mtok += from->amount_mtok;
         g_ptr_array_add(account->leases, lease);
     }
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -97,8 +97,8 @@
     return MP_NO_REPLICA;
 }
 
-static void
-add_replica(struct MpFleet *this, const char *address)
+void
+MpFleet_AddReplica(struct MpFleet *this, const char *address)
 {
     if (find_replica(this, address) != MP_NO_REPLICA) {
         return;
@@ -114,7 +114,7 @@
 follow_leader(struct MpFleet *this, guint asked, const char *address)
 {
     if (address[0]) {
-        add_replica(this, address);
+        MpFleet_AddReplica(this, address);
     }
     for (guint i = 0; address[0] && i < this->clients->len; i++) {
         const struct MpRpcClient *client = g_ptr_array_index(this->clients, i);
@@ -394,7 +394,7 @@
     take_poisons(this, reply);
     this->instances = reply->instances;
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
-        add_replica(this, reply->replicas.replicas_val[i].address);
+        MpFleet_AddReplica(this, reply->replicas.replicas_val[i].address);
     }
     for (u_int i = 0; i < reply->recalls.recalls_len; i++) {
         this->listener->recall(this->owner,
@@ -471,7 +471,7 @@
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     GPtrArray *replicas = MpSettings_Replicas(settings);
     for (guint i = 0; i < replicas->len; i++) {
-        add_replica(this, g_ptr_array_index(replicas, i));
+        MpFleet_AddReplica(this, g_ptr_array_index(replicas, i));
     }
     g_ptr_array_unref(replicas);
     MpLoop_SetTimer(loop, &this->timer, 0, on_timer, this);
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -64,6 +64,9 @@
                    const struct MpSettings *settings, const uint8_t *fleet_key,
                    const struct MpFleetListener *listener, void *owner);
 
+/* Makes a control replica known, if it is not. */
+void MpFleet_AddReplica(struct MpFleet *this, const char *address);
+
 /* Proposes command and calls done once.  deadline_ms is a time of the
  * monotonic clock after which done gets MP_ERROR_NO_QUORUM, and the outcome
  * is not known; 0 means never. */
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -11,8 +11,11 @@
 #include <openssl/rand.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define SIGNAL_CHECK_MS 50
+/* Pause between two looks at the settings file, ms. */
+#define SETTINGS_CHECK_MS 1000
 /* A stopping leader stays this long, so that others can do their last calls
  * and a new leader can be elected. */
 #define CONTROL_LINGER_MS 300
@@ -30,13 +33,21 @@
     struct MpTimer submit_timer;
     char *first_document;
     bool is_stopping;
+    const char *file;
+    struct stat file_info; /* when it was last read */
+    int64_t file_checked_ms;
 };
 
 static volatile sig_atomic_t stop_signal;
+static volatile sig_atomic_t reload_signal;
 
 static void
 on_signal(int number)
 {
+    if (number == SIGHUP) {
+        reload_signal = 1;
+        return;
+    }
     stop_signal = number;
 }
 
@@ -176,10 +187,67 @@
     on_drained(this);
 }
 
+/* ---- settings that change ---- */
+
+/* Of new settings the control instances count at once; what listens, and
+ * where data lies, stays as it was until the next start. */
+static void
+reload(struct instance *this, const char *why)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct MpSettings *settings = MpSettings_Load(this->file, findings);
+    if (!settings) {
+        char *text = MpFindings_Text(findings, this->file);
+        MpLog_Event(LOG_ERR, "settings-rejected", "why=%s findings=%u %s", why,
+                    findings->len, text);
+        g_free(text);
+        g_ptr_array_unref(findings);
+        return;
+    }
+    GPtrArray *replicas = MpSettings_Replicas(settings);
+    for (guint i = 0; i < replicas->len; i++) {
+        const char *address = g_ptr_array_index(replicas, i);
+        MpFleet_AddReplica(this->operators.fleet, address);
+        if (this->settings->is_control) {
+            MpReplica_AddPeer(&this->replica, address);
+        }
+    }
+    MpLog_Event(LOG_NOTICE, "settings-reloaded", "why=%s replicas=%u", why,
+                replicas->len);
+    g_ptr_array_unref(replicas);
+    MpSettings_Delete(settings);
+    g_ptr_array_unref(findings);
+}
+
+/* Reads the settings again on a signal, and when the file is another. */
+static void
+check_settings(struct instance *this)
+{
+    struct stat info;
+    int64_t now_ms = MpLoop_Now();
+    bool is_asked = reload_signal;
+    if (!is_asked && now_ms - this->file_checked_ms < SETTINGS_CHECK_MS) {
+        return;
+    }
+    reload_signal = 0;
+    this->file_checked_ms = now_ms;
+    bool is_changed = stat(this->file, &info) == 0 &&
+                      (info.st_mtime != this->file_info.st_mtime ||
+                       info.st_size != this->file_info.st_size ||
+                       info.st_ino != this->file_info.st_ino);
+    if (is_changed) {
+        this->file_info = info;
+    }
+    if (is_asked || is_changed) {
+        reload(this, is_asked ? "signal" : "file");
+    }
+}
+
 static void
 check_signal(struct MpTimer *timer)
 {
     struct instance *this = timer->data;
+    check_settings(this);
     if (stop_signal && !this->is_stopping) {
         begin_stop(this);
     }
@@ -193,6 +261,7 @@
     struct sigaction action = {.sa_handler = on_signal};
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
+    sigaction(SIGHUP, &action, NULL);
     signal(SIGPIPE, SIG_IGN);
     /* A file size limit is reported by write(2), as a full disk is. */
     signal(SIGXFSZ, SIG_IGN);
@@ -277,10 +346,15 @@
 }
 
 int
-MpInstance_Run(const struct MpSettings *settings)
+MpInstance_Run(const struct MpSettings *settings, const char *file)
 {
     struct instance *this = g_new0(struct instance, 1);
     this->settings = settings;
+    this->file = file;
+    this->file_checked_ms = MpLoop_Now();
+    if (stat(file, &this->file_info) != 0) {
+        MpLog_Event(LOG_WARNING, "settings-unreadable", "file=%s", file);
+    }
     MpLoop_Init(&this->loop);
     int code = start(this);
     if (code != MP_OK) {
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -195,8 +195,8 @@
     g_hash_table_replace(this->identified, member->address, member);
 }
 
-static void
-add_peer(struct MpReplica *this, const char *address)
+void
+MpReplica_AddPeer(struct MpReplica *this, const char *address)
 {
     if (!g_ptr_array_find_with_equal_func(this->peers, address, g_str_equal,
                                           NULL)) {
@@ -254,7 +254,7 @@
 take_members(struct MpReplica *this, const struct mp_members *members)
 {
     for (u_int i = 0; i < members->list.list_len; i++) {
-        add_peer(this, members->list.list_val[i].address);
+        MpReplica_AddPeer(this, members->list.list_val[i].address);
     }
     if (this->raft.members.list.list_len == 0 &&
         lists_replica(members, this->id)) {
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -78,6 +78,9 @@
                     const struct MpSettings *settings,
                     const uint8_t *fleet_key);
 
+/* Makes the address of another replica known, if it is not. */
+void MpReplica_AddPeer(struct MpReplica *this, const char *address);
+
 /* Finishes the writes that are queued. */
 void MpReplica_Stop(struct MpReplica *this);
 
