--- a/Makefile
+++ b/Makefile
@@ -58,17 +58,17 @@
 $(OBJ)/gen/%.o: src/gen/%.c
 	@mkdir -p $(@D)
 	@echo "  CC  $<"
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -MP -c -o $@ $<
 
 $(OBJ)/platform/%.o: platform/%.c
 	@mkdir -p $(@D)
 	@echo "  CC  $<"
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(OBJ)/%.o: src/%.c
 	@mkdir -p $(@D)
 	@echo "  CC  $<"
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -464,6 +464,7 @@
         void *at = (char *)target + field->offset;
         switch (field->type) {
         case MP_FIELD_INTEGER:
+        case MP_FIELD_MILLI:
         case MP_FIELD_BOOLEAN:
         case MP_FIELD_CHOICE:
             break;
