Cut answers are no malformed chunks; late requests of a drain are refused

Change: the connection is shut down before h2o writes its mark; after the notice new requests get 503 with the time to come back.

--- a/src/transport/CallerAnswer.c
+++ b/src/transport/CallerAnswer.c
@@ -1,5 +1,7 @@
 #include "transport/CallerAnswer.h"
 
+#include "transport/HttpServer.h"
+
 #include <errno.h>
 #include <sys/socket.h>
 
@@ -18,9 +20,14 @@
     h2o_iovec_t buffer = {.base = (char *)full->data, .len = full->len};
     h2o_req_t *req = this->req;
     h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
-    if (this->is_last) {
+    if (this->is_last && !this->is_aborted) {
         this->is_handed_over = true;
-        state = this->is_aborted ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+        state = H2O_SEND_STATE_FINAL;
+    }
+    else if (this->is_last && full->len == 0) {
+        this->is_handed_over = true;
+        MpHttp_Cut(req);
+        return;
     }
     h2o_send(req, &buffer, full->len > 0 ? 1 : 0, state);
 }
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -40,8 +40,12 @@
     h2o_iovec_t buffer = {.base = (char *)full->data, .len = full->len};
     h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
     h2o_req_t *req = this->req;
-    if (this->is_last && this->out->len == 0) {
-        state = this->is_aborted ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+    if (this->is_last && this->is_aborted && full->len == 0) {
+        MpHttp_Cut(req);
+        return;
+    }
+    if (this->is_last && this->out->len == 0 && !this->is_aborted) {
+        state = H2O_SEND_STATE_FINAL;
     }
     h2o_send(req, &buffer, full->len > 0 ? 1 : 0, state);
 }
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -169,9 +169,10 @@
 }
 
 void
-MpGateway_Leave(struct MpGateway *this)
+MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms)
 {
     this->is_leaving = true;
+    this->refuse_from_ms = refuse_from_ms;
     this->slices.is_leaving = true;
 }
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -38,6 +38,7 @@
     struct MpTimer timer;
     uint64_t retries_refused; /* counter */
     bool is_leaving;
+    int64_t refuse_from_ms; /* leaving: new requests are refused */
     bool is_returned; /* the slices are given back */
 };
 
@@ -56,8 +57,9 @@
                            const struct MpDocument *document);
 void MpGateway_Registered(struct MpGateway *this, uint64_t boot);
 
-/* Asks callers to leave after their answers. */
-void MpGateway_Leave(struct MpGateway *this);
+/* Asks callers to leave after their answers; new requests are refused from
+ * refuse_from_ms on. */
+void MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms);
 
 /* Returns whether nothing runs and all slices are given back. */
 bool MpGateway_IsIdle(const struct MpGateway *this);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -21,6 +21,7 @@
 #define RETRY_BUSY_MS 400
 #define RETRY_NO_QUORUM_MS 1000
 #define RETRY_NOT_READY_MS 500
+#define RETRY_LEAVING_MS 20
 
 static void start_attempt(struct MpGatewayCall *this);
 
@@ -640,6 +641,10 @@
         refuse(this, MP_ERROR_NOT_READY, RETRY_NOT_READY_MS);
         return;
     }
+    if (gateway->is_leaving && now_ms >= gateway->refuse_from_ms) {
+        refuse(this, MP_ERROR_DRAINING, RETRY_LEAVING_MS);
+        return;
+    }
     this->document = MpDocument_Ref(gateway->fleet->document);
     int code = MpGatewayRequest_Read(this, req);
     if (code != MP_OK) {
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define ACCEPT_BATCH 64
 
@@ -192,6 +193,16 @@
                           NULL, copy.base, copy.len);
 }
 
+void
+MpHttp_Cut(h2o_req_t *req)
+{
+    /* h2o ends a chunked answer by a chunk that cannot be read, which looks
+     * like a fault of this program: the connection is closed before it. */
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
+}
+
 void
 MpHttp_Send(h2o_req_t *req, int status, const char *content_type,
             const char *body, size_t size)
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -49,6 +49,10 @@
 /* Adds a header to the answer; value is copied. */
 void MpHttp_AddHeader(h2o_req_t *req, const char *name, const char *value);
 
+/* Ends an answer that was started, and its connection, so that it does not
+ * look whole; what was sent before still arrives. */
+void MpHttp_Cut(h2o_req_t *req);
+
 /* Sends a whole answer. */
 void MpHttp_Send(h2o_req_t *req, int status, const char *content_type,
                  const char *body, size_t size);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -133,7 +133,8 @@
                  partition="refuse", engine_options=(), service_options=(),
                  budget_tokens=1000000, concurrent=64, disks=None,
                  behind_relay=(), limits=None, workspaces=None,
-                 capacity=64, routing=None):
+                 capacity=64, routing=None, more_document=None,
+                 more_settings=None):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         self.callers, self.operators, self.rpc = {}, {}, {}
@@ -152,6 +153,8 @@
         self.capacity = capacity
         self.routing = routing
         self.topup_count = 0
+        self.more_document = more_document or {}
+        self.more_settings = more_settings or {}
         self.engine_names = ["engine-%d" % i for i in range(engines)]
         self.service_names = ["service-%d" % i for i in range(services)]
         self.write("fleet.key", "secret of the fleet")
@@ -184,7 +187,7 @@
         targets = {n: {"address": "127.0.0.1:%d" % p, "zone": "a",
                        "capacity": self.capacity}
                    for n, p in self.targets.items()}
-        return {
+        document = {
             "targets": targets,
             "models": {"m": {"targets": self.engine_names,
                              "prompt_price_mtok": 1000,
@@ -202,6 +205,13 @@
                 "partition": self.partition}
                 for name, key in self.workspaces.items()},
         }
+        for name, value in self.more_document.items():
+            if name == "prepaid_tokens":
+                for workspace in document["workspaces"].values():
+                    workspace[name] = value
+            else:
+                document[name] = value
+        return document
 
     def write_settings(self, name):
         settings = {
@@ -219,6 +229,7 @@
             settings["roles"].append("control")
             settings["listen"]["rpc"] = "127.0.0.1:%d" % self.rpc[name]
             settings["first_document"] = "document.json"
+        settings.update(self.more_settings)
         if self.routing:
             settings["routing"] = self.routing
         if name in self.disks:
--- /dev/null
+++ b/tests/runs/path_drain.py
@@ -0,0 +1,47 @@
+"""A stopping instance ends its answers, refuses what comes late on a kept
+connection as not run, and ends within the time it has."""
+import signal
+import socket
+import time
+from pathfleet import (EVENT, KEY, Target, answer, chunks_of, end_chunks,
+                       header_of, path_conf, path_fleet, read_all, send,
+                       send_chunk, start_events, status_of, wait_targets)
+
+
+def behave(target, request, link):
+    if not request["path"].startswith("/long/"):
+        return answer(link, request)
+    start_events(link, request)
+    for number in range(20):
+        send_chunk(link, EVENT % (number, number))
+        time.sleep(0.1)
+    end_chunks(link)
+
+
+targets = [Target("t0", behave)]
+fleet, listed = path_fleet(
+    targets, [path_conf("/ready/"), path_conf("/long/", stream=True)],
+    instances=1, control=1,
+    more_settings={"drain_notice_ms": 500, "stop_within_s": 6})
+with fleet:
+    print("ready", wait_targets(fleet, "i0"))
+    stream = send(fleet, "i0", "/long/x", wait=False)
+    kept = socket.create_connection(("127.0.0.1", fleet.callers["i0"]))
+    time.sleep(0.2)
+    began = time.monotonic()
+    fleet.processes["i0"].send_signal(signal.SIGTERM)
+    early = send(fleet, "i0", "/ready/early")
+    print("early", status_of(early), header_of(early, "connection"))
+    time.sleep(1)
+    kept.sendall(("GET /ready/late HTTP/1.1\r\nhost: h.example\r\n"
+                  "authorization: Bearer %s\r\n\r\n" % KEY).encode())
+    late = read_all(kept)
+    print("late", status_of(late), header_of(late, "x-mimosapath-run"),
+          header_of(late, "connection"),
+          "come back" if header_of(late, "retry-after") else "")
+    body, end = chunks_of(read_all(stream))
+    print("stream", body.count("data:"), end)
+    print("exit", fleet.processes["i0"].wait(10),
+          "in time", time.monotonic() - began < 6)
+    print("late runs", sum(r["path"] == "/ready/late"
+                           for r in targets[0].requests))
