Sockets that timers close; a membership that comes after entries

Change: pending callbacks run after timers and hooks; the first membership is stored before whatever entries there are.

--- a/Makefile
+++ b/Makefile
@@ -129,6 +129,14 @@
 	@echo "  TEST $@"
 	@$(CC) $(TEST_FLAGS) -DMP_LIBFUZZER -w -o $@ $^ $(LDLIBS)
 
+# The loop is tested with h2o, without the rest of the program.
+$(BUILD)/tests/TestLoop: tests/TestLoop.c src/transport/Loop.c \
+		src/transport/Loop.h
+	@mkdir -p $(@D)
+	@echo "  TEST $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -fsanitize=address -o $@ tests/TestLoop.c \
+		src/transport/Loop.c $(PROGRAM_LDLIBS)
+
 $(BUILD)/asan/mimosapath: $(SOURCES) $(HEADERS)
 	@$(MAKE) --no-print-directory BUILD=$(BUILD)/asan \
 		SANITIZE="$(FUZZ_SANITIZE)" $(BUILD)/asan/mimosapath
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -93,7 +93,9 @@
 void
 MpRaft_Bootstrap(struct MpRaft *this, const struct mp_members *members)
 {
-    if (this->members.list.list_len > 0 || MpRaft_LastIndex(this) > 0) {
+    /* Entries of a leader that formed the cluster earlier may be here; the
+     * first membership stands before all of them. */
+    if (this->members.list.list_len > 0 || this->snapshot_index > 0) {
         return;
     }
     MpRaftLog_CopyMembers(&this->snapshot_members, members);
--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -106,17 +106,28 @@
     }
 }
 
+/* Runs the callbacks of sockets that timers and hooks have used.  h2o frees
+ * a closed socket at the start of its next round, even if a callback of it
+ * still waits. */
+static void
+run_pending(struct MpLoop *this)
+{
+    h2o_timeout__do_post_callback(this->h2o);
+}
+
 void
 MpLoop_Run(struct MpLoop *this)
 {
     while (!this->stopped) {
         h2o_evloop_run(this->h2o, wait_time(this));
         fire_timers(this);
+        run_pending(this);
         for (guint i = 0; i < this->hooks->len; i++) {
             struct MpLoopHook *hook =
                 &g_array_index(this->hooks, struct MpLoopHook, i);
             hook->call(hook->data);
         }
+        run_pending(this);
     }
 }
 
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -413,6 +413,26 @@
     return code;
 }
 
+static void
+log_recovered(const struct MpReplica *this)
+{
+    const struct MpRaft *raft = &this->raft;
+    GString *list = g_string_new(NULL);
+    for (u_int i = 0; i < raft->members.list.list_len; i++) {
+        const struct mp_member *member = &raft->members.list.list_val[i];
+        g_string_append_printf(list, "%s%016" PRIx64 "@%s%s%s", i ? "," : "",
+                               (uint64_t)member->id, member->address,
+                               member->voter ? "+" : "",
+                               member->next ? "!" : "");
+    }
+    MpLog_Event(LOG_NOTICE, "replica-recovered",
+                "id=%016" PRIx64 " term=%" PRIu64 " last=%" PRIu64
+                " snapshot=%" PRIu64 " joint=%d members=%s",
+                this->id, raft->term, MpRaft_LastIndex(raft),
+                raft->snapshot_index, raft->members.joint, list->str);
+    g_string_free(list, TRUE);
+}
+
 static void
 make_tables(struct MpReplica *this)
 {
@@ -454,6 +474,9 @@
         code = MpRpcServer_Init(&this->server, &MpReplica_ServerClass, this,
                                 loop, settings->listen.rpc, fleet_key);
     }
+    if (code == MP_OK) {
+        log_recovered(this);
+    }
     MpLoop_AddHook(loop, after_round, this);
     MpLoop_SetTimer(loop, &this->tick, TICK_MS, on_tick, this);
     MpLoop_SetTimer(loop, &this->survey, 0, on_survey, this);
