--- a/src/coordination/CallFacts.c
+++ b/src/coordination/CallFacts.c
@@ -63,8 +63,8 @@
     }
     uint64_t before =
         this->part_count > 0 ? this->parts[this->part_count - 1].id : 0;
-    this->parts[this->part_count++] = (struct MpPart){
-        .id = XXH64(text, id_size, before), .tokens = tokens};
+    this->parts[this->part_count++] =
+        (struct MpPart){.id = XXH64(text, id_size, before), .tokens = tokens};
     return true;
 }
 
--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -49,8 +49,8 @@
     if (fate != MP_FATE_NOT_RUN) {
         this->may_have_run = true;
         this->runs++;
-        may_repeat = this->repeat != MP_REPEAT_ONCE &&
-                     this->runs < this->attempts_most;
+        may_repeat =
+            this->repeat != MP_REPEAT_ONCE && this->runs < this->attempts_most;
     }
     if (this->is_head_sent && this->repeat != MP_REPEAT_RESUME) {
         may_repeat = false;
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -41,11 +41,11 @@
     enum MpRepeat repeat;
     bool is_stream;
     bool may_have_run;
-    bool is_head_sent;   /* the caller has the head of an answer */
-    uint32_t runs;       /* attempts that may have run */
-    uint32_t sends;      /* all attempts */
-    int64_t events;      /* passed on */
-    int64_t last_event;  /* id of the last one; -1 for none */
+    bool is_head_sent;  /* the caller has the head of an answer */
+    uint32_t runs;      /* attempts that may have run */
+    uint32_t sends;     /* all attempts */
+    int64_t events;     /* passed on */
+    int64_t last_event; /* id of the last one; -1 for none */
 };
 
 /* Starts a request that came at now_ms; caller_ms is how long its caller
--- a/src/coordination/RetryBudget.c
+++ b/src/coordination/RetryBudget.c
@@ -10,9 +10,8 @@
 MpRetryBudget_Init(struct MpRetryBudget *this, int64_t window_ms,
                    int64_t permille, int64_t slack)
 {
-    *this = (struct MpRetryBudget){.window_ms = window_ms,
-                                   .permille = permille,
-                                   .slack = slack};
+    *this = (struct MpRetryBudget){
+        .window_ms = window_ms, .permille = permille, .slack = slack};
 }
 
 static void
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -322,9 +322,9 @@
         int64_t tokens =
             tokens_to_read(target, ask->facts, target == home, now_ms);
         double wait_ms = wait_at(target, ask, tokens, now_ms);
-        double cost = wait_ms + (strcmp(target->zone, this->zone) != 0
-                                     ? OTHER_ZONE_MS
-                                     : 0);
+        double cost =
+            wait_ms +
+            (strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0);
         cost += MAX(target->error_rate - errors, 0) * ERROR_COST_MS;
         cost += g_random_double();
         if (!picked->target || cost < best_cost) {
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -44,12 +44,12 @@
 
 /* How an attempt at a target ended, for its health. */
 enum MpTargetOutcome {
-    MP_OUTCOME_OK,        /* it answered */
-    MP_OUTCOME_FULL,      /* it turned the request away */
-    MP_OUTCOME_ERROR,     /* it answered with a failure of its own */
-    MP_OUTCOME_FAILED,    /* no connection, a reset, or silence */
-    MP_OUTCOME_GONE,      /* another target has its address */
-    MP_OUTCOME_CANCELLED  /* tells nothing */
+    MP_OUTCOME_OK,       /* it answered */
+    MP_OUTCOME_FULL,     /* it turned the request away */
+    MP_OUTCOME_ERROR,    /* it answered with a failure of its own */
+    MP_OUTCOME_FAILED,   /* no connection, a reset, or silence */
+    MP_OUTCOME_GONE,     /* another target has its address */
+    MP_OUTCOME_CANCELLED /* tells nothing */
 };
 
 struct MpPoolTarget {
@@ -64,13 +64,13 @@
     bool is_gone;
     int64_t cold_until_ms;
     /* load */
-    int32_t running;         /* attempts of this instance */
-    int32_t waiting;         /* ... without a first answer */
-    int64_t prefill_tokens;  /* ... and their tokens that are not cached */
-    int32_t told_running;    /* by the target, of all instances */
+    int32_t running;        /* attempts of this instance */
+    int32_t waiting;        /* ... without a first answer */
+    int64_t prefill_tokens; /* ... and their tokens that are not cached */
+    int32_t told_running;   /* by the target, of all instances */
     int32_t told_waiting;
-    int32_t sent_since;      /* attempts of this instance since it told */
-    int64_t told_ms;         /* 0: never */
+    int32_t sent_since; /* attempts of this instance since it told */
+    int64_t told_ms;    /* 0: never */
     /* health */
     uint32_t failures; /* in a row */
     int64_t paused_until_ms;
@@ -107,8 +107,8 @@
 struct MpPickAsk {
     const char *pool;
     const struct MpCallFacts *facts;
-    bool is_once;    /* the surest target, not the cheapest */
-    bool is_engine;  /* the pool is one of engines */
+    bool is_once;           /* the surest target, not the cheapest */
+    bool is_engine;         /* the pool is one of engines */
     const GPtrArray *avoid; /* of struct MpPoolTarget */
 };
 
--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -141,8 +141,8 @@
     }
     double mtok =
         slice->demand_mtok * MP_SLICE_COVER_MS / (double)MP_SLICE_FADE_MS;
-    int64_t least_mtok = slice->free_mtok /
-                         (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1));
+    int64_t least_mtok =
+        slice->free_mtok / (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1));
     int64_t most_mtok = slice->most_mtok - slice->reserved_mtok;
     return CLAMP(MAX((int64_t)mtok, least_mtok), 0, MAX(most_mtok, 0));
 }
@@ -162,8 +162,8 @@
     int64_t now_ms)
 {
     fade(slice, now_ms);
-    int64_t hold_mtok = slice->reserved_mtok +
-                        cover(this, slice) + slice->need_mtok;
+    int64_t hold_mtok =
+        slice->reserved_mtok + cover(this, slice) + slice->need_mtok;
     if (is_idle(slice)) {
         return false;
     }
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -48,7 +48,7 @@
     uint64_t seq;
     bool is_reporting;
     uint32_t instances; /* that share what is held without demand */
-    bool is_leaving; /* gives all back */
+    bool is_leaving;    /* gives all back */
     int64_t reported_ms;
     int64_t answered_ms; /* when the last answer came */
 };
--- a/src/protocol/OwnDialect.c
+++ b/src/protocol/OwnDialect.c
@@ -84,8 +84,8 @@
     }
     if (json_object_object_get_ex(root, "next", &page) &&
         json_object_is_type(page, json_type_string)) {
-        char *escaped = g_uri_escape_string(json_object_get_string(page),
-                                            NULL, false);
+        char *escaped =
+            g_uri_escape_string(json_object_get_string(page), NULL, false);
         *next = g_strdup_printf("?page=%s", escaped);
         g_free(escaped);
     }
--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -268,10 +268,10 @@
      .text = "Its part, against the sum of all weights of the path."},
     {.name = NULL},
 };
-const struct MpSchema MpDocument_ShareSchema = {
-    .name = "share",
-    .size = sizeof(struct MpShareConf),
-    .fields = share_fields};
+const struct MpSchema MpDocument_ShareSchema = {.name = "share",
+                                                .size =
+                                                    sizeof(struct MpShareConf),
+                                                .fields = share_fields};
 
 static const struct MpField path_fields[] = {
     {.name = "name",
@@ -702,8 +702,8 @@
     struct MpDocument *this = g_new0(struct MpDocument, 1);
     this->references = 1;
     this->by_key = g_hash_table_new(g_str_hash, g_str_equal);
-    this->by_host = g_hash_table_new_full(
-        g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+    this->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                          (GDestroyNotify)g_ptr_array_unref);
     return this;
 }
 
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -92,9 +92,9 @@
 
 /* What the engines of a pool can do. */
 struct MpEngineConf {
-    int64_t slots;         /* 0: the pool is no pool of engines */
+    int64_t slots; /* 0: the pool is no pool of engines */
     int64_t memory_tokens;
-    int64_t event_tokens;  /* most tokens in one event of a stream */
+    int64_t event_tokens; /* most tokens in one event of a stream */
 };
 
 /* Targets that the target list names under the name of the pool. */
@@ -118,9 +118,9 @@
     GPtrArray *services;
     int64_t concurrent_most;
     int64_t rate_per_s;
-    int32_t priority;  /* enum MpClass */
-    int32_t partition; /* enum MpPartitionPolicy */
-    int64_t rank;      /* goes before the priority of a path; -1: none */
+    int32_t priority;       /* enum MpClass */
+    int32_t partition;      /* enum MpPartitionPolicy */
+    int64_t rank;           /* goes before the priority of a path; -1: none */
     int64_t prepaid_tokens; /* granted in all; -1: by top-ups alone */
 };
 
@@ -136,7 +136,7 @@
     GHashTable *pools; /* name -> struct MpPoolConf */
     struct MpLimitConf limits;
     GHashTable *by_host; /* host -> GPtrArray of paths, longest first */
-    GHashTable *by_key; /* key hash -> workspace name, not owned */
+    GHashTable *by_key;  /* key hash -> workspace name, not owned */
 };
 
 extern const struct MpSchema MpDocument_Schema;
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -15,10 +15,11 @@
  *     settled + reserved + leased <= granted
  *
  * holds after every call, but where a document has lowered the prepaid
- * amount: then the largest amount that was granted is the bound.  leased is the sum over the leases.  A request is
- * opened before it is dispatched, which reserves its worst case, and settled
- * once.  A record that is closed stays for the retention time, so that a
- * repeat of its key is answered from it and not billed again.
+ * amount: then the largest amount that was granted is the bound.  leased is
+ * the sum over the leases.  A request is opened before it is dispatched, which
+ * reserves its worst case, and settled once.  A record that is closed stays
+ * for the retention time, so that a repeat of its key is answered from it and
+ * not billed again.
  *
  * The ledger is deterministic: time enters as now_ms, and replicas that
  * apply the same calls in the same order hold the same state.
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -89,8 +89,8 @@
         const struct MpAccount *account = value;
         for (guint i = 0; i < account->leases->len; i++) {
             struct MpLease *lease = g_ptr_array_index(account->leases, i);
-            lease->is_dead |= lease->boot <= boot &&
-                              strcmp(lease->instance, instance) == 0;
+            lease->is_dead |=
+                lease->boot <= boot && strcmp(lease->instance, instance) == 0;
         }
     }
 }
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -65,7 +65,7 @@
     uint64_t document_version;
     char *document;
     char *document_author;
-    GQueue history; /* of struct mp_history, oldest first */
+    GQueue history;                    /* of struct mp_history, oldest first */
     struct mp_slice_held *slices_held; /* answer of the last command */
     uint64_t applied;
     int64_t now_ms;
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -491,13 +491,13 @@
 /* ---- description ---- */
 
 static const char *const type_names[] = {
-    [MP_FIELD_INTEGER] = "integer",        [MP_FIELD_MILLI] = "decimal",
-    [MP_FIELD_BOOLEAN] = "boolean",
-    [MP_FIELD_STRING] = "string",          [MP_FIELD_NAME] = "name",
-    [MP_FIELD_ADDRESS] = "address",        [MP_FIELD_HASH] = "SHA-256",
-    [MP_FIELD_CHOICE] = "choice",          [MP_FIELD_NAMES] = "list of names",
-    [MP_FIELD_HASHES] = "list of SHA-256", [MP_FIELD_OBJECT] = "object",
-    [MP_FIELD_LIST] = "list of objects",   [MP_FIELD_MAP] = "objects by name",
+    [MP_FIELD_INTEGER] = "integer",     [MP_FIELD_MILLI] = "decimal",
+    [MP_FIELD_BOOLEAN] = "boolean",     [MP_FIELD_STRING] = "string",
+    [MP_FIELD_NAME] = "name",           [MP_FIELD_ADDRESS] = "address",
+    [MP_FIELD_HASH] = "SHA-256",        [MP_FIELD_CHOICE] = "choice",
+    [MP_FIELD_NAMES] = "list of names", [MP_FIELD_HASHES] = "list of SHA-256",
+    [MP_FIELD_OBJECT] = "object",       [MP_FIELD_LIST] = "list of objects",
+    [MP_FIELD_MAP] = "objects by name",
 };
 
 static void
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -351,8 +351,9 @@
              "the address for operators needs a token", findings);
     }
     if (this->control->len != 1 || !this->is_control) {
-        need(this->fleet_key ? this->fleet_key : this->fleet_key_file, "fleet_key_file",
-             "several instances need a shared secret", findings);
+        need(this->fleet_key ? this->fleet_key : this->fleet_key_file,
+             "fleet_key_file", "several instances need a shared secret",
+             findings);
     }
 }
 
--- a/src/transport/CallerAnswer.c
+++ b/src/transport/CallerAnswer.c
@@ -10,8 +10,7 @@
 flush(struct MpCallerAnswer *this)
 {
     if (!this->req || !this->is_started || this->is_handed_over ||
-        this->sending->len > 0 ||
-        (this->out->len == 0 && !this->is_last)) {
+        this->sending->len > 0 || (this->out->len == 0 && !this->is_last)) {
         return;
     }
     GByteArray *full = this->out;
--- a/src/transport/ConsoleForm.c
+++ b/src/transport/ConsoleForm.c
@@ -200,8 +200,9 @@
     case MP_FIELD_LIST:
         return read_list(field, form, name);
     case MP_FIELD_MILLI:
-        return text[0] ? json_object_new_double_s(g_ascii_strtod(text, NULL), text)
-                       : NULL;
+        return text[0]
+                   ? json_object_new_double_s(g_ascii_strtod(text, NULL), text)
+                   : NULL;
     case MP_FIELD_INTEGER:
         return text[0] ? read_integer(text) : NULL;
     default:
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -343,7 +343,8 @@
     char *text = text_of_reply(this, reply);
     GPtrArray *findings = MpFindings_New();
     struct MpDocument *document =
-        text ? this->dialect->parse_document(text, strlen(text), findings) : NULL;
+        text ? this->dialect->parse_document(text, strlen(text), findings)
+             : NULL;
     g_ptr_array_unref(findings);
     if (!document) {
         MpLog_Event(LOG_ERR, "document-rejected", "version=%" PRIu64,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -179,8 +179,8 @@
 bool
 MpGateway_IsIdle(const struct MpGateway *this)
 {
-    bool has_slices = this->slices.boot > 0 &&
-                      g_hash_table_size(this->slices.slices) > 0;
+    bool has_slices =
+        this->slices.boot > 0 && g_hash_table_size(this->slices.slices) > 0;
     return this->calls.length == 0 && (!has_slices || this->is_returned);
 }
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -39,7 +39,7 @@
     uint64_t retries_refused; /* counter */
     bool is_leaving;
     int64_t refuse_from_ms; /* leaving: new requests are refused */
-    bool is_returned; /* the slices are given back */
+    bool is_returned;       /* the slices are given back */
 };
 
 void MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -188,8 +188,8 @@
 static void
 next_step(struct MpGatewayCall *this, enum MpFate fate, int code)
 {
-    enum MpForwardStep step = MpForward_Ended(&this->forward, fate,
-                                              has_retry(this), MpLoop_Now());
+    enum MpForwardStep step =
+        MpForward_Ended(&this->forward, fate, has_retry(this), MpLoop_Now());
     if (step == MP_STEP_SEND || step == MP_STEP_RESUME) {
         g_byte_array_set_size(this->partial, 0);
         start_attempt(this);
@@ -202,8 +202,8 @@
 take_load(struct MpGatewayCall *this, const struct MpTargetHead *head)
 {
     size_t size;
-    const char *value = MpTargetHead_Find(
-        head, this->gateway->dialect->target.load, &size);
+    const char *value =
+        MpTargetHead_Find(head, this->gateway->dialect->target.load, &size);
     if (!value) {
         return;
     }
@@ -255,8 +255,8 @@
                           now_ms - this->sent_ms, this->wait_ms);
     bool is_failure = head->status >= 500;
     if (is_turned_away(this, head) ||
-        (is_failure && MpForward_MayRepeatFailure(
-                           &this->forward, has_retry(this), now_ms))) {
+        (is_failure && MpForward_MayRepeatFailure(&this->forward,
+                                                  has_retry(this), now_ms))) {
         return;
     }
     bool is_resumed = this->forward.is_head_sent;
@@ -348,15 +348,14 @@
 {
     struct MpGatewayCall *this = owner;
     this->conn = NULL;
-    MpLog_Event(how == MP_TARGET_WHOLE ? LOG_DEBUG : LOG_WARNING,
-                "attempt-ended",
-                "id=%s target=%s how=%s status=%d took_ms=%" PRId64,
-                this->id ? this->id : "-", this->target->incarnation,
-                how == MP_TARGET_WHOLE      ? "whole"
-                : how == MP_TARGET_NOT_SENT ? "not-sent"
-                                            : "cut",
-                this->has_answered ? this->status : 0,
-                MpLoop_Now() - this->sent_ms);
+    MpLog_Event(
+        how == MP_TARGET_WHOLE ? LOG_DEBUG : LOG_WARNING, "attempt-ended",
+        "id=%s target=%s how=%s status=%d took_ms=%" PRId64,
+        this->id ? this->id : "-", this->target->incarnation,
+        how == MP_TARGET_WHOLE      ? "whole"
+        : how == MP_TARGET_NOT_SENT ? "not-sent"
+                                    : "cut",
+        this->has_answered ? this->status : 0, MpLoop_Now() - this->sent_ms);
     if (how == MP_TARGET_WHOLE) {
         on_whole(this);
         return;
@@ -366,8 +365,7 @@
         next_step(this, MP_FATE_NOT_RUN, MP_ERROR_NO_TARGET);
         return;
     }
-    next_step(this,
-              this->forward.is_head_sent ? MP_FATE_CUT : MP_FATE_UNKNOWN,
+    next_step(this, this->forward.is_head_sent ? MP_FATE_CUT : MP_FATE_UNKNOWN,
               MP_ERROR_STREAM_CUT);
 }
 
@@ -396,45 +394,41 @@
     MpPoolTarget_Begin(target, &this->facts, picked->prefill_tokens, now_ms);
     g_ptr_array_add(this->avoid, target);
     struct MpTargetRequest request = {
-        .bytes = MpGatewayRequest_Make(
-            this, target, MpForward_Left(&this->forward, now_ms)),
+        .bytes = MpGatewayRequest_Make(this, target,
+                                       MpForward_Left(&this->forward, now_ms)),
         .id_header = gateway->dialect->target.request,
         .id = this->id,
         .is_head = this->is_head,
     };
     this->conn = MpTargetPlace_Send(target->connections, &attempt_class, this,
                                     &request);
-    MpLog_Event(LOG_INFO, "request-sent",
-                "id=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
-                " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64
-                " list=%" PRIu64 " left_ms=%" PRId64,
-                this->id ? this->id : "-", target->incarnation, this->pool,
-                this->forward.sends, picked->wait_ms, picked->prefill_tokens,
-                target->running,
-                target->told_ms > 0 ? now_ms - target->told_ms : -1,
-                gateway->roster.version,
-                MpForward_Left(&this->forward, now_ms));
+    MpLog_Event(
+        LOG_INFO, "request-sent",
+        "id=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
+        " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64 " list=%" PRIu64
+        " left_ms=%" PRId64,
+        this->id ? this->id : "-", target->incarnation, this->pool,
+        this->forward.sends, picked->wait_ms, picked->prefill_tokens,
+        target->running, target->told_ms > 0 ? now_ms - target->told_ms : -1,
+        gateway->roster.version, MpForward_Left(&this->forward, now_ms));
 }
 
 /* Picks one of the pools of the path by their weights. */
 static const char *
 choose_pool(const struct MpPathConf *path)
 {
+    const struct MpShareConf *chosen = g_ptr_array_index(path->shares, 0);
     int64_t sum = 0;
-    const struct MpShareConf *share = NULL;
     for (guint i = 0; i < path->shares->len; i++) {
-        share = g_ptr_array_index(path->shares, i);
+        const struct MpShareConf *share = g_ptr_array_index(path->shares, i);
         sum += share->weight;
-    }
-    int64_t at = (int64_t)(g_random_double() * (double)sum);
-    for (guint i = 0; i < path->shares->len; i++) {
-        share = g_ptr_array_index(path->shares, i);
-        if (at < share->weight) {
-            return share->pool;
+        /* Each share replaces the choice with its part of the sum so far. */
+        if (share->weight > 0 &&
+            g_random_double() * (double)sum < (double)share->weight) {
+            chosen = share;
         }
-        at -= share->weight;
     }
-    return share->pool;
+    return chosen->pool;
 }
 
 static void
@@ -540,9 +534,9 @@
 take_budget(struct MpGatewayCall *this)
 {
     const struct MpWorkspaceConf *workspace =
-        this->workspace ? g_hash_table_lookup(this->document->workspaces,
-                                              this->workspace)
-                        : NULL;
+        this->workspace
+            ? g_hash_table_lookup(this->document->workspaces, this->workspace)
+            : NULL;
     int64_t tokens =
         this->facts.prompt_tokens + this->facts.output_tokens_most;
     if (!workspace || workspace->prepaid_tokens < 0 || tokens == 0) {
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -7,10 +7,17 @@
 #include <string.h>
 
 /* Headers that concern one connection only. */
-static const char *const hop_headers[] = {
-    "connection",        "keep-alive", "proxy-connection", "te",
-    "trailer",           "upgrade",    "expect",           "content-length",
-    "transfer-encoding", "host",       NULL};
+static const char *const hop_headers[] = {"connection",
+                                          "keep-alive",
+                                          "proxy-connection",
+                                          "te",
+                                          "trailer",
+                                          "upgrade",
+                                          "expect",
+                                          "content-length",
+                                          "transfer-encoding",
+                                          "host",
+                                          NULL};
 
 static bool
 is_named(const char *name, size_t size, const char *const *list)
--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -36,10 +36,10 @@
 static bool
 is_allowed(int priority, size_t size)
 {
-    int64_t kept = priority >= LOG_INFO
-                       ? MP_LOG_BYTES_PER_S *
-                             (1000 - MP_LOG_NORMAL_PERMILLE) / 1000
-                       : 0;
+    int64_t kept =
+        priority >= LOG_INFO
+            ? MP_LOG_BYTES_PER_S * (1000 - MP_LOG_NORMAL_PERMILLE) / 1000
+            : 0;
     refill();
     return allowance_bytes - (int64_t)size >= kept;
 }
--- a/src/transport/NumberedDocument.c
+++ b/src/transport/NumberedDocument.c
@@ -21,7 +21,8 @@
 static bool
 is_call(const h2o_req_t *req, const char *method, const char *path)
 {
-    return path && MpHttp_Is(req->method, method) && MpHttp_Is(req->path, path);
+    return path && MpHttp_Is(req->method, method) &&
+           MpHttp_Is(req->path, path);
 }
 
 bool
@@ -62,8 +63,7 @@
     if (code == MP_OK) {
         code = result->code;
     }
-    MpLog_Event(code == MP_OK ? LOG_NOTICE : LOG_WARNING,
-                "document-submitted",
+    MpLog_Event(code == MP_OK ? LOG_NOTICE : LOG_WARNING, "document-submitted",
                 "error=%s version=%" PRIu64 " in_force=%" PRIu64,
                 MpError_Name(code), call->number,
                 code == MP_OK ? (uint64_t)result->number : 0);
@@ -83,8 +83,8 @@
     GHashTableIter iter;
     void *name;
     void *value;
-    struct mp_grant *list = g_new0(
-        struct mp_grant, g_hash_table_size(document->workspaces) + 1);
+    struct mp_grant *list =
+        g_new0(struct mp_grant, g_hash_table_size(document->workspaces) + 1);
     *count = 0;
     g_hash_table_iter_init(&iter, document->workspaces);
     while (g_hash_table_iter_next(&iter, &name, &value)) {
@@ -103,14 +103,13 @@
 {
     struct mp_command command = {.body = {.kind = MP_CMD_DOCUMENT}};
     struct mp_document_put *put = &command.body.mp_command_body_u.document;
-    char *submission =
-        g_strdup_printf("number-%" PRIu64, document->version);
-    *put = (struct mp_document_put){
-        .submission = submission,
-        .author = (char *)"",
-        .number = document->version,
-        .retention_ms = document->retention_s * 1000,
-        .text = call->document};
+    char *submission = g_strdup_printf("number-%" PRIu64, document->version);
+    *put =
+        (struct mp_document_put){.submission = submission,
+                                 .author = (char *)"",
+                                 .number = document->version,
+                                 .retention_ms = document->retention_s * 1000,
+                                 .text = call->document};
     put->grants.grants_val = list_grants(document, &put->grants.grants_len);
     call->number = document->version;
     MpFleet_Propose(call->server->fleet, &command, MpLoop_Now() + PUT_WAIT_MS,
@@ -136,9 +135,9 @@
     h2o_iovec_t body = call->req->entity;
     GPtrArray *findings = MpFindings_New();
     call->document = g_strndup(body.len ? body.base : "", body.len);
-    struct MpDocument *document = dialect_of(call->server)
-                                      ->parse_document(call->document,
-                                                       body.len, findings);
+    struct MpDocument *document =
+        dialect_of(call->server)
+            ->parse_document(call->document, body.len, findings);
     if (document) {
         propose(call, document);
         MpDocument_Unref(document);
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -249,9 +249,9 @@
     }
     int code = MP_OK;
     if (settings->listen.metrics) {
-        code = MpHttpServer_Start(&this->metrics, loop,
-                                  settings->listen.metrics, METRICS_BODY_BYTES,
-                                  on_metrics_request, this);
+        code =
+            MpHttpServer_Start(&this->metrics, loop, settings->listen.metrics,
+                               METRICS_BODY_BYTES, on_metrics_request, this);
     }
     if (code != MP_OK || !settings->listen.operators) {
         return code;
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -222,8 +222,8 @@
     g_ptr_array_sort(seeds, compare_addresses);
     remember_identity(this, this->address, this->settings->instance, this->id);
     for (guint i = 0; i < seeds->len; i++) {
-        const struct mp_member *member = g_hash_table_lookup(
-            this->identified, g_ptr_array_index(seeds, i));
+        const struct mp_member *member =
+            g_hash_table_lookup(this->identified, g_ptr_array_index(seeds, i));
         if (member) {
             list[count++] = *member;
         }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -252,8 +252,8 @@
     this->refuse_from_ms = MpLoop_Now() + this->settings->drain_notice_ms;
     this->drain_until_ms = this->refuse_from_ms + this->settings->drain_ms;
     if (this->settings->stop_within_ms > 0) {
-        this->drain_until_ms = MpLoop_Now() + this->settings->stop_within_ms -
-                               STOP_MARGIN_MS;
+        this->drain_until_ms =
+            MpLoop_Now() + this->settings->stop_within_ms - STOP_MARGIN_MS;
     }
     MpGateway_Leave(&this->gateway, this->refuse_from_ms);
     MpLeaseKeeper_HandInAll(this->leases);
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -21,7 +21,7 @@
     const struct MpTargetConnClass *klass; /* NULL while idle */
     void *owner;
     struct MpTargetPlace *place;
-    GList link;                  /* in place->idle */
+    GList link; /* in place->idle */
     h2o_socket_t *socket;
     struct MpTimer timer;
     http_parser parser;
@@ -171,8 +171,8 @@
     }
     char *text = g_strndup(value, size);
     const char *timeout = strstr(text, "timeout=");
-    int64_t keep_ms = timeout ? strtoll(timeout + 8, NULL, 10) * 1000
-                              : MP_TARGET_KEEP_MS;
+    int64_t keep_ms =
+        timeout ? strtoll(timeout + 8, NULL, 10) * 1000 : MP_TARGET_KEEP_MS;
     g_free(text);
     return keep_ms;
 }
@@ -185,8 +185,8 @@
         return true;
     }
     const char *value = MpTargetHead_Find(head, this->id_header, &size);
-    return !value || (size == strlen(this->id) &&
-                      memcmp(value, this->id, size) == 0);
+    return !value ||
+           (size == strlen(this->id) && memcmp(value, this->id, size) == 0);
 }
 
 static int
@@ -205,12 +205,11 @@
                                     .value_size = at->value_size};
     }
     bool has_size = (parser->flags & F_CONTENTLENGTH) != 0;
-    struct MpTargetHead head = {.status = (int)parser->status_code,
-                                .size = has_size
-                                            ? (int64_t)parser->content_length
-                                            : -1,
-                                .headers = headers,
-                                .count = count};
+    struct MpTargetHead head = {
+        .status = (int)parser->status_code,
+        .size = has_size ? (int64_t)parser->content_length : -1,
+        .headers = headers,
+        .count = count};
     bool is_interim = head.status >= 100 && head.status < 200;
     this->is_stray = is_interim || !is_own_answer(this, &head);
     if (this->is_stray && !is_interim) {
@@ -277,7 +276,8 @@
 static void
 complete(struct MpTargetConn *this)
 {
-    bool is_kept = this->is_reusable && this->is_written && !this->place->is_deleted &&
+    bool is_kept = this->is_reusable && this->is_written &&
+                   !this->place->is_deleted &&
                    this->socket->input->size == 0 && !this->is_paused;
     if (!is_kept) {
         fail(this, MP_TARGET_WHOLE);
@@ -369,8 +369,8 @@
 static void
 write_request(struct MpTargetConn *this)
 {
-    h2o_iovec_t buffer = h2o_iovec_init(this->request->data,
-                                        this->request->len);
+    h2o_iovec_t buffer =
+        h2o_iovec_init(this->request->data, this->request->len);
     this->is_written = false;
     this->is_sent = true;
     start_parser(this);
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -58,8 +58,8 @@
     }
     int64_t wait_ms = MIN(RETRY_MS << MIN(this->failures, 8), RETRY_MOST_MS);
     this->failures++;
-    wait_for(this, MAX(wait_ms,
-                       this->gateway->settings->target_list.interval_ms));
+    wait_for(this,
+             MAX(wait_ms, this->gateway->settings->target_list.interval_ms));
 }
 
 static void
@@ -147,8 +147,7 @@
     this->status = 0;
     this->calls++;
     struct MpTargetRequest request = {.bytes = bytes};
-    this->conn =
-        MpTargetPlace_Send(this->place, &page_class, this, &request);
+    this->conn = MpTargetPlace_Send(this->place, &page_class, this, &request);
     MpLoop_SetTimer(this->gateway->loop, &this->timer, PAGE_WAIT_MS,
                     on_page_late, this);
 }
@@ -159,8 +158,7 @@
     const char *address = gateway->settings->target_list.address;
     struct MpTargetList *this = g_new0(struct MpTargetList, 1);
     this->gateway = gateway;
-    this->targets =
-        g_ptr_array_new_with_free_func(MpListedTarget_Delete);
+    this->targets = g_ptr_array_new_with_free_func(MpListedTarget_Delete);
     this->body = g_byte_array_new();
     if (address) {
         this->place = MpTargetPlace_New(gateway->loop, address);
--- a/tests/TestLoop.c
+++ b/tests/TestLoop.c
@@ -49,8 +49,8 @@
 {
     int ends[2];
     struct closing closing = {.rounds = 0};
-    g_assert_cmpint(
-        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), ==, 0);
+    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends),
+                    ==, 0);
     MpLoop_Init(&closing.loop);
     closing.socket = h2o_evloop_socket_create(closing.loop.h2o, ends[0],
                                               H2O_SOCKET_FLAG_DONT_READ);
--- a/tests/TestRaft.c
+++ b/tests/TestRaft.c
@@ -80,8 +80,8 @@
         .term = 1,
         .entries = {.entries_val = &entry, .entries_len = 1},
     };
-    g_assert_cmpint(
-        MpRaft_Init(&lonely.raft, &lonely.port, 2, NULL, 7, 0), ==, MP_OK);
+    g_assert_cmpint(MpRaft_Init(&lonely.raft, &lonely.port, 2, NULL, 7, 0), ==,
+                    MP_OK);
     MpRaft_Receive(&lonely.raft, &append, 10);
     g_assert_cmpuint(MpRaft_LastIndex(&lonely.raft), ==, 1);
     guint before = lonely.snapshots;
