Replicas are learned only where the settings name seeds

Change: a list of all replicas in the settings is the last word. The check now prints what a run saw.

--- a/Makefile
+++ b/Makefile
@@ -147,7 +147,7 @@
 test: format lint all $(TESTS) $(FUZZERS) $(BUILD)/asan/mimosapath
 	MIMOSAPATH=$(BUILD)/asan/mimosapath FUZZERS=$(BUILD)/fuzz \
 	ASAN_OPTIONS=detect_leaks=0 \
-	prove --exec tests/exec tests/examples.t tests/fuzz.t $(TESTS) \
+	prove --comments --exec tests/exec tests/examples.t tests/fuzz.t $(TESTS) \
 		tests/runs.t
 
 demo: packages
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -109,12 +109,21 @@
     g_ptr_array_add(this->clients, client);
 }
 
+/* Where the settings list all replicas, that list is the last word. */
+static void
+learn_replica(struct MpFleet *this, const char *address)
+{
+    if (this->settings->seeds->len > 0) {
+        MpFleet_AddReplica(this, address);
+    }
+}
+
 /* Moves on to the replica at address, or to the next one. */
 static void
 follow_leader(struct MpFleet *this, guint asked, const char *address)
 {
     if (address[0]) {
-        MpFleet_AddReplica(this, address);
+        learn_replica(this, address);
     }
     for (guint i = 0; address[0] && i < this->clients->len; i++) {
         const struct MpRpcClient *client = g_ptr_array_index(this->clients, i);
@@ -395,7 +404,7 @@
     take_poisons(this, reply);
     this->instances = reply->instances;
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
-        MpFleet_AddReplica(this, reply->replicas.replicas_val[i].address);
+        learn_replica(this, reply->replicas.replicas_val[i].address);
     }
     for (u_int i = 0; i < reply->recalls.recalls_len; i++) {
         this->listener->recall(this->owner,
