--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -73,6 +73,17 @@
     return g_hash_table_lookup(this->records, id);
 }
 
+int64_t
+MpAccount_Dead(const struct MpAccount *this)
+{
+    int64_t dead_mtok = 0;
+    for (guint i = 0; i < this->leases->len; i++) {
+        const struct MpLease *lease = g_ptr_array_index(this->leases, i);
+        dead_mtok += lease->is_dead ? lease->amount_mtok : 0;
+    }
+    return dead_mtok;
+}
+
 int64_t
 MpAccount_Free(const struct MpAccount *this)
 {
@@ -213,12 +224,7 @@
 static int64_t
 slices_most(const struct MpAccount *account, int64_t *live_mtok)
 {
-    int64_t dead_mtok = 0;
-    for (guint i = 0; i < account->leases->len; i++) {
-        const struct MpLease *lease = g_ptr_array_index(account->leases, i);
-        dead_mtok += lease->is_dead ? lease->amount_mtok : 0;
-    }
-    *live_mtok = account->leased_mtok - dead_mtok;
+    *live_mtok = account->leased_mtok - MpAccount_Dead(account);
     int64_t left_mtok = MAX(MpAccount_Free(account) + *live_mtok, 0);
     return left_mtok / 1000 * MP_LEDGER_SLICES_PERMILLE;
 }
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -105,6 +105,9 @@
 struct MpRecord *MpLedger_FindRecord(const struct MpLedger *this,
                                      const char *workspace, const char *key);
 
+/* Returns what incarnations held that have ended. */
+int64_t MpAccount_Dead(const struct MpAccount *this);
+
 /* Returns what of account is neither settled, reserved nor leased. */
 int64_t MpAccount_Free(const struct MpAccount *this);
 
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -11,6 +11,9 @@
 
 #define TICK_MS 10
 #define SURVEY_MS 300
+/* Pause between two reports of the budgets in the log, ms, and its lines. */
+#define ACCOUNTS_PAUSE_MS 5000
+#define ACCOUNTS_LINES 32
 #define IDENTITY_NAME "identity"
 #define IDENTIFY_TIMEOUT_MS 1000
 
@@ -345,6 +348,34 @@
     MpLoop_SetTimer(this->loop, &this->tick, TICK_MS, on_tick, this);
 }
 
+/* Tells how the budgets stand, on the leader. */
+static void
+log_accounts(struct MpReplica *this, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    guint lines = 0;
+    if (now_ms - this->accounts_told_ms < ACCOUNTS_PAUSE_MS) {
+        return;
+    }
+    this->accounts_told_ms = now_ms;
+    g_hash_table_iter_init(&iter, this->machine.ledger.accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           lines < ACCOUNTS_LINES) {
+        const struct MpAccount *account = value;
+        lines++;
+        MpLog_Event(LOG_INFO, "account",
+                    "workspace=%s granted_mtok=%" PRId64
+                    " settled_mtok=%" PRId64 " reserved_mtok=%" PRId64
+                    " leased_mtok=%" PRId64 " dead_mtok=%" PRId64
+                    " applied=%" PRIu64,
+                    account->workspace, account->granted_mtok,
+                    account->settled_mtok, account->reserved_mtok,
+                    account->leased_mtok, MpAccount_Dead(account),
+                    this->machine.applied);
+    }
+}
+
 static void
 on_survey(struct MpTimer *timer)
 {
@@ -353,6 +384,7 @@
     if (MpRaft_IsLeader(&this->raft)) {
         MpMembership_Advance(&this->membership, &this->raft);
         MpReplica_FenceSilent(this);
+        log_accounts(this, MpLoop_Now());
     }
     MpLoop_SetTimer(this->loop, &this->survey, SURVEY_MS, on_survey, this);
 }
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -66,6 +66,7 @@
     GHashTable *identified; /* address -> struct mp_member, while empty */
     struct MpTimer tick;
     struct MpTimer survey;
+    int64_t accounts_told_ms;
     bool is_failed;
     bool was_leader;
     uint64_t applied_commands; /* counter */
