Fuzz of slices and of the life of a request

Oracles: all that routers spent stays within the prepaid amount, a router never may spend more than is set aside for it, nothing is billed that was not spent; at most once, true refusals, bounded attempts, each event once.

--- /dev/null
+++ b/fuzz/FuzzSlices.c
@@ -0,0 +1,435 @@
+#include "Input.h"
+
+#include "coordination/Slices.h"
+#include "state/Error.h"
+#include "state/LedgerInternal.h"
+#include "state/Machine.h"
+
+#include <string.h>
+
+/*
+ * FuzzSlices - routers that spend from slices, and the ledger that grants
+ * them, while reports are lost, late and doubled and routers die.
+ *
+ * Oracle: what all lives of all routers have really spent never exceeds what
+ * was prepaid; once all that live have reported and no life was lost, the
+ * ledger has billed just that.
+ */
+
+#define ROUTERS 4
+#define WORKSPACES 2
+#define REQUESTS 8
+#define FLYING 12
+
+struct request {
+    bool is_open;
+    uint32_t workspace;
+    uint64_t boot;
+    int64_t reserved;
+};
+
+struct router {
+    char name[8];
+    struct MpSlices slices;
+    struct request requests[REQUESTS];
+    uint64_t nonce;
+    bool is_waiting; /* for the answer of the last report */
+};
+
+/* A report on its way, which may be applied at any time, more than once. */
+struct flying {
+    bool is_there;
+    uint32_t router;
+    uint64_t boot;
+    struct mp_slices report;
+};
+
+struct world {
+    struct MpMachine machine;
+    struct router routers[ROUTERS];
+    struct flying flying[FLYING];
+    int64_t spent[WORKSPACES];
+    int64_t prepaid[WORKSPACES];
+    uint64_t version;
+    uint64_t nonces;
+    int64_t now_ms;
+    bool is_life_lost;
+};
+
+static char *const names[WORKSPACES] = {(char *)"small", (char *)"large"};
+
+static struct mp_result
+apply(struct world *world, const struct mp_command_body *body)
+{
+    struct mp_command command = {.at_ms = world->now_ms, .body = *body};
+    struct mp_result result;
+    MpMachine_Apply(&world->machine, world->machine.applied + 1, &command,
+                    &result);
+    return result;
+}
+
+static void
+grant(struct world *world)
+{
+    struct mp_command_body body = {.kind = MP_CMD_DOCUMENT};
+    struct mp_grant grants[WORKSPACES];
+    for (uint32_t i = 0; i < WORKSPACES; i++) {
+        grants[i] = (struct mp_grant){.workspace = names[i],
+                                      .prepaid_mtok = world->prepaid[i]};
+    }
+    body.mp_command_body_u.document = (struct mp_document_put){
+        .submission = (char *)"",
+        .author = (char *)"",
+        .number = ++world->version,
+        .grants = {.grants_val = grants, .grants_len = WORKSPACES},
+        .text = (char *)""};
+    apply(world, &body);
+}
+
+/* An older change that comes again must change nothing. */
+static void
+send_old_document(struct world *world)
+{
+    uint64_t newest = world->version;
+    if (newest > 1) {
+        world->version = newest - 2;
+        grant(world);
+        world->version = newest;
+    }
+}
+
+/* The leader takes a router for dead that lives on; it registers anew and
+ * its requests run on. */
+static void
+fence(struct world *world, struct router *router, bool registers)
+{
+    struct mp_command_body body = {.kind = MP_CMD_FENCE};
+    body.mp_command_body_u.fence = (struct mp_holder){
+        .instance = router->name, .boot = router->slices.boot};
+    apply(world, &body);
+    world->is_life_lost = true;
+    if (!registers) {
+        return;
+    }
+    body.kind = MP_CMD_REGISTER;
+    router->nonce = ++world->nonces;
+    body.mp_command_body_u.reg =
+        (struct mp_register){.instance = router->name, .nonce = router->nonce};
+    struct mp_result result = apply(world, &body);
+    MpSlices_Registered(&router->slices, result.number);
+    router->is_waiting = false;
+}
+
+static void
+start_life(struct world *world, struct router *router)
+{
+    struct mp_command_body body = {.kind = MP_CMD_REGISTER};
+    MpSlices_Init(&router->slices);
+    router->slices.instances = ROUTERS;
+    memset(router->requests, 0, sizeof(router->requests));
+    router->is_waiting = false;
+    router->nonce = ++world->nonces;
+    body.mp_command_body_u.reg =
+        (struct mp_register){.instance = router->name, .nonce = router->nonce};
+    struct mp_result result = apply(world, &body);
+    MpSlices_Registered(&router->slices, result.number);
+    for (uint32_t i = 0; i < WORKSPACES; i++) {
+        MpSlices_Add(&router->slices, names[i]);
+    }
+}
+
+/* ---- requests ---- */
+
+static void
+open_request(struct world *world, struct router *router,
+             struct FuzzInput *input)
+{
+    for (uint32_t i = 0; i < REQUESTS; i++) {
+        struct request *request = &router->requests[i];
+        if (request->is_open) {
+            continue;
+        }
+        request->workspace = FuzzInput_Below(input, WORKSPACES);
+        request->reserved = 1 + FuzzInput_Byte(input) * 40;
+        request->boot = router->slices.boot;
+        request->is_open =
+            MpSlices_Reserve(&router->slices, names[request->workspace],
+                             request->reserved, FuzzInput_Below(input, 2),
+                             world->now_ms) == MP_OK;
+        return;
+    }
+}
+
+static void
+close_request(struct world *world, struct router *router,
+              struct FuzzInput *input)
+{
+    struct request *request =
+        &router->requests[FuzzInput_Below(input, REQUESTS)];
+    if (!request->is_open) {
+        return;
+    }
+    int64_t used = request->reserved * FuzzInput_Byte(input) / 255;
+    world->spent[request->workspace] += used;
+    MpSlices_Settle(&router->slices, names[request->workspace], request->boot,
+                    request->reserved, used);
+    request->is_open = false;
+}
+
+/* ---- reports ---- */
+
+static void
+drop(struct flying *flying)
+{
+    g_free(flying->report.list.list_val);
+    flying->is_there = false;
+}
+
+static void
+send_report(struct world *world, uint32_t number)
+{
+    struct router *router = &world->routers[number];
+    struct flying *free_place = NULL;
+    for (uint32_t i = 0; i < FLYING && !free_place; i++) {
+        free_place = world->flying[i].is_there ? NULL : &world->flying[i];
+    }
+    if (!free_place || !MpSlices_IsDue(&router->slices, world->now_ms)) {
+        return;
+    }
+    *free_place = (struct flying){
+        .is_there = true, .router = number, .boot = router->slices.boot};
+    free_place->report.holder = (struct mp_holder){
+        .instance = router->name, .boot = router->slices.boot};
+    MpSlices_Report(&router->slices, &free_place->report, world->now_ms);
+    for (u_int i = 0; i < free_place->report.list.list_len; i++) {
+        struct mp_slice *slice = &free_place->report.list.list_val[i];
+        slice->workspace =
+            names[strcmp(slice->workspace, names[0]) == 0 ? 0 : 1];
+    }
+    router->is_waiting = true;
+}
+
+/* Applies a report, answers it or not, and keeps it to come again or not. */
+static void
+land(struct world *world, struct flying *flying, struct FuzzInput *input)
+{
+    struct mp_command_body body = {.kind = MP_CMD_SLICES};
+    struct router *router = &world->routers[flying->router];
+    uint32_t fate = FuzzInput_Below(input, 8);
+    body.mp_command_body_u.slices = flying->report;
+    struct mp_result result = {.code = MP_ERROR_TIMEOUT};
+    if (fate != 7) {
+        result = apply(world, &body);
+    }
+    bool is_newest = router->is_waiting &&
+                     flying->report.seq == router->slices.seq &&
+                     flying->boot == router->slices.boot;
+    if (is_newest) {
+        bool is_answered = fate < 5 && result.code == MP_OK;
+        MpSlices_Take(&router->slices, is_answered ? &result : NULL,
+                      world->now_ms);
+        router->is_waiting = false;
+    }
+    if (fate != 6) {
+        drop(flying);
+    }
+}
+
+/* ---- the world ---- */
+
+static void
+reload(struct world *world)
+{
+    GBytes *bytes = MpMachine_Save(&world->machine);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    MpMachine_Done(&world->machine);
+    MpMachine_Init(&world->machine);
+    if (MpMachine_Load(&world->machine, data, size) != MP_OK) {
+        Fuzz_Fail("a snapshot cannot be loaded");
+    }
+    g_bytes_unref(bytes);
+}
+
+/* A router may never spend more than the ledger has set aside for it. */
+static void
+check_slice(const struct world *world, const struct router *router,
+            const char *workspace)
+{
+    const struct MpAccount *account =
+        MpLedger_Find(&world->machine.ledger, workspace);
+    const struct MpLease *lease =
+        MpLedger_FindLease(account, router->name, router->slices.boot);
+    const struct MpSlice *slice =
+        g_hash_table_lookup(router->slices.slices, workspace);
+    int64_t aside = lease ? lease->amount_mtok + lease->spent_mtok : 0;
+    if (slice && slice->held_mtok + slice->spent_mtok > aside) {
+        Fuzz_Fail("%s may spend %" G_GINT64_FORMAT " of %s, %" G_GINT64_FORMAT
+                  " is set aside",
+                  router->name, slice->held_mtok + slice->spent_mtok,
+                  workspace, aside);
+    }
+}
+
+static void
+check(const struct world *world)
+{
+    if (MpLedger_Check(&world->machine.ledger) != MP_OK) {
+        Fuzz_Fail("the ledger's books do not balance");
+    }
+    if (world->machine.document_version != world->version) {
+        Fuzz_Fail("document %d is in force after %d",
+                  (int)world->machine.document_version, (int)world->version);
+    }
+    for (uint32_t i = 0; i < ROUTERS; i++) {
+        for (uint32_t k = 0; k < WORKSPACES; k++) {
+            check_slice(world, &world->routers[i], names[k]);
+        }
+    }
+    for (uint32_t i = 0; i < WORKSPACES; i++) {
+        const struct MpAccount *account =
+            MpLedger_Find(&world->machine.ledger, names[i]);
+        if (account->settled_mtok > world->spent[i]) {
+            Fuzz_Fail("%s spent %" G_GINT64_FORMAT
+                      " and was billed %" G_GINT64_FORMAT,
+                      names[i], world->spent[i], account->settled_mtok);
+        }
+        if (world->spent[i] > world->prepaid[i]) {
+            Fuzz_Fail("%s spent %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT,
+                      names[i], world->spent[i], world->prepaid[i]);
+        }
+    }
+}
+
+static void
+step(struct world *world, struct FuzzInput *input)
+{
+    uint32_t number = FuzzInput_Below(input, ROUTERS);
+    struct router *router = &world->routers[number];
+    switch (FuzzInput_Below(input, 16)) {
+    case 0:
+        if (FuzzInput_Below(input, 16) == 0) {
+            MpSlices_Done(&router->slices);
+            world->is_life_lost = true;
+            start_life(world, router);
+        }
+        else if (FuzzInput_Below(input, 16) == 0) {
+            fence(world, router, FuzzInput_Below(input, 2));
+        }
+        break;
+    case 1:
+        if (FuzzInput_Below(input, 8) == 0) {
+            reload(world);
+        }
+        break;
+    case 2:
+        if (FuzzInput_Below(input, 16) == 0) {
+            send_old_document(world);
+        }
+        else if (FuzzInput_Below(input, 8) == 0) {
+            world->prepaid[FuzzInput_Below(input, WORKSPACES)] += 3000;
+            grant(world);
+        }
+        break;
+    case 3:
+        world->now_ms += FuzzInput_Byte(input) * 8;
+        break;
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        open_request(world, router, input);
+        break;
+    case 8:
+    case 9:
+    case 10:
+        close_request(world, router, input);
+        break;
+    case 11:
+    case 12:
+        send_report(world, number);
+        break;
+    default: {
+        struct flying *flying = &world->flying[FuzzInput_Below(input, FLYING)];
+        if (flying->is_there) {
+            land(world, flying, input);
+        }
+        break;
+    }
+    }
+    check(world);
+    Fuzz_Steps++;
+}
+
+/* All routers end their requests and report until nothing changes. */
+static void
+settle_all(struct world *world)
+{
+    struct FuzzInput nothing = {.size = 0};
+    for (uint32_t i = 0; i < FLYING; i++) {
+        if (world->flying[i].is_there) {
+            land(world, &world->flying[i], &nothing);
+        }
+    }
+    for (uint32_t i = 0; i < ROUTERS; i++) {
+        struct router *router = &world->routers[i];
+        for (uint32_t k = 0; k < REQUESTS; k++) {
+            struct request *request = &router->requests[k];
+            if (request->is_open) {
+                world->spent[request->workspace] += request->reserved;
+                MpSlices_Settle(&router->slices, names[request->workspace],
+                                request->boot, request->reserved,
+                                request->reserved);
+            }
+        }
+        for (int round = 0; round < 2; round++) {
+            world->now_ms += 2 * MP_SLICE_REPORT_MS;
+            if (router->is_waiting) {
+                MpSlices_Take(&router->slices, NULL, world->now_ms);
+                router->is_waiting = false;
+            }
+            send_report(world, i);
+            for (uint32_t k = 0; k < FLYING; k++) {
+                if (world->flying[k].is_there) {
+                    land(world, &world->flying[k], &nothing);
+                }
+            }
+        }
+    }
+    check(world);
+    for (uint32_t i = 0; i < WORKSPACES && !world->is_life_lost; i++) {
+        const struct MpAccount *account =
+            MpLedger_Find(&world->machine.ledger, names[i]);
+        if (account->settled_mtok != world->spent[i]) {
+            Fuzz_Fail("%s spent %" G_GINT64_FORMAT
+                      " and was billed %" G_GINT64_FORMAT,
+                      names[i], world->spent[i], account->settled_mtok);
+        }
+    }
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    struct FuzzInput input = {.data = data, .size = size};
+    struct world *world = g_new0(struct world, 1);
+    MpMachine_Init(&world->machine);
+    world->prepaid[0] = 20000;
+    world->prepaid[1] = 400000;
+    grant(world);
+    for (uint32_t i = 0; i < ROUTERS; i++) {
+        g_snprintf(world->routers[i].name, sizeof(world->routers[i].name),
+                   "r%u", i);
+        start_life(world, &world->routers[i]);
+    }
+    while (!FuzzInput_IsOver(&input)) {
+        step(world, &input);
+    }
+    settle_all(world);
+    for (uint32_t i = 0; i < ROUTERS; i++) {
+        MpSlices_Done(&world->routers[i].slices);
+    }
+    MpMachine_Done(&world->machine);
+    g_free(world);
+    return 0;
+}
--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -1,5 +1,7 @@
 #include "coordination/Forward.h"
 
+#include "state/Fault.h"
+
 #include <glib.h>
 
 void
@@ -47,18 +49,25 @@
 {
     bool may_repeat = fate == MP_FATE_NOT_RUN;
     if (fate != MP_FATE_NOT_RUN) {
-        this->may_have_run = true;
+        this->may_have_run = !MP_FAULT(MP_FAULT_REFUSED_AFTER_UNKNOWN);
         this->runs++;
-        may_repeat =
-            this->repeat != MP_REPEAT_ONCE && this->runs < this->attempts_most;
+        may_repeat = (this->repeat != MP_REPEAT_ONCE ||
+                      MP_FAULT(MP_FAULT_REPEATED_ONCE)) &&
+                     (this->runs < this->attempts_most ||
+                      MP_FAULT(MP_FAULT_ATTEMPTS_UNBOUNDED));
     }
     if (this->is_head_sent && this->repeat != MP_REPEAT_RESUME) {
         may_repeat = false;
     }
-    if (!may_repeat || !has_budget || this->sends >= MP_FORWARD_SENDS_MOST ||
-        MpForward_Left(this, now_ms) < MP_FORWARD_LEAST_MS) {
+    bool is_late = MpForward_Left(this, now_ms) < MP_FORWARD_LEAST_MS &&
+                   !MP_FAULT(MP_FAULT_SENT_AFTER_DEADLINE);
+    if (!may_repeat || !has_budget || is_late ||
+        this->sends >= MP_FORWARD_SENDS_MOST) {
         return give_up(this);
     }
+    if (MP_FAULT(MP_FAULT_SENT_ANEW_AFTER_HEAD)) {
+        this->last_event = -1;
+    }
     return this->is_head_sent ? MP_STEP_RESUME : MP_STEP_SEND;
 }
 
--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -1,6 +1,7 @@
 #include "coordination/Slices.h"
 
 #include "state/Error.h"
+#include "state/Fault.h"
 
 #include <math.h>
 
@@ -103,7 +104,7 @@
                 int64_t reserved_mtok, int64_t used_mtok)
 {
     struct MpSlice *slice = slice_of(this, workspace);
-    if (boot != this->boot) {
+    if (boot != this->boot && !MP_FAULT(MP_FAULT_SLICE_OF_OLD_LIFE)) {
         return;
     }
     slice->reserved_mtok -= reserved_mtok;
@@ -173,7 +174,9 @@
                              .need_mtok = slice->need_mtok};
     slice->reported_mtok = slice->spent_mtok;
     /* Given back before the call leaves. */
-    slice->held_mtok = MIN(slice->held_mtok, hold_mtok);
+    if (!MP_FAULT(MP_FAULT_SLICE_SPENT_AFTER_RETURN)) {
+        slice->held_mtok = MIN(slice->held_mtok, hold_mtok);
+    }
     return true;
 }
 
@@ -208,6 +211,9 @@
     slice->most_mtok = held->most_mtok;
     slice->held_mtok =
         held->held_mtok - (slice->spent_mtok - slice->reported_mtok);
+    if (MP_FAULT(MP_FAULT_SLICE_ANSWER_STALE)) {
+        slice->held_mtok = held->held_mtok;
+    }
     slice->need_mtok = 0;
     slice->is_known = true;
 }
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -242,6 +242,9 @@
     int64_t live_mtok;
     int64_t free_mtok = MAX(MpAccount_Free(account), 0);
     int64_t most_mtok = slices_most(account, &live_mtok) - live_mtok;
+    if (MP_FAULT(MP_FAULT_SLICE_BEYOND_BUDGET)) {
+        return change_mtok;
+    }
     if (wanted->need_mtok <= free_mtok) {
         most_mtok = MAX(most_mtok, wanted->need_mtok);
     }
@@ -274,7 +277,7 @@
         return;
     }
     struct MpLease *lease = lease_of(account, holder);
-    if (seq > lease->seq) {
+    if (seq > lease->seq || MP_FAULT(MP_FAULT_SLICE_SEQ_IGNORED)) {
         lease->seq = seq;
         settle_slice(account, lease, wanted->spent_mtok);
         int64_t change_mtok = slice_change(account, lease, wanted);
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -1,6 +1,7 @@
 #include "state/Ledger.h"
 
 #include "state/Error.h"
+#include "state/Fault.h"
 
 #include <string.h>
 
@@ -19,7 +20,9 @@
             .seq = lease->seq,
             .amount_mtok = lease->amount_mtok,
             .last_grant_mtok = lease->last_grant_mtok,
-            .spent_mtok = lease->spent_mtok,
+            .spent_mtok = MP_FAULT(MP_FAULT_SLICE_SNAPSHOT_FORGETS)
+                              ? 0
+                              : lease->spent_mtok,
             .recalled = lease->recalled,
             .dead = lease->is_dead,
         };
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -223,7 +223,8 @@
 apply_numbered(struct MpMachine *this, const struct mp_document_put *put,
                struct mp_result *result)
 {
-    if (put->number > this->document_version) {
+    if (put->number > this->document_version ||
+        MP_FAULT(MP_FAULT_DOCUMENT_GOES_BACK)) {
         put_document(this, put, put->number);
     }
     result->number = this->document_version;
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -20,6 +20,8 @@
     "FuzzCluster": (250, 6, 4000),
     "FuzzPicker": (300, 2, 3000),
     "FuzzParsers": (4000, 2, 600),
+    "FuzzSlices": (300, 4, 4000),
+    "FuzzForward": (3000, 2, 600),
 }
 # fault number: name, target that finds it, seeds it has
 FAULTS = {
@@ -32,6 +34,18 @@
     7: ("settled twice", "FuzzLedger", 50),
     8: ("topped up twice", "FuzzLedger", 50),
     9: ("voted twice", "FuzzCluster", 300),
+    10: ("document goes back", "FuzzSlices", 50),
+    11: ("old report of a slice taken", "FuzzSlices", 200),
+    12: ("slice of an old life charged to the new", "FuzzSlices", 200),
+    13: ("slice spent after it was given back", "FuzzSlices", 200),
+    14: ("snapshot forgets what a slice spent", "FuzzSlices", 200),
+    15: ("answer taken without what was spent since", "FuzzSlices", 200),
+    16: ("slice granted beyond the budget", "FuzzSlices", 200),
+    17: ("refused after an unknown run", "FuzzForward", 50),
+    18: ("at-most-once request repeated", "FuzzForward", 50),
+    19: ("attempts without bound", "FuzzForward", 50),
+    20: ("sent anew after the head", "FuzzForward", 50),
+    21: ("sent after the deadline", "FuzzForward", 50),
 }
 
 
