--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -11,6 +11,9 @@
 
 #define TICK_MS 10
 #define SURVEY_MS 300
+/* How long a process stays whose disk has failed, ms: most faults of disks
+ * last some seconds. */
+#define FAILED_STAY_MS 4000
 /* Pause between two reports of the budgets in the log, ms, and its lines. */
 #define ACCOUNTS_PAUSE_MS 5000
 #define ACCOUNTS_LINES 32
@@ -74,14 +77,36 @@
 
 /* After a failed write nothing is known of the disk: the replica must not
  * go on as if it had a vote or a log. */
+static void
+on_failed_long(struct MpTimer *timer)
+{
+    struct MpReplica *this = timer->data;
+    MpLoop_Stop(this->loop);
+}
+
+/* The replica is out at once.  The process ends a little later: started
+ * anew at once it would fail on the same disk again. */
+static void
+fail(struct MpReplica *this)
+{
+    if (this->is_failed) {
+        return;
+    }
+    this->is_failed = true;
+    MpReplica_FailWaiting(this);
+    MpLoop_ClearTimer(&this->tick);
+    MpLoop_ClearTimer(&this->survey);
+    MpLoop_SetTimer(this->loop, &this->tick, FAILED_STAY_MS, on_failed_long,
+                    this);
+}
+
 static void
 disk_done(void *owner, uint64_t seq, int code)
 {
     struct MpReplica *this = owner;
     if (code != MP_OK) {
         MpLog_Event(LOG_CRIT, "disk-failed", "error=%s", MpError_Name(code));
-        this->is_failed = true;
-        MpLoop_Stop(this->loop);
+        fail(this);
         return;
     }
     MpRaft_Persisted(&this->raft, seq, MpLoop_Now());
@@ -364,15 +389,14 @@
            lines < ACCOUNTS_LINES) {
         const struct MpAccount *account = value;
         lines++;
-        MpLog_Event(LOG_INFO, "account",
-                    "workspace=%s granted_mtok=%" PRId64
-                    " settled_mtok=%" PRId64 " reserved_mtok=%" PRId64
-                    " leased_mtok=%" PRId64 " dead_mtok=%" PRId64
-                    " applied=%" PRIu64,
-                    account->workspace, account->granted_mtok,
-                    account->settled_mtok, account->reserved_mtok,
-                    account->leased_mtok, MpAccount_Dead(account),
-                    this->machine.applied);
+        MpLog_Event(
+            LOG_INFO, "account",
+            "workspace=%s granted_mtok=%" PRId64 " settled_mtok=%" PRId64
+            " reserved_mtok=%" PRId64 " leased_mtok=%" PRId64
+            " dead_mtok=%" PRId64 " applied=%" PRIu64,
+            account->workspace, account->granted_mtok, account->settled_mtok,
+            account->reserved_mtok, account->leased_mtok,
+            MpAccount_Dead(account), this->machine.applied);
     }
 }
 
@@ -393,6 +417,10 @@
 after_round(void *data)
 {
     struct MpReplica *this = data;
+    if (this->is_failed) {
+        MpReplica_RefuseReads(this);
+        return;
+    }
     note_role(this);
     MpRaft_Flush(&this->raft);
     MpReplica_ServeReads(this);
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -482,6 +482,16 @@
     g_array_set_size(this->read_times, kept);
 }
 
+void
+MpReplica_RefuseReads(struct MpReplica *this)
+{
+    for (guint i = 0; i < this->reads->len; i++) {
+        refuse_read(this, g_ptr_array_index(this->reads, i));
+    }
+    g_ptr_array_set_size(this->reads, 0);
+    g_array_set_size(this->read_times, 0);
+}
+
 static void
 on_read(struct MpReplica *this, struct MpRpcCall *call)
 {
@@ -521,6 +531,15 @@
 serve_call(void *owner, struct MpRpcCall *call)
 {
     struct MpReplica *this = owner;
+    if (this->is_failed && call->procedure == MP_PROC_PROPOSE) {
+        reply_propose(this, call, MP_ERROR_NOT_LEADER, NULL);
+        return;
+    }
+    if (this->is_failed && call->procedure != MP_PROC_SYNC &&
+        call->procedure != MP_PROC_READ) {
+        MpRpcCall_Reply(call, NULL);
+        return;
+    }
     switch (call->procedure) {
     case MP_PROC_PROPOSE:
         on_propose(this, call);
--- a/src/transport/ReplicaCalls.h
+++ b/src/transport/ReplicaCalls.h
@@ -20,6 +20,9 @@
 void MpReplica_FailWaiting(struct MpReplica *this);
 
 /* Answers the reads that this leader may answer now. */
+/* Sends all reads that wait to another replica. */
+void MpReplica_RefuseReads(struct MpReplica *this);
+
 void MpReplica_ServeReads(struct MpReplica *this);
 
 /* Gives all instances their full time to be heard by a new leader. */
