A router that is cut off refuses at once, and names a short time

Cause: callers waited 300 ms for a quorum that was known to be away, and were told to come back after 1 s, past their objective of 0.6 to 0.8 s. Change: without an answer for 1.8 s the refusal is immediate, with 200 ms.

--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -112,6 +112,13 @@
     slice->held_mtok -= used_mtok;
 }
 
+bool
+MpSlices_IsCutOff(const struct MpSlices *this, int64_t now_ms)
+{
+    return this->answered_ms > 0 &&
+           now_ms - this->answered_ms > MP_SLICE_CUT_OFF_MS;
+}
+
 bool
 MpSlices_IsDue(const struct MpSlices *this, int64_t now_ms)
 {
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -24,6 +24,9 @@
  * router may be cut off before it has seen a workspace's traffic, and one
  * that dies takes no more than its share of it. */
 #define MP_SLICE_IDLE_DIVISOR 4
+/* Without an answer for this long a router counts as cut off, ms: a report
+ * is due each second, and an election takes less. */
+#define MP_SLICE_CUT_OFF_MS 1800
 /* Time over which demand is averaged, ms. */
 #define MP_SLICE_FADE_MS 4000
 
@@ -77,6 +80,10 @@
 void MpSlices_Settle(struct MpSlices *this, const char *workspace,
                      uint64_t boot, int64_t reserved_mtok, int64_t used_mtok);
 
+/* Returns whether reports have had no answer for so long that a request had
+ * better go to another router. */
+bool MpSlices_IsCutOff(const struct MpSlices *this, int64_t now_ms);
+
 /* Returns whether a report is due. */
 bool MpSlices_IsDue(const struct MpSlices *this, int64_t now_ms);
 
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -19,7 +19,7 @@
 #define CALLER_CHECK_MS 200
 /* When a caller may come back, ms. */
 #define RETRY_BUSY_MS 400
-#define RETRY_NO_QUORUM_MS 1000
+#define RETRY_ELSEWHERE_MS 200
 #define RETRY_NOT_READY_MS 500
 #define RETRY_LEAVING_MS 20
 
@@ -506,7 +506,7 @@
     struct MpGatewayCall *this = timer->data;
     log_slice(this, "budget-unanswered");
     this->reserved_mtok = 0;
-    refuse(this, MP_ERROR_NO_QUORUM, RETRY_NO_QUORUM_MS);
+    refuse(this, MP_ERROR_NO_QUORUM, RETRY_ELSEWHERE_MS);
 }
 
 void
@@ -523,6 +523,13 @@
         return;
     }
     this->budget_rounds += is_answered;
+    if (code == MP_ERROR_RECALLING &&
+        MpSlices_IsCutOff(&this->gateway->slices, MpLoop_Now())) {
+        log_slice(this, "budget-cut-off");
+        this->reserved_mtok = 0;
+        refuse(this, MP_ERROR_NO_QUORUM, RETRY_ELSEWHERE_MS);
+        return;
+    }
     if (code == MP_ERROR_BUDGET) {
         log_slice(this, "budget-short");
         this->reserved_mtok = 0;
