A crashing request at one moment under many keys kills two targets

Cause: attempts that ran before the first death was known were not counted; a first death let another one start while a second still ran. Change: the ledger counts open records by body until one was answered; deaths and what runs now together stay below two.

--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -37,6 +37,20 @@
     g_free(this);
 }
 
+static guint
+hash_of_body(const void *data)
+{
+    guint value;
+    memcpy(&value, data, sizeof(value));
+    return value;
+}
+
+static gboolean
+equal_bodies(const void *a, const void *b)
+{
+    return memcmp(a, b, MP_HASH_BYTES) == 0;
+}
+
 void
 MpLedger_Init(struct MpLedger *this)
 {
@@ -45,6 +59,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_delete);
     this->records =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_delete);
+    this->bodies =
+        g_hash_table_new_full(hash_of_body, equal_bodies, NULL, g_free);
     g_queue_init(&this->closed);
     g_queue_init(&this->brief);
 }
@@ -53,6 +69,7 @@
 MpLedger_Done(struct MpLedger *this)
 {
     g_hash_table_unref(this->records);
+    g_hash_table_unref(this->bodies);
     g_hash_table_unref(this->accounts);
 }
 
@@ -348,11 +365,48 @@
     return record->is_brief ? &this->brief : &this->closed;
 }
 
+static void
+body_use_drop_if_empty(struct MpLedger *this, struct MpBodyUse *use)
+{
+    if (use->open == 0 && use->done == 0) {
+        g_hash_table_remove(this->bodies, use->body_hash);
+    }
+}
+
+void
+MpLedger_CountBody(struct MpLedger *this, const struct MpRecord *record,
+                   bool is_added)
+{
+    bool is_open = record->state == MP_RECORD_OPEN;
+    if (!is_open && record->state != MP_RECORD_DONE) {
+        return;
+    }
+    struct MpBodyUse *use =
+        g_hash_table_lookup(this->bodies, record->body_hash);
+    if (!use) {
+        use = g_new0(struct MpBodyUse, 1);
+        memcpy(use->body_hash, record->body_hash, MP_HASH_BYTES);
+        g_hash_table_insert(this->bodies, use->body_hash, use);
+    }
+    uint32_t *count = is_open ? &use->open : &use->done;
+    *count += is_added ? 1 : -1;
+    body_use_drop_if_empty(this, use);
+}
+
+uint32_t
+MpLedger_Untried(const struct MpLedger *this, const uint8_t *body_hash)
+{
+    const struct MpBodyUse *use = g_hash_table_lookup(this->bodies, body_hash);
+    return use && use->done == 0 ? use->open : 0;
+}
+
 void
 MpLedger_CloseRecord(struct MpLedger *this, struct MpRecord *record,
                      enum mp_record_state state, int64_t now_ms)
 {
+    MpLedger_CountBody(this, record, false);
     record->state = state;
+    MpLedger_CountBody(this, record, true);
     record->closed_ms = now_ms;
     record->link.data = record;
     g_queue_push_tail_link(MpLedger_QueueOf(this, record), &record->link);
@@ -385,10 +439,12 @@
              const struct mp_open *open)
 {
     MpLedger_UnlinkRecord(this, record);
+    MpLedger_CountBody(this, record, false);
     memcpy(record->body_hash, open->body_hash, MP_HASH_BYTES);
     record->instance = g_intern_string(open->holder.instance);
     record->boot = open->holder.boot;
     record->state = MP_RECORD_OPEN;
+    MpLedger_CountBody(this, record, true);
     record->at_most_once = open->at_most_once;
     record->is_brief = open->brief;
     record->open_id = open->open_id;
@@ -571,10 +627,13 @@
 /* The holder of an at-most-once request reports after it was fenced: the
  * bill stands, the answer becomes known. */
 static int
-settle_unknown(struct MpRecord *record, const struct mp_settle *settle)
+settle_unknown(struct MpLedger *this, struct MpRecord *record,
+               const struct mp_settle *settle)
 {
     if (settle->outcome == MP_RECORD_DONE) {
+        MpLedger_CountBody(this, record, false);
         record->state = MP_RECORD_DONE;
+        MpLedger_CountBody(this, record, true);
         record_keep_answer(record, settle);
     }
     return MP_OK;
@@ -660,7 +719,7 @@
     case MP_RECORD_OPEN:
         return settle_open(this, record, settle, now_ms);
     case MP_RECORD_UNKNOWN:
-        return settle_unknown(record, settle);
+        return settle_unknown(this, record, settle);
     case MP_RECORD_ABANDONED:
         return MP_ERROR_STALE;
     default:
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -86,9 +86,17 @@
     GList link; /* in closed, while closed */
 };
 
+/* Records of requests with one body, by its hash. */
+struct MpBodyUse {
+    uint8_t body_hash[MP_HASH_BYTES];
+    uint32_t open;
+    uint32_t done; /* answered: the body does no harm */
+};
+
 struct MpLedger {
     GHashTable *accounts; /* workspace -> struct MpAccount */
     GHashTable *records;  /* id -> struct MpRecord */
+    GHashTable *bodies;   /* body hash -> struct MpBodyUse */
     GQueue closed;        /* closed records, oldest first */
     GQueue brief;         /* closed records whose key nobody knows */
     int64_t retention_ms;
@@ -189,6 +197,16 @@
 /* Forgets closed records older than the retention time. */
 void MpLedger_Expire(struct MpLedger *this, int64_t now_ms);
 
+/* Counts record under its body, or no more; before and after each change of
+ * its state or hash. */
+void MpLedger_CountBody(struct MpLedger *this, const struct MpRecord *record,
+                        bool is_added);
+
+/* Returns how many requests with this body are open and none was answered
+ * yet; 0 once one was. */
+uint32_t MpLedger_Untried(const struct MpLedger *this,
+                          const uint8_t *body_hash);
+
 /* Returns the queue in which record waits for its end, once closed. */
 GQueue *MpLedger_QueueOf(struct MpLedger *this, const struct MpRecord *record);
 
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -49,6 +49,8 @@
     lease->amount_mtok -= offline->spent_mtok;
     account->leased_mtok -= offline->spent_mtok;
     account->settled_mtok += offline->spent_mtok;
+    MpLedger_CountBody(this, record, false);
+    record->state = MP_RECORD_NONE;
     memcpy(record->body_hash, offline->body_hash, MP_HASH_BYTES);
     record->instance = g_intern_string(offline->holder.instance);
     record->boot = offline->holder.boot;
@@ -175,6 +177,7 @@
     while ((record = g_queue_peek_head(queue)) &&
            record->closed_ms <= before_ms) {
         MpLedger_UnlinkRecord(this, record);
+        MpLedger_CountBody(this, record, false);
         g_hash_table_remove(this->records, record->id);
     }
 }
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -174,6 +174,7 @@
             g_bytes_new(image->answer.answer_val, image->answer.answer_len);
     }
     g_hash_table_insert(this->records, record->id, record);
+    MpLedger_CountBody(this, record, true);
     if (record->state != MP_RECORD_OPEN) {
         record->link.data = record;
         g_queue_push_tail_link(MpLedger_QueueOf(this, record), &record->link);
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -291,6 +291,18 @@
 
 /* A target that died while it ran the request; a second report of the same
  * target counts no more. */
+/* Other requests with this body that run now, while none was answered. */
+static uint32_t
+count_others(const struct MpMachine *this, const struct mp_poison *report)
+{
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->ledger, report->workspace, report->key);
+    uint32_t open =
+        MpLedger_Untried(&this->ledger, (const uint8_t *)report->body_hash);
+    bool is_counted = record && record->state == MP_RECORD_OPEN;
+    return open > is_counted ? open - is_counted : 0;
+}
+
 static int
 apply_poison(struct MpMachine *this, const struct mp_poison *report,
              struct mp_result *result)
@@ -311,6 +323,7 @@
     if (poison->deaths > 0 &&
         strcmp(poison->last_target, report->target) == 0) {
         result->number = poison->deaths;
+        result->amount_mtok = count_others(this, report);
         return MP_OK;
     }
     g_free(poison->last_target);
@@ -324,6 +337,7 @@
     poison->deaths++;
     this->poison_version++;
     result->number = poison->deaths;
+    result->amount_mtok = count_others(this, report);
     return MP_OK;
 }
 
@@ -366,6 +380,22 @@
            open->open_id != poison->open_id;
 }
 
+/* Until a request was answered once, no more of its kind run at a moment than
+ * targets may die of it. */
+static bool
+is_held_back(const struct MpMachine *this, const struct mp_open *open,
+             uint32_t deaths)
+{
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->ledger, open->workspace, open->key);
+    if (record && record->state == MP_RECORD_OPEN) {
+        return false; /* it is one of those that are counted */
+    }
+    uint32_t running =
+        MpLedger_Untried(&this->ledger, (const uint8_t *)open->body_hash);
+    return deaths + running >= MP_POISON_DEATHS;
+}
+
 /* A request that has killed a target is tried by one attempt at a time, and
  * by none after it has killed enough. */
 static int
@@ -374,12 +404,14 @@
     struct MpPoison *poison =
         g_hash_table_lookup(this->poisons, open->body_hash);
     if (!poison) {
-        return MP_OK;
+        return is_held_back(this, open, 0) ? MP_ERROR_HELD_BACK : MP_OK;
     }
     if (is_stopped(this, poison)) {
         return MP_ERROR_POISON;
     }
-    return is_being_tried(this, poison, open) ? MP_ERROR_HELD_BACK : MP_OK;
+    bool is_held = is_being_tried(this, poison, open) ||
+                   is_held_back(this, open, poison->deaths);
+    return is_held ? MP_ERROR_HELD_BACK : MP_OK;
 }
 
 /* The attempt that was let through is the one that is waited for. */
