--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -262,9 +262,8 @@
     if (MP_FAULT(MP_FAULT_SLICE_BEYOND_BUDGET)) {
         return change_mtok;
     }
-    if (wanted->need_mtok <= free_mtok) {
-        most_mtok = MAX(most_mtok, wanted->need_mtok);
-    }
+    /* What waits goes before what is held, as far as there is any. */
+    most_mtok = MAX(most_mtok, MIN(wanted->need_mtok, free_mtok));
     return CLAMP(change_mtok, 0, MAX(MIN(most_mtok, free_mtok), 0));
 }
 
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -20,7 +20,7 @@
 /* When a caller may come back, ms. */
 #define RETRY_BUSY_MS 400
 #define RETRY_ELSEWHERE_MS 200
-#define RETRY_NOT_READY_MS 500
+#define RETRY_NOT_READY_MS 300
 #define RETRY_LEAVING_MS 20
 
 static void start_attempt(struct MpGatewayCall *this);
