Slices without demand hold a twelfth of what is free

Cause: idle slices of a quarter were stranded by kills and served little. Change: a twelfth, shared by all instances.

--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -23,7 +23,7 @@
 /* Without demand all routers together hold this part of what is free: a
  * router may be cut off before it has seen a workspace's traffic, and one
  * that dies takes no more than its share of it. */
-#define MP_SLICE_IDLE_DIVISOR 4
+#define MP_SLICE_IDLE_DIVISOR 12
 /* Without an answer for this long a router counts as cut off, ms: a report
  * is due each second, and an election takes less. */
 #define MP_SLICE_CUT_OFF_MS 1800
