--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -37,20 +37,6 @@
     g_free(this);
 }
 
-static guint
-hash_of_body(const void *data)
-{
-    guint value;
-    memcpy(&value, data, sizeof(value));
-    return value;
-}
-
-static gboolean
-equal_bodies(const void *a, const void *b)
-{
-    return memcmp(a, b, MP_HASH_BYTES) == 0;
-}
-
 void
 MpLedger_Init(struct MpLedger *this)
 {
@@ -59,8 +45,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_delete);
     this->records =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_delete);
-    this->bodies =
-        g_hash_table_new_full(hash_of_body, equal_bodies, NULL, g_free);
+    this->bodies = MpLedger_NewBodies();
     g_queue_init(&this->closed);
     g_queue_init(&this->brief);
 }
@@ -90,17 +75,6 @@
     return g_hash_table_lookup(this->records, id);
 }
 
-int64_t
-MpAccount_Dead(const struct MpAccount *this)
-{
-    int64_t dead_mtok = 0;
-    for (guint i = 0; i < this->leases->len; i++) {
-        const struct MpLease *lease = g_ptr_array_index(this->leases, i);
-        dead_mtok += lease->is_dead ? lease->amount_mtok : 0;
-    }
-    return dead_mtok;
-}
-
 int64_t
 MpAccount_Free(const struct MpAccount *this)
 {
@@ -135,8 +109,8 @@
     return NULL;
 }
 
-static struct MpLease *
-lease_of(struct MpAccount *account, const struct mp_holder *holder)
+struct MpLease *
+MpLedger_LeaseOf(struct MpAccount *account, const struct mp_holder *holder)
 {
     struct MpLease *lease =
         MpLedger_FindLease(account, holder->instance, holder->boot);
@@ -208,7 +182,7 @@
     if (!MpLedger_IsAmount(wanted->amount_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
-    struct MpLease *lease = lease_of(account, &wanted->holder);
+    struct MpLease *lease = MpLedger_LeaseOf(account, &wanted->holder);
     if (wanted->seq > lease->seq) {
         int64_t slice = MAX(MpAccount_Free(account), 0) / SLICE_DIVISOR;
         slice = MIN(slice, wanted->amount_mtok);
@@ -223,88 +197,6 @@
     return MP_OK;
 }
 
-/* Moves what was spent since the last report from the slice to the bill. */
-static void
-settle_slice(struct MpAccount *account, struct MpLease *lease,
-             int64_t spent_mtok)
-{
-    int64_t new_mtok =
-        CLAMP(spent_mtok - lease->spent_mtok, 0, lease->amount_mtok);
-    lease->spent_mtok += new_mtok;
-    lease->amount_mtok -= new_mtok;
-    account->leased_mtok -= new_mtok;
-    account->settled_mtok += new_mtok;
-}
-
-/* Returns what the slices of living routers may take in all; *live is what
- * they take now. */
-static int64_t
-slices_most(const struct MpAccount *account, int64_t *live_mtok)
-{
-    *live_mtok = account->leased_mtok - MpAccount_Dead(account);
-    int64_t left_mtok = MAX(MpAccount_Free(account) + *live_mtok, 0);
-    return left_mtok / 1000 * MP_LEDGER_SLICES_PERMILLE;
-}
-
-/* Returns the change of a slice that brings it to hold_mtok: less at once,
- * more as far as all slices together and the budget allow. */
-static int64_t
-slice_change(const struct MpAccount *account, const struct MpLease *lease,
-             const struct mp_slice *wanted)
-{
-    int64_t change_mtok = wanted->hold_mtok - lease->amount_mtok;
-    if (change_mtok <= 0) {
-        return change_mtok;
-    }
-    int64_t live_mtok;
-    int64_t free_mtok = MAX(MpAccount_Free(account), 0);
-    int64_t most_mtok = slices_most(account, &live_mtok) - live_mtok;
-    if (MP_FAULT(MP_FAULT_SLICE_BEYOND_BUDGET)) {
-        return change_mtok;
-    }
-    /* What waits goes before what is held, as far as there is any. */
-    most_mtok = MAX(most_mtok, MIN(wanted->need_mtok, free_mtok));
-    return CLAMP(change_mtok, 0, MAX(MIN(most_mtok, free_mtok), 0));
-}
-
-/* Returns the part of a slice that leaves room for the others: all shrink
- * alike while they take too much. */
-static int64_t
-slice_most(const struct MpAccount *account, const struct MpLease *lease)
-{
-    int64_t live_mtok;
-    int64_t most_mtok = slices_most(account, &live_mtok);
-    if (live_mtok <= most_mtok) {
-        return lease->amount_mtok + (most_mtok - live_mtok);
-    }
-    return (int64_t)((double)lease->amount_mtok * (double)most_mtok /
-                     (double)live_mtok);
-}
-
-void
-MpLedger_Slice(struct MpLedger *this, const struct mp_holder *holder,
-               uint64_t seq, const struct mp_slice *wanted,
-               struct mp_slice_held *held)
-{
-    struct MpAccount *account = MpLedger_Find(this, wanted->workspace);
-    *held = (struct mp_slice_held){.held_mtok = 0};
-    if (!account || !MpLedger_IsAmount(wanted->hold_mtok) ||
-        !MpLedger_IsAmount(wanted->need_mtok)) {
-        return;
-    }
-    struct MpLease *lease = lease_of(account, holder);
-    if (seq > lease->seq || MP_FAULT(MP_FAULT_SLICE_SEQ_IGNORED)) {
-        lease->seq = seq;
-        settle_slice(account, lease, wanted->spent_mtok);
-        int64_t change_mtok = slice_change(account, lease, wanted);
-        lease->amount_mtok += change_mtok;
-        account->leased_mtok += change_mtok;
-    }
-    held->held_mtok = lease->amount_mtok;
-    held->free_mtok = MAX(MpAccount_Free(account), 0);
-    held->most_mtok = slice_most(account, lease);
-}
-
 int
 MpLedger_Handin(struct MpLedger *this, const struct mp_lease *back,
                 struct mp_result *result)
@@ -364,41 +256,6 @@
     return record->is_brief ? &this->brief : &this->closed;
 }
 
-static void
-body_use_drop_if_empty(struct MpLedger *this, struct MpBodyUse *use)
-{
-    if (use->open == 0 && use->done == 0) {
-        g_hash_table_remove(this->bodies, use->body_hash);
-    }
-}
-
-void
-MpLedger_CountBody(struct MpLedger *this, const struct MpRecord *record,
-                   bool is_added)
-{
-    bool is_open = record->state == MP_RECORD_OPEN;
-    if (!is_open && record->state != MP_RECORD_DONE) {
-        return;
-    }
-    struct MpBodyUse *use =
-        g_hash_table_lookup(this->bodies, record->body_hash);
-    if (!use) {
-        use = g_new0(struct MpBodyUse, 1);
-        memcpy(use->body_hash, record->body_hash, MP_HASH_BYTES);
-        g_hash_table_insert(this->bodies, use->body_hash, use);
-    }
-    uint32_t *count = is_open ? &use->open : &use->done;
-    *count += is_added ? 1 : -1;
-    body_use_drop_if_empty(this, use);
-}
-
-uint32_t
-MpLedger_Untried(const struct MpLedger *this, const uint8_t *body_hash)
-{
-    const struct MpBodyUse *use = g_hash_table_lookup(this->bodies, body_hash);
-    return use && use->done == 0 ? use->open : 0;
-}
-
 void
 MpLedger_CloseRecord(struct MpLedger *this, struct MpRecord *record,
                      enum mp_record_state state, int64_t now_ms)
--- a/src/state/LedgerInternal.h
+++ b/src/state/LedgerInternal.h
@@ -7,6 +7,13 @@
  * LedgerInternal - functions shared by the files of Ledger; not for others.
  */
 
+/* Returns an empty table of struct MpBodyUse. */
+GHashTable *MpLedger_NewBodies(void);
+
+/* Returns the lease of holder, a new one if there is none. */
+struct MpLease *MpLedger_LeaseOf(struct MpAccount *account,
+                                 const struct mp_holder *holder);
+
 /* Returns the lease of an incarnation or NULL. */
 struct MpLease *MpLedger_FindLease(const struct MpAccount *account,
                                    const char *instance, uint64_t boot);
--- /dev/null
+++ b/src/state/LedgerSlices.c
@@ -0,0 +1,99 @@
+#include "state/Ledger.h"
+
+#include "state/Fault.h"
+#include "state/LedgerInternal.h"
+
+/* Slices of budgets that routers hold; see Ledger.h. */
+
+int64_t
+MpAccount_Dead(const struct MpAccount *this)
+{
+    int64_t dead_mtok = 0;
+    for (guint i = 0; i < this->leases->len; i++) {
+        const struct MpLease *lease = g_ptr_array_index(this->leases, i);
+        dead_mtok += lease->is_dead ? lease->amount_mtok : 0;
+    }
+    return dead_mtok;
+}
+
+/* Moves what was spent since the last report from the slice to the bill. */
+static void
+settle_slice(struct MpAccount *account, struct MpLease *lease,
+             int64_t spent_mtok)
+{
+    int64_t new_mtok =
+        CLAMP(spent_mtok - lease->spent_mtok, 0, lease->amount_mtok);
+    lease->spent_mtok += new_mtok;
+    lease->amount_mtok -= new_mtok;
+    account->leased_mtok -= new_mtok;
+    account->settled_mtok += new_mtok;
+}
+
+/* Returns what the slices of living routers may take in all; *live is what
+ * they take now. */
+static int64_t
+slices_most(const struct MpAccount *account, int64_t *live_mtok)
+{
+    *live_mtok = account->leased_mtok - MpAccount_Dead(account);
+    int64_t left_mtok = MAX(MpAccount_Free(account) + *live_mtok, 0);
+    return left_mtok / 1000 * MP_LEDGER_SLICES_PERMILLE;
+}
+
+/* Returns the change of a slice that brings it to hold_mtok: less at once,
+ * more as far as all slices together and the budget allow. */
+static int64_t
+slice_change(const struct MpAccount *account, const struct MpLease *lease,
+             const struct mp_slice *wanted)
+{
+    int64_t change_mtok = wanted->hold_mtok - lease->amount_mtok;
+    if (change_mtok <= 0) {
+        return change_mtok;
+    }
+    int64_t live_mtok;
+    int64_t free_mtok = MAX(MpAccount_Free(account), 0);
+    int64_t most_mtok = slices_most(account, &live_mtok) - live_mtok;
+    if (MP_FAULT(MP_FAULT_SLICE_BEYOND_BUDGET)) {
+        return change_mtok;
+    }
+    /* What waits goes before what is held, as far as there is any. */
+    most_mtok = MAX(most_mtok, MIN(wanted->need_mtok, free_mtok));
+    return CLAMP(change_mtok, 0, MAX(MIN(most_mtok, free_mtok), 0));
+}
+
+/* Returns the part of a slice that leaves room for the others: all shrink
+ * alike while they take too much. */
+static int64_t
+slice_most(const struct MpAccount *account, const struct MpLease *lease)
+{
+    int64_t live_mtok;
+    int64_t most_mtok = slices_most(account, &live_mtok);
+    if (live_mtok <= most_mtok) {
+        return lease->amount_mtok + (most_mtok - live_mtok);
+    }
+    return (int64_t)((double)lease->amount_mtok * (double)most_mtok /
+                     (double)live_mtok);
+}
+
+void
+MpLedger_Slice(struct MpLedger *this, const struct mp_holder *holder,
+               uint64_t seq, const struct mp_slice *wanted,
+               struct mp_slice_held *held)
+{
+    struct MpAccount *account = MpLedger_Find(this, wanted->workspace);
+    *held = (struct mp_slice_held){.held_mtok = 0};
+    if (!account || !MpLedger_IsAmount(wanted->hold_mtok) ||
+        !MpLedger_IsAmount(wanted->need_mtok)) {
+        return;
+    }
+    struct MpLease *lease = MpLedger_LeaseOf(account, holder);
+    if (seq > lease->seq || MP_FAULT(MP_FAULT_SLICE_SEQ_IGNORED)) {
+        lease->seq = seq;
+        settle_slice(account, lease, wanted->spent_mtok);
+        int64_t change_mtok = slice_change(account, lease, wanted);
+        lease->amount_mtok += change_mtok;
+        account->leased_mtok += change_mtok;
+    }
+    held->held_mtok = lease->amount_mtok;
+    held->free_mtok = MAX(MpAccount_Free(account), 0);
+    held->most_mtok = slice_most(account, lease);
+}
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -10,6 +10,9 @@
  * GatewayCall - one request on a path, from its arrival to its end.
  */
 
+/* When a caller may come back to a pool that is busy, ms. */
+#define MP_RETRY_BUSY_MS 400
+
 enum MpCallStage {
     MP_CALL_BUDGET,  /* waits for a part of the workspace's budget */
     MP_CALL_RUNNING, /* an attempt is at a target */
@@ -55,6 +58,18 @@
 /* Takes a request; answers it sooner or later. */
 void MpGatewayCall_Begin(struct MpGateway *gateway, h2o_req_t *req);
 
+/* -- for the attempt -- */
+
+/* Settles the budget and tells how the call ended. */
+void MpGatewayCall_End(struct MpGatewayCall *this, const char *outcome,
+                       int code);
+
+/* Carries out a step that ends the request, with the error and the time to
+ * come back. */
+void MpGatewayCall_GiveUp(struct MpGatewayCall *this, enum MpForwardStep step,
+                          int code, int64_t retry_after_ms);
+void MpGatewayCall_Free(struct MpGatewayCall *this);
+
 /* Tries again to get a part of the budget, after a report was answered. */
 void MpGatewayCall_RetryBudget(struct MpGatewayCall *this, bool is_answered);
 
