The leader reads the target list for all; untold load fades

Change: the leader reads twice a second, routers get what changed with their sync and read for themselves when it is silent, slower the more they are; what was sent since a target's last word fades with that word.

--- a/fuzz/FuzzSlices.c
+++ b/fuzz/FuzzSlices.c
@@ -262,7 +262,10 @@
         MpLedger_FindLease(account, router->name, router->slices.boot);
     const struct MpSlice *slice =
         g_hash_table_lookup(router->slices.slices, workspace);
-    int64_t aside = lease ? lease->amount_mtok + lease->spent_mtok : 0;
+    /* A slice that was used up is forgotten with its life: then nothing may
+     * be left of it here either. */
+    int64_t aside = lease ? lease->amount_mtok + lease->spent_mtok
+                          : (slice ? slice->spent_mtok : 0);
     if (slice && slice->held_mtok + slice->spent_mtok > aside) {
         Fuzz_Fail("%s may spend %" G_GINT64_FORMAT " of %s, %" G_GINT64_FORMAT
                   " is set aside",
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -199,8 +199,11 @@
 static double
 running_at(const struct MpPoolTarget *target, int64_t now_ms)
 {
-    double seen = told(target, target->told_running, now_ms);
-    return MAX(seen + target->sent_since, (double)target->running);
+    /* What was sent since fades with the word that it adds to: some of it
+     * has ended, and a target may never tell its load. */
+    double seen =
+        told(target, target->told_running + target->sent_since, now_ms);
+    return MAX(seen, (double)target->running);
 }
 
 static double
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -355,8 +355,20 @@
 };
 typedef struct mp_propose_reply mp_propose_reply;
 
+struct mp_target {
+	char *incarnation;
+	char *pool;
+	char *address;
+	char *zone;
+	quad_t slots;
+	bool_t leaving;
+	quad_t cold_ms;
+};
+typedef struct mp_target mp_target;
+
 struct mp_sync {
 	mp_holder holder;
+	u_quad_t targets_hash;
 	u_quad_t document_version;
 	u_quad_t poison_version;
 	bool_t draining;
@@ -397,6 +409,12 @@
 		mp_address *replicas_val;
 	} replicas;
 	u_int instances;
+	bool_t has_targets;
+	u_quad_t targets_hash;
+	struct {
+		u_int targets_len;
+		mp_target *targets_val;
+	} targets;
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
@@ -687,6 +705,7 @@
 extern  bool_t xdr_mp_hello (XDR *, mp_hello*);
 extern  bool_t xdr_mp_propose (XDR *, mp_propose*);
 extern  bool_t xdr_mp_propose_reply (XDR *, mp_propose_reply*);
+extern  bool_t xdr_mp_target (XDR *, mp_target*);
 extern  bool_t xdr_mp_sync (XDR *, mp_sync*);
 extern  bool_t xdr_mp_address (XDR *, mp_address*);
 extern  bool_t xdr_mp_recall (XDR *, mp_recall*);
@@ -742,6 +761,7 @@
 extern bool_t xdr_mp_hello ();
 extern bool_t xdr_mp_propose ();
 extern bool_t xdr_mp_propose_reply ();
+extern bool_t xdr_mp_target ();
 extern bool_t xdr_mp_sync ();
 extern bool_t xdr_mp_address ();
 extern bool_t xdr_mp_recall ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -329,8 +329,20 @@
     mp_result *detail;
 };
 
+/* A target as the target list told it. */
+struct mp_target {
+    string incarnation<MP_NAME_MAX>;
+    string pool<MP_NAME_MAX>;
+    string address<MP_ADDRESS_MAX>;
+    string zone<MP_NAME_MAX>;
+    hyper slots;
+    bool leaving;
+    hyper cold_ms;
+};
+
 struct mp_sync {
     mp_holder holder;
+    unsigned hyper targets_hash; /* of the list that the instance has */
     unsigned hyper document_version;
     unsigned hyper poison_version;
     bool draining;
@@ -364,6 +376,9 @@
     mp_recall recalls<MP_RECALLS_MAX>;
     mp_address replicas<MP_MEMBERS_MAX>;
     unsigned int instances; /* that were heard of lately */
+    bool has_targets; /* the leader reads the list */
+    unsigned hyper targets_hash;
+    mp_target targets<MP_TARGETS_MAX>; /* empty when the hash is the same */
 };
 
 /* What a replica without state learns from its peers. */
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -575,6 +575,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_target (XDR *xdrs, mp_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->incarnation, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->pool, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, MP_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->cold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_sync (XDR *xdrs, mp_sync *objp)
 {
@@ -582,6 +604,8 @@
 
 	 if (!xdr_mp_holder (xdrs, &objp->holder))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->poison_version))
@@ -646,6 +670,13 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->instances))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_targets))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, MP_TARGETS_MAX,
+		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -389,6 +389,37 @@
     }
 }
 
+/* The strings of the list belong to the reply. */
+static void
+take_targets(struct MpFleet *this, const struct mp_sync_reply *reply)
+{
+    u_int count = reply->targets.targets_len;
+    if (!reply->has_targets || !this->listener->targets) {
+        return;
+    }
+    if (reply->targets_hash == this->targets_hash) {
+        this->listener->targets(this->owner, NULL);
+        return;
+    }
+    struct MpListedTarget *entries = g_new0(struct MpListedTarget, count + 1);
+    GPtrArray *list = g_ptr_array_new();
+    for (u_int i = 0; i < count; i++) {
+        const struct mp_target *from = &reply->targets.targets_val[i];
+        entries[i] = (struct MpListedTarget){.incarnation = from->incarnation,
+                                             .pool = from->pool,
+                                             .address = from->address,
+                                             .zone = from->zone,
+                                             .slots = from->slots,
+                                             .is_leaving = from->leaving,
+                                             .cold_ms = from->cold_ms};
+        g_ptr_array_add(list, &entries[i]);
+    }
+    this->targets_hash = reply->targets_hash;
+    this->listener->targets(this->owner, list);
+    g_ptr_array_unref(list);
+    g_free(entries);
+}
+
 static void
 on_synced(void *data, int code, const void *result)
 {
@@ -403,6 +434,7 @@
     take_document(this, reply);
     take_poisons(this, reply);
     this->instances = reply->instances;
+    take_targets(this, reply);
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
         learn_replica(this, reply->replicas.replicas_val[i].address);
     }
@@ -425,6 +457,7 @@
         .holder = MpFleet_Holder(this),
         .document_version = this->document ? this->document->version : 0,
         .poison_version = this->poison_version,
+        .targets_hash = this->targets_hash,
         .draining = this->is_draining,
         .whole = this->wants_whole,
     };
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -31,6 +31,9 @@
     void (*registered)(void *owner, uint64_t boot);
     /* A lease on workspace is called back. */
     void (*recall)(void *owner, const char *workspace);
+    /* The leader's target list, of struct MpListedTarget, NULL when it is the
+     * same as before; the member may be NULL. */
+    void (*targets)(void *owner, const GPtrArray *targets);
 };
 
 struct MpFleet {
@@ -54,10 +57,11 @@
     bool is_syncing;
     bool is_registering;
     struct MpTimer timer;
-    uint32_t instances;  /* that are registered, as the leader counts */
-    uint64_t proposals;  /* counter */
-    uint64_t retries;    /* counter */
-    uint64_t applied_ms; /* wall clock when the document came into force */
+    uint64_t targets_hash; /* of the leader's target list */
+    uint32_t instances;    /* that are registered, as the leader counts */
+    uint64_t proposals;    /* counter */
+    uint64_t retries;      /* counter */
+    uint64_t applied_ms;   /* wall clock when the document came into force */
 };
 
 void MpFleet_Start(struct MpFleet *this, struct MpLoop *loop,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -6,11 +6,16 @@
 #include "transport/Log.h"
 #include "transport/TargetList.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define TICK_MS 100
 /* A report of slices that has no answer by then is repeated, ms. */
 #define REPORT_WAIT_MS 900
+/* How long the leader's word on the target list counts, ms: several syncs. */
+#define SHARED_KEEP_MS 1200
+/* Instances that may read the list each for itself at the full rate. */
+#define READERS_MOST 16
 
 /* ---- slices ---- */
 
@@ -81,6 +86,46 @@
     }
 }
 
+static uint32_t
+update_targets(void *owner, const GPtrArray *targets)
+{
+    struct MpGateway *this = owner;
+    uint32_t changes = MpRoster_Update(&this->roster, targets, MpLoop_Now());
+    if (changes > 0) {
+        MpLog_Event(LOG_INFO, "targets-changed",
+                    "version=%" PRIu64 " targets=%u changes=%u",
+                    this->roster.version, targets->len, changes);
+    }
+    return changes;
+}
+
+/* While the leader vouches for the list, nobody else needs to read it.  Cut
+ * off from it, all instances together keep to the rate of one reader. */
+static int64_t
+pause_of_list(void *owner, bool *is_needless)
+{
+    const struct MpGateway *this = owner;
+    int64_t interval_ms = this->settings->target_list.interval_ms;
+    *is_needless = MpLoop_Now() - this->shared_ms < SHARED_KEEP_MS;
+    if (*is_needless) {
+        return SHARED_KEEP_MS / 4;
+    }
+    uint32_t readers = MAX(this->fleet->instances / READERS_MOST, 1);
+    return interval_ms * readers;
+}
+
+static const struct MpTargetListClass list_class = {.took = update_targets,
+                                                    .pause = pause_of_list};
+
+void
+MpGateway_TakeTargets(struct MpGateway *this, const GPtrArray *targets)
+{
+    this->shared_ms = MpLoop_Now();
+    if (targets) {
+        update_targets(this, targets);
+    }
+}
+
 struct MpRetryBudget *
 MpGateway_Retries(struct MpGateway *this, const char *pool)
 {
@@ -199,7 +244,8 @@
     MpSlices_Init(&this->slices);
     this->retries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    this->list = MpTargetList_New(this);
+    this->shared_ms = -SHARED_KEEP_MS;
+    this->list = MpTargetList_New(&list_class, this, loop, settings);
     MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
 }
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -35,6 +35,7 @@
     GHashTable *retries; /* pool -> struct MpRetryBudget */
     GQueue calls;        /* of struct MpGatewayCall */
     struct MpTargetList *list;
+    int64_t shared_ms; /* when the leader last vouched for the list */
     struct MpTimer timer;
     uint64_t retries_refused; /* counter */
     bool is_leaving;
@@ -52,6 +53,10 @@
 /* Returns whether a path of the document takes the request. */
 bool MpGateway_Takes(const struct MpGateway *this, const h2o_req_t *req);
 
+/* Takes the list that the leader has read, NULL when what is here is the
+ * same. */
+void MpGateway_TakeTargets(struct MpGateway *this, const GPtrArray *targets);
+
 /* Takes a new document, and a new registration. */
 void MpGateway_SetDocument(struct MpGateway *this,
                            const struct MpDocument *document);
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -4,6 +4,7 @@
 #include "state/Error.h"
 #include "transport/Log.h"
 #include "transport/ReplicaCalls.h"
+#include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -537,6 +538,7 @@
     if (code == MP_OK) {
         log_recovered(this);
     }
+    MpReplicaTargets_Start(this);
     MpLoop_AddHook(loop, after_round, this);
     MpLoop_SetTimer(loop, &this->tick, TICK_MS, on_tick, this);
     MpLoop_SetTimer(loop, &this->survey, 0, on_survey, this);
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -67,6 +67,10 @@
     struct MpTimer tick;
     struct MpTimer survey;
     int64_t accounts_told_ms;
+    struct MpTargetList *list; /* NULL when the settings name none */
+    GArray *targets;           /* of struct mp_target, as last read */
+    uint64_t targets_hash;
+    int64_t targets_ms; /* when; 0 for never */
     bool is_failed;
     bool was_leader;
     uint64_t applied_commands; /* counter */
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -4,6 +4,7 @@
 #include "state/Error.h"
 #include "state/TextPatch.h"
 #include "transport/Log.h"
+#include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -281,6 +282,7 @@
     char *middle = fill_document(this, sync, &reply);
     struct mp_address replicas[MP_MEMBERS_MAX];
     fill_replicas(this, replicas, &reply);
+    MpReplicaTargets_Fill(this, sync, &reply);
     if (sync->poison_version != this->machine.poison_version) {
         poison = MpMachine_PoisonList(&this->machine);
         reply.poison.poison_val = (char *)poison->data;
--- /dev/null
+++ b/src/transport/ReplicaTargets.c
@@ -0,0 +1,117 @@
+#include "transport/ReplicaTargets.h"
+
+#include "transport/Log.h"
+#include "transport/TargetList.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Pause between two readings of the leader, ms: what it sees reaches all a
+ * sync later, well within the time in which leaving targets get new work. */
+#define READ_MS 500
+/* A list older than this is no longer vouched for, ms. */
+#define VOUCH_MS 2500
+
+static void
+target_clear(void *data)
+{
+    struct mp_target *this = data;
+    g_free(this->incarnation);
+    g_free(this->pool);
+    g_free(this->address);
+    g_free(this->zone);
+}
+
+/* How much longer a target stays slow changes with each reading: it tells
+ * nothing new. */
+static uint64_t
+hash_entry(const struct MpListedTarget *target, uint64_t seed)
+{
+    uint64_t hash =
+        XXH64(target->incarnation, strlen(target->incarnation), seed);
+    hash = XXH64(target->pool, strlen(target->pool), hash);
+    hash = XXH64(target->address, strlen(target->address), hash);
+    hash = XXH64(target->zone, strlen(target->zone), hash);
+    hash = XXH64(&target->slots, sizeof(target->slots), hash);
+    return XXH64(&target->is_leaving, sizeof(target->is_leaving), hash);
+}
+
+/* The wire bounds names; one that is longer would stop the whole answer. */
+static bool
+is_sendable(const struct MpListedTarget *target)
+{
+    return strlen(target->incarnation) <= MP_NAME_MAX &&
+           strlen(target->pool) <= MP_NAME_MAX &&
+           strlen(target->zone) <= MP_NAME_MAX &&
+           strlen(target->address) <= MP_ADDRESS_MAX;
+}
+
+static uint32_t
+on_list(void *owner, const GPtrArray *targets)
+{
+    struct MpReplica *this = owner;
+    uint64_t hash = 1;
+    guint count = MIN(targets->len, MP_TARGETS_MAX);
+    this->targets_ms = MpLoop_Now();
+    for (guint i = 0; i < count; i++) {
+        hash = hash_entry(g_ptr_array_index(targets, i), hash);
+    }
+    if (hash == this->targets_hash) {
+        return 0;
+    }
+    this->targets_hash = hash;
+    g_array_set_size(this->targets, 0);
+    for (guint i = 0; i < count; i++) {
+        const struct MpListedTarget *from = g_ptr_array_index(targets, i);
+        if (!is_sendable(from)) {
+            MpLog_Event(LOG_WARNING, "target-name-too-long", "target=%.64s",
+                        from->incarnation);
+            continue;
+        }
+        struct mp_target target = {.incarnation = g_strdup(from->incarnation),
+                                   .pool = g_strdup(from->pool),
+                                   .address = g_strdup(from->address),
+                                   .zone = g_strdup(from->zone),
+                                   .slots = from->slots,
+                                   .leaving = from->is_leaving,
+                                   .cold_ms = from->cold_ms};
+        g_array_append_val(this->targets, target);
+    }
+    return 1;
+}
+
+static int64_t
+pause_of_list(void *owner, bool *is_needless)
+{
+    const struct MpReplica *this = owner;
+    *is_needless = !MpRaft_IsLeader(&this->raft) || this->is_failed ||
+                   this->machine.document_version == 0;
+    return READ_MS;
+}
+
+static const struct MpTargetListClass list_class = {.took = on_list,
+                                                    .pause = pause_of_list};
+
+void
+MpReplicaTargets_Start(struct MpReplica *replica)
+{
+    replica->targets = g_array_new(false, false, sizeof(struct mp_target));
+    g_array_set_clear_func(replica->targets, target_clear);
+    replica->list = MpTargetList_New(&list_class, replica, replica->loop,
+                                     replica->settings);
+    MpTargetList_Wake(replica->list);
+}
+
+void
+MpReplicaTargets_Fill(const struct MpReplica *replica,
+                      const struct mp_sync *sync, struct mp_sync_reply *reply)
+{
+    reply->has_targets = replica->targets_ms > 0 &&
+                         MpLoop_Now() - replica->targets_ms < VOUCH_MS;
+    reply->targets_hash = replica->targets_hash;
+    if (reply->has_targets && sync->targets_hash != replica->targets_hash) {
+        reply->targets.targets_val =
+            (struct mp_target *)replica->targets->data;
+        reply->targets.targets_len = replica->targets->len;
+    }
+}
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -209,10 +209,18 @@
     MpLeaseKeeper_Recall(this->leases, workspace);
 }
 
+static void
+on_targets(void *owner, const GPtrArray *targets)
+{
+    struct MpRouter *this = owner;
+    MpGateway_TakeTargets(&this->gateway, targets);
+}
+
 static const struct MpFleetListener fleet_listener = {
     .document = on_document,
     .registered = on_registered,
     .recall = on_recall,
+    .targets = on_targets,
 };
 
 /* ---- drain ---- */
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -1,6 +1,7 @@
 #include "transport/TargetList.h"
 
 #include "state/Error.h"
+#include "state/Metrics.h"
 #include "transport/Log.h"
 #include "transport/TargetConn.h"
 
@@ -15,7 +16,11 @@
 #define PAGES_MOST 256
 
 struct MpTargetList {
-    struct MpGateway *gateway;
+    const struct MpTargetListClass *klass;
+    void *owner;
+    struct MpLoop *loop;
+    const struct MpSettings *settings;
+    const struct MpDialect *dialect;
     struct MpTargetPlace *place;
     struct MpTargetConn *conn;
     struct MpTimer timer;
@@ -31,10 +36,24 @@
 
 static void read_page(struct MpTargetList *this);
 
+static void on_timer(struct MpTimer *timer);
+
+static void
+wait_for(struct MpTargetList *this, int64_t wait_ms)
+{
+    MpLoop_SetTimer(this->loop, &this->timer, wait_ms, on_timer, this);
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
     struct MpTargetList *this = timer->data;
+    bool is_needless = false;
+    int64_t pause_ms = this->klass->pause(this->owner, &is_needless);
+    if (is_needless) {
+        wait_for(this, pause_ms);
+        return;
+    }
     g_ptr_array_set_size(this->targets, 0);
     g_clear_pointer(&this->next, g_free);
     this->pages = 0;
@@ -42,13 +61,6 @@
     read_page(this);
 }
 
-static void
-wait_for(struct MpTargetList *this, int64_t wait_ms)
-{
-    MpLoop_SetTimer(this->gateway->loop, &this->timer, wait_ms, on_timer,
-                    this);
-}
-
 static void
 page_failed(struct MpTargetList *this, const char *why)
 {
@@ -58,27 +70,27 @@
     }
     int64_t wait_ms = MIN(RETRY_MS << MIN(this->failures, 8), RETRY_MOST_MS);
     this->failures++;
+    bool is_needless;
     wait_for(this,
-             MAX(wait_ms, this->gateway->settings->target_list.interval_ms));
+             MAX(wait_ms, this->klass->pause(this->owner, &is_needless)));
 }
 
 static void
 take_list(struct MpTargetList *this)
 {
-    struct MpRoster *roster = &this->gateway->roster;
-    uint32_t changes = MpRoster_Update(roster, this->targets, MpLoop_Now());
+    bool is_needless;
+    uint32_t changes = this->klass->took(this->owner, this->targets);
     if (this->failures > 0) {
         MpLog_Event(LOG_NOTICE, "target-list-back", "failures=%u",
                     this->failures);
     }
     this->failures = 0;
     if (changes > 0) {
-        MpLog_Event(LOG_INFO, "targets-changed",
-                    "version=%" PRIu64 " targets=%u changes=%u unreadable=%u",
-                    roster->version, this->targets->len, changes,
-                    this->unreadable);
+        MpLog_Event(LOG_INFO, "target-list-changed",
+                    "targets=%u changes=%u unreadable=%u", this->targets->len,
+                    changes, this->unreadable);
     }
-    wait_for(this, this->gateway->settings->target_list.interval_ms);
+    wait_for(this, this->klass->pause(this->owner, &is_needless));
 }
 
 static void
@@ -99,7 +111,7 @@
 on_end(void *owner, enum MpTargetEnd end)
 {
     struct MpTargetList *this = owner;
-    const struct MpDialect *dialect = this->gateway->dialect;
+    const struct MpDialect *dialect = this->dialect;
     this->conn = NULL;
     g_clear_pointer(&this->next, g_free);
     if (end != MP_TARGET_WHOLE || this->status != 200) {
@@ -135,7 +147,7 @@
 static void
 read_page(struct MpTargetList *this)
 {
-    const struct MpDialect *dialect = this->gateway->dialect;
+    const struct MpDialect *dialect = this->dialect;
     GByteArray *bytes = g_byte_array_new();
     char *text = g_strdup_printf(
         "GET %s%s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
@@ -148,28 +160,34 @@
     this->calls++;
     struct MpTargetRequest request = {.bytes = bytes};
     this->conn = MpTargetPlace_Send(this->place, &page_class, this, &request);
-    MpLoop_SetTimer(this->gateway->loop, &this->timer, PAGE_WAIT_MS,
-                    on_page_late, this);
+    MpLoop_SetTimer(this->loop, &this->timer, PAGE_WAIT_MS, on_page_late,
+                    this);
 }
 
 struct MpTargetList *
-MpTargetList_New(struct MpGateway *gateway)
+MpTargetList_New(const struct MpTargetListClass *klass, void *owner,
+                 struct MpLoop *loop, const struct MpSettings *settings)
 {
-    const char *address = gateway->settings->target_list.address;
+    const char *address = settings->target_list.address;
+    if (!address) {
+        return NULL;
+    }
     struct MpTargetList *this = g_new0(struct MpTargetList, 1);
-    this->gateway = gateway;
+    this->klass = klass;
+    this->owner = owner;
+    this->loop = loop;
+    this->settings = settings;
+    this->dialect = MpDialect_Find(settings->dialect);
     this->targets = g_ptr_array_new_with_free_func(MpListedTarget_Delete);
     this->body = g_byte_array_new();
-    if (address) {
-        this->place = MpTargetPlace_New(gateway->loop, address);
-    }
+    this->place = MpTargetPlace_New(loop, address);
     return this;
 }
 
 void
 MpTargetList_Wake(struct MpTargetList *this)
 {
-    if (this->place && !this->timer.place) {
+    if (this && !this->timer.place && !this->conn) {
         wait_for(this, 0);
     }
 }
@@ -177,6 +195,9 @@
 void
 MpTargetList_WriteMetrics(const struct MpTargetList *this, GString *out)
 {
+    if (!this) {
+        return;
+    }
     MpMetrics_WriteValue(out, "mimosapath_target_list_calls_total", NULL, NULL,
                          (int64_t)this->calls);
     MpMetrics_WriteValue(out, "mimosapath_target_list_failures", NULL, NULL,
--- /dev/null
+++ b/tests/TestRoster.c
@@ -0,0 +1,153 @@
+#include "coordination/Roster.h"
+#include "state/Error.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define POOL "p"
+
+static void
+ignore_dropped(void *owner, struct MpPoolTarget *target)
+{
+    (void)owner;
+    (void)target;
+}
+
+/* A roster of count targets t0, t1, ... with eight slots each. */
+static void
+roster_start(struct MpRoster *this, guint count)
+{
+    GPtrArray *list = g_ptr_array_new();
+    struct MpListedTarget entries[8];
+    char names[8][16];
+    char addresses[8][32];
+    MpRoster_Init(this, "a", ignore_dropped, NULL);
+    for (guint i = 0; i < count; i++) {
+        g_snprintf(names[i], sizeof(names[i]), "t%u", i);
+        g_snprintf(addresses[i], sizeof(addresses[i]), "10.0.0.%u:80", i);
+        entries[i] = (struct MpListedTarget){.incarnation = names[i],
+                                             .pool = (char *)POOL,
+                                             .address = addresses[i],
+                                             .zone = (char *)"a",
+                                             .slots = 8};
+        g_ptr_array_add(list, &entries[i]);
+    }
+    MpRoster_Update(this, list, 1000);
+    g_ptr_array_unref(list);
+}
+
+static int
+pick(struct MpRoster *roster, const struct MpCallFacts *facts, bool is_once,
+     int64_t now_ms, struct MpPicked *picked)
+{
+    struct MpPickAsk ask = {
+        .pool = POOL, .facts = facts, .is_once = is_once, .is_engine = true};
+    return MpRoster_Pick(roster, &ask, now_ms, picked);
+}
+
+/* A target that never tells its load must not look full after a while. */
+static void
+test_untold_load(void)
+{
+    struct MpRoster roster;
+    struct MpCallFacts facts = {.prompt_tokens = 100};
+    struct MpPicked picked;
+    roster_start(&roster, 2);
+    for (int i = 0; i < 100; i++) {
+        g_assert_cmpint(pick(&roster, &facts, false, 1000 + i, &picked), ==,
+                        MP_OK);
+        MpPoolTarget_Begin(picked.target, &facts, picked.prefill_tokens,
+                           1000 + i);
+        MpPoolTarget_End(&roster, picked.target, false, picked.prefill_tokens,
+                         MP_OUTCOME_OK, 1000 + i);
+    }
+}
+
+/* Requests that share a part go together, on every instance alike; a burst
+ * that the home target cannot take goes elsewhere. */
+static void
+test_affinity_and_burst(void)
+{
+    struct MpRoster one;
+    struct MpRoster other;
+    struct MpPicked first;
+    struct MpPicked second;
+    struct MpCallFacts facts = {
+        .prompt_tokens = 9000,
+        .parts = {{.id = 77, .tokens = 6000}, {.id = 5, .tokens = 3000}},
+        .part_count = 2};
+    roster_start(&one, 6);
+    roster_start(&other, 6);
+    g_assert_cmpint(pick(&one, &facts, false, 1000, &first), ==, MP_OK);
+    g_assert_cmpint(pick(&other, &facts, false, 1000, &second), ==, MP_OK);
+    g_assert_cmpstr(first.target->incarnation, ==, second.target->incarnation);
+    guint elsewhere = 0;
+    for (int i = 0; i < 12; i++) {
+        struct MpPicked next;
+        g_assert_cmpint(pick(&one, &facts, false, 1000, &next), ==, MP_OK);
+        MpPoolTarget_Begin(next.target, &facts, next.prefill_tokens, 1000);
+        elsewhere += next.target != first.target;
+    }
+    g_assert_cmpuint(elsewhere, >, 0);
+    g_assert_cmpuint(elsewhere, <, 12);
+}
+
+/* A failed target rests, then gets one attempt that may run again. */
+static void
+test_failure(void)
+{
+    struct MpRoster roster;
+    struct MpCallFacts facts = {.prompt_tokens = 100};
+    struct MpPicked picked;
+    int64_t now_ms = 1000;
+    roster_start(&roster, 1);
+    g_assert_cmpint(pick(&roster, &facts, true, now_ms, &picked), ==, MP_OK);
+    MpPoolTarget_Begin(picked.target, &facts, 0, now_ms);
+    MpPoolTarget_End(&roster, picked.target, false, 0, MP_OUTCOME_FAILED,
+                     now_ms);
+    g_assert_cmpint(pick(&roster, &facts, false, now_ms, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    now_ms += MP_PAUSE_MS;
+    g_assert_cmpint(pick(&roster, &facts, true, now_ms, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    g_assert_cmpint(pick(&roster, &facts, false, now_ms, &picked), ==, MP_OK);
+    MpPoolTarget_Begin(picked.target, &facts, 0, now_ms);
+    struct MpPicked none;
+    g_assert_cmpint(pick(&roster, &facts, false, now_ms, &none), ==,
+                    MP_ERROR_NO_TARGET);
+    MpPoolTarget_End(&roster, picked.target, true, 0, MP_OUTCOME_OK, now_ms);
+}
+
+/* The list's word on a target that leaves or is gone holds at once; what
+ * runs there keeps it. */
+static void
+test_leaving(void)
+{
+    struct MpRoster roster;
+    struct MpCallFacts facts = {.prompt_tokens = 100};
+    struct MpPicked picked;
+    GPtrArray *nothing = g_ptr_array_new();
+    roster_start(&roster, 1);
+    g_assert_cmpint(pick(&roster, &facts, false, 1000, &picked), ==, MP_OK);
+    MpPoolTarget_Begin(picked.target, &facts, 0, 1000);
+    MpRoster_Update(&roster, nothing, 1100);
+    struct MpPicked none;
+    g_assert_cmpint(pick(&roster, &facts, false, 1100, &none), ==,
+                    MP_ERROR_NO_TARGET);
+    g_assert_cmpstr(picked.target->incarnation, ==, "t0");
+    MpPoolTarget_End(&roster, picked.target, false, 0, MP_OUTCOME_OK, 1200);
+    g_ptr_array_unref(nothing);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/roster/a target that tells no load does not fill up",
+                    test_untold_load);
+    g_test_add_func("/roster/parts go together until a burst",
+                    test_affinity_and_burst);
+    g_test_add_func("/roster/a failed target rests", test_failure);
+    g_test_add_func("/roster/a leaving target gets nothing new", test_leaving);
+    return g_test_run();
+}
