Silent targets lose what may go on elsewhere

Change: after 2.5 times the latency target or the event gap the request goes on at another target, if attempts and the retry budget allow it.

--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -16,6 +16,8 @@
         .began_ms = now_ms,
         .deadline_ms = now_ms + most_ms,
         .attempts_most = path->attempts_most,
+        .latency_target_ms = path->latency_target_ms,
+        .event_gap_ms = path->event_gap_ms,
         .repeat = (enum MpRepeat)path->repeat,
         .is_stream = path->stream,
         .last_event = resume_after,
@@ -81,6 +83,23 @@
            MpForward_Left(this, now_ms) >= MP_FORWARD_LEAST_MS;
 }
 
+bool
+MpForward_IsSilent(const struct MpForward *this, int64_t silent_ms,
+                   bool has_budget, int64_t now_ms)
+{
+    int64_t bound_ms =
+        this->is_head_sent
+            ? this->event_gap_ms * MP_FORWARD_PAUSE_TENTHS / 10
+            : this->latency_target_ms * MP_FORWARD_FIRST_TENTHS / 10;
+    bool may_go_on = this->repeat == MP_REPEAT_RESUME ||
+                     (this->repeat == MP_REPEAT_ANY && !this->is_head_sent);
+    return bound_ms > 0 && may_go_on && has_budget &&
+           silent_ms >= MAX(bound_ms, MP_FORWARD_SILENT_LEAST_MS) &&
+           this->runs + 1 < this->attempts_most &&
+           this->sends < MP_FORWARD_SENDS_MOST &&
+           MpForward_Left(this, now_ms) > MP_FORWARD_SILENT_LEAST_MS;
+}
+
 enum MpForwardStep
 MpForward_NoTarget(const struct MpForward *this)
 {
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -19,6 +19,14 @@
  * a plain service, ms. */
 #define MP_FORWARD_LEAST_MS 20
 
+/* An attempt that is silent for this many times the latency target, or the
+ * longest good pause between events, in tenths, may be given to another
+ * target: callers of streams leave after four and eight times. */
+#define MP_FORWARD_FIRST_TENTHS 25
+#define MP_FORWARD_PAUSE_TENTHS 25
+/* ... but not before this, ms: a pause of a busy engine. */
+#define MP_FORWARD_SILENT_LEAST_MS 400
+
 /* How an attempt ended. */
 enum MpFate {
     MP_FATE_NOT_RUN, /* the target said so, or nothing was sent */
@@ -38,6 +46,8 @@
     int64_t began_ms;
     int64_t deadline_ms;
     int64_t attempts_most;
+    int64_t latency_target_ms; /* 0: none */
+    int64_t event_gap_ms;      /* 0: none */
     enum MpRepeat repeat;
     bool is_stream;
     bool may_have_run;
@@ -66,6 +76,11 @@
 bool MpForward_MayRepeatFailure(const struct MpForward *this, bool has_budget,
                                 int64_t now_ms);
 
+/* Returns whether an attempt from which nothing has come for silent_ms should
+ * go to another target, because one may go on with it. */
+bool MpForward_IsSilent(const struct MpForward *this, int64_t silent_ms,
+                        bool has_budget, int64_t now_ms);
+
 /* Returns the step when no target can take the request. */
 enum MpForwardStep MpForward_NoTarget(const struct MpForward *this);
 
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -1,6 +1,7 @@
 #include "transport/Gateway.h"
 
 #include "state/Error.h"
+#include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
@@ -172,6 +173,18 @@
 
 /* ---- time ---- */
 
+/* A call that goes on at another target may end and leave the list. */
+static void
+check_silence(struct MpGateway *this, int64_t now_ms)
+{
+    GList *link = this->calls.head;
+    while (link) {
+        struct MpGatewayCall *call = link->data;
+        link = link->next;
+        MpGatewayAttempt_CheckSilence(call, now_ms);
+    }
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -183,6 +196,7 @@
         link = link->next;
         MpGatewayCall_CheckCaller(call, now_ms);
     }
+    check_silence(this, now_ms);
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
     MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -102,6 +102,7 @@
     struct MpGatewayCall *this = owner;
     int64_t now_ms = MpLoop_Now();
     this->status = head->status;
+    this->heard_ms = now_ms;
     take_load(this, head);
     this->has_answered = true;
     MpPoolTarget_Answered(this->target, this->prefill_tokens,
@@ -144,6 +145,7 @@
 on_body(void *owner, const char *data, size_t size)
 {
     struct MpGatewayCall *this = owner;
+    this->heard_ms = MpLoop_Now();
     if (!this->is_relayed) {
         return;
     }
@@ -238,6 +240,7 @@
     this->stage = MP_CALL_RUNNING;
     this->target = target;
     this->sent_ms = now_ms;
+    this->heard_ms = now_ms;
     this->wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
     this->has_answered = false;
@@ -293,3 +296,22 @@
     }
     send_attempt(this, &picked);
 }
+
+void
+MpGatewayAttempt_CheckSilence(struct MpGatewayCall *this, int64_t now_ms)
+{
+    int64_t silent_ms = now_ms - this->heard_ms;
+    if (this->stage != MP_CALL_RUNNING || !this->conn || !this->answer.req ||
+        this->answer.out->len > 0 ||
+        !MpForward_IsSilent(&this->forward, silent_ms, has_retry(this),
+                            now_ms)) {
+        return;
+    }
+    MpLog_Event(LOG_WARNING, "target-silent",
+                "id=%s target=%s silent_ms=%" PRId64 " events=%" PRId64,
+                this->id ? this->id : "-", this->target->incarnation,
+                silent_ms, this->forward.events);
+    MpGatewayAttempt_Drop(this, MP_OUTCOME_CANCELLED);
+    next_step(this, this->forward.is_head_sent ? MP_FATE_CUT : MP_FATE_UNKNOWN,
+              MP_ERROR_TIMEOUT);
+}
--- a/src/transport/GatewayAttempt.h
+++ b/src/transport/GatewayAttempt.h
@@ -11,6 +11,9 @@
 /* Chooses a target and sends the request there, or gives the call up. */
 void MpGatewayAttempt_Start(struct MpGatewayCall *call);
 
+/* Gives the call to another target if this one has been silent for long. */
+void MpGatewayAttempt_CheckSilence(struct MpGatewayCall *call, int64_t now_ms);
+
 /* Breaks the attempt off; outcome is what it tells of the target. */
 void MpGatewayAttempt_Drop(struct MpGatewayCall *call,
                            enum MpTargetOutcome outcome);
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -44,6 +44,7 @@
     struct MpTargetConn *conn;
     GPtrArray *avoid;
     int64_t sent_ms;
+    int64_t heard_ms; /* last byte of the target, or when it was sent */
     int64_t wait_ms;
     int64_t prefill_tokens;
     bool has_answered;
