--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -228,8 +228,10 @@
 }
 
 void
-MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms)
+MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms,
+                int64_t stop_ms)
 {
+    this->stop_ms = stop_ms;
     this->is_leaving = true;
     this->refuse_from_ms = refuse_from_ms;
     this->slices.is_leaving = true;
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -40,6 +40,7 @@
     uint64_t retries_refused; /* counter */
     bool is_leaving;
     int64_t refuse_from_ms; /* leaving: new requests are refused */
+    int64_t stop_ms;        /* leaving: when the process ends at the latest */
     bool is_returned;       /* the slices are given back */
 };
 
@@ -63,8 +64,9 @@
 void MpGateway_Registered(struct MpGateway *this, uint64_t boot);
 
 /* Asks callers to leave after their answers; new requests are refused from
- * refuse_from_ms on. */
-void MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms);
+ * refuse_from_ms on, and streams that may not end before stop_ms at once. */
+void MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms,
+                     int64_t stop_ms);
 
 /* Returns whether nothing runs and all slices are given back. */
 bool MpGateway_IsIdle(const struct MpGateway *this);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -43,8 +43,9 @@
     g_free(this);
 }
 
-/* Gives back what of the reservation was not used. */
-static void
+/* Gives back what of the reservation was not used; returns what was, in
+ * tokens. */
+static int64_t
 settle(struct MpGatewayCall *this)
 {
     const struct MpForward *forward = &this->forward;
@@ -52,7 +53,7 @@
         this->pool ? g_hash_table_lookup(this->document->pools, this->pool)
                    : NULL;
     if (this->reserved_mtok == 0) {
-        return;
+        return 0;
     }
     int64_t output =
         pool ? forward->events * MAX(pool->engine.event_tokens, 1) : 0;
@@ -64,6 +65,7 @@
     MpSlices_Settle(&this->gateway->slices, this->workspace, this->boot,
                     this->reserved_mtok, used * MTOK_PER_TOKEN);
     this->reserved_mtok = 0;
+    return used;
 }
 
 void
@@ -73,17 +75,20 @@
     int64_t now_ms = MpLoop_Now();
     this->stage = MP_CALL_ENDED;
     MpLoop_ClearTimer(&this->timer);
-    settle(this);
+    int64_t billed = settle(this);
     MpMetrics_Count(this->gateway->metrics, "mimosapath_path_ended_total",
                     "outcome", outcome, 1);
     MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
                 "id=%s path=%s workspace=%s outcome=%s error=%s status=%d "
-                "attempts=%u events=%" PRId64 " first_ms=%" PRId64
+                "attempts=%u events=%" PRId64 " billed=%" PRId64
+                " prompt=%" PRId64 " most=%" PRId64 " first_ms=%" PRId64
                 " took_ms=%" PRId64 " document=%" PRIu64,
                 this->id ? this->id : "-", this->path ? this->path->name : "-",
                 this->workspace ? this->workspace : "-", outcome,
                 MpError_Name(code), this->status, forward->sends,
-                forward->events, this->first_ms, now_ms - forward->began_ms,
+                forward->events, billed, this->facts.prompt_tokens,
+                this->facts.output_tokens_most, this->first_ms,
+                now_ms - forward->began_ms,
                 this->document ? this->document->version : 0);
 }
 
@@ -366,6 +371,11 @@
     }
     MpForward_Init(&this->forward, this->path, this->facts.deadline_ms,
                    this->facts.resume_after, now_ms);
+    if (gateway->is_leaving && this->path->stream &&
+        this->forward.deadline_ms > gateway->stop_ms) {
+        refuse(this, MP_ERROR_DRAINING, RETRY_LEAVING_MS);
+        return;
+    }
     this->pool = choose_pool(this->path);
     MpRetryBudget_Request(MpGateway_Retries(gateway, this->pool), now_ms);
     set_deadline(this);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -263,7 +263,8 @@
         this->drain_until_ms =
             MpLoop_Now() + this->settings->stop_within_ms - STOP_MARGIN_MS;
     }
-    MpGateway_Leave(&this->gateway, this->refuse_from_ms);
+    MpGateway_Leave(&this->gateway, this->refuse_from_ms,
+                    this->drain_until_ms);
     MpLeaseKeeper_HandInAll(this->leases);
     MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
 }
--- a/tests/runs/path_drain.py
+++ b/tests/runs/path_drain.py
@@ -20,7 +20,8 @@
 
 targets = [Target("t0", behave)]
 fleet, listed = path_fleet(
-    targets, [path_conf("/ready/"), path_conf("/long/", stream=True)],
+    targets, [path_conf("/ready/"), path_conf("/long/", stream=True),
+              path_conf("/longer/", stream=True, timeout_ms=20000)],
     instances=1, control=1,
     more_settings={"drain_notice_ms": 500, "stop_within_s": 6})
 with fleet:
@@ -32,6 +33,10 @@
     fleet.processes["i0"].send_signal(signal.SIGTERM)
     early = send(fleet, "i0", "/ready/early")
     print("early", status_of(early), header_of(early, "connection"))
+    longer = send(fleet, "i0", "/longer/x")
+    print("too long", status_of(longer),
+          header_of(longer, "x-mimosapath-run"),
+          "come back" if header_of(longer, "retry-after") else "")
     time.sleep(1)
     kept.sendall(("GET /ready/late HTTP/1.1\r\nhost: h.example\r\n"
                   "authorization: Bearer %s\r\n\r\n" % KEY).encode())
