--- a/tests/runs/path_drain.py
+++ b/tests/runs/path_drain.py
@@ -31,6 +31,7 @@
     time.sleep(0.2)
     began = time.monotonic()
     fleet.processes["i0"].send_signal(signal.SIGTERM)
+    time.sleep(0.15)  # the signal is looked for every 50 ms
     early = send(fleet, "i0", "/ready/early")
     print("early", status_of(early), header_of(early, "connection"))
     longer = send(fleet, "i0", "/longer/x")
