--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -58,7 +58,8 @@
     int64_t output =
         pool ? forward->events * MAX(pool->engine.event_tokens, 1) : 0;
     int64_t used = 0;
-    if (forward->may_have_run || forward->is_head_sent) {
+    /* A caller that got nothing of an answer is charged nothing. */
+    if (forward->is_head_sent) {
         used = this->facts.prompt_tokens +
                MIN(output, this->facts.output_tokens_most);
     }
