Slices shrink near the end of a budget

Change: all slices take 400 thousandths of what is left down to a half of the budget, falling to 150 at a fifth.

--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -28,6 +28,12 @@
 /* Slices of living routers take at most this part of what is left of a
  * budget, in thousandths: that much is stranded when all of them die. */
 #define MP_LEDGER_SLICES_PERMILLE 400
+/* ... and at most this part near the end of the budget. */
+#define MP_LEDGER_SLICES_LEAST_PERMILLE 150
+/* The end begins below the higher, and is reached at the lower part of the
+ * budget that is left, in thousandths. */
+#define MP_LEDGER_SLICES_HIGH_PERMILLE 500
+#define MP_LEDGER_SLICES_LOW_PERMILLE 200
 
 /* Largest amount in one call, and largest budget. */
 #define MP_AMOUNT_MAX_MTOK INT64_C(1000000000000000)
--- a/src/state/LedgerSlices.c
+++ b/src/state/LedgerSlices.c
@@ -29,6 +29,20 @@
     account->settled_mtok += new_mtok;
 }
 
+/* Much is held while much is left; near the end of a budget what a death of
+ * all strands would be missed. */
+static int64_t
+slices_permille(const struct MpAccount *account, int64_t left_mtok)
+{
+    int64_t left_permille = left_mtok / MAX(account->granted_mtok / 1000, 1);
+    int64_t more_permille =
+        (left_permille - MP_LEDGER_SLICES_LOW_PERMILLE) *
+        (MP_LEDGER_SLICES_PERMILLE - MP_LEDGER_SLICES_LEAST_PERMILLE) /
+        (MP_LEDGER_SLICES_HIGH_PERMILLE - MP_LEDGER_SLICES_LOW_PERMILLE);
+    return CLAMP(MP_LEDGER_SLICES_LEAST_PERMILLE + more_permille,
+                 MP_LEDGER_SLICES_LEAST_PERMILLE, MP_LEDGER_SLICES_PERMILLE);
+}
+
 /* Returns what the slices of living routers may take in all; *live is what
  * they take now. */
 static int64_t
@@ -36,7 +50,7 @@
 {
     *live_mtok = account->leased_mtok - MpAccount_Dead(account);
     int64_t left_mtok = MAX(MpAccount_Free(account) + *live_mtok, 0);
-    return left_mtok / 1000 * MP_LEDGER_SLICES_PERMILLE;
+    return left_mtok / 1000 * slices_permille(account, left_mtok);
 }
 
 /* Returns the change of a slice that brings it to hold_mtok: less at once,
