--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -29,7 +29,7 @@
  * budget, in thousandths: that much is stranded when all of them die. */
 #define MP_LEDGER_SLICES_PERMILLE 400
 /* ... and at most this part near the end of the budget. */
-#define MP_LEDGER_SLICES_LEAST_PERMILLE 150
+#define MP_LEDGER_SLICES_LEAST_PERMILLE 60
 /* The end begins below the higher, and is reached at the lower part of the
  * budget that is left, in thousandths. */
 #define MP_LEDGER_SLICES_HIGH_PERMILLE 500
