--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -17,7 +17,7 @@
  */
 
 /* Prompt tokens that an engine reads in a millisecond, until it is measured;
- * source: the sheets of both deployments. */
+ * source: the engines of both users. */
 #define MP_PREFILL_TOKENS_PER_MS 38
 /* How long a part of a prompt is taken to stay in an engine's cache, ms;
  * source: prompts of a busy engine fill its memory in about this time. */
--- a/tests/TestSlices.c
+++ b/tests/TestSlices.c
@@ -125,6 +125,26 @@
     MpLedger_Done(&ledger);
 }
 
+/* Near the end of the budget little is held beyond what is running. */
+static void
+test_end_of_budget(void)
+{
+    struct MpLedger ledger;
+    struct mp_slice_held held;
+    struct mp_holder holder = {.instance = (char *)"r", .boot = 1};
+    struct mp_slice wanted = {
+        .workspace = (char *)"w", .hold_mtok = 1000000, .need_mtok = 900000};
+    MpLedger_Init(&ledger);
+    MpLedger_SetPrepaid(&ledger, "w", 1000000);
+    MpLedger_Slice(&ledger, &holder, 1, &wanted, &held);
+    g_assert_cmpint(held.held_mtok, ==, 900000);
+    wanted = (struct mp_slice){
+        .workspace = (char *)"w", .spent_mtok = 900000, .hold_mtok = 1000000};
+    MpLedger_Slice(&ledger, &holder, 2, &wanted, &held);
+    g_assert_cmpint(held.held_mtok, <=, 100 * MP_LEDGER_SLICES_LEAST_PERMILLE);
+    MpLedger_Done(&ledger);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -134,5 +154,6 @@
                     test_last_part);
     g_test_add_func("/slices/what is used is billed", test_bill);
     g_test_add_func("/slices/all together leave most free", test_bound_of_all);
+    g_test_add_func("/slices/little is held near the end", test_end_of_budget);
     return g_test_run();
 }
