Reading a prompt counts for those that run alongside too

Cause: a wait of 100 ms more at its home sent a prompt to another engine, which then read 100 ms of shared parts again while others waited there. Change: the cost of tokens to read counts twice in the choice. TestRoster holds.

--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -18,6 +18,9 @@
 #define WAITING_MS 60
 /* Time that one running request adds to the others' steps and prompts, ms. */
 #define RUNNING_MS 1
+/* What reading a prompt costs those that run alongside, as a part of its own
+ * time: each of them waits meanwhile. */
+#define DELAY_OF_OTHERS 1.0
 /* Part of a prompt that is taken to be cached where all instances send it. */
 #define SHARED_GUESS 0.7
 /* Slowest that a target is taken to be. */
@@ -329,6 +332,7 @@
             wait_ms +
             (strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0);
         cost += MAX(target->error_rate - errors, 0) * ERROR_COST_MS;
+        cost += (double)tokens / MP_PREFILL_TOKENS_PER_MS * DELAY_OF_OTHERS;
         cost += g_random_double();
         if (!picked->target || cost < best_cost) {
             best_cost = cost;
