--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -138,34 +138,44 @@
         if (strcmp(other->prefix, path->prefix) == 0) {
             MpFindings_Add(findings, MP_FINDING_DUPLICATE, 0, place,
                            "path \"%s\" has the same host and prefix",
-                           other->name ? other->name : "");
+                           other->name);
             return;
         }
     }
     g_ptr_array_add(list, path);
 }
 
+static void
+check_path(struct MpDocument *this, struct MpPathConf *path,
+           GPtrArray *findings)
+{
+    char *place = g_strdup_printf("paths.%s", path->name);
+    check_shares(this, path, place, findings);
+    if (!path->host || !is_prefix_sound(path->prefix)) {
+        MpFindings_Add(findings, MP_FINDING_VALUE, 0, place,
+                       "the prefix must start and end with a slash");
+    }
+    else {
+        index_path(this, path, place, findings);
+    }
+    if (path->timeout_ms <= 0) {
+        MpFindings_Add(findings, MP_FINDING_RANGE, 0, place,
+                       "the timeout must be at least 1 ms");
+    }
+    g_free(place);
+}
+
 static void
 check_paths(struct MpDocument *this, GPtrArray *findings)
 {
     GHashTableIter iter;
+    void *name;
     void *value;
-    for (guint i = 0; i < this->paths->len; i++) {
-        struct MpPathConf *path = g_ptr_array_index(this->paths, i);
-        char *place = g_strdup_printf("paths[%u]", i);
-        check_shares(this, path, place, findings);
-        if (!path->host || !is_prefix_sound(path->prefix)) {
-            MpFindings_Add(findings, MP_FINDING_VALUE, 0, place,
-                           "the prefix must start and end with a slash");
-        }
-        else {
-            index_path(this, path, place, findings);
-        }
-        if (path->timeout_ms <= 0) {
-            MpFindings_Add(findings, MP_FINDING_RANGE, 0, place,
-                           "the timeout must be at least 1 ms");
-        }
-        g_free(place);
+    g_hash_table_iter_init(&iter, this->paths);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        struct MpPathConf *path = value;
+        path->name = name;
+        check_path(this, path, findings);
     }
     g_hash_table_iter_init(&iter, this->by_host);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -75,7 +75,7 @@
 /* Requests of one host whose path begins with prefix; the longest prefix
  * counts. */
 struct MpPathConf {
-    char *name;
+    const char *name; /* its key in the document */
     char *host;
     char *prefix;
     int32_t repeat; /* enum MpRepeat */
@@ -132,7 +132,7 @@
     GHashTable *services;
     GHashTable *targets;
     GHashTable *workspaces;
-    GPtrArray *paths;  /* of struct MpPathConf */
+    GHashTable *paths; /* name -> struct MpPathConf */
     GHashTable *pools; /* name -> struct MpPoolConf */
     struct MpLimitConf limits;
     GHashTable *by_host; /* host -> GPtrArray of paths, longest first */
--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -272,11 +272,6 @@
                                                 .fields = share_fields};
 
 static const struct MpField path_fields[] = {
-    {.name = "name",
-     .type = MP_FIELD_NAME,
-     .required = true,
-     AT(MpPathConf, name),
-     .text = "Name of the path, for operators."},
     {.name = "host",
      .type = MP_FIELD_STRING,
      .required = true,
@@ -485,11 +480,13 @@
      AT(MpDocument, workspaces),
      .text = "Workspaces."},
     {.name = "paths",
-     .type = MP_FIELD_LIST,
+     .type = MP_FIELD_MAP,
      .most = 65536,
      .schema = &MpDocument_PathSchema,
      AT(MpDocument, paths),
-     .text = "Requests by host and path, and the pools that serve them."},
+     .text =
+         "Requests by host and path, and the pools that serve them, by any "
+         "name."},
     {.name = "pools",
      .type = MP_FIELD_MAP,
      .most = 1024,
--- a/src/state/LedgerBodies.c
+++ b/src/state/LedgerBodies.c
@@ -1,29 +1,17 @@
 #include "state/Ledger.h"
 
+#include "state/BodyHash.h"
 #include "state/LedgerInternal.h"
 
 #include <string.h>
 
 /* Records counted by the hash of their body; see Ledger.h. */
 
-static guint
-hash_of_body(const void *data)
-{
-    guint value;
-    memcpy(&value, data, sizeof(value));
-    return value;
-}
-
-static gboolean
-equal_bodies(const void *a, const void *b)
-{
-    return memcmp(a, b, MP_HASH_BYTES) == 0;
-}
-
 GHashTable *
 MpLedger_NewBodies(void)
 {
-    return g_hash_table_new_full(hash_of_body, equal_bodies, NULL, g_free);
+    return g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, NULL,
+                                 g_free);
 }
 
 static void
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -1,5 +1,6 @@
 #include "state/Machine.h"
 
+#include "state/BodyHash.h"
 #include "state/Error.h"
 #include "state/Fault.h"
 #include "state/MachineInternal.h"
@@ -59,20 +60,6 @@
     }
 }
 
-static guint
-hash_of_hash(const void *data)
-{
-    guint value;
-    memcpy(&value, data, sizeof(value));
-    return value;
-}
-
-static gboolean
-equal_hashes(const void *a, const void *b)
-{
-    return memcmp(a, b, MP_HASH_BYTES) == 0;
-}
-
 void
 MpMachine_Init(struct MpMachine *this)
 {
@@ -85,8 +72,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
     this->submissions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
-    this->poisons =
-        g_hash_table_new_full(hash_of_hash, equal_hashes, NULL, poison_delete);
+    this->poisons = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
+                                          NULL, poison_delete);
     g_queue_init(&this->history);
     g_queue_init(&this->topup_order);
     g_queue_init(&this->submission_order);
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -1,5 +1,6 @@
 #include "transport/Fleet.h"
 
+#include "state/BodyHash.h"
 #include "state/Codec.h"
 #include "state/Error.h"
 #include "state/TextPatch.h"
@@ -483,20 +484,6 @@
                     this->document ? SYNC_MS : SYNC_MS / 5, on_timer, this);
 }
 
-static guint
-hash_of_body(const void *data)
-{
-    guint value;
-    memcpy(&value, data, sizeof(value));
-    return value;
-}
-
-static gboolean
-equal_bodies(const void *a, const void *b)
-{
-    return memcmp(a, b, MP_HASH_BYTES) == 0;
-}
-
 void
 MpFleet_Start(struct MpFleet *this, struct MpLoop *loop,
               const struct MpSettings *settings, const uint8_t *fleet_key,
@@ -510,7 +497,7 @@
                              .nonce = random_number()};
     this->clients = g_ptr_array_new();
     this->poisons =
-        g_hash_table_new_full(hash_of_body, equal_bodies, g_free, NULL);
+        g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     GPtrArray *replicas = MpSettings_Replicas(settings);
     for (guint i = 0; i < replicas->len; i++) {
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -150,7 +150,7 @@
     if (this->dialect->is_strict) {
         return true;
     }
-    if (!document || document->paths->len == 0) {
+    if (!document || g_hash_table_size(document->paths) == 0) {
         return false;
     }
     char *host = g_ascii_strdown(req->input.authority.base,
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -108,7 +108,7 @@
 
 def path_conf(prefix, repeat="once", stream=False, attempts=1,
               timeout_ms=5000, pool="p"):
-    return {"name": prefix.strip("/"), "host": "h.example", "prefix": prefix,
+    return {"host": "h.example", "prefix": prefix,
             "repeat": repeat, "stream": stream, "attempts_most": attempts,
             "timeout_ms": timeout_ms, "latency_target_ms": 500,
             "affinity": stream,
@@ -118,7 +118,8 @@
 def path_fleet(targets, paths, prepaid=None, **more):
     """A fleet whose paths lead to targets; returns it and the list."""
     listed = TargetList(targets)
-    document = {"paths": paths, "pools": {"p": {"engine": {
+    document = {"paths": {p["prefix"].strip("/"): p for p in paths},
+                "pools": {"p": {"engine": {
         "slots": 8, "event_tokens": 3}}}}
     if prepaid is not None:
         document["prepaid_tokens"] = prepaid
