--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -117,6 +117,11 @@
     if (is_resumed && head->status != 200) {
         return;
     }
+    /* An answer that nobody waits for any more is not begun. */
+    this->checked_ms = 0;
+    if (MpGatewayCall_CheckCaller(this, now_ms)) {
+        return;
+    }
     this->is_relayed = true;
     this->is_events = this->path->stream && head->status == 200;
     if (!is_resumed) {
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -298,20 +298,20 @@
 static const struct MpCallerAnswerClass answer_class = {
     .gone = on_caller_gone, .drained = on_drained, .sent = on_sent};
 
-void
+bool
 MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms)
 {
     if (this->stage == MP_CALL_ENDED || !this->answer.req ||
         now_ms - this->checked_ms < CALLER_CHECK_MS) {
-        return;
+        return false;
     }
     this->checked_ms = now_ms;
     if (!MpCallerAnswer_IsCallerGone(&this->answer)) {
-        return;
+        return false;
     }
     if (this->stage == MP_CALL_RUNNING &&
         MpForward_OutlivesCaller(&this->forward)) {
-        return;
+        return false;
     }
     if (this->stage == MP_CALL_BUDGET) {
         this->reserved_mtok = 0;
@@ -321,6 +321,7 @@
     MpGatewayCall_GiveUp(
         this, this->forward.is_head_sent ? MP_STEP_CUT : MP_STEP_FAIL,
         MP_ERROR_CLOSED, 0);
+    return true;
 }
 
 /* ---- arrival ---- */
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -74,7 +74,8 @@
 /* Tries again to get a part of the budget, after a report was answered. */
 void MpGatewayCall_RetryBudget(struct MpGatewayCall *this, bool is_answered);
 
-/* Looks whether the caller has left. */
-void MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
+/* Looks whether the caller has left, if it was not looked for lately; returns
+ * whether it has, and the call has ended. */
+bool MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
 
 #endif
