--- a/tests/runs/torn_log.py
+++ b/tests/runs/torn_log.py
@@ -4,12 +4,28 @@
 import time
 from fleet import Fleet, wait_for
 
+def newest_log(fleet, victim):
+    return max(glob.glob(fleet.path("data-%s/log-*" % victim)))
+
+
+def fill(fleet, victim, frames):
+    """Makes requests until the victim's log has so many frames: damage in
+    the very last frame cannot be told from a torn one."""
+    for number in range(200):
+        with open(newest_log(fleet, victim), "rb") as log:
+            if log.read().count(b"MPL1") >= frames:
+                return
+        fleet.call("i0", "/services/s/lots", "id=x", key="fill%d" % number)
+    raise SystemExit("the log of %s does not grow" % victim)
+
+
 with Fleet(instances=3, control=3) as fleet:
     for number in range(5):
         fleet.call("i0", "/services/s/lots", "id=x", key="k%d" % number)
     victim = next(n for n in fleet.names if n != fleet.leader())
+    fill(fleet, victim, 3)
     fleet.kill(victim)
-    log = max(glob.glob(fleet.path("data-%s/log-*" % victim)))
+    log = newest_log(fleet, victim)
     with open(log, "ab") as out:
         out.write(b"MPL1\x00\x00\x01\x00 torn")
     fleet.start(victim)
