A dialect that there is not is a finding

Cause: settings that named an unknown dialect passed the check, and the instance ended by a null pointer. Change: check and run refuse it with its place.

--- a/src/commands/CommandCheck.c
+++ b/src/commands/CommandCheck.c
@@ -1,5 +1,6 @@
 #include "commands/Command.h"
 
+#include "protocol/Dialect.h"
 #include "state/Document.h"
 #include "state/Settings.h"
 
@@ -22,7 +23,11 @@
 check_settings(const char *name)
 {
     GPtrArray *findings = MpFindings_New();
-    MpSettings_Delete(MpSettings_Load(name, findings));
+    struct MpSettings *settings = MpSettings_Load(name, findings);
+    if (settings) {
+        MpDialect_Check(settings->dialect, findings);
+    }
+    MpSettings_Delete(settings);
     int status = report(findings, name);
     g_ptr_array_unref(findings);
     return status;
--- a/src/commands/CommandRun.c
+++ b/src/commands/CommandRun.c
@@ -1,5 +1,6 @@
 #include "commands/Command.h"
 
+#include "protocol/Dialect.h"
 #include "state/Error.h"
 #include "transport/Instance.h"
 #include "transport/Log.h"
@@ -11,11 +12,15 @@
 {
     GPtrArray *findings = MpFindings_New();
     struct MpSettings *settings = MpSettings_Load(name, findings);
-    if (!settings) {
+    if (settings) {
+        MpDialect_Check(settings->dialect, findings);
+    }
+    if (findings->len > 0) {
         char *text = MpFindings_Text(findings, name);
         fputs(text, stderr);
         g_free(text);
         g_ptr_array_unref(findings);
+        MpSettings_Delete(settings);
         return MP_EXIT_FAILED;
     }
     g_ptr_array_unref(findings);
--- a/src/commands/Dialects.c
+++ b/src/commands/Dialects.c
@@ -16,3 +16,12 @@
     }
     return NULL;
 }
+
+void
+MpDialect_Check(const char *name, GPtrArray *findings)
+{
+    if (!MpDialect_Find(name)) {
+        MpFindings_Add(findings, MP_FINDING_REFERENCE, 0, "dialect",
+                       "there is no dialect \"%s\"", name);
+    }
+}
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -69,4 +69,7 @@
  * none. */
 const struct MpDialect *MpDialect_Find(const char *name);
 
+/* Adds a finding when the settings name a dialect that there is not. */
+void MpDialect_Check(const char *name, GPtrArray *findings);
+
 #endif
