Run names the missing settings in its own condition

Cause: the linter did not see that no settings always come with findings (the whole check failed on it). Change: the condition says so.

--- a/src/commands/CommandRun.c
+++ b/src/commands/CommandRun.c
@@ -15,7 +15,7 @@
     if (settings) {
         MpDialect_Check(settings->dialect, findings);
     }
-    if (findings->len > 0) {
+    if (!settings || findings->len > 0) {
         char *text = MpFindings_Text(findings, name);
         fputs(text, stderr);
         g_free(text);
