Log: what a caller resumes after, and the prepaid amount of a refusal

Which answers made the difference could not be read from the log. Change: request-ended tells the event that a caller resumes after; the lines on short budgets tell the prepaid amount.

--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -82,13 +82,14 @@
     MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
                 "id=%s path=%s workspace=%s outcome=%s error=%s status=%d "
                 "attempts=%u events=%" PRId64 " billed=%" PRId64
-                " prompt=%" PRId64 " most=%" PRId64 " first_ms=%" PRId64
-                " took_ms=%" PRId64 " document=%" PRIu64,
+                " prompt=%" PRId64 " most=%" PRId64 " after=%" PRId64
+                " first_ms=%" PRId64 " took_ms=%" PRId64 " document=%" PRIu64,
                 this->id ? this->id : "-", this->path ? this->path->name : "-",
                 this->workspace ? this->workspace : "-", outcome,
                 MpError_Name(code), this->status, forward->sends,
                 forward->events, billed, this->facts.prompt_tokens,
-                this->facts.output_tokens_most, this->first_ms,
+                this->facts.output_tokens_most, this->facts.resume_after,
+                this->first_ms,
                 now_ms - forward->began_ms,
                 this->document ? this->document->version : 0);
 }
@@ -188,14 +189,16 @@
     const struct MpSlices *slices = &this->gateway->slices;
     const struct MpSlice *slice =
         g_hash_table_lookup(slices->slices, this->workspace);
+    const struct MpWorkspaceConf *workspace =
+        g_hash_table_lookup(this->document->workspaces, this->workspace);
     MpLog_Event(LOG_WARNING, event,
                 "id=%s workspace=%s wanted_mtok=%" PRId64 " held_mtok=%" PRId64
                 " reserved_mtok=%" PRId64 " free_mtok=%" PRId64
-                " answer_age_ms=%" PRId64 " rounds=%u",
+                " answer_age_ms=%" PRId64 " rounds=%u prepaid=%" PRId64,
                 this->id ? this->id : "-", this->workspace,
                 this->reserved_mtok, slice->held_mtok, slice->reserved_mtok,
                 slice->free_mtok, MpLoop_Now() - slices->answered_ms,
-                this->budget_rounds);
+                this->budget_rounds, workspace->prepaid_tokens);
 }
 
 /* Another instance may hold what this one cannot get now. */
