--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -89,8 +89,7 @@
                 MpError_Name(code), this->status, forward->sends,
                 forward->events, billed, this->facts.prompt_tokens,
                 this->facts.output_tokens_most, this->facts.resume_after,
-                this->first_ms,
-                now_ms - forward->began_ms,
+                this->first_ms, now_ms - forward->began_ms,
                 this->document ? this->document->version : 0);
 }
 
