The oracle finds commits of older terms and unbilled unknown runs

Cause: two faults planted by hand passed every test: a leader that commits entries of an older term by counting, and an at-most-once run of unknown outcome that is billed nothing. Change: FuzzCluster checks that a leader's commit index moves only onto an entry of its own term; the agents of FuzzLedger settle some runs without an answer, and the oracle holds their bill.

--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -407,6 +407,11 @@
     task->outcome = MP_RECORD_DONE;
     task->amount_mtok =
         is_at_most_once(task->key) ? PRICE_MTOK : PRICE_MTOK / 2;
+    /* The answer of some runs that must not be repeated does not come. */
+    if (is_at_most_once(task->key) && task->open_id % 4 == 0) {
+        task->outcome = MP_RECORD_CANCELLED;
+        task->amount_mtok = 0;
+    }
 }
 
 static void
@@ -414,6 +419,11 @@
               const struct mp_result *result)
 {
     struct KeyOracle *key = &this->keys[task->key];
+    if (result->code == MP_OK && task->outcome == MP_RECORD_CANCELLED) {
+        key->is_billed = true;
+        key->is_unknown = true;
+        key->billed_mtok = PRICE_MTOK;
+    }
     if (result->code == MP_OK && task->outcome == MP_RECORD_DONE) {
         key->is_billed = true;
         key->billed_mtok = task->amount_mtok;
--- a/fuzz/Agents.h
+++ b/fuzz/Agents.h
@@ -62,6 +62,7 @@
     uint32_t runs;
     bool is_billed; /* an answer said so */
     int64_t billed_mtok;
+    bool is_unknown;     /* billed without an answer of its run */
     uint64_t not_run_id; /* open id that was acknowledged as not run */
 };
 
--- a/fuzz/AgentsCheck.c
+++ b/fuzz/AgentsCheck.c
@@ -77,8 +77,12 @@
         snprintf(name, sizeof(name), "k%u", i);
         const struct MpRecord *record = MpLedger_FindRecord(
             &machine->ledger, Agents_WorkspaceOfKey(i), name);
-        if (key->is_billed && (!record || record->state != MP_RECORD_DONE ||
-                               record->spent_mtok != key->billed_mtok)) {
+        bool is_closed =
+            record &&
+            (record->state == MP_RECORD_DONE ||
+             (key->is_unknown && record->state == MP_RECORD_UNKNOWN));
+        if (key->is_billed &&
+            (!is_closed || record->spent_mtok != key->billed_mtok)) {
             Fuzz_Fail("the bill of key %u is lost or changed", i);
         }
         if (record && key->not_run_id == record->open_id &&
--- a/fuzz/Cluster.c
+++ b/fuzz/Cluster.c
@@ -1,5 +1,6 @@
 #include "Cluster.h"
 
+#include "coordination/RaftInternal.h"
 #include "state/Codec.h"
 #include "state/Error.h"
 
@@ -110,6 +111,27 @@
     }
 }
 
+/* An entry of an older term counts as committed only once one of the
+ * leader's own term is: until then another leader may overwrite it. */
+static void
+check_commit(struct Node *node)
+{
+    const struct MpRaft *raft = &node->raft;
+    if (!MpRaft_IsLeader(raft)) {
+        return;
+    }
+    if (node->lead_term != raft->term) {
+        node->lead_term = raft->term;
+        node->lead_commit = raft->commit;
+        return;
+    }
+    if (raft->commit > node->lead_commit &&
+        MpRaftLog_Term(raft, raft->commit) != raft->term) {
+        Fuzz_Fail("term %" PRIu64 " committed an entry of an older one alone",
+                  raft->term);
+    }
+}
+
 static void
 check_read(struct Node *node)
 {
@@ -133,6 +155,7 @@
             continue;
         }
         check_leader(this, node);
+        check_commit(node);
         check_read(node);
         /* Only a state that has all that was acknowledged can be compared
          * with it. */
--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -39,6 +39,8 @@
     uint32_t starts;
     int64_t read_since_ms; /* a read that waits, or -1 */
     uint64_t read_index;   /* what it must see */
+    uint64_t lead_term;    /* the term that it was last seen to lead */
+    uint64_t lead_commit;  /* its commit index when that began */
 };
 
 /* A proposal in the log of a leader. */
--- a/src/coordination/RaftReplication.c
+++ b/src/coordination/RaftReplication.c
@@ -1,6 +1,7 @@
 #include "coordination/RaftInternal.h"
 
 #include "state/Error.h"
+#include "state/Fault.h"
 
 #include <string.h>
 
@@ -113,7 +114,8 @@
     int64_t reached = MpRaftQuorum_Reached(this, match_of);
     uint64_t index = (uint64_t)MAX(reached, 0);
     /* Only entries of the own term are committed by counting. */
-    if (index > this->commit && MpRaftLog_Term(this, index) == this->term) {
+    if (index > this->commit && (MpRaftLog_Term(this, index) == this->term ||
+                                 MP_FAULT(MP_FAULT_OLD_TERM_COUNTED))) {
         this->commit = index;
     }
 }
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -535,7 +535,7 @@
         outcome = MP_RECORD_UNKNOWN;
     }
     if (outcome == MP_RECORD_UNKNOWN) {
-        spent = record->reserve_mtok;
+        spent = MP_FAULT(MP_FAULT_UNKNOWN_UNBILLED) ? 0 : record->reserve_mtok;
     }
     if (outcome == MP_RECORD_NOT_RUN) {
         spent = 0;
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -46,6 +46,8 @@
     19: ("attempts without bound", "FuzzForward", 50),
     20: ("sent anew after the head", "FuzzForward", 50),
     21: ("sent after the deadline", "FuzzForward", 50),
+    22: ("older term committed by counting", "FuzzCluster", 50),
+    23: ("unknown outcome billed nothing", "FuzzLedger", 50),
 }
 
 
