mimosapath explain: what became of a request, and the line that decided it

Cause: the way from an id to its cause was a grep over the logs of ten instances; requests without a target and at their deadline had no line with the inputs; times had whole seconds only. Change: the command joins the lines of all instances with the changes of belief around them and names the deciding one. target-none tells the state of the pool, deadline-passed who was silent for how long. A caller that left is no longer logged as a failure of the target.

--- a/src/commands/Command.h
+++ b/src/commands/Command.h
@@ -34,6 +34,7 @@
 int MpCommandDocument_Main(int argc, char **argv);
 int MpCommandLedger_Main(int argc, char **argv);
 int MpCommandDrain_Main(int argc, char **argv);
+int MpCommandExplain_Main(int argc, char **argv);
 
 /*
  * Parses the arguments of a command; the table ends with help, version and
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -347,6 +347,28 @@
     return has_usable ? MP_ERROR_LIMIT : MP_ERROR_NO_TARGET;
 }
 
+void
+MpRoster_View(const struct MpRoster *this, const struct MpPickAsk *ask,
+              int64_t now_ms, struct MpPoolView *view)
+{
+    const GPtrArray *pool = g_hash_table_lookup(this->pools, ask->pool);
+    *view = (struct MpPoolView){.listed = 0};
+    if (!pool) {
+        return;
+    }
+    view->listed = pool->len;
+    for (guint i = 0; i < pool->len; i++) {
+        const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        bool is_tried = ask->avoid && g_ptr_array_find((GPtrArray *)ask->avoid,
+                                                       target, NULL);
+        view->leaving += target->is_leaving || target->is_gone;
+        view->paused +=
+            target->paused_until_ms > now_ms || target->failures > 0;
+        view->tried += is_tried;
+        view->full += is_full(target, now_ms);
+    }
+}
+
 /* ---- attempts ---- */
 
 static void
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -112,6 +112,15 @@
     const GPtrArray *avoid; /* of struct MpPoolTarget */
 };
 
+/* Why targets of a pool could not be chosen. */
+struct MpPoolView {
+    uint32_t listed;
+    uint32_t leaving; /* or gone */
+    uint32_t paused;  /* after failures, or on trial */
+    uint32_t tried;   /* by this request */
+    uint32_t full;
+};
+
 /* The choice, and what it rests on. */
 struct MpPicked {
     struct MpPoolTarget *target;
@@ -124,6 +133,10 @@
 int MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
                   int64_t now_ms, struct MpPicked *picked);
 
+/* Tells what the targets of the asked pool look like at now_ms. */
+void MpRoster_View(const struct MpRoster *this, const struct MpPickAsk *ask,
+                   int64_t now_ms, struct MpPoolView *view);
+
 /* Notes an attempt; the target is kept until it has ended. */
 void MpPoolTarget_Begin(struct MpPoolTarget *this,
                         const struct MpCallFacts *facts,
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -274,6 +274,24 @@
         gateway->roster.version, MpForward_Left(&this->forward, now_ms));
 }
 
+static void
+log_no_target(struct MpGatewayCall *this, const struct MpPickAsk *ask,
+              int code, int64_t now_ms)
+{
+    const struct MpRoster *roster = &this->gateway->roster;
+    struct MpPoolView view;
+    MpRoster_View(roster, ask, now_ms, &view);
+    MpLog_Event(LOG_WARNING, "target-none",
+                "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
+                "paused=%u tried=%u full=%u list=%" PRIu64
+                " list_age_ms=%" PRId64 " has_retry=%d",
+                this->id ? this->id : "-", this->pool, MpError_Name(code),
+                this->forward.sends + 1, view.listed, view.leaving,
+                view.paused, view.tried, view.full, roster->version,
+                roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
+                this->forward.sends == 0 || has_retry(this));
+}
+
 void
 MpGatewayAttempt_Start(struct MpGatewayCall *this)
 {
@@ -295,6 +313,7 @@
         code = MP_ERROR_LIMIT;
     }
     if (code != MP_OK) {
+        log_no_target(this, &ask, code, now_ms);
         MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
                              MP_RETRY_BUSY_MS);
         return;
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -151,7 +151,8 @@
         return;
     }
     if (step == MP_STEP_FAIL) {
-        refuse(this, MP_ERROR_TARGET_FAILED, 0);
+        refuse(this, code == MP_ERROR_CLOSED ? code : MP_ERROR_TARGET_FAILED,
+               0);
         return;
     }
     refuse(this, code, retry_after_ms);
@@ -167,6 +168,15 @@
     if (step == MP_STEP_FAIL) {
         this->forward.may_have_run = true;
     }
+    int64_t now_ms = MpLoop_Now();
+    MpLog_Event(LOG_WARNING, "deadline-passed",
+                "id=%s target=%s attempts=%u events=%" PRId64
+                " allowed_ms=%" PRId64 " silent_ms=%" PRId64,
+                this->id ? this->id : "-",
+                this->target ? this->target->incarnation : "-",
+                this->forward.sends, this->forward.events,
+                this->forward.deadline_ms - this->forward.began_ms,
+                this->target ? now_ms - this->heard_ms : -1);
     MpGatewayAttempt_Drop(this, this->has_answered ? MP_OUTCOME_CANCELLED
                                                    : MP_OUTCOME_FAILED);
     MpGatewayCall_GiveUp(this, step, MP_ERROR_TIMEOUT, 0);
--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -90,7 +90,10 @@
     (void)level;
     (void)user_data;
     GDateTime *now = g_date_time_new_now_utc();
-    char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%SZ");
+    char *second = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+    char *time = g_strdup_printf("%s.%03dZ", second,
+                                 g_date_time_get_microsecond(now) / 1000);
+    g_free(second);
     const char *event = field_text(fields, count, FIELD_EVENT);
     char *line = g_strdup_printf(
         "<%s>%s %s %s %s\n", field_text(fields, count, FIELD_PRIORITY), time,
--- a/src/transport/Log.h
+++ b/src/transport/Log.h
@@ -8,7 +8,7 @@
 /*
  * Log - structured lines in the syslog manner on standard output.
  *
- *     <6>2026-12-04T02:30:00Z moka-a-1 event-name key=value ...
+ *     <6>2026-12-04T02:30:00.125Z moka-a-1 event-name key=value ...
  *
  * Lines tell decisions on requests and changes of state.  Their volume is
  * bounded: under load lines of normal outcomes are left out first, then
--- a/tests/examples.t
+++ b/tests/examples.t
@@ -39,14 +39,23 @@
 *"$program_text") report 0 "docs/CONFIGURATION.md is what the program prints" ;;
 *) report 1 "docs/CONFIGURATION.md is what the program prints" ;;
 esac
-for words in "run" "run --settings" "check --nonsense" "nonsense" "topup"; do
+while read -r id; do
+    "$program" explain "$id" tests/explain/a-1.log tests/explain/b-1.log \
+        >/tmp/explain.$$ 2>&1
+    echo "exit $?" >>/tmp/explain.$$
+    diff "tests/explain/$id.expected" /tmp/explain.$$ | sed 's/^/# /'
+    cmp -s "tests/explain/$id.expected" /tmp/explain.$$
+    report $? "explain $id"
+done <tests/explain/commands
+rm -f /tmp/explain.$$
+for words in "run" "run --settings" "check --nonsense" "nonsense" "topup" "explain" "explain id"; do
     # shellcheck disable=SC2086
     "$program" $words >/dev/null 2>&1
     [ $? = 2 ]
     report $? "usage: $words"
 done
 for command in run check status workspace topup document ledger drain \
-    target load; do
+    target load explain; do
     "$program" $command --help | grep -q usage &&
         "$program" $command --version | grep -q '^mimosapath'
     report $? "help of $command"
