The router's choice of a target against two simple policies

Change: the setting routing counts on paths too: random, or the fewest running of the router's own, among the targets that can be used.

--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_PICKER_H
 #define MP_COORDINATION_PICKER_H
 
+#include "coordination/PickPolicy.h"
 #include "state/Document.h"
 
 #include <glib.h>
@@ -27,12 +28,6 @@
 /* Block hashes remembered for one target. */
 #define MP_PREFIX_CACHE_MAX 8192
 
-enum MpPickPolicy {
-    MP_PICK_AFFINITY, /* the product's policy */
-    MP_PICK_RANDOM,   /* baseline for measurements */
-    MP_PICK_LEAST_OWN /* baseline: least outstanding by own count */
-};
-
 /* Why a target is out, for status pages. */
 enum MpTargetHealth {
     MP_HEALTH_IN,
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -293,6 +293,17 @@
     return wait_ms * target->slowness;
 }
 
+/* What a choice costs beside the request's own wait, as time, ms. */
+static double
+cost_beyond_wait(const struct MpRoster *this,
+                 const struct MpPoolTarget *target, int64_t tokens,
+                 double errors)
+{
+    double cost = strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0;
+    cost += MAX(target->error_rate - errors, 0) * ERROR_COST_MS;
+    return cost + (double)tokens / MP_PREFILL_TOKENS_PER_MS * DELAY_OF_OTHERS;
+}
+
 int
 MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
               int64_t now_ms, struct MpPicked *picked)
@@ -328,12 +339,13 @@
         int64_t tokens =
             tokens_to_read(target, ask->facts, target == home, now_ms);
         double wait_ms = wait_at(target, ask, tokens, now_ms);
-        double cost =
-            wait_ms +
-            (strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0);
-        cost += MAX(target->error_rate - errors, 0) * ERROR_COST_MS;
-        cost += (double)tokens / MP_PREFILL_TOKENS_PER_MS * DELAY_OF_OTHERS;
-        cost += g_random_double();
+        double cost = g_random_double();
+        if (this->policy == MP_PICK_AFFINITY) {
+            cost += wait_ms + cost_beyond_wait(this, target, tokens, errors);
+        }
+        else if (this->policy == MP_PICK_LEAST_OWN) {
+            cost += target->running;
+        }
         if (!picked->target || cost < best_cost) {
             best_cost = cost;
             *picked = (struct MpPicked){.target = target,
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -2,6 +2,7 @@
 #define MP_COORDINATION_ROSTER_H
 
 #include "coordination/CallFacts.h"
+#include "coordination/PickPolicy.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -85,8 +86,9 @@
 
 struct MpRoster {
     char *zone;
-    GHashTable *targets; /* incarnation -> struct MpPoolTarget */
-    GHashTable *pools;   /* name -> GPtrArray of struct MpPoolTarget */
+    enum MpPickPolicy policy; /* MP_PICK_AFFINITY unless it is set */
+    GHashTable *targets;      /* incarnation -> struct MpPoolTarget */
+    GHashTable *pools;        /* name -> GPtrArray of struct MpPoolTarget */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
     uint64_t version; /* of the list: counts its changes */
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -257,6 +257,7 @@
                                .metrics = metrics};
     g_queue_init(&this->calls);
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
+    this->roster.policy = (enum MpPickPolicy)settings->routing;
     MpSlices_Init(&this->slices);
     this->retries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -139,6 +139,36 @@
     g_ptr_array_unref(nothing);
 }
 
+/* The baselines know neither caches nor what targets tell. */
+static void
+test_baselines(void)
+{
+    struct MpRoster roster;
+    struct MpCallFacts facts = {.prompt_tokens = 4000,
+                                .parts = {{.id = 7, .tokens = 4000}},
+                                .part_count = 1};
+    struct MpPicked picked;
+    GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
+    roster_start(&roster, 4);
+    roster.policy = MP_PICK_LEAST_OWN;
+    for (int i = 0; i < 4; i++) {
+        g_assert_cmpint(pick(&roster, &facts, false, 1000, &picked), ==,
+                        MP_OK);
+        MpPoolTarget_Begin(picked.target, &facts, 4000, 1000);
+        g_hash_table_add(seen, picked.target);
+    }
+    g_assert_cmpuint(g_hash_table_size(seen), ==, 4);
+    g_hash_table_remove_all(seen);
+    roster.policy = MP_PICK_RANDOM;
+    for (int i = 0; i < 200; i++) {
+        g_assert_cmpint(pick(&roster, &facts, false, 1000, &picked), ==,
+                        MP_OK);
+        g_hash_table_add(seen, picked.target);
+    }
+    g_assert_cmpuint(g_hash_table_size(seen), ==, 4);
+    g_hash_table_unref(seen);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -149,5 +179,6 @@
                     test_affinity_and_burst);
     g_test_add_func("/roster/a failed target rests", test_failure);
     g_test_add_func("/roster/a leaving target gets nothing new", test_leaving);
+    g_test_add_func("/roster/baselines", test_baselines);
     return g_test_run();
 }
