Counters and lines tell the same; prepaid amounts count in own documents

Cause: decisions on paths had lines but few counters and no histograms. A failure that a target answered was charged its prompt. Change: each event is counted where it is logged; histograms of the first answer and the end by path, requests and tokens by workspace. All three ways to submit a document list its amounts (MpDocument_Grants). Answers from status 400 on are charged nothing. One constant for thousandths of a token.

--- a/src/commands/CommandOperator.c
+++ b/src/commands/CommandOperator.c
@@ -12,8 +12,6 @@
 
 /* The verbs of operators: each is one call of the control interface. */
 
-#define MTOK_PER_TOKEN 1000
-
 /* What all verbs need. */
 struct operator_args {
     struct arg_str *address;
@@ -144,7 +142,7 @@
     char *path =
         g_strdup_printf("/control/v1/workspaces/%s/topups", workspace);
     char *body = g_strdup_printf("{\"amount_mtok\":%" PRId64 "}",
-                                 tokens * MTOK_PER_TOKEN);
+                                 tokens * MP_MTOK_PER_TOKEN);
     char *header = g_strdup_printf("idempotency-key: %s\r\n", id);
     struct MpHttpCall call = {.method = "POST", .path = path, .body = body};
     int status = print_call(args, &call, header);
--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -316,3 +316,24 @@
     return g_ptr_array_find_with_equal_func((GPtrArray *)list, name,
                                             g_str_equal, NULL);
 }
+
+struct mp_grant *
+MpDocument_Grants(const struct MpDocument *this, u_int *count)
+{
+    GHashTableIter iter;
+    void *name;
+    void *value;
+    struct mp_grant *list =
+        g_new0(struct mp_grant, g_hash_table_size(this->workspaces) + 1);
+    *count = 0;
+    g_hash_table_iter_init(&iter, this->workspaces);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const struct MpWorkspaceConf *workspace = value;
+        if (workspace->prepaid_tokens >= 0) {
+            list[(*count)++] = (struct mp_grant){
+                .workspace = name,
+                .prepaid_mtok = workspace->prepaid_tokens * MP_MTOK_PER_TOKEN};
+        }
+    }
+    return list;
+}
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -1,12 +1,16 @@
 #ifndef MP_STATE_DOCUMENT_H
 #define MP_STATE_DOCUMENT_H
 
+#include "gen/wire.h"
 #include "state/Schema.h"
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Amounts of the ledger are thousandths of a token. */
+#define MP_MTOK_PER_TOKEN 1000
+
 /*
  * Document - the one configuration that the fleet obeys.
  *
@@ -169,6 +173,11 @@
 const char *MpDocument_WorkspaceOfKey(const struct MpDocument *this,
                                       const char *key);
 
+/* Returns the prepaid amounts of the workspaces that have one, *count of
+ * them; the names belong to the document, free the list with g_free. */
+struct mp_grant *MpDocument_Grants(const struct MpDocument *this,
+                                   u_int *count);
+
 /* Returns the lower-case SHA-256 of key; free it with g_free. */
 char *MpDocument_HashKey(const char *key);
 
--- a/src/transport/Console.c
+++ b/src/transport/Console.c
@@ -9,7 +9,6 @@
 #include <string.h>
 
 #define HTML_TYPE "text/html; charset=utf-8"
-#define MTOK_PER_TOKEN 1000
 /* A budget with less than this share free is marked. */
 #define LOW_DIVISOR 10
 
@@ -69,7 +68,8 @@
 static void
 append_tokens(GString *out, int64_t amount_mtok)
 {
-    char *digits = g_strdup_printf("%" PRId64, amount_mtok / MTOK_PER_TOKEN);
+    char *digits =
+        g_strdup_printf("%" PRId64, amount_mtok / MP_MTOK_PER_TOKEN);
     size_t length = strlen(digits);
     g_string_append(out, "<td class=n>");
     for (size_t i = 0; i < length; i++) {
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -131,7 +131,11 @@
         .retention_ms = document->retention_s * 1000,
         .text = (char *)text,
     };
+    struct mp_document_put *put = &command.body.mp_command_body_u.document;
+    put->grants.grants_val =
+        MpDocument_Grants(document, &put->grants.grants_len);
     MpFleet_Propose(call->server->fleet, &command, deadline(), done, call);
+    g_free(put->grants.grants_val);
     MpDocument_Unref(document);
     g_ptr_array_unref(findings);
 }
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -89,6 +89,7 @@
 start_answer(struct MpGatewayCall *this, const struct MpTargetHead *head)
 {
     this->forward.is_head_sent = true;
+    this->head_status = head->status;
     if (this->answer.req) {
         MpGatewayRequest_CopyHead(head, this->answer.req);
     }
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -10,8 +10,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Amounts of the ledger are thousandths of a token. */
-#define MTOK_PER_TOKEN 1000
 /* Longest wait for a part of the budget, ms: a quorum that is there answers
  * within a few round trips and syncs. */
 #define BUDGET_WAIT_MS 300
@@ -58,17 +56,44 @@
     int64_t output =
         pool ? forward->events * MAX(pool->engine.event_tokens, 1) : 0;
     int64_t used = 0;
-    /* A caller that got nothing of an answer is charged nothing. */
-    if (forward->is_head_sent) {
+    /* A caller that got no answer, or a failure, is charged nothing. */
+    if (forward->is_head_sent && this->head_status < 400) {
         used = this->facts.prompt_tokens +
                MIN(output, this->facts.output_tokens_most);
     }
     MpSlices_Settle(&this->gateway->slices, this->workspace, this->boot,
-                    this->reserved_mtok, used * MTOK_PER_TOKEN);
+                    this->reserved_mtok, used * MP_MTOK_PER_TOKEN);
     this->reserved_mtok = 0;
     return used;
 }
 
+/* Latencies by path, of which there are few; counts by workspace. */
+static void
+count_end(const struct MpGatewayCall *this, const char *outcome,
+          int64_t billed, int64_t now_ms)
+{
+    struct MpMetrics *metrics = this->gateway->metrics;
+    MpMetrics_Count(metrics, "mimosapath_path_ended_total", "outcome", outcome,
+                    1);
+    if (this->path) {
+        MpHistogram_Add(MpMetrics_Histogram(metrics, "mimosapath_path_took_ms",
+                                            "path", this->path->name),
+                        (uint64_t)(now_ms - this->forward.began_ms));
+    }
+    if (this->path && this->forward.is_head_sent) {
+        MpHistogram_Add(MpMetrics_Histogram(metrics,
+                                            "mimosapath_path_first_ms", "path",
+                                            this->path->name),
+                        (uint64_t)this->first_ms);
+    }
+    if (this->workspace) {
+        MpMetrics_Count(metrics, "mimosapath_workspace_ended_total",
+                        "workspace", this->workspace, 1);
+        MpMetrics_Count(metrics, "mimosapath_workspace_billed_tokens_total",
+                        "workspace", this->workspace, (uint64_t)billed);
+    }
+}
+
 void
 MpGatewayCall_End(struct MpGatewayCall *this, const char *outcome, int code)
 {
@@ -77,8 +102,7 @@
     this->stage = MP_CALL_ENDED;
     MpLoop_ClearTimer(&this->timer);
     int64_t billed = settle(this);
-    MpMetrics_Count(this->gateway->metrics, "mimosapath_path_ended_total",
-                    "outcome", outcome, 1);
+    count_end(this, outcome, billed, now_ms);
     MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
                 "id=%s path=%s workspace=%s outcome=%s error=%s status=%d "
                 "attempts=%u events=%" PRId64 " billed=%" PRId64
@@ -262,7 +286,7 @@
         return;
     }
     this->stage = MP_CALL_BUDGET;
-    this->reserved_mtok = tokens * MTOK_PER_TOKEN;
+    this->reserved_mtok = tokens * MP_MTOK_PER_TOKEN;
     MpLoop_SetTimer(this->gateway->loop, &this->timer, BUDGET_WAIT_MS,
                     on_budget_late, this);
     MpGatewayCall_RetryBudget(this, false);
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -52,6 +52,7 @@
     bool is_events;
     int status;
     GByteArray *partial; /* an event that has not ended */
+    int head_status;     /* of the head that the caller has */
     int64_t first_ms;    /* first byte of an answer, 0: none yet */
     int64_t checked_ms;  /* when the caller was last looked for */
 };
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -126,8 +126,12 @@
             .base_version = 0,
             .retention_ms = document->retention_s * 1000,
             .text = this->first_document};
+        struct mp_document_put *put = &command.body.mp_command_body_u.document;
+        put->grants.grants_val =
+            MpDocument_Grants(document, &put->grants.grants_len);
         MpFleet_Propose(fleet, &command, MpLoop_Now() + 5000, on_submitted,
                         this);
+        g_free(put->grants.grants_val);
         MpDocument_Unref(document);
     }
     else {
--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -1,5 +1,7 @@
 #include "transport/Log.h"
 
+#include "state/Metrics.h"
+
 #include <fcntl.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -21,6 +23,8 @@
 static uint64_t left_out;
 static uint64_t left_out_told;
 
+static GHashTable *event_counts; /* name, a constant -> int64_t */
+
 static void
 refill(void)
 {
@@ -44,10 +48,36 @@
     return allowance_bytes - (int64_t)size >= kept;
 }
 
-uint64_t
-MpLog_LeftOut(void)
+void
+MpLog_WriteMetrics(GString *out)
+{
+    GHashTableIter iter;
+    void *event;
+    void *count;
+    MpMetrics_WriteValue(out, "mimosapath_log_left_out_total", NULL, NULL,
+                         (int64_t)left_out);
+    if (!event_counts) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, event_counts);
+    while (g_hash_table_iter_next(&iter, &event, &count)) {
+        MpMetrics_WriteValue(out, "mimosapath_events_total", "event", event,
+                             *(const int64_t *)count);
+    }
+}
+
+static void
+count_event(const char *event)
 {
-    return left_out;
+    if (!event_counts) {
+        event_counts = g_hash_table_new(g_str_hash, g_str_equal);
+    }
+    int64_t *count = g_hash_table_lookup(event_counts, event);
+    if (!count) {
+        count = g_new0(int64_t, 1);
+        g_hash_table_insert(event_counts, (char *)event, count);
+    }
+    (*count)++;
 }
 
 static void
@@ -132,6 +162,7 @@
 MpLog_Event(int priority, const char *event, const char *format, ...)
 {
     va_list args;
+    count_event(event);
     va_start(args, format);
     char *text = g_strdup_vprintf(format, args);
     va_end(args);
--- a/src/transport/Log.h
+++ b/src/transport/Log.h
@@ -24,8 +24,9 @@
 /* Sets the instance that stands in each line. */
 void MpLog_Init(const char *instance);
 
-/* Returns the number of lines that were left out since the start. */
-uint64_t MpLog_LeftOut(void);
+/* Appends a counter for each event, lines that were left out included, and
+ * the number of those, in the Prometheus text format. */
+void MpLog_WriteMetrics(GString *out);
 
 /* Writes a line; priority as in syslog(3), format gives key=value pairs. */
 void MpLog_Event(int priority, const char *event, const char *format, ...)
--- a/src/transport/NumberedDocument.c
+++ b/src/transport/NumberedDocument.c
@@ -10,7 +10,6 @@
  * for this long, ms. */
 #define PUT_WAIT_MS 3000
 #define GET_WAIT_MS 900
-#define MTOK_PER_TOKEN 1000
 
 static const struct MpDialect *
 dialect_of(const struct MpOperatorServer *server)
@@ -77,27 +76,6 @@
     g_free(text);
 }
 
-static struct mp_grant *
-list_grants(const struct MpDocument *document, u_int *count)
-{
-    GHashTableIter iter;
-    void *name;
-    void *value;
-    struct mp_grant *list =
-        g_new0(struct mp_grant, g_hash_table_size(document->workspaces) + 1);
-    *count = 0;
-    g_hash_table_iter_init(&iter, document->workspaces);
-    while (g_hash_table_iter_next(&iter, &name, &value)) {
-        const struct MpWorkspaceConf *workspace = value;
-        if (workspace->prepaid_tokens >= 0) {
-            list[(*count)++] = (struct mp_grant){
-                .workspace = name,
-                .prepaid_mtok = workspace->prepaid_tokens * MTOK_PER_TOKEN};
-        }
-    }
-    return list;
-}
-
 static void
 propose(struct MpOperatorCall *call, const struct MpDocument *document)
 {
@@ -110,7 +88,8 @@
                                  .number = document->version,
                                  .retention_ms = document->retention_s * 1000,
                                  .text = call->document};
-    put->grants.grants_val = list_grants(document, &put->grants.grants_len);
+    put->grants.grants_val =
+        MpDocument_Grants(document, &put->grants.grants_len);
     call->number = document->version;
     MpFleet_Propose(call->server->fleet, &command, MpLoop_Now() + PUT_WAIT_MS,
                     on_put, call);
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -4,6 +4,7 @@
 #include "transport/Console.h"
 #include "transport/ControlApi.h"
 #include "transport/Exchange.h"
+#include "transport/Log.h"
 #include "transport/NumberedDocument.h"
 
 #include <openssl/crypto.h>
@@ -172,6 +173,7 @@
     }
     MpMetrics_WriteValue(out, "mimosapath_operator_rejected_total", NULL, NULL,
                          (int64_t)this->rejected);
+    MpLog_WriteMetrics(out);
     MpHttp_Send(req, 200, "text/plain; version=0.0.4", out->str, out->len);
     g_string_free(out, TRUE);
 }
