The console shows pools and paths

Cause: paths and pools had forms that no page led to, and the status page told nothing of their targets. Conclusion: an operator changes paths and amounts without writing JSON.

--- a/src/transport/Console.c
+++ b/src/transport/Console.c
@@ -1,6 +1,7 @@
 #include "transport/Console.h"
 
 #include "state/Error.h"
+#include "transport/ConsolePaths.h"
 #include "transport/FormData.h"
 #include "transport/Html.h"
 
@@ -250,6 +251,8 @@
     append_control(page, reply);
     if (call->server->router) {
         append_targets(page, call->server->router);
+        MpConsolePaths_AppendTargets(page, &call->server->router->gateway);
+        MpConsolePaths_AppendEnds(page, &call->server->router->gateway);
         append_refusals(page, call->server->router);
     }
     MpConsole_Answer(call, 200, page);
--- a/src/transport/Html.c
+++ b/src/transport/Html.c
@@ -43,6 +43,8 @@
         "<a href=\"/list/targets\">Targets</a>"
         "<a href=\"/list/models\">Models</a>"
         "<a href=\"/list/services\">Services</a>"
+        "<a href=\"/list/paths\">Paths</a>"
+        "<a href=\"/list/pools\">Pools</a>"
         "<a href=\"/document\">Document</a></nav><main><h1>",
         style);
     MpHtml_Append(page, title);
