--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -7,13 +7,16 @@
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
-#define FIELD_EVENT "MP_EVENT"
-#define FIELD_PRIORITY "PRIORITY"
+/* Longest line; the longest of a request has about 500 bytes. */
+#define LINE_BYTES 4096
+#define TIME_BYTES 32
+#define LEFT_OUT "lines-left-out"
+#define CUT_END "...\n"
 
 static char *log_instance;
 
@@ -99,48 +102,73 @@
     return "";
 }
 
+/* Writes the time of the system's clock with milliseconds.  The text of a
+ * second is made once. */
+static void
+write_time(char *out)
+{
+    static int64_t made_s = -1;
+    static char second[TIME_BYTES];
+    int64_t now_us = g_get_real_time();
+    time_t now_s = (time_t)(now_us / G_USEC_PER_SEC);
+    if (now_s != made_s) {
+        struct tm parts;
+        made_s = now_s;
+        gmtime_r(&now_s, &parts);
+        strftime(second, sizeof(second), "%Y-%m-%dT%H:%M:%S", &parts);
+    }
+    g_snprintf(out, TIME_BYTES, "%s.%03dZ", second,
+               (int)(now_us % G_USEC_PER_SEC / 1000));
+}
+
 static void
 tell_left_out(const char *time)
 {
+    char line[LINE_BYTES];
     if (left_out == left_out_told) {
         return;
     }
-    char *line = g_strdup_printf(
-        "<%d>%s %s lines-left-out count=%" PRIu64 "\n", LOG_NOTICE, time,
-        log_instance ? log_instance : "-", left_out - left_out_told);
+    int size = g_snprintf(line, sizeof(line),
+                          "<%d>%s %s " LEFT_OUT " count=%" PRIu64 "\n",
+                          LOG_NOTICE, time, log_instance ? log_instance : "-",
+                          left_out - left_out_told);
     left_out_told = left_out;
-    put(line, strlen(line));
-    g_free(line);
+    put(line, (size_t)size);
 }
 
-static GLogWriterOutput
-write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-           gpointer user_data)
+/* A longer line is cut: its end stands for the rest. */
+static void
+write_line(int priority, const char *event, const char *text)
 {
-    (void)level;
-    (void)user_data;
-    GDateTime *now = g_date_time_new_now_utc();
-    char *second = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
-    char *time = g_strdup_printf("%s.%03dZ", second,
-                                 g_date_time_get_microsecond(now) / 1000);
-    g_free(second);
-    const char *event = field_text(fields, count, FIELD_EVENT);
-    char *line = g_strdup_printf(
-        "<%s>%s %s %s %s\n", field_text(fields, count, FIELD_PRIORITY), time,
-        log_instance ? log_instance : "-", event[0] ? event : "message",
-        field_text(fields, count, "MESSAGE"));
-    int priority = atoi(field_text(fields, count, FIELD_PRIORITY));
-    size_t size = strlen(line);
+    char time[TIME_BYTES];
+    char line[LINE_BYTES];
+    write_time(time);
+    gulong size = (gulong)g_snprintf(
+        line, sizeof(line), "<%d>%s %s %s %s\n", priority, time,
+        log_instance ? log_instance : "-", event, text);
+    if (size >= sizeof(line)) {
+        size = sizeof(line) - 1;
+        g_strlcpy(line + size - strlen(CUT_END), CUT_END, sizeof(CUT_END));
+    }
     if (!is_allowed(priority, size)) {
         left_out++;
+        return;
     }
-    else {
-        tell_left_out(time);
-        put(line, size);
-    }
-    g_free(line);
-    g_free(time);
-    g_date_time_unref(now);
+    tell_left_out(time);
+    put(line, size);
+}
+
+/* What libraries say through GLib. */
+static GLogWriterOutput
+write_message(GLogLevelFlags level, const GLogField *fields, gsize count,
+              gpointer user_data)
+{
+    (void)user_data;
+    int priority = level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL |
+                            G_LOG_LEVEL_WARNING)
+                       ? LOG_WARNING
+                       : LOG_INFO;
+    write_line(priority, "message", field_text(fields, count, "MESSAGE"));
     return G_LOG_WRITER_HANDLED;
 }
 
@@ -155,24 +183,17 @@
         S_ISFIFO(info.st_mode)) {
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     }
-    g_log_set_writer_func(write_line, NULL, NULL);
+    g_log_set_writer_func(write_message, NULL, NULL);
 }
 
 void
 MpLog_Event(int priority, const char *event, const char *format, ...)
 {
+    char text[LINE_BYTES];
     va_list args;
     count_event(event);
     va_start(args, format);
-    char *text = g_strdup_vprintf(format, args);
+    g_vsnprintf(text, sizeof(text), format, args);
     va_end(args);
-    char digit[4];
-    g_snprintf(digit, sizeof(digit), "%d", priority);
-    const GLogField fields[] = {
-        {.key = FIELD_EVENT, .value = event, .length = -1},
-        {.key = FIELD_PRIORITY, .value = digit, .length = -1},
-        {.key = "MESSAGE", .value = text, .length = -1},
-    };
-    g_log_structured_array(G_LOG_LEVEL_MESSAGE, fields, G_N_ELEMENTS(fields));
-    g_free(text);
+    write_line(priority, event, text);
 }
