--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -162,6 +162,14 @@
     return is_path;
 }
 
+bool
+MpGateway_HasTargets(const struct MpGateway *this)
+{
+    const struct MpDocument *document = this->fleet->document;
+    return !document || g_hash_table_size(document->paths) == 0 ||
+           !this->settings->target_list.address || this->roster.listed_ms > 0;
+}
+
 void
 MpGateway_Serve(struct MpGateway *this, h2o_req_t *req)
 {
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -54,6 +54,10 @@
 /* Returns whether a path of the document takes the request. */
 bool MpGateway_Takes(const struct MpGateway *this, const h2o_req_t *req);
 
+/* Returns whether the paths of the document can be served at all: there are
+ * none, or the target list that the settings name was read or told. */
+bool MpGateway_HasTargets(const struct MpGateway *this);
+
 /* Takes the list that the leader has read, NULL when what is here is the
  * same. */
 void MpGateway_TakeTargets(struct MpGateway *this, const GPtrArray *targets);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -393,7 +393,7 @@
     this->forward.began_ms = now_ms;
     g_queue_push_tail_link(&gateway->calls, &this->link);
     MpCallerAnswer_Init(&this->answer, &answer_class, this, req);
-    if (!gateway->fleet->document) {
+    if (!gateway->fleet->document || !MpGateway_HasTargets(gateway)) {
         refuse(this, MP_ERROR_NOT_READY, RETRY_NOT_READY_MS);
         return;
     }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -113,7 +113,8 @@
     bool has_all = this->gateway.dialect->is_strict
                        ? this->fleet.document != NULL
                        : MpFleet_IsReady(&this->fleet);
-    return has_all && !this->is_draining;
+    return has_all && MpGateway_HasTargets(&this->gateway) &&
+           !this->is_draining;
 }
 
 static void
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -134,7 +134,7 @@
                  budget_tokens=1000000, concurrent=64, disks=None,
                  behind_relay=(), limits=None, workspaces=None,
                  capacity=64, routing=None, more_document=None,
-                 more_settings=None):
+                 more_settings=None, wait=True):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         self.callers, self.operators, self.rpc = {}, {}, {}
@@ -170,7 +170,8 @@
         for name in self.names:
             self.write_settings(name)
             self.start(name)
-        self.wait_ready()
+        if wait:
+            self.wait_ready()
         for workspace in self.workspaces if budget_tokens else []:
             self.topup(workspace, budget_tokens)
 
