A reading of the target list goes on at the page that was refused

Change: a refused page is asked again after 100 ms; long lists leave longer pauses between readings. The hash of the list no longer depends on its order.

--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -25,10 +25,9 @@
 /* How much longer a target stays slow changes with each reading: it tells
  * nothing new. */
 static uint64_t
-hash_entry(const struct MpListedTarget *target, uint64_t seed)
+hash_entry(const struct MpListedTarget *target)
 {
-    uint64_t hash =
-        XXH64(target->incarnation, strlen(target->incarnation), seed);
+    uint64_t hash = XXH64(target->incarnation, strlen(target->incarnation), 1);
     hash = XXH64(target->pool, strlen(target->pool), hash);
     hash = XXH64(target->address, strlen(target->address), hash);
     hash = XXH64(target->zone, strlen(target->zone), hash);
@@ -54,7 +53,8 @@
     guint count = MIN(targets->len, MP_TARGETS_MAX);
     this->targets_ms = MpLoop_Now();
     for (guint i = 0; i < count; i++) {
-        hash = hash_entry(g_ptr_array_index(targets, i), hash);
+        /* A sum: the order in which a provider tells them means nothing. */
+        hash += hash_entry(g_ptr_array_index(targets, i));
     }
     if (hash == this->targets_hash) {
         return 0;
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -14,6 +14,13 @@
 #define RETRY_MS 200
 #define RETRY_MOST_MS 3000
 #define PAGES_MOST 256
+/* Pause after a page that was refused, and refusals that a reading takes: a
+ * provider of 40 calls a second lets four pass in the pause. */
+#define PAGE_RETRY_MS 100
+#define PAGE_REFUSALS_MOST 64
+/* What each further page adds to the pause between readings, so that long
+ * lists leave calls to others, ms. */
+#define PAGE_PAUSE_MS 20
 
 struct MpTargetList {
     const struct MpTargetListClass *klass;
@@ -28,6 +35,7 @@
     GByteArray *body;
     int status;
     uint32_t pages;
+    uint32_t refusals; /* of this reading: too many calls */
     uint32_t unreadable;
     uint32_t failures; /* in a row */
     uint64_t calls;    /* counter */
@@ -57,6 +65,7 @@
     g_ptr_array_set_size(this->targets, 0);
     g_clear_pointer(&this->next, g_free);
     this->pages = 0;
+    this->refusals = 0;
     this->unreadable = 0;
     read_page(this);
 }
@@ -90,7 +99,8 @@
                     "targets=%u changes=%u unreadable=%u", this->targets->len,
                     changes, this->unreadable);
     }
-    wait_for(this, this->klass->pause(this->owner, &is_needless));
+    wait_for(this, this->klass->pause(this->owner, &is_needless) +
+                       (int64_t)(this->pages - 1) * PAGE_PAUSE_MS);
 }
 
 static void
@@ -107,12 +117,26 @@
     g_byte_array_append(this->body, (const guint8 *)data, (guint)size);
 }
 
+/* The provider bounds the calls of all: the reading goes on at this page. */
+static void
+on_page_retry(struct MpTimer *timer)
+{
+    read_page(timer->data);
+}
+
 static void
 on_end(void *owner, enum MpTargetEnd end)
 {
     struct MpTargetList *this = owner;
     const struct MpDialect *dialect = this->dialect;
     this->conn = NULL;
+    if (end == MP_TARGET_WHOLE && this->status == 429 && this->pages > 0 &&
+        this->refusals < PAGE_REFUSALS_MOST) {
+        this->refusals++;
+        MpLoop_SetTimer(this->loop, &this->timer, PAGE_RETRY_MS, on_page_retry,
+                        this);
+        return;
+    }
     g_clear_pointer(&this->next, g_free);
     if (end != MP_TARGET_WHOLE || this->status != 200) {
         page_failed(this, end == MP_TARGET_WHOLE ? "status" : "connection");
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -98,10 +98,10 @@
 class TargetList:
     """Tells the targets; while gate, an event, is not set it is silent."""
 
-    def __init__(self, targets, gate=None):
+    def __init__(self, targets, gate=None, tell=None):
         self.gate = gate
         self.entries = [t.entry() for t in targets]
-        self.server = Target("list", self.tell)
+        self.server = Target("list", tell or self.tell)
         self.address = "127.0.0.1:%d" % self.server.port
 
     def tell(self, target, request, link):
@@ -120,9 +120,9 @@
             "shares": [{"pool": pool, "weight": 1}]}
 
 
-def path_fleet(targets, paths, prepaid=None, gate=None, **more):
+def path_fleet(targets, paths, prepaid=None, gate=None, tell=None, **more):
     """A fleet whose paths lead to targets; returns it and the list."""
-    listed = TargetList(targets, gate)
+    listed = TargetList(targets, gate, tell)
     document = {"paths": {p["prefix"].strip("/"): p for p in paths},
                 "pools": {"p": {"engine": {
         "slots": 8, "event_tokens": 3}}}}
