The leader spreads what changed in the target list, not the whole of it

Change: an instance that has the list before the last change gets the entries that came, changed or went (MpRoster_Apply); others get the whole.

--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -168,6 +168,41 @@
     return changes;
 }
 
+uint32_t
+MpRoster_Apply(struct MpRoster *this, const GPtrArray *changed,
+               const GPtrArray *gone, int64_t now_ms)
+{
+    uint32_t changes = 0;
+    for (guint i = 0; i < gone->len; i++) {
+        const struct MpListedTarget *entry = g_ptr_array_index(gone, i);
+        struct MpPoolTarget *target =
+            g_hash_table_lookup(this->targets, entry->incarnation);
+        if (target) {
+            forget(this, target);
+            changes++;
+        }
+    }
+    for (guint i = 0; i < changed->len; i++) {
+        changes += take_entry(this, g_ptr_array_index(changed, i), now_ms);
+    }
+    this->version += changes > 0;
+    this->listed_ms = now_ms;
+    return changes;
+}
+
+enum MpListNews
+MpRoster_News(uint64_t held, uint64_t asked, uint64_t told, bool is_partial)
+{
+    if (told == held) {
+        return MP_NEWS_SAME;
+    }
+    /* The leader sends no list that the asking instance had. */
+    if (told == asked || (is_partial && asked != held)) {
+        return MP_NEWS_STALE;
+    }
+    return is_partial ? MP_NEWS_CHANGES : MP_NEWS_WHOLE;
+}
+
 /* ---- the choice ---- */
 
 static bool
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -105,6 +105,25 @@
 uint32_t MpRoster_Update(struct MpRoster *this, const GPtrArray *list,
                          int64_t now_ms);
 
+/* Takes what changed in a list: targets that came or changed their state,
+ * and those that are no longer in it.  Returns the number of changes. */
+uint32_t MpRoster_Apply(struct MpRoster *this, const GPtrArray *changed,
+                        const GPtrArray *gone, int64_t now_ms);
+
+/* What an answer of the leader about its list says to an instance. */
+enum MpListNews {
+    MP_NEWS_SAME,    /* the list that is held is the leader's */
+    MP_NEWS_CHANGES, /* the answer has what changed in it */
+    MP_NEWS_WHOLE,   /* the answer has the whole list */
+    MP_NEWS_STALE    /* it rests on a list that is no longer held */
+};
+
+/* Returns it from the hashes of the lists that are held now, that were held
+ * when the leader was asked, and that it has: the instance may have read the
+ * list itself meanwhile. */
+enum MpListNews MpRoster_News(uint64_t held, uint64_t asked, uint64_t told,
+                              bool is_partial);
+
 /* What is asked of a target. */
 struct MpPickAsk {
     const char *pool;
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -411,10 +411,15 @@
 	u_int instances;
 	bool_t has_targets;
 	u_quad_t targets_hash;
+	bool_t targets_partial;
 	struct {
 		u_int targets_len;
 		mp_target *targets_val;
 	} targets;
+	struct {
+		u_int targets_gone_len;
+		mp_target *targets_gone_val;
+	} targets_gone;
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -378,7 +378,9 @@
     unsigned int instances; /* that were heard of lately */
     bool has_targets; /* the leader reads the list */
     unsigned hyper targets_hash;
+    bool targets_partial; /* what changed in the list that the caller has */
     mp_target targets<MP_TARGETS_MAX>; /* empty when the hash is the same */
+    mp_target targets_gone<MP_TARGETS_MAX>;
 };
 
 /* What a replica without state learns from its peers. */
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -674,9 +674,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->targets_partial))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, MP_TARGETS_MAX,
 		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets_gone.targets_gone_val, (u_int *) &objp->targets_gone.targets_gone_len, MP_TARGETS_MAX,
+		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -1,5 +1,7 @@
 #include "transport/Fleet.h"
 
+#include "coordination/Roster.h"
+
 #include "state/BodyHash.h"
 #include "state/Codec.h"
 #include "state/Error.h"
@@ -390,35 +392,51 @@
     }
 }
 
-/* The strings of the list belong to the reply. */
+/* Returns the entries of a list; their strings belong to the reply. */
+static GPtrArray *
+entries_of(const struct mp_target *from, u_int count)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    for (u_int i = 0; i < count; i++) {
+        struct MpListedTarget *entry = g_new(struct MpListedTarget, 1);
+        *entry = (struct MpListedTarget){.incarnation = from[i].incarnation,
+                                         .pool = from[i].pool,
+                                         .address = from[i].address,
+                                         .zone = from[i].zone,
+                                         .slots = from[i].slots,
+                                         .is_leaving = from[i].leaving,
+                                         .cold_ms = from[i].cold_ms};
+        g_ptr_array_add(list, entry);
+    }
+    return list;
+}
+
 static void
 take_targets(struct MpFleet *this, const struct mp_sync_reply *reply)
 {
-    u_int count = reply->targets.targets_len;
     if (!reply->has_targets || !this->listener->targets) {
         return;
     }
-    if (reply->targets_hash == this->targets_hash) {
-        this->listener->targets(this->owner, NULL);
+    enum MpListNews kind =
+        MpRoster_News(this->targets_hash, this->targets_asked,
+                      reply->targets_hash, reply->targets_partial);
+    if (kind == MP_NEWS_STALE) {
         return;
     }
-    struct MpListedTarget *entries = g_new0(struct MpListedTarget, count + 1);
-    GPtrArray *list = g_ptr_array_new();
-    for (u_int i = 0; i < count; i++) {
-        const struct mp_target *from = &reply->targets.targets_val[i];
-        entries[i] = (struct MpListedTarget){.incarnation = from->incarnation,
-                                             .pool = from->pool,
-                                             .address = from->address,
-                                             .zone = from->zone,
-                                             .slots = from->slots,
-                                             .is_leaving = from->leaving,
-                                             .cold_ms = from->cold_ms};
-        g_ptr_array_add(list, &entries[i]);
+    if (kind == MP_NEWS_SAME) {
+        this->listener->targets(this->owner, NULL);
+        return;
     }
+    struct MpTargetNews news = {
+        .targets =
+            entries_of(reply->targets.targets_val, reply->targets.targets_len),
+        .gone = entries_of(reply->targets_gone.targets_gone_val,
+                           reply->targets_gone.targets_gone_len),
+        .is_partial = kind == MP_NEWS_CHANGES};
     this->targets_hash = reply->targets_hash;
-    this->listener->targets(this->owner, list);
-    g_ptr_array_unref(list);
-    g_free(entries);
+    this->listener->targets(this->owner, &news);
+    g_ptr_array_unref(news.targets);
+    g_ptr_array_unref(news.gone);
 }
 
 static void
@@ -466,6 +484,7 @@
         return;
     }
     this->is_syncing = true;
+    this->targets_asked = this->targets_hash;
     MpRpcClient_Call(g_ptr_array_index(this->clients, this->leader),
                      MP_PROC_SYNC, &sync, CALL_TIMEOUT_MS, on_synced, this);
 }
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -24,6 +24,13 @@
 typedef void (*MpReadDone)(void *data, int code,
                            const struct mp_read_reply *reply);
 
+/* A whole list, or what changed in the last one; of struct MpListedTarget. */
+struct MpTargetNews {
+    GPtrArray *targets;
+    GPtrArray *gone;
+    bool is_partial;
+};
+
 struct MpFleetListener {
     /* A newer document is in force. */
     void (*document)(void *owner, struct MpDocument *document);
@@ -31,9 +38,9 @@
     void (*registered)(void *owner, uint64_t boot);
     /* A lease on workspace is called back. */
     void (*recall)(void *owner, const char *workspace);
-    /* The leader's target list, of struct MpListedTarget, NULL when it is the
-     * same as before; the member may be NULL. */
-    void (*targets)(void *owner, const GPtrArray *targets);
+    /* The leader's target list, NULL when it is the same as before; the
+     * member may be NULL. */
+    void (*targets)(void *owner, const struct MpTargetNews *news);
 };
 
 struct MpFleet {
@@ -57,11 +64,12 @@
     bool is_syncing;
     bool is_registering;
     struct MpTimer timer;
-    uint64_t targets_hash; /* of the leader's target list */
-    uint32_t instances;    /* that are registered, as the leader counts */
-    uint64_t proposals;    /* counter */
-    uint64_t retries;      /* counter */
-    uint64_t applied_ms;   /* wall clock when the document came into force */
+    uint64_t targets_hash;  /* of the leader's target list; 0: of none */
+    uint64_t targets_asked; /* ... when the last sync was sent */
+    uint32_t instances;     /* that are registered, as the leader counts */
+    uint64_t proposals;     /* counter */
+    uint64_t retries;       /* counter */
+    uint64_t applied_ms;    /* wall clock when the document came into force */
 };
 
 void MpFleet_Start(struct MpFleet *this, struct MpLoop *loop,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -87,16 +87,26 @@
     }
 }
 
-static uint32_t
-update_targets(void *owner, const GPtrArray *targets)
+static void
+log_targets(const struct MpGateway *this, uint32_t changes, const char *from)
 {
-    struct MpGateway *this = owner;
-    uint32_t changes = MpRoster_Update(&this->roster, targets, MpLoop_Now());
     if (changes > 0) {
         MpLog_Event(LOG_INFO, "targets-changed",
-                    "version=%" PRIu64 " targets=%u changes=%u",
-                    this->roster.version, targets->len, changes);
+                    "version=%" PRIu64 " targets=%u changes=%u from=%s",
+                    this->roster.version,
+                    g_hash_table_size(this->roster.targets), changes, from);
     }
+}
+
+/* What the leader knows of is told against its own list: it has to tell the
+ * whole of it next. */
+static uint32_t
+take_own_reading(void *owner, const GPtrArray *targets)
+{
+    struct MpGateway *this = owner;
+    uint32_t changes = MpRoster_Update(&this->roster, targets, MpLoop_Now());
+    this->fleet->targets_hash = 0;
+    log_targets(this, changes, "own");
     return changes;
 }
 
@@ -115,15 +125,24 @@
     return interval_ms * readers;
 }
 
-static const struct MpTargetListClass list_class = {.took = update_targets,
+static const struct MpTargetListClass list_class = {.took = take_own_reading,
                                                     .pause = pause_of_list};
 
 void
-MpGateway_TakeTargets(struct MpGateway *this, const GPtrArray *targets)
+MpGateway_TakeTargets(struct MpGateway *this, const struct MpTargetNews *news)
 {
-    this->shared_ms = MpLoop_Now();
-    if (targets) {
-        update_targets(this, targets);
+    int64_t now_ms = MpLoop_Now();
+    this->shared_ms = now_ms;
+    if (news && news->is_partial) {
+        log_targets(
+            this,
+            MpRoster_Apply(&this->roster, news->targets, news->gone, now_ms),
+            "changes");
+    }
+    else if (news) {
+        log_targets(this,
+                    MpRoster_Update(&this->roster, news->targets, now_ms),
+                    "leader");
     }
 }
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -60,7 +60,8 @@
 
 /* Takes the list that the leader has read, NULL when what is here is the
  * same. */
-void MpGateway_TakeTargets(struct MpGateway *this, const GPtrArray *targets);
+void MpGateway_TakeTargets(struct MpGateway *this,
+                           const struct MpTargetNews *news);
 
 /* Takes a new document, and a new registration. */
 void MpGateway_SetDocument(struct MpGateway *this,
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -70,6 +70,12 @@
     struct MpTargetList *list; /* NULL when the settings name none */
     GArray *targets;           /* of struct mp_target, as last read */
     uint64_t targets_hash;
+    /* The change before: its list, and what differs, whose strings belong to
+     * that list and to the one above. */
+    GArray *targets_before;
+    uint64_t targets_before_hash; /* 0: there was none */
+    GArray *targets_changed;
+    GArray *targets_gone;
     int64_t targets_ms; /* when; 0 for never */
     bool is_failed;
     bool was_leader;
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -45,6 +45,54 @@
            strlen(target->address) <= MP_ADDRESS_MAX;
 }
 
+static GArray *
+new_list(void)
+{
+    GArray *list = g_array_new(false, false, sizeof(struct mp_target));
+    g_array_set_clear_func(list, target_clear);
+    return list;
+}
+
+static bool
+is_equal(const struct mp_target *a, const struct mp_target *b)
+{
+    return a->slots == b->slots && a->leaving == b->leaving &&
+           strcmp(a->pool, b->pool) == 0 &&
+           strcmp(a->address, b->address) == 0 &&
+           strcmp(a->zone, b->zone) == 0;
+}
+
+/* Notes what differs between the list before and the new one. */
+static void
+compare_lists(struct MpReplica *this)
+{
+    GHashTable *before = g_hash_table_new(g_str_hash, g_str_equal);
+    g_array_set_size(this->targets_changed, 0);
+    g_array_set_size(this->targets_gone, 0);
+    for (guint i = 0; i < this->targets_before->len; i++) {
+        struct mp_target *target =
+            &g_array_index(this->targets_before, struct mp_target, i);
+        g_hash_table_insert(before, target->incarnation, target);
+    }
+    for (guint i = 0; i < this->targets->len; i++) {
+        struct mp_target *target =
+            &g_array_index(this->targets, struct mp_target, i);
+        struct mp_target *old =
+            g_hash_table_lookup(before, target->incarnation);
+        if (!old || !is_equal(old, target)) {
+            g_array_append_val(this->targets_changed, *target);
+        }
+        g_hash_table_remove(before, target->incarnation);
+    }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, before);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_val(this->targets_gone, *(struct mp_target *)value);
+    }
+    g_hash_table_unref(before);
+}
+
 static uint32_t
 on_list(void *owner, const GPtrArray *targets)
 {
@@ -59,8 +107,11 @@
     if (hash == this->targets_hash) {
         return 0;
     }
+    g_array_unref(this->targets_before);
+    this->targets_before = this->targets;
+    this->targets_before_hash = this->targets_hash;
+    this->targets = new_list();
     this->targets_hash = hash;
-    g_array_set_size(this->targets, 0);
     for (guint i = 0; i < count; i++) {
         const struct MpListedTarget *from = g_ptr_array_index(targets, i);
         if (!is_sendable(from)) {
@@ -77,6 +128,7 @@
                                    .cold_ms = from->cold_ms};
         g_array_append_val(this->targets, target);
     }
+    compare_lists(this);
     return 1;
 }
 
@@ -95,8 +147,12 @@
 void
 MpReplicaTargets_Start(struct MpReplica *replica)
 {
-    replica->targets = g_array_new(false, false, sizeof(struct mp_target));
-    g_array_set_clear_func(replica->targets, target_clear);
+    replica->targets = new_list();
+    replica->targets_before = new_list();
+    replica->targets_changed =
+        g_array_new(false, false, sizeof(struct mp_target));
+    replica->targets_gone =
+        g_array_new(false, false, sizeof(struct mp_target));
     replica->list = MpTargetList_New(&list_class, replica, replica->loop,
                                      replica->settings);
     MpTargetList_Wake(replica->list);
@@ -109,9 +165,20 @@
     reply->has_targets = replica->targets_ms > 0 &&
                          MpLoop_Now() - replica->targets_ms < VOUCH_MS;
     reply->targets_hash = replica->targets_hash;
-    if (reply->has_targets && sync->targets_hash != replica->targets_hash) {
-        reply->targets.targets_val =
-            (struct mp_target *)replica->targets->data;
-        reply->targets.targets_len = replica->targets->len;
+    if (!reply->has_targets || sync->targets_hash == replica->targets_hash) {
+        return;
+    }
+    /* An instance that missed more than one change gets the whole list. */
+    reply->targets_partial =
+        replica->targets_before_hash != 0 &&
+        sync->targets_hash == replica->targets_before_hash;
+    const GArray *list =
+        reply->targets_partial ? replica->targets_changed : replica->targets;
+    reply->targets.targets_val = (struct mp_target *)list->data;
+    reply->targets.targets_len = list->len;
+    if (reply->targets_partial) {
+        reply->targets_gone.targets_gone_val =
+            (struct mp_target *)replica->targets_gone->data;
+        reply->targets_gone.targets_gone_len = replica->targets_gone->len;
     }
 }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -211,10 +211,10 @@
 }
 
 static void
-on_targets(void *owner, const GPtrArray *targets)
+on_targets(void *owner, const struct MpTargetNews *news)
 {
     struct MpRouter *this = owner;
-    MpGateway_TakeTargets(&this->gateway, targets);
+    MpGateway_TakeTargets(&this->gateway, news);
 }
 
 static const struct MpFleetListener fleet_listener = {
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -139,6 +139,50 @@
     g_ptr_array_unref(nothing);
 }
 
+/* Changes alone: what is not named stays as it is. */
+static void
+test_changes(void)
+{
+    struct MpRoster roster;
+    struct MpListedTarget gone = {.incarnation = (char *)"t0"};
+    struct MpListedTarget leaving = {.incarnation = (char *)"t1",
+                                     .pool = (char *)POOL,
+                                     .address = (char *)"10.0.0.1:80",
+                                     .zone = (char *)"a",
+                                     .slots = 8,
+                                     .is_leaving = true};
+    GPtrArray *changed = g_ptr_array_new();
+    GPtrArray *missing = g_ptr_array_new();
+    g_ptr_array_add(changed, &leaving);
+    g_ptr_array_add(missing, &gone);
+    roster_start(&roster, 3);
+    g_assert_cmpuint(MpRoster_Apply(&roster, changed, missing, 2000), ==, 2);
+    g_assert_cmpuint(MpRoster_Apply(&roster, changed, missing, 2100), ==, 0);
+    g_assert_cmpuint(g_hash_table_size(roster.targets), ==, 2);
+    for (int i = 0; i < 50; i++) {
+        struct MpCallFacts facts = {.prompt_tokens = 100};
+        struct MpPicked picked;
+        g_assert_cmpint(pick(&roster, &facts, false, 2200, &picked), ==,
+                        MP_OK);
+        g_assert_cmpstr(picked.target->incarnation, ==, "t2");
+    }
+    g_ptr_array_unref(changed);
+    g_ptr_array_unref(missing);
+}
+
+/* The instance has read the list itself (0) while the leader was asked. */
+static void
+test_news(void)
+{
+    g_assert_cmpint(MpRoster_News(7, 7, 7, false), ==, MP_NEWS_SAME);
+    g_assert_cmpint(MpRoster_News(7, 7, 8, true), ==, MP_NEWS_CHANGES);
+    g_assert_cmpint(MpRoster_News(7, 7, 8, false), ==, MP_NEWS_WHOLE);
+    g_assert_cmpint(MpRoster_News(0, 0, 8, false), ==, MP_NEWS_WHOLE);
+    g_assert_cmpint(MpRoster_News(0, 7, 8, false), ==, MP_NEWS_WHOLE);
+    g_assert_cmpint(MpRoster_News(0, 7, 7, false), ==, MP_NEWS_STALE);
+    g_assert_cmpint(MpRoster_News(0, 7, 8, true), ==, MP_NEWS_STALE);
+}
+
 /* The baselines know neither caches nor what targets tell. */
 static void
 test_baselines(void)
@@ -179,6 +223,8 @@
                     test_affinity_and_burst);
     g_test_add_func("/roster/a failed target rests", test_failure);
     g_test_add_func("/roster/a leaving target gets nothing new", test_leaving);
+    g_test_add_func("/roster/changes", test_changes);
+    g_test_add_func("/roster/news", test_news);
     g_test_add_func("/roster/baselines", test_baselines);
     return g_test_run();
 }
--- a/tests/runs/path_pages.py
+++ b/tests/runs/path_pages.py
@@ -1,22 +1,26 @@
-"""A target list of several pages, whose provider refuses a page when it is
+"""A target list of several pages, whose provider refuses pages when it is
 asked too often: the reading goes on at that page, not from the start."""
+import collections
 import json
-import time
+from fleet import wait_for
 from pathfleet import (Target, answer, path_conf, path_fleet, send,
                        wait_targets)
 
-asked = []
+asked = collections.defaultdict(list)  # connection -> pages
+refused = collections.Counter()
 
 
 def tell(target, sent, link):
-    page = int(sent["path"].rpartition("=")[2] or 0) \
-        if "=" in sent["path"] else 0
-    asked.append(page)
-    if page > 0 and asked.count(page) <= 2:
+    page = int(sent["path"].rpartition("=")[2]) if "=" in sent["path"] else 0
+    pages = asked[link.getpeername()]
+    pages.append(page)
+    refused[page] += 1
+    if page > 0 and refused[page] <= 2:
+        pages.append("refused")
         return answer(link, sent, status=429)
     answer(link, sent, json.dumps({
         "targets": [entries[page]],
-        "next": "%d" % (page + 1) if page < 2 else None}))
+        "next": str(page + 1) if page < 2 else None}))
 
 
 targets = [Target("t%d" % n, lambda t, sent, link: answer(
@@ -26,7 +30,15 @@
                            control=1, tell=tell)
 with fleet:
     print("ready", wait_targets(fleet, "i0", "/plain/"))
-    time.sleep(1)
-    print("first reading", asked[:7])
-    print("served by", sorted({send(fleet, "i0", "/plain/x").split(
-        b"\r\n\r\n")[1].decode() for _ in range(24)}))
+    print("served by all", bool(wait_for(lambda: {send(
+        fleet, "i0", "/plain/x").split(b"\r\n\r\n")[1].decode()
+        for _ in range(24)} == {"t0", "t1", "t2"})))
+
+    def after():
+        return sorted((pages[i - 1], pages[i + 1])
+                      for pages in asked.values()
+                      for i in range(1, len(pages) - 1)
+                      if pages[i] == "refused")
+
+    wait_for(lambda: len(after()) == 4)
+    print("after refusals", after())
