A request that comes again, and a target that has ended, show in the log

Cause: arrivals of one request have different ids, and attempt-ended how=cut is said of targets that ended and of targets that dropped one request alike.

Change: same= in request-sent and request-ended; target-looked after an answer that broke off, by a new connection that is kept for the next request. No decision rests on either yet.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -3,6 +3,7 @@
 #include "protocol/EventSplit.h"
 #include "state/Error.h"
 #include "transport/GatewayRequest.h"
+#include "transport/GatewaySuspect.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 
@@ -221,6 +222,9 @@
         on_whole(this);
         return;
     }
+    if (how == MP_TARGET_CUT) {
+        MpGatewaySuspect_Broken(this);
+    }
     leave_target(this, MP_OUTCOME_FAILED);
     if (how == MP_TARGET_NOT_SENT) {
         next_step(this, MP_FATE_NOT_RUN, MP_ERROR_NO_TARGET);
@@ -266,10 +270,10 @@
                                     &request);
     MpLog_Event(
         LOG_INFO, "request-sent",
-        "id=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
+        "id=%s same=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
         " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64 " list=%" PRIu64
         " left_ms=%" PRId64,
-        this->id ? this->id : "-", target->incarnation, this->pool,
+        this->id ? this->id : "-", this->same, target->incarnation, this->pool,
         this->forward.sends, picked->wait_ms, picked->prefill_tokens,
         target->running, target->told_ms > 0 ? now_ms - target->told_ms : -1,
         gateway->roster.version, MpForward_Left(&this->forward, now_ms));
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -104,11 +104,12 @@
     int64_t billed = settle(this);
     count_end(this, outcome, billed, now_ms);
     MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
-                "id=%s path=%s workspace=%s outcome=%s error=%s status=%d "
-                "attempts=%u events=%" PRId64 " billed=%" PRId64
+                "id=%s same=%s path=%s workspace=%s outcome=%s error=%s "
+                "status=%d attempts=%u events=%" PRId64 " billed=%" PRId64
                 " prompt=%" PRId64 " most=%" PRId64 " after=%" PRId64
                 " first_ms=%" PRId64 " took_ms=%" PRId64 " document=%" PRIu64,
-                this->id ? this->id : "-", this->path ? this->path->name : "-",
+                this->id ? this->id : "-", this->same[0] ? this->same : "-",
+                this->path ? this->path->name : "-",
                 this->workspace ? this->workspace : "-", outcome,
                 MpError_Name(code), this->status, forward->sends,
                 forward->events, billed, this->facts.prompt_tokens,
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -2,6 +2,7 @@
 #define MP_TRANSPORT_GATEWAY_CALL_H
 
 #include "coordination/Forward.h"
+#include "gen/wire.h"
 #include "transport/CallerAnswer.h"
 #include "transport/Gateway.h"
 #include "transport/TargetConn.h"
@@ -13,6 +14,9 @@
 /* When a caller may come back to a pool that is busy, ms. */
 #define MP_RETRY_BUSY_MS 400
 
+/* Bytes of a fingerprint that log lines show. */
+#define MP_SAME_BYTES 8
+
 enum MpCallStage {
     MP_CALL_BUDGET,  /* waits for a part of the workspace's budget */
     MP_CALL_RUNNING, /* an attempt is at a target */
@@ -33,7 +37,9 @@
     char *id;
     GByteArray *head; /* request line and headers that all attempts share */
     GByteArray *body;
-    bool is_head; /* method HEAD */
+    uint8_t fingerprint[MP_HASH_BYTES]; /* the same when it comes again */
+    char same[2 * MP_SAME_BYTES + 1];   /* its first bytes, for the log */
+    bool is_head;                       /* method HEAD */
     struct MpCallerAnswer answer;
     /* budget */
     int64_t reserved_mtok;
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -5,6 +5,7 @@
 
 #include <inttypes.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Headers that concern one connection only. */
 static const char *const hop_headers[] = {"connection",
@@ -188,6 +189,36 @@
     g_free(connection);
 }
 
+static void
+add_field(XXH3_state_t *state, const char *data, size_t size)
+{
+    XXH3_128bits_update(state, data, size);
+    XXH3_128bits_update(state, "", 1);
+}
+
+/* What makes two requests the same: caller, place and body.  Ids and
+ * deadlines differ each time that a request is sent. */
+static void
+take_fingerprint(struct MpGatewayCall *call, const h2o_req_t *req)
+{
+    const char *workspace = call->workspace ? call->workspace : "";
+    XXH3_state_t *state = XXH3_createState();
+    XXH128_canonical_t canonical;
+    XXH3_128bits_reset(state);
+    add_field(state, workspace, strlen(workspace));
+    add_field(state, req->input.method.base, req->input.method.len);
+    add_field(state, req->input.authority.base, req->input.authority.len);
+    add_field(state, req->input.path.base, req->input.path.len);
+    add_field(state, req->entity.base ? req->entity.base : "",
+              req->entity.len);
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
+    XXH3_freeState(state);
+    memcpy(call->fingerprint, canonical.digest, MP_HASH_BYTES);
+    for (size_t i = 0; i < MP_SAME_BYTES; i++) {
+        g_snprintf(call->same + 2 * i, 3, "%02x", call->fingerprint[i]);
+    }
+}
+
 int
 MpGatewayRequest_Read(struct MpGatewayCall *call, const h2o_req_t *req)
 {
@@ -209,6 +240,7 @@
         return MP_ERROR_TOO_LARGE;
     }
     call->is_head = MpHttp_Is(req->input.method, "HEAD");
+    take_fingerprint(call, req);
     make_head(call, req);
     if (req->entity.base) {
         call->body = g_byte_array_sized_new((guint)req->entity.len);
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -20,6 +20,7 @@
 struct MpTargetConn {
     const struct MpTargetConnClass *klass; /* NULL while idle */
     void *owner;
+    MpTargetSeen seen; /* NULL unless the connection is to show the target */
     struct MpTargetPlace *place;
     GList link; /* in place->idle */
     h2o_socket_t *socket;
@@ -378,6 +379,26 @@
     h2o_socket_write(this->socket, &buffer, 1, on_written);
 }
 
+/* Ends a look at the target; the connection stays if there is one. */
+static void
+tell_sign(struct MpTargetConn *this, enum MpTargetSign sign)
+{
+    MpTargetSeen seen = this->seen;
+    void *owner = this->owner;
+    this->seen = NULL;
+    this->owner = NULL;
+    this->is_inside = true;
+    seen(owner, sign);
+    this->is_inside = false;
+    if (sign != MP_TARGET_LISTENS || this->place->is_deleted) {
+        conn_free(this);
+        return;
+    }
+    start_parser(this);
+    h2o_socket_read_start(this->socket, on_read);
+    become_idle(this);
+}
+
 static void
 on_connect(h2o_socket_t *socket, const char *error)
 {
@@ -385,6 +406,10 @@
     int yes = 1;
     int unacked_ms = MP_TARGET_UNACKED_MS;
     MpLoop_ClearTimer(&this->timer);
+    if (error && this->seen) {
+        tell_sign(this, MP_TARGET_ENDED);
+        return;
+    }
     if (error) {
         fail(this, MP_TARGET_NOT_SENT);
         return;
@@ -393,9 +418,19 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
                sizeof(unacked_ms));
+    if (this->seen) {
+        tell_sign(this, MP_TARGET_LISTENS);
+        return;
+    }
     write_request(this);
 }
 
+static void
+on_look_late(struct MpTimer *timer)
+{
+    tell_sign(timer->data, MP_TARGET_MUTE);
+}
+
 static void
 on_connect_late(struct MpTimer *timer)
 {
@@ -504,6 +539,16 @@
     return conn;
 }
 
+void
+MpTargetPlace_Look(struct MpTargetPlace *this, MpTargetSeen seen, void *owner)
+{
+    struct MpTargetConn *conn = connect_new(this);
+    conn->seen = seen;
+    conn->owner = owner;
+    MpLoop_SetTimer(this->loop, &conn->timer,
+                    conn->socket ? MP_TARGET_LOOK_MS : 0, on_look_late, conn);
+}
+
 void
 MpTargetConn_Cancel(struct MpTargetConn *this)
 {
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -24,6 +24,9 @@
 #define MP_TARGET_UNACKED_MS 1500
 /* How long a connection is kept whose target does not say, ms. */
 #define MP_TARGET_KEEP_MS 2000
+/* Time that a look at a target may take, ms: several round trips within a
+ * region. */
+#define MP_TARGET_LOOK_MS 150
 /* A connection is given up this long before the target would, ms. */
 #define MP_TARGET_KEEP_MARGIN_MS 700
 
@@ -33,6 +36,15 @@
     MP_TARGET_CUT       /* the request may have arrived */
 };
 
+/* What a new connection to a target has shown. */
+enum MpTargetSign {
+    MP_TARGET_LISTENS, /* it took the connection */
+    MP_TARGET_ENDED,   /* nobody listens at its address */
+    MP_TARGET_MUTE     /* no answer in time */
+};
+
+typedef void (*MpTargetSeen)(void *owner, enum MpTargetSign sign);
+
 struct MpTargetHeader {
     const char *name;
     size_t name_size;
@@ -92,6 +104,11 @@
                                         void *owner,
                                         const struct MpTargetRequest *request);
 
+/* Opens a connection to see whether the target is there; seen is called once,
+ * never within this call.  The connection is kept for the next request. */
+void MpTargetPlace_Look(struct MpTargetPlace *this, MpTargetSeen seen,
+                        void *owner);
+
 /* Drops the request with its connection; no more calls follow. */
 void MpTargetConn_Cancel(struct MpTargetConn *this);
 
