--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -6,6 +6,7 @@
 
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -22,24 +23,54 @@
         self.name, self.behave, self.pool = name, behave, pool
         self.requests = []
         self.connections = 0
+        self.links = []
+        self.ends = 0
+        self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self.listener.getsockname()[1]
-        in_background(self.accept)
+        in_background(lambda: self.accept(self.listener))
 
     def entry(self, leaving=False):
         return {"incarnation": self.name, "pool": self.pool, "zone": "a",
                 "address": "127.0.0.1:%d" % self.port, "slots": 8,
                 "leaving": leaving}
 
-    def accept(self):
+    def accept(self, listener):
         while True:
             try:
-                link, _ = self.listener.accept()
+                link, _ = listener.accept()
             except OSError:
                 return
             self.connections += 1
+            with self.lock:
+                self.links.append(link)
             in_background(lambda l=link: self.serve(l))
 
+    def crash(self, down_s):
+        """Ends as a process does: nobody listens, all connections are reset.
+        After down_s it is back, under its name and at its address."""
+        with self.lock:
+            if not self.links:
+                return
+            self.ends += 1
+            links, self.links = self.links, []
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for link in links:
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                            struct.pack("ii", 1, 0))
+            try:
+                link.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+            link.close()
+        threading.Timer(down_s, self.come_back).start()
+
+    def come_back(self):
+        self.listener = socket.create_server(("127.0.0.1", self.port),
+                                             backlog=64)
+        self.accept(self.listener)
+
     def serve(self, link):
         source = link.makefile("rb")
         try:
@@ -126,6 +157,8 @@
     document = {"paths": {p["prefix"].strip("/"): p for p in paths},
                 "pools": {"p": {"engine": {
         "slots": 8, "event_tokens": 3}}}}
+    for pool in more.pop("more_pools", []):
+        document["pools"][pool] = {}
     if prepaid is not None:
         document["prepaid_tokens"] = prepaid
     settings = {"target_list": {"address": listed.address,
