A request on a path that ends its targets is stopped in the whole fleet

What callers saw: a request under which three targets had ended was sent to targets without end, and each of them ended; others lost what ran there.

Cause: paths kept nothing of a request but its id, which is new each time it comes. Own calls have a count of deaths in the replicated state, paths had none.

Change: a request is known by caller, method, host, path and body. After a broken answer a new connection shows whether the target has ended. A death goes to the quorum; from then on the request asks there and runs one at a time, and after two deaths not at all for an hour. A whole answer clears it. What the quorum knows moved from Machine to Quarantine, which serves both kinds of call; what an instance knows is Suspects. A refusal on a path says run: no when nothing was sent.

Why it works: the death is in the quorum's log before the next run may start, and each run of a suspect starts there, whichever instance it comes to.

--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -48,6 +48,7 @@
 	MP_CMD_WRITEOFF = 10,
 	MP_CMD_POISON = 11,
 	MP_CMD_SLICES = 12,
+	MP_CMD_TRIAL = 13,
 };
 typedef enum mp_command_kind mp_command_kind;
 
@@ -167,6 +168,23 @@
 };
 typedef struct mp_poison mp_poison;
 
+enum mp_trial_kind {
+	MP_TRIAL_ASK = 0,
+	MP_TRIAL_DEATH = 1,
+	MP_TRIAL_RELEASE = 2,
+	MP_TRIAL_CLEAR = 3,
+};
+typedef enum mp_trial_kind mp_trial_kind;
+
+struct mp_trial {
+	mp_trial_kind kind;
+	char fingerprint[MP_HASH_BYTES];
+	u_quad_t run;
+	u_int attempt;
+	u_int lasts_ms;
+};
+typedef struct mp_trial mp_trial;
+
 struct mp_command_body {
 	mp_command_kind kind;
 	union {
@@ -182,6 +200,7 @@
 		mp_holder writeoff;
 		mp_poison poison;
 		mp_slices slices;
+		mp_trial trial;
 	} mp_command_body_u;
 };
 typedef struct mp_command_body mp_command_body;
@@ -370,7 +389,7 @@
 	mp_holder holder;
 	u_quad_t targets_hash;
 	u_quad_t document_version;
-	u_quad_t poison_version;
+	u_quad_t quarantine_version;
 	bool_t draining;
 	bool_t whole;
 };
@@ -395,11 +414,15 @@
 	u_int suffix;
 	u_quad_t checksum;
 	char *document;
-	u_quad_t poison_version;
+	u_quad_t quarantine_version;
 	struct {
-		u_int poison_len;
-		char *poison_val;
-	} poison;
+		u_int stopped_len;
+		char *stopped_val;
+	} stopped;
+	struct {
+		u_int suspected_len;
+		char *suspected_val;
+	} suspected;
 	struct {
 		u_int recalls_len;
 		mp_recall *recalls_val;
@@ -568,16 +591,19 @@
 };
 typedef struct mp_marker_image mp_marker_image;
 
-struct mp_poison_image {
-	char body_hash[MP_HASH_BYTES];
+struct mp_suspect_image {
+	char fingerprint[MP_HASH_BYTES];
 	u_int deaths;
-	char *last_target;
 	quad_t last_ms;
+	char *last_target;
 	char *workspace;
 	char *key;
 	u_quad_t open_id;
+	u_quad_t run;
+	u_int attempt;
+	quad_t until_ms;
 };
-typedef struct mp_poison_image mp_poison_image;
+typedef struct mp_suspect_image mp_suspect_image;
 
 struct mp_machine_image {
 	u_quad_t applied;
@@ -586,7 +612,7 @@
 	u_quad_t document_version;
 	char *document_author;
 	char *document;
-	u_quad_t poison_version;
+	u_quad_t quarantine_version;
 	struct {
 		u_int accounts_len;
 		mp_account_image *accounts_val;
@@ -612,9 +638,9 @@
 		mp_marker_image *submissions_val;
 	} submissions;
 	struct {
-		u_int poisons_len;
-		mp_poison_image *poisons_val;
-	} poisons;
+		u_int suspects_len;
+		mp_suspect_image *suspects_val;
+	} suspects;
 	struct {
 		u_int history_len;
 		mp_history *history_val;
@@ -691,6 +717,8 @@
 extern  bool_t xdr_mp_slices (XDR *, mp_slices*);
 extern  bool_t xdr_mp_offline (XDR *, mp_offline*);
 extern  bool_t xdr_mp_poison (XDR *, mp_poison*);
+extern  bool_t xdr_mp_trial_kind (XDR *, mp_trial_kind*);
+extern  bool_t xdr_mp_trial (XDR *, mp_trial*);
 extern  bool_t xdr_mp_command_body (XDR *, mp_command_body*);
 extern  bool_t xdr_mp_command (XDR *, mp_command*);
 extern  bool_t xdr_mp_slice_held (XDR *, mp_slice_held*);
@@ -728,7 +756,7 @@
 extern  bool_t xdr_mp_record_image (XDR *, mp_record_image*);
 extern  bool_t xdr_mp_incarnation_image (XDR *, mp_incarnation_image*);
 extern  bool_t xdr_mp_marker_image (XDR *, mp_marker_image*);
-extern  bool_t xdr_mp_poison_image (XDR *, mp_poison_image*);
+extern  bool_t xdr_mp_suspect_image (XDR *, mp_suspect_image*);
 extern  bool_t xdr_mp_machine_image (XDR *, mp_machine_image*);
 extern  bool_t xdr_mp_journal_entry (XDR *, mp_journal_entry*);
 
@@ -747,6 +775,8 @@
 extern bool_t xdr_mp_slices ();
 extern bool_t xdr_mp_offline ();
 extern bool_t xdr_mp_poison ();
+extern bool_t xdr_mp_trial_kind ();
+extern bool_t xdr_mp_trial ();
 extern bool_t xdr_mp_command_body ();
 extern bool_t xdr_mp_command ();
 extern bool_t xdr_mp_slice_held ();
@@ -784,7 +814,7 @@
 extern bool_t xdr_mp_record_image ();
 extern bool_t xdr_mp_incarnation_image ();
 extern bool_t xdr_mp_marker_image ();
-extern bool_t xdr_mp_poison_image ();
+extern bool_t xdr_mp_suspect_image ();
 extern bool_t xdr_mp_machine_image ();
 extern bool_t xdr_mp_journal_entry ();
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -39,7 +39,8 @@
     MP_CMD_OFFLINE = 9,
     MP_CMD_WRITEOFF = 10,
     MP_CMD_POISON = 11,
-    MP_CMD_SLICES = 12
+    MP_CMD_SLICES = 12,
+    MP_CMD_TRIAL = 13
 };
 
 enum mp_record_state {
@@ -150,6 +151,23 @@
     unsigned hyper open_id;
 };
 
+enum mp_trial_kind {
+    MP_TRIAL_ASK = 0,     /* may the run go to a target? */
+    MP_TRIAL_DEATH = 1,   /* a target ended while it ran; may it go on? */
+    MP_TRIAL_RELEASE = 2, /* it ended otherwise */
+    MP_TRIAL_CLEAR = 3    /* it was answered whole */
+};
+
+/* A word on a request of a path; run is its number, of all instances, attempt
+ * that of its last attempt, lasts_ms how long it may go on. */
+struct mp_trial {
+    mp_trial_kind kind;
+    opaque fingerprint[MP_HASH_BYTES];
+    unsigned hyper run;
+    unsigned int attempt;
+    unsigned int lasts_ms;
+};
+
 union mp_command_body switch (mp_command_kind kind) {
 case MP_CMD_REGISTER:
     mp_register reg;
@@ -175,6 +193,8 @@
     mp_poison poison;
 case MP_CMD_SLICES:
     mp_slices slices;
+case MP_CMD_TRIAL:
+    mp_trial trial;
 default:
     void;
 };
@@ -344,7 +364,7 @@
     mp_holder holder;
     unsigned hyper targets_hash; /* of the list that the instance has */
     unsigned hyper document_version;
-    unsigned hyper poison_version;
+    unsigned hyper quarantine_version;
     bool draining;
     bool whole; /* a patch could not be applied: send the whole text */
 };
@@ -371,8 +391,9 @@
     unsigned int suffix;
     unsigned hyper checksum;
     string document<MP_TEXT_MAX>;
-    unsigned hyper poison_version;
-    opaque poison<MP_CHUNK_MAX>;
+    unsigned hyper quarantine_version;
+    opaque stopped<MP_CHUNK_MAX>; /* fingerprints, when the version differs */
+    opaque suspected<MP_CHUNK_MAX>;
     mp_recall recalls<MP_RECALLS_MAX>;
     mp_address replicas<MP_MEMBERS_MAX>;
     unsigned int instances; /* that were heard of lately */
@@ -507,14 +528,17 @@
     hyper amount_mtok;
 };
 
-struct mp_poison_image {
-    opaque body_hash[MP_HASH_BYTES];
+struct mp_suspect_image {
+    opaque fingerprint[MP_HASH_BYTES];
     unsigned int deaths;
-    string last_target<MP_NAME_MAX>;
     hyper last_ms;
+    string last_target<MP_NAME_MAX>;
     string workspace<MP_NAME_MAX>;
     string key<MP_KEY_MAX>;
     unsigned hyper open_id;
+    unsigned hyper run;
+    unsigned int attempt;
+    hyper until_ms;
 };
 
 struct mp_machine_image {
@@ -524,14 +548,14 @@
     unsigned hyper document_version;
     string document_author<MP_NAME_MAX>;
     string document<MP_TEXT_MAX>;
-    unsigned hyper poison_version;
+    unsigned hyper quarantine_version;
     mp_account_image accounts<>;
     mp_record_image open_records<>;
     mp_record_image closed_records<>;
     mp_incarnation_image incarnations<>;
     mp_marker_image topups<>;
     mp_marker_image submissions<>;
-    mp_poison_image poisons<>;
+    mp_suspect_image suspects<>;
     mp_history history<>;
 };
 
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -234,6 +234,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_trial_kind (XDR *xdrs, mp_trial_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_trial (XDR *xdrs, mp_trial *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_mp_trial_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->fingerprint, MP_HASH_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lasts_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_command_body (XDR *xdrs, mp_command_body *objp)
 {
@@ -290,6 +319,10 @@
 		 if (!xdr_mp_slices (xdrs, &objp->mp_command_body_u.slices))
 			 return FALSE;
 		break;
+	case MP_CMD_TRIAL:
+		 if (!xdr_mp_trial (xdrs, &objp->mp_command_body_u.trial))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
@@ -608,7 +641,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->poison_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->quarantine_version))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
@@ -658,9 +691,11 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->document, MP_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->poison_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->quarantine_version))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->stopped.stopped_val, (u_int *) &objp->stopped.stopped_len, MP_CHUNK_MAX))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->poison.poison_val, (u_int *) &objp->poison.poison_len, MP_CHUNK_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->suspected.suspected_val, (u_int *) &objp->suspected.suspected_len, MP_CHUNK_MAX))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->recalls.recalls_val, (u_int *) &objp->recalls.recalls_len, MP_RECALLS_MAX,
 		sizeof (mp_recall), (xdrproc_t) xdr_mp_recall))
@@ -947,25 +982,31 @@
 }
 
 bool_t
-xdr_mp_poison_image (XDR *xdrs, mp_poison_image *objp)
+xdr_mp_suspect_image (XDR *xdrs, mp_suspect_image *objp)
 {
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_opaque (xdrs, objp->body_hash, MP_HASH_BYTES))
+	 if (!xdr_opaque (xdrs, objp->fingerprint, MP_HASH_BYTES))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->deaths))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->last_target, MP_NAME_MAX))
-		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->last_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->last_target, MP_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->key, MP_KEY_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->until_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -986,7 +1027,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->document, MP_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->poison_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->quarantine_version))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, ~0,
 		sizeof (mp_account_image), (xdrproc_t) xdr_mp_account_image))
@@ -1006,8 +1047,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->submissions.submissions_val, (u_int *) &objp->submissions.submissions_len, ~0,
 		sizeof (mp_marker_image), (xdrproc_t) xdr_mp_marker_image))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->poisons.poisons_val, (u_int *) &objp->poisons.poisons_len, ~0,
-		sizeof (mp_poison_image), (xdrproc_t) xdr_mp_poison_image))
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, ~0,
+		sizeof (mp_suspect_image), (xdrproc_t) xdr_mp_suspect_image))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->history.history_val, (u_int *) &objp->history.history_len, ~0,
 		sizeof (mp_history), (xdrproc_t) xdr_mp_history))
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -1,6 +1,5 @@
 #include "state/Machine.h"
 
-#include "state/BodyHash.h"
 #include "state/Error.h"
 #include "state/Fault.h"
 #include "state/MachineInternal.h"
@@ -26,16 +25,6 @@
     g_free(this);
 }
 
-static void
-poison_delete(void *data)
-{
-    struct MpPoison *this = data;
-    g_free(this->last_target);
-    g_free(this->workspace);
-    g_free(this->key);
-    g_free(this);
-}
-
 static void
 history_delete(void *data)
 {
@@ -72,8 +61,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
     this->submissions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, marker_delete);
-    this->poisons = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
-                                          NULL, poison_delete);
+    MpQuarantine_Init(&this->quarantine);
     g_queue_init(&this->history);
     g_queue_init(&this->topup_order);
     g_queue_init(&this->submission_order);
@@ -85,7 +73,7 @@
     g_queue_clear_full(&this->history, history_delete);
     g_queue_clear(&this->topup_order);
     g_queue_clear(&this->submission_order);
-    g_hash_table_unref(this->poisons);
+    MpQuarantine_Done(&this->quarantine);
     g_hash_table_unref(this->submissions);
     g_hash_table_unref(this->topups);
     g_hash_table_unref(this->incarnations);
@@ -267,155 +255,6 @@
     return marker_answer(marker, result);
 }
 
-/* ---- poison requests ---- */
-
-static bool
-is_stopped(const struct MpMachine *this, const struct MpPoison *poison)
-{
-    return poison->deaths >= MP_POISON_DEATHS &&
-           poison->last_ms + MP_POISON_MS > this->now_ms;
-}
-
-/* A target that died while it ran the request; a second report of the same
- * target counts no more. */
-/* Other requests with this body that run now, while none was answered. */
-static uint32_t
-count_others(const struct MpMachine *this, const struct mp_poison *report)
-{
-    const struct MpRecord *record =
-        MpLedger_FindRecord(&this->ledger, report->workspace, report->key);
-    uint32_t open =
-        MpLedger_Untried(&this->ledger, (const uint8_t *)report->body_hash);
-    bool is_counted = record && record->state == MP_RECORD_OPEN;
-    return open > is_counted ? open - is_counted : 0;
-}
-
-static int
-apply_poison(struct MpMachine *this, const struct mp_poison *report,
-             struct mp_result *result)
-{
-    struct MpPoison *poison =
-        g_hash_table_lookup(this->poisons, report->body_hash);
-    if (!poison) {
-        poison = g_new0(struct MpPoison, 1);
-        memcpy(poison->body_hash, report->body_hash, MP_HASH_BYTES);
-        poison->last_target = g_strdup("");
-        poison->workspace = g_strdup("");
-        poison->key = g_strdup("");
-        g_hash_table_insert(this->poisons, poison->body_hash, poison);
-    }
-    if (poison->last_ms + MP_POISON_MS <= this->now_ms) {
-        poison->deaths = 0;
-    }
-    if (poison->deaths > 0 &&
-        strcmp(poison->last_target, report->target) == 0) {
-        result->number = poison->deaths;
-        result->amount_mtok = count_others(this, report);
-        return MP_OK;
-    }
-    g_free(poison->last_target);
-    poison->last_target = g_strdup(report->target);
-    g_free(poison->workspace);
-    g_free(poison->key);
-    poison->workspace = g_strdup(report->workspace);
-    poison->key = g_strdup(report->key);
-    poison->open_id = report->open_id;
-    poison->last_ms = this->now_ms;
-    poison->deaths++;
-    this->poison_version++;
-    result->number = poison->deaths;
-    result->amount_mtok = count_others(this, report);
-    return MP_OK;
-}
-
-static gboolean
-is_poison_old(void *key, void *value, void *user_data)
-{
-    (void)key;
-    const struct MpMachine *this = user_data;
-    const struct MpPoison *poison = value;
-    return poison->last_ms + MP_POISON_MS <= this->now_ms;
-}
-
-GByteArray *
-MpMachine_PoisonList(const struct MpMachine *this)
-{
-    GHashTableIter iter;
-    void *value;
-    GByteArray *list = g_byte_array_new();
-    g_hash_table_iter_init(&iter, this->poisons);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct MpPoison *poison = value;
-        if (is_stopped(this, poison) &&
-            list->len + MP_HASH_BYTES <= MP_CHUNK_MAX) {
-            g_byte_array_append(list, poison->body_hash, MP_HASH_BYTES);
-        }
-    }
-    return list;
-}
-
-/* Whether the open record that was reported last is still open: while it is,
- * nobody else tries the same request. */
-static bool
-is_being_tried(const struct MpMachine *this, const struct MpPoison *poison,
-               const struct mp_open *open)
-{
-    const struct MpRecord *record =
-        MpLedger_FindRecord(&this->ledger, poison->workspace, poison->key);
-    return record && record->state == MP_RECORD_OPEN &&
-           record->open_id == poison->open_id &&
-           open->open_id != poison->open_id;
-}
-
-/* Until a request was answered once, no more of its kind run at a moment than
- * targets may die of it. */
-static bool
-is_held_back(const struct MpMachine *this, const struct mp_open *open,
-             uint32_t deaths)
-{
-    const struct MpRecord *record =
-        MpLedger_FindRecord(&this->ledger, open->workspace, open->key);
-    if (record && record->state == MP_RECORD_OPEN) {
-        return false; /* it is one of those that are counted */
-    }
-    uint32_t running =
-        MpLedger_Untried(&this->ledger, (const uint8_t *)open->body_hash);
-    return deaths + running >= MP_POISON_DEATHS;
-}
-
-/* A request that has killed a target is tried by one attempt at a time, and
- * by none after it has killed enough. */
-static int
-check_poison(struct MpMachine *this, const struct mp_open *open)
-{
-    struct MpPoison *poison =
-        g_hash_table_lookup(this->poisons, open->body_hash);
-    if (!poison) {
-        return is_held_back(this, open, 0) ? MP_ERROR_HELD_BACK : MP_OK;
-    }
-    if (is_stopped(this, poison)) {
-        return MP_ERROR_POISON;
-    }
-    bool is_held = is_being_tried(this, poison, open) ||
-                   is_held_back(this, open, poison->deaths);
-    return is_held ? MP_ERROR_HELD_BACK : MP_OK;
-}
-
-/* The attempt that was let through is the one that is waited for. */
-static void
-note_try(struct MpMachine *this, const struct mp_open *open)
-{
-    struct MpPoison *poison =
-        g_hash_table_lookup(this->poisons, open->body_hash);
-    if (poison) {
-        g_free(poison->workspace);
-        g_free(poison->key);
-        poison->workspace = g_strdup(open->workspace);
-        poison->key = g_strdup(open->key);
-        poison->open_id = open->open_id;
-    }
-}
-
 /* ---- apply ---- */
 
 static int
@@ -428,13 +267,13 @@
     if (!MpMachine_IsCurrent(this, &open->holder)) {
         return MP_ERROR_FENCED;
     }
-    int code = check_poison(this, open);
+    int code = MpQuarantine_CheckOpen(&this->quarantine, &this->ledger, open);
     if (code != MP_OK) {
         return code;
     }
     code = MpLedger_Open(&this->ledger, open, this->now_ms, result);
     if (code == MP_OK && result->state == MP_RECORD_OPEN) {
-        note_try(this, open);
+        MpQuarantine_NoteOpen(&this->quarantine, open);
     }
     return code;
 }
@@ -503,7 +342,13 @@
             body->mp_command_body_u.writeoff.boot);
         return MP_OK;
     case MP_CMD_POISON:
-        return apply_poison(this, &body->mp_command_body_u.poison, result);
+        return MpQuarantine_Report(&this->quarantine, &this->ledger,
+                                   &body->mp_command_body_u.poison,
+                                   this->now_ms, result);
+    case MP_CMD_TRIAL:
+        return MpQuarantine_Trial(&this->quarantine,
+                                  &body->mp_command_body_u.trial, this->now_ms,
+                                  result);
     case MP_CMD_SLICES:
         return apply_slices(this, &body->mp_command_body_u.slices, result);
     default:
@@ -519,9 +364,7 @@
     this->applied = index;
     this->now_ms = MAX(this->now_ms, command->at_ms);
     MpLedger_Expire(&this->ledger, this->now_ms);
-    guint old =
-        g_hash_table_foreach_remove(this->poisons, is_poison_old, this);
-    this->poison_version += old > 0;
+    MpQuarantine_Expire(&this->quarantine, this->now_ms);
     result->code = apply_body(this, &command->body, result);
     return result->code;
 }
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -2,6 +2,7 @@
 #define MP_STATE_MACHINE_H
 
 #include "state/Ledger.h"
+#include "state/Quarantine.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -19,11 +20,6 @@
 /* Ids of top-ups and of submissions that are remembered, of each kind. */
 #define MP_MARKERS_MAX 16384
 
-/* Targets that fail while they run one same request before it is stopped
- * everywhere, and how long it stays stopped. */
-#define MP_POISON_DEATHS 2
-#define MP_POISON_MS INT64_C(3600000)
-
 struct MpIncarnation {
     char *instance;
     uint64_t boot;
@@ -43,16 +39,6 @@
 /* Versions of the document whose makers are remembered. */
 #define MP_HISTORY_MAX 64
 
-struct MpPoison {
-    uint8_t body_hash[MP_HASH_BYTES];
-    uint32_t deaths;
-    char *last_target;
-    int64_t last_ms;
-    char *workspace; /* the open record whose run was reported last */
-    char *key;
-    uint64_t open_id;
-};
-
 struct MpMachine {
     struct MpLedger ledger;
     GHashTable *incarnations; /* instance -> struct MpIncarnation */
@@ -60,8 +46,7 @@
     GQueue topup_order;
     GHashTable *submissions; /* id -> struct MpMarker */
     GQueue submission_order;
-    GHashTable *poisons; /* body hash -> struct MpPoison */
-    uint64_t poison_version;
+    struct MpQuarantine quarantine;
     uint64_t document_version;
     char *document;
     char *document_author;
@@ -89,10 +74,6 @@
 bool MpMachine_IsCurrent(const struct MpMachine *this,
                          const struct mp_holder *holder);
 
-/* Returns the hashes of stopped requests, concatenated, MP_HASH_BYTES
- * each. */
-GByteArray *MpMachine_PoisonList(const struct MpMachine *this);
-
 /* Returns the history as an array of history.length entries, to be freed by
  * g_free; its strings belong to the machine. */
 struct mp_history *MpMachine_History(const struct MpMachine *this);
--- a/src/state/MachineImage.c
+++ b/src/state/MachineImage.c
@@ -45,29 +45,6 @@
     return images;
 }
 
-static void
-save_poisons(const struct MpMachine *this, struct mp_machine_image *image)
-{
-    GHashTableIter iter;
-    void *value;
-    guint count = g_hash_table_size(this->poisons);
-    struct mp_poison_image *next = g_new0(struct mp_poison_image, count);
-    image->poisons.poisons_len = count;
-    image->poisons.poisons_val = next;
-    g_hash_table_iter_init(&iter, this->poisons);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct MpPoison *poison = value;
-        next->deaths = poison->deaths;
-        next->last_target = poison->last_target;
-        next->last_ms = poison->last_ms;
-        next->workspace = poison->workspace;
-        next->key = poison->key;
-        next->open_id = poison->open_id;
-        memcpy(next->body_hash, poison->body_hash, MP_HASH_BYTES);
-        next++;
-    }
-}
-
 struct mp_history *
 MpMachine_History(const struct MpMachine *this)
 {
@@ -89,14 +66,13 @@
         .document_version = this->document_version,
         .document_author = this->document_author,
         .document = this->document,
-        .poison_version = this->poison_version,
     };
     MpLedger_Save(&this->ledger, &image);
     if (MP_FAULT(MP_FAULT_SNAPSHOT_DROPS_CLAIMS)) {
         image.closed_records.closed_records_len = 0;
     }
     save_incarnations(this, &image);
-    save_poisons(this, &image);
+    MpQuarantine_Save(&this->quarantine, &image);
     image.topups.topups_len = this->topup_order.length;
     image.topups.topups_val = save_markers(this->topups, &this->topup_order);
     image.submissions.submissions_len = this->submission_order.length;
@@ -108,7 +84,7 @@
     g_free(image.history.history_val);
     MpLedger_DropImage(&image);
     g_free(image.incarnations.incarnations_val);
-    g_free(image.poisons.poisons_val);
+    g_free(image.suspects.suspects_val);
     g_free(image.topups.topups_val);
     g_free(image.submissions.submissions_val);
     return bytes;
@@ -142,23 +118,6 @@
     }
 }
 
-static void
-load_poisons(struct MpMachine *this, const struct mp_machine_image *image)
-{
-    for (u_int i = 0; i < image->poisons.poisons_len; i++) {
-        const struct mp_poison_image *from = &image->poisons.poisons_val[i];
-        struct MpPoison *poison = g_new0(struct MpPoison, 1);
-        memcpy(poison->body_hash, from->body_hash, MP_HASH_BYTES);
-        poison->deaths = from->deaths;
-        poison->last_target = g_strdup(from->last_target);
-        poison->last_ms = from->last_ms;
-        poison->workspace = g_strdup(from->workspace);
-        poison->key = g_strdup(from->key);
-        poison->open_id = from->open_id;
-        g_hash_table_insert(this->poisons, poison->body_hash, poison);
-    }
-}
-
 static int
 load_image(struct MpMachine *this, const struct mp_machine_image *image)
 {
@@ -167,12 +126,11 @@
     this->document = g_strdup(image->document);
     this->document_author = g_strdup(image->document_author);
     this->document_version = image->document_version;
-    this->poison_version = image->poison_version;
     this->applied = image->applied;
     this->now_ms = image->now_ms;
     this->ledger.retention_ms = image->retention_ms;
     load_incarnations(this, image);
-    load_poisons(this, image);
+    MpQuarantine_Load(&this->quarantine, image);
     load_markers(this->topups, &this->topup_order, image->topups.topups_val,
                  image->topups.topups_len);
     load_markers(this->submissions, &this->submission_order,
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -93,7 +93,7 @@
 static void
 refuse_document(struct MpOperatorCall *call, const GPtrArray *findings)
 {
-    char *text = MpErrorBody_Text(MP_ERROR_INVALID, NULL, false);
+    char *text = MpErrorBody_Text(MP_ERROR_INVALID, NULL, "no");
     struct json_object *root = json_tokener_parse(text);
     struct json_object *list = json_object_new_array();
     for (guint i = 0; i < findings->len; i++) {
--- a/src/transport/ErrorBody.c
+++ b/src/transport/ErrorBody.c
@@ -13,7 +13,7 @@
 }
 
 char *
-MpErrorBody_Text(int code, const char *detail, bool may_have_run)
+MpErrorBody_Text(int code, const char *detail, const char *run)
 {
     const struct MpErrorInfo *info = MpError_Info(code);
     char *message = detail ? g_strdup_printf("%s %s", info->message, detail)
@@ -22,9 +22,7 @@
     json_object_object_add(error, "type", json_object_new_string(info->name));
     json_object_object_add(error, "code", json_object_new_int(code));
     json_object_object_add(error, "message", json_object_new_string(message));
-    json_object_object_add(
-        error, "run",
-        json_object_new_string(MpErrorBody_Run(code, may_have_run)));
+    json_object_object_add(error, "run", json_object_new_string(run));
     struct json_object *root = json_object_new_object();
     json_object_object_add(root, "error", error);
     char *text =
@@ -37,7 +35,7 @@
 h2o_iovec_t
 MpErrorBody_InPool(h2o_mem_pool_t *pool, int code, const char *detail)
 {
-    char *text = MpErrorBody_Text(code, detail, false);
+    char *text = MpErrorBody_Text(code, detail, MpErrorBody_Run(code, false));
     h2o_iovec_t body = h2o_strdup(pool, text, SIZE_MAX);
     g_free(text);
     return body;
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -119,9 +119,9 @@
                      const char *request_id, int64_t retry_after_ms,
                      bool may_have_run)
 {
-    char *text = MpErrorBody_Text(code, detail, may_have_run);
-    add_common_headers(req, MpErrorBody_Run(code, may_have_run), request_id,
-                       retry_after_ms);
+    const char *run = MpErrorBody_Run(code, may_have_run);
+    char *text = MpErrorBody_Text(code, detail, run);
+    add_common_headers(req, run, request_id, retry_after_ms);
     MpHttp_Send(req, MpError_Info(code)->http_status, "application/json", text,
                 strlen(text));
     g_free(text);
@@ -204,7 +204,7 @@
     MpMetrics_Count(&this->router->metrics, "mimosapath_cut_total", "cause",
                     MpError_Name(code), 1);
     if (this->is_stream) {
-        char *text = MpErrorBody_Text(code, NULL, true);
+        char *text = MpErrorBody_Text(code, NULL, "unknown");
         char *event = g_strdup_printf("data: %s\n\n", text);
         MpExchange_Write(this, event, strlen(event));
         g_free(event);
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -18,6 +18,9 @@
 #define RETRY_MOST_MS 500
 #define RETRIES_FAST 64
 #define REGISTER_DEADLINE_MS 2000
+/* A leader that is silent for this long is not waited for, ms: several syncs
+ * and an election. */
+#define CUT_OFF_MS 1800
 #define MP_NO_REPLICA G_MAXUINT
 
 /* ---- calls to the leader ---- */
@@ -281,10 +284,16 @@
     return this->boot > 0 && this->document;
 }
 
+bool
+MpFleet_IsCutOff(const struct MpFleet *this)
+{
+    return MpLoop_Now() - this->synced_ms > CUT_OFF_MS;
+}
+
 bool
 MpFleet_IsPoison(const struct MpFleet *this, const uint8_t *body_hash)
 {
-    return g_hash_table_contains(this->poisons, body_hash);
+    return MpSuspects_View(&this->suspects, body_hash) == MP_SUSPICION_STOPPED;
 }
 
 static uint64_t
@@ -377,19 +386,20 @@
 }
 
 static void
-take_poisons(struct MpFleet *this, const struct mp_sync_reply *reply)
+take_suspects(struct MpFleet *this, const struct mp_sync_reply *reply)
 {
-    if (reply->poison_version == this->poison_version) {
+    if (reply->quarantine_version == this->suspects.version) {
         return;
     }
-    this->poison_version = reply->poison_version;
-    g_hash_table_remove_all(this->poisons);
-    for (u_int at = 0; at + MP_HASH_BYTES <= reply->poison.poison_len;
-         at += MP_HASH_BYTES) {
-        g_hash_table_add(
-            this->poisons,
-            g_memdup2(reply->poison.poison_val + at, MP_HASH_BYTES));
-    }
+    MpSuspects_Take(&this->suspects, reply->quarantine_version,
+                    reply->stopped.stopped_val, reply->stopped.stopped_len,
+                    reply->suspected.suspected_val,
+                    reply->suspected.suspected_len);
+    MpLog_Event(LOG_NOTICE, "suspects-told",
+                "version=%" PRIu64 " stopped=%u suspected=%u",
+                this->suspects.version,
+                reply->stopped.stopped_len / MP_HASH_BYTES,
+                reply->suspected.suspected_len / MP_HASH_BYTES);
 }
 
 /* Returns the entries of a list; their strings belong to the reply. */
@@ -451,7 +461,7 @@
     }
     this->synced_ms = MpLoop_Now();
     take_document(this, reply);
-    take_poisons(this, reply);
+    take_suspects(this, reply);
     this->instances = reply->instances;
     take_targets(this, reply);
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
@@ -475,7 +485,7 @@
     struct mp_sync sync = {
         .holder = MpFleet_Holder(this),
         .document_version = this->document ? this->document->version : 0,
-        .poison_version = this->poison_version,
+        .quarantine_version = this->suspects.version,
         .targets_hash = this->targets_hash,
         .draining = this->is_draining,
         .whole = this->wants_whole,
@@ -515,8 +525,7 @@
                              .owner = owner,
                              .nonce = random_number()};
     this->clients = g_ptr_array_new();
-    this->poisons =
-        g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
+    MpSuspects_Init(&this->suspects);
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     GPtrArray *replicas = MpSettings_Replicas(settings);
     for (guint i = 0; i < replicas->len; i++) {
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_FLEET_H
 #define MP_TRANSPORT_FLEET_H
 
+#include "coordination/Suspects.h"
 #include "protocol/Dialect.h"
 #include "state/Document.h"
 #include "state/Settings.h"
@@ -56,9 +57,8 @@
     uint64_t nonce;
     struct MpDocument *document; /* NULL until the first one */
     char *document_text;
-    bool wants_whole;    /* a patch did not fit */
-    GHashTable *poisons; /* body hashes that are stopped */
-    uint64_t poison_version;
+    bool wants_whole; /* a patch did not fit */
+    struct MpSuspects suspects;
     int64_t synced_ms; /* last answer of the leader */
     bool is_draining;
     bool is_syncing;
@@ -106,6 +106,10 @@
 /* Returns whether callers can be served: registered, with a document. */
 bool MpFleet_IsReady(const struct MpFleet *this);
 
+/* Returns whether the leader has been silent for so long that nothing is asked
+ * of it before a request is decided on. */
+bool MpFleet_IsCutOff(const struct MpFleet *this);
+
 /* Returns whether the request with this hash is stopped. */
 bool MpFleet_IsPoison(const struct MpFleet *this, const uint8_t *body_hash);
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -38,6 +38,7 @@
     int64_t shared_ms; /* when the leader last vouched for the list */
     struct MpTimer timer;
     uint64_t retries_refused; /* counter */
+    uint32_t reports;         /* of deaths, that the quorum does not have */
     bool is_leaving;
     int64_t refuse_from_ms; /* leaving: new requests are refused */
     int64_t stop_ms;        /* leaving: when the process ends at the latest */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -39,17 +39,23 @@
     leave_target(this, outcome);
 }
 
+/* Waits first, if the end of the target is looked into, and it may matter for
+ * the next step. */
 static void
 next_step(struct MpGatewayCall *this, enum MpFate fate, int code)
 {
     enum MpForwardStep step =
         MpForward_Ended(&this->forward, fate, has_retry(this), MpLoop_Now());
-    if (step == MP_STEP_SEND || step == MP_STEP_RESUME) {
-        g_byte_array_set_size(this->partial, 0);
-        MpGatewayAttempt_Start(this);
+    if (step != MP_STEP_SEND && step != MP_STEP_RESUME) {
+        MpGatewayCall_GiveUp(this, step, code, MP_RETRY_BUSY_MS);
         return;
     }
-    MpGatewayCall_GiveUp(this, step, code, MP_RETRY_BUSY_MS);
+    g_byte_array_set_size(this->partial, 0);
+    if (this->job) {
+        MpGatewaySuspect_Wait(this);
+        return;
+    }
+    MpGatewayAttempt_Start(this);
 }
 
 static void
@@ -171,6 +177,7 @@
 finish_answer(struct MpGatewayCall *this)
 {
     bool is_ok = this->status < 500;
+    MpGatewaySuspect_Answered(this);
     leave_target(this, is_ok ? MP_OUTCOME_OK : MP_OUTCOME_ERROR);
     MpGatewayCall_End(this, is_ok ? "answered" : "target-error", MP_OK);
     if (!this->answer.req) {
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -4,6 +4,7 @@
 #include "transport/ErrorBody.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayRequest.h"
+#include "transport/GatewaySuspect.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 
@@ -101,6 +102,7 @@
     int64_t now_ms = MpLoop_Now();
     this->stage = MP_CALL_ENDED;
     MpLoop_ClearTimer(&this->timer);
+    MpGatewaySuspect_End(this);
     int64_t billed = settle(this);
     count_end(this, outcome, billed, now_ms);
     MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
@@ -147,9 +149,10 @@
     h2o_req_t *req = MpCallerAnswer_Release(&this->answer);
     MpGatewayCall_End(this, "refused", code);
     if (req) {
-        char *text = MpErrorBody_Text(code, NULL, may_have_run);
-        MpHttp_AddHeader(req, "x-mimosapath-run",
-                         MpErrorBody_Run(code, may_have_run));
+        /* Each arrival on a path counts by itself. */
+        const char *run = may_have_run ? "unknown" : "no";
+        char *text = MpErrorBody_Text(code, NULL, run);
+        MpHttp_AddHeader(req, "x-mimosapath-run", run);
         add_retry_after(this->gateway, req, retry_after_ms);
         if (code == MP_ERROR_INVALID) {
             req->http1_is_persistent = 0;
@@ -273,8 +276,8 @@
     }
 }
 
-static void
-take_budget(struct MpGatewayCall *this)
+void
+MpGatewayCall_TakeBudget(struct MpGatewayCall *this)
 {
     const struct MpWorkspaceConf *workspace =
         this->workspace
@@ -391,6 +394,7 @@
     this->avoid = g_ptr_array_new();
     this->link.data = this;
     this->checked_ms = now_ms;
+    this->run = (uint64_t)g_random_int() << 32 | g_random_int();
     this->forward.began_ms = now_ms;
     g_queue_push_tail_link(&gateway->calls, &this->link);
     MpCallerAnswer_Init(&this->answer, &answer_class, this, req);
@@ -418,5 +422,5 @@
     this->pool = choose_pool(this->path);
     MpRetryBudget_Request(MpGateway_Retries(gateway, this->pool), now_ms);
     set_deadline(this);
-    take_budget(this);
+    MpGatewaySuspect_Admit(this);
 }
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -18,6 +18,7 @@
 #define MP_SAME_BYTES 8
 
 enum MpCallStage {
+    MP_CALL_TRIAL,   /* waits for a word on a target's end */
     MP_CALL_BUDGET,  /* waits for a part of the workspace's budget */
     MP_CALL_RUNNING, /* an attempt is at a target */
     MP_CALL_ENDED    /* the answer is on its way to the caller */
@@ -39,7 +40,10 @@
     GByteArray *body;
     uint8_t fingerprint[MP_HASH_BYTES]; /* the same when it comes again */
     char same[2 * MP_SAME_BYTES + 1];   /* its first bytes, for the log */
-    bool is_head;                       /* method HEAD */
+    uint64_t run;             /* number of this request, of all instances */
+    struct MpSuspectJob *job; /* that it waits for, or that goes on */
+    bool is_on_trial;         /* no other of its fingerprint may run */
+    bool is_head;             /* method HEAD */
     struct MpCallerAnswer answer;
     /* budget */
     int64_t reserved_mtok;
@@ -72,6 +76,9 @@
 void MpGatewayCall_End(struct MpGatewayCall *this, const char *outcome,
                        int code);
 
+/* Reserves the budget of a call that may run, and starts it. */
+void MpGatewayCall_TakeBudget(struct MpGatewayCall *this);
+
 /* Carries out a step that ends the request, with the error and the time to
  * come back. */
 void MpGatewayCall_GiveUp(struct MpGatewayCall *this, enum MpForwardStep step,
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -268,14 +268,13 @@
         .leader = (char *)MpReplica_LeaderAddress(this),
         .document_version = this->machine.document_version,
         .document = (char *)"",
-        .poison_version = this->machine.poison_version,
+        .quarantine_version = this->machine.quarantine.version,
     };
     struct MpInstanceView *view = view_of(this, sync->holder.instance);
     view->boot = sync->holder.boot;
     view->document_version = sync->document_version;
     view->draining = sync->draining;
     view->heard_ms = MpLoop_Now();
-    GByteArray *poison = NULL;
     if (!MpMachine_IsCurrent(&this->machine, &sync->holder)) {
         reply.code = MP_ERROR_FENCED;
     }
@@ -283,18 +282,22 @@
     struct mp_address replicas[MP_MEMBERS_MAX];
     fill_replicas(this, replicas, &reply);
     MpReplicaTargets_Fill(this, sync, &reply);
-    if (sync->poison_version != this->machine.poison_version) {
-        poison = MpMachine_PoisonList(&this->machine);
-        reply.poison.poison_val = (char *)poison->data;
-        reply.poison.poison_len = poison->len;
+    GByteArray *stopped = NULL;
+    GByteArray *suspected = NULL;
+    if (sync->quarantine_version != this->machine.quarantine.version) {
+        stopped = MpQuarantine_List(&this->machine.quarantine, true);
+        suspected = MpQuarantine_List(&this->machine.quarantine, false);
+        reply.stopped.stopped_val = (char *)stopped->data;
+        reply.stopped.stopped_len = stopped->len;
+        reply.suspected.suspected_val = (char *)suspected->data;
+        reply.suspected.suspected_len = suspected->len;
     }
     add_recalls(this, &sync->holder, &reply);
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
     g_free(middle);
-    if (poison) {
-        g_byte_array_unref(poison);
-    }
+    g_clear_pointer(&stopped, g_byte_array_unref);
+    g_clear_pointer(&suspected, g_byte_array_unref);
 }
 
 /* Pages and reports list names in their order. */
