A target that is back and dies again counts again

What callers saw: nothing yet; found while looking for the incident's cause elsewhere. With one target a crashing chat request was run again each time that the target was back.

Cause: the count of deaths took each report of the target that died last for a repeat of that report. A target that comes back keeps its name.

Change: a report is a repeat only within MP_SAME_DEATH_MS.

--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -127,9 +127,12 @@
     if (!suspect) {
         suspect = add(this, report->body_hash);
     }
-    /* A second report of the same target counts no more. */
-    if (suspect->deaths == 0 ||
-        strcmp(suspect->last_target, report->target) != 0) {
+    /* A second report of one death counts no more; a target that is back may
+     * die again. */
+    bool is_same = suspect->deaths > 0 &&
+                   strcmp(suspect->last_target, report->target) == 0 &&
+                   now_ms - suspect->last_ms <= MP_SAME_DEATH_MS;
+    if (!is_same) {
         g_free(suspect->last_target);
         suspect->last_target = g_strdup(report->target);
         set_record(suspect, report->workspace, report->key, report->open_id);
--- a/tests/TestLedger.c
+++ b/tests/TestLedger.c
@@ -239,6 +239,28 @@
     g_assert_cmpint(open_key(this, "c", 3, false, 8), ==, MP_OK);
 }
 
+/* One target, which comes back under its name and dies again. */
+static void
+test_poison_same_target(struct fixture *this, const void *data)
+{
+    (void)data;
+    struct mp_command command = {.at_ms = 1000,
+                                 .body = {.kind = MP_CMD_POISON}};
+    struct mp_poison *poison = &command.body.mp_command_body_u.poison;
+    memset(poison->body_hash, 7, MP_HASH_BYTES);
+    poison->workspace = (char *)"w";
+    poison->key = (char *)"a";
+    poison->open_id = 1;
+    poison->target = (char *)"engine-1";
+    apply(this, &command);
+    command.at_ms += MP_SAME_DEATH_MS;
+    apply(this, &command);
+    g_assert_cmpint((int)this->result.number, ==, 1);
+    command.at_ms++;
+    apply(this, &command);
+    g_assert_cmpint(open_key(this, "b", 2, false, 7), ==, MP_ERROR_POISON);
+}
+
 #define CASE(name, function)                                                  \
     g_test_add("/ledger/" name, struct fixture, NULL, set_up, function,       \
                tear_down)
@@ -257,5 +279,6 @@
     CASE("a cancelled attempt bills once", test_cancelled_bills_once);
     CASE("records end with their retention", test_retention);
     CASE("a poison request is stopped", test_poison);
+    CASE("a target that dies again counts again", test_poison_same_target);
     return g_test_run();
 }
