The run that is on trial counts, however soon its target ends

Change: the open record that was let through since the last death counts at once. Tried before: the start of the target as the poller last saw it; it is up to 0.4 s old, and the five ends stayed.

--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -599,6 +599,7 @@
 	char *workspace;
 	char *key;
 	u_quad_t open_id;
+	bool_t is_tried;
 	u_quad_t run;
 	u_int attempt;
 	quad_t until_ms;
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -536,6 +536,7 @@
     string workspace<MP_NAME_MAX>;
     string key<MP_KEY_MAX>;
     unsigned hyper open_id;
+    bool is_tried;
     unsigned hyper run;
     unsigned int attempt;
     hyper until_ms;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -1001,6 +1001,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->open_id))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_tried))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->run))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -118,6 +118,20 @@
     suspect->open_id = open_id;
 }
 
+/* A second report of one death counts no more.  A target that is back, under
+ * its name, may die again, of the run that was let through since. */
+static bool
+is_same_death(const struct MpSuspect *suspect, const struct mp_poison *report,
+              int64_t now_ms)
+{
+    bool is_trial = suspect->is_tried && suspect->open_id == report->open_id &&
+                    strcmp(suspect->key, report->key) == 0 &&
+                    strcmp(suspect->workspace, report->workspace) == 0;
+    return suspect->deaths > 0 && !is_trial &&
+           strcmp(suspect->last_target, report->target) == 0 &&
+           now_ms - suspect->last_ms <= MP_SAME_DEATH_MS;
+}
+
 int
 MpQuarantine_Report(struct MpQuarantine *this, const struct MpLedger *ledger,
                     const struct mp_poison *report, int64_t now_ms,
@@ -127,15 +141,11 @@
     if (!suspect) {
         suspect = add(this, report->body_hash);
     }
-    /* A second report of one death counts no more; a target that is back may
-     * die again. */
-    bool is_same = suspect->deaths > 0 &&
-                   strcmp(suspect->last_target, report->target) == 0 &&
-                   now_ms - suspect->last_ms <= MP_SAME_DEATH_MS;
-    if (!is_same) {
+    if (!is_same_death(suspect, report, now_ms)) {
         g_free(suspect->last_target);
         suspect->last_target = g_strdup(report->target);
         set_record(suspect, report->workspace, report->key, report->open_id);
+        suspect->is_tried = false;
         count_death(this, suspect, now_ms);
     }
     result->number = suspect->deaths;
@@ -195,6 +205,7 @@
     struct MpSuspect *suspect = find(this, open->body_hash);
     if (suspect) {
         set_record(suspect, open->workspace, open->key, open->open_id);
+        suspect->is_tried = true;
     }
 }
 
@@ -321,6 +332,7 @@
                                           .workspace = suspect->workspace,
                                           .key = suspect->key,
                                           .open_id = suspect->open_id,
+                                          .is_tried = suspect->is_tried,
                                           .run = suspect->run,
                                           .attempt = suspect->attempt,
                                           .until_ms = suspect->until_ms};
@@ -342,6 +354,7 @@
         g_free(suspect->last_target);
         suspect->last_target = g_strdup(from->last_target);
         set_record(suspect, from->workspace, from->key, from->open_id);
+        suspect->is_tried = from->is_tried;
         suspect->deaths = from->deaths;
         suspect->last_ms = from->last_ms;
         suspect->run = from->run;
--- a/src/state/Quarantine.h
+++ b/src/state/Quarantine.h
@@ -44,6 +44,7 @@
     char *workspace; /* the open record whose run was reported last */
     char *key;
     uint64_t open_id;
+    bool is_tried; /* that record was opened since the last death */
     /* of paths */
     uint64_t run; /* that has the trial, or died last; 0: none */
     uint32_t attempt;
--- a/tests/TestLedger.c
+++ b/tests/TestLedger.c
@@ -259,6 +259,14 @@
     command.at_ms++;
     apply(this, &command);
     g_assert_cmpint(open_key(this, "b", 2, false, 7), ==, MP_ERROR_POISON);
+    /* The run that was let through since counts, however soon. */
+    memset(poison->body_hash, 8, MP_HASH_BYTES);
+    apply(this, &command);
+    g_assert_cmpint(open_key(this, "c", 3, false, 8), ==, MP_OK);
+    poison->key = (char *)"c";
+    poison->open_id = 3;
+    apply(this, &command);
+    g_assert_cmpint(open_key(this, "d", 4, false, 8), ==, MP_ERROR_POISON);
 }
 
 #define CASE(name, function)                                                  \
