Lists of suspects never go back

Cause: a leader that has just been elected may answer a sync before it has applied all of its log; an instance took the older lists, as their version differed. The document has that guard, the lists had none.

Change: only lists of a higher version are taken.

--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -388,7 +388,8 @@
 static void
 take_suspects(struct MpFleet *this, const struct mp_sync_reply *reply)
 {
-    if (reply->quarantine_version == this->suspects.version) {
+    /* A new leader may not have applied all of it yet. */
+    if (reply->quarantine_version <= this->suspects.version) {
         return;
     }
     MpSuspects_Take(&this->suspects, reply->quarantine_version,
