Bytes without end: bounded memory, and an end by the timeout of the path

Cause: the system's window for an answer grew to some MB and was read into one buffer; interim answers and those of other requests were read past without bound; an event without an end was gathered without bound; an answer that was cut waited for a caller that does not take it.

Change: a window of 64 KB for targets, 256 KB of bytes that belong to nobody, 64 KB for an event, and 0.2 s for a caller to take what is ready of an answer that is cut.

--- a/src/transport/CallerAnswer.c
+++ b/src/transport/CallerAnswer.c
@@ -134,6 +134,12 @@
     }
 }
 
+static h2o_socket_t *
+socket_of(const struct MpCallerAnswer *this)
+{
+    return this->req->conn->callbacks->get_socket(this->req->conn);
+}
+
 void
 MpCallerAnswer_Abort(struct MpCallerAnswer *this)
 {
@@ -144,6 +150,15 @@
     }
 }
 
+void
+MpCallerAnswer_Close(struct MpCallerAnswer *this)
+{
+    if (this->req) {
+        /* h2o notes the end of the connection and lets go of the request. */
+        shutdown(h2o_socket_get_fd(socket_of(this)), SHUT_RDWR);
+    }
+}
+
 h2o_req_t *
 MpCallerAnswer_Release(struct MpCallerAnswer *this)
 {
@@ -163,10 +178,8 @@
     if (!this->req) {
         return true;
     }
-    h2o_socket_t *socket =
-        this->req->conn->callbacks->get_socket(this->req->conn);
-    ssize_t got =
-        recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ssize_t got = recv(h2o_socket_get_fd(socket_of(this)), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
                         errno != EINTR);
 }
--- a/src/transport/CallerAnswer.h
+++ b/src/transport/CallerAnswer.h
@@ -63,6 +63,10 @@
 /* Ends an answer that was started so that it does not look whole. */
 void MpCallerAnswer_Abort(struct MpCallerAnswer *this);
 
+/* Closes the connection to a caller that does not take the rest of an answer
+ * that was ended. */
+void MpCallerAnswer_Close(struct MpCallerAnswer *this);
+
 /* Gives the request to somebody else, who answers it. */
 h2o_req_t *MpCallerAnswer_Release(struct MpCallerAnswer *this);
 
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -154,6 +154,20 @@
     }
 }
 
+/* What comes is no event, however long it is waited for. */
+static void
+end_broken_stream(struct MpGatewayCall *this)
+{
+    MpLog_Event(LOG_WARNING, "event-too-long",
+                "id=%s same=%s target=%s bytes=%u events=%" PRId64,
+                this->id ? this->id : "-", this->same,
+                this->target->incarnation, this->partial->len,
+                this->forward.events);
+    g_byte_array_set_size(this->partial, 0);
+    MpGatewayAttempt_Drop(this, MP_OUTCOME_ERROR);
+    next_step(this, MP_FATE_CUT, MP_ERROR_STREAM_CUT);
+}
+
 static void
 on_body(void *owner, const char *data, size_t size)
 {
@@ -164,6 +178,10 @@
     }
     if (this->is_events) {
         relay_events(this, data, size);
+        if (this->partial->len > MP_EVENT_MOST_BYTES) {
+            end_broken_stream(this);
+            return;
+        }
     }
     else {
         MpCallerAnswer_Write(&this->answer, data, size);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -14,6 +14,9 @@
 /* Longest wait for a part of the budget, ms: a quorum that is there answers
  * within a few round trips and syncs. */
 #define BUDGET_WAIT_MS 300
+/* Time for a caller to take what is ready of an answer that ends, ms: a round
+ * trip or two. */
+#define CUT_WAIT_MS 200
 /* Pause between two looks for a caller, ms. */
 #define CALLER_CHECK_MS 200
 /* When a caller may come back, ms. */
@@ -164,6 +167,18 @@
     MpGatewayCall_Free(this);
 }
 
+static void
+on_cut_late(struct MpTimer *timer)
+{
+    struct MpGatewayCall *this = timer->data;
+    MpLog_Event(LOG_NOTICE, "caller-too-slow",
+                "id=%s same=%s left_bytes=%u events=%" PRId64,
+                this->id ? this->id : "-", this->same,
+                this->answer.sending->len + this->answer.out->len,
+                this->forward.events);
+    MpCallerAnswer_Close(&this->answer);
+}
+
 /* Carries out a step that ends the request. */
 void
 MpGatewayCall_GiveUp(struct MpGatewayCall *this, enum MpForwardStep step,
@@ -175,6 +190,8 @@
             MpGatewayCall_Free(this);
             return;
         }
+        MpLoop_SetTimer(this->gateway->loop, &this->timer, CUT_WAIT_MS,
+                        on_cut_late, this);
         MpCallerAnswer_Abort(&this->answer);
         return;
     }
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -35,8 +35,9 @@
     bool is_head_request;
     bool is_sent; /* bytes of the request may have left */
     bool is_written;
-    bool is_stray;    /* the answer that is read belongs to nobody */
-    bool is_reusable; /* so far */
+    bool is_stray;      /* the answer that is read belongs to nobody */
+    size_t stray_bytes; /* since the request was sent */
+    bool is_reusable;   /* so far */
     bool is_whole;
     bool is_paused;
     bool is_inside; /* a callback of the owner is running */
@@ -190,6 +191,14 @@
            (size == strlen(this->id) && memcmp(value, this->id, size) == 0);
 }
 
+/* Counts bytes that belong to nobody. */
+static bool
+is_too_stray(struct MpTargetConn *this, size_t size)
+{
+    this->stray_bytes += size;
+    return this->stray_bytes > MP_TARGET_STRAY_MOST_BYTES;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -216,6 +225,10 @@
     if (this->is_stray && !is_interim) {
         this->is_reusable = false;
     }
+    if (this->is_stray && is_too_stray(this, this->head->len + 1)) {
+        g_free(headers);
+        return -1;
+    }
     if (!this->is_stray && this->klass) {
         this->keep_ms = keep_time(&head);
         this->klass->head(this->owner, &head);
@@ -228,7 +241,10 @@
 on_body(http_parser *parser, const char *data, size_t size)
 {
     struct MpTargetConn *this = parser->data;
-    if (!this->is_stray && this->klass && !this->is_dead) {
+    if (this->is_stray) {
+        return is_too_stray(this, size);
+    }
+    if (this->klass && !this->is_dead) {
         this->klass->body(this->owner, data, size);
     }
     return 0;
@@ -374,6 +390,7 @@
         h2o_iovec_init(this->request->data, this->request->len);
     this->is_written = false;
     this->is_sent = true;
+    this->stray_bytes = 0;
     start_parser(this);
     h2o_socket_read_start(this->socket, on_read);
     h2o_socket_write(this->socket, &buffer, 1, on_written);
@@ -502,7 +519,10 @@
                                sizeof(place), on_connect);
     }
     if (conn->socket) {
+        int window = MP_TARGET_WINDOW_BYTES;
         conn->socket->data = conn;
+        setsockopt(h2o_socket_get_fd(conn->socket), SOL_SOCKET, SO_RCVBUF,
+                   &window, sizeof(window));
     }
     return conn;
 }
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -24,6 +24,12 @@
 #define MP_TARGET_UNACKED_MS 1500
 /* How long a connection is kept whose target does not say, ms. */
 #define MP_TARGET_KEEP_MS 2000
+/* Bytes of a target that the system holds while they are not read; source: a
+ * connection within a region carries 30 MB/s with it. */
+#define MP_TARGET_WINDOW_BYTES 65536
+/* Bytes of answers that belong to nobody before one that does; source: the
+ * longest whole answer of either user's engines, several times over. */
+#define MP_TARGET_STRAY_MOST_BYTES 262144
 /* Time that a look at a target may take, ms: several round trips within a
  * region. */
 #define MP_TARGET_LOOK_MS 150
