A target in doubt is tried again, whatever the requests of its pool

Cause: after a failure only a request that may run again was a trial, and a pool without such requests has none.

Change: after its pause a target that nobody tried is looked at by a connection, and if it listens any request may be the trial; while all targets of a pool are in doubt the next request tries one, one at a time.

--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -1,6 +1,7 @@
 #include "coordination/Roster.h"
 
 #include "state/Error.h"
+#include "state/Fault.h"
 
 #include <math.h>
 #include <string.h>
@@ -95,6 +96,17 @@
     return target;
 }
 
+void
+MpRoster_Done(struct MpRoster *this)
+{
+    GPtrArray *nothing = g_ptr_array_new();
+    MpRoster_Update(this, nothing, this->listed_ms);
+    g_ptr_array_unref(nothing);
+    g_hash_table_unref(this->targets);
+    g_hash_table_unref(this->pools);
+    g_free(this->zone);
+}
+
 /* ---- the list ---- */
 
 static void
@@ -205,21 +217,54 @@
 
 /* ---- the choice ---- */
 
+static bool
+is_tried(const struct MpPoolTarget *target, const struct MpPickAsk *ask)
+{
+    return ask->avoid &&
+           g_ptr_array_find((GPtrArray *)ask->avoid, target, NULL);
+}
+
+/* Whether the target takes requests, or may have this one as its trial. */
 static bool
 is_usable(const struct MpPoolTarget *target, const struct MpPickAsk *ask,
           int64_t now_ms)
 {
     if (target->is_leaving || target->is_gone ||
-        target->paused_until_ms > now_ms) {
+        target->paused_until_ms > now_ms || is_tried(target, ask)) {
         return false;
     }
-    /* After a pause one attempt goes ahead; one that must not run twice is
-     * no trial. */
-    if (target->failures > 0 && (target->is_on_trial || ask->is_once)) {
-        return false;
+    /* After a pause one attempt goes ahead; one that must not run twice is no
+     * trial of a target that may be down. */
+    return target->failures == 0 ||
+           (!target->is_on_trial && (!ask->is_once || target->is_listening));
+}
+
+/* Whether the target may be tried when nothing is known to be healthy: one
+ * request at a time shows whether it is back, whatever its pause. */
+static bool
+is_last_resort(const struct MpPoolTarget *target, const struct MpPickAsk *ask)
+{
+    return !target->is_leaving && !target->is_gone &&
+           (!target->is_on_trial || MP_FAULT(MP_FAULT_TRIALS_WITHOUT_BOUND)) &&
+           !is_tried(target, ask);
+}
+
+/* The target in doubt that failed least and longest ago. */
+static struct MpPoolTarget *
+pick_last_resort(const GPtrArray *pool, const struct MpPickAsk *ask)
+{
+    struct MpPoolTarget *best = NULL;
+    if (MP_FAULT(MP_FAULT_DOUBT_WITHOUT_END)) {
+        return NULL;
     }
-    return !ask->avoid ||
-           !g_ptr_array_find((GPtrArray *)ask->avoid, target, NULL);
+    for (guint i = 0; i < pool->len; i++) {
+        struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        if (is_last_resort(target, ask) &&
+            (!best || target->paused_until_ms < best->paused_until_ms)) {
+            best = target;
+        }
+    }
+    return best;
 }
 
 /* Requests at the target by its last word and what was sent since; the word
@@ -391,7 +436,18 @@
     if (picked->target) {
         return MP_OK;
     }
-    return has_usable ? MP_ERROR_LIMIT : MP_ERROR_NO_TARGET;
+    if (has_usable) {
+        return MP_ERROR_LIMIT;
+    }
+    struct MpPoolTarget *target = pick_last_resort(pool, ask);
+    if (target) {
+        int64_t tokens = tokens_to_read(target, ask->facts, false, now_ms);
+        *picked = (struct MpPicked){
+            .target = target,
+            .wait_ms = (int64_t)wait_at(target, ask, tokens, now_ms),
+            .prefill_tokens = tokens};
+    }
+    return target ? MP_OK : MP_ERROR_NO_TARGET;
 }
 
 void
@@ -406,12 +462,10 @@
     view->listed = pool->len;
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        bool is_tried = ask->avoid && g_ptr_array_find((GPtrArray *)ask->avoid,
-                                                       target, NULL);
         view->leaving += target->is_leaving || target->is_gone;
         view->paused +=
             target->paused_until_ms > now_ms || target->failures > 0;
-        view->tried += is_tried;
+        view->tried += is_tried(target, ask);
         view->full += is_full(target, now_ms);
     }
 }
@@ -478,6 +532,7 @@
 static void
 note_failure(struct MpPoolTarget *this, int64_t now_ms)
 {
+    this->is_listening = false;
     int64_t pause_ms =
         MIN((int64_t)MP_PAUSE_MS << MIN(this->failures, 8), MP_PAUSE_MOST_MS);
     this->failures++;
@@ -501,6 +556,7 @@
     case MP_OUTCOME_ERROR:
     case MP_OUTCOME_FULL:
         this->failures = 0;
+        this->is_listening = false;
         break;
     case MP_OUTCOME_GONE:
         this->is_leaving = true;
@@ -517,6 +573,47 @@
     target_unref(roster, this);
 }
 
+/* ---- doubt ---- */
+
+static bool
+is_doubtful(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    return !MP_FAULT(MP_FAULT_NEVER_LOOKED_AT) && target->failures > 0 &&
+           !target->is_on_trial && !target->is_looked_at &&
+           !target->is_listening && !target->is_leaving && !target->is_gone &&
+           now_ms - target->paused_until_ms >= MP_DOUBT_MS;
+}
+
+void
+MpRoster_Doubtful(struct MpRoster *this, int64_t now_ms, GPtrArray *out)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct MpPoolTarget *target = value;
+        if (is_doubtful(target, now_ms)) {
+            target->is_looked_at = true;
+            target->references++;
+            g_ptr_array_add(out, target);
+        }
+    }
+}
+
+void
+MpPoolTarget_Looked(struct MpRoster *roster, struct MpPoolTarget *this,
+                    bool is_listening, int64_t now_ms)
+{
+    this->is_looked_at = false;
+    if (this->failures > 0 && !this->is_on_trial && is_listening) {
+        this->is_listening = true;
+    }
+    else if (this->failures > 0 && !this->is_on_trial) {
+        note_failure(this, now_ms);
+    }
+    target_unref(roster, this);
+}
+
 void
 MpPoolTarget_Told(struct MpPoolTarget *this, int64_t running, int64_t waiting,
                   int64_t slots, int64_t now_ms)
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -28,6 +28,10 @@
 /* Pause of a target after a failure, doubled with each further one, ms. */
 #define MP_PAUSE_MS 400
 #define MP_PAUSE_MOST_MS 3200
+/* Time after a pause in which a request that may run again can be the trial,
+ * ms; later a connection shows whether the target listens.  With the pause it
+ * bounds how long a healthy target goes without work. */
+#define MP_DOUBT_MS 600
 
 /* One target as a list tells it. */
 struct MpListedTarget {
@@ -75,7 +79,9 @@
     /* health */
     uint32_t failures; /* in a row */
     int64_t paused_until_ms;
-    bool is_on_trial; /* one attempt shows whether it is back */
+    bool is_on_trial;  /* one attempt shows whether it is back */
+    bool is_looked_at; /* a connection is to show whether it listens */
+    bool is_listening; /* it does, since it failed */
     double error_rate;
     double slowness; /* measured against expected time to first answer */
     uint64_t picked;
@@ -100,6 +106,9 @@
                    void (*dropped)(void *owner, struct MpPoolTarget *target),
                    void *owner);
 
+/* Forgets all targets; no attempt may be running. */
+void MpRoster_Done(struct MpRoster *this);
+
 /* Takes a whole list: targets that are not in it get nothing new. Returns
  * the number of targets that came, left or changed their state. */
 uint32_t MpRoster_Update(struct MpRoster *this, const GPtrArray *list,
@@ -149,8 +158,9 @@
     int64_t prefill_tokens; /* that are not cached there */
 };
 
-/* Returns MP_OK, MP_ERROR_NO_TARGET when there is no healthy one, or
- * MP_ERROR_LIMIT when all that are healthy are full. */
+/* Returns MP_OK, MP_ERROR_NO_TARGET when there is none to try, or
+ * MP_ERROR_LIMIT when all that are healthy are full.  While no target is known
+ * to be healthy, the request itself tries one that is in doubt. */
 int MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
                   int64_t now_ms, struct MpPicked *picked);
 
@@ -158,6 +168,15 @@
 void MpRoster_View(const struct MpRoster *this, const struct MpPickAsk *ask,
                    int64_t now_ms, struct MpPoolView *view);
 
+/* Appends the targets that are in doubt, and that no request has tried within
+ * MP_DOUBT_MS after their pause.  Each is kept until MpPoolTarget_Looked. */
+void MpRoster_Doubtful(struct MpRoster *this, int64_t now_ms, GPtrArray *out);
+
+/* Takes whether a target listens: then also a request that must not run twice
+ * may try it. */
+void MpPoolTarget_Looked(struct MpRoster *roster, struct MpPoolTarget *this,
+                         bool is_listening, int64_t now_ms);
+
 /* Notes an attempt; the target is kept until it has ended. */
 void MpPoolTarget_Begin(struct MpPoolTarget *this,
                         const struct MpCallFacts *facts,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -87,6 +87,15 @@
     }
 }
 
+struct MpTargetPlace *
+MpGateway_Place(struct MpGateway *this, struct MpPoolTarget *target)
+{
+    if (!target->connections) {
+        target->connections = MpTargetPlace_New(this->loop, target->address);
+    }
+    return target->connections;
+}
+
 static void
 log_targets(const struct MpGateway *this, uint32_t changes, const char *from)
 {
@@ -212,6 +221,41 @@
     }
 }
 
+/* A target in doubt, of which a connection is to show whether it listens. */
+struct doubt {
+    struct MpGateway *gateway;
+    struct MpPoolTarget *target;
+};
+
+static void
+on_doubt_seen(void *owner, enum MpTargetSign sign)
+{
+    struct doubt *doubt = owner;
+    struct MpPoolTarget *target = doubt->target;
+    MpLog_Event(LOG_INFO, "target-doubted",
+                "target=%s pool=%s listens=%d failures=%u",
+                target->incarnation, target->pool, sign == MP_TARGET_LISTENS,
+                target->failures);
+    MpPoolTarget_Looked(&doubt->gateway->roster, target,
+                        sign == MP_TARGET_LISTENS, MpLoop_Now());
+    g_free(doubt);
+}
+
+static void
+look_at_doubtful(struct MpGateway *this, int64_t now_ms)
+{
+    GPtrArray *targets = g_ptr_array_new();
+    MpRoster_Doubtful(&this->roster, now_ms, targets);
+    for (guint i = 0; i < targets->len; i++) {
+        struct doubt *doubt = g_new(struct doubt, 1);
+        *doubt = (struct doubt){.gateway = this,
+                                .target = g_ptr_array_index(targets, i)};
+        MpTargetPlace_Look(MpGateway_Place(this, doubt->target), on_doubt_seen,
+                           doubt);
+    }
+    g_ptr_array_unref(targets);
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -226,6 +270,7 @@
     check_silence(this, now_ms);
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
+    look_at_doubtful(this, now_ms);
     MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
 }
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -23,6 +23,7 @@
  */
 
 struct MpTargetList;
+struct MpTargetPlace;
 
 struct MpGateway {
     struct MpLoop *loop;
@@ -81,6 +82,10 @@
 struct MpRetryBudget *MpGateway_Retries(struct MpGateway *this,
                                         const char *pool);
 
+/* Returns the connections to target. */
+struct MpTargetPlace *MpGateway_Place(struct MpGateway *this,
+                                      struct MpPoolTarget *target);
+
 /* Reports slices now, if a report is due. */
 void MpGateway_ReportSlices(struct MpGateway *this);
 
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -268,10 +268,6 @@
     struct MpGateway *gateway = this->gateway;
     struct MpPoolTarget *target = picked->target;
     int64_t now_ms = MpLoop_Now();
-    if (!target->connections) {
-        target->connections =
-            MpTargetPlace_New(gateway->loop, target->address);
-    }
     this->stage = MP_CALL_RUNNING;
     this->target = target;
     this->sent_ms = now_ms;
@@ -291,8 +287,8 @@
         .id = this->id,
         .is_head = this->is_head,
     };
-    this->conn = MpTargetPlace_Send(target->connections, &attempt_class, this,
-                                    &request);
+    this->conn = MpTargetPlace_Send(MpGateway_Place(gateway, target),
+                                    &attempt_class, this, &request);
     MpLog_Event(
         LOG_INFO, "request-sent",
         "id=%s same=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -23,6 +23,7 @@
     "FuzzSlices": (300, 4, 4000),
     "FuzzForward": (3000, 2, 600),
     "FuzzSuspects": (300, 2, 4000),
+    "FuzzRoster": (2000, 2, 600),
 }
 # fault number: name, target that finds it, seeds it has
 FAULTS = {
@@ -54,6 +55,9 @@
     26: ("trials without a verdict unbounded", "FuzzSuspects", 1000),
     27: ("release of a trial clears", "FuzzSuspects", 50),
     28: ("whole answer does not clear", "FuzzSuspects", 50),
+    29: ("nothing tried while all are in doubt", "FuzzRoster", 200),
+    30: ("trials of a target without bound", "FuzzRoster", 200),
+    31: ("a target that failed is never tried again", "FuzzRoster", 200),
 }
 
 
