The oracles find an unproved read and a hand-in of an old life

Cause: two faults planted by hand passed every fuzz run: a leader that answers a read without a fresh proof from a majority, and a hand-in of an older life of an instance that is taken from the lease of the newer one.

Change: FuzzCluster lets a leader stand still while another is elected, with what it sent last still under way, and asks every leader for a read all the time; in FuzzLedger a hand-in outlives its router, sequence numbers start anew with each life, and what a router holds is compared with what is set aside.

--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -10,7 +10,7 @@
 
 /* ---- names ---- */
 
-static const char *const router_names[AGENT_ROUTERS] = {"r0", "r1", "r2"};
+const char *const Agents_RouterNames[AGENT_ROUTERS] = {"r0", "r1", "r2"};
 const char *const Agents_WorkspaceNames[AGENT_WORKSPACES] = {"w0", "w1"};
 
 const char *
@@ -254,7 +254,8 @@
 static struct mp_holder
 holder_of(const struct Task *task)
 {
-    return (struct mp_holder){.instance = (char *)router_names[task->router],
+    return (struct mp_holder){.instance =
+                                  (char *)Agents_RouterNames[task->router],
                               .boot = task->boot};
 }
 
@@ -345,7 +346,7 @@
     case TASK_REGISTER:
         body->kind = MP_CMD_REGISTER;
         body->mp_command_body_u.reg = (struct mp_register){
-            .instance = (char *)router_names[task->router],
+            .instance = (char *)Agents_RouterNames[task->router],
             .nonce = this->routers[task->router].nonce};
         break;
     case TASK_TOPUP:
@@ -548,13 +549,16 @@
         bool is_own = task->kind != TASK_TOPUP &&
                       task->kind != TASK_DOCUMENT &&
                       task->kind != TASK_FENCE && task->kind != TASK_WRITEOFF;
-        /* Bills of offline runs are in the journal and survive. */
-        if (task->router == number && is_own && task->kind != TASK_OFFLINE) {
+        /* Bills of offline runs are in the journal and survive; what is
+         * handed in may be under way. */
+        if (task->router == number && is_own && task->kind != TASK_OFFLINE &&
+            task->kind != TASK_HANDIN) {
             task->kind = TASK_NONE;
             task->generation++;
         }
     }
     router->boot = 0;
+    router->seq = 0;
     router->nonce = ++this->next_id;
     memset(router->held_mtok, 0, sizeof(router->held_mtok));
 }
--- a/fuzz/Agents.h
+++ b/fuzz/Agents.h
@@ -82,6 +82,7 @@
     uint32_t wind_phase;
 };
 
+extern const char *const Agents_RouterNames[AGENT_ROUTERS];
 extern const char *const Agents_WorkspaceNames[AGENT_WORKSPACES];
 
 /* Returns the workspace that a key or a top-up belongs to. */
--- a/fuzz/AgentsCheck.c
+++ b/fuzz/AgentsCheck.c
@@ -1,6 +1,7 @@
 #include "Agents.h"
 
 #include "state/Error.h"
+#include "state/LedgerInternal.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -92,6 +93,29 @@
     }
 }
 
+/* What a router holds is set aside for it. */
+static void
+check_leases(const struct Agents *this, const struct MpMachine *machine)
+{
+    for (uint32_t i = 0; i < AGENT_ROUTERS; i++) {
+        const struct Router *router = &this->routers[i];
+        for (uint32_t w = 0; router->boot > 0 && w < AGENT_WORKSPACES; w++) {
+            const struct MpAccount *account =
+                MpLedger_Find(&machine->ledger, Agents_WorkspaceNames[w]);
+            const struct MpLease *lease =
+                account ? MpLedger_FindLease(account, Agents_RouterNames[i],
+                                             router->boot)
+                        : NULL;
+            int64_t aside_mtok = lease ? lease->amount_mtok : 0;
+            if (router->held_mtok[w] > aside_mtok) {
+                Fuzz_Fail("router %u holds %" PRId64 " of w%u, %" PRId64
+                          " are set aside",
+                          i, router->held_mtok[w], w, aside_mtok);
+            }
+        }
+    }
+}
+
 void
 Agents_Check(const struct Agents *this, const struct MpMachine *machine)
 {
@@ -101,6 +125,7 @@
     check_topups(this, machine);
     check_sums(machine);
     check_bills(this, machine);
+    check_leases(this, machine);
     if (machine->document_version < this->version_most) {
         Fuzz_Fail("document version fell from %" PRIu64 " to %" PRIu64,
                   this->version_most, machine->document_version);
--- a/fuzz/Cluster.c
+++ b/fuzz/Cluster.c
@@ -10,6 +10,9 @@
 
 #define HEAL_ROUNDS_MOST 6000
 #define ROUND_MS 20
+/* Rounds that a leader stands still: several elections. */
+#define FROZEN_ROUNDS 200
+#define FROZEN_PARTS 8
 
 static struct Node *
 find_node(struct Cluster *this, uint64_t id)
@@ -76,7 +79,8 @@
     struct Flight *flight = g_ptr_array_index(this->flights, place);
     struct Node *node = find_node(this, flight->to_id);
     struct mp_raft_message message;
-    if (node && node->is_alive && !this->cut[flight->from][node->number]) {
+    if (node && node->is_alive && !node->is_frozen &&
+        !this->cut[flight->from][node->number]) {
         gsize size;
         const void *data = g_bytes_get_data(flight->bytes, &size);
         if (MpCodec_Decode(MP_XDR(mp_raft_message), &message, data, size,
@@ -132,6 +136,17 @@
     }
 }
 
+/* Each leader is asked all the time: one that another has overtaken must not
+ * answer. */
+static void
+start_read(const struct Cluster *this, struct Node *node)
+{
+    if (node->read_since_ms < 0 && MpRaft_IsLeader(&node->raft)) {
+        node->read_since_ms = node->clock_ms;
+        node->read_index = this->acked_index;
+    }
+}
+
 static void
 check_read(struct Node *node)
 {
@@ -156,6 +171,7 @@
         }
         check_leader(this, node);
         check_commit(node);
+        start_read(this, node);
         check_read(node);
         /* Only a state that has all that was acknowledged can be compared
          * with it. */
@@ -173,7 +189,7 @@
     struct Task *task = &this->agents.tasks[number];
     struct mp_command command;
     uint64_t index;
-    if (task->kind == TASK_NONE || !node->is_alive ||
+    if (task->kind == TASK_NONE || !node->is_alive || node->is_frozen ||
         !MpRaft_IsLeader(&node->raft)) {
         return;
     }
@@ -197,16 +213,18 @@
 {
     for (uint32_t i = 0; i < this->count; i++) {
         struct Node *node = &this->nodes[i];
-        for (uint32_t j = 0; node->is_alive && j < this->count; j++) {
+        for (uint32_t j = 0;
+             node->is_alive && !node->is_frozen && j < this->count; j++) {
             struct Node *leader = &this->nodes[j];
-            if (i != j && leader->is_alive && MpRaft_IsLeader(&leader->raft) &&
-                !this->cut[i][j] && !MpRaft_IsIncluded(&node->raft)) {
+            if (i != j && leader->is_alive && !leader->is_frozen &&
+                MpRaft_IsLeader(&leader->raft) && !this->cut[i][j] &&
+                !MpRaft_IsIncluded(&node->raft)) {
                 char name[8];
                 snprintf(name, sizeof(name), "n%u", i);
                 MpMembership_Join(&leader->membership, name, name, node->id);
             }
         }
-        if (node->is_alive) {
+        if (node->is_alive && !node->is_frozen) {
             MpMembership_Advance(&node->membership, &node->raft);
         }
     }
@@ -256,11 +274,77 @@
     }
 }
 
+static void
+run_quietly(struct Cluster *this, uint32_t rounds)
+{
+    for (uint32_t i = 0; i < rounds; i++) {
+        for (uint32_t j = 0; j < this->count; j++) {
+            struct Node *node = &this->nodes[j];
+            if (node->is_alive && !node->is_frozen) {
+                tick(node, ROUND_MS);
+                Node_Write(node);
+            }
+        }
+        while (this->flights->len > 0) {
+            uint32_t place =
+                this->is_in_order ? 0 : FuzzInput_Byte(this->input);
+            deliver(this, place % this->flights->len, false);
+        }
+        identify(this);
+    }
+}
+
+static void
+propose_all(struct Cluster *this)
+{
+    for (uint32_t i = 0; i < AGENT_TASKS; i++) {
+        for (uint32_t j = 0; j < this->count; j++) {
+            propose(this, &this->nodes[j], i);
+        }
+    }
+}
+
+/* A leader stands still while others go on without it, and what it sent last
+ * is under way for as long.  When it wakes, the first thing that it meets is a
+ * read. */
+static void
+freeze_leader(struct Cluster *this)
+{
+    struct Node *leader = NULL;
+    for (uint32_t i = 0; i < this->count; i++) {
+        struct Node *node = &this->nodes[i];
+        if (node->is_alive && MpRaft_IsLeader(&node->raft)) {
+            leader = node;
+        }
+    }
+    if (!leader) {
+        return;
+    }
+    propose_all(this);
+    MpRaft_Flush(&leader->raft);
+    while (this->flights->len > 0) {
+        g_ptr_array_add(this->parked,
+                        g_ptr_array_steal_index(this->flights, 0));
+    }
+    leader->is_frozen = true;
+    this->is_in_order = true;
+    for (int i = 0; i < FROZEN_PARTS; i++) {
+        run_quietly(this, FROZEN_ROUNDS / FROZEN_PARTS);
+        propose_all(this);
+    }
+    leader->is_frozen = false;
+    this->is_in_order = false;
+    leader->clock_ms += FROZEN_ROUNDS * ROUND_MS;
+    start_read(this, leader);
+    check_read(leader);
+    release_parked(this);
+}
+
 static void
 fault_step(struct Cluster *this, struct Node *node)
 {
     struct FuzzInput *input = this->input;
-    switch (FuzzInput_Below(input, 10)) {
+    switch (FuzzInput_Below(input, 11)) {
     case 0:
         if (node->is_alive) {
             Node_Crash(node);
@@ -287,32 +371,15 @@
     case 6:
         release_parked(this);
         break;
+    case 10:
+        freeze_leader(this);
+        break;
     default:
         lose_or_park(this, FuzzInput_Below(input, 4));
         break;
     }
 }
 
-static void
-run_quietly(struct Cluster *this, uint32_t rounds)
-{
-    for (uint32_t i = 0; i < rounds; i++) {
-        for (uint32_t j = 0; j < this->count; j++) {
-            struct Node *node = &this->nodes[j];
-            if (node->is_alive) {
-                tick(node, ROUND_MS);
-                Node_Write(node);
-            }
-        }
-        while (this->flights->len > 0) {
-            uint32_t place =
-                this->is_healing ? 0 : FuzzInput_Byte(this->input);
-            deliver(this, place % this->flights->len, false);
-        }
-        identify(this);
-    }
-}
-
 void
 Cluster_Step(struct Cluster *this)
 {
@@ -374,16 +441,6 @@
     return leaders == 1;
 }
 
-static void
-propose_all(struct Cluster *this)
-{
-    for (uint32_t i = 0; i < AGENT_TASKS; i++) {
-        for (uint32_t j = 0; j < this->count; j++) {
-            propose(this, &this->nodes[j], i);
-        }
-    }
-}
-
 /* Tells a reader of a failure where the replicas stand. */
 static void
 print_state(const struct Cluster *this)
@@ -427,6 +484,7 @@
         }
     }
     this->is_healing = true;
+    this->is_in_order = true;
     while (Agents_WindUp(&this->agents) || !do_agree(this)) {
         if (rounds % 16 == 0) {
             propose_all(this);
--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -28,6 +28,7 @@
     struct Cluster *cluster;
     uint32_t number;
     bool is_alive;
+    bool is_frozen; /* it stands still, and what comes to it is lost */
     uint64_t id;
     struct MpRaft raft;
     struct MpMachine machine;
@@ -73,6 +74,7 @@
     uint64_t next_id;
     uint64_t acked_index; /* highest index whose answer was given */
     bool is_healing;      /* nothing is lost any more */
+    bool is_in_order;     /* messages come in the order they were sent */
 };
 
 /* -- ClusterNode.c -- */
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -471,5 +471,7 @@
 {
     return this->role == MP_ROLE_LEADER &&
            this->commit >= this->first_of_term &&
-           this->applied == this->commit && MpRaft_ProvedMs(this) >= since_ms;
+           this->applied == this->commit &&
+           (MpRaft_ProvedMs(this) >= since_ms ||
+            MP_FAULT(MP_FAULT_READ_UNPROVED));
 }
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -288,6 +288,20 @@
     return MpLedger_Lease(&this->ledger, lease, result);
 }
 
+/* A life that has ended may still hand in what it held, and no more. */
+static int
+apply_handin(struct MpMachine *this, const struct mp_lease *handin,
+             struct mp_result *result)
+{
+    struct mp_lease back = *handin;
+    const struct MpIncarnation *life =
+        g_hash_table_lookup(this->incarnations, back.holder.instance);
+    if (life && MP_FAULT(MP_FAULT_HANDIN_OF_OLD_LIFE)) {
+        back.holder.boot = life->boot;
+    }
+    return MpLedger_Handin(&this->ledger, &back, result);
+}
+
 /* The answer holds until the next command. */
 static int
 apply_slices(struct MpMachine *this, const struct mp_slices *slices,
@@ -330,8 +344,7 @@
     case MP_CMD_LEASE:
         return apply_lease(this, &body->mp_command_body_u.lease, result);
     case MP_CMD_HANDIN:
-        return MpLedger_Handin(&this->ledger, &body->mp_command_body_u.handin,
-                               result);
+        return apply_handin(this, &body->mp_command_body_u.handin, result);
     case MP_CMD_OFFLINE:
         return MpLedger_Offline(&this->ledger,
                                 &body->mp_command_body_u.offline, this->now_ms,
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -58,6 +58,8 @@
     29: ("nothing tried while all are in doubt", "FuzzRoster", 200),
     30: ("trials of a target without bound", "FuzzRoster", 200),
     31: ("a target that failed is never tried again", "FuzzRoster", 200),
+    32: ("hand-in of an old life taken from the new", "FuzzLedger", 200),
+    33: ("read without a proof", "FuzzCluster", 50),
 }
 
 
