--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -78,6 +78,8 @@
         "The path does not take this method."),
     ROW(MP_ERROR_LOCKED, "data_folder_locked", 500, MP_RUN_NO,
         "Another process uses the data folder."),
+    ROW(MP_ERROR_HEAD_TOO_LARGE, "head_too_large", 431, MP_RUN_NO,
+        "The head of the request is larger than the limit."),
 };
 
 const struct MpErrorInfo *
--- a/src/state/Error.h
+++ b/src/state/Error.h
@@ -45,7 +45,8 @@
     MP_ERROR_METHOD = -32,
     MP_ERROR_LOCKED = -33,
     MP_ERROR_HELD_BACK = -34,
-    MP_ERROR_LAST = -35
+    MP_ERROR_HEAD_TOO_LARGE = -35,
+    MP_ERROR_LAST = -36
 };
 
 /* What a caller may conclude about the run of its request. */
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -189,6 +189,19 @@
     g_free(connection);
 }
 
+/* Bytes of the head as it came, but for white space that h2o leaves out. */
+static int64_t
+head_size(const h2o_req_t *req)
+{
+    size_t size = req->input.method.len + req->input.path.len +
+                  strlen("  HTTP/1.1\r\n\r\n");
+    for (size_t i = 0; i < req->headers.size; i++) {
+        size += req->headers.entries[i].name->len +
+                req->headers.entries[i].value.len + strlen(": \r\n");
+    }
+    return (int64_t)size;
+}
+
 static void
 add_field(XXH3_state_t *state, const char *data, size_t size)
 {
@@ -236,6 +249,9 @@
     if (code != MP_OK) {
         return code;
     }
+    if (head_size(req) > call->document->limits.header_most_bytes) {
+        return MP_ERROR_HEAD_TOO_LARGE;
+    }
     if ((int64_t)req->entity.len > call->document->limits.body_most_bytes) {
         return MP_ERROR_TOO_LARGE;
     }
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -57,12 +57,12 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for link in links:
-            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                            struct.pack("ii", 1, 0))
             try:
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                struct.pack("ii", 1, 0))
                 link.shutdown(socket.SHUT_RD)
             except OSError:
-                pass
+                pass  # closed already
             link.close()
         threading.Timer(down_s, self.come_back).start()
 
@@ -157,6 +157,8 @@
     document = {"paths": {p["prefix"].strip("/"): p for p in paths},
                 "pools": {"p": {"engine": {
         "slots": 8, "event_tokens": 3}}}}
+    if "more_limits" in more:
+        document["limits"] = more.pop("more_limits")
     for pool in more.pop("more_pools", []):
         document["pools"][pool] = {}
     if prepaid is not None:
