A restart leaves what earlier lives held for paths counted

What callers saw: more tokens than the prepaid amount (up to 368 beyond 40,000), after restarts of instances that have a data folder and serve paths.

Own calls and paths of one workspace also shared one lease, with one sequence number.

Change: a lease is for own calls or for paths. The start of an instance writes off the former alone; an operator's write-off takes both.

The platform's routers have no data folder and were not touched by it.

--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -363,7 +363,8 @@
         break;
     case TASK_WRITEOFF:
         body->kind = MP_CMD_WRITEOFF;
-        body->mp_command_body_u.writeoff = holder_of(task);
+        body->mp_command_body_u.writeoff =
+            (struct mp_writeoff){.holder = holder_of(task)};
         break;
     default:
         fill_request(task, body);
--- a/fuzz/AgentsCheck.c
+++ b/fuzz/AgentsCheck.c
@@ -104,7 +104,7 @@
                 MpLedger_Find(&machine->ledger, Agents_WorkspaceNames[w]);
             const struct MpLease *lease =
                 account ? MpLedger_FindLease(account, Agents_RouterNames[i],
-                                             router->boot)
+                                             router->boot, MP_LEASE_CALLS)
                         : NULL;
             int64_t aside_mtok = lease ? lease->amount_mtok : 0;
             if (router->held_mtok[w] > aside_mtok) {
--- a/fuzz/FuzzSlices.c
+++ b/fuzz/FuzzSlices.c
@@ -120,6 +120,16 @@
     router->is_waiting = false;
 }
 
+/* What an instance with a journal says of its earlier lives when it starts. */
+static void
+write_off(struct world *world, const struct router *router)
+{
+    struct mp_command_body body = {.kind = MP_CMD_WRITEOFF};
+    body.mp_command_body_u.writeoff = (struct mp_writeoff){
+        .holder = {.instance = router->name, .boot = router->slices.boot - 1}};
+    apply(world, &body);
+}
+
 static void
 start_life(struct world *world, struct router *router)
 {
@@ -133,6 +143,7 @@
         (struct mp_register){.instance = router->name, .nonce = router->nonce};
     struct mp_result result = apply(world, &body);
     MpSlices_Registered(&router->slices, result.number);
+    write_off(world, router);
     for (uint32_t i = 0; i < WORKSPACES; i++) {
         MpSlices_Add(&router->slices, names[i]);
     }
@@ -258,8 +269,8 @@
 {
     const struct MpAccount *account =
         MpLedger_Find(&world->machine.ledger, workspace);
-    const struct MpLease *lease =
-        MpLedger_FindLease(account, router->name, router->slices.boot);
+    const struct MpLease *lease = MpLedger_FindLease(
+        account, router->name, router->slices.boot, MP_LEASE_PATHS);
     const struct MpSlice *slice =
         g_hash_table_lookup(router->slices.slices, workspace);
     /* A slice that was used up is forgotten with its life: then nothing may
@@ -297,6 +308,13 @@
                       " and was billed %" G_GINT64_FORMAT,
                       names[i], world->spent[i], account->settled_mtok);
         }
+        /* What no report has told yet is still set aside. */
+        if (world->spent[i] > account->settled_mtok + account->leased_mtok) {
+            Fuzz_Fail("%s spent %" G_GINT64_FORMAT
+                      ", billed and set aside are %" G_GINT64_FORMAT,
+                      names[i], world->spent[i],
+                      account->settled_mtok + account->leased_mtok);
+        }
         if (world->spent[i] > world->prepaid[i]) {
             Fuzz_Fail("%s spent %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT,
                       names[i], world->spent[i], world->prepaid[i]);
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -159,6 +159,12 @@
 };
 typedef struct mp_offline mp_offline;
 
+struct mp_writeoff {
+	mp_holder holder;
+	bool_t paths;
+};
+typedef struct mp_writeoff mp_writeoff;
+
 struct mp_poison {
 	char body_hash[MP_HASH_BYTES];
 	char *target;
@@ -198,7 +204,7 @@
 		mp_lease lease;
 		mp_lease handin;
 		mp_offline offline;
-		mp_holder writeoff;
+		mp_writeoff writeoff;
 		mp_poison poison;
 		mp_slices slices;
 		mp_trial trial;
@@ -536,6 +542,7 @@
 	quad_t spent_mtok;
 	bool_t recalled;
 	bool_t dead;
+	bool_t paths;
 };
 typedef struct mp_lease_image mp_lease_image;
 
@@ -719,6 +726,7 @@
 extern  bool_t xdr_mp_slice (XDR *, mp_slice*);
 extern  bool_t xdr_mp_slices (XDR *, mp_slices*);
 extern  bool_t xdr_mp_offline (XDR *, mp_offline*);
+extern  bool_t xdr_mp_writeoff (XDR *, mp_writeoff*);
 extern  bool_t xdr_mp_poison (XDR *, mp_poison*);
 extern  bool_t xdr_mp_trial_kind (XDR *, mp_trial_kind*);
 extern  bool_t xdr_mp_trial (XDR *, mp_trial*);
@@ -777,6 +785,7 @@
 extern bool_t xdr_mp_slice ();
 extern bool_t xdr_mp_slices ();
 extern bool_t xdr_mp_offline ();
+extern bool_t xdr_mp_writeoff ();
 extern bool_t xdr_mp_poison ();
 extern bool_t xdr_mp_trial_kind ();
 extern bool_t xdr_mp_trial ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -142,6 +142,13 @@
     hyper spent_mtok;
 };
 
+/* The leases of lives up to holder are free: paths tells whether those for
+ * paths are too, which no journal tells of. */
+struct mp_writeoff {
+    mp_holder holder;
+    bool paths;
+};
+
 /* A target died while it ran the request of this open record. */
 struct mp_poison {
     opaque body_hash[MP_HASH_BYTES];
@@ -190,7 +197,7 @@
 case MP_CMD_OFFLINE:
     mp_offline offline;
 case MP_CMD_WRITEOFF:
-    mp_holder writeoff;
+    mp_writeoff writeoff;
 case MP_CMD_POISON:
     mp_poison poison;
 case MP_CMD_SLICES:
@@ -485,6 +492,7 @@
     hyper spent_mtok;
     bool recalled;
     bool dead; /* its incarnation has ended */
+    bool paths; /* for requests on paths */
 };
 
 struct mp_account_image {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -215,6 +215,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_writeoff (XDR *xdrs, mp_writeoff *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_mp_holder (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->paths))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_poison (XDR *xdrs, mp_poison *objp)
 {
@@ -310,7 +322,7 @@
 			 return FALSE;
 		break;
 	case MP_CMD_WRITEOFF:
-		 if (!xdr_mp_holder (xdrs, &objp->mp_command_body_u.writeoff))
+		 if (!xdr_mp_writeoff (xdrs, &objp->mp_command_body_u.writeoff))
 			 return FALSE;
 		break;
 	case MP_CMD_POISON:
@@ -884,6 +896,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->dead))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->paths))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -98,11 +98,12 @@
 
 struct MpLease *
 MpLedger_FindLease(const struct MpAccount *account, const char *instance,
-                   uint64_t boot)
+                   uint64_t boot, enum MpLeaseUse use)
 {
     for (guint i = 0; i < account->leases->len; i++) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
-        if (lease->boot == boot && strcmp(lease->instance, instance) == 0) {
+        if (lease->boot == boot && lease->use == use &&
+            strcmp(lease->instance, instance) == 0) {
             return lease;
         }
     }
@@ -110,16 +111,18 @@
 }
 
 struct MpLease *
-MpLedger_LeaseOf(struct MpAccount *account, const struct mp_holder *holder)
+MpLedger_LeaseOf(struct MpAccount *account, const struct mp_holder *holder,
+                 enum MpLeaseUse use)
 {
     struct MpLease *lease =
-        MpLedger_FindLease(account, holder->instance, holder->boot);
+        MpLedger_FindLease(account, holder->instance, holder->boot, use);
     if (lease) {
         return lease;
     }
     lease = g_new0(struct MpLease, 1);
     lease->instance = g_strdup(holder->instance);
     lease->boot = holder->boot;
+    lease->use = use;
     g_ptr_array_add(account->leases, lease);
     return lease;
 }
@@ -182,7 +185,8 @@
     if (!MpLedger_IsAmount(wanted->amount_mtok)) {
         return MP_ERROR_OVERFLOW;
     }
-    struct MpLease *lease = MpLedger_LeaseOf(account, &wanted->holder);
+    struct MpLease *lease =
+        MpLedger_LeaseOf(account, &wanted->holder, MP_LEASE_CALLS);
     if (wanted->seq > lease->seq) {
         int64_t slice = MAX(MpAccount_Free(account), 0) / SLICE_DIVISOR;
         slice = MIN(slice, wanted->amount_mtok);
@@ -205,8 +209,8 @@
     if (!account) {
         return MP_ERROR_NOT_FOUND;
     }
-    struct MpLease *lease =
-        MpLedger_FindLease(account, back->holder.instance, back->holder.boot);
+    struct MpLease *lease = MpLedger_FindLease(
+        account, back->holder.instance, back->holder.boot, MP_LEASE_CALLS);
     if (!lease) {
         return MP_ERROR_NOT_FOUND;
     }
@@ -243,7 +247,8 @@
     }
     for (guint i = 0; i < account->leases->len; i++) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
-        lease->recalled = lease->recalled || lease->amount_mtok > 0;
+        lease->recalled = lease->recalled || (lease->amount_mtok > 0 &&
+                                              lease->use == MP_LEASE_CALLS);
     }
     return true;
 }
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -47,11 +47,18 @@
 /* Default time that closed records are kept. */
 #define MP_RETENTION_MS INT64_C(86400000)
 
+/* Who spends a lease, and where it is written down what was spent. */
+enum MpLeaseUse {
+    MP_LEASE_CALLS, /* own calls; in the journal of the instance */
+    MP_LEASE_PATHS  /* requests on paths; nowhere until it is reported */
+};
+
 /* A slice of a budget that one incarnation may spend while it cannot reach
  * the quorum. */
 struct MpLease {
     char *instance;
     uint64_t boot;
+    enum MpLeaseUse use;
     uint64_t seq;
     int64_t amount_mtok;
     int64_t last_grant_mtok;
@@ -195,10 +202,12 @@
 bool MpLedger_HasOpen(const struct MpLedger *this, const char *instance,
                       uint64_t boot);
 
-/* Drops the leases of a dead incarnation; for an operator who knows that
- * its process has ended. Returns the amount set free, mtok. */
+/* Drops the leases of the lives of instance up to boot, whose process is known
+ * to have ended: those for own calls, once its journal is billed, and
+ * with_paths those for paths, when an operator says so. Returns the amount set
+ * free, mtok. */
 int64_t MpLedger_WriteOff(struct MpLedger *this, const char *instance,
-                          uint64_t boot);
+                          uint64_t boot, bool with_paths);
 
 /* Forgets closed records older than the retention time. */
 void MpLedger_Expire(struct MpLedger *this, int64_t now_ms);
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -30,8 +30,9 @@
     if (record && record->at_most_once) {
         return MP_ERROR_KEY_REUSED;
     }
-    struct MpLease *lease = MpLedger_FindLease(
-        account, offline->holder.instance, offline->holder.boot);
+    struct MpLease *lease =
+        MpLedger_FindLease(account, offline->holder.instance,
+                           offline->holder.boot, MP_LEASE_CALLS);
     if (!lease || !MpLedger_IsAmount(offline->spent_mtok) ||
         lease->amount_mtok < offline->spent_mtok) {
         return MP_ERROR_BUDGET;
@@ -97,18 +98,27 @@
     }
 }
 
+/* Which leases of lives that have ended are dropped. */
+enum drop { DROP_EMPTY, DROP_CALLS, DROP_ALL };
+
+static bool
+is_dropped(const struct MpLease *lease, enum drop what)
+{
+    return what == DROP_ALL || lease->amount_mtok <= 0 ||
+           (what == DROP_CALLS && (lease->use == MP_LEASE_CALLS ||
+                                   MP_FAULT(MP_FAULT_WRITEOFF_FREES_PATHS))) ||
+           MP_FAULT(MP_FAULT_LEASE_TIMEOUT);
+}
+
 static int64_t
 drop_account_leases(struct MpAccount *account, const char *instance,
-                    uint64_t boot, bool only_empty)
+                    uint64_t boot, enum drop what)
 {
     int64_t freed = 0;
     for (guint i = account->leases->len; i > 0; i--) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i - 1);
-        if (lease->boot > boot || strcmp(lease->instance, instance) != 0) {
-            continue;
-        }
-        if (only_empty && lease->amount_mtok > 0 &&
-            !MP_FAULT(MP_FAULT_LEASE_TIMEOUT)) {
+        if (lease->boot > boot || strcmp(lease->instance, instance) != 0 ||
+            !is_dropped(lease, what)) {
             continue;
         }
         freed += lease->amount_mtok;
@@ -120,14 +130,14 @@
 
 static int64_t
 drop_leases(struct MpLedger *this, const char *instance, uint64_t boot,
-            bool only_empty)
+            enum drop what)
 {
     GHashTableIter iter;
     void *value;
     int64_t freed = 0;
     g_hash_table_iter_init(&iter, this->accounts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        freed += drop_account_leases(value, instance, boot, only_empty);
+        freed += drop_account_leases(value, instance, boot, what);
     }
     return freed;
 }
@@ -161,13 +171,15 @@
     }
     g_ptr_array_unref(held);
     mark_dead(this, instance, boot);
-    drop_leases(this, instance, boot, true);
+    drop_leases(this, instance, boot, DROP_EMPTY);
 }
 
 int64_t
-MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot)
+MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot,
+                  bool with_paths)
 {
-    return drop_leases(this, instance, boot, false);
+    return drop_leases(this, instance, boot,
+                       with_paths ? DROP_ALL : DROP_CALLS);
 }
 
 static void
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -25,6 +25,7 @@
                               : lease->spent_mtok,
             .recalled = lease->recalled,
             .dead = lease->is_dead,
+            .paths = lease->use == MP_LEASE_PATHS,
         };
     }
 }
@@ -140,6 +141,7 @@
         lease->spent_mtok = from->spent_mtok;
         lease->recalled = from->recalled;
         lease->is_dead = from->dead;
+        lease->use = from->paths ? MP_LEASE_PATHS : MP_LEASE_CALLS;
         account->leased_mtok += from->amount_mtok;
         g_ptr_array_add(account->leases, lease);
     }
--- a/src/state/LedgerInternal.h
+++ b/src/state/LedgerInternal.h
@@ -12,11 +12,13 @@
 
 /* Returns the lease of holder, a new one if there is none. */
 struct MpLease *MpLedger_LeaseOf(struct MpAccount *account,
-                                 const struct mp_holder *holder);
+                                 const struct mp_holder *holder,
+                                 enum MpLeaseUse use);
 
 /* Returns the lease of an incarnation or NULL. */
 struct MpLease *MpLedger_FindLease(const struct MpAccount *account,
-                                   const char *instance, uint64_t boot);
+                                   const char *instance, uint64_t boot,
+                                   enum MpLeaseUse use);
 
 /* Returns whether an amount is within 0 and MP_AMOUNT_MAX_MTOK. */
 bool MpLedger_IsAmount(int64_t amount_mtok);
--- a/src/state/LedgerSlices.c
+++ b/src/state/LedgerSlices.c
@@ -99,7 +99,7 @@
         !MpLedger_IsAmount(wanted->need_mtok)) {
         return;
     }
-    struct MpLease *lease = MpLedger_LeaseOf(account, holder);
+    struct MpLease *lease = MpLedger_LeaseOf(account, holder, MP_LEASE_PATHS);
     if (seq > lease->seq || MP_FAULT(MP_FAULT_SLICE_SEQ_IGNORED)) {
         lease->seq = seq;
         settle_slice(account, lease, wanted->spent_mtok);
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -351,8 +351,9 @@
                                 result);
     case MP_CMD_WRITEOFF:
         result->amount_mtok = MpLedger_WriteOff(
-            &this->ledger, body->mp_command_body_u.writeoff.instance,
-            body->mp_command_body_u.writeoff.boot);
+            &this->ledger, body->mp_command_body_u.writeoff.holder.instance,
+            body->mp_command_body_u.writeoff.holder.boot,
+            body->mp_command_body_u.writeoff.paths);
         return MP_OK;
     case MP_CMD_POISON:
         return MpQuarantine_Report(&this->quarantine, &this->ledger,
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -433,9 +433,10 @@
                     json_object_get_int64(value) > 0 &&
                     MpSchema_IsName(instance);
     if (is_right) {
-        command.body.mp_command_body_u.writeoff =
-            (struct mp_holder){.instance = (char *)instance,
-                               .boot = (uint64_t)json_object_get_int64(value)};
+        command.body.mp_command_body_u.writeoff = (struct mp_writeoff){
+            .holder = {.instance = (char *)instance,
+                       .boot = (uint64_t)json_object_get_int64(value)},
+            .paths = true};
         MpFleet_Propose(call->server->fleet, &command, deadline(),
                         on_written_off, call);
     }
--- a/src/transport/LeaseKeeper.c
+++ b/src/transport/LeaseKeeper.c
@@ -419,8 +419,9 @@
 
 /* ---- registration ---- */
 
-/* After all that the journal held is billed, the leases of earlier lives
- * are free: the lock on the data folder proves that they have ended. */
+/* After all that the journal held is billed, the leases of earlier lives for
+ * own calls are free: the lock on the data folder proves that they have
+ * ended. */
 static void
 drop_earlier_lives(struct MpLeaseKeeper *this)
 {
@@ -428,8 +429,9 @@
     if (this->boot < 2) {
         return;
     }
-    command.body.mp_command_body_u.writeoff = (struct mp_holder){
-        .instance = this->router->settings->instance, .boot = this->boot - 1};
+    command.body.mp_command_body_u.writeoff = (struct mp_writeoff){
+        .holder = {.instance = this->router->settings->instance,
+                   .boot = this->boot - 1}};
     this->outstanding++;
     MpFleet_Propose(&this->router->fleet, &command, 0, on_finished, this);
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -60,6 +60,7 @@
     31: ("a target that failed is never tried again", "FuzzRoster", 200),
     32: ("hand-in of an old life taken from the new", "FuzzLedger", 200),
     33: ("read without a proof", "FuzzCluster", 50),
+    34: ("write-off frees slices of paths", "FuzzSlices", 200),
 }
 
 
--- /dev/null
+++ b/tests/runs/restart_spends_once.py
@@ -0,0 +1,41 @@
+"""An instance with a data folder is killed right after it has delivered, again
+and again: what its earlier lives held of a prepaid amount stays counted, so
+that no more is delivered than the amount."""
+import re
+import signal
+from pathfleet import (EVENT, Target, end_chunks, path_conf, path_fleet, send,
+                       send_chunk, start_events, answer, wait_targets)
+
+PREPAID, PROMPT, EVENTS, EVENT_TOKENS = 4000, 50, 8, 3
+
+
+def behave(target, sent, link):
+    if sent["path"].startswith("/ready/"):
+        return answer(link, sent)
+    start_events(link, sent)
+    for event in range(EVENTS):
+        send_chunk(link, EVENT % (event, event))
+    end_chunks(link)
+
+
+target = Target("t", behave)
+fleet, listed = path_fleet([target], [
+    path_conf("/ready/"), path_conf("/stream/", stream=True)],
+    prepaid=PREPAID, instances=1, control=1)
+with fleet:
+    delivered = 0
+    for life in range(8):
+        if not wait_targets(fleet, "i0"):
+            print("not ready")
+        for number in range(12):
+            data = send(fleet, "i0", "/stream/x", {
+                "x-mimosapath-request": "r-%d-%d" % (life, number),
+                "x-mimosapath-tokens": "%d,%d" % (PROMPT,
+                                                  EVENTS * EVENT_TOKENS)})
+            events = len(re.findall(rb"^id: \d+", data, re.M))
+            delivered += EVENT_TOKENS * events + (PROMPT if events else 0)
+        fleet.kill("i0", signal.SIGKILL)
+        fleet.start("i0")
+        fleet.wait_ready()
+    print("some delivered", delivered > 0)
+    print("no more than the amount", delivered <= PREPAID)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,7 @@
 EVENTS, EVENT_TOKENS, PROMPT = 8, 3, 50
 PREPAID = 40000
 CALM_S = 8
+ALL_KINDS = "kill term freeze cut crash resets silent"
 
 
 class Soak:
@@ -49,8 +50,10 @@
         self.sent_to = {}       # id -> instance
         self.trouble = {}       # instance -> when its trouble was last seen
         self.delivered = 0      # tokens that callers have got
+        self.delivered_to = {}  # id -> tokens
         self.counts = {}
         self.is_over = False
+        self.kinds = os.environ.get("KINDS", ALL_KINDS).split()
         self.number = 0
         self.targets = [Target("t%d" % n, self.behave) for n in range(6)]
         for target in self.targets:
@@ -135,9 +138,10 @@
             if status == 200 and len(ids) != EVENTS:
                 self.note("%s looks whole with %d events" % (
                     identity, len(ids)))
+            tokens = (PROMPT if ids else 0) + EVENT_TOKENS * len(ids)
             with self.lock:
-                self.delivered += (PROMPT if ids else 0) + EVENT_TOKENS * len(
-                    ids)
+                self.delivered += tokens
+                self.delivered_to[identity] = tokens
         elif status == 200 and text != "own " + identity:
             self.note("%s got %r" % (identity, text[:40]))
 
@@ -216,8 +220,7 @@
         """One fault on what is not in trouble; control replicas one at a
         time."""
         chance = self.random
-        kind = chance.choice(["kill", "term", "freeze", "cut", "crash",
-                              "resets", "silent"])
+        kind = chance.choice(self.kinds)
         length_s = chance.uniform(0.3, 2.5)
         if kind in ("kill", "term", "freeze"):
             free = [n for n in self.fleet.names if n not in busy and not (
@@ -272,6 +275,27 @@
             if late > RETRIES_MOST:
                 self.note("%s: %d retries after the third end" % (body, late))
 
+    def check_bills(self):
+        """What the logs say that a request was billed, where they have its
+        end, is what its caller got, or more if it left; and all of it is in
+        the account, or set aside for lives that ended."""
+        total = 0
+        for name in self.fleet.names:
+            with open(self.fleet.path(name + ".log")) as log:
+                for identity, billed in re.findall(
+                        r" request-ended id=(stream-\d+) .* billed=(\d+) ",
+                        log.read()):
+                    total += int(billed)
+                    got = self.delivered_to.get(identity, 0)
+                    if got > int(billed):
+                        self.note("%s got %d tokens, %s are billed" % (
+                            identity, got, billed))
+        account = self.fleet.account()
+        kept = account["settled_mtok"] + account["leased_mtok"]
+        if total * 1000 > kept:
+            self.note("%d tokens are billed, %d in the account" % (
+                total, kept // 1000))
+
     def check_served(self):
         for name in self.fleet.names:
             for kind in ("once", "any"):
@@ -311,6 +335,7 @@
             for thread in threads:
                 thread.join(10)
             self.check_ends()
+            self.check_bills()
             self.check_served()
             account = self.fleet.account()
             if self.delivered > PREPAID:
