--- a/fuzz/FuzzRoster.c
+++ b/fuzz/FuzzRoster.c
@@ -167,6 +167,7 @@
 {
     struct FuzzInput input = {.data = data, .size = size};
     struct world world = {.input = &input, .now_ms = 1000};
+    g_random_set_seed(1); /* the choice among equals draws from it */
     MpRoster_Init(&world.roster, "a", ignore_dropped, NULL);
     world.attempts = g_ptr_array_new();
     world.looks = g_ptr_array_new();
--- /dev/null
+++ b/src/coordination/PoolTarget.c
@@ -0,0 +1,170 @@
+#include "coordination/Roster.h"
+
+#include "coordination/RosterInternal.h"
+#include "state/Fault.h"
+
+#include <string.h>
+
+/* Attempts at one target, and what they say of its health; see Roster.h. */
+
+/* Weight of the newest sample in a moving average. */
+#define AVERAGE_WEIGHT 0.1
+/* Slowest that a target is taken to be. */
+#define SLOWNESS_MOST 8.0
+
+/* ---- attempts ---- */
+
+static void
+remember_parts(struct MpPoolTarget *this, const struct MpCallFacts *facts,
+               int64_t now_ms)
+{
+    for (uint32_t i = 0; i < facts->part_count; i++) {
+        int64_t *used_ms =
+            g_hash_table_lookup(this->cached, &facts->parts[i].id);
+        if (used_ms) {
+            *used_ms = now_ms;
+            continue;
+        }
+        /* The key is the first member of the pair, the time the second. */
+        int64_t *pair = g_new(int64_t, 2);
+        pair[0] = (int64_t)facts->parts[i].id;
+        pair[1] = now_ms;
+        g_hash_table_insert(this->cached, pair, &pair[1]);
+    }
+}
+
+static gboolean
+is_part_old(void *key, void *value, void *now_ms)
+{
+    (void)key;
+    return *(int64_t *)now_ms - *(int64_t *)value >= MP_CACHE_KEEP_MS;
+}
+
+/* Entries after which old ones are looked for. */
+#define CACHED_MOST 4096
+
+void
+MpPoolTarget_Begin(struct MpPoolTarget *this, const struct MpCallFacts *facts,
+                   int64_t prefill_tokens, int64_t now_ms)
+{
+    this->references++;
+    this->picked++;
+    this->running++;
+    this->waiting++;
+    this->sent_since++;
+    this->prefill_tokens += prefill_tokens;
+    this->is_on_trial = this->failures > 0;
+    remember_parts(this, facts, now_ms);
+    if (g_hash_table_size(this->cached) > CACHED_MOST) {
+        g_hash_table_foreach_remove(this->cached, is_part_old, &now_ms);
+    }
+}
+
+void
+MpPoolTarget_Answered(struct MpPoolTarget *this, int64_t prefill_tokens,
+                      int64_t took_ms, int64_t expected_ms)
+{
+    this->waiting--;
+    this->prefill_tokens -= prefill_tokens;
+    double ratio = (double)(took_ms + 20) / (double)(expected_ms + 20);
+    ratio = CLAMP(ratio * this->slowness, 1.0, SLOWNESS_MOST);
+    this->slowness += AVERAGE_WEIGHT * (ratio - this->slowness);
+}
+
+static void
+note_failure(struct MpPoolTarget *this, int64_t now_ms)
+{
+    this->is_listening = false;
+    int64_t pause_ms =
+        MIN((int64_t)MP_PAUSE_MS << MIN(this->failures, 8), MP_PAUSE_MOST_MS);
+    this->failures++;
+    this->paused_until_ms = now_ms + pause_ms;
+}
+
+void
+MpPoolTarget_End(struct MpRoster *roster, struct MpPoolTarget *this,
+                 bool has_answered, int64_t prefill_tokens,
+                 enum MpTargetOutcome outcome, int64_t now_ms)
+{
+    bool is_error = outcome == MP_OUTCOME_ERROR;
+    this->running--;
+    this->is_on_trial = false;
+    if (!has_answered) {
+        this->waiting--;
+        this->prefill_tokens -= prefill_tokens;
+    }
+    switch (outcome) {
+    case MP_OUTCOME_OK:
+    case MP_OUTCOME_ERROR:
+    case MP_OUTCOME_FULL:
+        this->failures = 0;
+        this->is_listening = false;
+        break;
+    case MP_OUTCOME_GONE:
+        this->is_leaving = true;
+        break;
+    case MP_OUTCOME_FAILED:
+        note_failure(this, now_ms);
+        break;
+    case MP_OUTCOME_CANCELLED:
+        break;
+    }
+    if (outcome == MP_OUTCOME_OK || is_error) {
+        this->error_rate += AVERAGE_WEIGHT * (is_error - this->error_rate);
+    }
+    MpPoolTarget_Unref(roster, this);
+}
+
+/* ---- doubt ---- */
+
+static bool
+is_doubtful(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    return !MP_FAULT(MP_FAULT_NEVER_LOOKED_AT) && target->failures > 0 &&
+           !target->is_on_trial && !target->is_looked_at &&
+           !target->is_listening && !target->is_leaving && !target->is_gone &&
+           now_ms - target->paused_until_ms >= MP_DOUBT_MS;
+}
+
+void
+MpRoster_Doubtful(struct MpRoster *this, int64_t now_ms, GPtrArray *out)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct MpPoolTarget *target = value;
+        if (is_doubtful(target, now_ms)) {
+            target->is_looked_at = true;
+            target->references++;
+            g_ptr_array_add(out, target);
+        }
+    }
+}
+
+void
+MpPoolTarget_Looked(struct MpRoster *roster, struct MpPoolTarget *this,
+                    bool is_listening, int64_t now_ms)
+{
+    this->is_looked_at = false;
+    if (this->failures > 0 && !this->is_on_trial && is_listening) {
+        this->is_listening = true;
+    }
+    else if (this->failures > 0 && !this->is_on_trial) {
+        note_failure(this, now_ms);
+    }
+    MpPoolTarget_Unref(roster, this);
+}
+
+void
+MpPoolTarget_Told(struct MpPoolTarget *this, int64_t running, int64_t waiting,
+                  int64_t slots, int64_t now_ms)
+{
+    this->told_running = (int32_t)CLAMP(running, 0, INT32_MAX);
+    this->told_waiting = (int32_t)CLAMP(waiting, 0, INT32_MAX);
+    this->told_ms = now_ms;
+    this->sent_since = 0;
+    if (slots > 0) {
+        this->slots = slots;
+    }
+}
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -1,5 +1,6 @@
 #include "coordination/Roster.h"
 
+#include "coordination/RosterInternal.h"
 #include "state/Error.h"
 #include "state/Fault.h"
 
@@ -7,8 +8,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Weight of the newest sample in a moving average. */
-#define AVERAGE_WEIGHT 0.1
 /* A target whose errors exceed the pool's by this much is used less. */
 #define ERROR_MARGIN 0.2
 /* What an error in excess costs, as waiting time, ms. */
@@ -24,8 +23,6 @@
 #define DELAY_OF_OTHERS 1.0
 /* Part of a prompt that is taken to be cached where all instances send it. */
 #define SHARED_GUESS 0.7
-/* Slowest that a target is taken to be. */
-#define SLOWNESS_MOST 8.0
 
 /* ---- life ---- */
 
@@ -40,8 +37,8 @@
     g_free(this);
 }
 
-static void
-target_unref(struct MpRoster *this, struct MpPoolTarget *target)
+void
+MpPoolTarget_Unref(struct MpRoster *this, struct MpPoolTarget *target)
 {
     if (--target->references > 0) {
         return;
@@ -115,7 +112,7 @@
     target->is_gone = true;
     g_ptr_array_remove(pool_of(this, target->pool), target);
     g_hash_table_remove(this->targets, target->incarnation);
-    target_unref(this, target);
+    MpPoolTarget_Unref(this, target);
 }
 
 /* A target that starts again under its name at another place, or later, is
@@ -249,24 +246,6 @@
            !is_tried(target, ask);
 }
 
-/* The target in doubt that failed least and longest ago. */
-static struct MpPoolTarget *
-pick_last_resort(const GPtrArray *pool, const struct MpPickAsk *ask)
-{
-    struct MpPoolTarget *best = NULL;
-    if (MP_FAULT(MP_FAULT_DOUBT_WITHOUT_END)) {
-        return NULL;
-    }
-    for (guint i = 0; i < pool->len; i++) {
-        struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (is_last_resort(target, ask) &&
-            (!best || target->paused_until_ms < best->paused_until_ms)) {
-            best = target;
-        }
-    }
-    return best;
-}
-
 /* Requests at the target by its last word and what was sent since; the word
  * loses weight with its age. */
 static double
@@ -384,20 +363,13 @@
     return cost + (double)tokens / MP_PREFILL_TOKENS_PER_MS * DELAY_OF_OTHERS;
 }
 
-int
-MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
-              int64_t now_ms, struct MpPicked *picked)
+/* Returns the target that requests with the part share, or NULL. */
+static const struct MpPoolTarget *
+home_of(const GPtrArray *pool, const struct MpPickAsk *ask, int64_t now_ms)
 {
-    const GPtrArray *pool = g_hash_table_lookup(this->pools, ask->pool);
     uint64_t part = affinity_of(ask->facts);
     const struct MpPoolTarget *home = NULL;
     uint64_t home_rank = 0;
-    double best_cost = 0;
-    bool has_usable = false;
-    *picked = (struct MpPicked){.target = NULL};
-    if (!pool) {
-        return MP_ERROR_NO_TARGET;
-    }
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         uint64_t rank = rank_of(target, part);
@@ -406,6 +378,48 @@
             home_rank = rank;
         }
     }
+    return home;
+}
+
+/* Picks the target in doubt whose pause ends first. */
+static int
+pick_last_resort(const GPtrArray *pool, const struct MpPickAsk *ask,
+                 int64_t now_ms, struct MpPicked *picked)
+{
+    struct MpPoolTarget *best = NULL;
+    if (MP_FAULT(MP_FAULT_DOUBT_WITHOUT_END)) {
+        return MP_ERROR_NO_TARGET;
+    }
+    for (guint i = 0; i < pool->len; i++) {
+        struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        if (is_last_resort(target, ask) &&
+            (!best || target->paused_until_ms < best->paused_until_ms)) {
+            best = target;
+        }
+    }
+    if (!best) {
+        return MP_ERROR_NO_TARGET;
+    }
+    int64_t tokens = tokens_to_read(best, ask->facts, false, now_ms);
+    *picked = (struct MpPicked){
+        .target = best,
+        .wait_ms = (int64_t)wait_at(best, ask, tokens, now_ms),
+        .prefill_tokens = tokens};
+    return MP_OK;
+}
+
+int
+MpRoster_Pick(struct MpRoster *this, const struct MpPickAsk *ask,
+              int64_t now_ms, struct MpPicked *picked)
+{
+    const GPtrArray *pool = g_hash_table_lookup(this->pools, ask->pool);
+    double best_cost = 0;
+    bool has_usable = false;
+    *picked = (struct MpPicked){.target = NULL};
+    if (!pool) {
+        return MP_ERROR_NO_TARGET;
+    }
+    const struct MpPoolTarget *home = home_of(pool, ask, now_ms);
     double errors = mean_error_rate(pool) + ERROR_MARGIN;
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
@@ -439,15 +453,7 @@
     if (has_usable) {
         return MP_ERROR_LIMIT;
     }
-    struct MpPoolTarget *target = pick_last_resort(pool, ask);
-    if (target) {
-        int64_t tokens = tokens_to_read(target, ask->facts, false, now_ms);
-        *picked = (struct MpPicked){
-            .target = target,
-            .wait_ms = (int64_t)wait_at(target, ask, tokens, now_ms),
-            .prefill_tokens = tokens};
-    }
-    return target ? MP_OK : MP_ERROR_NO_TARGET;
+    return pick_last_resort(pool, ask, now_ms, picked);
 }
 
 void
@@ -469,160 +475,3 @@
         view->full += is_full(target, now_ms);
     }
 }
-
-/* ---- attempts ---- */
-
-static void
-remember_parts(struct MpPoolTarget *this, const struct MpCallFacts *facts,
-               int64_t now_ms)
-{
-    for (uint32_t i = 0; i < facts->part_count; i++) {
-        int64_t *used_ms =
-            g_hash_table_lookup(this->cached, &facts->parts[i].id);
-        if (used_ms) {
-            *used_ms = now_ms;
-            continue;
-        }
-        /* The key is the first member of the pair, the time the second. */
-        int64_t *pair = g_new(int64_t, 2);
-        pair[0] = (int64_t)facts->parts[i].id;
-        pair[1] = now_ms;
-        g_hash_table_insert(this->cached, pair, &pair[1]);
-    }
-}
-
-static gboolean
-is_part_old(void *key, void *value, void *now_ms)
-{
-    (void)key;
-    return *(int64_t *)now_ms - *(int64_t *)value >= MP_CACHE_KEEP_MS;
-}
-
-/* Entries after which old ones are looked for. */
-#define CACHED_MOST 4096
-
-void
-MpPoolTarget_Begin(struct MpPoolTarget *this, const struct MpCallFacts *facts,
-                   int64_t prefill_tokens, int64_t now_ms)
-{
-    this->references++;
-    this->picked++;
-    this->running++;
-    this->waiting++;
-    this->sent_since++;
-    this->prefill_tokens += prefill_tokens;
-    this->is_on_trial = this->failures > 0;
-    remember_parts(this, facts, now_ms);
-    if (g_hash_table_size(this->cached) > CACHED_MOST) {
-        g_hash_table_foreach_remove(this->cached, is_part_old, &now_ms);
-    }
-}
-
-void
-MpPoolTarget_Answered(struct MpPoolTarget *this, int64_t prefill_tokens,
-                      int64_t took_ms, int64_t expected_ms)
-{
-    this->waiting--;
-    this->prefill_tokens -= prefill_tokens;
-    double ratio = (double)(took_ms + 20) / (double)(expected_ms + 20);
-    ratio = CLAMP(ratio * this->slowness, 1.0, SLOWNESS_MOST);
-    this->slowness += AVERAGE_WEIGHT * (ratio - this->slowness);
-}
-
-static void
-note_failure(struct MpPoolTarget *this, int64_t now_ms)
-{
-    this->is_listening = false;
-    int64_t pause_ms =
-        MIN((int64_t)MP_PAUSE_MS << MIN(this->failures, 8), MP_PAUSE_MOST_MS);
-    this->failures++;
-    this->paused_until_ms = now_ms + pause_ms;
-}
-
-void
-MpPoolTarget_End(struct MpRoster *roster, struct MpPoolTarget *this,
-                 bool has_answered, int64_t prefill_tokens,
-                 enum MpTargetOutcome outcome, int64_t now_ms)
-{
-    bool is_error = outcome == MP_OUTCOME_ERROR;
-    this->running--;
-    this->is_on_trial = false;
-    if (!has_answered) {
-        this->waiting--;
-        this->prefill_tokens -= prefill_tokens;
-    }
-    switch (outcome) {
-    case MP_OUTCOME_OK:
-    case MP_OUTCOME_ERROR:
-    case MP_OUTCOME_FULL:
-        this->failures = 0;
-        this->is_listening = false;
-        break;
-    case MP_OUTCOME_GONE:
-        this->is_leaving = true;
-        break;
-    case MP_OUTCOME_FAILED:
-        note_failure(this, now_ms);
-        break;
-    case MP_OUTCOME_CANCELLED:
-        break;
-    }
-    if (outcome == MP_OUTCOME_OK || is_error) {
-        this->error_rate += AVERAGE_WEIGHT * (is_error - this->error_rate);
-    }
-    target_unref(roster, this);
-}
-
-/* ---- doubt ---- */
-
-static bool
-is_doubtful(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return !MP_FAULT(MP_FAULT_NEVER_LOOKED_AT) && target->failures > 0 &&
-           !target->is_on_trial && !target->is_looked_at &&
-           !target->is_listening && !target->is_leaving && !target->is_gone &&
-           now_ms - target->paused_until_ms >= MP_DOUBT_MS;
-}
-
-void
-MpRoster_Doubtful(struct MpRoster *this, int64_t now_ms, GPtrArray *out)
-{
-    GHashTableIter iter;
-    void *value;
-    g_hash_table_iter_init(&iter, this->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct MpPoolTarget *target = value;
-        if (is_doubtful(target, now_ms)) {
-            target->is_looked_at = true;
-            target->references++;
-            g_ptr_array_add(out, target);
-        }
-    }
-}
-
-void
-MpPoolTarget_Looked(struct MpRoster *roster, struct MpPoolTarget *this,
-                    bool is_listening, int64_t now_ms)
-{
-    this->is_looked_at = false;
-    if (this->failures > 0 && !this->is_on_trial && is_listening) {
-        this->is_listening = true;
-    }
-    else if (this->failures > 0 && !this->is_on_trial) {
-        note_failure(this, now_ms);
-    }
-    target_unref(roster, this);
-}
-
-void
-MpPoolTarget_Told(struct MpPoolTarget *this, int64_t running, int64_t waiting,
-                  int64_t slots, int64_t now_ms)
-{
-    this->told_running = (int32_t)CLAMP(running, 0, INT32_MAX);
-    this->told_waiting = (int32_t)CLAMP(waiting, 0, INT32_MAX);
-    this->told_ms = now_ms;
-    this->sent_since = 0;
-    if (slots > 0) {
-        this->slots = slots;
-    }
-}
