--- a/fuzz/Agents.c
+++ b/fuzz/Agents.c
@@ -347,7 +347,9 @@
         body->kind = MP_CMD_REGISTER;
         body->mp_command_body_u.reg = (struct mp_register){
             .instance = (char *)Agents_RouterNames[task->router],
-            .nonce = this->routers[task->router].nonce};
+            .nonce = this->routers[task->router].nonce,
+            .address = (char *)"",
+            .zone = (char *)""};
         break;
     case TASK_TOPUP:
     case TASK_DOCUMENT:
--- /dev/null
+++ b/src/coordination/Lenders.c
@@ -0,0 +1,216 @@
+#include "coordination/Lenders.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static void
+zone_delete(void *data)
+{
+    struct MpLenderZone *this = data;
+    g_free(this->name);
+    g_ptr_array_unref(this->addresses);
+    g_free(this);
+}
+
+void
+MpLenders_Init(struct MpLenders *this, const char *address, const char *zone)
+{
+    *this = (struct MpLenders){.address = g_strdup(address),
+                               .zone = g_strdup(zone)};
+    this->zones = g_ptr_array_new_with_free_func(zone_delete);
+    this->down =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+MpLenders_Done(struct MpLenders *this)
+{
+    g_ptr_array_unref(this->zones);
+    g_hash_table_unref(this->down);
+    g_free(this->address);
+    g_free(this->zone);
+}
+
+/* ---- the list ---- */
+
+static uint64_t
+hash_of(const char *text)
+{
+    return XXH64(text, strlen(text), 0);
+}
+
+static gint
+compare_hashes(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = hash_of(*(const char *const *)a);
+    uint64_t y = hash_of(*(const char *const *)b);
+    return x < y ? -1 : x > y;
+}
+
+static gint
+compare_zones(gconstpointer a, gconstpointer b)
+{
+    const struct MpLenderZone *const *x = a;
+    const struct MpLenderZone *const *y = b;
+    return strcmp((*x)->name, (*y)->name);
+}
+
+static struct MpLenderZone *
+zone_of(struct MpLenders *this, const char *name)
+{
+    for (guint i = 0; i < this->zones->len; i++) {
+        struct MpLenderZone *zone = g_ptr_array_index(this->zones, i);
+        if (strcmp(zone->name, name) == 0) {
+            return zone;
+        }
+    }
+    struct MpLenderZone *zone = g_new0(struct MpLenderZone, 1);
+    zone->name = g_strdup(name);
+    zone->addresses = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(this->zones, zone);
+    return zone;
+}
+
+void
+MpLenders_Take(struct MpLenders *this, const struct mp_peer *peers,
+               uint32_t count)
+{
+    this->peers = count;
+    g_ptr_array_set_size(this->zones, 0);
+    for (uint32_t i = 0; i < count; i++) {
+        struct MpLenderZone *zone = zone_of(this, peers[i].zone);
+        g_ptr_array_add(zone->addresses, g_strdup(peers[i].address));
+    }
+    for (guint i = 0; i < this->zones->len; i++) {
+        struct MpLenderZone *zone = g_ptr_array_index(this->zones, i);
+        g_ptr_array_sort(zone->addresses, compare_hashes);
+        if (zone->addresses->len > MP_LENDERS_PER_ZONE) {
+            g_ptr_array_set_size(zone->addresses, MP_LENDERS_PER_ZONE);
+        }
+    }
+    g_ptr_array_sort(this->zones, compare_zones);
+}
+
+/* ---- decisions ---- */
+
+/* Returns the lender at place in the order of workspace. */
+static const char *
+lender_at(const struct MpLenderZone *zone, const char *workspace, guint place)
+{
+    guint first = (guint)(hash_of(workspace) % zone->addresses->len);
+    return g_ptr_array_index(zone->addresses,
+                             (first + place) % zone->addresses->len);
+}
+
+static const struct MpLenderZone *
+own_zone(const struct MpLenders *this)
+{
+    for (guint i = 0; i < this->zones->len; i++) {
+        const struct MpLenderZone *zone = g_ptr_array_index(this->zones, i);
+        if (strcmp(zone->name, this->zone) == 0) {
+            return zone;
+        }
+    }
+    return NULL;
+}
+
+bool
+MpLenders_Keeps(const struct MpLenders *this, const char *workspace)
+{
+    const struct MpLenderZone *zone = own_zone(this);
+    if (!this->address) {
+        return true;
+    }
+    if (!zone) {
+        return false;
+    }
+    guint keepers = MIN(zone->addresses->len, MP_KEEPERS_PER_ZONE);
+    for (guint place = 0; place < keepers; place++) {
+        if (strcmp(lender_at(zone, workspace, place), this->address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+MpLenders_Keepers(const struct MpLenders *this)
+{
+    uint32_t keepers = 0;
+    for (guint i = 0; i < this->zones->len; i++) {
+        const struct MpLenderZone *zone = g_ptr_array_index(this->zones, i);
+        keepers += MIN(zone->addresses->len, MP_KEEPERS_PER_ZONE);
+    }
+    return MAX(keepers, 1);
+}
+
+static bool
+is_down(const struct MpLenders *this, const char *address, int64_t now_ms)
+{
+    const int64_t *until_ms = g_hash_table_lookup(this->down, address);
+    return until_ms && now_ms < *until_ms;
+}
+
+static void
+add_zone(const struct MpLenders *this, const struct MpLenderZone *zone,
+         guint most, const char *workspace, int64_t now_ms, GPtrArray *out)
+{
+    guint count = MIN(zone->addresses->len, most);
+    for (guint place = 0; place < count; place++) {
+        const char *address = lender_at(zone, workspace, place);
+        if (g_strcmp0(address, this->address) != 0 &&
+            !is_down(this, address, now_ms)) {
+            g_ptr_array_add(out, g_strdup(address));
+        }
+    }
+}
+
+void
+MpLenders_Order(const struct MpLenders *this, const char *workspace,
+                int64_t now_ms, GPtrArray *out)
+{
+    const struct MpLenderZone *own = own_zone(this);
+    if (own) {
+        add_zone(this, own, MP_LENDERS_PER_ZONE, workspace, now_ms, out);
+    }
+    /* Each router begins at another one of the other zones. */
+    guint first = this->address ? (guint)(hash_of(this->address) >> 32) : 0;
+    for (guint i = 0; i < this->zones->len; i++) {
+        const struct MpLenderZone *zone =
+            g_ptr_array_index(this->zones, (first + i) % this->zones->len);
+        if (zone != own) {
+            add_zone(this, zone, MP_KEEPERS_PER_ZONE, workspace, now_ms, out);
+        }
+    }
+}
+
+void
+MpLenders_Near(const struct MpLenders *this, GPtrArray *out)
+{
+    const struct MpLenderZone *own = own_zone(this);
+    if (own) {
+        add_zone(this, own, MP_LENDERS_PER_ZONE, "", 0, out);
+    }
+}
+
+static void
+leave_out(struct MpLenders *this, const char *address, int64_t until)
+{
+    int64_t *until_ms = g_new(int64_t, 1);
+    *until_ms = until;
+    g_hash_table_replace(this->down, g_strdup(address), until_ms);
+}
+
+void
+MpLenders_NoteFailure(struct MpLenders *this, const char *address,
+                      int64_t now_ms)
+{
+    leave_out(this, address, now_ms + MP_LENDER_DOWN_MS);
+}
+
+void
+MpLenders_NoteSilence(struct MpLenders *this, const char *address,
+                      int64_t now_ms)
+{
+    leave_out(this, address, now_ms + MP_LENDER_SLOW_MS);
+}
--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -42,9 +42,9 @@
 }
 
 void
-MpSlices_Add(struct MpSlices *this, const char *workspace)
+MpSlices_Add(struct MpSlices *this, const char *workspace, bool is_kept)
 {
-    slice_of(this, workspace);
+    slice_of(this, workspace)->is_kept = is_kept;
 }
 
 void
@@ -63,10 +63,15 @@
     g_hash_table_iter_init(&iter, this->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct MpSlice *slice = value;
-        slice->held_mtok = 0;
-        slice->reserved_mtok = 0;
+        if (!MP_FAULT(MP_FAULT_SLICE_OF_OLD_LIFE)) {
+            slice->held_mtok = 0;
+        }
+        slice->drawn_mtok = 0;
         slice->spent_mtok = 0;
-        slice->reported_mtok = 0;
+        slice->returned_mtok = 0;
+        slice->drawn_told_mtok = 0;
+        slice->spent_told_mtok = 0;
+        slice->returned_told_mtok = 0;
         slice->is_known = false;
     }
 }
@@ -76,7 +81,54 @@
 {
     int64_t since_ms = now_ms - slice->demand_ms;
     slice->demand_ms = now_ms;
-    slice->demand_mtok *= exp(-(double)since_ms / MP_SLICE_FADE_MS);
+    double rest = exp(-(double)since_ms / MP_SLICE_FADE_MS);
+    slice->demand_mtok *= rest;
+    slice->requests *= rest;
+    slice->is_busy =
+        slice->requests >=
+        (slice->is_busy ? MP_SLICE_BUSY_REQUESTS / 2 : MP_SLICE_BUSY_REQUESTS);
+}
+
+/* Moves up to amount_mtok from the slice to the purse. */
+static void
+draw(struct MpSlice *slice, int64_t amount_mtok)
+{
+    int64_t drawn_mtok = CLAMP(amount_mtok, 0, MAX(slice->held_mtok, 0));
+    slice->held_mtok -= drawn_mtok;
+    slice->drawn_mtok += drawn_mtok;
+    slice->purse_mtok += drawn_mtok;
+}
+
+static bool
+holds_slice(const struct MpSlice *slice)
+{
+    return slice->is_kept || slice->is_busy;
+}
+
+bool
+MpSlice_AsksLedger(const struct MpSlice *this)
+{
+    return holds_slice(this) || this->is_direct;
+}
+
+static bool
+is_noted(const struct MpSlice *slice, int64_t amount_mtok, int64_t now_ms)
+{
+    return now_ms < slice->short_ms && amount_mtok >= slice->short_mtok;
+}
+
+bool
+MpSlices_IsNoted(const struct MpSlices *this, const char *workspace,
+                 int64_t amount_mtok, int64_t now_ms)
+{
+    const struct MpSlice *slice = g_hash_table_lookup(this->slices, workspace);
+    return slice && is_noted(slice, amount_mtok, now_ms);
+}
+
+void
+MpSlices_AskDirectly(struct MpSlices *this, const char *workspace)
+{
+    slice_of(this, workspace)->is_direct = true;
 }
 
 int
@@ -84,15 +136,20 @@
                  int64_t amount_mtok, bool is_answered, int64_t now_ms)
 {
     struct MpSlice *slice = slice_of(this, workspace);
-    int64_t open_mtok = slice->held_mtok - slice->reserved_mtok;
-    if (open_mtok >= amount_mtok) {
+    draw(slice, amount_mtok - slice->purse_mtok);
+    if (slice->purse_mtok >= amount_mtok) {
         fade(slice, now_ms);
         slice->demand_mtok += (double)amount_mtok;
+        slice->requests++;
+        slice->purse_mtok -= amount_mtok;
         slice->reserved_mtok += amount_mtok;
         return MP_OK;
     }
+    if (is_noted(slice, amount_mtok, now_ms)) {
+        return slice->short_code;
+    }
     if (is_answered && slice->is_known &&
-        MAX(open_mtok, 0) + slice->free_mtok < amount_mtok) {
+        slice->purse_mtok + slice->free_mtok < amount_mtok) {
         return MP_ERROR_BUDGET;
     }
     slice->need_mtok += amount_mtok;
@@ -100,23 +157,142 @@
 }
 
 void
-MpSlices_Settle(struct MpSlices *this, const char *workspace, uint64_t boot,
+MpSlices_Settle(struct MpSlices *this, const char *workspace,
                 int64_t reserved_mtok, int64_t used_mtok)
 {
     struct MpSlice *slice = slice_of(this, workspace);
-    if (boot != this->boot && !MP_FAULT(MP_FAULT_SLICE_OF_OLD_LIFE)) {
-        return;
-    }
     slice->reserved_mtok -= reserved_mtok;
     slice->spent_mtok += used_mtok;
-    slice->held_mtok -= used_mtok;
+    slice->purse_mtok += reserved_mtok - used_mtok;
+}
+
+/* ---- loans ---- */
+
+/* What a purse should hold for the requests of a moment. */
+static int64_t
+purse_cover(const struct MpSlice *slice)
+{
+    return (int64_t)(slice->demand_mtok * MP_PURSE_COVER_MS /
+                     (double)MP_SLICE_FADE_MS);
+}
+
+int64_t
+MpSlices_Wish(struct MpSlices *this, const char *workspace,
+              int64_t missing_mtok, int64_t now_ms)
+{
+    struct MpSlice *slice = slice_of(this, workspace);
+    int64_t wish_mtok = MAX(missing_mtok, slice->need_mtok);
+    fade(slice, now_ms);
+    if (!MpSlice_AsksLedger(slice)) {
+        slice->need_mtok = 0;
+    }
+    return wish_mtok + purse_cover(slice);
+}
+
+int64_t
+MpSlices_Ahead(const struct MpSlices *this, const char *workspace)
+{
+    const struct MpSlice *slice = g_hash_table_lookup(this->slices, workspace);
+    if (!slice || MpSlice_AsksLedger(slice) ||
+        slice->requests < MP_PURSE_AHEAD_REQUESTS) {
+        return 0;
+    }
+    int64_t cover_mtok = purse_cover(slice);
+    return slice->purse_mtok < cover_mtok / 2 ? cover_mtok : 0;
+}
+
+int64_t
+MpSlices_Missing(const struct MpSlices *this, const char *workspace,
+                 int64_t amount_mtok)
+{
+    const struct MpSlice *slice = g_hash_table_lookup(this->slices, workspace);
+    if (!slice) {
+        return amount_mtok;
+    }
+    return MAX(amount_mtok - slice->purse_mtok - MAX(slice->held_mtok, 0), 0);
+}
+
+/* Takes what is lent out of the purse first, as it can go back to the ledger
+ * only by another report. */
+static int64_t
+take_loan(struct MpSlice *slice, int64_t amount_mtok)
+{
+    draw(slice, amount_mtok - slice->purse_mtok);
+    int64_t lent_mtok = MIN(amount_mtok, slice->purse_mtok);
+    if (!MP_FAULT(MP_FAULT_LOAN_KEPT)) {
+        slice->purse_mtok -= lent_mtok;
+    }
+    slice->demand_mtok += (double)lent_mtok;
+    return lent_mtok;
+}
+
+int
+MpSlices_Lend(struct MpSlices *this, const struct mp_lend *lend,
+              bool is_answered, int64_t now_ms, int64_t *lent_mtok)
+{
+    struct MpSlice *slice = slice_of(this, lend->workspace);
+    int64_t there_mtok = slice->purse_mtok + MAX(slice->held_mtok, 0);
+    *lent_mtok = 0;
+    fade(slice, now_ms);
+    if (this->boot == 0 || this->is_leaving) {
+        return MP_ERROR_NO_QUORUM;
+    }
+    if (there_mtok >= lend->need_mtok) {
+        int64_t more_mtok = (there_mtok - lend->need_mtok) / MP_LEND_DIVISOR;
+        *lent_mtok =
+            take_loan(slice, MIN(MAX(lend->want_mtok, lend->need_mtok),
+                                 lend->need_mtok + more_mtok));
+        return MP_OK;
+    }
+    bool is_fresh =
+        is_answered || now_ms - this->answered_ms < MP_SLICE_FRESH_MS;
+    bool is_spent = is_fresh && slice->is_known &&
+                    there_mtok + slice->free_mtok < lend->need_mtok;
+    if (!is_spent && !MpSlices_IsCutOff(this, now_ms)) {
+        slice->need_mtok += lend->need_mtok - there_mtok;
+        return MP_ERROR_RECALLING;
+    }
+    *lent_mtok = take_loan(slice, there_mtok);
+    return is_spent ? MP_ERROR_BUDGET : MP_ERROR_NO_QUORUM;
+}
+
+void
+MpSlices_Borrow(struct MpSlices *this, const char *workspace,
+                int64_t lent_mtok)
+{
+    slice_of(this, workspace)->purse_mtok += lent_mtok;
+}
+
+void
+MpSlices_NoteShort(struct MpSlices *this, const char *workspace,
+                   int64_t amount_mtok, int32_t code, int64_t now_ms)
+{
+    struct MpSlice *slice = slice_of(this, workspace);
+    if (now_ms < slice->short_ms && slice->short_mtok < amount_mtok) {
+        return;
+    }
+    slice->short_mtok = amount_mtok;
+    slice->short_ms = now_ms + MP_SLICE_SHORT_MS;
+    slice->short_code = code;
 }
 
+/* ---- reports ---- */
+
 bool
 MpSlices_IsCutOff(const struct MpSlices *this, int64_t now_ms)
 {
-    return this->answered_ms > 0 &&
-           now_ms - this->answered_ms > MP_SLICE_CUT_OFF_MS;
+    GHashTableIter iter;
+    void *value;
+    int64_t last_ms = MAX(this->answered_ms, this->heard_ms);
+    g_hash_table_iter_init(&iter, this->slices);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        /* A router that keeps slices reports so often that answers tell. */
+        if (holds_slice(value)) {
+            last_ms = this->answered_ms;
+            break;
+        }
+    }
+    return last_ms > 0 && now_ms - last_ms > MP_SLICE_CUT_OFF_MS;
 }
 
 bool
@@ -127,32 +303,43 @@
     if (this->is_reporting || this->boot == 0) {
         return false;
     }
-    if (now_ms - this->reported_ms >= MP_SLICE_REPORT_MS) {
-        return g_hash_table_size(this->slices) > 0;
-    }
+    bool is_slow = true;
     g_hash_table_iter_init(&iter, this->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct MpSlice *slice = value;
-        if (slice->need_mtok > 0) {
+        if (slice->need_mtok > 0 && MpSlice_AsksLedger(slice)) {
             return true;
         }
+        is_slow = is_slow && !holds_slice(slice);
     }
-    return false;
+    return g_hash_table_size(this->slices) > 0 &&
+           now_ms - this->reported_ms >= (is_slow && !this->is_leaving
+                                              ? MP_SLICE_REPORT_SLOWLY_MS
+                                              : MP_SLICE_REPORT_MS);
 }
 
-/* What the slice should hold beside what is reserved. */
+/* What the slice should hold. */
 static int64_t
 cover(const struct MpSlices *this, const struct MpSlice *slice)
 {
-    if (this->is_leaving) {
+    if (this->is_leaving || !holds_slice(slice)) {
         return 0;
     }
     double mtok =
         slice->demand_mtok * MP_SLICE_COVER_MS / (double)MP_SLICE_FADE_MS;
     int64_t least_mtok =
-        slice->free_mtok / (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1));
-    int64_t most_mtok = slice->most_mtok - slice->reserved_mtok;
-    return CLAMP(MAX((int64_t)mtok, least_mtok), 0, MAX(most_mtok, 0));
+        slice->is_kept ? slice->free_mtok /
+                             (MP_SLICE_IDLE_DIVISOR * MAX(this->instances, 1))
+                       : 0;
+    return CLAMP(MAX((int64_t)mtok, least_mtok), 0, MAX(slice->most_mtok, 0));
+}
+
+static bool
+is_told(const struct MpSlice *slice)
+{
+    return slice->spent_mtok == slice->spent_told_mtok &&
+           slice->drawn_mtok == slice->drawn_told_mtok &&
+           slice->returned_mtok == slice->returned_told_mtok;
 }
 
 /* A slice that holds nothing and is not wanted needs no report.  One that
@@ -160,26 +347,55 @@
 static bool
 is_idle(const struct MpSlice *slice)
 {
-    return slice->is_known && slice->need_mtok == 0 &&
-           slice->spent_mtok == slice->reported_mtok &&
-           slice->held_mtok <= 0 && slice->free_mtok <= 0;
+    bool is_wanted =
+        holds_slice(slice) && (!slice->is_known || slice->free_mtok > 0);
+    return !is_wanted && slice->need_mtok == 0 && is_told(slice) &&
+           slice->held_mtok <= 0;
+}
+
+/* Gives back what the purse has beyond twice its cover; all of it, when the
+ * router leaves. */
+static void
+return_rest(const struct MpSlices *this, struct MpSlice *slice)
+{
+    int64_t keep_mtok = this->is_leaving ? 0 : purse_cover(slice);
+    if (slice->purse_mtok <= 2 * keep_mtok) {
+        return;
+    }
+    int64_t rest_mtok = slice->purse_mtok - keep_mtok;
+    slice->returned_mtok += rest_mtok;
+    if (!MP_FAULT(MP_FAULT_PURSE_SPENT_AFTER_RETURN)) {
+        slice->purse_mtok -= rest_mtok;
+    }
 }
 
 static bool
 ask(struct MpSlices *this, struct MpSlice *slice, struct mp_slice *out,
     int64_t now_ms)
 {
+    /* What is given back to a quorum that cannot be reached helps nobody. */
+    bool keeps_all = MpSlices_IsCutOff(this, now_ms) && !this->is_leaving;
     fade(slice, now_ms);
-    int64_t hold_mtok =
-        slice->reserved_mtok + cover(this, slice) + slice->need_mtok;
+    if (!keeps_all) {
+        return_rest(this, slice);
+    }
     if (is_idle(slice)) {
         return false;
     }
+    int64_t need_mtok = MpSlice_AsksLedger(slice) ? slice->need_mtok : 0;
+    int64_t hold_mtok = cover(this, slice) + need_mtok;
+    if (keeps_all) {
+        hold_mtok = MAX(hold_mtok, slice->held_mtok);
+    }
     *out = (struct mp_slice){.workspace = slice->workspace,
+                             .drawn_mtok = slice->drawn_mtok,
                              .spent_mtok = slice->spent_mtok,
+                             .returned_mtok = slice->returned_mtok,
                              .hold_mtok = hold_mtok,
-                             .need_mtok = slice->need_mtok};
-    slice->reported_mtok = slice->spent_mtok;
+                             .need_mtok = need_mtok};
+    slice->drawn_told_mtok = slice->drawn_mtok;
+    slice->spent_told_mtok = slice->spent_mtok;
+    slice->returned_told_mtok = slice->returned_mtok;
     /* Given back before the call leaves. */
     if (!MP_FAULT(MP_FAULT_SLICE_SPENT_AFTER_RETURN)) {
         slice->held_mtok = MIN(slice->held_mtok, hold_mtok);
@@ -217,11 +433,12 @@
     slice->free_mtok = held->free_mtok;
     slice->most_mtok = held->most_mtok;
     slice->held_mtok =
-        held->held_mtok - (slice->spent_mtok - slice->reported_mtok);
+        held->held_mtok - (slice->drawn_mtok - slice->drawn_told_mtok);
     if (MP_FAULT(MP_FAULT_SLICE_ANSWER_STALE)) {
         slice->held_mtok = held->held_mtok;
     }
     slice->need_mtok = 0;
+    slice->is_direct = false;
     slice->is_known = true;
 }
 
@@ -242,15 +459,27 @@
     g_ptr_array_set_size(this->asked, 0);
 }
 
-int64_t
-MpSlices_Held(const struct MpSlices *this)
+static int64_t
+sum_of(const struct MpSlices *this, size_t offset)
 {
     GHashTableIter iter;
     void *value;
     int64_t sum_mtok = 0;
     g_hash_table_iter_init(&iter, this->slices);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        sum_mtok += ((const struct MpSlice *)value)->held_mtok;
+        sum_mtok += *(const int64_t *)((const char *)value + offset);
     }
     return sum_mtok;
 }
+
+int64_t
+MpSlices_Held(const struct MpSlices *this)
+{
+    return sum_of(this, offsetof(struct MpSlice, held_mtok));
+}
+
+int64_t
+MpSlices_Purses(const struct MpSlices *this)
+{
+    return sum_of(this, offsetof(struct MpSlice, purse_mtok));
+}
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -27,6 +27,7 @@
 #define MP_RECALLS_MAX 1024
 #define MP_GRANTS_MAX 65536
 #define MP_TARGETS_MAX 4096
+#define MP_PEERS_MAX 4096
 
 struct mp_holder {
 	char *instance;
@@ -66,6 +67,8 @@
 struct mp_register {
 	char *instance;
 	u_quad_t nonce;
+	char *address;
+	char *zone;
 };
 typedef struct mp_register mp_register;
 
@@ -134,7 +137,9 @@
 
 struct mp_slice {
 	char *workspace;
+	quad_t drawn_mtok;
 	quad_t spent_mtok;
+	quad_t returned_mtok;
 	quad_t hold_mtok;
 	quad_t need_mtok;
 };
@@ -395,13 +400,44 @@
 struct mp_sync {
 	mp_holder holder;
 	u_quad_t targets_hash;
+	u_quad_t peers_hash;
 	u_quad_t document_version;
 	u_quad_t quarantine_version;
 	bool_t draining;
-	bool_t whole;
 };
 typedef struct mp_sync mp_sync;
 
+struct mp_peer {
+	char *address;
+	char *zone;
+};
+typedef struct mp_peer mp_peer;
+
+struct mp_peers {
+	struct {
+		u_int list_len;
+		mp_peer *list_val;
+	} list;
+};
+typedef struct mp_peers mp_peers;
+
+struct mp_targets {
+	struct {
+		u_int list_len;
+		mp_target *list_val;
+	} list;
+};
+typedef struct mp_targets mp_targets;
+
+struct mp_packed {
+	u_int size;
+	struct {
+		u_int bytes_len;
+		char *bytes_val;
+	} bytes;
+};
+typedef struct mp_packed mp_packed;
+
 struct mp_address {
 	char *address;
 };
@@ -416,11 +452,6 @@
 	int code;
 	char *leader;
 	u_quad_t document_version;
-	u_quad_t base_version;
-	u_int prefix;
-	u_int suffix;
-	u_quad_t checksum;
-	char *document;
 	u_quad_t quarantine_version;
 	struct {
 		u_int stopped_len;
@@ -439,9 +470,12 @@
 		mp_address *replicas_val;
 	} replicas;
 	u_int instances;
+	u_quad_t peers_hash;
+	mp_packed peers;
 	bool_t has_targets;
 	u_quad_t targets_hash;
 	bool_t targets_partial;
+	mp_packed targets_whole;
 	struct {
 		u_int targets_len;
 		mp_target *targets_val;
@@ -453,6 +487,36 @@
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
+struct mp_fetch {
+	u_quad_t document_version;
+	u_quad_t base_version;
+};
+typedef struct mp_fetch mp_fetch;
+
+struct mp_fetch_reply {
+	int code;
+	u_quad_t document_version;
+	u_quad_t base_version;
+	u_int prefix;
+	u_int suffix;
+	u_quad_t checksum;
+	mp_packed text;
+};
+typedef struct mp_fetch_reply mp_fetch_reply;
+
+struct mp_lend {
+	char *workspace;
+	quad_t need_mtok;
+	quad_t want_mtok;
+};
+typedef struct mp_lend mp_lend;
+
+struct mp_lend_reply {
+	int code;
+	quad_t lent_mtok;
+};
+typedef struct mp_lend_reply mp_lend_reply;
+
 struct mp_identify {
 	char *instance;
 	char *address;
@@ -540,6 +604,8 @@
 	quad_t amount_mtok;
 	quad_t last_grant_mtok;
 	quad_t spent_mtok;
+	quad_t drawn_mtok;
+	quad_t returned_mtok;
 	bool_t recalled;
 	bool_t dead;
 	bool_t paths;
@@ -553,6 +619,7 @@
 	quad_t highest_mtok;
 	quad_t settled_mtok;
 	quad_t reserved_mtok;
+	quad_t afloat_mtok;
 	struct {
 		u_int leases_len;
 		mp_lease_image *leases_val;
@@ -587,6 +654,8 @@
 	u_quad_t boot;
 	u_quad_t nonce;
 	bool_t fenced;
+	char *address;
+	char *zone;
 };
 typedef struct mp_incarnation_image mp_incarnation_image;
 
@@ -686,6 +755,12 @@
 #define MP_PROC_RAFT 6
 extern  void * mp_proc_raft_1(mp_raft_message , CLIENT *);
 extern  void * mp_proc_raft_1_svc(mp_raft_message , struct svc_req *);
+#define MP_PROC_FETCH 7
+extern  mp_fetch_reply * mp_proc_fetch_1(mp_fetch , CLIENT *);
+extern  mp_fetch_reply * mp_proc_fetch_1_svc(mp_fetch , struct svc_req *);
+#define MP_PROC_LEND 8
+extern  mp_lend_reply * mp_proc_lend_1(mp_lend , CLIENT *);
+extern  mp_lend_reply * mp_proc_lend_1_svc(mp_lend , struct svc_req *);
 extern int mimosapath_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -707,6 +782,12 @@
 #define MP_PROC_RAFT 6
 extern  void * mp_proc_raft_1();
 extern  void * mp_proc_raft_1_svc();
+#define MP_PROC_FETCH 7
+extern  mp_fetch_reply * mp_proc_fetch_1();
+extern  mp_fetch_reply * mp_proc_fetch_1_svc();
+#define MP_PROC_LEND 8
+extern  mp_lend_reply * mp_proc_lend_1();
+extern  mp_lend_reply * mp_proc_lend_1_svc();
 extern int mimosapath_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -751,9 +832,17 @@
 extern  bool_t xdr_mp_propose_reply (XDR *, mp_propose_reply*);
 extern  bool_t xdr_mp_target (XDR *, mp_target*);
 extern  bool_t xdr_mp_sync (XDR *, mp_sync*);
+extern  bool_t xdr_mp_peer (XDR *, mp_peer*);
+extern  bool_t xdr_mp_peers (XDR *, mp_peers*);
+extern  bool_t xdr_mp_targets (XDR *, mp_targets*);
+extern  bool_t xdr_mp_packed (XDR *, mp_packed*);
 extern  bool_t xdr_mp_address (XDR *, mp_address*);
 extern  bool_t xdr_mp_recall (XDR *, mp_recall*);
 extern  bool_t xdr_mp_sync_reply (XDR *, mp_sync_reply*);
+extern  bool_t xdr_mp_fetch (XDR *, mp_fetch*);
+extern  bool_t xdr_mp_fetch_reply (XDR *, mp_fetch_reply*);
+extern  bool_t xdr_mp_lend (XDR *, mp_lend*);
+extern  bool_t xdr_mp_lend_reply (XDR *, mp_lend_reply*);
 extern  bool_t xdr_mp_identify (XDR *, mp_identify*);
 extern  bool_t xdr_mp_identify_reply (XDR *, mp_identify_reply*);
 extern  bool_t xdr_mp_read_part (XDR *, mp_read_part*);
@@ -810,9 +899,17 @@
 extern bool_t xdr_mp_propose_reply ();
 extern bool_t xdr_mp_target ();
 extern bool_t xdr_mp_sync ();
+extern bool_t xdr_mp_peer ();
+extern bool_t xdr_mp_peers ();
+extern bool_t xdr_mp_targets ();
+extern bool_t xdr_mp_packed ();
 extern bool_t xdr_mp_address ();
 extern bool_t xdr_mp_recall ();
 extern bool_t xdr_mp_sync_reply ();
+extern bool_t xdr_mp_fetch ();
+extern bool_t xdr_mp_fetch_reply ();
+extern bool_t xdr_mp_lend ();
+extern bool_t xdr_mp_lend_reply ();
 extern bool_t xdr_mp_identify ();
 extern bool_t xdr_mp_identify_reply ();
 extern bool_t xdr_mp_read_part ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -19,6 +19,7 @@
 const MP_RECALLS_MAX = 1024;
 const MP_GRANTS_MAX = 65536;
 const MP_TARGETS_MAX = 4096;
+const MP_PEERS_MAX = 4096;
 
 /* One life of one instance; boot numbers are never reused. */
 struct mp_holder {
@@ -53,9 +54,13 @@
     MP_RECORD_ABANDONED = 6
 };
 
+/* address and zone: where other instances may borrow from it; empty where
+ * they may not. */
 struct mp_register {
     string instance<MP_NAME_MAX>;
     unsigned hyper nonce;
+    string address<MP_ADDRESS_MAX>;
+    string zone<MP_NAME_MAX>;
 };
 
 /* The prepaid amount of a workspace, in all. */
@@ -117,13 +122,17 @@
 };
 
 /*
- * The part of a budget that a router holds.  spent_mtok: all that this
- * incarnation has spent so far.  hold_mtok: what it wants to have left, or
+ * The part of a budget that a router holds.  drawn_mtok, spent_mtok and
+ * returned_mtok: all that this incarnation has taken out of its slice so far,
+ * all that its requests have used, and all that it gives back of what was
+ * drawn, here or by a lender.  hold_mtok: what it wants to have left, or
  * gives the rest back.  need_mtok: the smallest grant that is of use now.
  */
 struct mp_slice {
     string workspace<MP_NAME_MAX>;
+    hyper drawn_mtok;
     hyper spent_mtok;
+    hyper returned_mtok;
     hyper hold_mtok;
     hyper need_mtok;
 };
@@ -372,10 +381,31 @@
 struct mp_sync {
     mp_holder holder;
     unsigned hyper targets_hash; /* of the list that the instance has */
+    unsigned hyper peers_hash;   /* ... of the instances that lend */
     unsigned hyper document_version;
     unsigned hyper quarantine_version;
     bool draining;
-    bool whole; /* a patch could not be applied: send the whole text */
+};
+
+/* An instance that lends of its slices. */
+struct mp_peer {
+    string address<MP_ADDRESS_MAX>;
+    string zone<MP_NAME_MAX>;
+};
+
+struct mp_peers {
+    mp_peer list<MP_PEERS_MAX>;
+};
+
+struct mp_targets {
+    mp_target list<MP_TARGETS_MAX>;
+};
+
+/* A list that goes to all instances, deflated where size is not 0, which is
+ * its size before. */
+struct mp_packed {
+    unsigned int size;
+    opaque bytes<MP_TEXT_MAX>;
 };
 
 struct mp_address {
@@ -386,33 +416,63 @@
     string workspace<MP_NAME_MAX>;
 };
 
-/*
- * document: the whole text when base_version is 0, else what stands between
- * the first prefix and the last suffix bytes of that version, with the
- * checksum of the result; empty when the caller has the version.
- */
 struct mp_sync_reply {
     int code;
     string leader<MP_ADDRESS_MAX>;
-    unsigned hyper document_version;
-    unsigned hyper base_version;
-    unsigned int prefix;
-    unsigned int suffix;
-    unsigned hyper checksum;
-    string document<MP_TEXT_MAX>;
+    unsigned hyper document_version; /* to be fetched when it is higher */
     unsigned hyper quarantine_version;
     opaque stopped<MP_CHUNK_MAX>; /* fingerprints, when the version differs */
     opaque suspected<MP_CHUNK_MAX>;
     mp_recall recalls<MP_RECALLS_MAX>;
     mp_address replicas<MP_MEMBERS_MAX>;
     unsigned int instances; /* that were heard of lately */
+    unsigned hyper peers_hash;
+    mp_packed peers; /* an mp_peers; empty when the hash is the same */
     bool has_targets; /* the leader reads the list */
     unsigned hyper targets_hash;
     bool targets_partial; /* what changed in the list that the caller has */
-    mp_target targets<MP_TARGETS_MAX>; /* empty when the hash is the same */
+    mp_packed targets_whole; /* an mp_targets; empty when the hash is the same,
+                              * and when there is a part */
+    mp_target targets<MP_TARGETS_MAX>;
     mp_target targets_gone<MP_TARGETS_MAX>;
 };
 
+/* Asks any replica for a document of this version or a higher one. */
+struct mp_fetch {
+    unsigned hyper document_version;
+    unsigned hyper base_version; /* that the caller has; 0: send the whole */
+};
+
+/*
+ * text: the whole when base_version is 0, else what stands between the first
+ * prefix and the last suffix bytes of that version, with the checksum of the
+ * result.
+ */
+struct mp_fetch_reply {
+    int code;
+    unsigned hyper document_version;
+    unsigned hyper base_version;
+    unsigned int prefix;
+    unsigned int suffix;
+    unsigned hyper checksum;
+    mp_packed text;
+};
+
+/* Asks an instance for a part of a budget: at least need_mtok, best
+ * want_mtok. */
+struct mp_lend {
+    string workspace<MP_NAME_MAX>;
+    hyper need_mtok;
+    hyper want_mtok;
+};
+
+/* code: MP_ERROR_BUDGET when the quorum has told lately that nothing more is
+ * to be had, MP_ERROR_NO_QUORUM when it is not known. */
+struct mp_lend_reply {
+    int code;
+    hyper lent_mtok;
+};
+
 /* What a replica without state learns from its peers. */
 struct mp_identify {
     string instance<MP_NAME_MAX>;
@@ -490,6 +550,8 @@
     hyper amount_mtok;
     hyper last_grant_mtok;
     hyper spent_mtok;
+    hyper drawn_mtok;
+    hyper returned_mtok;
     bool recalled;
     bool dead; /* its incarnation has ended */
     bool paths; /* for requests on paths */
@@ -502,6 +564,7 @@
     hyper highest_mtok;
     hyper settled_mtok;
     hyper reserved_mtok;
+    hyper afloat_mtok;
     mp_lease_image leases<>;
 };
 
@@ -528,6 +591,8 @@
     unsigned hyper boot;
     unsigned hyper nonce;
     bool fenced;
+    string address<MP_ADDRESS_MAX>;
+    string zone<MP_NAME_MAX>;
 };
 
 struct mp_marker_image {
@@ -586,5 +651,7 @@
         mp_identify_reply MP_PROC_IDENTIFY(mp_identify) = 4;
         mp_read_reply MP_PROC_READ(mp_read) = 5;
         void MP_PROC_RAFT(mp_raft_message) = 6;
+        mp_fetch_reply MP_PROC_FETCH(mp_fetch) = 7;
+        mp_lend_reply MP_PROC_LEND(mp_lend) = 8;
     } = 1;
 } = 0x20004d50;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -46,6 +46,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->nonce))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, MP_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -172,8 +176,12 @@
 
 	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->drawn_mtok))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->spent_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->returned_mtok))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->hold_mtok))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->need_mtok))
@@ -653,13 +661,59 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->peers_hash))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->quarantine_version))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->whole))
+	return TRUE;
+}
+
+bool_t
+xdr_mp_peer (XDR *xdrs, mp_peer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->address, MP_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_peers (XDR *xdrs, mp_peers *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MP_PEERS_MAX,
+		sizeof (mp_peer), (xdrproc_t) xdr_mp_peer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_targets (XDR *xdrs, mp_targets *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MP_TARGETS_MAX,
+		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_packed (XDR *xdrs, mp_packed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, MP_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -695,16 +749,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->prefix))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->suffix))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->checksum))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->document, MP_TEXT_MAX))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->quarantine_version))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->stopped.stopped_val, (u_int *) &objp->stopped.stopped_len, MP_CHUNK_MAX))
@@ -719,12 +763,18 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->instances))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->peers_hash))
+		 return FALSE;
+	 if (!xdr_mp_packed (xdrs, &objp->peers))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_targets))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->targets_hash))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->targets_partial))
 		 return FALSE;
+	 if (!xdr_mp_packed (xdrs, &objp->targets_whole))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, MP_TARGETS_MAX,
 		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
 		 return FALSE;
@@ -734,6 +784,66 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_fetch (XDR *xdrs, mp_fetch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_fetch_reply (XDR *xdrs, mp_fetch_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suffix))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->checksum))
+		 return FALSE;
+	 if (!xdr_mp_packed (xdrs, &objp->text))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_lend (XDR *xdrs, mp_lend *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->need_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->want_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_lend_reply (XDR *xdrs, mp_lend_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lent_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_identify (XDR *xdrs, mp_identify *objp)
 {
@@ -892,6 +1002,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->spent_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->drawn_mtok))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->returned_mtok))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->recalled))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->dead))
@@ -918,6 +1032,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->reserved_mtok))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->afloat_mtok))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->leases.leases_val, (u_int *) &objp->leases.leases_len, ~0,
 		sizeof (mp_lease_image), (xdrproc_t) xdr_mp_lease_image))
 		 return FALSE;
@@ -976,6 +1092,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->fenced))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, MP_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/Rpc.c
+++ b/src/protocol/Rpc.c
@@ -10,7 +10,7 @@
 
 #define RPC_VERSION 2
 #define LAST_FRAGMENT UINT32_C(0x80000000)
-#define PROCEDURE_COUNT 7
+#define PROCEDURE_COUNT 9
 #define SHA256_BYTES 32
 
 /* Codec of arguments and results that hold nothing. */
@@ -53,6 +53,16 @@
                       .argument_size = sizeof(struct mp_raft_message),
                       .result = xdr_nothing,
                       .one_way = true},
+    [MP_PROC_FETCH] = {.name = "fetch",
+                       .argument = (xdrproc_t)xdr_mp_fetch,
+                       .argument_size = sizeof(struct mp_fetch),
+                       .result = (xdrproc_t)xdr_mp_fetch_reply,
+                       .result_size = sizeof(struct mp_fetch_reply)},
+    [MP_PROC_LEND] = {.name = "lend",
+                      .argument = (xdrproc_t)xdr_mp_lend,
+                      .argument_size = sizeof(struct mp_lend),
+                      .result = (xdrproc_t)xdr_mp_lend_reply,
+                      .result_size = sizeof(struct mp_lend_reply)},
 };
 
 const struct MpRpcProcedure *
--- /dev/null
+++ b/src/protocol/TextPack.c
@@ -0,0 +1,67 @@
+#include "protocol/TextPack.h"
+
+#include <string.h>
+#include <zlib.h>
+
+/* Smaller texts fit into a packet or two anyway, bytes. */
+#define LEAST_BYTES 2048
+/* Level of deflate: fast; names drawn at random pack no better above it. */
+#define LEVEL 3
+
+void
+MpTextPack_Init(struct MpTextPack *this, const void *data, size_t size)
+{
+    uLongf length = compressBound(size);
+    guint8 *out = size < LEAST_BYTES ? NULL : g_malloc(length);
+    *this = (struct MpTextPack){.size = 0};
+    if (out && compress2(out, &length, data, size, LEVEL) == Z_OK &&
+        length < size) {
+        this->bytes = g_bytes_new_take(g_realloc(out, length), length);
+        this->size = (uint32_t)size;
+        return;
+    }
+    g_free(out);
+    this->bytes = g_bytes_new(data, size);
+}
+
+void
+MpTextPack_Done(struct MpTextPack *this)
+{
+    g_clear_pointer(&this->bytes, g_bytes_unref);
+}
+
+struct mp_packed
+MpTextPack_Wire(const struct MpTextPack *this)
+{
+    struct mp_packed packed = {.size = this->size};
+    gsize size = 0;
+    if (this->bytes) {
+        packed.bytes.bytes_val = (char *)g_bytes_get_data(this->bytes, &size);
+        packed.bytes.bytes_len = (u_int)size;
+    }
+    return packed;
+}
+
+char *
+MpTextPack_Open(const struct mp_packed *packed, size_t *size)
+{
+    uLongf length = packed->size;
+    *size = packed->size > 0 ? packed->size : packed->bytes.bytes_len;
+    if (*size > MP_TEXT_MAX) {
+        return NULL;
+    }
+    char *data = g_malloc(*size + 1);
+    data[*size] = '\0';
+    if (packed->size == 0) {
+        memcpy(data, packed->bytes.bytes_val, *size);
+        return data;
+    }
+    if (uncompress((Bytef *)data, &length,
+                   (const Bytef *)packed->bytes.bytes_val,
+                   packed->bytes.bytes_len) != Z_OK ||
+        length != *size) {
+        g_free(data);
+        return NULL;
+    }
+    return data;
+}
--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -114,35 +114,27 @@
     }
 }
 
-static gint
-compare_prefixes(gconstpointer a, gconstpointer b)
+/* Returns the key of by_place. */
+static char *
+place_of(const char *host, const char *prefix)
 {
-    const struct MpPathConf *x = *(const struct MpPathConf *const *)a;
-    const struct MpPathConf *y = *(const struct MpPathConf *const *)b;
-    size_t x_length = strlen(x->prefix);
-    size_t y_length = strlen(y->prefix);
-    return x_length > y_length ? -1 : x_length < y_length;
+    return g_strdup_printf("%s\n%s", host, prefix);
 }
 
 static void
 index_path(struct MpDocument *this, struct MpPathConf *path, const char *place,
            GPtrArray *findings)
 {
-    GPtrArray *list = g_hash_table_lookup(this->by_host, path->host);
-    if (!list) {
-        list = g_ptr_array_new();
-        g_hash_table_insert(this->by_host, path->host, list);
-    }
-    for (guint i = 0; i < list->len; i++) {
-        const struct MpPathConf *other = g_ptr_array_index(list, i);
-        if (strcmp(other->prefix, path->prefix) == 0) {
-            MpFindings_Add(findings, MP_FINDING_DUPLICATE, 0, place,
-                           "path \"%s\" has the same host and prefix",
-                           other->name);
-            return;
-        }
+    char *key = place_of(path->host, path->prefix);
+    const struct MpPathConf *other = g_hash_table_lookup(this->by_place, key);
+    if (other) {
+        MpFindings_Add(findings, MP_FINDING_DUPLICATE, 0, place,
+                       "path \"%s\" has the same host and prefix",
+                       other->name);
+        g_free(key);
+        return;
     }
-    g_ptr_array_add(list, path);
+    g_hash_table_insert(this->by_place, key, path);
 }
 
 static void
@@ -177,24 +169,24 @@
         path->name = name;
         check_path(this, path, findings);
     }
-    g_hash_table_iter_init(&iter, this->by_host);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_sort(value, compare_prefixes);
-    }
 }
 
 const struct MpPathConf *
 MpDocument_Path(const struct MpDocument *this, const char *host,
                 const char *path)
 {
-    const GPtrArray *list = g_hash_table_lookup(this->by_host, host);
-    for (guint i = 0; list && i < list->len; i++) {
-        const struct MpPathConf *entry = g_ptr_array_index(list, i);
-        if (g_str_has_prefix(path, entry->prefix)) {
-            return entry;
-        }
+    /* Prefixes end with a slash: the longest that is one is cut first. */
+    char *key = place_of(host, path);
+    char *start = strchr(key, '\n') + 1;
+    const struct MpPathConf *found = NULL;
+    char *slash;
+    while (!found && (slash = strrchr(start, '/'))) {
+        slash[1] = '\0';
+        found = g_hash_table_lookup(this->by_place, key);
+        slash[0] = '\0';
     }
-    return NULL;
+    g_free(key);
+    return found;
 }
 
 /* ---- life ---- */
@@ -205,8 +197,8 @@
     struct MpDocument *this = g_new0(struct MpDocument, 1);
     this->references = 1;
     this->by_key = g_hash_table_new(g_str_hash, g_str_equal);
-    this->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                          (GDestroyNotify)g_ptr_array_unref);
+    this->by_place =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return this;
 }
 
@@ -264,7 +256,7 @@
         return;
     }
     g_hash_table_unref(this->by_key);
-    g_hash_table_unref(this->by_host);
+    g_hash_table_unref(this->by_place);
     MpSchema_Free(&MpDocument_Schema, this);
     g_free(this);
 }
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -139,8 +139,8 @@
     GHashTable *paths; /* name -> struct MpPathConf */
     GHashTable *pools; /* name -> struct MpPoolConf */
     struct MpLimitConf limits;
-    GHashTable *by_host; /* host -> GPtrArray of paths, longest first */
-    GHashTable *by_key;  /* key hash -> workspace name, not owned */
+    GHashTable *by_place; /* host, newline, prefix -> struct MpPathConf */
+    GHashTable *by_key;   /* key hash -> workspace name, not owned */
 };
 
 extern const struct MpSchema MpDocument_Schema;
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -11,9 +11,7 @@
 static void
 lease_delete(void *data)
 {
-    struct MpLease *this = data;
-    g_free(this->instance);
-    g_free(this);
+    g_free(data);
 }
 
 static void
@@ -79,7 +77,7 @@
 MpAccount_Free(const struct MpAccount *this)
 {
     return this->granted_mtok - this->settled_mtok - this->reserved_mtok -
-           this->leased_mtok;
+           this->leased_mtok - this->afloat_mtok;
 }
 
 static struct MpAccount *
@@ -100,10 +98,12 @@
 MpLedger_FindLease(const struct MpAccount *account, const char *instance,
                    uint64_t boot, enum MpLeaseUse use)
 {
+    /* Hundreds of routers have a lease on each account. */
+    const char *name = g_intern_string(instance);
     for (guint i = 0; i < account->leases->len; i++) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
         if (lease->boot == boot && lease->use == use &&
-            strcmp(lease->instance, instance) == 0) {
+            lease->instance == name) {
             return lease;
         }
     }
@@ -120,7 +120,7 @@
         return lease;
     }
     lease = g_new0(struct MpLease, 1);
-    lease->instance = g_strdup(holder->instance);
+    lease->instance = g_intern_string(holder->instance);
     lease->boot = holder->boot;
     lease->use = use;
     g_ptr_array_add(account->leases, lease);
@@ -249,6 +249,7 @@
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
         lease->recalled = lease->recalled || (lease->amount_mtok > 0 &&
                                               lease->use == MP_LEASE_CALLS);
+        account->has_recalls |= lease->recalled;
     }
     return true;
 }
--- a/src/state/Ledger.h
+++ b/src/state/Ledger.h
@@ -12,14 +12,15 @@
  *
  * All amounts are thousandths of a token (mtok).  For each account
  *
- *     settled + reserved + leased <= granted
+ *     settled + reserved + leased + afloat <= granted
  *
  * holds after every call, but where a document has lowered the prepaid
  * amount: then the largest amount that was granted is the bound.  leased is
- * the sum over the leases.  A request is opened before it is dispatched, which
- * reserves its worst case, and settled once.  A record that is closed stays
- * for the retention time, so that a repeat of its key is answered from it and
- * not billed again.
+ * the sum over the leases, afloat what routers have drawn from their slices,
+ * which they may lend to each other.  A request is opened before it is
+ * dispatched, which reserves its worst case, and settled once.  A record that
+ * is closed stays for the retention time, so that a repeat of its key is
+ * answered from it and not billed again.
  *
  * The ledger is deterministic: time enters as now_ms, and replicas that
  * apply the same calls in the same order hold the same state.
@@ -56,13 +57,15 @@
 /* A slice of a budget that one incarnation may spend while it cannot reach
  * the quorum. */
 struct MpLease {
-    char *instance;
+    const char *instance; /* interned */
     uint64_t boot;
     enum MpLeaseUse use;
     uint64_t seq;
     int64_t amount_mtok;
     int64_t last_grant_mtok;
-    int64_t spent_mtok; /* settled from this slice so far */
+    int64_t spent_mtok;    /* settled by this life so far */
+    int64_t drawn_mtok;    /* taken out of this slice so far */
+    int64_t returned_mtok; /* given back of what was drawn, so far */
     bool recalled;
     bool is_dead; /* its incarnation has ended; it stays counted */
 };
@@ -75,7 +78,10 @@
     int64_t settled_mtok;
     int64_t reserved_mtok;
     int64_t leased_mtok;
-    GPtrArray *leases; /* of struct MpLease */
+    int64_t afloat_mtok; /* drawn from slices, neither settled nor returned;
+                          * negative while a lender's report is late */
+    GPtrArray *leases;   /* of struct MpLease */
+    bool has_recalls;    /* some lease may be recalled */
 };
 
 struct MpRecord {
--- a/src/state/LedgerFence.c
+++ b/src/state/LedgerFence.c
@@ -93,7 +93,7 @@
         for (guint i = 0; i < account->leases->len; i++) {
             struct MpLease *lease = g_ptr_array_index(account->leases, i);
             lease->is_dead |=
-                lease->boot <= boot && strcmp(lease->instance, instance) == 0;
+                lease->boot <= boot && lease->instance == instance;
         }
     }
 }
@@ -117,7 +117,7 @@
     int64_t freed = 0;
     for (guint i = account->leases->len; i > 0; i--) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i - 1);
-        if (lease->boot > boot || strcmp(lease->instance, instance) != 0 ||
+        if (lease->boot > boot || lease->instance != instance ||
             !is_dropped(lease, what)) {
             continue;
         }
@@ -170,15 +170,16 @@
                              now_ms);
     }
     g_ptr_array_unref(held);
-    mark_dead(this, instance, boot);
-    drop_leases(this, instance, boot, DROP_EMPTY);
+    const char *name = g_intern_string(instance);
+    mark_dead(this, name, boot);
+    drop_leases(this, name, boot, DROP_EMPTY);
 }
 
 int64_t
 MpLedger_WriteOff(struct MpLedger *this, const char *instance, uint64_t boot,
                   bool with_paths)
 {
-    return drop_leases(this, instance, boot,
+    return drop_leases(this, g_intern_string(instance), boot,
                        with_paths ? DROP_ALL : DROP_CALLS);
 }
 
--- a/src/state/LedgerImage.c
+++ b/src/state/LedgerImage.c
@@ -16,13 +16,18 @@
     for (guint i = 0; i < count; i++) {
         struct MpLease *lease = g_ptr_array_index(account->leases, i);
         image->leases.leases_val[i] = (struct mp_lease_image){
-            .holder = {.instance = lease->instance, .boot = lease->boot},
+            .holder = {.instance = (char *)lease->instance,
+                       .boot = lease->boot},
             .seq = lease->seq,
             .amount_mtok = lease->amount_mtok,
             .last_grant_mtok = lease->last_grant_mtok,
             .spent_mtok = MP_FAULT(MP_FAULT_SLICE_SNAPSHOT_FORGETS)
                               ? 0
                               : lease->spent_mtok,
+            .drawn_mtok = MP_FAULT(MP_FAULT_SLICE_SNAPSHOT_FORGETS)
+                              ? 0
+                              : lease->drawn_mtok,
+            .returned_mtok = lease->returned_mtok,
             .recalled = lease->recalled,
             .dead = lease->is_dead,
             .paths = lease->use == MP_LEASE_PATHS,
@@ -75,6 +80,7 @@
         next->highest_mtok = account->highest_mtok;
         next->settled_mtok = account->settled_mtok;
         next->reserved_mtok = account->reserved_mtok;
+        next->afloat_mtok = account->afloat_mtok;
         save_leases(account, next);
         next++;
     }
@@ -130,16 +136,20 @@
     account->highest_mtok = image->highest_mtok;
     account->settled_mtok = image->settled_mtok;
     account->reserved_mtok = image->reserved_mtok;
+    account->afloat_mtok = image->afloat_mtok;
     for (u_int i = 0; i < image->leases.leases_len; i++) {
         const struct mp_lease_image *from = &image->leases.leases_val[i];
         struct MpLease *lease = g_new0(struct MpLease, 1);
-        lease->instance = g_strdup(from->holder.instance);
+        lease->instance = g_intern_string(from->holder.instance);
         lease->boot = from->holder.boot;
         lease->seq = from->seq;
         lease->amount_mtok = from->amount_mtok;
         lease->last_grant_mtok = from->last_grant_mtok;
         lease->spent_mtok = from->spent_mtok;
+        lease->drawn_mtok = from->drawn_mtok;
+        lease->returned_mtok = from->returned_mtok;
         lease->recalled = from->recalled;
+        account->has_recalls |= from->recalled;
         lease->is_dead = from->dead;
         lease->use = from->paths ? MP_LEASE_PATHS : MP_LEASE_CALLS;
         account->leased_mtok += from->amount_mtok;
--- a/src/state/LedgerSlices.c
+++ b/src/state/LedgerSlices.c
@@ -16,17 +16,34 @@
     return dead_mtok;
 }
 
-/* Moves what was spent since the last report from the slice to the bill. */
+/* Takes what is new in a sum that only grows. */
+static int64_t
+advance(int64_t *known_mtok, int64_t told_mtok, int64_t most_mtok)
+{
+    int64_t new_mtok = CLAMP(told_mtok - *known_mtok, 0, most_mtok);
+    *known_mtok += new_mtok;
+    return new_mtok;
+}
+
+/* Moves what was drawn, spent and returned since the last report.  What a
+ * router spends may have been drawn by another one. */
 static void
 settle_slice(struct MpAccount *account, struct MpLease *lease,
-             int64_t spent_mtok)
+             const struct mp_slice *told)
 {
-    int64_t new_mtok =
-        CLAMP(spent_mtok - lease->spent_mtok, 0, lease->amount_mtok);
-    lease->spent_mtok += new_mtok;
-    lease->amount_mtok -= new_mtok;
-    account->leased_mtok -= new_mtok;
-    account->settled_mtok += new_mtok;
+    int64_t drawn_mtok =
+        advance(&lease->drawn_mtok, told->drawn_mtok, lease->amount_mtok);
+    int64_t spent_mtok =
+        advance(&lease->spent_mtok, told->spent_mtok, MP_AMOUNT_MAX_MTOK);
+    int64_t returned_mtok = advance(&lease->returned_mtok, told->returned_mtok,
+                                    MP_AMOUNT_MAX_MTOK);
+    lease->amount_mtok -= drawn_mtok;
+    account->leased_mtok -= drawn_mtok;
+    account->settled_mtok += spent_mtok;
+    account->afloat_mtok += drawn_mtok - spent_mtok - returned_mtok;
+    if (MP_FAULT(MP_FAULT_SPENT_NOT_AFLOAT)) {
+        account->afloat_mtok -= drawn_mtok;
+    }
 }
 
 /* Much is held while much is left; near the end of a budget what a death of
@@ -102,7 +119,7 @@
     struct MpLease *lease = MpLedger_LeaseOf(account, holder, MP_LEASE_PATHS);
     if (seq > lease->seq || MP_FAULT(MP_FAULT_SLICE_SEQ_IGNORED)) {
         lease->seq = seq;
-        settle_slice(account, lease, wanted->spent_mtok);
+        settle_slice(account, lease, wanted);
         int64_t change_mtok = slice_change(account, lease, wanted);
         lease->amount_mtok += change_mtok;
         account->leased_mtok += change_mtok;
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -13,6 +13,8 @@
 {
     struct MpIncarnation *this = data;
     g_free(this->instance);
+    g_free(this->address);
+    g_free(this->zone);
     g_free(this);
 }
 
@@ -157,6 +159,10 @@
     life->boot++;
     life->nonce = reg->nonce;
     life->fenced = false;
+    g_free(life->address);
+    g_free(life->zone);
+    life->address = g_strdup(reg->address);
+    life->zone = g_strdup(reg->zone);
     result->number = life->boot;
     return MP_OK;
 }
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -25,6 +25,8 @@
     uint64_t boot;
     uint64_t nonce;
     bool fenced;
+    char *address; /* where it lends of its slices; "" for nowhere */
+    char *zone;
 };
 
 /* Outcome of a call with an id, kept to answer its repeats. */
--- a/src/state/MachineImage.c
+++ b/src/state/MachineImage.c
@@ -24,7 +24,9 @@
         *next++ = (struct mp_incarnation_image){.instance = life->instance,
                                                 .boot = life->boot,
                                                 .nonce = life->nonce,
-                                                .fenced = life->fenced};
+                                                .fenced = life->fenced,
+                                                .address = life->address,
+                                                .zone = life->zone};
     }
 }
 
@@ -114,6 +116,8 @@
         life->boot = from->boot;
         life->nonce = from->nonce;
         life->fenced = from->fenced;
+        life->address = g_strdup(from->address);
+        life->zone = g_strdup(from->zone);
         g_hash_table_insert(this->incarnations, life->instance, life);
     }
 }
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -20,8 +20,13 @@
     {.name = "rpc",
      .type = MP_FIELD_ADDRESS,
      AT(MpListen, rpc),
-     .text = "Where other instances connect; needed by a control "
-             "instance."},
+     .text = "Where other instances connect; needed by a control instance "
+             "and a relay."},
+    {.name = "peers",
+     .type = MP_FIELD_ADDRESS,
+     AT(MpListen, peers),
+     .text = "Where other routers borrow parts of budgets; without it this "
+             "router asks the control instances alone."},
     {.name = "ready",
      .type = MP_FIELD_ADDRESS,
      AT(MpListen, ready),
@@ -135,8 +140,8 @@
      .least = 1,
      .most = 2,
      AT(MpSettings, roles),
-     .text = "`router` serves callers, `control` keeps the durable "
-             "state."},
+     .text = "`router` serves callers, `control` keeps the durable state, "
+             "`relay` takes the calls of operators to control instances."},
     {.name = "listen",
      .type = MP_FIELD_OBJECT,
      .required = true,
@@ -294,13 +299,20 @@
         else if (strcmp(role, "control") == 0) {
             this->is_control = true;
         }
+        else if (strcmp(role, "relay") == 0) {
+            this->is_relay = true;
+        }
         else {
             MpFindings_Add(findings, MP_FINDING_VALUE, 0, "roles",
-                           "\"%s\" is not a role; \"router\" and "
-                           "\"control\" are",
+                           "\"%s\" is not a role; \"router\", \"control\" "
+                           "and \"relay\" are",
                            role);
         }
     }
+    if (this->is_relay && (this->is_control || this->is_router)) {
+        MpFindings_Add(findings, MP_FINDING_VALUE, 0, "roles",
+                       "a relay has no other role");
+    }
 }
 
 static void
@@ -342,6 +354,12 @@
         need(this->data_folder, "data_folder",
              "a control instance needs a data folder", findings);
     }
+    if (this->is_relay) {
+        need(this->listen.operators, "listen.operators",
+             "a relay needs an address for operators", findings);
+        need(this->listen.rpc, "listen.rpc",
+             "a relay needs an address for instances", findings);
+    }
     if (this->control->len == 0 && this->seeds->len == 0) {
         MpFindings_Add(findings, MP_FINDING_MISSING, 0, "control",
                        "name the control instances, or `seeds`");
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -14,6 +14,7 @@
     char *callers;
     char *operators;
     char *rpc;
+    char *peers;
     char *ready;
     char *metrics;
 };
@@ -67,6 +68,7 @@
     int32_t routing; /* enum MpPickPolicy */
     bool is_router;
     bool is_control;
+    bool is_relay;
     char *folder;
 };
 
--- a/src/transport/Fleet.c
+++ b/src/transport/Fleet.c
@@ -2,6 +2,7 @@
 
 #include "coordination/Roster.h"
 
+#include "protocol/TextPack.h"
 #include "state/BodyHash.h"
 #include "state/Codec.h"
 #include "state/Error.h"
@@ -11,12 +12,23 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* Pause between two syncs, ms: a few within the time in which a change has to
+ * be in force, and at most what a leader's processor bears in a second. */
 #define SYNC_MS 250
+#define SYNC_MOST_MS 700
+#define SYNCS_PER_S 400
+/* ... while there is no document yet. */
+#define FIRST_SYNC_MS 50
+#define FIRST_SYNCS_PER_S 2000
+/* A large document takes a while on a narrow link, ms. */
+#define FETCH_TIMEOUT_MS 1200
 #define CALL_TIMEOUT_MS 700
+/* Pause before a call is sent again, ms: a round trip at first, doubled with
+ * each try up to half an election, so that hundreds of instances leave the
+ * replicas the time to elect a leader. */
 #define RETRY_MS 20
-/* A call that has failed often is repeated at this pace. */
-#define RETRY_MOST_MS 500
-#define RETRIES_FAST 64
+#define RETRY_MOST_MS 320
+#define RETRY_DOUBLINGS 4
 #define REGISTER_DEADLINE_MS 2000
 /* A leader that is silent for this long is not waited for, ms: several syncs
  * and an election. */
@@ -84,7 +96,11 @@
         finish(request, MP_ERROR_NO_QUORUM, NULL);
         return;
     }
-    int64_t wait_ms = request->tries > RETRIES_FAST ? RETRY_MOST_MS : RETRY_MS;
+    int64_t wait_ms =
+        MIN((int64_t)RETRY_MS << MIN(request->tries, RETRY_DOUBLINGS),
+            RETRY_MOST_MS);
+    /* Spread, as all begin at the moment at which a leader is lost. */
+    wait_ms = wait_ms / 2 + g_random_int_range(0, (gint32)wait_ms / 2 + 1);
     this->retries++;
     request->tries++;
     MpLoop_SetTimer(this->loop, &request->timer, wait_ms, on_retry, request);
@@ -103,6 +119,13 @@
     return MP_NO_REPLICA;
 }
 
+static const char *
+client_at(const struct MpFleet *this, guint at)
+{
+    const struct MpRpcClient *client = g_ptr_array_index(this->clients, at);
+    return client->address;
+}
+
 void
 MpFleet_AddReplica(struct MpFleet *this, const char *address)
 {
@@ -328,37 +351,41 @@
     }
     this->is_registering = true;
     command.body.mp_command_body_u.reg = (struct mp_register){
-        .instance = this->settings->instance, .nonce = this->nonce};
+        .instance = this->settings->instance,
+        .nonce = this->nonce,
+        .address = this->settings->listen.peers ? this->settings->listen.peers
+                                                : (char *)"",
+        .zone = this->settings->zone};
     MpFleet_Propose(this, &command, MpLoop_Now() + REGISTER_DEADLINE_MS,
                     on_registered, this);
 }
 
 /* Returns the new text, or NULL when its patch does not fit. */
 static char *
-text_of_reply(struct MpFleet *this, const struct mp_sync_reply *reply)
+text_of_reply(struct MpFleet *this, const struct mp_fetch_reply *reply)
 {
-    this->wants_whole = false;
-    if (reply->base_version == 0) {
-        return g_strdup(reply->document);
+    size_t size;
+    char *middle = MpTextPack_Open(&reply->text, &size);
+    if (reply->base_version == 0 || !middle) {
+        return middle;
     }
     struct MpTextPatch patch = {.prefix = reply->prefix,
                                 .suffix = reply->suffix,
                                 .checksum = reply->checksum};
     bool is_base =
         this->document && this->document->version == reply->base_version;
-    char *text = is_base ? MpTextPatch_Apply(&patch, this->document_text,
-                                             reply->document)
-                         : NULL;
-    this->wants_whole = !text;
+    char *text = is_base
+                     ? MpTextPatch_Apply(&patch, this->document_text, middle)
+                     : NULL;
+    g_free(middle);
     return text;
 }
 
 static void
-take_document(struct MpFleet *this, const struct mp_sync_reply *reply)
+take_document(struct MpFleet *this, const struct mp_fetch_reply *reply)
 {
     uint64_t current = this->document ? this->document->version : 0;
-    if (reply->document_version <= current ||
-        (reply->base_version == 0 && reply->document[0] == '\0')) {
+    if (reply->document_version <= current) {
         return;
     }
     char *text = text_of_reply(this, reply);
@@ -367,10 +394,13 @@
         text ? this->dialect->parse_document(text, strlen(text), findings)
              : NULL;
     g_ptr_array_unref(findings);
+    this->wants_whole = !document;
     if (!document) {
-        MpLog_Event(LOG_ERR, "document-rejected", "version=%" PRIu64,
-                    (uint64_t)reply->document_version);
-        this->wants_whole = true;
+        MpLog_Event(LOG_ERR, "document-rejected",
+                    "version=%" PRIu64 " base=%" PRIu64 " bytes=%u",
+                    (uint64_t)reply->document_version,
+                    (uint64_t)reply->base_version,
+                    reply->text.bytes.bytes_len);
         g_free(text);
         return;
     }
@@ -380,11 +410,54 @@
     MpDocument_Unref(this->document);
     this->document = document;
     this->applied_ms = (uint64_t)MpLoop_WallMs();
-    MpLog_Event(LOG_NOTICE, "document-in-force", "version=%" PRIu64,
-                document->version);
+    MpLog_Event(LOG_NOTICE, "document-in-force",
+                "version=%" PRIu64 " base=%" PRIu64 " bytes=%u from=%s",
+                document->version, (uint64_t)reply->base_version,
+                reply->text.bytes.bytes_len,
+                client_at(this, this->fetched_from));
     this->listener->document(this->owner, document);
 }
 
+static void fetch_document(struct MpFleet *this, uint64_t version);
+
+static void
+on_fetched(void *data, int code, const void *result)
+{
+    struct MpFleet *this = data;
+    const struct mp_fetch_reply *reply = result;
+    this->is_fetching = false;
+    /* A replica that is away or behind is made up for by the leader. */
+    this->asks_leader = code != MP_OK || reply->code != MP_OK;
+    if (!this->asks_leader) {
+        take_document(this, reply);
+    }
+    else if (this->fetched_from != this->leader) {
+        fetch_document(this, this->fetched_version);
+    }
+}
+
+/* The replicas share the instances by a hash of their names. */
+static void
+fetch_document(struct MpFleet *this, uint64_t version)
+{
+    uint64_t current = this->document ? this->document->version : 0;
+    struct mp_fetch fetch = {.document_version = version,
+                             .base_version = this->wants_whole ? 0 : current};
+    if (this->is_fetching || version <= current) {
+        return;
+    }
+    guint from = g_str_hash(this->settings->instance) % this->clients->len;
+    if (this->asks_leader ||
+        !MpRpcClient_IsReady(g_ptr_array_index(this->clients, from))) {
+        from = this->leader;
+    }
+    this->is_fetching = true;
+    this->fetched_from = from;
+    this->fetched_version = version;
+    MpRpcClient_Call(g_ptr_array_index(this->clients, from), MP_PROC_FETCH,
+                     &fetch, FETCH_TIMEOUT_MS, on_fetched, this);
+}
+
 static void
 take_suspects(struct MpFleet *this, const struct mp_sync_reply *reply)
 {
@@ -403,6 +476,20 @@
                 reply->suspected.suspected_len / MP_HASH_BYTES);
 }
 
+/* Opens a packed list; returns whether there is one. */
+static bool
+unpack_list(const struct mp_packed *packed, xdrproc_t codec, void *list,
+            size_t list_size)
+{
+    size_t size;
+    char *data =
+        packed->bytes.bytes_len > 0 ? MpTextPack_Open(packed, &size) : NULL;
+    bool is_good =
+        data && MpCodec_Decode(codec, list, data, size, list_size) == MP_OK;
+    g_free(data);
+    return is_good;
+}
+
 /* Returns the entries of a list; their strings belong to the reply. */
 static GPtrArray *
 entries_of(const struct mp_target *from, u_int count)
@@ -438,9 +525,14 @@
         this->listener->targets(this->owner, NULL);
         return;
     }
+    struct mp_targets whole = {.list = {.list_len = 0}};
+    bool is_whole = unpack_list(&reply->targets_whole, MP_XDR(mp_targets),
+                                &whole, sizeof(whole));
     struct MpTargetNews news = {
-        .targets =
-            entries_of(reply->targets.targets_val, reply->targets.targets_len),
+        .targets = is_whole
+                       ? entries_of(whole.list.list_val, whole.list.list_len)
+                       : entries_of(reply->targets.targets_val,
+                                    reply->targets.targets_len),
         .gone = entries_of(reply->targets_gone.targets_gone_val,
                            reply->targets_gone.targets_gone_len),
         .is_partial = kind == MP_NEWS_CHANGES};
@@ -448,6 +540,23 @@
     this->listener->targets(this->owner, &news);
     g_ptr_array_unref(news.targets);
     g_ptr_array_unref(news.gone);
+    if (is_whole) {
+        MpCodec_Free(MP_XDR(mp_targets), &whole);
+    }
+}
+
+static void
+take_peers(struct MpFleet *this, const struct mp_sync_reply *reply)
+{
+    struct mp_peers peers;
+    if (!this->listener->peers || reply->peers_hash == this->peers_hash ||
+        !unpack_list(&reply->peers, MP_XDR(mp_peers), &peers, sizeof(peers))) {
+        return;
+    }
+    this->peers_hash = reply->peers_hash;
+    this->listener->peers(this->owner, peers.list.list_val,
+                          peers.list.list_len);
+    MpCodec_Free(MP_XDR(mp_peers), &peers);
 }
 
 static void
@@ -461,9 +570,10 @@
         return;
     }
     this->synced_ms = MpLoop_Now();
-    take_document(this, reply);
+    fetch_document(this, reply->document_version);
     take_suspects(this, reply);
     this->instances = reply->instances;
+    take_peers(this, reply);
     take_targets(this, reply);
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
         learn_replica(this, reply->replicas.replicas_val[i].address);
@@ -488,8 +598,8 @@
         .document_version = this->document ? this->document->version : 0,
         .quarantine_version = this->suspects.version,
         .targets_hash = this->targets_hash,
+        .peers_hash = this->peers_hash,
         .draining = this->is_draining,
-        .whole = this->wants_whole,
     };
     if (this->is_syncing) {
         return;
@@ -500,6 +610,16 @@
                      MP_PROC_SYNC, &sync, CALL_TIMEOUT_MS, on_synced, this);
 }
 
+/* The more instances, the more rarely each of them asks. */
+static int64_t
+sync_pause_ms(const struct MpFleet *this)
+{
+    int64_t all_s = (int64_t)this->instances * 1000;
+    return this->document
+               ? CLAMP(all_s / SYNCS_PER_S, SYNC_MS, SYNC_MOST_MS)
+               : CLAMP(all_s / FIRST_SYNCS_PER_S, FIRST_SYNC_MS, SYNC_MS);
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -510,8 +630,8 @@
     else {
         sync_now(this);
     }
-    MpLoop_SetTimer(this->loop, &this->timer,
-                    this->document ? SYNC_MS : SYNC_MS / 5, on_timer, this);
+    MpLoop_SetTimer(this->loop, &this->timer, sync_pause_ms(this), on_timer,
+                    this);
 }
 
 void
--- a/src/transport/Fleet.h
+++ b/src/transport/Fleet.h
@@ -17,6 +17,8 @@
  * and keeps the document up to date.
  *
  * Commands are idempotent, so a proposal whose answer is lost is sent again.
+ * Documents are fetched from any replica, so that a large one does not leave
+ * one machine some hundred times.
  */
 
 /* result is NULL unless code is MP_OK; its own code is in result->code. */
@@ -42,6 +44,8 @@
     /* The leader's target list, NULL when it is the same as before; the
      * member may be NULL. */
     void (*targets)(void *owner, const struct MpTargetNews *news);
+    /* The instances that lend of their slices; the member may be NULL. */
+    void (*peers)(void *owner, const struct mp_peer *peers, uint32_t count);
 };
 
 struct MpFleet {
@@ -58,12 +62,17 @@
     struct MpDocument *document; /* NULL until the first one */
     char *document_text;
     bool wants_whole; /* a patch did not fit */
+    bool is_fetching;
+    bool asks_leader; /* for documents: another replica did not have it */
+    guint fetched_from;
+    uint64_t fetched_version;
     struct MpSuspects suspects;
     int64_t synced_ms; /* last answer of the leader */
     bool is_draining;
     bool is_syncing;
     bool is_registering;
     struct MpTimer timer;
+    uint64_t peers_hash;    /* of the instances that lend; 0: none told */
     uint64_t targets_hash;  /* of the leader's target list; 0: of none */
     uint64_t targets_asked; /* ... when the last sync was sent */
     uint32_t instances;     /* that are registered, as the leader counts */
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
+#include "transport/GatewayLoans.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 #include "transport/TargetList.h"
@@ -37,6 +38,7 @@
             MpGatewayCall_RetryBudget(call, is_answered);
         }
     }
+    MpGatewayLoans_Answered(this->loans, is_answered);
 }
 
 void
@@ -49,7 +51,7 @@
         return;
     }
     report->holder = MpFleet_Holder(this->fleet);
-    this->slices.instances = this->fleet->instances;
+    this->slices.instances = MpGatewayLoans_Keepers(this->loans);
     MpSlices_Report(&this->slices, report, now_ms);
     if (report->list.list_len > 0 || this->is_leaving) {
         MpFleet_Propose(this->fleet, &command, now_ms + REPORT_WAIT_MS,
@@ -124,14 +126,20 @@
 static int64_t
 pause_of_list(void *owner, bool *is_needless)
 {
-    const struct MpGateway *this = owner;
+    struct MpGateway *this = owner;
+    int64_t now_ms = MpLoop_Now();
     int64_t interval_ms = this->settings->target_list.interval_ms;
-    *is_needless = MpLoop_Now() - this->shared_ms < SHARED_KEEP_MS;
-    if (*is_needless) {
-        return SHARED_KEEP_MS / 4;
-    }
     uint32_t readers = MAX(this->fleet->instances / READERS_MOST, 1);
-    return interval_ms * readers;
+    bool is_shared = now_ms - this->shared_ms < SHARED_KEEP_MS;
+    if (readers > 1 && (is_shared || this->read_from_ms == 0)) {
+        /* Many start, or lose the leader, at one moment: their first readings
+         * are spread, too. */
+        this->read_from_ms =
+            now_ms + SHARED_KEEP_MS +
+            g_random_int_range(0, (gint32)(interval_ms * readers));
+    }
+    *is_needless = is_shared || now_ms < this->read_from_ms;
+    return *is_needless ? SHARED_KEEP_MS / 4 : interval_ms * readers;
 }
 
 static const struct MpTargetListClass list_class = {.took = take_own_reading,
@@ -265,9 +273,17 @@
     while (link) {
         struct MpGatewayCall *call = link->data;
         link = link->next;
-        MpGatewayCall_CheckCaller(call, now_ms);
+        if (!MpGatewayCall_CheckCaller(call, now_ms) &&
+            call->stage == MP_CALL_BUDGET &&
+            MpSlices_Missing(&this->slices, call->workspace,
+                             call->reserved_mtok) == 0) {
+            /* Another call has left enough in the purse. */
+            MpGatewayCall_RetryBudget(call, false);
+        }
     }
     check_silence(this, now_ms);
+    this->slices.heard_ms = this->fleet->synced_ms;
+    MpGatewayLoans_Tick(this->loans, now_ms);
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
     look_at_doubtful(this, now_ms);
@@ -276,9 +292,9 @@
 
 /* ---- life ---- */
 
-void
-MpGateway_SetDocument(struct MpGateway *this,
-                      const struct MpDocument *document)
+/* Which slices this router keeps follows from the document and the list. */
+static void
+choose_slices(struct MpGateway *this, const struct MpDocument *document)
 {
     GHashTableIter iter;
     void *name;
@@ -287,12 +303,30 @@
     while (g_hash_table_iter_next(&iter, &name, &value)) {
         const struct MpWorkspaceConf *workspace = value;
         if (workspace->prepaid_tokens >= 0) {
-            MpSlices_Add(&this->slices, name);
+            MpSlices_Add(&this->slices, name,
+                         MpGatewayLoans_Keeps(this->loans, name));
         }
     }
+}
+
+void
+MpGateway_SetDocument(struct MpGateway *this,
+                      const struct MpDocument *document)
+{
+    choose_slices(this, document);
     MpTargetList_Wake(this->list);
 }
 
+void
+MpGateway_TakePeers(struct MpGateway *this, const struct mp_peer *peers,
+                    uint32_t count)
+{
+    MpGatewayLoans_TakePeers(this->loans, peers, count);
+    if (this->fleet->document) {
+        choose_slices(this, this->fleet->document);
+    }
+}
+
 void
 MpGateway_Registered(struct MpGateway *this, uint64_t boot)
 {
@@ -317,7 +351,7 @@
     return this->calls.length == 0 && (!has_slices || this->is_returned);
 }
 
-void
+int
 MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
                 const struct MpSettings *settings, struct MpFleet *fleet,
                 struct MpMetrics *metrics)
@@ -336,6 +370,7 @@
     this->shared_ms = -SHARED_KEEP_MS;
     this->list = MpTargetList_New(&list_class, this, loop, settings);
     MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
+    return MpGatewayLoans_Start(this);
 }
 
 /* ---- metrics ---- */
@@ -368,5 +403,6 @@
                          MpSlices_Held(&this->slices));
     MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
                          (int64_t)this->retries_refused);
+    MpGatewayLoans_WriteMetrics(this->loans, out);
     MpTargetList_WriteMetrics(this->list, out);
 }
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -23,6 +23,7 @@
  */
 
 struct MpTargetList;
+struct MpGatewayLoans;
 struct MpTargetPlace;
 
 struct MpGateway {
@@ -33,10 +34,12 @@
     struct MpMetrics *metrics;
     struct MpRoster roster;
     struct MpSlices slices;
+    struct MpGatewayLoans *loans;
     GHashTable *retries; /* pool -> struct MpRetryBudget */
     GQueue calls;        /* of struct MpGatewayCall */
     struct MpTargetList *list;
-    int64_t shared_ms; /* when the leader last vouched for the list */
+    int64_t shared_ms;    /* when the leader last vouched for the list */
+    int64_t read_from_ms; /* until then this instance does not read it */
     struct MpTimer timer;
     uint64_t retries_refused; /* counter */
     uint32_t reports;         /* of deaths, that the quorum does not have */
@@ -46,9 +49,10 @@
     bool is_returned;       /* the slices are given back */
 };
 
-void MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
-                     const struct MpSettings *settings, struct MpFleet *fleet,
-                     struct MpMetrics *metrics);
+/* Errors: MP_ERROR_IO when the address for other routers is not to be had. */
+int MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
+                    const struct MpSettings *settings, struct MpFleet *fleet,
+                    struct MpMetrics *metrics);
 
 /* Takes a request of a caller; answers it sooner or later. */
 void MpGateway_Serve(struct MpGateway *this, h2o_req_t *req);
@@ -70,6 +74,10 @@
                            const struct MpDocument *document);
 void MpGateway_Registered(struct MpGateway *this, uint64_t boot);
 
+/* Takes the list of those that lend of their slices. */
+void MpGateway_TakePeers(struct MpGateway *this, const struct mp_peer *peers,
+                         uint32_t count);
+
 /* Asks callers to leave after their answers; new requests are refused from
  * refuse_from_ms on, and streams that may not end before stop_ms at once. */
 void MpGateway_Leave(struct MpGateway *this, int64_t refuse_from_ms,
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
 #include "transport/GatewayAttempt.h"
+#include "transport/GatewayLoans.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/HttpServer.h"
@@ -65,7 +66,7 @@
         used = this->facts.prompt_tokens +
                MIN(output, this->facts.output_tokens_most);
     }
-    MpSlices_Settle(&this->gateway->slices, this->workspace, this->boot,
+    MpSlices_Settle(&this->gateway->slices, this->workspace,
                     this->reserved_mtok, used * MP_MTOK_PER_TOKEN);
     this->reserved_mtok = 0;
     return used;
@@ -247,12 +248,15 @@
         g_hash_table_lookup(this->document->workspaces, this->workspace);
     MpLog_Event(LOG_WARNING, event,
                 "id=%s workspace=%s wanted_mtok=%" PRId64 " held_mtok=%" PRId64
-                " reserved_mtok=%" PRId64 " free_mtok=%" PRId64
-                " answer_age_ms=%" PRId64 " rounds=%u prepaid=%" PRId64,
+                " purse_mtok=%" PRId64 " reserved_mtok=%" PRId64
+                " free_mtok=%" PRId64 " keeps=%d answer_age_ms=%" PRId64
+                " heard_age_ms=%" PRId64 " rounds=%u prepaid=%" PRId64,
                 this->id ? this->id : "-", this->workspace,
-                this->reserved_mtok, slice->held_mtok, slice->reserved_mtok,
-                slice->free_mtok, MpLoop_Now() - slices->answered_ms,
-                this->budget_rounds, workspace->prepaid_tokens);
+                this->reserved_mtok, slice->held_mtok, slice->purse_mtok,
+                slice->reserved_mtok, slice->free_mtok, slice->is_kept,
+                MpLoop_Now() - slices->answered_ms,
+                MpLoop_Now() - slices->heard_ms, this->budget_rounds,
+                workspace->prepaid_tokens);
 }
 
 /* Another instance may hold what this one cannot get now. */
@@ -260,6 +264,11 @@
 on_budget_late(struct MpTimer *timer)
 {
     struct MpGatewayCall *this = timer->data;
+    if (MpSlices_Missing(&this->gateway->slices, this->workspace,
+                         this->reserved_mtok) == 0) {
+        MpGatewayCall_RetryBudget(this, false);
+        return;
+    }
     log_slice(this, "budget-unanswered");
     this->reserved_mtok = 0;
     refuse(this, MP_ERROR_NO_QUORUM, RETRY_ELSEWHERE_MS);
@@ -272,25 +281,24 @@
         MpSlices_Reserve(&this->gateway->slices, this->workspace,
                          this->reserved_mtok, is_answered, MpLoop_Now());
     if (code == MP_OK) {
-        this->boot = this->gateway->slices.boot;
+        MpGatewayLoans_Refill(this->gateway->loans, this->workspace);
         this->stage = MP_CALL_RUNNING;
         set_deadline(this);
         MpGatewayAttempt_Start(this);
         return;
     }
     this->budget_rounds += is_answered;
-    if (code == MP_ERROR_RECALLING &&
-        MpSlices_IsCutOff(&this->gateway->slices, MpLoop_Now())) {
-        log_slice(this, "budget-cut-off");
-        this->reserved_mtok = 0;
-        refuse(this, MP_ERROR_NO_QUORUM, RETRY_ELSEWHERE_MS);
+    bool is_spent = code == MP_ERROR_BUDGET;
+    bool is_final = MpSlices_IsNoted(&this->gateway->slices, this->workspace,
+                                     this->reserved_mtok, MpLoop_Now());
+    if (!is_final && MpGatewayLoans_Seek(this->gateway->loans, this->workspace,
+                                         this->reserved_mtok, is_spent)) {
         return;
     }
-    if (code == MP_ERROR_BUDGET) {
-        log_slice(this, "budget-short");
-        this->reserved_mtok = 0;
-        refuse(this, MP_ERROR_BUDGET, 0);
-    }
+    log_slice(this, is_spent ? "budget-short" : "budget-cut-off");
+    this->reserved_mtok = 0;
+    refuse(this, is_spent ? MP_ERROR_BUDGET : MP_ERROR_NO_QUORUM,
+           is_spent ? 0 : RETRY_ELSEWHERE_MS);
 }
 
 void
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -47,7 +47,6 @@
     struct MpCallerAnswer answer;
     /* budget */
     int64_t reserved_mtok;
-    uint64_t boot;
     uint32_t budget_rounds;
     /* the attempt */
     struct MpPoolTarget *target;
--- /dev/null
+++ b/src/transport/GatewayLoans.c
@@ -0,0 +1,500 @@
+#include "transport/GatewayLoans.h"
+
+#include "coordination/Lenders.h"
+#include "state/Error.h"
+#include "transport/GatewayCall.h"
+#include "transport/Log.h"
+#include "transport/RpcLink.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* A lender that says nothing for this long is left, ms: it may ask the quorum,
+ * which answers within some round trips and a sync.  What it lends later
+ * counts all the same. */
+#define LEND_WAIT_MS 140
+/* A reply counts until then, ms. */
+#define LEND_LATE_MS 5000
+/* ... when it is asked ahead; a loan that comes later is lost, ms. */
+#define REFILL_WAIT_MS 2000
+/* A lender holds a call while it asks the quorum, ms. */
+#define LEND_HOLD_MS 110
+/* Pause until a connection that is being made is looked at again, ms: a round
+ * trip between zones or two; and how often. */
+#define CONNECT_WAIT_MS 12
+#define CONNECT_LOOKS 2
+
+/* A part of a budget that is being looked for. */
+struct quest {
+    struct MpGatewayLoans *loans;
+    char *workspace;
+    GPtrArray *order; /* of char *, lenders to ask */
+    guint next;
+    uint32_t looks;  /* for a connection to the lender */
+    uint64_t number; /* of the call under way, 0: none */
+    bool is_spent;   /* somebody in touch with the ledger said so */
+    bool was_heard;  /* a lender answered */
+    struct MpTimer timer;
+};
+
+/* A call under way; its answer counts after the quest has gone on, too. */
+struct loan {
+    struct MpGatewayLoans *loans;
+    char *workspace;
+    char *address;
+    uint64_t number;
+    int64_t asked_ms;
+};
+
+/* A call of a borrower that waits for the ledger. */
+struct waiting_lend {
+    struct MpRpcCall *call;
+    int64_t until_ms;
+};
+
+struct MpGatewayLoans {
+    struct MpGateway *gateway;
+    struct MpLenders lenders;
+    GHashTable *clients; /* address -> struct MpRpcClient */
+    GHashTable *quests;  /* workspace -> struct quest */
+    GHashTable *refills; /* workspaces that are borrowed for ahead */
+    struct MpRpcServer server;
+    GQueue waiting; /* of struct waiting_lend */
+    uint64_t calls; /* number of the last call */
+    /* counters */
+    uint64_t lent;
+    uint64_t borrowed;
+    uint64_t refused;
+};
+
+static void step(struct quest *quest);
+
+/* ---- lending ---- */
+
+/* Answers a borrower, or returns false when the ledger has to be asked. */
+static bool
+lend_now(struct MpGatewayLoans *this, struct MpRpcCall *call, bool is_answered,
+         bool is_last)
+{
+    const struct mp_lend *lend = call->argument;
+    struct MpSlices *slices = &this->gateway->slices;
+    struct mp_lend_reply reply = {.code = MP_ERROR_NO_QUORUM};
+    /* What is lent on a closed connection would be lost. */
+    if (call->conn && g_hash_table_contains(slices->slices, lend->workspace)) {
+        reply.code = MpSlices_Lend(slices, lend, is_answered, MpLoop_Now(),
+                                   &reply.lent_mtok);
+    }
+    if (reply.code == MP_ERROR_RECALLING && !is_last) {
+        return false;
+    }
+    if (reply.code == MP_ERROR_RECALLING) {
+        reply.code = MP_ERROR_NO_QUORUM;
+    }
+    this->lent += reply.lent_mtok > 0;
+    this->refused += reply.code != MP_OK;
+    if (reply.code != MP_OK) {
+        MpLog_Event(LOG_INFO, "loan-short",
+                    "workspace=%s need_mtok=%" PRId64 " lent_mtok=%" PRId64
+                    " error=%s answer_age_ms=%" PRId64,
+                    lend->workspace, lend->need_mtok, reply.lent_mtok,
+                    MpError_Name(reply.code),
+                    MpLoop_Now() - slices->answered_ms);
+    }
+    MpRpcCall_Reply(call, &reply);
+    return true;
+}
+
+static void
+serve_call(void *owner, struct MpRpcCall *call)
+{
+    struct MpGatewayLoans *this = owner;
+    if (call->procedure != MP_PROC_LEND) {
+        MpRpcCall_Reply(call, NULL);
+        return;
+    }
+    if (lend_now(this, call, false, false)) {
+        return;
+    }
+    struct waiting_lend *waiting = g_new(struct waiting_lend, 1);
+    *waiting = (struct waiting_lend){.call = call,
+                                     .until_ms = MpLoop_Now() + LEND_HOLD_MS};
+    g_queue_push_tail(&this->waiting, waiting);
+    MpGateway_ReportSlices(this->gateway);
+}
+
+static const struct MpRpcServerClass server_class = {.call = serve_call};
+
+/* Tries what waits again; what waits on is put at the end. */
+static void
+retry_waiting(struct MpGatewayLoans *this, bool is_answered, int64_t now_ms)
+{
+    for (guint i = this->waiting.length; i > 0; i--) {
+        struct waiting_lend *waiting = g_queue_pop_head(&this->waiting);
+        bool is_last = now_ms >= waiting->until_ms;
+        if ((!is_answered && !is_last && waiting->call->conn) ||
+            !lend_now(this, waiting->call, is_answered, is_last)) {
+            g_queue_push_tail(&this->waiting, waiting);
+            continue;
+        }
+        g_free(waiting);
+    }
+}
+
+void
+MpGatewayLoans_Answered(struct MpGatewayLoans *this, bool is_answered)
+{
+    retry_waiting(this, is_answered, MpLoop_Now());
+    if (this->waiting.length > 0) {
+        MpGateway_ReportSlices(this->gateway);
+    }
+}
+
+void
+MpGatewayLoans_Tick(struct MpGatewayLoans *this, int64_t now_ms)
+{
+    retry_waiting(this, false, now_ms);
+}
+
+/* ---- borrowing ---- */
+
+static struct MpRpcClient *
+client_of(struct MpGatewayLoans *this, const char *address)
+{
+    struct MpRpcClient *client = g_hash_table_lookup(this->clients, address);
+    if (!client) {
+        client = g_new0(struct MpRpcClient, 1);
+        MpRpcClient_Init(client, this->gateway->loop, address,
+                         this->gateway->settings->instance,
+                         this->gateway->fleet->fleet_key);
+        client->is_quiet = true;
+        g_hash_table_insert(this->clients, client->address, client);
+    }
+    return client;
+}
+
+static void
+quest_delete(struct quest *quest)
+{
+    MpLoop_ClearTimer(&quest->timer);
+    g_hash_table_remove(quest->loans->quests, quest->workspace);
+    g_ptr_array_unref(quest->order);
+    g_free(quest->workspace);
+    g_free(quest);
+}
+
+/* Returns the smallest amount that calls on workspace wait for, 0 for none. */
+static int64_t
+least_wanted(const struct MpGateway *gateway, const char *workspace)
+{
+    int64_t least_mtok = 0;
+    for (GList *link = gateway->calls.head; link; link = link->next) {
+        const struct MpGatewayCall *call = link->data;
+        if (call->stage == MP_CALL_BUDGET &&
+            strcmp(call->workspace, workspace) == 0 &&
+            (least_mtok == 0 || call->reserved_mtok < least_mtok)) {
+            least_mtok = call->reserved_mtok;
+        }
+    }
+    return least_mtok;
+}
+
+static void
+retry_calls(struct MpGateway *gateway, const char *workspace)
+{
+    GList *link = gateway->calls.head;
+    while (link) {
+        struct MpGatewayCall *call = link->data;
+        link = link->next;
+        if (call->stage == MP_CALL_BUDGET &&
+            strcmp(call->workspace, workspace) == 0) {
+            MpGatewayCall_RetryBudget(call, false);
+        }
+    }
+}
+
+/* Nobody is left to ask. */
+static void
+give_up(struct quest *quest)
+{
+    struct MpGateway *gateway = quest->loans->gateway;
+    int64_t now_ms = MpLoop_Now();
+    char *workspace = g_strdup(quest->workspace);
+    bool asks_ledger = !quest->was_heard && !quest->is_spent &&
+                       !MpSlices_IsCutOff(&gateway->slices, now_ms);
+    int code = quest->is_spent ? MP_ERROR_BUDGET : MP_ERROR_NO_QUORUM;
+    int64_t wanted_mtok = least_wanted(gateway, workspace);
+    MpLog_Event(LOG_INFO, "loan-given-up",
+                "workspace=%s wanted_mtok=%" PRId64
+                " asked=%u heard=%d error=%s ledger=%d",
+                workspace, wanted_mtok, quest->order->len, quest->was_heard,
+                MpError_Name(code), asks_ledger);
+    quest_delete(quest);
+    if (asks_ledger) {
+        MpSlices_AskDirectly(&gateway->slices, workspace);
+    }
+    else if (wanted_mtok > 0) {
+        MpSlices_NoteShort(&gateway->slices, workspace, wanted_mtok, code,
+                           now_ms);
+    }
+    retry_calls(gateway, workspace);
+    if (asks_ledger) {
+        MpGateway_ReportSlices(gateway);
+    }
+    g_free(workspace);
+}
+
+static void
+on_quest_timer(struct MpTimer *timer)
+{
+    struct quest *quest = timer->data;
+    if (quest->number > 0) {
+        MpLenders_NoteSilence(&quest->loans->lenders,
+                              g_ptr_array_index(quest->order, quest->next),
+                              MpLoop_Now());
+        quest->number = 0;
+        quest->next++;
+    }
+    step(quest);
+}
+
+static void
+set_quest_timer(struct quest *quest, int64_t wait_ms)
+{
+    MpLoop_SetTimer(quest->loans->gateway->loop, &quest->timer, wait_ms,
+                    on_quest_timer, quest);
+}
+
+/* Goes on after an answer: with the same lender as long as it gives. */
+static void
+go_on(struct quest *quest, bool has_more)
+{
+    struct MpGateway *gateway = quest->loans->gateway;
+    quest->number = 0;
+    quest->next += !has_more;
+    quest->looks = 0;
+    retry_calls(gateway, quest->workspace);
+    if (least_wanted(gateway, quest->workspace) == 0) {
+        quest_delete(quest);
+        return;
+    }
+    set_quest_timer(quest, 0);
+}
+
+static void
+on_lent(void *data, int code, const void *result)
+{
+    struct loan *loan = data;
+    struct MpGatewayLoans *this = loan->loans;
+    const struct mp_lend_reply *reply = result;
+    int64_t now_ms = MpLoop_Now();
+    int64_t lent_mtok = code == MP_OK ? reply->lent_mtok : 0;
+    struct quest *quest = g_hash_table_lookup(this->quests, loan->workspace);
+    bool is_refill = loan->number == 0;
+    bool is_awaited = quest && !is_refill && quest->number == loan->number;
+    if (is_refill) {
+        g_hash_table_remove(this->refills, loan->workspace);
+    }
+    MpSlices_Borrow(&this->gateway->slices, loan->workspace, lent_mtok);
+    this->borrowed += lent_mtok > 0;
+    if (code != MP_OK || reply->code != MP_OK || (!is_awaited && !is_refill)) {
+        MpLog_Event(LOG_INFO, "loan-answered",
+                    "workspace=%s lender=%s lent_mtok=%" PRId64
+                    " error=%s took_ms=%" PRId64 " late=%d",
+                    loan->workspace, loan->address, lent_mtok,
+                    MpError_Name(code == MP_OK ? reply->code : code),
+                    now_ms - loan->asked_ms, !is_awaited);
+    }
+    if (code != MP_OK) {
+        MpLenders_NoteFailure(&this->lenders, loan->address, now_ms);
+    }
+    if (is_awaited) {
+        quest->was_heard |= code == MP_OK;
+        quest->is_spent |= code == MP_OK && reply->code == MP_ERROR_BUDGET;
+        go_on(quest, code == MP_OK && reply->code == MP_OK && lent_mtok > 0);
+    }
+    g_free(loan->workspace);
+    g_free(loan->address);
+    g_free(loan);
+}
+
+static struct loan *
+loan_new(struct MpGatewayLoans *this, const char *workspace,
+         const char *address, uint64_t number)
+{
+    struct loan *loan = g_new(struct loan, 1);
+    *loan = (struct loan){.loans = this,
+                          .workspace = g_strdup(workspace),
+                          .address = g_strdup(address),
+                          .number = number,
+                          .asked_ms = MpLoop_Now()};
+    return loan;
+}
+
+static void
+ask(struct quest *quest, struct MpRpcClient *client)
+{
+    struct MpGatewayLoans *this = quest->loans;
+    struct MpSlices *slices = &this->gateway->slices;
+    int64_t now_ms = MpLoop_Now();
+    int64_t missing_mtok =
+        MpSlices_Missing(slices, quest->workspace,
+                         least_wanted(this->gateway, quest->workspace));
+    struct mp_lend lend = {.workspace = quest->workspace,
+                           .need_mtok = missing_mtok,
+                           .want_mtok = MpSlices_Wish(slices, quest->workspace,
+                                                      missing_mtok, now_ms)};
+    quest->number = ++this->calls;
+    set_quest_timer(quest, LEND_WAIT_MS);
+    MpRpcClient_Call(
+        client, MP_PROC_LEND, &lend, LEND_LATE_MS, on_lent,
+        loan_new(this, quest->workspace, client->address, quest->number));
+}
+
+/* Asks the next lender. */
+static void
+step(struct quest *quest)
+{
+    struct MpGatewayLoans *this = quest->loans;
+    if (least_wanted(this->gateway, quest->workspace) == 0) {
+        quest_delete(quest);
+        return;
+    }
+    while (quest->next < quest->order->len) {
+        const char *address = g_ptr_array_index(quest->order, quest->next);
+        struct MpRpcClient *client = client_of(this, address);
+        if (MpRpcClient_IsReady(client)) {
+            ask(quest, client);
+            return;
+        }
+        if (client->conn && quest->looks++ < CONNECT_LOOKS) {
+            set_quest_timer(quest, CONNECT_WAIT_MS);
+            return;
+        }
+        MpLenders_NoteFailure(&this->lenders, address, MpLoop_Now());
+        quest->looks = 0;
+        quest->next++;
+    }
+    give_up(quest);
+}
+
+void
+MpGatewayLoans_Refill(struct MpGatewayLoans *this, const char *workspace)
+{
+    int64_t want_mtok = MpSlices_Ahead(&this->gateway->slices, workspace);
+    if (want_mtok == 0 || g_hash_table_contains(this->quests, workspace) ||
+        g_hash_table_contains(this->refills, workspace)) {
+        return;
+    }
+    GPtrArray *order = g_ptr_array_new_with_free_func(g_free);
+    MpLenders_Order(&this->lenders, workspace, MpLoop_Now(), order);
+    struct MpRpcClient *client =
+        order->len > 0 ? client_of(this, g_ptr_array_index(order, 0)) : NULL;
+    if (client && MpRpcClient_IsReady(client)) {
+        struct mp_lend lend = {.workspace = (char *)workspace,
+                               .need_mtok = 1,
+                               .want_mtok = want_mtok};
+        g_hash_table_add(this->refills, g_strdup(workspace));
+        MpRpcClient_Call(client, MP_PROC_LEND, &lend, REFILL_WAIT_MS, on_lent,
+                         loan_new(this, workspace, client->address, 0));
+    }
+    g_ptr_array_unref(order);
+}
+
+bool
+MpGatewayLoans_Seek(struct MpGatewayLoans *this, const char *workspace,
+                    int64_t amount_mtok, bool is_spent)
+{
+    const struct MpSlices *slices = &this->gateway->slices;
+    const struct MpSlice *slice =
+        g_hash_table_lookup(slices->slices, workspace);
+    int64_t now_ms = MpLoop_Now();
+    if (g_hash_table_contains(this->quests, workspace)) {
+        return true;
+    }
+    if (slice && !is_spent && MpSlice_AsksLedger(slice) &&
+        !MpSlices_IsCutOff(slices, now_ms)) {
+        MpGateway_ReportSlices(this->gateway);
+        return true;
+    }
+    if (!this->lenders.address ||
+        (is_spent && slice && !MpSlice_AsksLedger(slice))) {
+        return false;
+    }
+    struct quest *quest = g_new0(struct quest, 1);
+    quest->loans = this;
+    quest->workspace = g_strdup(workspace);
+    quest->is_spent = is_spent;
+    quest->order = g_ptr_array_new_with_free_func(g_free);
+    MpLenders_Order(&this->lenders, workspace, now_ms, quest->order);
+    g_hash_table_insert(this->quests, quest->workspace, quest);
+    MpLog_Event(LOG_DEBUG, "loan-sought",
+                "workspace=%s wanted_mtok=%" PRId64 " lenders=%u spent=%d",
+                workspace, amount_mtok, quest->order->len, is_spent);
+    /* Not at once: the calls that wait are being gone through. */
+    set_quest_timer(quest, 0);
+    return true;
+}
+
+/* ---- the list ---- */
+
+bool
+MpGatewayLoans_Keeps(const struct MpGatewayLoans *this, const char *workspace)
+{
+    return MpLenders_Keeps(&this->lenders, workspace);
+}
+
+uint32_t
+MpGatewayLoans_Keepers(const struct MpGatewayLoans *this)
+{
+    return this->lenders.address ? MpLenders_Keepers(&this->lenders)
+                                 : this->gateway->fleet->instances;
+}
+
+void
+MpGatewayLoans_TakePeers(struct MpGatewayLoans *this,
+                         const struct mp_peer *peers, uint32_t count)
+{
+    GPtrArray *near = g_ptr_array_new_with_free_func(g_free);
+    MpLenders_Take(&this->lenders, peers, count);
+    MpLenders_Near(&this->lenders, near);
+    MpLog_Event(LOG_NOTICE, "lenders-told", "peers=%u near=%u keepers=%u",
+                count, near->len, MpLenders_Keepers(&this->lenders));
+    for (guint i = 0; i < near->len; i++) {
+        client_of(this, g_ptr_array_index(near, i));
+    }
+    g_ptr_array_unref(near);
+}
+
+int
+MpGatewayLoans_Start(struct MpGateway *gateway)
+{
+    struct MpGatewayLoans *this = g_new0(struct MpGatewayLoans, 1);
+    const char *address = gateway->settings->listen.peers;
+    this->gateway = gateway;
+    gateway->loans = this;
+    MpLenders_Init(&this->lenders, address, gateway->settings->zone);
+    this->clients = g_hash_table_new(g_str_hash, g_str_equal);
+    this->quests = g_hash_table_new(g_str_hash, g_str_equal);
+    this->refills =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_queue_init(&this->waiting);
+    return address ? MpRpcServer_Init(&this->server, &server_class, this,
+                                      gateway->loop, address,
+                                      gateway->fleet->fleet_key)
+                   : MP_OK;
+}
+
+void
+MpGatewayLoans_WriteMetrics(const struct MpGatewayLoans *this, GString *out)
+{
+    MpMetrics_WriteValue(out, "mimosapath_lenders_known", NULL, NULL,
+                         this->lenders.peers);
+    MpMetrics_WriteValue(out, "mimosapath_loans_given_total", NULL, NULL,
+                         (int64_t)this->lent);
+    MpMetrics_WriteValue(out, "mimosapath_loans_refused_total", NULL, NULL,
+                         (int64_t)this->refused);
+    MpMetrics_WriteValue(out, "mimosapath_loans_taken_total", NULL, NULL,
+                         (int64_t)this->borrowed);
+    MpMetrics_WriteValue(out, "mimosapath_purses_mtok", NULL, NULL,
+                         MpSlices_Purses(&this->gateway->slices));
+}
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -4,6 +4,7 @@
 #include "transport/Fleet.h"
 #include "transport/Log.h"
 #include "transport/OperatorServer.h"
+#include "transport/Referral.h"
 #include "transport/Replica.h"
 #include "transport/Router.h"
 
@@ -28,6 +29,7 @@
     struct MpRouter router;
     struct MpFleet fleet; /* of an instance that is no router */
     struct MpOperatorServer operators;
+    struct MpReferral referral; /* of a relay */
     struct MpTimer signal_timer;
     struct MpTimer stop_timer;
     struct MpTimer submit_timer;
@@ -314,7 +316,10 @@
     *fleet = &this->fleet;
     MpFleet_Start(&this->fleet, &this->loop, settings, this->fleet_key,
                   &quiet_listener, this);
-    return MP_OK;
+    return settings->is_relay
+               ? MpReferral_Start(&this->referral, &this->loop,
+                                  settings->listen.rpc, &this->fleet)
+               : MP_OK;
 }
 
 static int
--- /dev/null
+++ b/src/transport/Referral.c
@@ -0,0 +1,113 @@
+#include "transport/Referral.h"
+
+#include "state/Error.h"
+
+/* The leader, or a replica that has called: it knows more. */
+static char *
+whom_to_ask(const struct MpReferral *this)
+{
+    const struct MpFleet *fleet = this->fleet;
+    const struct MpRpcClient *client =
+        g_ptr_array_index(fleet->clients, fleet->leader);
+    if (fleet->synced_ms > 0) {
+        return client->address;
+    }
+    return this->caller ? this->caller : (char *)"";
+}
+
+static void
+refer_proposal(struct MpReferral *this, struct MpRpcCall *call)
+{
+    struct mp_propose_reply reply = {.code = MP_ERROR_NOT_LEADER,
+                                     .leader = whom_to_ask(this)};
+    MpRpcCall_Reply(call, &reply);
+}
+
+static void
+refer_sync(struct MpReferral *this, struct MpRpcCall *call)
+{
+    struct mp_sync_reply reply = {.code = MP_ERROR_NOT_LEADER,
+                                  .leader = whom_to_ask(this)};
+    MpRpcCall_Reply(call, &reply);
+}
+
+static void
+refer_read(struct MpReferral *this, struct MpRpcCall *call)
+{
+    struct mp_read_reply reply = {.code = MP_ERROR_NOT_LEADER,
+                                  .leader = whom_to_ask(this),
+                                  .author = (char *)"",
+                                  .document = (char *)""};
+    MpRpcCall_Reply(call, &reply);
+}
+
+static void
+refuse_fetch(struct MpRpcCall *call)
+{
+    struct mp_fetch_reply reply = {.code = MP_ERROR_NOT_FOUND};
+    MpRpcCall_Reply(call, &reply);
+}
+
+/* The id 0 tells that this is no replica.  The members are addresses to ask,
+ * without ids: who is a member is for replicas to say. */
+static void
+identify(struct MpReferral *this, struct MpRpcCall *call)
+{
+    const struct mp_identify *other = call->argument;
+    struct MpFleet *fleet = this->fleet;
+    struct mp_member list[MP_MEMBERS_MAX];
+    struct mp_identify_reply reply = {.instance = fleet->settings->instance,
+                                      .formed = fleet->synced_ms > 0};
+    if (other->replica_id != 0) {
+        MpFleet_AddReplica(fleet, other->address);
+        g_free(this->caller);
+        this->caller = g_strdup(other->address);
+    }
+    guint count = MIN(fleet->clients->len, MP_MEMBERS_MAX);
+    for (guint i = 0; i < count; i++) {
+        const struct MpRpcClient *client =
+            g_ptr_array_index(fleet->clients, i);
+        list[i] = (struct mp_member){.instance = (char *)"",
+                                     .address = client->address};
+    }
+    reply.members.list.list_val = list;
+    reply.members.list.list_len = count;
+    MpRpcCall_Reply(call, &reply);
+}
+
+static void
+serve_call(void *owner, struct MpRpcCall *call)
+{
+    struct MpReferral *this = owner;
+    switch (call->procedure) {
+    case MP_PROC_PROPOSE:
+        refer_proposal(this, call);
+        break;
+    case MP_PROC_SYNC:
+        refer_sync(this, call);
+        break;
+    case MP_PROC_READ:
+        refer_read(this, call);
+        break;
+    case MP_PROC_FETCH:
+        refuse_fetch(call);
+        break;
+    case MP_PROC_IDENTIFY:
+        identify(this, call);
+        break;
+    default:
+        MpRpcCall_Reply(call, NULL);
+        break;
+    }
+}
+
+static const struct MpRpcServerClass server_class = {.call = serve_call};
+
+int
+MpReferral_Start(struct MpReferral *this, struct MpLoop *loop,
+                 const char *address, struct MpFleet *fleet)
+{
+    this->fleet = fleet;
+    return MpRpcServer_Init(&this->server, &server_class, this, loop, address,
+                            fleet->fleet_key);
+}
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -4,6 +4,8 @@
 #include "state/Error.h"
 #include "transport/Log.h"
 #include "transport/ReplicaCalls.h"
+#include "transport/ReplicaDocument.h"
+#include "transport/ReplicaPeers.h"
 #include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
@@ -12,6 +14,8 @@
 
 #define TICK_MS 10
 #define SURVEY_MS 300
+/* Pause between two calls on seeds that are no replicas, ms. */
+#define CALL_ON_SEEDS_MS 300
 /* How long a process stays whose disk has failed, ms: most faults of disks
  * last some seconds. */
 #define FAILED_STAY_MS 4000
@@ -115,31 +119,6 @@
 
 /* ---- the replicated machine ---- */
 
-static void
-document_delete(void *data)
-{
-    struct MpDocumentText *this = data;
-    g_free(this->text);
-    g_free(this);
-}
-
-/* Keeps the newest versions, so that instances get what changed. */
-static void
-keep_document(struct MpReplica *this)
-{
-    const struct MpDocumentText *newest = g_queue_peek_tail(&this->documents);
-    if (newest && newest->version >= this->machine.document_version) {
-        return;
-    }
-    struct MpDocumentText *kept = g_new0(struct MpDocumentText, 1);
-    kept->version = this->machine.document_version;
-    kept->text = g_strdup(this->machine.document);
-    g_queue_push_tail(&this->documents, kept);
-    if (this->documents.length > MP_DOCUMENTS_KEPT) {
-        document_delete(g_queue_pop_head(&this->documents));
-    }
-}
-
 static void
 port_apply(struct MpRaftPort *port, const struct MpLogEntry *entry)
 {
@@ -158,7 +137,7 @@
     this->applied_commands++;
     MpMachine_Apply(&this->machine, entry->index, &command, &result);
     if (command.body.kind == MP_CMD_DOCUMENT) {
-        keep_document(this);
+        MpReplicaDocument_Keep(this);
     }
     MpReplica_FinishWaiting(this, entry, &result);
     MpCodec_Free(MP_XDR(mp_command), &command);
@@ -248,16 +227,19 @@
     GPtrArray *seeds = MpSettings_Replicas(this->settings);
     struct mp_member *list = g_new0(struct mp_member, seeds->len);
     guint count = 0;
+    guint answers = 0;
     g_ptr_array_sort(seeds, compare_addresses);
     remember_identity(this, this->address, this->settings->instance, this->id);
     for (guint i = 0; i < seeds->len; i++) {
         const struct mp_member *member =
             g_hash_table_lookup(this->identified, g_ptr_array_index(seeds, i));
-        if (member) {
+        answers += member != NULL;
+        /* A relay has no id, and nothing to vote with. */
+        if (member && member->id != 0) {
             list[count++] = *member;
         }
     }
-    if (count == seeds->len && this->settings->bootstrap) {
+    if (answers == seeds->len && count > 0 && this->settings->bootstrap) {
         struct mp_members members = {
             .list = {.list_val = list, .list_len = count}};
         MpRaft_Bootstrap(&this->raft, &members);
@@ -325,12 +307,44 @@
                      IDENTIFY_TIMEOUT_MS, on_identified, call);
 }
 
+static bool
+is_member_address(const struct MpReplica *this, const char *address)
+{
+    const struct mp_members *members = &this->raft.members;
+    for (u_int i = 0; i < members->list.list_len; i++) {
+        if (strcmp(members->list.list_val[i].address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Seeds that are no replicas learn from them where they are: after all have
+ * lost power, nobody else tells them. */
+static void
+call_on_seeds(struct MpReplica *this)
+{
+    int64_t now_ms = MpLoop_Now();
+    if (now_ms - this->called_ms < CALL_ON_SEEDS_MS) {
+        return;
+    }
+    this->called_ms = now_ms;
+    for (guint i = 0; i < this->peers->len; i++) {
+        const char *address = g_ptr_array_index(this->peers, i);
+        if (strcmp(address, this->address) != 0 &&
+            !is_member_address(this, address)) {
+            identify_to(this, address);
+        }
+    }
+}
+
 /* A replica that is not in the membership asks the others: to form a new
  * cluster, or to be taken into theirs. */
 static void
 survey(struct MpReplica *this)
 {
     if (MpRaft_IsIncluded(&this->raft)) {
+        call_on_seeds(this);
         return;
     }
     guint count = this->peers->len;
@@ -390,14 +404,15 @@
            lines < ACCOUNTS_LINES) {
         const struct MpAccount *account = value;
         lines++;
-        MpLog_Event(
-            LOG_INFO, "account",
-            "workspace=%s granted_mtok=%" PRId64 " settled_mtok=%" PRId64
-            " reserved_mtok=%" PRId64 " leased_mtok=%" PRId64
-            " dead_mtok=%" PRId64 " applied=%" PRIu64,
-            account->workspace, account->granted_mtok, account->settled_mtok,
-            account->reserved_mtok, account->leased_mtok,
-            MpAccount_Dead(account), this->machine.applied);
+        MpLog_Event(LOG_INFO, "account",
+                    "workspace=%s granted_mtok=%" PRId64
+                    " settled_mtok=%" PRId64 " reserved_mtok=%" PRId64
+                    " leased_mtok=%" PRId64 " dead_mtok=%" PRId64
+                    " afloat_mtok=%" PRId64 " applied=%" PRIu64,
+                    account->workspace, account->granted_mtok,
+                    account->settled_mtok, account->reserved_mtok,
+                    account->leased_mtok, MpAccount_Dead(account),
+                    account->afloat_mtok, this->machine.applied);
     }
 }
 
@@ -508,6 +523,7 @@
     this->peers = MpSettings_Replicas(this->settings);
     this->reads = g_ptr_array_new();
     this->read_times = g_array_new(false, false, sizeof(int64_t));
+    MpReplicaPeers_Init(this);
 }
 
 int
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -3,6 +3,7 @@
 
 #include "coordination/Membership.h"
 #include "coordination/Raft.h"
+#include "protocol/TextPack.h"
 #include "state/Machine.h"
 #include "state/Settings.h"
 #include "transport/DiskTask.h"
@@ -55,20 +56,27 @@
     char *address; /* own RPC address, with the port in use */
     uint8_t fleet_key[MP_RPC_KEY_BYTES];
     uint64_t id;
-    GHashTable *clients;    /* address -> struct MpRpcClient */
-    GHashTable *addresses;  /* replica id -> address */
-    GHashTable *waiting;    /* index -> struct waiting */
-    GHashTable *instances;  /* instance -> struct MpInstanceView */
-    GPtrArray *reads;       /* of struct MpRpcCall, wait for proof */
-    GArray *read_times;     /* of int64_t, arrival of each */
-    GQueue documents;       /* of struct MpDocumentText, newest last */
+    GHashTable *clients;   /* address -> struct MpRpcClient */
+    GHashTable *addresses; /* replica id -> address */
+    GHashTable *waiting;   /* index -> struct waiting */
+    GHashTable *instances; /* instance -> struct MpInstanceView */
+    GPtrArray *reads;      /* of struct MpRpcCall, wait for proof */
+    GArray *read_times;    /* of int64_t, arrival of each */
+    GQueue documents;      /* of struct MpDocumentText, newest last */
+    GQueue parts;          /* of documents, as they were sent lately */
+    GArray *peers_told;    /* of struct mp_peer, that lend of slices */
+    struct MpTextPack peers_pack;
+    uint64_t peers_hash;
+    int64_t peers_ms;       /* when they were looked for, 0: never */
     GPtrArray *peers;       /* of char *, addresses of replicas */
     GHashTable *identified; /* address -> struct mp_member, while empty */
     struct MpTimer tick;
     struct MpTimer survey;
+    int64_t called_ms; /* when seeds were last called on */
     int64_t accounts_told_ms;
     struct MpTargetList *list; /* NULL when the settings name none */
     GArray *targets;           /* of struct mp_target, as last read */
+    struct MpTextPack targets_pack;
     uint64_t targets_hash;
     /* The change before: its list, and what differs, whose strings belong to
      * that list and to the one above. */
@@ -79,6 +87,8 @@
     int64_t targets_ms; /* when; 0 for never */
     bool is_failed;
     bool was_leader;
+    int64_t counted_ms; /* when the instances were counted, 0: never */
+    uint32_t counted;
     uint64_t applied_commands; /* counter */
     uint64_t elections_won;    /* counter */
 };
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -2,14 +2,18 @@
 
 #include "state/Codec.h"
 #include "state/Error.h"
-#include "state/TextPatch.h"
 #include "transport/Log.h"
+#include "transport/ReplicaDocument.h"
+#include "transport/ReplicaPeers.h"
 #include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Pause between two counts of the instances, ms. */
+#define COUNT_MS 100
+
 /* A proposal in the log whose caller waits; keyed by index. */
 struct waiting {
     uint64_t index;
@@ -179,7 +183,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
            reply->recalls.recalls_len < MP_RECALLS_MAX) {
         const struct MpAccount *account = value;
-        for (guint i = 0; i < account->leases->len; i++) {
+        guint count = account->has_recalls ? account->leases->len : 0;
+        for (guint i = 0; i < count; i++) {
             const struct MpLease *lease =
                 g_ptr_array_index(account->leases, i);
             if (lease->recalled && lease->boot == holder->boot &&
@@ -191,64 +196,29 @@
     }
 }
 
-static const char *
-text_of_version(struct MpReplica *this, uint64_t version)
-{
-    for (GList *at = this->documents.head; at; at = at->next) {
-        const struct MpDocumentText *kept = at->data;
-        if (kept->version == version) {
-            return kept->text;
-        }
-    }
-    return NULL;
-}
-
-/* Sends what the instance lacks of the document: nothing, the part that
- * changed, or the whole.  Returns text to be freed after the reply. */
-static char *
-fill_document(struct MpReplica *this, const struct mp_sync *sync,
-              struct mp_sync_reply *reply)
-{
-    if (sync->document_version == this->machine.document_version) {
-        return NULL;
-    }
-    const char *base = text_of_version(this, sync->document_version);
-    if (!base || sync->whole) {
-        reply->document = this->machine.document;
-        return NULL;
-    }
-    struct MpTextPatch patch;
-    MpTextPatch_Make(&patch, base, this->machine.document);
-    size_t size = strlen(this->machine.document);
-    char *middle = g_strndup(this->machine.document + patch.prefix,
-                             size - patch.prefix - patch.suffix);
-    reply->base_version = sync->document_version;
-    reply->prefix = patch.prefix;
-    reply->suffix = patch.suffix;
-    reply->checksum = patch.checksum;
-    reply->document = middle;
-    return middle;
-}
-
-/* Returns how many instances were heard of lately. */
+/* Returns how many instances were heard of lately; hundreds ask at a time. */
 static u_int
-count_instances(const struct MpReplica *this)
+count_instances(struct MpReplica *this)
 {
     GHashTableIter iter;
     void *value;
-    u_int count = 0;
     int64_t now_ms = MpLoop_Now();
+    if (this->counted_ms > 0 && now_ms - this->counted_ms < COUNT_MS) {
+        return this->counted;
+    }
+    this->counted_ms = now_ms;
+    this->counted = 0;
     g_hash_table_iter_init(&iter, this->instances);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct MpInstanceView *view = value;
-        count += now_ms - view->heard_ms < MP_INSTANCE_DEAD_MS;
+        this->counted += now_ms - view->heard_ms < MP_INSTANCE_DEAD_MS;
     }
-    return count;
+    return this->counted;
 }
 
 /* Routers learn where the replicas are, as these may be exchanged. */
 static void
-fill_replicas(const struct MpReplica *this, struct mp_address *replicas,
+fill_replicas(struct MpReplica *this, struct mp_address *replicas,
               struct mp_sync_reply *reply)
 {
     const struct mp_members *members = &this->raft.members;
@@ -267,7 +237,6 @@
     struct mp_sync_reply reply = {
         .leader = (char *)MpReplica_LeaderAddress(this),
         .document_version = this->machine.document_version,
-        .document = (char *)"",
         .quarantine_version = this->machine.quarantine.version,
     };
     struct MpInstanceView *view = view_of(this, sync->holder.instance);
@@ -278,10 +247,10 @@
     if (!MpMachine_IsCurrent(&this->machine, &sync->holder)) {
         reply.code = MP_ERROR_FENCED;
     }
-    char *middle = fill_document(this, sync, &reply);
     struct mp_address replicas[MP_MEMBERS_MAX];
     fill_replicas(this, replicas, &reply);
     MpReplicaTargets_Fill(this, sync, &reply);
+    MpReplicaPeers_Fill(this, sync, &reply);
     GByteArray *stopped = NULL;
     GByteArray *suspected = NULL;
     if (sync->quarantine_version != this->machine.quarantine.version) {
@@ -295,7 +264,6 @@
     add_recalls(this, &sync->holder, &reply);
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
-    g_free(middle);
     g_clear_pointer(&stopped, g_byte_array_unref);
     g_clear_pointer(&suspected, g_byte_array_unref);
 }
@@ -374,8 +342,8 @@
 fill_text(struct MpReplica *this, uint64_t version,
           struct mp_read_reply *reply)
 {
-    const char *text =
-        version > 0 ? text_of_version(this, version) : this->machine.document;
+    const char *text = version > 0 ? MpReplicaDocument_Text(this, version)
+                                   : this->machine.document;
     reply->code = text ? MP_OK : MP_ERROR_NOT_FOUND;
     reply->document = (char *)(text ? text : "");
     if (version > 0) {
@@ -451,8 +419,7 @@
     char *leader = (char *)MpReplica_LeaderAddress(this);
     if (call->procedure == MP_PROC_SYNC) {
         struct mp_sync_reply reply = {.code = MP_ERROR_NOT_LEADER,
-                                      .leader = leader,
-                                      .document = (char *)""};
+                                      .leader = leader};
         MpRpcCall_Reply(call, &reply);
         return;
     }
@@ -540,6 +507,10 @@
         reply_propose(this, call, MP_ERROR_NOT_LEADER, NULL);
         return;
     }
+    if (call->procedure == MP_PROC_FETCH) {
+        MpReplicaDocument_Serve(this, call);
+        return;
+    }
     if (this->is_failed && call->procedure != MP_PROC_SYNC &&
         call->procedure != MP_PROC_READ) {
         MpRpcCall_Reply(call, NULL);
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -1,5 +1,6 @@
 #include "transport/ReplicaTargets.h"
 
+#include "state/Codec.h"
 #include "transport/Log.h"
 #include "transport/TargetList.h"
 
@@ -93,6 +94,20 @@
     g_hash_table_unref(before);
 }
 
+static void
+pack_list(struct MpReplica *this)
+{
+    struct mp_targets list = {
+        .list = {.list_val = (struct mp_target *)this->targets->data,
+                 .list_len = this->targets->len}};
+    MpTextPack_Done(&this->targets_pack);
+    GBytes *bytes = MpCodec_Encode(MP_XDR(mp_targets), &list);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    MpTextPack_Init(&this->targets_pack, data, size);
+    g_bytes_unref(bytes);
+}
+
 static uint32_t
 on_list(void *owner, const GPtrArray *targets)
 {
@@ -129,6 +144,7 @@
         g_array_append_val(this->targets, target);
     }
     compare_lists(this);
+    pack_list(this);
     return 1;
 }
 
@@ -172,13 +188,14 @@
     reply->targets_partial =
         replica->targets_before_hash != 0 &&
         sync->targets_hash == replica->targets_before_hash;
-    const GArray *list =
-        reply->targets_partial ? replica->targets_changed : replica->targets;
-    reply->targets.targets_val = (struct mp_target *)list->data;
-    reply->targets.targets_len = list->len;
-    if (reply->targets_partial) {
-        reply->targets_gone.targets_gone_val =
-            (struct mp_target *)replica->targets_gone->data;
-        reply->targets_gone.targets_gone_len = replica->targets_gone->len;
+    if (!reply->targets_partial) {
+        reply->targets_whole = MpTextPack_Wire(&replica->targets_pack);
+        return;
     }
+    reply->targets.targets_val =
+        (struct mp_target *)replica->targets_changed->data;
+    reply->targets.targets_len = replica->targets_changed->len;
+    reply->targets_gone.targets_gone_val =
+        (struct mp_target *)replica->targets_gone->data;
+    reply->targets_gone.targets_gone_len = replica->targets_gone->len;
 }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -217,11 +217,19 @@
     MpGateway_TakeTargets(&this->gateway, news);
 }
 
+static void
+on_peers(void *owner, const struct mp_peer *peers, uint32_t count)
+{
+    struct MpRouter *this = owner;
+    MpGateway_TakePeers(&this->gateway, peers, count);
+}
+
 static const struct MpFleetListener fleet_listener = {
     .document = on_document,
     .registered = on_registered,
     .recall = on_recall,
     .targets = on_targets,
+    .peers = on_peers,
 };
 
 /* ---- drain ---- */
@@ -292,8 +300,11 @@
     }
     MpFleet_Start(&this->fleet, loop, settings, fleet_key, &fleet_listener,
                   this);
-    MpGateway_Start(&this->gateway, loop, settings, &this->fleet,
-                    &this->metrics);
+    code = MpGateway_Start(&this->gateway, loop, settings, &this->fleet,
+                           &this->metrics);
+    if (code != MP_OK) {
+        return code;
+    }
     MpLoop_AddHook(loop, after_round, this);
     MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
     code = MpHttpServer_Start(&this->http, loop, settings->listen.callers,
--- a/src/transport/RpcClient.c
+++ b/src/transport/RpcClient.c
@@ -9,6 +9,8 @@
 
 #define CHECK_MS 100
 #define PING_MS 400
+/* ... of a connection that rests. */
+#define RESTING_CHECK_MS 1000
 /* A connection on which nothing came back for this long is closed. */
 #define SILENCE_MS 1200
 #define RECONNECT_MS 200
@@ -183,6 +185,14 @@
     append_call(this, ++this->next_xid, 0, &nothing);
 }
 
+/* Returns whether nothing is expected on a quiet connection that is up. */
+static bool
+is_resting(const struct MpRpcClient *this)
+{
+    return this->is_quiet && MpRpcClient_IsReady(this) &&
+           g_hash_table_size(this->pending) == 0;
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -194,15 +204,18 @@
             connect_now(this);
         }
     }
-    else if (now_ms - this->conn->heard_ms > SILENCE_MS ||
+    else if ((now_ms - this->conn->heard_ms > SILENCE_MS &&
+              !is_resting(this)) ||
              this->conn->out->len > MP_RPC_OUT_MAX) {
         this->silent_closed++;
         MpRpcConn_Close(this->conn);
     }
-    else if (this->conn->is_ready) {
+    else if (this->conn->is_ready && !is_resting(this)) {
         ping(this, now_ms);
     }
-    MpLoop_SetTimer(this->loop, &this->timer, CHECK_MS, on_timer, this);
+    MpLoop_SetTimer(this->loop, &this->timer,
+                    is_resting(this) ? RESTING_CHECK_MS : CHECK_MS, on_timer,
+                    this);
 }
 
 void
@@ -237,6 +250,10 @@
         return;
     }
     uint64_t began_ns = MpRpcConn_ThreadNs();
+    if (is_resting(this)) {
+        this->conn->heard_ms = MpLoop_Now();
+        MpLoop_SetTimer(this->loop, &this->timer, CHECK_MS, on_timer, this);
+    }
     uint32_t xid = ++this->next_xid;
     this->calls++;
     if (!MpRpc_Procedure(procedure)->one_way) {
