What purses have too much goes back to a lender; slices cover 16 s

Loans tell a lender the net use, so that its cover of 12 s came out too small for a partition of 9 s. Change: twice a second a router gives back to its first lender what a purse has beyond twice its cover (MP_PROC_REPAY); slices cover 16 s. FuzzSlices plays repayments that are late or lost.

--- a/fuzz/FuzzSlices.c
+++ b/fuzz/FuzzSlices.c
@@ -227,6 +227,20 @@
     }
 }
 
+/* A repayment travels as a loan does, to any router. */
+static void
+repay(struct world *world, struct router *borrower, struct FuzzInput *input)
+{
+    struct loan *loan = &world->loans[FuzzInput_Below(input, LOANS)];
+    if (loan->amount > 0) {
+        return;
+    }
+    loan->workspace = FuzzInput_Below(input, WORKSPACES);
+    loan->borrower = FuzzInput_Below(input, ROUTERS);
+    loan->amount = MpSlices_TakeSurplus(&borrower->slices,
+                                        names[loan->workspace], world->now_ms);
+}
+
 static void
 take_loan(struct world *world, struct loan *loan, bool is_lost)
 {
@@ -414,7 +428,12 @@
     switch (FuzzInput_Below(input, 19)) {
     case 16:
     case 17:
-        lend(world, router, input);
+        if (FuzzInput_Below(input, 4) == 0) {
+            repay(world, router, input);
+        }
+        else {
+            lend(world, router, input);
+        }
         take_loan(world, &world->loans[FuzzInput_Below(input, LOANS)],
                   FuzzInput_Below(input, 32) == 0);
         break;
--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -263,6 +263,29 @@
     slice_of(this, workspace)->purse_mtok += lent_mtok;
 }
 
+/* What the purse has beyond twice its cover. */
+static int64_t
+surplus(const struct MpSlice *slice)
+{
+    int64_t keep_mtok = purse_cover(slice);
+    return slice->purse_mtok > 2 * keep_mtok ? slice->purse_mtok - keep_mtok
+                                             : 0;
+}
+
+int64_t
+MpSlices_TakeSurplus(struct MpSlices *this, const char *workspace,
+                     int64_t now_ms)
+{
+    struct MpSlice *slice = slice_of(this, workspace);
+    fade(slice, now_ms);
+    if (holds_slice(slice) || this->is_leaving) {
+        return 0;
+    }
+    int64_t surplus_mtok = surplus(slice);
+    slice->purse_mtok -= surplus_mtok;
+    return surplus_mtok;
+}
+
 void
 MpSlices_NoteShort(struct MpSlices *this, const char *workspace,
                    int64_t amount_mtok, int32_t code, int64_t now_ms)
@@ -358,11 +381,7 @@
 static void
 return_rest(const struct MpSlices *this, struct MpSlice *slice)
 {
-    int64_t keep_mtok = this->is_leaving ? 0 : purse_cover(slice);
-    if (slice->purse_mtok <= 2 * keep_mtok) {
-        return;
-    }
-    int64_t rest_mtok = slice->purse_mtok - keep_mtok;
+    int64_t rest_mtok = this->is_leaving ? slice->purse_mtok : surplus(slice);
     slice->returned_mtok += rest_mtok;
     if (!MP_FAULT(MP_FAULT_PURSE_SPENT_AFTER_RETURN)) {
         slice->purse_mtok -= rest_mtok;
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -20,8 +20,9 @@
  * nothing.
  */
 
-/* A slice covers the demand of this time: a partition of 7 s, with bursts. */
-#define MP_SLICE_COVER_MS 12000
+/* A slice covers the demand of this time: a partition of 9 s, with bursts and
+ * what requests reserve beyond their use. */
+#define MP_SLICE_COVER_MS 16000
 /* Pause between reports, ms; a request that waits reports at once. */
 #define MP_SLICE_REPORT_MS 1000
 /* ... of a router that keeps no slice and only tells what it has spent. */
@@ -155,6 +156,11 @@
 void MpSlices_Borrow(struct MpSlices *this, const char *workspace,
                      int64_t lent_mtok);
 
+/* Takes out of the purse what it has beyond twice its cover, so that a lender
+ * has it for others; 0 where this router lends itself. */
+int64_t MpSlices_TakeSurplus(struct MpSlices *this, const char *workspace,
+                             int64_t now_ms);
+
 /* Notes that nothing was to be had for amount_mtok: what is not smaller is
  * refused with code for MP_SLICE_SHORT_MS. */
 void MpSlices_NoteShort(struct MpSlices *this, const char *workspace,
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -511,6 +511,17 @@
 };
 typedef struct mp_lend mp_lend;
 
+struct mp_repay {
+	char *workspace;
+	quad_t amount_mtok;
+};
+typedef struct mp_repay mp_repay;
+
+struct mp_repay_reply {
+	int code;
+};
+typedef struct mp_repay_reply mp_repay_reply;
+
 struct mp_lend_reply {
 	int code;
 	quad_t lent_mtok;
@@ -761,6 +772,9 @@
 #define MP_PROC_LEND 8
 extern  mp_lend_reply * mp_proc_lend_1(mp_lend , CLIENT *);
 extern  mp_lend_reply * mp_proc_lend_1_svc(mp_lend , struct svc_req *);
+#define MP_PROC_REPAY 9
+extern  mp_repay_reply * mp_proc_repay_1(mp_repay , CLIENT *);
+extern  mp_repay_reply * mp_proc_repay_1_svc(mp_repay , struct svc_req *);
 extern int mimosapath_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -788,6 +802,9 @@
 #define MP_PROC_LEND 8
 extern  mp_lend_reply * mp_proc_lend_1();
 extern  mp_lend_reply * mp_proc_lend_1_svc();
+#define MP_PROC_REPAY 9
+extern  mp_repay_reply * mp_proc_repay_1();
+extern  mp_repay_reply * mp_proc_repay_1_svc();
 extern int mimosapath_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -842,6 +859,8 @@
 extern  bool_t xdr_mp_fetch (XDR *, mp_fetch*);
 extern  bool_t xdr_mp_fetch_reply (XDR *, mp_fetch_reply*);
 extern  bool_t xdr_mp_lend (XDR *, mp_lend*);
+extern  bool_t xdr_mp_repay (XDR *, mp_repay*);
+extern  bool_t xdr_mp_repay_reply (XDR *, mp_repay_reply*);
 extern  bool_t xdr_mp_lend_reply (XDR *, mp_lend_reply*);
 extern  bool_t xdr_mp_identify (XDR *, mp_identify*);
 extern  bool_t xdr_mp_identify_reply (XDR *, mp_identify_reply*);
@@ -909,6 +928,8 @@
 extern bool_t xdr_mp_fetch ();
 extern bool_t xdr_mp_fetch_reply ();
 extern bool_t xdr_mp_lend ();
+extern bool_t xdr_mp_repay ();
+extern bool_t xdr_mp_repay_reply ();
 extern bool_t xdr_mp_lend_reply ();
 extern bool_t xdr_mp_identify ();
 extern bool_t xdr_mp_identify_reply ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -466,6 +466,16 @@
     hyper want_mtok;
 };
 
+/* Gives back what was borrowed and is not needed now, to any lender. */
+struct mp_repay {
+    string workspace<MP_NAME_MAX>;
+    hyper amount_mtok;
+};
+
+struct mp_repay_reply {
+    int code;
+};
+
 /* code: MP_ERROR_BUDGET when the quorum has told lately that nothing more is
  * to be had, MP_ERROR_NO_QUORUM when it is not known. */
 struct mp_lend_reply {
@@ -653,5 +663,6 @@
         void MP_PROC_RAFT(mp_raft_message) = 6;
         mp_fetch_reply MP_PROC_FETCH(mp_fetch) = 7;
         mp_lend_reply MP_PROC_LEND(mp_lend) = 8;
+        mp_repay_reply MP_PROC_REPAY(mp_repay) = 9;
     } = 1;
 } = 0x20004d50;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -832,6 +832,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_repay (XDR *xdrs, mp_repay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->workspace, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->amount_mtok))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_repay_reply (XDR *xdrs, mp_repay_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_lend_reply (XDR *xdrs, mp_lend_reply *objp)
 {
--- a/src/protocol/Rpc.c
+++ b/src/protocol/Rpc.c
@@ -10,7 +10,7 @@
 
 #define RPC_VERSION 2
 #define LAST_FRAGMENT UINT32_C(0x80000000)
-#define PROCEDURE_COUNT 9
+#define PROCEDURE_COUNT 10
 #define SHA256_BYTES 32
 
 /* Codec of arguments and results that hold nothing. */
@@ -63,6 +63,11 @@
                       .argument_size = sizeof(struct mp_lend),
                       .result = (xdrproc_t)xdr_mp_lend_reply,
                       .result_size = sizeof(struct mp_lend_reply)},
+    [MP_PROC_REPAY] = {.name = "repay",
+                       .argument = (xdrproc_t)xdr_mp_repay,
+                       .argument_size = sizeof(struct mp_repay),
+                       .result = (xdrproc_t)xdr_mp_repay_reply,
+                       .result_size = sizeof(struct mp_repay_reply)},
 };
 
 const struct MpRpcProcedure *
--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -19,6 +19,8 @@
 #define REFILL_WAIT_MS 2000
 /* A lender holds a call while it asks the quorum, ms. */
 #define LEND_HOLD_MS 110
+/* Pause between two looks at what purses have too much, ms. */
+#define REPAY_MS 500
 /* Pause until a connection that is being made is looked at again, ms: a round
  * trip between zones or two; and how often. */
 #define CONNECT_WAIT_MS 12
@@ -61,9 +63,11 @@
     struct MpRpcServer server;
     GQueue waiting; /* of struct waiting_lend */
     uint64_t calls; /* number of the last call */
+    int64_t repaid_ms;
     /* counters */
     uint64_t lent;
     uint64_t borrowed;
+    uint64_t repaid;
     uint64_t refused;
 };
 
@@ -104,10 +108,28 @@
     return true;
 }
 
+static void
+take_repayment(struct MpGatewayLoans *this, struct MpRpcCall *call)
+{
+    const struct mp_repay *repay = call->argument;
+    struct MpSlices *slices = &this->gateway->slices;
+    struct mp_repay_reply reply = {.code = MP_ERROR_NOT_FOUND};
+    if (g_hash_table_contains(slices->slices, repay->workspace) &&
+        repay->amount_mtok > 0) {
+        MpSlices_Borrow(slices, repay->workspace, repay->amount_mtok);
+        reply.code = MP_OK;
+    }
+    MpRpcCall_Reply(call, &reply);
+}
+
 static void
 serve_call(void *owner, struct MpRpcCall *call)
 {
     struct MpGatewayLoans *this = owner;
+    if (call->procedure == MP_PROC_REPAY) {
+        take_repayment(this, call);
+        return;
+    }
     if (call->procedure != MP_PROC_LEND) {
         MpRpcCall_Reply(call, NULL);
         return;
@@ -149,12 +171,6 @@
     }
 }
 
-void
-MpGatewayLoans_Tick(struct MpGatewayLoans *this, int64_t now_ms)
-{
-    retry_waiting(this, false, now_ms);
-}
-
 /* ---- borrowing ---- */
 
 static struct MpRpcClient *
@@ -435,6 +451,90 @@
     return true;
 }
 
+/* ---- repayment ---- */
+
+/* A repayment under way. */
+struct repayment {
+    struct MpGatewayLoans *loans;
+    char *workspace;
+    int64_t amount_mtok;
+};
+
+static void
+on_repaid(void *data, int code, const void *result)
+{
+    struct repayment *repayment = data;
+    const struct mp_repay_reply *reply = result;
+    if (code == MP_OK && reply->code == MP_OK) {
+        repayment->loans->repaid++;
+    }
+    else if (code == MP_OK) {
+        MpSlices_Borrow(&repayment->loans->gateway->slices,
+                        repayment->workspace, repayment->amount_mtok);
+    }
+    else {
+        /* The lender may have it: it stays counted. */
+        MpLog_Event(LOG_INFO, "repayment-lost",
+                    "workspace=%s amount_mtok=%" PRId64 " error=%s",
+                    repayment->workspace, repayment->amount_mtok,
+                    MpError_Name(code));
+    }
+    g_free(repayment->workspace);
+    g_free(repayment);
+}
+
+static void
+repay(struct MpGatewayLoans *this, const char *workspace, int64_t now_ms)
+{
+    GPtrArray *order = g_ptr_array_new_with_free_func(g_free);
+    MpLenders_Order(&this->lenders, workspace, now_ms, order);
+    struct MpRpcClient *client =
+        order->len > 0 ? client_of(this, g_ptr_array_index(order, 0)) : NULL;
+    g_ptr_array_unref(order);
+    if (!client || !MpRpcClient_IsReady(client)) {
+        return;
+    }
+    int64_t amount_mtok =
+        MpSlices_TakeSurplus(&this->gateway->slices, workspace, now_ms);
+    if (amount_mtok == 0) {
+        return;
+    }
+    struct repayment *repayment = g_new(struct repayment, 1);
+    *repayment = (struct repayment){.loans = this,
+                                    .workspace = g_strdup(workspace),
+                                    .amount_mtok = amount_mtok};
+    struct mp_repay call = {.workspace = (char *)workspace,
+                            .amount_mtok = amount_mtok};
+    MpRpcClient_Call(client, MP_PROC_REPAY, &call, LEND_LATE_MS, on_repaid,
+                     repayment);
+}
+
+static void
+repay_all(struct MpGatewayLoans *this, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *key;
+    void *value;
+    this->repaid_ms = now_ms;
+    g_hash_table_iter_init(&iter, this->gateway->slices.slices);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct MpSlice *slice = value;
+        if (slice->purse_mtok > 0 && !MpSlice_AsksLedger(slice) &&
+            !g_hash_table_contains(this->quests, key)) {
+            repay(this, key, now_ms);
+        }
+    }
+}
+
+void
+MpGatewayLoans_Tick(struct MpGatewayLoans *this, int64_t now_ms)
+{
+    retry_waiting(this, false, now_ms);
+    if (this->lenders.address && now_ms - this->repaid_ms >= REPAY_MS) {
+        repay_all(this, now_ms);
+    }
+}
+
 /* ---- the list ---- */
 
 bool
@@ -495,6 +595,8 @@
                          (int64_t)this->refused);
     MpMetrics_WriteValue(out, "mimosapath_loans_taken_total", NULL, NULL,
                          (int64_t)this->borrowed);
+    MpMetrics_WriteValue(out, "mimosapath_loans_repaid_total", NULL, NULL,
+                         (int64_t)this->repaid);
     MpMetrics_WriteValue(out, "mimosapath_purses_mtok", NULL, NULL,
                          MpSlices_Purses(&this->gateway->slices));
 }
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -10,7 +10,7 @@
 import threading
 import time
 
-from fleet import KEY, Fleet, in_background
+from fleet import KEY, Fleet, free_port, in_background
 
 EVENT = "id: %d\ndata: piece-%d\n\n"
 
@@ -142,6 +142,21 @@
                                           "next": None}))
 
 
+class LendingFleet(Fleet):
+    """A fleet whose instances without a data folder lend to each other."""
+
+    def write_settings(self, name):
+        super().write_settings(name)
+        if name in self.control:
+            return
+        with open(self.path(name + ".json")) as text:
+            settings = json.load(text)
+        self.peers = getattr(self, "peers", {})
+        self.peers.setdefault(name, free_port())
+        settings["listen"]["peers"] = "127.0.0.1:%d" % self.peers[name]
+        self.write(name + ".json", json.dumps(settings))
+
+
 def path_conf(prefix, repeat="once", stream=False, attempts=1,
               timeout_ms=5000, pool="p"):
     return {"host": "h.example", "prefix": prefix,
@@ -151,7 +166,8 @@
             "shares": [{"pool": pool, "weight": 1}]}
 
 
-def path_fleet(targets, paths, prepaid=None, gate=None, tell=None, **more):
+def path_fleet(targets, paths, prepaid=None, gate=None, tell=None,
+               kind=Fleet, **more):
     """A fleet whose paths lead to targets; returns it and the list."""
     listed = TargetList(targets, gate, tell)
     document = {"paths": {p["prefix"].strip("/"): p for p in paths},
@@ -166,8 +182,8 @@
     settings = {"target_list": {"address": listed.address,
                                 "interval_ms": 200}}
     settings.update(more.pop("more_settings", {}))
-    fleet = Fleet(engines=1, services=1, more_document=document,
-                  more_settings=settings, budget_tokens=0, **more)
+    fleet = kind(engines=1, services=1, more_document=document,
+                 more_settings=settings, budget_tokens=0, **more)
     return fleet, listed
 
 
