Amounts of loans and repayments are checked

Cause: a loan of a negative amount was answered as one of its size, which takes from the lender what nobody asked for; seen on reading the change again. Change: MpSlices_Lend refuses amounts that are none, as does a repayment. Figures: /slices/a lender gives what there is failed (0 for -1), and passes now.

--- a/src/coordination/Slices.c
+++ b/src/coordination/Slices.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "state/Fault.h"
+#include "state/Ledger.h"
 
 #include <math.h>
 
@@ -212,6 +213,12 @@
     return MAX(amount_mtok - slice->purse_mtok - MAX(slice->held_mtok, 0), 0);
 }
 
+static bool
+is_amount(int64_t amount_mtok)
+{
+    return amount_mtok >= 0 && amount_mtok <= MP_AMOUNT_MAX_MTOK;
+}
+
 /* Takes what is lent out of the purse first, as it can go back to the ledger
  * only by another report. */
 static int64_t
@@ -233,6 +240,9 @@
     struct MpSlice *slice = slice_of(this, lend->workspace);
     int64_t there_mtok = slice->purse_mtok + MAX(slice->held_mtok, 0);
     *lent_mtok = 0;
+    if (!is_amount(lend->need_mtok) || !is_amount(lend->want_mtok)) {
+        return MP_ERROR_INVALID;
+    }
     fade(slice, now_ms);
     if (this->boot == 0 || this->is_leaving) {
         return MP_ERROR_NO_QUORUM;
--- a/src/coordination/Slices.h
+++ b/src/coordination/Slices.h
@@ -147,7 +147,8 @@
  * slice.  *lent_mtok may be set beside an error too: what there is, when no
  * more is to be had here.  Errors: MP_ERROR_RECALLING when the quorum has to
  * be asked first, MP_ERROR_BUDGET when nothing is left in it,
- * MP_ERROR_NO_QUORUM when it cannot be asked.
+ * MP_ERROR_NO_QUORUM when it cannot be asked, MP_ERROR_INVALID for amounts
+ * that are none.
  */
 int MpSlices_Lend(struct MpSlices *this, const struct mp_lend *lend,
                   bool is_answered, int64_t now_ms, int64_t *lent_mtok);
--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -2,6 +2,7 @@
 
 #include "coordination/Lenders.h"
 #include "state/Error.h"
+#include "state/Ledger.h"
 #include "transport/GatewayCall.h"
 #include "transport/Log.h"
 #include "transport/RpcLink.h"
@@ -115,7 +116,8 @@
     struct MpSlices *slices = &this->gateway->slices;
     struct mp_repay_reply reply = {.code = MP_ERROR_NOT_FOUND};
     if (g_hash_table_contains(slices->slices, repay->workspace) &&
-        repay->amount_mtok > 0) {
+        repay->amount_mtok > 0 &&
+        repay->amount_mtok <= MP_AMOUNT_MAX_MTOK) {
         MpSlices_Borrow(slices, repay->workspace, repay->amount_mtok);
         reply.code = MP_OK;
     }
