--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
     tests/soak.py SEED [SECONDS]
 
 Instances are killed, stopped and started, or stand still; two of them lose the
-control replicas behind a relay that swallows bytes; targets end and come back,
+control replicas behind a relay that swallows bytes, and lend to each other
+where the seed is odd; targets end and come back,
 reset what they run, or fall silent; one request ends each target that runs it.
 Checked, from what callers and targets see: a request that must not run twice
 runs once; what is refused has not run; each caller gets its own whole answer;
@@ -23,10 +24,10 @@
 import threading
 import time
 
-from fleet import KEY, in_background, wait_for
-from pathfleet import (EVENT, Target, answer, end_chunks, path_conf,
-                       path_fleet, send, send_chunk, start_events, status_of,
-                       wait_targets)
+from fleet import KEY, Fleet, in_background, wait_for
+from pathfleet import (EVENT, LendingFleet, Target, answer, end_chunks,
+                       path_conf, path_fleet, send, send_chunk, start_events,
+                       status_of, wait_targets)
 
 CONTACT_S = 3
 RETRIES_MOST = 3
@@ -39,6 +40,7 @@
 
 class Soak:
     def __init__(self, seed, seconds):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.lock = threading.Lock()
@@ -313,6 +315,7 @@
             path_conf("/stream/", repeat="resume", stream=True, attempts=2)],
             prepaid=PREPAID, instances=5, control=3,
             behind_relay=self.cut_names,
+            kind=LendingFleet if self.seed % 2 else Fleet,
             more_settings={"stop_within_s": 8})
         with self.fleet:
             if not all(wait_targets(self.fleet, n) for n in self.fleet.names):
