--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -27,7 +27,7 @@
 #define CONNECT_LOOKS 2
 
 /* A part of a budget that is being looked for. */
-struct quest {
+struct search {
     struct MpGatewayLoans *loans;
     char *workspace;
     GPtrArray *order; /* of char *, lenders to ask */
@@ -39,7 +39,7 @@
     struct MpTimer timer;
 };
 
-/* A call under way; its answer counts after the quest has gone on, too. */
+/* A call under way; its answer counts after the search has gone on, too. */
 struct loan {
     struct MpGatewayLoans *loans;
     char *workspace;
@@ -51,9 +51,9 @@
 struct MpGatewayLoans {
     struct MpGateway *gateway;
     struct MpLenders lenders;
-    GHashTable *clients; /* address -> struct MpRpcClient */
-    GHashTable *quests;  /* workspace -> struct quest */
-    GHashTable *refills; /* workspaces that are borrowed for ahead */
+    GHashTable *clients;  /* address -> struct MpRpcClient */
+    GHashTable *searches; /* workspace -> struct search */
+    GHashTable *refills;  /* workspaces that are borrowed for ahead */
     struct MpGatewayLender lender;
     uint64_t calls; /* number of the last call */
     int64_t repaid_ms;
@@ -62,7 +62,7 @@
     uint64_t repaid;
 };
 
-static void step(struct quest *quest);
+static void step(struct search *search);
 
 /* ---- borrowing ---- */
 
@@ -82,13 +82,13 @@
 }
 
 static void
-quest_delete(struct quest *quest)
+search_delete(struct search *search)
 {
-    MpLoop_ClearTimer(&quest->timer);
-    g_hash_table_remove(quest->loans->quests, quest->workspace);
-    g_ptr_array_unref(quest->order);
-    g_free(quest->workspace);
-    g_free(quest);
+    MpLoop_ClearTimer(&search->timer);
+    g_hash_table_remove(search->loans->searches, search->workspace);
+    g_ptr_array_unref(search->order);
+    g_free(search->workspace);
+    g_free(search);
 }
 
 /* Returns the smallest amount that calls on workspace wait for, 0 for none. */
@@ -123,21 +123,21 @@
 
 /* Nobody is left to ask. */
 static void
-give_up(struct quest *quest)
+give_up(struct search *search)
 {
-    struct MpGateway *gateway = quest->loans->gateway;
+    struct MpGateway *gateway = search->loans->gateway;
     int64_t now_ms = MpLoop_Now();
-    char *workspace = g_strdup(quest->workspace);
-    bool asks_ledger = !quest->was_heard && !quest->is_spent &&
+    char *workspace = g_strdup(search->workspace);
+    bool asks_ledger = !search->was_heard && !search->is_spent &&
                        !MpSlices_IsCutOff(&gateway->slices, now_ms);
-    int code = quest->is_spent ? MP_ERROR_BUDGET : MP_ERROR_NO_QUORUM;
+    int code = search->is_spent ? MP_ERROR_BUDGET : MP_ERROR_NO_QUORUM;
     int64_t wanted_mtok = least_wanted(gateway, workspace);
     MpLog_Event(LOG_INFO, "loan-given-up",
                 "workspace=%s wanted_mtok=%" PRId64
                 " asked=%u heard=%d error=%s ledger=%d",
-                workspace, wanted_mtok, quest->order->len, quest->was_heard,
+                workspace, wanted_mtok, search->order->len, search->was_heard,
                 MpError_Name(code), asks_ledger);
-    quest_delete(quest);
+    search_delete(search);
     if (asks_ledger) {
         MpSlices_AskDirectly(&gateway->slices, workspace);
     }
@@ -153,40 +153,40 @@
 }
 
 static void
-on_quest_timer(struct MpTimer *timer)
+on_search_timer(struct MpTimer *timer)
 {
-    struct quest *quest = timer->data;
-    if (quest->number > 0) {
-        MpLenders_NoteSilence(&quest->loans->lenders,
-                              g_ptr_array_index(quest->order, quest->next),
+    struct search *search = timer->data;
+    if (search->number > 0) {
+        MpLenders_NoteSilence(&search->loans->lenders,
+                              g_ptr_array_index(search->order, search->next),
                               MpLoop_Now());
-        quest->number = 0;
-        quest->next++;
+        search->number = 0;
+        search->next++;
     }
-    step(quest);
+    step(search);
 }
 
 static void
-set_quest_timer(struct quest *quest, int64_t wait_ms)
+set_search_timer(struct search *search, int64_t wait_ms)
 {
-    MpLoop_SetTimer(quest->loans->gateway->loop, &quest->timer, wait_ms,
-                    on_quest_timer, quest);
+    MpLoop_SetTimer(search->loans->gateway->loop, &search->timer, wait_ms,
+                    on_search_timer, search);
 }
 
 /* Goes on after an answer: with the same lender as long as it gives. */
 static void
-go_on(struct quest *quest, bool has_more)
+go_on(struct search *search, bool has_more)
 {
-    struct MpGateway *gateway = quest->loans->gateway;
-    quest->number = 0;
-    quest->next += !has_more;
-    quest->looks = 0;
-    retry_calls(gateway, quest->workspace);
-    if (least_wanted(gateway, quest->workspace) == 0) {
-        quest_delete(quest);
+    struct MpGateway *gateway = search->loans->gateway;
+    search->number = 0;
+    search->next += !has_more;
+    search->looks = 0;
+    retry_calls(gateway, search->workspace);
+    if (least_wanted(gateway, search->workspace) == 0) {
+        search_delete(search);
         return;
     }
-    set_quest_timer(quest, 0);
+    set_search_timer(search, 0);
 }
 
 static void
@@ -197,9 +197,10 @@
     const struct mp_lend_reply *reply = result;
     int64_t now_ms = MpLoop_Now();
     int64_t lent_mtok = code == MP_OK ? reply->lent_mtok : 0;
-    struct quest *quest = g_hash_table_lookup(this->quests, loan->workspace);
+    struct search *search =
+        g_hash_table_lookup(this->searches, loan->workspace);
     bool is_refill = loan->number == 0;
-    bool is_awaited = quest && !is_refill && quest->number == loan->number;
+    bool is_awaited = search && !is_refill && search->number == loan->number;
     if (is_refill) {
         g_hash_table_remove(this->refills, loan->workspace);
     }
@@ -217,9 +218,9 @@
         MpLenders_NoteFailure(&this->lenders, loan->address, now_ms);
     }
     if (is_awaited) {
-        quest->was_heard |= code == MP_OK;
-        quest->is_spent |= code == MP_OK && reply->code == MP_ERROR_BUDGET;
-        go_on(quest, code == MP_OK && reply->code == MP_OK && lent_mtok > 0);
+        search->was_heard |= code == MP_OK;
+        search->is_spent |= code == MP_OK && reply->code == MP_ERROR_BUDGET;
+        go_on(search, code == MP_OK && reply->code == MP_OK && lent_mtok > 0);
     }
     g_free(loan->workspace);
     g_free(loan->address);
@@ -240,57 +241,58 @@
 }
 
 static void
-ask(struct quest *quest, struct MpRpcClient *client)
+ask(struct search *search, struct MpRpcClient *client)
 {
-    struct MpGatewayLoans *this = quest->loans;
+    struct MpGatewayLoans *this = search->loans;
     struct MpSlices *slices = &this->gateway->slices;
     int64_t now_ms = MpLoop_Now();
     int64_t missing_mtok =
-        MpSlices_Missing(slices, quest->workspace,
-                         least_wanted(this->gateway, quest->workspace));
-    struct mp_lend lend = {.workspace = quest->workspace,
-                           .need_mtok = missing_mtok,
-                           .want_mtok = MpSlices_Wish(slices, quest->workspace,
-                                                      missing_mtok, now_ms)};
-    quest->number = ++this->calls;
-    set_quest_timer(quest, LEND_WAIT_MS);
+        MpSlices_Missing(slices, search->workspace,
+                         least_wanted(this->gateway, search->workspace));
+    struct mp_lend lend = {
+        .workspace = search->workspace,
+        .need_mtok = missing_mtok,
+        .want_mtok =
+            MpSlices_Wish(slices, search->workspace, missing_mtok, now_ms)};
+    search->number = ++this->calls;
+    set_search_timer(search, LEND_WAIT_MS);
     MpRpcClient_Call(
         client, MP_PROC_LEND, &lend, LEND_LATE_MS, on_lent,
-        loan_new(this, quest->workspace, client->address, quest->number));
+        loan_new(this, search->workspace, client->address, search->number));
 }
 
 /* Asks the next lender. */
 static void
-step(struct quest *quest)
+step(struct search *search)
 {
-    struct MpGatewayLoans *this = quest->loans;
-    if (least_wanted(this->gateway, quest->workspace) == 0) {
-        quest_delete(quest);
+    struct MpGatewayLoans *this = search->loans;
+    if (least_wanted(this->gateway, search->workspace) == 0) {
+        search_delete(search);
         return;
     }
-    while (quest->next < quest->order->len) {
-        const char *address = g_ptr_array_index(quest->order, quest->next);
+    while (search->next < search->order->len) {
+        const char *address = g_ptr_array_index(search->order, search->next);
         struct MpRpcClient *client = client_of(this, address);
         if (MpRpcClient_IsReady(client)) {
-            ask(quest, client);
+            ask(search, client);
             return;
         }
-        if (client->conn && quest->looks++ < CONNECT_LOOKS) {
-            set_quest_timer(quest, CONNECT_WAIT_MS);
+        if (client->conn && search->looks++ < CONNECT_LOOKS) {
+            set_search_timer(search, CONNECT_WAIT_MS);
             return;
         }
         MpLenders_NoteFailure(&this->lenders, address, MpLoop_Now());
-        quest->looks = 0;
-        quest->next++;
+        search->looks = 0;
+        search->next++;
     }
-    give_up(quest);
+    give_up(search);
 }
 
 void
 MpGatewayLoans_Refill(struct MpGatewayLoans *this, const char *workspace)
 {
     int64_t want_mtok = MpSlices_Ahead(&this->gateway->slices, workspace);
-    if (want_mtok == 0 || g_hash_table_contains(this->quests, workspace) ||
+    if (want_mtok == 0 || g_hash_table_contains(this->searches, workspace) ||
         g_hash_table_contains(this->refills, workspace)) {
         return;
     }
@@ -317,7 +319,7 @@
     const struct MpSlice *slice =
         g_hash_table_lookup(slices->slices, workspace);
     int64_t now_ms = MpLoop_Now();
-    if (g_hash_table_contains(this->quests, workspace)) {
+    if (g_hash_table_contains(this->searches, workspace)) {
         return true;
     }
     if (slice && !is_spent && MpSlice_AsksLedger(slice) &&
@@ -329,18 +331,18 @@
         (is_spent && slice && !MpSlice_AsksLedger(slice))) {
         return false;
     }
-    struct quest *quest = g_new0(struct quest, 1);
-    quest->loans = this;
-    quest->workspace = g_strdup(workspace);
-    quest->is_spent = is_spent;
-    quest->order = g_ptr_array_new_with_free_func(g_free);
-    MpLenders_Order(&this->lenders, workspace, now_ms, quest->order);
-    g_hash_table_insert(this->quests, quest->workspace, quest);
+    struct search *search = g_new0(struct search, 1);
+    search->loans = this;
+    search->workspace = g_strdup(workspace);
+    search->is_spent = is_spent;
+    search->order = g_ptr_array_new_with_free_func(g_free);
+    MpLenders_Order(&this->lenders, workspace, now_ms, search->order);
+    g_hash_table_insert(this->searches, search->workspace, search);
     MpLog_Event(LOG_DEBUG, "loan-sought",
                 "workspace=%s wanted_mtok=%" PRId64 " lenders=%u spent=%d",
-                workspace, amount_mtok, quest->order->len, is_spent);
+                workspace, amount_mtok, search->order->len, is_spent);
     /* Not at once: the calls that wait are being gone through. */
-    set_quest_timer(quest, 0);
+    set_search_timer(search, 0);
     return true;
 }
 
@@ -413,7 +415,7 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const struct MpSlice *slice = value;
         if (slice->purse_mtok > 0 && !MpSlice_AsksLedger(slice) &&
-            !g_hash_table_contains(this->quests, key)) {
+            !g_hash_table_contains(this->searches, key)) {
             repay(this, key, now_ms);
         }
     }
@@ -476,7 +478,7 @@
     gateway->loans = this;
     MpLenders_Init(&this->lenders, address, gateway->settings->zone);
     this->clients = g_hash_table_new(g_str_hash, g_str_equal);
-    this->quests = g_hash_table_new(g_str_hash, g_str_equal);
+    this->searches = g_hash_table_new(g_str_hash, g_str_equal);
     this->refills =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return address ? MpGatewayLender_Start(&this->lender, gateway, address)
