Accounts show what is afloat as leased

Cause: the status and the console gave what routers hold without what they have drawn from their slices, so that budget, settled, reserved and leased no longer told what is free.

--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -285,6 +285,13 @@
     return strcmp(x->holder.instance, y->holder.instance);
 }
 
+/* What routers hold: slices, and what they have drawn of them. */
+static int64_t
+with_routers(const struct MpAccount *account)
+{
+    return account->leased_mtok + account->afloat_mtok;
+}
+
 static void
 fill_accounts(struct MpReplica *this, const struct mp_read *read,
               struct mp_read_reply *reply)
@@ -307,7 +314,7 @@
                                        .granted_mtok = account->granted_mtok,
                                        .settled_mtok = account->settled_mtok,
                                        .reserved_mtok = account->reserved_mtok,
-                                       .leased_mtok = account->leased_mtok};
+                                       .leased_mtok = with_routers(account)};
     }
     reply->accounts.accounts_len =
         (u_int)(next - reply->accounts.accounts_val);
--- a/tests/runs/path_loans.py
+++ b/tests/runs/path_loans.py
@@ -63,6 +63,7 @@
     for name in ("i1", "i3", "i4"):
         print("stopped", fleet.kill(name, signal.SIGTERM))
     account = fleet.account()
+    print("the dead one's part is shown", account["leased_mtok"] > 0)
     print("within the amount", account["settled_mtok"] +
           account["leased_mtok"] + account["reserved_mtok"] <=
           PREPAID * 1000)
