--- a/src/coordination/RequestMeta.h
+++ b/src/coordination/RequestMeta.h
@@ -15,7 +15,8 @@
 
 /* A part of a prompt, e.g. a system prompt that many requests share. */
 struct MpPromptPart {
-    uint64_t id; /* hash of the ids of this part and all parts before it */
+    uint64_t id;     /* hash of the ids of this part and all parts before it */
+    uint64_t own_id; /* hash of its own id, whatever comes before it */
     int64_t tokens;
 };
 
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -244,12 +244,16 @@
     this->conn = NULL;
     MpLog_Event(
         result == MP_TARGET_COMPLETE ? LOG_DEBUG : LOG_WARNING,
-        "attempt-ended", "id=%s target=%s how=%s status=%d took_ms=%" PRId64,
+        "attempt-ended",
+        "id=%s target=%s how=%s status=%d events=%" PRId64
+        " took_ms=%" PRId64,
         this->id ? this->id : "-", this->target->incarnation,
         result == MP_TARGET_COMPLETE   ? "whole"
         : result == MP_TARGET_NOT_SENT ? "not-sent"
                                        : "cut",
-        this->has_response ? this->status : 0, MpLoop_Now() - this->sent_ms);
+        this->has_response ? this->status : 0,
+        this->forward.events - this->events_before,
+        MpLoop_Now() - this->sent_ms);
     if (result == MP_TARGET_COMPLETE) {
         on_complete(this);
         return;
@@ -270,6 +274,26 @@
 static const struct MpTargetConnClass attempt_class = {
     .head = on_head, .body = on_body, .end = on_end};
 
+/* Bytes of the list of a request's parts in a log line. */
+#define PARTS_LOG_BYTES 128
+
+/* Writes the ids of the first parts of the prompt for a log line. */
+static void
+format_parts(const struct MpRequestMeta *meta, char *out)
+{
+    size_t used = 0;
+    g_strlcpy(out, "-", PARTS_LOG_BYTES);
+    for (uint32_t i = 0; i < meta->part_count; i++) {
+        int size =
+            g_snprintf(out + used, PARTS_LOG_BYTES - used, "%s%08x",
+                       i > 0 ? "," : "", (unsigned)meta->parts[i].own_id);
+        used += (size_t)size;
+        if (used >= PARTS_LOG_BYTES) {
+            return;
+        }
+    }
+}
+
 static void
 send_attempt(struct MpGatewayCall *this, const struct MpPicked *picked)
 {
@@ -282,6 +306,7 @@
     this->received_ms = now_ms;
     this->expected_wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
+    this->events_before = this->forward.events;
     this->has_response = false;
     this->is_relayed = false;
     this->status = 0;
@@ -298,11 +323,13 @@
     };
     this->conn = MpConnPool_Send(MpGateway_GetConnPool(gateway, target),
                                  &attempt_class, this, &request);
+    char parts[PARTS_LOG_BYTES];
+    format_parts(&this->meta, parts);
     MpLog_Event(LOG_INFO, "request-sent",
-                "id=%s same=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
+                "id=%s same=%s parts=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
                 " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64
                 " list=%" PRIu64 " left_ms=%" PRId64,
-                this->id ? this->id : "-", this->fingerprint_hex,
+                this->id ? this->id : "-", this->fingerprint_hex, parts,
                 target->incarnation, this->pool, this->forward.sends,
                 picked->wait_ms, picked->prefill_tokens, target->running,
                 target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
