--- a/src/coordination/RequestMeta.c
+++ b/src/coordination/RequestMeta.c
@@ -64,10 +64,10 @@
     }
     uint64_t previous =
         this->part_count > 0 ? this->parts[this->part_count - 1].id : 0;
-    this->parts[this->part_count++] = (struct MpPromptPart){
-        .id = XXH64(text, id_size, previous),
-        .own_id = XXH64(text, id_size, 0),
-        .tokens = tokens};
+    this->parts[this->part_count++] =
+        (struct MpPromptPart){.id = XXH64(text, id_size, previous),
+                              .own_id = XXH64(text, id_size, 0),
+                              .tokens = tokens};
     return true;
 }
 
--- a/src/coordination/RequestMeta.h
+++ b/src/coordination/RequestMeta.h
@@ -11,7 +11,7 @@
  */
 
 /* Parts that are stored; the tokens of further ones are added to the last. */
-#define MP_PROMPT_PARTS_MAX 16
+#define MP_PROMPT_PARTS_MAX 32
 
 /* A part of a prompt, e.g. a system prompt that many requests share. */
 struct MpPromptPart {
--- a/src/coordination/Suspects.c
+++ b/src/coordination/Suspects.c
@@ -13,6 +13,8 @@
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
     this->local =
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, NULL, g_free);
+    this->asked = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
+                                        g_free, g_free);
 }
 
 void
@@ -20,6 +22,7 @@
 {
     g_hash_table_unref(this->listed);
     g_hash_table_unref(this->local);
+    g_hash_table_unref(this->asked);
 }
 
 static void
@@ -41,6 +44,13 @@
     return suspect->is_acknowledged && !g_hash_table_contains(listed, key);
 }
 
+static gboolean
+is_unlisted(void *key, void *value, void *listed)
+{
+    (void)value;
+    return !g_hash_table_contains(listed, key);
+}
+
 void
 MpSuspects_SetLists(struct MpSuspects *this, uint64_t version,
                     const char *stopped, size_t stopped_bytes,
@@ -50,6 +60,7 @@
     g_hash_table_remove_all(this->listed);
     add_list(this, suspected, suspected_bytes, false);
     add_list(this, stopped, stopped_bytes, true);
+    g_hash_table_foreach_remove(this->asked, is_unlisted, this->listed);
     g_hash_table_foreach_remove(this->local, is_cleared, this->listed);
 }
 
@@ -108,6 +119,94 @@
     return is_suspect;
 }
 
+/* ---- answered parts ---- */
+
+int64_t
+MpSuspects_PartAnsweredAt(const struct MpSuspects *this,
+                          const uint8_t *fingerprint)
+{
+    uint64_t prefix = fingerprint_prefix(fingerprint);
+    const struct MpAnsweredPart *part =
+        &this->answered_parts[prefix % MP_ANSWERED_PARTS_MAX];
+    return part->prefix == prefix ? part->at_ms : 0;
+}
+
+bool
+MpSuspects_IsPartAnswered(const struct MpSuspects *this,
+                          const uint8_t *fingerprint, int64_t now_ms)
+{
+    int64_t answered_ms = MpSuspects_PartAnsweredAt(this, fingerprint);
+    return answered_ms > 0 && now_ms - answered_ms <= MP_ANSWERED_PART_MS;
+}
+
+bool
+MpSuspects_TakePartAnswer(struct MpSuspects *this, const uint8_t *fingerprint,
+                          int64_t now_ms)
+{
+    struct MpAnsweredPart *part =
+        &this->answered_parts[fingerprint_prefix(fingerprint) %
+                              MP_ANSWERED_PARTS_MAX];
+    if (!MpSuspects_IsPartAnswered(this, fingerprint, now_ms) ||
+        part->at_ms <= part->crashed_ms) {
+        return false;
+    }
+    part->crashed_ms = now_ms;
+    return true;
+}
+
+bool
+MpSuspects_NotePartAnswer(struct MpSuspects *this, const uint8_t *fingerprint,
+                          int64_t now_ms)
+{
+    uint64_t prefix = fingerprint_prefix(fingerprint);
+    struct MpAnsweredPart *part =
+        &this->answered_parts[prefix % MP_ANSWERED_PARTS_MAX];
+    if (part->prefix != prefix) {
+        *part = (struct MpAnsweredPart){.prefix = prefix};
+    }
+    part->at_ms = now_ms;
+    bool is_local = g_hash_table_remove(this->local, fingerprint);
+    return g_hash_table_remove(this->listed, fingerprint) || is_local;
+}
+
+GByteArray *
+MpSuspects_ListVouchedParts(const struct MpSuspects *this, int64_t now_ms)
+{
+    GByteArray *vouched = g_byte_array_new();
+    GHashTableIter iter;
+    void *fingerprint;
+    g_hash_table_iter_init(&iter, this->listed);
+    while (g_hash_table_iter_next(&iter, &fingerprint, NULL)) {
+        if (MpQuarantine_IsPart(fingerprint) &&
+            MpSuspects_IsPartAnswered(this, fingerprint, now_ms)) {
+            g_byte_array_append(vouched, fingerprint, MP_HASH_BYTES);
+        }
+    }
+    return vouched;
+}
+
+enum MpSuspicion
+MpSuspects_LookupPart(struct MpSuspects *this, const uint8_t *fingerprint,
+                      int64_t now_ms)
+{
+    enum MpSuspicion suspicion = MpSuspects_Lookup(this, fingerprint);
+    if (suspicion != MP_SUSPICION_STOPPED) {
+        return suspicion;
+    }
+    int64_t *asked_ms = g_hash_table_lookup(this->asked, fingerprint);
+    if (!asked_ms) {
+        asked_ms = g_new(int64_t, 1);
+        *asked_ms = now_ms;
+        g_hash_table_insert(this->asked, g_memdup2(fingerprint, MP_HASH_BYTES),
+                            asked_ms);
+    }
+    if (now_ms - *asked_ms < MP_STOPPED_PART_ASK_MS) {
+        return MP_SUSPICION_STOPPED;
+    }
+    *asked_ms = now_ms;
+    return MP_SUSPICION_TRIAL;
+}
+
 /* ---- crashes and trials ---- */
 
 static gboolean
@@ -180,6 +279,7 @@
         g_hash_table_lookup(this->local, fingerprint);
     if (crashes == 0) {
         g_hash_table_remove(this->local, fingerprint);
+        g_hash_table_remove(this->listed, fingerprint);
     }
     else if (suspect) {
         suspect->crashes = (uint32_t)MIN(crashes, UINT32_MAX);
--- a/src/coordination/Suspects.h
+++ b/src/coordination/Suspects.h
@@ -16,6 +16,10 @@
  *
  * A run is one arrival of a request at an instance; its id is unique among all
  * instances.
+ *
+ * Parts of prompts are suspects too (see MpQuarantine).  An instance remembers
+ * which parts it has seen answered, and vouches for them when the quorum lists
+ * them.
  */
 
 /* Size of the table of answered requests, in which a request replaces another
@@ -23,6 +27,14 @@
 #define MP_ANSWERED_MAX 4096
 /* Suspects in the table of this instance. */
 #define MP_LOCAL_SUSPECTS_MAX 1024
+/* Size of the table of answered parts, in which a part replaces another one
+ * with the same slot. */
+#define MP_ANSWERED_PARTS_MAX 4096
+/* Time for which an answer vouches for a part, ms. */
+#define MP_ANSWERED_PART_MS 300000
+/* Interval at which an instance asks the quorum for a trial of a part that is
+ * listed as stopped, ms. */
+#define MP_STOPPED_PART_ASK_MS MP_PART_PAUSE_MS
 
 enum MpSuspicion {
     MP_SUSPICION_NONE,   /* the request may run */
@@ -30,11 +42,20 @@
     MP_SUSPICION_STOPPED /* quarantined: the request may not run */
 };
 
+struct MpAnsweredPart {
+    uint64_t prefix;    /* of the part's fingerprint */
+    int64_t at_ms;      /* 0: the slot is empty */
+    int64_t crashed_ms; /* last crash that the answer has outweighed here */
+};
+
 struct MpSuspects {
     GHashTable *listed; /* lists of the quorum: fingerprint -> is_stopped */
     GHashTable *local;  /* fingerprint -> struct MpLocalSuspect */
+    GHashTable *asked;  /* fingerprint of a stopped part -> int64_t *, time of
+                         * the last request for a trial, or of its first use */
     uint64_t version;   /* of the lists of the quorum */
     uint64_t answered[MP_ANSWERED_MAX]; /* prefix of a fingerprint; 0: none */
+    struct MpAnsweredPart answered_parts[MP_ANSWERED_PARTS_MAX];
 };
 
 /* A suspect in the table of this instance. */
@@ -63,6 +84,38 @@
 enum MpSuspicion MpSuspects_Lookup(const struct MpSuspects *this,
                                    const uint8_t *fingerprint);
 
+/* Returns whether a part is a suspect.  Of a stopped one, it returns
+ * MP_SUSPICION_TRIAL once in MP_STOPPED_PART_ASK_MS. */
+enum MpSuspicion MpSuspects_LookupPart(struct MpSuspects *this,
+                                       const uint8_t *fingerprint,
+                                       int64_t now_ms);
+
+/* Records the start of an answer to a request with this part, and clears the
+ * part.  Returns whether it was a suspect, so that the answer must be reported
+ * to the quorum. */
+bool MpSuspects_NotePartAnswer(struct MpSuspects *this,
+                               const uint8_t *fingerprint, int64_t now_ms);
+
+/* Returns whether a request with this part was answered within
+ * MP_ANSWERED_PART_MS. */
+bool MpSuspects_IsPartAnswered(const struct MpSuspects *this,
+                               const uint8_t *fingerprint, int64_t now_ms);
+
+/* Returns whether a request with this part was answered since the last crash
+ * for which this was asked.  Such an answer outweighs one crash. */
+bool MpSuspects_TakePartAnswer(struct MpSuspects *this,
+                               const uint8_t *fingerprint, int64_t now_ms);
+
+/* Returns when the last answer to a request with this part began; 0 if it is
+ * not known. */
+int64_t MpSuspects_PartAnsweredAt(const struct MpSuspects *this,
+                                  const uint8_t *fingerprint);
+
+/* Returns the concatenated fingerprints of the listed parts for which this
+ * instance can vouch. */
+GByteArray *MpSuspects_ListVouchedParts(const struct MpSuspects *this,
+                                        int64_t now_ms);
+
 /* Records that a target crashed during a run.  Crashes of other runs within
  * MP_SAME_CRASH_MS of the last one are not counted.  Returns false, and
  * records nothing, when the request has been answered before: then one crash
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -184,6 +184,8 @@
 	MP_TRIAL_CRASH = 1,
 	MP_TRIAL_RELEASE = 2,
 	MP_TRIAL_CLEAR = 3,
+	MP_TRIAL_WAITED = 4,
+	MP_TRIAL_VOUCH = 5,
 };
 typedef enum mp_trial_kind mp_trial_kind;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -187,17 +187,27 @@
     MP_TRIAL_CRASH = 1,   /* reports a crash and requests permission to send
                            * it again */
     MP_TRIAL_RELEASE = 2, /* ends a trial without a result */
-    MP_TRIAL_CLEAR = 3    /* completely answered: no longer a suspect */
+    MP_TRIAL_CLEAR = 3,   /* answered: no longer a suspect */
+    MP_TRIAL_WAITED = 4,  /* reports a crash while requests with this part
+                           * waited for the first byte of their response */
+    MP_TRIAL_VOUCH = 5    /* a request with this part was answered before the
+                           * crash */
 };
 
-/* Message about a request on a path under which a target has crashed. */
+/* Message about a request on a path under which a target has crashed, or
+ * about a part of its prompt. */
 struct mp_trial {
     mp_trial_kind kind;
-    opaque fingerprint[MP_HASH_BYTES]; /* of the request */
+    opaque fingerprint[MP_HASH_BYTES]; /* of the request or of the part */
     unsigned hyper run;                /* id of this arrival of the request,
                                         * unique among all instances */
-    unsigned int attempt;              /* number of its last attempt */
-    unsigned int timeout_ms;           /* time limit of the trial */
+    unsigned int attempt;              /* number of its last attempt; for a
+                                        * part the hash of the target, and of
+                                        * MP_TRIAL_REQUEST the number of
+                                        * suspect parts of the request */
+    unsigned int timeout_ms;           /* time limit of the trial; of a
+                                        * report on a part, the age of the
+                                        * crash or of the answer */
     unsigned int seen_crashes;         /* consecutive crashes that the
                                         * instance observed itself */
 };
@@ -651,9 +661,12 @@
     hyper amount_mtok;
 };
 
-/* A suspect request: a target crashed while it ran the request.  workspace,
- * key, open_id and is_tried are used for native requests; run, attempt, trials
- * and until_ms for requests on paths. */
+/* A suspect: a target crashed while it ran the request, or a request with the
+ * part.  workspace, key, open_id and is_tried are used for native requests;
+ * run, attempt, trials and until_ms for requests on paths.  Parts use those of
+ * requests on paths, but attempt for the hash of the target of the last crash,
+ * open_id for the time of the crash before, and, while crashes is 0, trials for
+ * the crashes at which they waited. */
 struct mp_suspect_image {
     opaque fingerprint[MP_HASH_BYTES];
     unsigned int crashes; /* crashes counted */
--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -3,6 +3,7 @@
 #include "state/BodyHash.h"
 #include "state/Error.h"
 #include "state/Fault.h"
+#include "state/QuarantineInternal.h"
 
 #include <string.h>
 
@@ -18,22 +19,37 @@
     g_free(this);
 }
 
-static void
-remove_suspect(struct MpQuarantine *this, struct MpSuspect *suspect)
+void
+MpQuarantine_Remove(struct MpQuarantine *this, struct MpSuspect *suspect)
 {
     g_queue_unlink(&this->order, &suspect->link);
     g_hash_table_remove(this->suspects, suspect->fingerprint);
     this->version++;
 }
 
-static struct MpSuspect *
-find_suspect(const struct MpQuarantine *this, const char *fingerprint)
+struct MpSuspect *
+MpQuarantine_Find(const struct MpQuarantine *this, const char *fingerprint)
 {
     return g_hash_table_lookup(this->suspects, fingerprint);
 }
 
+/* Returns the suspect to drop when there are too many: the oldest of those
+ * without a crash, else the one with the oldest last crash. */
 static struct MpSuspect *
-add_suspect(struct MpQuarantine *this, const char *fingerprint)
+find_least(const struct MpQuarantine *this)
+{
+    for (const GList *link = this->order.head; link != this->order.tail;
+         link = link->next) {
+        struct MpSuspect *suspect = link->data;
+        if (suspect->crashes == 0) {
+            return suspect;
+        }
+    }
+    return this->order.head->data;
+}
+
+struct MpSuspect *
+MpQuarantine_Add(struct MpQuarantine *this, const char *fingerprint)
 {
     struct MpSuspect *suspect = g_new0(struct MpSuspect, 1);
     memcpy(suspect->fingerprint, fingerprint, MP_HASH_BYTES);
@@ -44,19 +60,26 @@
     g_hash_table_insert(this->suspects, suspect->fingerprint, suspect);
     g_queue_push_tail_link(&this->order, &suspect->link);
     if (this->order.length > MP_SUSPECTS_MAX) {
-        remove_suspect(this, g_queue_peek_head(&this->order));
+        MpQuarantine_Remove(this, find_least(this));
     }
     return suspect;
 }
 
-static void
-count_crash(struct MpQuarantine *this, struct MpSuspect *suspect,
-            int64_t now_ms)
+void
+MpQuarantine_SetLastCrash(struct MpQuarantine *this, struct MpSuspect *suspect,
+                          int64_t now_ms)
 {
-    suspect->crashes++;
     suspect->last_ms = now_ms;
     g_queue_unlink(&this->order, &suspect->link);
     g_queue_push_tail_link(&this->order, &suspect->link);
+}
+
+void
+MpQuarantine_CountCrash(struct MpQuarantine *this, struct MpSuspect *suspect,
+                        int64_t now_ms)
+{
+    suspect->crashes++;
+    MpQuarantine_SetLastCrash(this, suspect, now_ms);
     this->version++;
 }
 
@@ -89,7 +112,7 @@
     struct MpSuspect *oldest;
     while ((oldest = g_queue_peek_head(&this->order)) &&
            oldest->last_ms + MP_POISON_MS <= now_ms) {
-        remove_suspect(this, oldest);
+        MpQuarantine_Remove(this, oldest);
     }
 }
 
@@ -140,16 +163,16 @@
                          const struct mp_poison *report, int64_t now_ms,
                          struct mp_result *result)
 {
-    struct MpSuspect *suspect = find_suspect(this, report->body_hash);
+    struct MpSuspect *suspect = MpQuarantine_Find(this, report->body_hash);
     if (!suspect) {
-        suspect = add_suspect(this, report->body_hash);
+        suspect = MpQuarantine_Add(this, report->body_hash);
     }
     if (!is_same_crash(suspect, report, now_ms)) {
         g_free(suspect->last_target);
         suspect->last_target = g_strdup(report->target);
         set_record(suspect, report->workspace, report->key, report->open_id);
         suspect->is_tried = false;
-        count_crash(this, suspect, now_ms);
+        MpQuarantine_CountCrash(this, suspect, now_ms);
     }
     result->number = suspect->crashes;
     result->amount_mtok = count_others(ledger, report);
@@ -191,7 +214,7 @@
                        const struct MpLedger *ledger,
                        const struct mp_open *open)
 {
-    const struct MpSuspect *suspect = find_suspect(this, open->body_hash);
+    const struct MpSuspect *suspect = MpQuarantine_Find(this, open->body_hash);
     if (!suspect) {
         return is_held_back(ledger, open, 0) ? MP_ERROR_HELD_BACK : MP_OK;
     }
@@ -206,7 +229,7 @@
 void
 MpQuarantine_RecordOpen(struct MpQuarantine *this, const struct mp_open *open)
 {
-    struct MpSuspect *suspect = find_suspect(this, open->body_hash);
+    struct MpSuspect *suspect = MpQuarantine_Find(this, open->body_hash);
     if (suspect) {
         set_record(suspect, open->workspace, open->key, open->open_id);
         suspect->is_tried = true;
@@ -237,17 +260,20 @@
 static bool
 is_trial_limit_reached(const struct MpSuspect *suspect, int64_t now_ms)
 {
+    int64_t pause_ms = MpQuarantine_IsPart(suspect->fingerprint)
+                           ? MpQuarantine_PartPause(suspect)
+                           : MP_TRIALS_PAUSE_MS;
     return suspect->trials >= MP_TRIALS_MAX &&
-           now_ms < suspect->until_ms + MP_TRIALS_PAUSE_MS;
+           now_ms < suspect->until_ms + pause_ms;
 }
 
 static void
 handle_crash(struct MpQuarantine *this, const struct mp_trial *trial,
              int64_t now_ms)
 {
-    struct MpSuspect *suspect = find_suspect(this, trial->fingerprint);
+    struct MpSuspect *suspect = MpQuarantine_Find(this, trial->fingerprint);
     if (!suspect) {
-        suspect = add_suspect(this, trial->fingerprint);
+        suspect = MpQuarantine_Add(this, trial->fingerprint);
     }
     bool is_first = suspect->crashes == 0;
     bool is_trial_run = !is_first && has_trial(suspect, trial);
@@ -259,23 +285,27 @@
         !(is_first || is_trial_run || is_late || has_seen_more)) {
         return;
     }
-    count_crash(this, suspect, now_ms);
+    MpQuarantine_CountCrash(this, suspect, now_ms);
     suspect->crashes = MAX(suspect->crashes, trial->seen_crashes);
     if (is_trial_run || suspect->until_ms <= now_ms) {
         start_trial(suspect, trial, now_ms);
     }
 }
 
-static int
-request_trial(struct MpQuarantine *this, const struct mp_trial *trial,
-              int64_t now_ms)
+int
+MpQuarantine_RequestTrial(struct MpQuarantine *this,
+                          const struct mp_trial *trial, int64_t now_ms)
 {
-    struct MpSuspect *suspect = find_suspect(this, trial->fingerprint);
-    if (!suspect) {
+    struct MpSuspect *suspect = MpQuarantine_Find(this, trial->fingerprint);
+    if (!suspect || suspect->crashes == 0) {
         return MP_OK;
     }
-    if (is_stopped(suspect)) {
-        return MP_ERROR_POISON;
+    int code = is_stopped(suspect) ? MP_ERROR_POISON : MP_OK;
+    if (MpQuarantine_IsPart(suspect->fingerprint)) {
+        code = MpQuarantine_CheckPartTrial(this, suspect, trial, now_ms);
+    }
+    if (code != MP_OK) {
+        return code;
     }
     if (has_trial(suspect, trial)) {
         return MP_OK;
@@ -301,31 +331,42 @@
 {
     struct MpSuspect *suspect;
     int code = MP_OK;
+    if (MpQuarantine_IsPart(trial->fingerprint) &&
+        (trial->kind == MP_TRIAL_CRASH || trial->kind == MP_TRIAL_WAITED ||
+         trial->kind == MP_TRIAL_VOUCH)) {
+        MpQuarantine_ReportPart(this, trial, now_ms);
+        suspect = MpQuarantine_Find(this, trial->fingerprint);
+        result->number = suspect ? suspect->crashes : 0;
+        return MP_OK;
+    }
     switch (trial->kind) {
     case MP_TRIAL_CRASH:
         handle_crash(this, trial, now_ms);
-        code = request_trial(this, trial, now_ms);
+        code = MpQuarantine_RequestTrial(this, trial, now_ms);
         break;
     case MP_TRIAL_REQUEST:
-        code = request_trial(this, trial, now_ms);
+        code = MpQuarantine_RequestTrial(this, trial, now_ms);
         break;
     case MP_TRIAL_RELEASE:
-        suspect = find_suspect(this, trial->fingerprint);
+        suspect = MpQuarantine_Find(this, trial->fingerprint);
         if (suspect && MP_FAULT(MP_FAULT_RELEASE_CLEARS_SUSPECT)) {
-            remove_suspect(this, suspect);
+            MpQuarantine_Remove(this, suspect);
         }
         else if (suspect && has_trial(suspect, trial)) {
             suspect->until_ms = now_ms;
         }
         break;
     case MP_TRIAL_CLEAR:
-        suspect = find_suspect(this, trial->fingerprint);
+        suspect = MpQuarantine_Find(this, trial->fingerprint);
         if (suspect && !MP_FAULT(MP_FAULT_SUSPECT_NOT_CLEARED)) {
-            remove_suspect(this, suspect);
+            MpQuarantine_Remove(this, suspect);
         }
         break;
+    case MP_TRIAL_WAITED:
+    case MP_TRIAL_VOUCH:
+        return MP_ERROR_INVALID; /* about parts only */
     }
-    suspect = find_suspect(this, trial->fingerprint);
+    suspect = MpQuarantine_Find(this, trial->fingerprint);
     result->number = suspect ? suspect->crashes : 0;
     return code;
 }
@@ -338,7 +379,9 @@
     GByteArray *list = g_byte_array_new();
     for (const GList *link = this->order.head; link; link = link->next) {
         const struct MpSuspect *suspect = link->data;
-        if (is_stopped(suspect) == is_stopped_wanted) {
+        bool is_refused = is_stopped(suspect) &&
+                          !MpQuarantine_IsPartAmbiguous(this, suspect);
+        if (suspect->crashes > 0 && is_refused == is_stopped_wanted) {
             g_byte_array_append(list, suspect->fingerprint, MP_HASH_BYTES);
         }
     }
@@ -368,6 +411,12 @@
                                           .trials = suspect->trials,
                                           .until_ms = suspect->until_ms};
         memcpy(next->fingerprint, suspect->fingerprint, MP_HASH_BYTES);
+        if (MpQuarantine_IsPart(suspect->fingerprint)) {
+            next->attempt = suspect->target_hash;
+            next->open_id = (uint64_t)suspect->before_ms;
+            next->trials =
+                suspect->crashes > 0 ? suspect->trials : suspect->waited;
+        }
         next++;
     }
 }
@@ -381,7 +430,7 @@
                       : image->suspects.suspects_len;
     for (u_int i = 0; i < count; i++) {
         const struct mp_suspect_image *from = &image->suspects.suspects_val[i];
-        struct MpSuspect *suspect = add_suspect(this, from->fingerprint);
+        struct MpSuspect *suspect = MpQuarantine_Add(this, from->fingerprint);
         g_free(suspect->last_target);
         suspect->last_target = g_strdup(from->last_target);
         set_record(suspect, from->workspace, from->key, from->open_id);
@@ -392,6 +441,12 @@
         suspect->attempt = from->attempt;
         suspect->trials = from->trials;
         suspect->until_ms = from->until_ms;
+        if (MpQuarantine_IsPart(from->fingerprint)) {
+            suspect->target_hash = from->attempt;
+            suspect->before_ms = (int64_t)from->open_id;
+            suspect->waited = from->crashes > 0 ? 0 : from->trials;
+            suspect->trials = from->crashes > 0 ? from->trials : 0;
+        }
     }
     this->version = image->quarantine_version;
 }
--- a/src/state/Quarantine.h
+++ b/src/state/Quarantine.h
@@ -20,6 +20,15 @@
  * Native requests (see Ledger.h) get their trial by opening their record.
  * Requests on paths have no record; they request a trial by the number of
  * their run, which is one arrival of the request at an instance.
+ *
+ * Parts of prompts are suspects too, under a fingerprint of their own: a part
+ * may crash each target that begins to answer a request with it, while no two
+ * such requests are equal.  Of the requests at a target that crashes, the one
+ * whose response had begun without any content is the likely cause; its parts
+ * are suspected at once, those of requests that still waited after
+ * MP_WAITED_CRASHES crashes.  An answer to any request with a part clears it.
+ * The suspect parts of one crash are a group: a request with some of them may
+ * have a trial even when they are stopped, as only one of them is the cause.
  */
 
 /* Crashes after which a request is stopped in the whole fleet. */
@@ -42,7 +51,23 @@
 /* Limit of a trial whose end is not reported, ms. */
 #define MP_TRIAL_MAX_MS 15000
 
-/* A request that is suspected or stopped. */
+/* Crashes, each within MP_WAITED_WINDOW_MS of the one before, after which a
+ * part is suspected whose requests waited for the first byte of their
+ * response. */
+#define MP_WAITED_CRASHES 3
+#define MP_WAITED_WINDOW_MS 10000
+/* Time after the last crash until a stopped part may have another trial, ms;
+ * each further crash multiplies it by MP_PART_PAUSE_FACTOR.  Without it a part
+ * that was stopped by mistake would stay so for MP_POISON_MS. */
+#define MP_PART_PAUSE_MS 30000
+#define MP_PART_PAUSE_FACTOR 4
+
+/* Time after a crash for which a request that has all suspect parts of the
+ * crash waits for requests with some of them, ms.  An answer to one of those
+ * clears its parts, while another crash would show nothing new. */
+#define MP_GROUP_WAIT_MS 2000
+
+/* A request or part that is suspected or stopped. */
 struct MpSuspect {
     uint8_t fingerprint[MP_HASH_BYTES];
     GList link; /* in MpQuarantine.order */
@@ -60,6 +85,10 @@
     uint32_t attempt; /* last reported attempt of that run */
     uint32_t trials;  /* started since the last pause */
     int64_t until_ms; /* end of the last trial */
+    /* parts, which also use run, trials and until_ms */
+    uint32_t target_hash; /* target of the last crash */
+    uint32_t waited;      /* crashes at which it waited, while crashes is 0 */
+    int64_t before_ms;    /* time of the crash before the last one, or 0 */
 };
 
 struct MpQuarantine {
@@ -100,6 +129,12 @@
                              const struct mp_trial *trial, int64_t now_ms,
                              struct mp_result *result);
 
+/* Sets the fingerprint of a part from the hash of its id. */
+void MpQuarantine_SetPartFingerprint(uint64_t part_id, void *fingerprint);
+
+/* Returns whether the fingerprint is that of a part. */
+bool MpQuarantine_IsPart(const void *fingerprint);
+
 /* Returns the concatenated fingerprints of the stopped requests, or of the
  * other suspects. */
 GByteArray *MpQuarantine_List(const struct MpQuarantine *this,
--- /dev/null
+++ b/src/state/QuarantineParts.c
@@ -0,0 +1,183 @@
+#include "state/Error.h"
+#include "state/Fault.h"
+#include "state/QuarantineInternal.h"
+
+#include <string.h>
+
+/* Parts of prompts in the quarantine; see Quarantine.h. */
+
+/* Bytes of a fingerprint after the hash of the part's id. */
+static const char part_tag[MP_HASH_BYTES - sizeof(uint64_t)] = "promptp";
+
+void
+MpQuarantine_SetPartFingerprint(uint64_t part_id, void *fingerprint)
+{
+    memcpy(fingerprint, &part_id, sizeof(part_id));
+    memcpy((char *)fingerprint + sizeof(part_id), part_tag, sizeof(part_tag));
+}
+
+bool
+MpQuarantine_IsPart(const void *fingerprint)
+{
+    return memcmp((const char *)fingerprint + sizeof(uint64_t), part_tag,
+                  sizeof(part_tag)) == 0;
+}
+
+int64_t
+MpQuarantine_PartPause(const struct MpSuspect *suspect)
+{
+    int64_t pause_ms = MP_PART_PAUSE_MS;
+    for (uint32_t i = MP_POISON_CRASHES;
+         i < suspect->crashes && pause_ms < MP_POISON_MS; i++) {
+        pause_ms *= MP_PART_PAUSE_FACTOR;
+    }
+    return pause_ms;
+}
+
+/* Returns the number of suspect parts that may be the cause of a part's last
+ * crash: those at the same target with as many crashes or more. */
+static uint32_t
+count_group(const struct MpQuarantine *this, const struct MpSuspect *suspect)
+{
+    uint32_t count = 0;
+    for (const GList *link = this->order.tail; link; link = link->prev) {
+        const struct MpSuspect *other = link->data;
+        if (other->last_ms + MP_SAME_CRASH_MS < suspect->last_ms) {
+            break; /* the rest is older */
+        }
+        count += other->crashes >= suspect->crashes &&
+                 other->target_hash == suspect->target_hash &&
+                 other->last_ms <= suspect->last_ms + MP_SAME_CRASH_MS &&
+                 MpQuarantine_IsPart(other->fingerprint);
+    }
+    return count;
+}
+
+bool
+MpQuarantine_IsPartAmbiguous(const struct MpQuarantine *this,
+                             const struct MpSuspect *suspect)
+{
+    return MpQuarantine_IsPart(suspect->fingerprint) &&
+           count_group(this, suspect) > 1;
+}
+
+int
+MpQuarantine_CheckPartTrial(const struct MpQuarantine *this,
+                            const struct MpSuspect *suspect,
+                            const struct mp_trial *trial, int64_t now_ms)
+{
+    uint32_t group = count_group(this, suspect);
+    if (trial->attempt < group) {
+        return MP_OK;
+    }
+    if (suspect->crashes >= MP_POISON_CRASHES) {
+        int64_t idle_ms = now_ms - suspect->last_ms;
+        return idle_ms < MpQuarantine_PartPause(suspect) ? MP_ERROR_POISON
+                                                         : MP_OK;
+    }
+    bool is_waiting = now_ms - suspect->last_ms < MP_GROUP_WAIT_MS;
+    return group > 1 && is_waiting ? MP_ERROR_HELD_BACK : MP_OK;
+}
+
+/* Returns whether the crash was reported before, by the instance of another
+ * request with this part that ran on the same target. */
+static bool
+is_same_crash(const struct MpSuspect *suspect, const struct mp_trial *trial,
+              int64_t crashed_ms)
+{
+    return suspect->target_hash == trial->attempt &&
+           ABS(crashed_ms - suspect->last_ms) <= MP_SAME_CRASH_MS;
+}
+
+/* Sets the times of the last two crashes.  A partitioned instance reports a
+ * crash late. */
+static void
+set_crash_times(struct MpQuarantine *this, struct MpSuspect *suspect,
+                int64_t crashed_ms)
+{
+    int64_t last_ms = suspect->last_ms;
+    suspect->before_ms =
+        last_ms < crashed_ms ? last_ms : MAX(suspect->before_ms, crashed_ms);
+    MpQuarantine_SetLastCrash(this, suspect, MAX(last_ms, crashed_ms));
+}
+
+static void
+count_part_crash(struct MpQuarantine *this, struct MpSuspect *suspect,
+                 const struct mp_trial *trial)
+{
+    suspect->crashes = MAX(suspect->crashes + 1, trial->seen_crashes);
+    suspect->waited = 0;
+    if (suspect->run == trial->run) {
+        suspect->run = 0; /* its trial has ended */
+        suspect->until_ms = 0;
+    }
+    this->version++;
+}
+
+/* Of a suspect, only the trial counts, as others may have waited.  Returns
+ * whether the report has an effect. */
+static bool
+handle_waited(struct MpQuarantine *this, struct MpSuspect *suspect,
+              const struct mp_trial *trial, int64_t crashed_ms)
+{
+    if (suspect->crashes > 0) {
+        bool is_trial =
+            suspect->run == trial->run && suspect->until_ms > crashed_ms;
+        if (is_trial) {
+            count_part_crash(this, suspect, trial);
+        }
+        return is_trial;
+    }
+    if (crashed_ms - suspect->last_ms > MP_WAITED_WINDOW_MS) {
+        suspect->waited = 0;
+    }
+    if (++suspect->waited >= MP_WAITED_CRASHES) {
+        count_part_crash(this, suspect, trial);
+    }
+    return true;
+}
+
+/* An answer from before the last crash clears a part, but not one from before
+ * the crash before it: a part may crash targets from some moment on. */
+static void
+handle_vouch(struct MpQuarantine *this, struct MpSuspect *suspect,
+             int64_t answered_ms)
+{
+    if (suspect->crashes == 0 || (answered_ms <= suspect->before_ms &&
+                                  !MP_FAULT(MP_FAULT_OLD_ANSWER_VOUCHES))) {
+        return;
+    }
+    suspect->crashes = 0;
+    suspect->trials = 0;
+    suspect->until_ms = 0;
+    this->version++;
+}
+
+void
+MpQuarantine_ReportPart(struct MpQuarantine *this,
+                        const struct mp_trial *trial, int64_t now_ms)
+{
+    struct MpSuspect *suspect = MpQuarantine_Find(this, trial->fingerprint);
+    int64_t at_ms = now_ms - (int64_t)trial->timeout_ms;
+    if (trial->kind == MP_TRIAL_VOUCH) {
+        if (suspect) {
+            handle_vouch(this, suspect, at_ms);
+        }
+        return;
+    }
+    if (!suspect) {
+        suspect = MpQuarantine_Add(this, trial->fingerprint);
+    }
+    else if (is_same_crash(suspect, trial, at_ms) &&
+             trial->seen_crashes <= suspect->crashes) {
+        return;
+    }
+    if (trial->kind == MP_TRIAL_CRASH) {
+        count_part_crash(this, suspect, trial);
+    }
+    else if (!handle_waited(this, suspect, trial, at_ms)) {
+        return;
+    }
+    set_crash_times(this, suspect, at_ms);
+    suspect->target_hash = trial->attempt;
+}
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -383,6 +383,9 @@
                 this->suspects.version,
                 reply->stopped.stopped_len / MP_HASH_BYTES,
                 reply->suspected.suspected_len / MP_HASH_BYTES);
+    if (this->listener->suspects) {
+        this->listener->suspects(this->owner);
+    }
 }
 
 /* Unpacks and decodes a list.  Returns false when it is empty or invalid. */
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -47,6 +47,9 @@
     /* The leader's target list; update is NULL when the list is unchanged.
      * This member may be NULL. */
     void (*targets)(void *owner, const struct MpTargetUpdate *update);
+    /* The quorum's lists of suspects have changed.  This member may be NULL.
+     */
+    void (*suspects)(void *owner);
     /* All instances that may lend budget.  This member may be NULL. */
     void (*peers)(void *owner, const struct mp_lender *peers, uint32_t count);
 };
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -59,7 +59,7 @@
         MpGatewaySuspect_WaitForProbe(this);
         return;
     }
-    MpGatewayAttempt_Start(this);
+    MpGatewaySuspect_Admit(this);
 }
 
 static void
@@ -149,11 +149,15 @@
 relay_events(struct MpGatewayCall *this, const char *data, size_t size)
 {
     struct MpForward *forward = &this->forward;
+    bool had_events = forward->events > this->events_before;
     g_byte_array_append(this->partial, (const guint8 *)data, (guint)size);
     size_t complete = MpEventSplit_Complete(
         (const char *)this->partial->data, this->partial->len,
         &forward->events, &forward->last_event);
     if (complete > 0) {
+        if (!had_events && forward->events > this->events_before) {
+            MpGatewaySuspect_NoteContent(this);
+        }
         MpCallerResponse_Write(&this->response, this->partial->data, complete);
         g_byte_array_remove_range(this->partial, 0, (guint)complete);
     }
@@ -201,6 +205,9 @@
 finish_response(struct MpGatewayCall *this)
 {
     bool is_ok = this->status < 500;
+    if (!this->is_event_stream && this->status < 300) {
+        MpGatewaySuspect_NoteContent(this);
+    }
     MpGatewaySuspect_Answered(this);
     release_target(this, is_ok ? MP_OUTCOME_OK : MP_OUTCOME_ERROR);
     MpGatewayCall_End(this, is_ok ? "answered" : "target-error", MP_OK);
@@ -242,18 +249,17 @@
 {
     struct MpGatewayCall *this = owner;
     this->conn = NULL;
-    MpLog_Event(
-        result == MP_TARGET_COMPLETE ? LOG_DEBUG : LOG_WARNING,
-        "attempt-ended",
-        "id=%s target=%s how=%s status=%d events=%" PRId64
-        " took_ms=%" PRId64,
-        this->id ? this->id : "-", this->target->incarnation,
-        result == MP_TARGET_COMPLETE   ? "whole"
-        : result == MP_TARGET_NOT_SENT ? "not-sent"
-                                       : "cut",
-        this->has_response ? this->status : 0,
-        this->forward.events - this->events_before,
-        MpLoop_Now() - this->sent_ms);
+    MpLog_Event(result == MP_TARGET_COMPLETE ? LOG_DEBUG : LOG_WARNING,
+                "attempt-ended",
+                "id=%s target=%s how=%s status=%d events=%" PRId64
+                " took_ms=%" PRId64,
+                this->id ? this->id : "-", this->target->incarnation,
+                result == MP_TARGET_COMPLETE   ? "whole"
+                : result == MP_TARGET_NOT_SENT ? "not-sent"
+                                               : "cut",
+                this->has_response ? this->status : 0,
+                this->forward.events - this->events_before,
+                MpLoop_Now() - this->sent_ms);
     if (result == MP_TARGET_COMPLETE) {
         on_complete(this);
         return;
@@ -325,16 +331,16 @@
                                  &attempt_class, this, &request);
     char parts[PARTS_LOG_BYTES];
     format_parts(&this->meta, parts);
-    MpLog_Event(LOG_INFO, "request-sent",
-                "id=%s same=%s parts=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
-                " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64
-                " list=%" PRIu64 " left_ms=%" PRId64,
-                this->id ? this->id : "-", this->fingerprint_hex, parts,
-                target->incarnation, this->pool, this->forward.sends,
-                picked->wait_ms, picked->prefill_tokens, target->running,
-                target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
-                gateway->roster.version,
-                MpForward_TimeLeft(&this->forward, now_ms));
+    MpLog_Event(
+        LOG_INFO, "request-sent",
+        "id=%s same=%s parts=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
+        " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64 " list=%" PRIu64
+        " left_ms=%" PRId64,
+        this->id ? this->id : "-", this->fingerprint_hex, parts,
+        target->incarnation, this->pool, this->forward.sends, picked->wait_ms,
+        picked->prefill_tokens, target->running,
+        target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
+        gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms));
 }
 
 static void
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -43,8 +43,9 @@
     char fingerprint_hex[2 * MP_FINGERPRINT_LOG_BYTES + 1]; /* for the log */
     uint64_t run_id;              /* random; unique across instances */
     struct MpSuspectCheck *check; /* probe or quorum query under way */
-    bool is_on_trial; /* no other request with this fingerprint may run */
-    bool is_head;     /* method HEAD */
+    uint32_t trials; /* bits of its fingerprints that no other request may
+                      * run with: bit 0 is the request, bit n part n - 1 */
+    bool is_head;    /* method HEAD */
     struct MpCallerResponse response;
     /* budget */
     int64_t reserved_mtok;
@@ -58,8 +59,8 @@
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
     int64_t events_before; /* forward.events at the start of the attempt */
-    bool has_response; /* the head of the target's response has arrived */
-    bool is_relayed;   /* the body of that response goes to the caller */
+    bool has_response;     /* the head of the target's response has arrived */
+    bool is_relayed;       /* the body of that response goes to the caller */
     bool is_event_stream;
     int status;
     GByteArray *partial;       /* event that is not complete yet */
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -11,8 +11,11 @@
  * trial that they end has expired. */
 #define REPORT_TIMEOUT_MS MP_TRIAL_MAX_MS
 
-/* A probe of a target, or a query or report to the quorum, for one request.
- * The call may end before the reply arrives. */
+/* Reports on parts are repeated with their new age after this time, ms. */
+#define PART_REPORT_TIMEOUT_MS 300
+
+/* A probe of a target, or a query or report to the quorum, for one request or
+ * for a part of its prompt.  The call may end before the reply arrives. */
 struct MpSuspectCheck {
     struct MpGateway *gateway;
     struct MpGatewayCall *call; /* waits for the reply; may be NULL */
@@ -21,7 +24,13 @@
     char *fingerprint_hex;
     char *target; /* incarnation; NULL before an attempt */
     int64_t sent_ms;
+    int64_t event_ms; /* of a report on a part: time of the crash or answer */
+    unsigned key;     /* index of the fingerprint */
     struct mp_trial trial;
+    /* of a probe */
+    GByteArray *parts; /* fingerprints of the request's parts; NULL when the
+                        * attempt had content, and in other checks */
+    bool has_begun;    /* the response's head had arrived */
 };
 
 static struct MpSuspects *
@@ -36,10 +45,57 @@
     return (const uint8_t *)check->trial.fingerprint;
 }
 
+/* ---- fingerprints ---- */
+
+/* Returns the number of the call's fingerprints: its own, and those of the
+ * parts that other requests may have too, which excludes the last one. */
+static unsigned
+count_keys(const struct MpGatewayCall *call)
+{
+    return MAX(call->meta.part_count, 1);
+}
+
+static void
+copy_fingerprint(const struct MpGatewayCall *call, unsigned key, void *out)
+{
+    if (key == 0) {
+        memcpy(out, call->fingerprint, MP_HASH_BYTES);
+        return;
+    }
+    MpQuarantine_SetPartFingerprint(call->meta.parts[key - 1].own_id, out);
+}
+
+/* Returns how many parts of the call's prompt are suspects. */
+static unsigned
+count_suspect_parts(const struct MpGatewayCall *call)
+{
+    const struct MpSuspects *suspects = &call->gateway->control->suspects;
+    uint8_t fingerprint[MP_HASH_BYTES];
+    unsigned count = 0;
+    for (unsigned key = 1; key < count_keys(call); key++) {
+        copy_fingerprint(call, key, fingerprint);
+        count += MpSuspects_Lookup(suspects, fingerprint) != MP_SUSPICION_NONE;
+    }
+    return count;
+}
+
+/* The name of a part in the log, as in the list of parts of a request. */
+static const char *
+part_name(const void *fingerprint, char name[9])
+{
+    uint64_t part_id;
+    g_strlcpy(name, "-", 9);
+    if (MpQuarantine_IsPart(fingerprint)) {
+        memcpy(&part_id, fingerprint, sizeof(part_id));
+        g_snprintf(name, 9, "%08x", (unsigned)part_id);
+    }
+    return name;
+}
+
 /* ---- checks ---- */
 
 static struct MpSuspectCheck *
-check_new(struct MpGatewayCall *call, enum mp_trial_kind kind)
+check_new(struct MpGatewayCall *call, enum mp_trial_kind kind, unsigned key)
 {
     struct MpSuspectCheck *check = g_new0(struct MpSuspectCheck, 1);
     check->gateway = call->gateway;
@@ -47,10 +103,25 @@
     check->fingerprint_hex = g_strdup(call->fingerprint_hex);
     check->target = call->target ? g_strdup(call->target->incarnation) : NULL;
     check->sent_ms = call->sent_ms;
+    check->key = key;
     check->trial.kind = kind;
     check->trial.run = call->run_id;
     check->trial.attempt = call->forward.sends;
-    memcpy(check->trial.fingerprint, call->fingerprint, MP_HASH_BYTES);
+    copy_fingerprint(call, key, check->trial.fingerprint);
+    return check;
+}
+
+/* Returns a report on a part for which no call waits. */
+static struct MpSuspectCheck *
+part_report_new(struct MpGateway *gateway, const uint8_t *fingerprint,
+                enum mp_trial_kind kind)
+{
+    struct MpSuspectCheck *check = g_new0(struct MpSuspectCheck, 1);
+    check->gateway = gateway;
+    check->id = g_strdup("-");
+    check->fingerprint_hex = g_strdup("-");
+    check->trial.kind = kind;
+    memcpy(check->trial.fingerprint, fingerprint, MP_HASH_BYTES);
     return check;
 }
 
@@ -71,6 +142,7 @@
 check_free(struct MpSuspectCheck *check)
 {
     detach(check);
+    g_clear_pointer(&check->parts, g_byte_array_unref);
     g_free(check->id);
     g_free(check->fingerprint_hex);
     g_free(check->target);
@@ -85,19 +157,23 @@
     call->stage = MP_CALL_TRIAL;
 }
 
-/* Resumes the call if code is MP_OK, otherwise ends it with that error. */
+/* Ends a call that may not run. */
 static void
-resume_call(struct MpGatewayCall *call, int code)
+refuse_call(struct MpGatewayCall *call, unsigned key, int code)
 {
-    bool is_new = call->forward.sends == 0;
-    if (code != MP_OK) {
-        MpGatewayCall_GiveUp(call, MpForward_NoTarget(&call->forward), code,
-                             code == MP_ERROR_POISON ? MP_POISON_MS
-                                                     : MP_RETRY_AFTER_BUSY_MS);
-        return;
+    int64_t retry_after_ms = MP_RETRY_AFTER_BUSY_MS;
+    if (code == MP_ERROR_POISON) {
+        retry_after_ms = key == 0 ? MP_POISON_MS : MP_PART_PAUSE_MS;
     }
+    MpGatewayCall_GiveUp(call, MpForward_NoTarget(&call->forward), code,
+                         retry_after_ms);
+}
+
+static void
+resume_call(struct MpGatewayCall *call)
+{
     call->stage = MP_CALL_RUNNING;
-    if (is_new) {
+    if (call->forward.sends == 0) {
         MpGatewayCall_ReserveBudget(call);
         return;
     }
@@ -106,21 +182,42 @@
 
 /* ---- the quorum ---- */
 
+static void admit_from(struct MpGatewayCall *call, unsigned key);
+
 static void
 log_decision(const struct MpSuspectCheck *check, const char *by, int code,
              uint64_t crashes)
 {
+    static const char *const events[] = {
+        [MP_TRIAL_REQUEST] = "request-tried",
+        [MP_TRIAL_CRASH] = "request-suspected",
+        [MP_TRIAL_RELEASE] = "trial-released",
+        [MP_TRIAL_CLEAR] = "request-cleared",
+        [MP_TRIAL_WAITED] = "part-waited",
+        [MP_TRIAL_VOUCH] = "part-vouched"};
     const struct MpControlClient *control = check->gateway->control;
-    bool is_crash = check->trial.kind == MP_TRIAL_CRASH;
-    MpLog_Event(LOG_WARNING, is_crash ? "request-suspected" : "request-tried",
-                "id=%s same=%s target=%s by=%s deaths=%" PRIu64
+    char part[9];
+    MpLog_Event(LOG_WARNING, events[check->trial.kind],
+                "id=%s same=%s part=%s target=%s by=%s deaths=%" PRIu64
                 " outcome=%s suspects=%" PRIu64 " synced_age_ms=%" PRId64,
                 check->id, check->fingerprint_hex,
+                part_name(check->trial.fingerprint, part),
                 check->target ? check->target : "-", by, crashes,
                 MpError_Name(code), control->suspects.version,
                 MpLoop_Now() - control->synced_ms);
 }
 
+/* Goes on with a call after the decision on one of its fingerprints. */
+static void
+apply_decision(struct MpGatewayCall *call, unsigned key, int code)
+{
+    if (code == MP_OK) {
+        admit_from(call, key + 1);
+        return;
+    }
+    refuse_call(call, key, code);
+}
+
 /* Decides without the quorum.  A partitioned instance decides by the crashes
  * that it knows of.  Any other holds the request back, as only the quorum may
  * admit a suspect. */
@@ -136,7 +233,7 @@
             MpForward_TimeLeft(&call->forward, now_ms), now_ms);
     }
     log_decision(check, "instance", code, 0);
-    resume_call(call, code);
+    apply_decision(call, check->key, code);
 }
 
 static void
@@ -159,29 +256,87 @@
         decide_locally(check);
     }
     else if (check->call) {
-        resume_call(detach(check), result->code);
+        struct MpGatewayCall *call = detach(check);
+        if (result->number == 0) {
+            call->trials &= ~(1U << check->key); /* no longer a suspect */
+        }
+        apply_decision(call, check->key, result->code);
     }
     check_free(check);
 }
 
 static void
-query_quorum(struct MpSuspectCheck *check, int64_t deadline_ms)
+propose(struct MpSuspectCheck *check, int64_t deadline_ms, MpProposeDone done)
 {
     struct mp_command command = {.body = {.kind = MP_CMD_TRIAL}};
+    command.body.mp_command_body_u.trial = check->trial;
+    MpControlClient_Propose(check->gateway->control, &command, deadline_ms,
+                            done, check);
+}
+
+static void
+query_quorum(struct MpSuspectCheck *check, int64_t deadline_ms)
+{
     int64_t now_ms = MpLoop_Now();
     if (check->call) {
         int64_t left_ms = MpForward_TimeLeft(&check->call->forward, now_ms);
         check->trial.timeout_ms = (u_int)MIN(left_ms, MP_TRIAL_MAX_MS);
-        check->call->is_on_trial = true;
+        check->call->trials |= 1U << check->key;
         MpLoop_SetTimer(check->gateway->loop, &check->timer,
                         MpControlClient_IsPartitioned(check->gateway->control)
                             ? 0
                             : MP_DECISION_WAIT_MS,
                         on_decision_timeout, check);
     }
-    command.body.mp_command_body_u.trial = check->trial;
-    MpControlClient_Propose(check->gateway->control, &command, deadline_ms,
-                            on_decision, check);
+    propose(check, deadline_ms, on_decision);
+}
+
+static void report_part(struct MpSuspectCheck *report);
+
+/* A part is suspected or cleared by the reply, unless the quorum was not
+ * reached; then a crash is reported again. */
+static void
+on_part_reported(void *data, int code, const struct mp_result *result)
+{
+    struct MpSuspectCheck *report = data;
+    report->gateway->crash_reports--;
+    log_decision(report, "quorum", code, code == MP_OK ? result->number : 0);
+    if (code == MP_OK) {
+        MpSuspects_SetCrashes(suspects_of(report), fingerprint_of(report),
+                              result->number);
+    }
+    else if (report->trial.kind != MP_TRIAL_VOUCH &&
+             MpLoop_Now() - report->event_ms < REPORT_TIMEOUT_MS) {
+        report_part(report);
+        return;
+    }
+    check_free(report);
+}
+
+/* Reports on a part, unless too many reports are under way.  The report has
+ * the age of what it is about, so it must be applied soon. */
+static void
+report_part(struct MpSuspectCheck *report)
+{
+    int64_t now_ms = MpLoop_Now();
+    char part[9];
+    if (report->gateway->crash_reports >= MP_CRASH_REPORTS_MAX) {
+        MpLog_Event(LOG_ERR, "report-dropped",
+                    "id=%s same=%s part=%s target=%s reports=%u", report->id,
+                    report->fingerprint_hex,
+                    part_name(report->trial.fingerprint, part),
+                    report->target ? report->target : "-",
+                    report->gateway->crash_reports);
+        check_free(report);
+        return;
+    }
+    report->gateway->crash_reports++;
+    report->trial.timeout_ms = (u_int)(now_ms - report->event_ms);
+    if (report->trial.kind == MP_TRIAL_VOUCH) {
+        /* Not younger than it is when the quorum applies it. */
+        report->trial.timeout_ms += PART_REPORT_TIMEOUT_MS;
+    }
+    propose(report, now_ms + PART_REPORT_TIMEOUT_MS, on_part_reported);
 }
 
 static void
@@ -189,24 +344,23 @@
 {
     struct MpSuspectCheck *check = data;
     bool is_acknowledged = code == MP_OK && result->code == MP_OK;
+    char part[9];
     MpLog_Event(LOG_NOTICE,
                 check->trial.kind == MP_TRIAL_CLEAR ? "request-cleared"
                                                     : "trial-released",
-                "id=%s same=%s told=%d", check->id, check->fingerprint_hex,
-                is_acknowledged);
+                "id=%s same=%s part=%s told=%d", check->id,
+                check->fingerprint_hex,
+                part_name(check->trial.fingerprint, part), is_acknowledged);
     check_free(check);
 }
 
 /* Sends a report to the quorum for which no call waits. */
 static void
-report_to_quorum(struct MpGatewayCall *call, enum mp_trial_kind kind)
+report_to_quorum(struct MpGatewayCall *call, enum mp_trial_kind kind,
+                 unsigned key)
 {
-    struct mp_command command = {.body = {.kind = MP_CMD_TRIAL}};
-    struct MpSuspectCheck *check = check_new(call, kind);
-    command.body.mp_command_body_u.trial = check->trial;
-    MpControlClient_Propose(call->gateway->control, &command,
-                            MpLoop_Now() + REPORT_TIMEOUT_MS, on_reported,
-                            check);
+    propose(check_new(call, kind, key), MpLoop_Now() + REPORT_TIMEOUT_MS,
+            on_reported);
 }
 
 /* ---- targets ---- */
@@ -220,6 +374,53 @@
     return names[result];
 }
 
+/* Tells the quorum of an earlier answer to a request with the part. */
+static void
+vouch(struct MpGateway *gateway, const uint8_t *fingerprint)
+{
+    struct MpSuspectCheck *report =
+        part_report_new(gateway, fingerprint, MP_TRIAL_VOUCH);
+    report->event_ms =
+        MpSuspects_PartAnsweredAt(&gateway->control->suspects, fingerprint);
+    report_part(report);
+}
+
+/* Reports the parts of a request without content when its target crashed.
+ * The content of any other request has shown that its parts are sound. */
+static void
+report_parts(const struct MpSuspectCheck *probe, int64_t now_ms)
+{
+    struct MpSuspects *suspects = suspects_of(probe);
+    for (guint at = 0; probe->parts && at < probe->parts->len;
+         at += MP_HASH_BYTES) {
+        const uint8_t *fingerprint = probe->parts->data + at;
+        bool is_answered =
+            probe->has_begun
+                ? MpSuspects_TakePartAnswer(suspects, fingerprint, now_ms)
+                : MpSuspects_IsPartAnswered(suspects, fingerprint, now_ms);
+        if (!probe->has_begun && is_answered) {
+            continue;
+        }
+        if (probe->has_begun && !is_answered) {
+            MpSuspects_NoteCrash(suspects, fingerprint, probe->trial.run,
+                                 now_ms);
+        }
+        struct MpSuspectCheck *report = part_report_new(
+            probe->gateway, fingerprint,
+            probe->has_begun ? MP_TRIAL_CRASH : MP_TRIAL_WAITED);
+        report->target = g_strdup(probe->target);
+        report->trial.run = probe->trial.run;
+        report->trial.attempt = g_str_hash(probe->target);
+        report->trial.seen_crashes =
+            MpSuspects_SeenCrashes(suspects, fingerprint);
+        report->event_ms = now_ms;
+        report_part(report);
+        if (is_answered) {
+            vouch(probe->gateway, fingerprint);
+        }
+    }
+}
+
 static void
 on_probed(void *owner, enum MpProbeResult result)
 {
@@ -235,11 +436,14 @@
         " is_suspect=%d",
         check->id, check->fingerprint_hex, check->target,
         probe_result_name(result), now_ms - check->sent_ms, is_suspect);
+    if (result == MP_PROBE_REFUSED) {
+        report_parts(check, now_ms);
+    }
     if (!is_suspect) {
         struct MpGatewayCall *call = detach(check);
         check_free(check);
         if (call) {
-            resume_call(call, MP_OK);
+            admit_from(call, 1);
         }
         return;
     }
@@ -263,9 +467,19 @@
 void
 MpGatewaySuspect_ProbeTarget(struct MpGatewayCall *call)
 {
-    struct MpSuspectCheck *check = check_new(call, MP_TRIAL_CRASH);
+    struct MpSuspectCheck *check = check_new(call, MP_TRIAL_CRASH, 0);
+    unsigned parts = count_keys(call) - 1;
     call->check = check;
     check->call = call;
+    check->has_begun = call->has_response;
+    if (parts > 0 && call->forward.events == call->events_before) {
+        check->parts = g_byte_array_new();
+        g_byte_array_set_size(check->parts, parts * MP_HASH_BYTES);
+        for (unsigned key = 1; key <= parts; key++) {
+            copy_fingerprint(call, key,
+                             check->parts->data + (key - 1) * MP_HASH_BYTES);
+        }
+    }
     MpConnPool_Probe(call->target->connections, on_probed, check);
 }
 
@@ -277,19 +491,61 @@
 
 /* ---- calls ---- */
 
+/* Checks the call's fingerprints from key on, and lets it run if none of them
+ * is a suspect. */
+static void
+admit_from(struct MpGatewayCall *call, unsigned key)
+{
+    struct MpSuspects *suspects = &call->gateway->control->suspects;
+    uint8_t fingerprint[MP_HASH_BYTES];
+    char part[9];
+    int64_t now_ms = MpLoop_Now();
+    for (; key < count_keys(call); key++) {
+        copy_fingerprint(call, key, fingerprint);
+        enum MpSuspicion suspicion =
+            key == 0 ? MpSuspects_Lookup(suspects, fingerprint)
+                     : MpSuspects_LookupPart(suspects, fingerprint, now_ms);
+        bool is_on_trial = call->trials & 1U << key;
+        if (suspicion == MP_SUSPICION_NONE || is_on_trial) {
+            continue;
+        }
+        if (suspicion == MP_SUSPICION_STOPPED) {
+            MpLog_Event(LOG_WARNING, "request-stopped",
+                        "id=%s same=%s part=%s suspects=%" PRIu64,
+                        call->id ? call->id : "-", call->fingerprint_hex,
+                        part_name(fingerprint, part), suspects->version);
+            refuse_call(call, key, MP_ERROR_POISON);
+            return;
+        }
+        struct MpSuspectCheck *check = check_new(call, MP_TRIAL_REQUEST, key);
+        if (key > 0) {
+            check->trial.attempt = count_suspect_parts(call);
+        }
+        attach(check, call);
+        query_quorum(check, now_ms + MP_DECISION_WAIT_MS);
+        return;
+    }
+    resume_call(call);
+}
+
 void
 MpGatewaySuspect_Admit(struct MpGatewayCall *call)
 {
-    enum MpSuspicion suspicion = MpSuspects_Lookup(
-        &call->gateway->control->suspects, call->fingerprint);
-    if (suspicion != MP_SUSPICION_TRIAL) {
-        resume_call(call, suspicion == MP_SUSPICION_STOPPED ? MP_ERROR_POISON
-                                                            : MP_OK);
-        return;
+    admit_from(call, 0);
+}
+
+void
+MpGatewaySuspect_NoteContent(struct MpGatewayCall *call)
+{
+    struct MpSuspects *suspects = &call->gateway->control->suspects;
+    uint8_t fingerprint[MP_HASH_BYTES];
+    for (unsigned key = 1; key < count_keys(call); key++) {
+        copy_fingerprint(call, key, fingerprint);
+        if (MpSuspects_NotePartAnswer(suspects, fingerprint, MpLoop_Now())) {
+            report_to_quorum(call, MP_TRIAL_CLEAR, key);
+            call->trials &= ~(1U << key);
+        }
     }
-    struct MpSuspectCheck *check = check_new(call, MP_TRIAL_REQUEST);
-    attach(check, call);
-    query_quorum(check, MpLoop_Now() + MP_DECISION_WAIT_MS);
 }
 
 void
@@ -297,21 +553,82 @@
 {
     if (MpSuspects_NoteAnswer(&call->gateway->control->suspects,
                               call->fingerprint)) {
-        report_to_quorum(call, MP_TRIAL_CLEAR);
-        call->is_on_trial = false;
+        report_to_quorum(call, MP_TRIAL_CLEAR, 0);
+        call->trials &= ~1U;
     }
 }
 
 void
 MpGatewaySuspect_End(struct MpGatewayCall *call)
 {
+    uint8_t fingerprint[MP_HASH_BYTES];
     if (call->check) {
         detach(call->check);
     }
-    if (call->is_on_trial) {
-        MpSuspects_EndTrial(&call->gateway->control->suspects,
-                            call->fingerprint, call->run_id);
-        report_to_quorum(call, MP_TRIAL_RELEASE);
-        call->is_on_trial = false;
+    for (unsigned key = 0; call->trials != 0 && key < count_keys(call);
+         key++) {
+        if (call->trials & 1U << key) {
+            copy_fingerprint(call, key, fingerprint);
+            MpSuspects_EndTrial(&call->gateway->control->suspects, fingerprint,
+                                call->run_id);
+            report_to_quorum(call, MP_TRIAL_RELEASE, key);
+        }
+    }
+    call->trials = 0;
+}
+
+/* ---- lists of the quorum ---- */
+
+/* Returns whether the call waits for the content of a response, and a part of
+ * its prompt was stopped since it was admitted. */
+static bool
+must_recall(const struct MpGatewayCall *call)
+{
+    const struct MpSuspects *suspects = &call->gateway->control->suspects;
+    uint8_t fingerprint[MP_HASH_BYTES];
+    if (call->stage != MP_CALL_RUNNING || !call->conn ||
+        call->forward.events > call->events_before) {
+        return false;
+    }
+    for (unsigned key = 1; key < count_keys(call); key++) {
+        copy_fingerprint(call, key, fingerprint);
+        if (!(call->trials & 1U << key) &&
+            !MpSuspects_IsPartAnswered(suspects, fingerprint, MpLoop_Now()) &&
+            MpSuspects_Lookup(suspects, fingerprint) == MP_SUSPICION_STOPPED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+recall(struct MpGatewayCall *call)
+{
+    MpLog_Event(LOG_WARNING, "request-recalled",
+                "id=%s same=%s target=%s sent_ms_ago=%" PRId64,
+                call->id ? call->id : "-", call->fingerprint_hex,
+                call->target->incarnation, MpLoop_Now() - call->sent_ms);
+    MpGatewayAttempt_Cancel(call, MP_OUTCOME_CANCELLED);
+    call->forward.may_have_run = true;
+    refuse_call(call, 1, MP_ERROR_POISON);
+}
+
+void
+MpGatewaySuspect_ApplyLists(struct MpGateway *gateway)
+{
+    int64_t now_ms = MpLoop_Now();
+    GByteArray *vouched =
+        MpSuspects_ListVouchedParts(&gateway->control->suspects, now_ms);
+    for (guint at = 0; at < vouched->len; at += MP_HASH_BYTES) {
+        vouch(gateway, vouched->data + at);
+    }
+    g_byte_array_unref(vouched);
+    GList *link = gateway->calls.head;
+    while (link) {
+        struct MpGatewayCall *call = link->data;
+        link = link->next;
+        if (must_recall(call)) {
+            recall(call);
+        }
     }
 }
--- a/src/transport/GatewaySuspect.h
+++ b/src/transport/GatewaySuspect.h
@@ -11,6 +11,10 @@
  * From then on one run of the request is admitted at a time in the whole
  * fleet, and none after further crashes (see Quarantine and Suspects).  A
  * partitioned instance decides by itself.
+ *
+ * The same holds for the parts of a prompt that other requests share: of the
+ * requests at a crashed target, those whose response had no content yet are
+ * reported with their parts.
  */
 
 /* How long a call waits for the quorum's decision, ms; the quorum answers
@@ -20,8 +24,8 @@
  * them. */
 #define MP_CRASH_REPORTS_MAX 1024
 
-/* Starts a new call if its request may run, or ends it.  A call with a
- * suspect request waits for the quorum's decision. */
+/* Starts a call's next attempt if its request may run, or ends the call.  A
+ * suspect waits for the quorum's decision. */
 void MpGatewaySuspect_Admit(struct MpGatewayCall *call);
 
 /* Probes the target of an attempt whose response broke off.  The call may end
@@ -30,10 +34,19 @@
 void MpGatewaySuspect_ProbeTarget(struct MpGatewayCall *call);
 void MpGatewaySuspect_WaitForProbe(struct MpGatewayCall *call);
 
+/* Records the start of a response's content, which clears the parts of the
+ * prompt. */
+void MpGatewaySuspect_NoteContent(struct MpGatewayCall *call);
+
 /* Records that the request got a complete response, which clears it. */
 void MpGatewaySuspect_Answered(struct MpGatewayCall *call);
 
-/* Releases the trial of a call that ends, and detaches its pending check. */
+/* Applies new lists of the quorum: vouches for parts that were answered here,
+ * and ends calls that wait for a response while a part of their prompt has
+ * been stopped. */
+void MpGatewaySuspect_ApplyLists(struct MpGateway *gateway);
+
+/* Releases the trials of a call that ends, and detaches its pending check. */
 void MpGatewaySuspect_End(struct MpGatewayCall *call);
 
 #endif
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -2,6 +2,7 @@
 
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
+#include "transport/GatewaySuspect.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
 #include "transport/TargetPoller.h"
@@ -226,11 +227,19 @@
     MpGateway_SetPeers(&this->gateway, peers, count);
 }
 
+static void
+on_suspects(void *owner)
+{
+    struct MpRouter *this = owner;
+    MpGatewaySuspect_ApplyLists(&this->gateway);
+}
+
 static const struct MpControlListener control_listener = {
     .document = on_document,
     .registered = on_registered,
     .recall = on_recall,
     .targets = on_targets,
+    .suspects = on_suspects,
     .peers = on_peers,
 };
 
--- a/tests/TestQuarantine.c
+++ b/tests/TestQuarantine.c
@@ -257,6 +257,81 @@
                     MP_SUSPICION_NONE);
 }
 
+/* ---- parts of prompts ---- */
+
+static int
+submit_part(struct fixture *this, enum mp_trial_kind kind, uint64_t part,
+            uint32_t attempt, uint32_t timeout_ms)
+{
+    struct mp_command command = {.at_ms = this->now_ms,
+                                 .body = {.kind = MP_CMD_TRIAL}};
+    struct mp_trial *trial = &command.body.mp_command_body_u.trial;
+    *trial = (struct mp_trial){
+        .kind = kind, .run = 1, .attempt = attempt, .timeout_ms = timeout_ms};
+    MpQuarantine_SetPartFingerprint(part, trial->fingerprint);
+    return MpMachine_Apply(&this->machine, ++this->index, &command,
+                           &this->result);
+}
+
+static void
+test_parts_of_one_crash(struct fixture *this, const void *data)
+{
+    (void)data;
+    submit_part(this, MP_TRIAL_CRASH, 1, 70, 0);
+    submit_part(this, MP_TRIAL_CRASH, 2, 70, 0);
+    /* Requests with both parts wait for those with one of them. */
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 2, TIMEOUT_MS), ==,
+                    MP_ERROR_HELD_BACK);
+    this->now_ms += MP_GROUP_WAIT_MS;
+    submit_part(this, MP_TRIAL_CRASH, 1, 71, 0);
+    submit_part(this, MP_TRIAL_CRASH, 2, 71, 0);
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 2, TIMEOUT_MS), ==,
+                    MP_ERROR_POISON);
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 1, TIMEOUT_MS), ==,
+                    MP_OK);
+    submit_part(this, MP_TRIAL_CLEAR, 1, 1, 0);
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 2, 1, TIMEOUT_MS), ==,
+                    MP_ERROR_POISON);
+    this->now_ms += MP_PART_PAUSE_MS;
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 2, 1, TIMEOUT_MS), ==,
+                    MP_OK);
+}
+
+static void
+test_part_vouched(struct fixture *this, const void *data)
+{
+    (void)data;
+    submit_part(this, MP_TRIAL_CRASH, 1, 70, 0);
+    submit_part(this, MP_TRIAL_VOUCH, 1, 0, 500);
+    g_assert_cmpint((int)this->result.number, ==, 0);
+    GBytes *bytes = MpMachine_Save(&this->machine);
+    g_assert_cmpint(MpMachine_Load(&this->machine,
+                                   g_bytes_get_data(bytes, NULL),
+                                   g_bytes_get_size(bytes)),
+                    ==, MP_OK);
+    g_bytes_unref(bytes);
+    this->now_ms += 2000;
+    submit_part(this, MP_TRIAL_CRASH, 1, 71, 0);
+    submit_part(this, MP_TRIAL_VOUCH, 1, 0, 2500); /* before both crashes */
+    g_assert_cmpint((int)this->result.number, ==, 1);
+    submit_part(this, MP_TRIAL_VOUCH, 1, 0, 1500);
+    g_assert_cmpint((int)this->result.number, ==, 0);
+}
+
+static void
+test_part_waited(struct fixture *this, const void *data)
+{
+    (void)data;
+    submit_part(this, MP_TRIAL_WAITED, 1, 70, 0);
+    submit_part(this, MP_TRIAL_WAITED, 1, 70, 0); /* the same crash */
+    submit_part(this, MP_TRIAL_WAITED, 1, 71, 0);
+    g_assert_cmpint((int)this->result.number, ==, 0);
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 1, TIMEOUT_MS), ==,
+                    MP_OK);
+    submit_part(this, MP_TRIAL_WAITED, 1, 72, 0);
+    g_assert_cmpint((int)this->result.number, ==, 1);
+}
+
 #define CASE(name, function)                                                  \
     g_test_add("/quarantine/" name, struct fixture, NULL, set_up, function,   \
                tear_down)
@@ -276,5 +351,8 @@
     CASE("an instance decides without the quorum", test_local_decision);
     CASE("an instance applies the lists it is told", test_lists_applied);
     CASE("an answered request is not suspect", test_answered_request);
+    CASE("parts of one crash are told apart", test_parts_of_one_crash);
+    CASE("an earlier answer clears a part once", test_part_vouched);
+    CASE("a part that waits is suspected later", test_part_waited);
     return g_test_run();
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -23,6 +23,7 @@
     "FuzzSlices": (300, 4, 4000),
     "FuzzForward": (3000, 2, 600),
     "FuzzSuspects": (300, 2, 4000),
+    "FuzzParts": (500, 2, 4000),
     "FuzzRoster": (2000, 2, 600),
 }
 # fault number: description, fuzzer that finds it, seeds that it runs
@@ -68,6 +69,7 @@
     39: ("snapshot drops the outstanding amount", "FuzzSlices", 200),
     40: ("returned amount counted again", "FuzzSlices", 200),
     41: ("loan above the lender's balance", "FuzzSlices", 200),
+    42: ("old answer clears a part again", "FuzzParts", 50),
 }
 
 
