A stream that ends inside an event is resumed or cut, not passed on as whole

What callers saw: a stream without length and chunks (or with chunks) that ended in the middle of an event reached them as a complete answer, with half an event at its end.

Cause: the end of the message was taken for the end of the stream, and what was left of an event was written before it.

Change: an event stream that ends inside an event, or with its connection before the first event, has broken off. TargetConn tells responses that ended with their connection from others; a page of the target list may end so.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -215,8 +215,6 @@
         MpGatewayCall_Free(this);
         return;
     }
-    MpCallerResponse_Write(&this->response, this->partial->data,
-                           this->partial->len);
     MpCallerResponse_Finish(&this->response);
 }
 
@@ -244,23 +242,39 @@
     run_next_step(this, MP_RESULT_UNKNOWN, MP_ERROR_TARGET_FAILED);
 }
 
+/* Returns the result of a stream by its events: one that ends inside an event,
+ * or with the connection before the first, has broken off. */
+static enum MpTargetResult
+stream_result(const struct MpGatewayCall *this, enum MpTargetResult result)
+{
+    bool is_empty = this->forward.events == this->events_before;
+    bool has_broken_off =
+        this->is_relayed && this->is_event_stream &&
+        (this->partial->len > 0 || (result == MP_TARGET_CLOSED && is_empty));
+    return has_broken_off && result != MP_TARGET_NOT_SENT
+               ? MP_TARGET_INCOMPLETE
+               : result;
+}
+
 static void
 on_end(void *owner, enum MpTargetResult result)
 {
     struct MpGatewayCall *this = owner;
     this->conn = NULL;
-    MpLog_Event(result == MP_TARGET_COMPLETE ? LOG_DEBUG : LOG_WARNING,
-                "attempt-ended",
+    result = stream_result(this, result);
+    bool is_complete =
+        result == MP_TARGET_COMPLETE || result == MP_TARGET_CLOSED;
+    MpLog_Event(is_complete ? LOG_DEBUG : LOG_WARNING, "attempt-ended",
                 "id=%s target=%s how=%s status=%d events=%" PRId64
                 " took_ms=%" PRId64,
                 this->id ? this->id : "-", this->target->incarnation,
-                result == MP_TARGET_COMPLETE   ? "whole"
+                is_complete                    ? "whole"
                 : result == MP_TARGET_NOT_SENT ? "not-sent"
                                                : "cut",
                 this->has_response ? this->status : 0,
                 this->forward.events - this->events_before,
                 MpLoop_Now() - this->sent_ms);
-    if (result == MP_TARGET_COMPLETE) {
+    if (is_complete) {
         on_complete(this);
         return;
     }
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -39,6 +39,7 @@
     size_t stray_bytes; /* received since the request was sent */
     bool is_reusable;   /* nothing received so far rules it out */
     bool is_complete;
+    bool is_closed; /* the target has closed the connection */
     bool is_paused;
     bool is_in_callback;  /* a callback of the owner is running */
     bool is_free_pending; /* free it after the callback */
@@ -300,7 +301,7 @@
                     !this->conn_pool->is_deleted &&
                     this->socket->input->size == 0 && !this->is_paused;
     if (!may_keep) {
-        fail(this, MP_TARGET_COMPLETE);
+        fail(this, this->is_closed ? MP_TARGET_CLOSED : MP_TARGET_COMPLETE);
         return;
     }
     this->is_in_callback = true;
@@ -369,6 +370,7 @@
     if (parse_input(this, false) && is_end) {
         /* A response without a length ends with its connection. */
         this->is_reusable = false;
+        this->is_closed = true;
         if (parse_input(this, true)) {
             fail(this, MP_TARGET_INCOMPLETE);
         }
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -40,6 +40,9 @@
 
 enum MpTargetResult {
     MP_TARGET_COMPLETE,  /* the response is complete */
+    MP_TARGET_CLOSED,    /* the response had no length and ended with its
+                          * connection; only its content can show whether
+                          * it is complete */
     MP_TARGET_NOT_SENT,  /* no byte of the request was sent */
     MP_TARGET_INCOMPLETE /* cut off or malformed; the request may have
                              arrived */
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -133,17 +133,19 @@
     struct MpTargetList *this = owner;
     const struct MpDialect *dialect = this->dialect;
     this->conn = NULL;
-    if (result == MP_TARGET_COMPLETE && this->status == 429 &&
-        this->pages > 0 && this->refusals < PAGE_REFUSALS_MAX) {
+    /* A page that was cut off does not parse. */
+    bool is_complete =
+        result == MP_TARGET_COMPLETE || result == MP_TARGET_CLOSED;
+    if (is_complete && this->status == 429 && this->pages > 0 &&
+        this->refusals < PAGE_REFUSALS_MAX) {
         this->refusals++;
         MpLoop_SetTimer(this->loop, &this->timer, PAGE_RETRY_MS, on_page_retry,
                         this);
         return;
     }
     g_clear_pointer(&this->next_query, g_free);
-    if (result != MP_TARGET_COMPLETE || this->status != 200) {
-        on_page_failed(this,
-                       result == MP_TARGET_COMPLETE ? "status" : "connection");
+    if (!is_complete || this->status != 200) {
+        on_page_failed(this, is_complete ? "status" : "connection");
         return;
     }
     if (dialect->parse_targets((const char *)this->body->data, this->body->len,
