Soak: a part of a prompt that crashes targets, beside the other faults

Checks that requests with the part are refused after five crashes, and that requests with the other parts are served again after the last fault.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,15 +8,18 @@
 (SIGSTOP).  Two of them lose the control replicas behind proxies that drop
 bytes; with an odd seed, instances lend budget to each other.  Targets crash
 and restart, reset the requests they run, or stop responding.  Some requests
-crash every target that runs them.
+crash every target that runs them, and one part of a prompt crashes each
+target that begins to answer a request with it.
 
 Checked, from what callers and targets see:
 - an at-most-once request runs once, and a refused request has not run;
 - each caller gets its own complete response;
 - the events of a stream arrive once and in order;
 - no more than the prepaid amount is delivered;
-- a request that crashes its targets is refused after a few retries;
-- after the last fault all requests are served again.
+- a request that crashes its targets is refused after a few retries, and so are
+  requests with the part;
+- after the last fault all requests are served again, those with the other parts
+  too.
 
 Prints the violations, and exits with 1 if there are any.
 """
@@ -37,6 +40,7 @@
 
 PROPAGATION_S = 3
 RETRIES_MAX = 3
+CRASHING_PART = "dead:7"
 RECOVERY_S = 15
 EVENTS, EVENT_TOKENS, PROMPT = 8, 3, 50
 PREPAID = 40000
@@ -89,10 +93,16 @@
             if name in self.refused:
                 self.violations.append("%s ran after it was refused" % name)
         body = req["body"].decode()
-        if body.startswith("#end"):
+        has_part = CRASHING_PART in req["headers"].get(
+            "x-mimosapath-parts", "").split(",")
+        if body.startswith("#end") or has_part:
+            cause = CRASHING_PART if has_part else body
+            if has_part:
+                start_event_stream(conn, req)
+                time.sleep(0.02)
             with self.lock:
-                self.crash_sends.append((time.monotonic(), body, name))
-                self.crashes.setdefault(body, []).append(time.monotonic())
+                self.crash_sends.append((time.monotonic(), cause, name))
+                self.crashes.setdefault(cause, []).append(time.monotonic())
             target.crash(1)
             return False
         if target.mode == "resets" and hash(name) % 2:
@@ -168,12 +178,29 @@
             if kind == "stream":
                 headers["x-mimosapath-tokens"] = "%d,%d" % (
                     PROMPT, EVENTS * EVENT_TOKENS)
+                headers["x-mimosapath-parts"] = self.sound_parts(
+                    rng.randrange(4), request_id)
             status, text, _ = self.send_request(conns, name, kind, request_id,
                                                 request_id, headers)
             self.count("%s %d" % (kind, status))
             self.check_response(kind, request_id, status, text)
             time.sleep(0.01)
 
+    def sound_parts(self, topic, request_id):
+        return "system:20,topic%d:20,%s:10" % (topic, request_id)
+
+    def run_part_crasher(self, interval_s):
+        conns = {}
+        while not self.is_stopped:
+            name = self.random.choice(self.fleet.names)
+            request_id = self.next_id("part", name)
+            self.send_request(conns, name, "stream", request_id, request_id, {
+                "host": "h.example", "authorization": "Bearer " + KEY,
+                "x-mimosapath-request": request_id,
+                "x-mimosapath-parts": "system:20,%s,%s:10" % (
+                    CRASHING_PART, request_id)})
+            time.sleep(interval_s)
+
     def run_crasher(self, body, interval_s):
         conns = {}
         while not self.is_stopped:
@@ -276,23 +303,25 @@
 
     def check_crashes(self):
         """Limits the retries of a crashing request that are sent later than
-        PROPAGATION_S after its third crash.  Only requests to an instance
+        PROPAGATION_S after its third crash, and the requests with a crashing
+        part later than that after its fifth.  Only requests to an instance
         that had no fault in that time count, and only while the control
         replicas had none either."""
         for body, crashes in self.crashes.items():
-            if len(crashes) < 3:
+            most = 5 if body == CRASHING_PART else 3
+            if len(crashes) < most:
                 continue
             late = 0
             for at, sent, request_id in self.crash_sends:
                 used = [self.sent_to[request_id]] + self.fleet.control
                 if sent == body and at > sorted(crashes)[
-                        2] + PROPAGATION_S and all(
+                        most - 1] + PROPAGATION_S and all(
                             at - self.fault_times.get(n, 0) > PROPAGATION_S
                             for n in used):
                     late += 1
             if late > RETRIES_MAX:
-                self.report_violation("%s: %d retries after the third crash" %
-                                      (body, late))
+                self.report_violation("%s: %d retries after %d crashes" %
+                                      (body, late, most))
 
     def check_billing(self):
         """The logs must show at least what the caller got as billed, for each
@@ -326,6 +355,14 @@
                                 "last", n)})) == "200", RECOVERY_S, 0.1):
                     self.report_violation("%s does not serve %s" % (
                         name, kind))
+            for topic in range(4):
+                if not wait_for(lambda n=name, t=topic: status_of(send(
+                        self.fleet, n, "/stream/x", {
+                            "x-mimosapath-request": self.next_id("last", n),
+                            "x-mimosapath-parts": self.sound_parts(
+                                t, "last")})) == "200", RECOVERY_S, 0.1):
+                    self.report_violation("%s does not serve topic %d" % (
+                        name, topic))
 
     def run_all(self):
         self.partitioned_names = ["i3", "i4"]
@@ -345,6 +382,7 @@
                        for s in range(6)]
             threads += [in_background(lambda b=b: self.run_crasher(b, 0.3))
                         for b in ("#end0", "#end1")]
+            threads.append(in_background(lambda: self.run_part_crasher(0.4)))
             end = time.monotonic() + self.seconds
             faulty, faults = set(), []
             while time.monotonic() < end:
