A refused trial of a part is remembered until the lists change

Cause: only parts that are alone are listed as stopped; for the others each request asks the quorum, and a refused one released a trial that it never had.

--- a/fuzz/FuzzParts.c
+++ b/fuzz/FuzzParts.c
@@ -228,6 +228,7 @@
 admit(struct fixture *this, struct run *run)
 {
     struct instance *instance = &this->instances[run->instance];
+    uint32_t suspect_parts = count_suspects(instance, run->parts);
     for (uint32_t part = 0; part < PARTS; part++) {
         struct mp_trial trial = make_trial(run, part, MP_TRIAL_REQUEST);
         const uint8_t *fingerprint = (const uint8_t *)trial.fingerprint;
@@ -235,24 +236,28 @@
             continue;
         }
         enum MpSuspicion suspicion = MpSuspects_LookupPart(
-            &instance->suspects, fingerprint, this->now_ms);
+            &instance->suspects, fingerprint, suspect_parts, this->now_ms);
         if (suspicion == MP_SUSPICION_NONE) {
             continue;
         }
         if (suspicion == MP_SUSPICION_STOPPED) {
             return MP_ERROR_POISON;
         }
-        trial.attempt = count_suspects(instance, run->parts);
+        trial.attempt = suspect_parts;
         trial.timeout_ms = (u_int)MAX(run->deadline_ms - this->now_ms, 0);
         int code = instance->is_connected
                        ? apply(this, instance, &trial)
                        : MpSuspects_DecideLocally(
                              &instance->suspects, fingerprint, run->number,
                              trial.timeout_ms, this->now_ms);
-        run->trials |= 1U << part;
+        if (code == MP_ERROR_POISON && instance->is_connected) {
+            MpSuspects_NotePartRefused(&instance->suspects, fingerprint,
+                                       suspect_parts, this->now_ms);
+        }
         if (code != MP_OK) {
             return code;
         }
+        run->trials |= 1U << part;
     }
     return MP_OK;
 }
--- a/src/coordination/Suspects.c
+++ b/src/coordination/Suspects.c
@@ -13,8 +13,8 @@
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
     this->local =
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, NULL, g_free);
-    this->asked = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
-                                        g_free, g_free);
+    this->refused = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
+                                          g_free, g_free);
 }
 
 void
@@ -22,7 +22,7 @@
 {
     g_hash_table_unref(this->listed);
     g_hash_table_unref(this->local);
-    g_hash_table_unref(this->asked);
+    g_hash_table_unref(this->refused);
 }
 
 static void
@@ -60,7 +60,7 @@
     g_hash_table_remove_all(this->listed);
     add_list(this, suspected, suspected_bytes, false);
     add_list(this, stopped, stopped_bytes, true);
-    g_hash_table_foreach_remove(this->asked, is_unlisted, this->listed);
+    g_hash_table_foreach_remove(this->refused, is_unlisted, this->listed);
     g_hash_table_foreach_remove(this->local, is_cleared, this->listed);
 }
 
@@ -185,25 +185,37 @@
     return vouched;
 }
 
+void
+MpSuspects_NotePartRefused(struct MpSuspects *this, const uint8_t *fingerprint,
+                           uint32_t count, int64_t now_ms)
+{
+    struct MpRefusedPart *part = g_new(struct MpRefusedPart, 1);
+    *part = (struct MpRefusedPart){
+        .at_ms = now_ms, .version = this->version, .count = count};
+    g_hash_table_replace(this->refused, g_memdup2(fingerprint, MP_HASH_BYTES),
+                         part);
+}
+
 enum MpSuspicion
 MpSuspects_LookupPart(struct MpSuspects *this, const uint8_t *fingerprint,
-                      int64_t now_ms)
+                      uint32_t count, int64_t now_ms)
 {
     enum MpSuspicion suspicion = MpSuspects_Lookup(this, fingerprint);
-    if (suspicion != MP_SUSPICION_STOPPED) {
-        return suspicion;
+    struct MpRefusedPart *part =
+        g_hash_table_lookup(this->refused, fingerprint);
+    if (suspicion == MP_SUSPICION_STOPPED && !part) {
+        MpSuspects_NotePartRefused(this, fingerprint, 0, now_ms);
+        return MP_SUSPICION_STOPPED;
     }
-    int64_t *asked_ms = g_hash_table_lookup(this->asked, fingerprint);
-    if (!asked_ms) {
-        asked_ms = g_new(int64_t, 1);
-        *asked_ms = now_ms;
-        g_hash_table_insert(this->asked, g_memdup2(fingerprint, MP_HASH_BYTES),
-                            asked_ms);
+    bool is_refused = suspicion == MP_SUSPICION_TRIAL && part &&
+                      part->version == this->version && count >= part->count;
+    if (suspicion != MP_SUSPICION_STOPPED && !is_refused) {
+        return suspicion;
     }
-    if (now_ms - *asked_ms < MP_STOPPED_PART_ASK_MS) {
+    if (now_ms - part->at_ms < MP_STOPPED_PART_ASK_MS) {
         return MP_SUSPICION_STOPPED;
     }
-    *asked_ms = now_ms;
+    part->at_ms = now_ms;
     return MP_SUSPICION_TRIAL;
 }
 
--- a/src/coordination/Suspects.h
+++ b/src/coordination/Suspects.h
@@ -48,12 +48,18 @@
     int64_t crashed_ms; /* last crash that the answer has outweighed here */
 };
 
+/* A part that the quorum has stopped, by its lists or by refusing a trial. */
+struct MpRefusedPart {
+    int64_t at_ms; /* of the last request for a trial, or of its first use */
+    uint64_t version; /* of the lists at that time */
+    uint32_t count;   /* suspect parts of the refused request; 0: listed */
+};
+
 struct MpSuspects {
-    GHashTable *listed; /* lists of the quorum: fingerprint -> is_stopped */
-    GHashTable *local;  /* fingerprint -> struct MpLocalSuspect */
-    GHashTable *asked;  /* fingerprint of a stopped part -> int64_t *, time of
-                         * the last request for a trial, or of its first use */
-    uint64_t version;   /* of the lists of the quorum */
+    GHashTable *listed;  /* lists of the quorum: fingerprint -> is_stopped */
+    GHashTable *local;   /* fingerprint -> struct MpLocalSuspect */
+    GHashTable *refused; /* fingerprint of a part -> struct MpRefusedPart */
+    uint64_t version;    /* of the lists of the quorum */
     uint64_t answered[MP_ANSWERED_MAX]; /* prefix of a fingerprint; 0: none */
     struct MpAnsweredPart answered_parts[MP_ANSWERED_PARTS_MAX];
 };
@@ -84,11 +90,19 @@
 enum MpSuspicion MpSuspects_Lookup(const struct MpSuspects *this,
                                    const uint8_t *fingerprint);
 
-/* Returns whether a part is a suspect.  Of a stopped one, it returns
- * MP_SUSPICION_TRIAL once in MP_STOPPED_PART_ASK_MS. */
+/* Returns whether a part of a request with this number of suspect parts is a
+ * suspect.  Of a stopped one, it returns MP_SUSPICION_TRIAL once in
+ * MP_STOPPED_PART_ASK_MS.  A part whose trial the quorum refused counts as
+ * stopped until the lists change, for requests with as many suspect parts. */
 enum MpSuspicion MpSuspects_LookupPart(struct MpSuspects *this,
                                        const uint8_t *fingerprint,
-                                       int64_t now_ms);
+                                       uint32_t count, int64_t now_ms);
+
+/* Records that the quorum refused a trial of a part, for a request with this
+ * number of suspect parts. */
+void MpSuspects_NotePartRefused(struct MpSuspects *this,
+                                const uint8_t *fingerprint, uint32_t count,
+                                int64_t now_ms);
 
 /* Records the start of an answer to a request with this part, and clears the
  * part.  Returns whether it was a suspect, so that the answer must be reported
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -257,8 +257,13 @@
     }
     else if (check->call) {
         struct MpGatewayCall *call = detach(check);
-        if (result->number == 0) {
-            call->trials &= ~(1U << check->key); /* no longer a suspect */
+        if (result->code == MP_ERROR_POISON && check->key > 0) {
+            MpSuspects_NotePartRefused(suspects_of(check),
+                                       fingerprint_of(check),
+                                       check->trial.attempt, MpLoop_Now());
+        }
+        if (result->code != MP_OK || result->number == 0) {
+            call->trials &= ~(1U << check->key); /* no trial was granted */
         }
         apply_decision(call, check->key, result->code);
     }
@@ -500,11 +505,13 @@
     uint8_t fingerprint[MP_HASH_BYTES];
     char part[9];
     int64_t now_ms = MpLoop_Now();
+    unsigned suspect_parts = count_suspect_parts(call);
     for (; key < count_keys(call); key++) {
         copy_fingerprint(call, key, fingerprint);
         enum MpSuspicion suspicion =
             key == 0 ? MpSuspects_Lookup(suspects, fingerprint)
-                     : MpSuspects_LookupPart(suspects, fingerprint, now_ms);
+                     : MpSuspects_LookupPart(suspects, fingerprint,
+                                             suspect_parts, now_ms);
         bool is_on_trial = call->trials & 1U << key;
         if (suspicion == MP_SUSPICION_NONE || is_on_trial) {
             continue;
@@ -519,7 +526,7 @@
         }
         struct MpSuspectCheck *check = check_new(call, MP_TRIAL_REQUEST, key);
         if (key > 0) {
-            check->trial.attempt = count_suspect_parts(call);
+            check->trial.attempt = suspect_parts;
         }
         attach(check, call);
         query_quorum(check, now_ms + MP_DECISION_WAIT_MS);
