An empty operator token lets nobody in; unusable secrets end the start

What operators saw: with the platform's dialect, an instance whose token file was empty or blank started, and an empty Bearer or Basic password was good for every verb and the console. With a missing or unreadable file it started without a token and without a word.

Cause: the check for an empty token was made only for dialects without numbered documents, and a file that could not be read was taken for no setting.

Change: Secret reads the operator token and the fleet key: a file that cannot be read or holds nothing is a typed error with a log line, at start and at reload, under each dialect. A blank fleet_key is a finding; the example's key is named loudly at start.

--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -393,6 +393,11 @@
         require(this->operator_token_file, "operator_token_file",
                 "the address for operators needs a token", findings);
     }
+    if (this->fleet_key &&
+        strspn(this->fleet_key, " \t\r\n") == strlen(this->fleet_key)) {
+        MpFindings_Add(findings, MP_FINDING_MISSING, 0, "fleet_key",
+                       "the shared secret of the instances is empty");
+    }
     if (this->control->len != 1 || !this->is_control) {
         require(this->fleet_key ? this->fleet_key : this->fleet_key_file,
                 "fleet_key_file", "several instances need a shared secret",
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -7,6 +7,7 @@
 #include "transport/ReferralServer.h"
 #include "transport/Replica.h"
 #include "transport/Router.h"
+#include "transport/Secret.h"
 
 #include <openssl/evp.h>
 #include <openssl/rand.h>
@@ -65,6 +66,12 @@
     char *text = NULL;
     gsize length = 0;
     if (settings->fleet_key) {
+        if (strcmp(settings->fleet_key, MP_SECRET_EXAMPLE) == 0) {
+            MpLog_Event(LOG_CRIT, "fleet-key-is-the-example",
+                        "anyone who reaches %s can control the fleet",
+                        settings->listen.rpc ? settings->listen.rpc
+                                             : "this instance");
+        }
         EVP_Digest(settings->fleet_key, strlen(settings->fleet_key),
                    this->fleet_key, &size, EVP_sha256(), NULL);
         return MP_OK;
@@ -74,14 +81,10 @@
                    ? MP_OK
                    : MP_ERROR_IO;
     }
-    char *path = MpSettings_ResolvePath(settings, settings->fleet_key_file);
-    bool is_read = g_file_get_contents(path, &text, &length, NULL);
-    g_free(path);
-    if (!is_read || length == 0) {
-        g_free(text);
-        MpLog_Event(LOG_ERR, "fleet-key-unreadable", "file=%s",
-                    settings->fleet_key_file);
-        return MP_ERROR_IO;
+    int code = MpSecret_Read(settings, "fleet_key", settings->fleet_key_file,
+                             &text, &length);
+    if (code != MP_OK) {
+        return code;
     }
     EVP_Digest(text, length, this->fleet_key, &size, EVP_sha256(), NULL);
     OPENSSL_cleanse(text, length);
@@ -212,6 +215,14 @@
         g_ptr_array_unref(findings);
         return;
     }
+    int code = MpOperatorServer_CheckToken(settings);
+    if (code != MP_OK) {
+        MpLog_Event(LOG_ERR, "settings-rejected", "why=%s error=%s", why,
+                    MpError_Name(code));
+        MpSettings_Delete(settings);
+        g_ptr_array_unref(findings);
+        return;
+    }
     GPtrArray *replicas = MpSettings_ReplicaAddresses(settings);
     for (guint i = 0; i < replicas->len; i++) {
         const char *address = g_ptr_array_index(replicas, i);
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -6,6 +6,7 @@
 #include "transport/Exchange.h"
 #include "transport/Log.h"
 #include "transport/NumberedDocument.h"
+#include "transport/Secret.h"
 
 #include <openssl/crypto.h>
 #include <string.h>
@@ -219,20 +220,30 @@
     MpConsole_Serve(call);
 }
 
-static char *
-read_token(const struct MpSettings *settings)
+/* Without a token setting, *token is NULL. */
+static int
+read_token(const struct MpSettings *settings, char **token)
 {
-    char *text = NULL;
+    gsize size;
+    *token = NULL;
     if (!settings->operator_token_file) {
-        return NULL;
+        return MP_OK;
     }
-    char *path =
-        MpSettings_ResolvePath(settings, settings->operator_token_file);
-    if (g_file_get_contents(path, &text, NULL, NULL)) {
-        g_strstrip(text);
+    int code = MpSecret_Read(settings, "operator_token",
+                             settings->operator_token_file, token, &size);
+    if (code == MP_OK) {
+        g_strstrip(*token);
     }
-    g_free(path);
-    return text;
+    return code;
+}
+
+int
+MpOperatorServer_CheckToken(const struct MpSettings *settings)
+{
+    char *token;
+    int code = read_token(settings, &token);
+    g_free(token);
+    return code;
 }
 
 int
@@ -246,15 +257,14 @@
                                       .control = control,
                                       .router = router,
                                       .replica = replica};
-    this->token = read_token(settings);
+    int code = read_token(settings, &this->token);
     /* Without a token only the dialect's document requests, /healthz and
      * /metrics can be used. */
-    if ((!this->token || !this->token[0]) &&
+    if (code == MP_OK && !this->token &&
         !control->dialect->has_numbered_documents) {
-        return MP_ERROR_AUTHENTICATION;
+        code = MP_ERROR_AUTHENTICATION;
     }
-    int code = MP_OK;
-    if (settings->listen.metrics) {
+    if (code == MP_OK && settings->listen.metrics) {
         code = MpHttpServer_Start(
             &this->metrics_http, loop, settings->listen.metrics,
             METRICS_BODY_MAX_BYTES, on_metrics_request, this);
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -27,9 +27,13 @@
     uint64_t rejected; /* requests with a wrong token */
 };
 
+/* Returns MP_OK if the settings name no token file or a usable one, otherwise
+ * MP_ERROR_AUTHENTICATION. */
+int MpOperatorServer_CheckToken(const struct MpSettings *settings);
+
 /* Starts the listeners that settings name.  Errors: MP_ERROR_IO;
- * MP_ERROR_AUTHENTICATION if there is no operator token, unless the dialect
- * has document requests without it. */
+ * MP_ERROR_AUTHENTICATION if the token file is unreadable or blank, or if none
+ * is named and the dialect has no document requests without it. */
 int MpOperatorServer_Start(struct MpOperatorServer *this, struct MpLoop *loop,
                            const struct MpSettings *settings,
                            struct MpControlClient *control,
