A lender of the own zone that failed once is listed again

Callers saw nothing directly: a router opened no connection in advance to a lender that had failed at any time before, so that its next loan waited for one. Cause: the list of the own zone checked the skip list at time 0, when each entry is still in force. It gets the time now. TestLenders, "a failed lender returns": failed with the time 0, holds now.

--- a/src/coordination/Lenders.c
+++ b/src/coordination/Lenders.c
@@ -187,11 +187,12 @@
 }
 
 void
-MpLenders_ListOwnZone(const struct MpLenders *this, GPtrArray *out)
+MpLenders_ListOwnZone(const struct MpLenders *this, int64_t now_ms,
+                      GPtrArray *out)
 {
     const struct MpLenderZone *own = own_zone(this);
     if (own) {
-        add_lenders(this, own, MP_LENDERS_PER_ZONE, "", 0, out);
+        add_lenders(this, own, MP_LENDERS_PER_ZONE, "", now_ms, out);
     }
 }
 
--- a/src/coordination/Lenders.h
+++ b/src/coordination/Lenders.h
@@ -72,9 +72,10 @@
                               GPtrArray *out);
 
 /* Appends the addresses of the other lenders of this zone, without those that
- * have failed before.  The strings are newly allocated, to be freed by the
+ * failed lately.  The strings are newly allocated, to be freed by the
  * free function of out. */
-void MpLenders_ListOwnZone(const struct MpLenders *this, GPtrArray *out);
+void MpLenders_ListOwnZone(const struct MpLenders *this, int64_t now_ms,
+                           GPtrArray *out);
 
 /* Records that the lender at address is unreachable or failed. */
 void MpLenders_NoteFailure(struct MpLenders *this, const char *address,
--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -482,7 +482,7 @@
 {
     GPtrArray *own_zone = g_ptr_array_new_with_free_func(g_free);
     MpLenders_SetPeers(&this->lenders, peers, count);
-    MpLenders_ListOwnZone(&this->lenders, own_zone);
+    MpLenders_ListOwnZone(&this->lenders, MpLoop_Now(), own_zone);
     MpLog_Event(LOG_NOTICE, "lenders-told", "peers=%u near=%u keepers=%u",
                 count, own_zone->len,
                 MpLenders_CountPrimaries(&this->lenders));
--- a/tests/TestLenders.c
+++ b/tests/TestLenders.c
@@ -89,6 +89,29 @@
     MpLenders_Done(&lenders);
 }
 
+/* A lender of the own zone that failed once is listed again later. */
+static void
+test_failed_lender_returns(void)
+{
+    struct MpLenders lenders;
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    make_peers();
+    init_lenders(&lenders, 0, ZONES * PER_ZONE);
+    MpLenders_ListOwnZone(&lenders, 1000, list);
+    guint count = list->len;
+    g_assert_cmpuint(count, >, 0);
+    MpLenders_NoteFailure(&lenders, g_ptr_array_index(list, 0), 1000);
+    g_ptr_array_set_size(list, 0);
+    MpLenders_ListOwnZone(&lenders, 1000 + MP_LENDER_FAILURE_BACKOFF_MS - 1,
+                          list);
+    g_assert_cmpuint(list->len, ==, count - 1);
+    g_ptr_array_set_size(list, 0);
+    MpLenders_ListOwnZone(&lenders, 1000 + MP_LENDER_FAILURE_BACKOFF_MS, list);
+    g_assert_cmpuint(list->len, ==, count);
+    g_ptr_array_unref(list);
+    MpLenders_Done(&lenders);
+}
+
 /* The first lenders of many workspaces are spread over the lenders of a
  * zone. */
 static void
@@ -138,6 +161,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/lenders/all agree on the keepers", test_agreement);
     g_test_add_func("/lenders/the own zone comes first", test_order);
+    g_test_add_func("/lenders/a failed lender returns",
+                    test_failed_lender_returns);
     g_test_add_func("/lenders/workspaces are spread", test_spread);
     g_test_add_func("/lenders/no address, or no list yet", test_no_lenders);
     return g_test_run();
