--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -164,7 +164,13 @@
     struct MpReplica *this = (struct MpReplica *)port;
     gsize size;
     const void *bytes = g_bytes_get_data(data, &size);
-    return MpMachine_Load(&this->machine, bytes, size);
+    int code = MpMachine_Load(&this->machine, bytes, size);
+    if (code != MP_OK) {
+        MpLog_Event(LOG_ERR, "snapshot-unreadable",
+                    "bytes=%" G_GSIZE_FORMAT " error=%s", size,
+                    MpError_Name(code));
+    }
+    return code;
 }
 
 static const struct MpRaftPortClass replica_port_class = {
--- a/tests/TestLedger.c
+++ b/tests/TestLedger.c
@@ -280,6 +280,28 @@
     g_test_add("/ledger/" name, struct fixture, NULL, set_up, function,       \
                tear_down)
 
+/* A top-up that is refused changes nothing: it makes no account, and leaves
+ * the balance of an existing one. */
+static void
+test_topup_refused(struct fixture *this, const void *data)
+{
+    (void)data;
+    struct MpLedger *ledger = &this->machine.ledger;
+    guint before = g_hash_table_size(ledger->accounts);
+    struct mp_command command = {.body = {.kind = MP_CMD_TOPUP}};
+    command.body.mp_command_body_u.topup =
+        (struct mp_topup){.workspace = (char *)"unknown",
+                          .topup_id = (char *)"t1",
+                          .amount_mtok = MP_AMOUNT_MAX_MTOK + 1};
+    g_assert_cmpint(apply(this, &command), ==, MP_ERROR_OVERFLOW);
+    g_assert_cmpuint(g_hash_table_size(ledger->accounts), ==, before);
+    int64_t granted_mtok = MpLedger_FindAccount(ledger, "w")->granted_mtok;
+    g_assert_cmpint(topup(this, "t2", MP_AMOUNT_MAX_MTOK), ==,
+                    MP_ERROR_OVERFLOW);
+    g_assert_cmpint(MpLedger_FindAccount(ledger, "w")->granted_mtok, ==,
+                    granted_mtok);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -287,6 +309,7 @@
     CASE("the budget is never exceeded", test_budget);
     CASE("a charge is capped by its reservation", test_bill_capped);
     CASE("a repeated top-up is applied once", test_topup_idempotent);
+    CASE("a refused top-up changes nothing", test_topup_refused);
     CASE("a booking runs once", test_at_most_once);
     CASE("a fence resolves open records", test_fence_unknown);
     CASE("a late open reserves nothing", test_late_open);
--- a/tests/TestRaft.c
+++ b/tests/TestRaft.c
@@ -6,19 +6,21 @@
 
 #include <glib.h>
 
-/* A single replica.  Writes complete immediately, messages are dropped. */
+/* A single replica.  Writes complete immediately, messages go nowhere. */
 struct fixture {
     struct MpRaftPort port;
     struct MpRaft raft;
     guint snapshot_writes;
     uint64_t last_seq; /* newest sequence number */
+    bool has_bad_load; /* loading a snapshot fails */
+    struct mp_raft_message last_sent;
 };
 
 static void
-drop_message(struct MpRaftPort *port, const struct mp_raft_message *message)
+keep_message(struct MpRaftPort *port, const struct mp_raft_message *message)
 {
-    (void)port;
-    (void)message;
+    struct fixture *this = (struct fixture *)port;
+    this->last_sent = *message;
 }
 
 static void
@@ -47,13 +49,13 @@
 static int
 ignore_snapshot(struct MpRaftPort *port, GBytes *data)
 {
-    (void)port;
+    const struct fixture *this = (const struct fixture *)port;
     (void)data;
-    return MP_OK;
+    return this->has_bad_load ? MP_ERROR_CORRUPT : MP_OK;
 }
 
 static const struct MpRaftPortClass port_class = {
-    .send = drop_message,
+    .send = keep_message,
     .persist = count_write,
     .apply = ignore_entry,
     .save = save_empty,
@@ -94,11 +96,44 @@
     MpRaft_Done(&fixture.raft);
 }
 
+/* A replica must not acknowledge a snapshot that it could not load, and must
+ * take it when it is sent again. */
+static void
+test_bad_snapshot(void)
+{
+    struct fixture fixture = {.port = {.klass = &port_class},
+                              .has_bad_load = true};
+    char data[] = "state";
+    struct mp_raft_message snapshot = {
+        .kind = MP_RAFT_SNAPSHOT,
+        .from = 1,
+        .to = 2,
+        .term = 1,
+        .index = 10,
+        .log_term = 1,
+        .total = sizeof(data),
+        .chunk = {.chunk_val = data, .chunk_len = sizeof(data)}};
+    g_assert_cmpint(MpRaft_Init(&fixture.raft, &fixture.port, 2, NULL, 7, 0),
+                    ==, MP_OK);
+    MpRaft_Receive(&fixture.raft, &snapshot, 10);
+    MpRaft_Persisted(&fixture.raft, fixture.last_seq, 10);
+    g_assert_false(fixture.last_sent.ok && fixture.last_sent.index >= 10);
+    g_assert_cmpuint(fixture.raft.commit, ==, 0);
+    fixture.has_bad_load = false;
+    MpRaft_Receive(&fixture.raft, &snapshot, 20);
+    MpRaft_Persisted(&fixture.raft, fixture.last_seq, 20);
+    g_assert_true(fixture.last_sent.ok);
+    g_assert_cmpuint(fixture.last_sent.index, ==, 10);
+    MpRaft_Done(&fixture.raft);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/raft/a late bootstrap keeps the members",
                     test_late_bootstrap);
+    g_test_add_func("/raft/a snapshot that cannot be loaded is sent again",
+                    test_bad_snapshot);
     return g_test_run();
 }
