A part that all requests share is not taken for the cause of crashes

Cause: a trial of one part that another suspect part held back counted as a trial without a result, and three of these pause a part; and only parts with as many crashes were taken into account as the possible cause, while a part that most requests have is at more crashes than the cause.

Change: a trial that was not sent is not counted; parts with half as many crashes may be the cause; a trial ends with its crash.

TestQuarantine, "a common part is not taken for the cause", failed before.

--- a/fuzz/FuzzParts.c
+++ b/fuzz/FuzzParts.c
@@ -49,6 +49,7 @@
 struct run {
     bool is_active;
     bool has_begun; /* the head of the response has arrived */
+    bool is_sent;
     uint32_t instance;
     uint32_t parts;  /* bits */
     uint32_t trials; /* bits of the parts that it has on trial */
@@ -199,6 +200,7 @@
     struct instance *instance = &this->instances[run->instance];
     for (uint32_t part = 0; part < PARTS; part++) {
         struct mp_trial trial = make_trial(run, part, MP_TRIAL_RELEASE);
+        trial.attempt = run->is_sent;
         if (run->trials & 1U << part) {
             MpSuspects_EndTrial(&instance->suspects,
                                 (const uint8_t *)trial.fingerprint,
@@ -289,6 +291,7 @@
     const struct instance *instance = &this->instances[run->instance];
     run->target = FuzzInput_Below(this->input, 64);
     run->has_begun = false;
+    run->is_sent = true;
     bool is_stable = instance->is_connected &&
                      this->now_ms - instance->stable_since_ms > PROPAGATION_MS;
     if (run->parts & 1 && this->is_crashing && is_stable &&
@@ -405,6 +408,7 @@
             }
         }
         report_parts(this, run);
+        run->trials = 0;
         bool is_retried = FuzzInput_Below(this->input, 2);
         if (is_retried && admit(this, run) == MP_OK) {
             send_run(this, run);
--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -354,6 +354,10 @@
         }
         else if (suspect && has_trial(suspect, trial)) {
             suspect->until_ms = now_ms;
+            /* Another part of the prompt may have held the request back. */
+            bool is_unsent = MpQuarantine_IsPart(suspect->fingerprint) &&
+                             trial->attempt == 0;
+            suspect->trials -= is_unsent && suspect->trials > 0;
         }
         break;
     case MP_TRIAL_CLEAR:
--- a/src/state/QuarantineParts.c
+++ b/src/state/QuarantineParts.c
@@ -35,7 +35,8 @@
 }
 
 /* Returns the number of suspect parts that may be the cause of a part's last
- * crash: those at the same target with as many crashes or more. */
+ * crash: those at the same target with at least half as many crashes.  A part
+ * that most requests have is at more crashes than the cause itself. */
 static uint32_t
 count_group(const struct MpQuarantine *this, const struct MpSuspect *suspect)
 {
@@ -45,7 +46,8 @@
         if (other->last_ms + MP_SAME_CRASH_MS < suspect->last_ms) {
             break; /* the rest is older */
         }
-        count += other->crashes >= suspect->crashes &&
+        count += other->crashes > 0 &&
+                 other->crashes * 2 >= suspect->crashes &&
                  other->target_hash == suspect->target_hash &&
                  other->last_ms <= suspect->last_ms + MP_SAME_CRASH_MS &&
                  MpQuarantine_IsPart(other->fingerprint);
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -444,6 +444,9 @@
     if (result == MP_PROBE_REFUSED) {
         report_parts(check, now_ms);
     }
+    if (result == MP_PROBE_REFUSED && check->parts && check->call) {
+        check->call->trials &= 1U; /* the trials of its parts have ended */
+    }
     if (!is_suspect) {
         struct MpGatewayCall *call = detach(check);
         check_free(check);
--- a/tests/TestQuarantine.c
+++ b/tests/TestQuarantine.c
@@ -297,6 +297,25 @@
                     MP_OK);
 }
 
+/* A part that most requests have is at more crashes than the cause; requests
+ * with it alone must still get a trial, also after trials that were held back
+ * by another part. */
+static void
+test_common_part(struct fixture *this, const void *data)
+{
+    (void)data;
+    submit_part(this, MP_TRIAL_CRASH, 1, 70, 0);
+    submit_part(this, MP_TRIAL_CRASH, 1, 71, 0);
+    submit_part(this, MP_TRIAL_CRASH, 1, 72, 0);
+    submit_part(this, MP_TRIAL_CRASH, 2, 71, 0);
+    submit_part(this, MP_TRIAL_CRASH, 2, 72, 0);
+    for (int i = 0; i <= MP_TRIALS_MAX; i++) {
+        g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 1, TIMEOUT_MS),
+                        ==, MP_OK);
+        submit_part(this, MP_TRIAL_RELEASE, 1, 0, 0);
+    }
+}
+
 static void
 test_part_vouched(struct fixture *this, const void *data)
 {
@@ -352,6 +371,7 @@
     CASE("an instance applies the lists it is told", test_lists_applied);
     CASE("an answered request is not suspect", test_answered_request);
     CASE("parts of one crash are told apart", test_parts_of_one_crash);
+    CASE("a common part is not taken for the cause", test_common_part);
     CASE("an earlier answer clears a part once", test_part_vouched);
     CASE("a part that waits is suspected later", test_part_waited);
     return g_test_run();
