Fingerprints of a call in a file of their own; a group is counted in its window

No change of behaviour is meant. The suspects of one crash are counted from the part on, within the time in which reports of a crash arrive, and not through the whole list for each part.

--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -292,9 +292,9 @@
     }
 }
 
-int
-MpQuarantine_RequestTrial(struct MpQuarantine *this,
-                          const struct mp_trial *trial, int64_t now_ms)
+static int
+request_trial(struct MpQuarantine *this, const struct mp_trial *trial,
+              int64_t now_ms)
 {
     struct MpSuspect *suspect = MpQuarantine_Find(this, trial->fingerprint);
     if (!suspect || suspect->crashes == 0) {
@@ -302,7 +302,7 @@
     }
     int code = is_stopped(suspect) ? MP_ERROR_POISON : MP_OK;
     if (MpQuarantine_IsPart(suspect->fingerprint)) {
-        code = MpQuarantine_CheckPartTrial(this, suspect, trial, now_ms);
+        code = MpQuarantine_CheckPartTrial(suspect, trial, now_ms);
     }
     if (code != MP_OK) {
         return code;
@@ -342,10 +342,10 @@
     switch (trial->kind) {
     case MP_TRIAL_CRASH:
         handle_crash(this, trial, now_ms);
-        code = MpQuarantine_RequestTrial(this, trial, now_ms);
+        code = request_trial(this, trial, now_ms);
         break;
     case MP_TRIAL_REQUEST:
-        code = MpQuarantine_RequestTrial(this, trial, now_ms);
+        code = request_trial(this, trial, now_ms);
         break;
     case MP_TRIAL_RELEASE:
         suspect = MpQuarantine_Find(this, trial->fingerprint);
@@ -383,8 +383,8 @@
     GByteArray *list = g_byte_array_new();
     for (const GList *link = this->order.head; link; link = link->next) {
         const struct MpSuspect *suspect = link->data;
-        bool is_refused = is_stopped(suspect) &&
-                          !MpQuarantine_IsPartAmbiguous(this, suspect);
+        bool is_refused =
+            is_stopped(suspect) && !MpQuarantine_IsPartAmbiguous(suspect);
         if (suspect->crashes > 0 && is_refused == is_stopped_wanted) {
             g_byte_array_append(list, suspect->fingerprint, MP_HASH_BYTES);
         }
--- a/src/state/QuarantineInternal.h
+++ b/src/state/QuarantineInternal.h
@@ -29,12 +29,10 @@
 
 /* Returns whether a part may have a trial: MP_OK, MP_ERROR_HELD_BACK or
  * MP_ERROR_POISON. */
-int MpQuarantine_CheckPartTrial(const struct MpQuarantine *this,
-                                const struct MpSuspect *suspect,
+int MpQuarantine_CheckPartTrial(const struct MpSuspect *suspect,
                                 const struct mp_trial *trial, int64_t now_ms);
 
 /* Returns whether other parts may be the cause of a part's last crash. */
-bool MpQuarantine_IsPartAmbiguous(const struct MpQuarantine *this,
-                                  const struct MpSuspect *suspect);
+bool MpQuarantine_IsPartAmbiguous(const struct MpSuspect *suspect);
 
 #endif
--- a/src/state/QuarantineParts.c
+++ b/src/state/QuarantineParts.c
@@ -34,41 +34,50 @@
     return pause_ms;
 }
 
+/* Returns whether a part may be the cause of another one's last crash: it was
+ * at the same target, and at half as many crashes or more.  A part that most
+ * requests have is at more crashes than the cause itself. */
+static bool
+may_be_cause(const struct MpSuspect *other, const struct MpSuspect *suspect)
+{
+    return other->crashes > 0 && other->crashes * 2 >= suspect->crashes &&
+           other->target_hash == suspect->target_hash &&
+           MpQuarantine_IsPart(other->fingerprint);
+}
+
 /* Returns the number of suspect parts that may be the cause of a part's last
- * crash: those at the same target with at least half as many crashes.  A part
- * that most requests have is at more crashes than the cause itself. */
+ * crash, with itself.  The list is in the order of the last crashes. */
 static uint32_t
-count_group(const struct MpQuarantine *this, const struct MpSuspect *suspect)
+count_group(const struct MpSuspect *suspect)
 {
     uint32_t count = 0;
-    for (const GList *link = this->order.tail; link; link = link->prev) {
+    const GList *link = &suspect->link;
+    while (link->prev && suspect->last_ms - MP_SAME_CRASH_MS <=
+                             ((struct MpSuspect *)link->prev->data)->last_ms) {
+        link = link->prev;
+    }
+    for (; link; link = link->next) {
         const struct MpSuspect *other = link->data;
-        if (other->last_ms + MP_SAME_CRASH_MS < suspect->last_ms) {
-            break; /* the rest is older */
+        if (other->last_ms > suspect->last_ms + MP_SAME_CRASH_MS) {
+            break;
         }
-        count += other->crashes > 0 &&
-                 other->crashes * 2 >= suspect->crashes &&
-                 other->target_hash == suspect->target_hash &&
-                 other->last_ms <= suspect->last_ms + MP_SAME_CRASH_MS &&
-                 MpQuarantine_IsPart(other->fingerprint);
+        count += may_be_cause(other, suspect);
     }
     return count;
 }
 
 bool
-MpQuarantine_IsPartAmbiguous(const struct MpQuarantine *this,
-                             const struct MpSuspect *suspect)
+MpQuarantine_IsPartAmbiguous(const struct MpSuspect *suspect)
 {
     return MpQuarantine_IsPart(suspect->fingerprint) &&
-           count_group(this, suspect) > 1;
+           count_group(suspect) > 1;
 }
 
 int
-MpQuarantine_CheckPartTrial(const struct MpQuarantine *this,
-                            const struct MpSuspect *suspect,
+MpQuarantine_CheckPartTrial(const struct MpSuspect *suspect,
                             const struct mp_trial *trial, int64_t now_ms)
 {
-    uint32_t group = count_group(this, suspect);
+    uint32_t group = count_group(suspect);
     if (trial->attempt < group) {
         return MP_OK;
     }
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -1,6 +1,7 @@
 #include "transport/GatewaySuspect.h"
 
 #include "state/Error.h"
+#include "transport/CallFingerprint.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/Log.h"
 
@@ -10,7 +11,6 @@
 /* Reports for which no call waits are dropped after this time, ms; by then the
  * trial that they end has expired. */
 #define REPORT_TIMEOUT_MS MP_TRIAL_MAX_MS
-
 /* Reports on parts are repeated with their new age after this time, ms. */
 #define PART_REPORT_TIMEOUT_MS 300
 
@@ -45,53 +45,6 @@
     return (const uint8_t *)check->trial.fingerprint;
 }
 
-/* ---- fingerprints ---- */
-
-/* Returns the number of the call's fingerprints: its own, and those of the
- * parts that other requests may have too, which excludes the last one. */
-static unsigned
-count_keys(const struct MpGatewayCall *call)
-{
-    return MAX(call->meta.part_count, 1);
-}
-
-static void
-copy_fingerprint(const struct MpGatewayCall *call, unsigned key, void *out)
-{
-    if (key == 0) {
-        memcpy(out, call->fingerprint, MP_HASH_BYTES);
-        return;
-    }
-    MpQuarantine_SetPartFingerprint(call->meta.parts[key - 1].own_id, out);
-}
-
-/* Returns how many parts of the call's prompt are suspects. */
-static unsigned
-count_suspect_parts(const struct MpGatewayCall *call)
-{
-    const struct MpSuspects *suspects = &call->gateway->control->suspects;
-    uint8_t fingerprint[MP_HASH_BYTES];
-    unsigned count = 0;
-    for (unsigned key = 1; key < count_keys(call); key++) {
-        copy_fingerprint(call, key, fingerprint);
-        count += MpSuspects_Lookup(suspects, fingerprint) != MP_SUSPICION_NONE;
-    }
-    return count;
-}
-
-/* The name of a part in the log, as in the list of parts of a request. */
-static const char *
-part_name(const void *fingerprint, char name[9])
-{
-    uint64_t part_id;
-    g_strlcpy(name, "-", 9);
-    if (MpQuarantine_IsPart(fingerprint)) {
-        memcpy(&part_id, fingerprint, sizeof(part_id));
-        g_snprintf(name, 9, "%08x", (unsigned)part_id);
-    }
-    return name;
-}
-
 /* ---- checks ---- */
 
 static struct MpSuspectCheck *
@@ -107,7 +60,7 @@
     check->trial.kind = kind;
     check->trial.run = call->run_id;
     check->trial.attempt = call->forward.sends;
-    copy_fingerprint(call, key, check->trial.fingerprint);
+    MpCallFingerprint_Copy(call, key, check->trial.fingerprint);
     return check;
 }
 
@@ -196,12 +149,12 @@
         [MP_TRIAL_WAITED] = "part-waited",
         [MP_TRIAL_VOUCH] = "part-vouched"};
     const struct MpControlClient *control = check->gateway->control;
-    char part[9];
+    char part[MP_PART_NAME_BYTES];
     MpLog_Event(LOG_WARNING, events[check->trial.kind],
                 "id=%s same=%s part=%s target=%s by=%s deaths=%" PRIu64
                 " outcome=%s suspects=%" PRIu64 " synced_age_ms=%" PRId64,
                 check->id, check->fingerprint_hex,
-                part_name(check->trial.fingerprint, part),
+                MpCallFingerprint_PartName(check->trial.fingerprint, part),
                 check->target ? check->target : "-", by, crashes,
                 MpError_Name(code), control->suspects.version,
                 MpLoop_Now() - control->synced_ms);
@@ -324,14 +277,15 @@
 report_part(struct MpSuspectCheck *report)
 {
     int64_t now_ms = MpLoop_Now();
-    char part[9];
+    char part[MP_PART_NAME_BYTES];
     if (report->gateway->crash_reports >= MP_CRASH_REPORTS_MAX) {
-        MpLog_Event(LOG_ERR, "report-dropped",
-                    "id=%s same=%s part=%s target=%s reports=%u", report->id,
-                    report->fingerprint_hex,
-                    part_name(report->trial.fingerprint, part),
-                    report->target ? report->target : "-",
-                    report->gateway->crash_reports);
+        MpLog_Event(
+            LOG_ERR, "report-dropped",
+            "id=%s same=%s part=%s target=%s reports=%u", report->id,
+            report->fingerprint_hex,
+            MpCallFingerprint_PartName(report->trial.fingerprint, part),
+            report->target ? report->target : "-",
+            report->gateway->crash_reports);
         check_free(report);
         return;
     }
@@ -349,13 +303,14 @@
 {
     struct MpSuspectCheck *check = data;
     bool is_acknowledged = code == MP_OK && result->code == MP_OK;
-    char part[9];
+    char part[MP_PART_NAME_BYTES];
     MpLog_Event(LOG_NOTICE,
                 check->trial.kind == MP_TRIAL_CLEAR ? "request-cleared"
                                                     : "trial-released",
                 "id=%s same=%s part=%s told=%d", check->id,
                 check->fingerprint_hex,
-                part_name(check->trial.fingerprint, part), is_acknowledged);
+                MpCallFingerprint_PartName(check->trial.fingerprint, part),
+                is_acknowledged);
     check_free(check);
 }
 
@@ -476,7 +431,7 @@
 MpGatewaySuspect_ProbeTarget(struct MpGatewayCall *call)
 {
     struct MpSuspectCheck *check = check_new(call, MP_TRIAL_CRASH, 0);
-    unsigned parts = count_keys(call) - 1;
+    unsigned parts = MpCallFingerprint_Count(call) - 1;
     call->check = check;
     check->call = call;
     check->has_begun = call->has_response;
@@ -484,8 +439,8 @@
         check->parts = g_byte_array_new();
         g_byte_array_set_size(check->parts, parts * MP_HASH_BYTES);
         for (unsigned key = 1; key <= parts; key++) {
-            copy_fingerprint(call, key,
-                             check->parts->data + (key - 1) * MP_HASH_BYTES);
+            MpCallFingerprint_Copy(
+                call, key, check->parts->data + (key - 1) * MP_HASH_BYTES);
         }
     }
     MpConnPool_Probe(call->target->connections, on_probed, check);
@@ -506,11 +461,11 @@
 {
     struct MpSuspects *suspects = &call->gateway->control->suspects;
     uint8_t fingerprint[MP_HASH_BYTES];
-    char part[9];
+    char part[MP_PART_NAME_BYTES];
     int64_t now_ms = MpLoop_Now();
-    unsigned suspect_parts = count_suspect_parts(call);
-    for (; key < count_keys(call); key++) {
-        copy_fingerprint(call, key, fingerprint);
+    unsigned suspect_parts = MpCallFingerprint_CountSuspects(call);
+    for (; key < MpCallFingerprint_Count(call); key++) {
+        MpCallFingerprint_Copy(call, key, fingerprint);
         enum MpSuspicion suspicion =
             key == 0 ? MpSuspects_Lookup(suspects, fingerprint)
                      : MpSuspects_LookupPart(suspects, fingerprint,
@@ -523,7 +478,8 @@
             MpLog_Event(LOG_WARNING, "request-stopped",
                         "id=%s same=%s part=%s suspects=%" PRIu64,
                         call->id ? call->id : "-", call->fingerprint_hex,
-                        part_name(fingerprint, part), suspects->version);
+                        MpCallFingerprint_PartName(fingerprint, part),
+                        suspects->version);
             refuse_call(call, key, MP_ERROR_POISON);
             return;
         }
@@ -549,8 +505,8 @@
 {
     struct MpSuspects *suspects = &call->gateway->control->suspects;
     uint8_t fingerprint[MP_HASH_BYTES];
-    for (unsigned key = 1; key < count_keys(call); key++) {
-        copy_fingerprint(call, key, fingerprint);
+    for (unsigned key = 1; key < MpCallFingerprint_Count(call); key++) {
+        MpCallFingerprint_Copy(call, key, fingerprint);
         if (MpSuspects_NotePartAnswer(suspects, fingerprint, MpLoop_Now())) {
             report_to_quorum(call, MP_TRIAL_CLEAR, key);
             call->trials &= ~(1U << key);
@@ -575,10 +531,10 @@
     if (call->check) {
         detach(call->check);
     }
-    for (unsigned key = 0; call->trials != 0 && key < count_keys(call);
-         key++) {
+    for (unsigned key = 0;
+         call->trials != 0 && key < MpCallFingerprint_Count(call); key++) {
         if (call->trials & 1U << key) {
-            copy_fingerprint(call, key, fingerprint);
+            MpCallFingerprint_Copy(call, key, fingerprint);
             MpSuspects_EndTrial(&call->gateway->control->suspects, fingerprint,
                                 call->run_id);
             report_to_quorum(call, MP_TRIAL_RELEASE, key);
@@ -600,8 +556,8 @@
         call->forward.events > call->events_before) {
         return false;
     }
-    for (unsigned key = 1; key < count_keys(call); key++) {
-        copy_fingerprint(call, key, fingerprint);
+    for (unsigned key = 1; key < MpCallFingerprint_Count(call); key++) {
+        MpCallFingerprint_Copy(call, key, fingerprint);
         if (!(call->trials & 1U << key) &&
             !MpSuspects_IsPartAnswered(suspects, fingerprint, MpLoop_Now()) &&
             MpSuspects_Lookup(suspects, fingerprint) == MP_SUSPICION_STOPPED) {
