A path matches whatever the case of its host in the document

What operators saw: a path whose host they had written with a capital letter was accepted and answered 404 to every request; the same host in another case was taken for another path.

Cause: hosts of requests are lowered before the look-up, those of the document were not. They are lowered in the index, so that equal paths are found too.

--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -125,7 +125,9 @@
 index_path(struct MpDocument *this, struct MpPathConf *path,
            const char *location, GPtrArray *findings)
 {
-    char *key = path_key(path->host, path->prefix);
+    char *host = g_ascii_strdown(path->host, -1);
+    char *key = path_key(host, path->prefix);
+    g_free(host);
     const struct MpPathConf *other =
         g_hash_table_lookup(this->paths_by_prefix, key);
     if (other) {
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -171,7 +171,8 @@
 struct MpDocument *MpDocument_Finish(struct MpDocument *this,
                                      GPtrArray *findings);
 
-/* Returns the entry for host with the longest prefix of path, or NULL. */
+/* Returns the entry for host, in lower case, with the longest prefix of path,
+ * or NULL.  Entries match whatever the case of their host. */
 const struct MpPathConf *MpDocument_FindPath(const struct MpDocument *this,
                                              const char *host,
                                              const char *path);
