Suspect parts of a request are counted for each crash by itself

They were counted over all crashes, so two crashes with a part in common stopped each request with parts of both, and nothing could clear them for 30 s or more.

Change: a sync names the group of each suspect part, and an instance counts the parts of one group. Stopped parts get two trials without a verdict before the pause, not three, so that no more than three requests follow.

TestQuarantine, "crashes with a common part are told apart".

--- a/fuzz/FuzzParts.c
+++ b/fuzz/FuzzParts.c
@@ -182,6 +182,10 @@
     MpSuspects_SetLists(&instance->suspects, quarantine->version,
                         (char *)stopped->data, stopped->len,
                         (char *)suspected->data, suspected->len);
+    GByteArray *groups = MpQuarantine_ListGroups(quarantine);
+    MpSuspects_SetGroups(&instance->suspects, (char *)suspected->data,
+                         (char *)groups->data, groups->len);
+    g_byte_array_unref(groups);
     g_byte_array_unref(stopped);
     g_byte_array_unref(suspected);
     GByteArray *vouched =
@@ -212,15 +216,18 @@
 }
 
 static uint32_t
-count_suspects(const struct instance *instance, uint32_t parts)
+count_group(const struct instance *instance, uint32_t parts,
+            const uint8_t *member)
 {
     uint8_t fingerprint[MP_HASH_BYTES];
     uint32_t count = 0;
     for (uint32_t part = 0; part < PARTS; part++) {
         fill_fingerprint(part, fingerprint);
-        count += parts & 1U << part &&
-                 MpSuspects_Lookup(&instance->suspects, fingerprint) !=
-                     MP_SUSPICION_NONE;
+        count +=
+            parts & 1U << part &&
+            MpSuspects_Lookup(&instance->suspects, fingerprint) !=
+                MP_SUSPICION_NONE &&
+            MpSuspects_IsSameGroup(&instance->suspects, member, fingerprint);
     }
     return count;
 }
@@ -230,22 +237,23 @@
 admit(struct fixture *this, struct run *run)
 {
     struct instance *instance = &this->instances[run->instance];
-    uint32_t suspect_parts = count_suspects(instance, run->parts);
+
     for (uint32_t part = 0; part < PARTS; part++) {
         struct mp_trial trial = make_trial(run, part, MP_TRIAL_REQUEST);
         const uint8_t *fingerprint = (const uint8_t *)trial.fingerprint;
         if (!(run->parts & 1U << part) || run->trials & 1U << part) {
             continue;
         }
+        uint32_t group = count_group(instance, run->parts, fingerprint);
         enum MpSuspicion suspicion = MpSuspects_LookupPart(
-            &instance->suspects, fingerprint, suspect_parts, this->now_ms);
+            &instance->suspects, fingerprint, group, this->now_ms);
         if (suspicion == MP_SUSPICION_NONE) {
             continue;
         }
         if (suspicion == MP_SUSPICION_STOPPED) {
             return MP_ERROR_POISON;
         }
-        trial.attempt = suspect_parts;
+        trial.attempt = group;
         trial.timeout_ms = (u_int)MAX(run->deadline_ms - this->now_ms, 0);
         int code = instance->is_connected
                        ? apply(this, instance, &trial)
@@ -253,8 +261,8 @@
                              &instance->suspects, fingerprint, run->number,
                              trial.timeout_ms, this->now_ms);
         if (code == MP_ERROR_POISON && instance->is_connected) {
-            MpSuspects_NotePartRefused(&instance->suspects, fingerprint,
-                                       suspect_parts, this->now_ms);
+            MpSuspects_NotePartRefused(&instance->suspects, fingerprint, group,
+                                       this->now_ms);
         }
         if (code != MP_OK) {
             return code;
--- a/src/coordination/Suspects.c
+++ b/src/coordination/Suspects.c
@@ -13,6 +13,8 @@
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
     this->local =
         g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, NULL, g_free);
+    this->groups =
+        g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal, g_free, NULL);
     this->refused = g_hash_table_new_full(MpBodyHash_Hash, MpBodyHash_Equal,
                                           g_free, g_free);
 }
@@ -22,6 +24,7 @@
 {
     g_hash_table_unref(this->listed);
     g_hash_table_unref(this->local);
+    g_hash_table_unref(this->groups);
     g_hash_table_unref(this->refused);
 }
 
@@ -58,12 +61,40 @@
 {
     this->version = version;
     g_hash_table_remove_all(this->listed);
+    g_hash_table_remove_all(this->groups);
     add_list(this, suspected, suspected_bytes, false);
     add_list(this, stopped, stopped_bytes, true);
     g_hash_table_foreach_remove(this->refused, is_unlisted, this->listed);
     g_hash_table_foreach_remove(this->local, is_cleared, this->listed);
 }
 
+void
+MpSuspects_SetGroups(struct MpSuspects *this, const char *suspected,
+                     const char *groups, size_t groups_bytes)
+{
+    uint32_t group;
+    for (size_t i = 0; (i + 1) * sizeof(group) <= groups_bytes; i++) {
+        memcpy(&group, groups + i * sizeof(group), sizeof(group));
+        g_hash_table_replace(
+            this->groups,
+            g_memdup2(suspected + i * MP_HASH_BYTES, MP_HASH_BYTES),
+            GUINT_TO_POINTER(group));
+    }
+}
+
+bool
+MpSuspects_IsSameGroup(const struct MpSuspects *this,
+                       const uint8_t *fingerprint, const uint8_t *other)
+{
+    void *group;
+    void *other_group;
+    return !g_hash_table_lookup_extended(this->groups, fingerprint, NULL,
+                                         &group) ||
+           !g_hash_table_lookup_extended(this->groups, other, NULL,
+                                         &other_group) ||
+           group == other_group;
+}
+
 /* Returns whether the fingerprint is in the lists of the quorum; *is_stopped
  * is set to whether it is quarantined. */
 static bool
--- a/src/coordination/Suspects.h
+++ b/src/coordination/Suspects.h
@@ -58,6 +58,7 @@
 struct MpSuspects {
     GHashTable *listed;  /* lists of the quorum: fingerprint -> is_stopped */
     GHashTable *local;   /* fingerprint -> struct MpLocalSuspect */
+    GHashTable *groups;  /* listed part -> group, as a number */
     GHashTable *refused; /* fingerprint of a part -> struct MpRefusedPart */
     uint64_t version;    /* of the lists of the quorum */
     uint64_t answered[MP_ANSWERED_MAX]; /* prefix of a fingerprint; 0: none */
@@ -85,6 +86,16 @@
                          const char *stopped, size_t stopped_bytes,
                          const char *suspected, size_t suspected_bytes);
 
+/* Sets the groups of the parts in the list of suspected fingerprints, as in
+ * mp_sync_reply. */
+void MpSuspects_SetGroups(struct MpSuspects *this, const char *suspected,
+                          const char *groups, size_t groups_bytes);
+
+/* Returns whether two suspect parts may have the last crash in common; it is
+ * not known of those that the quorum has not listed. */
+bool MpSuspects_IsSameGroup(const struct MpSuspects *this,
+                            const uint8_t *fingerprint, const uint8_t *other);
+
 /* Returns whether the request is a suspect, by the lists of the quorum and the
  * table of this instance. */
 enum MpSuspicion MpSuspects_Lookup(const struct MpSuspects *this,
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -463,6 +463,10 @@
 		u_int suspected_len;
 		char *suspected_val;
 	} suspected;
+	struct {
+		u_int groups_len;
+		char *groups_val;
+	} groups;
 	struct {
 		u_int recalls_len;
 		mp_recall *recalls_val;
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -203,8 +203,9 @@
                                         * unique among all instances */
     unsigned int attempt;              /* number of its last attempt; for a
                                         * part the hash of the target, and of
-                                        * MP_TRIAL_REQUEST the number of
-                                        * suspect parts of the request */
+                                        * MP_TRIAL_REQUEST the number of parts
+                                        * of the request that are suspects of
+                                        * the same crash */
     unsigned int timeout_ms;           /* time limit of the trial; of a
                                         * report on a part, the age of the
                                         * crash or of the answer */
@@ -463,6 +464,10 @@
                                           * suspect requests that may run
                                           * one at a time; empty if the
                                           * version matches. */
+    opaque groups<MP_CHUNK_MAX>;         /* For each fingerprint in suspected
+                                          * 4 bytes: equal for parts that have
+                                          * their last crash in common, 0 for
+                                          * requests. */
     mp_recall recalls<MP_RECALLS_MAX>;   /* leases that must be returned */
     mp_address replicas<MP_MEMBERS_MAX>; /* current control replicas */
     unsigned int instance_count;         /* number of instances that called
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -755,6 +755,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->suspected.suspected_val, (u_int *) &objp->suspected.suspected_len, MP_CHUNK_MAX))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->groups.groups_val, (u_int *) &objp->groups.groups_len, MP_CHUNK_MAX))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->recalls.recalls_val, (u_int *) &objp->recalls.recalls_len, MP_RECALLS_MAX,
 		sizeof (mp_recall), (xdrproc_t) xdr_mp_recall))
 		 return FALSE;
--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -255,6 +255,12 @@
     suspect->trials += lasts_ms > 0;
 }
 
+static uint32_t
+max_trials(const struct MpSuspect *suspect)
+{
+    return is_stopped(suspect) ? MP_STOPPED_TRIALS_MAX : MP_TRIALS_MAX;
+}
+
 /* A run may crash its target unnoticed after its caller has disconnected, so
  * the number of trials without a result is limited. */
 static bool
@@ -263,7 +269,7 @@
     int64_t pause_ms = MpQuarantine_IsPart(suspect->fingerprint)
                            ? MpQuarantine_PartPause(suspect)
                            : MP_TRIALS_PAUSE_MS;
-    return suspect->trials >= MP_TRIALS_MAX &&
+    return suspect->trials >= max_trials(suspect) &&
            now_ms < suspect->until_ms + pause_ms;
 }
 
@@ -317,7 +323,7 @@
         !MP_FAULT(MP_FAULT_TRIALS_UNBOUNDED)) {
         return MP_ERROR_POISON;
     }
-    if (suspect->trials >= MP_TRIALS_MAX) {
+    if (suspect->trials >= max_trials(suspect)) {
         suspect->trials = 0;
     }
     start_trial(suspect, trial, now_ms);
@@ -377,21 +383,40 @@
 
 /* ---- lists and images ---- */
 
+/* Returns whether requests with the suspect are refused, without a trial. */
+static bool
+is_refused(const struct MpSuspect *suspect)
+{
+    return is_stopped(suspect) && !MpQuarantine_IsPartAmbiguous(suspect);
+}
+
 GByteArray *
 MpQuarantine_List(const struct MpQuarantine *this, bool is_stopped_wanted)
 {
     GByteArray *list = g_byte_array_new();
     for (const GList *link = this->order.head; link; link = link->next) {
         const struct MpSuspect *suspect = link->data;
-        bool is_refused =
-            is_stopped(suspect) && !MpQuarantine_IsPartAmbiguous(suspect);
-        if (suspect->crashes > 0 && is_refused == is_stopped_wanted) {
+        if (suspect->crashes > 0 && is_refused(suspect) == is_stopped_wanted) {
             g_byte_array_append(list, suspect->fingerprint, MP_HASH_BYTES);
         }
     }
     return list;
 }
 
+GByteArray *
+MpQuarantine_ListGroups(const struct MpQuarantine *this)
+{
+    GByteArray *list = g_byte_array_new();
+    for (const GList *link = this->order.head; link; link = link->next) {
+        const struct MpSuspect *suspect = link->data;
+        if (suspect->crashes > 0 && !is_refused(suspect)) {
+            g_byte_array_append(list, (const guint8 *)&suspect->target_hash,
+                                sizeof(suspect->target_hash));
+        }
+    }
+    return list;
+}
+
 void
 MpQuarantine_Save(const struct MpQuarantine *this,
                   struct mp_machine_image *image)
--- a/src/state/Quarantine.h
+++ b/src/state/Quarantine.h
@@ -46,6 +46,8 @@
 /* Trials of a suspect that may end without a result, because the caller
  * disconnects or the time is up, before the next one has to wait. */
 #define MP_TRIALS_MAX 3
+/* The same for a stopped part, one of a group. */
+#define MP_STOPPED_TRIALS_MAX 2
 /* Time that a suspect waits after MP_TRIALS_MAX such trials, ms. */
 #define MP_TRIALS_PAUSE_MS 600000
 /* Limit of a trial whose end is not reported, ms. */
@@ -140,6 +142,10 @@
 GByteArray *MpQuarantine_List(const struct MpQuarantine *this,
                               bool is_stopped);
 
+/* Returns 4 bytes for each suspect that MpQuarantine_List(this, false) lists:
+ * equal for parts that have their last crash in common, 0 for requests. */
+GByteArray *MpQuarantine_ListGroups(const struct MpQuarantine *this);
+
 /* Fills the quarantine's part of a snapshot image.  The caller frees
  * suspects_val with g_free; strings belong to the quarantine. */
 void MpQuarantine_Save(const struct MpQuarantine *this,
--- a/src/transport/CallFingerprint.c
+++ b/src/transport/CallFingerprint.c
@@ -20,14 +20,17 @@
 }
 
 unsigned
-MpCallFingerprint_CountSuspects(const struct MpGatewayCall *call)
+MpCallFingerprint_CountGroup(const struct MpGatewayCall *call, unsigned key)
 {
     const struct MpSuspects *suspects = &call->gateway->control->suspects;
     uint8_t fingerprint[MP_HASH_BYTES];
+    uint8_t other[MP_HASH_BYTES];
     unsigned count = 0;
-    for (unsigned key = 1; key < MpCallFingerprint_Count(call); key++) {
-        MpCallFingerprint_Copy(call, key, fingerprint);
-        count += MpSuspects_Lookup(suspects, fingerprint) != MP_SUSPICION_NONE;
+    MpCallFingerprint_Copy(call, key, fingerprint);
+    for (unsigned i = 1; i < MpCallFingerprint_Count(call); i++) {
+        MpCallFingerprint_Copy(call, i, other);
+        count += MpSuspects_Lookup(suspects, other) != MP_SUSPICION_NONE &&
+                 MpSuspects_IsSameGroup(suspects, fingerprint, other);
     }
     return count;
 }
--- a/src/transport/CallFingerprint.h
+++ b/src/transport/CallFingerprint.h
@@ -20,8 +20,10 @@
 void MpCallFingerprint_Copy(const struct MpGatewayCall *call, unsigned key,
                             void *out);
 
-/* Returns how many parts of the call's prompt are suspects. */
-unsigned MpCallFingerprint_CountSuspects(const struct MpGatewayCall *call);
+/* Returns how many parts of the call's prompt are suspects of the same crash
+ * as part key. */
+unsigned MpCallFingerprint_CountGroup(const struct MpGatewayCall *call,
+                                      unsigned key);
 
 /* Writes the name of a part as in the list of parts of a request, "-" for a
  * fingerprint of a request, and returns name. */
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -378,6 +378,11 @@
                         reply->stopped.stopped_val, reply->stopped.stopped_len,
                         reply->suspected.suspected_val,
                         reply->suspected.suspected_len);
+    MpSuspects_SetGroups(
+        &this->suspects, reply->suspected.suspected_val,
+        reply->groups.groups_val,
+        MIN(reply->groups.groups_len, reply->suspected.suspected_len /
+                                          MP_HASH_BYTES * sizeof(uint32_t)));
     MpLog_Event(LOG_NOTICE, "suspects-told",
                 "version=%" PRIu64 " stopped=%u suspected=%u",
                 this->suspects.version,
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -463,13 +463,14 @@
     uint8_t fingerprint[MP_HASH_BYTES];
     char part[MP_PART_NAME_BYTES];
     int64_t now_ms = MpLoop_Now();
-    unsigned suspect_parts = MpCallFingerprint_CountSuspects(call);
     for (; key < MpCallFingerprint_Count(call); key++) {
         MpCallFingerprint_Copy(call, key, fingerprint);
+        unsigned group =
+            key == 0 ? 0 : MpCallFingerprint_CountGroup(call, key);
         enum MpSuspicion suspicion =
-            key == 0 ? MpSuspects_Lookup(suspects, fingerprint)
-                     : MpSuspects_LookupPart(suspects, fingerprint,
-                                             suspect_parts, now_ms);
+            key == 0
+                ? MpSuspects_Lookup(suspects, fingerprint)
+                : MpSuspects_LookupPart(suspects, fingerprint, group, now_ms);
         bool is_on_trial = call->trials & 1U << key;
         if (suspicion == MP_SUSPICION_NONE || is_on_trial) {
             continue;
@@ -485,7 +486,7 @@
         }
         struct MpSuspectCheck *check = check_new(call, MP_TRIAL_REQUEST, key);
         if (key > 0) {
-            check->trial.attempt = suspect_parts;
+            check->trial.attempt = group;
         }
         attach(check, call);
         query_quorum(check, now_ms + MP_DECISION_WAIT_MS);
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -260,6 +260,7 @@
     MpReplicaLenders_Fill(this, sync, &reply);
     GByteArray *stopped = NULL;
     GByteArray *suspected = NULL;
+    GByteArray *groups = NULL;
     if (sync->quarantine_version != this->machine.quarantine.version) {
         stopped = MpQuarantine_List(&this->machine.quarantine, true);
         suspected = MpQuarantine_List(&this->machine.quarantine, false);
@@ -267,12 +268,16 @@
         reply.stopped.stopped_len = stopped->len;
         reply.suspected.suspected_val = (char *)suspected->data;
         reply.suspected.suspected_len = suspected->len;
+        groups = MpQuarantine_ListGroups(&this->machine.quarantine);
+        reply.groups.groups_val = (char *)groups->data;
+        reply.groups.groups_len = groups->len;
     }
     add_recalls(this, &sync->incarnation, &reply);
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
     g_clear_pointer(&stopped, g_byte_array_unref);
     g_clear_pointer(&suspected, g_byte_array_unref);
+    g_clear_pointer(&groups, g_byte_array_unref);
 }
 
 /* Console pages and the control API list accounts and instances by name. */
--- a/tests/TestQuarantine.c
+++ b/tests/TestQuarantine.c
@@ -316,6 +316,39 @@
     }
 }
 
+/* Two crashes that have a part in common: requests with it and with a part of
+ * one crash each must get a trial, though all their parts are suspects. */
+static void
+test_crashes_with_common_part(struct fixture *this, const void *data)
+{
+    (void)data;
+    const struct MpQuarantine *quarantine = &this->machine.quarantine;
+    uint8_t parts[4][MP_HASH_BYTES];
+    for (uint64_t part = 1; part <= 3; part++) {
+        MpQuarantine_SetPartFingerprint(part, parts[part]);
+    }
+    submit_part(this, MP_TRIAL_CRASH, 1, 70, 0);
+    submit_part(this, MP_TRIAL_CRASH, 2, 70, 0);
+    this->now_ms += 200;
+    submit_part(this, MP_TRIAL_CRASH, 1, 71, 0);
+    submit_part(this, MP_TRIAL_CRASH, 3, 71, 0);
+    GByteArray *suspected = MpQuarantine_List(quarantine, false);
+    GByteArray *groups = MpQuarantine_ListGroups(quarantine);
+    MpSuspects_SetLists(&this->suspects, quarantine->version, NULL, 0,
+                        (char *)suspected->data, suspected->len);
+    MpSuspects_SetGroups(&this->suspects, (char *)suspected->data,
+                         (char *)groups->data, groups->len);
+    g_assert_true(MpSuspects_IsSameGroup(&this->suspects, parts[1], parts[3]));
+    g_assert_false(
+        MpSuspects_IsSameGroup(&this->suspects, parts[1], parts[2]));
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 1, TIMEOUT_MS), ==,
+                    MP_OK);
+    g_assert_cmpint(submit_part(this, MP_TRIAL_REQUEST, 1, 2, TIMEOUT_MS), ==,
+                    MP_ERROR_POISON);
+    g_byte_array_unref(suspected);
+    g_byte_array_unref(groups);
+}
+
 static void
 test_part_vouched(struct fixture *this, const void *data)
 {
@@ -372,6 +405,8 @@
     CASE("an answered request is not suspect", test_answered_request);
     CASE("parts of one crash are told apart", test_parts_of_one_crash);
     CASE("a common part is not taken for the cause", test_common_part);
+    CASE("crashes with a common part are told apart",
+         test_crashes_with_common_part);
     CASE("an earlier answer clears a part once", test_part_vouched);
     CASE("a part that waits is suspected later", test_part_waited);
     return g_test_run();
