--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -91,6 +91,7 @@
     target->zone = g_strdup(entry->zone);
     target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
     target->slowness = 1.0;
+    target->limit = (struct MpTargetLimit)MP_TARGET_LIMIT_INIT;
     target->cached_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     target->references = 1;
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -3,6 +3,7 @@
 
 #include "coordination/RequestMeta.h"
 #include "coordination/PickPolicy.h"
+#include "coordination/TargetLimit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -84,6 +85,8 @@
     int32_t reported_waiting;
     int32_t sent_since_report; /* attempts of this instance since the report */
     int64_t reported_ms;       /* time of the report; 0: none */
+    struct MpTargetLimit limit;
+    bool is_limit_invalid; /* the last limit that it named is no number */
     /* health */
     uint32_t failures; /* consecutive */
     int64_t ejected_until_ms;
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -38,6 +38,8 @@
     const char *last_event_id; /* id of the last event that the caller got */
     const char *not_run; /* in a response: the request was not executed */
     const char *load;    /* in a response: RUNNING,WAITING,SLOTS */
+    const char *limit;   /* in a response: requests per second that the
+                          * target takes from all instances together */
     const char *const *reserved; /* headers that are not forwarded from the
                                   * caller; NULL-terminated */
 };
--- a/src/protocol/NativeDialect.c
+++ b/src/protocol/NativeDialect.c
@@ -114,6 +114,7 @@
                .last_event_id = "last-event-id",
                .not_run = "x-mimosapath-not-run",
                .load = "x-mimosapath-load",
+               .limit = "x-mimosapath-limit",
                .reserved = reserved},
     .target_list_path = "/targets",
     .parse_document = MpDocument_Parse,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -401,6 +401,11 @@
                              (int64_t)target->picked);
         MpMetrics_WriteValue(out, "mimosapath_pool_target_failures", "target",
                              target->incarnation, target->failures);
+        if (target->limit.rate_mrps != MP_LIMIT_NONE) {
+            MpMetrics_WriteValue(out, "mimosapath_pool_target_limit_mrps",
+                                 "target", target->incarnation,
+                                 target->limit.rate_mrps);
+        }
         if (conns) {
             MpMetrics_WriteValue(out, "mimosapath_connections_opened_total",
                                  "target", target->incarnation,
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -10,6 +10,9 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* Bytes of an invalid limit that a log line shows. */
+#define LIMIT_LOG_BYTES 32
+
 static bool
 may_retry(struct MpGatewayCall *this)
 {
@@ -86,6 +89,36 @@
     g_free(text);
 }
 
+static void
+update_limit(struct MpGatewayCall *this, const struct MpTargetHead *head,
+             int64_t now_ms)
+{
+    struct MpPoolTarget *target = this->target;
+    int64_t rate_mrps = MP_LIMIT_NONE;
+    size_t size;
+    const char *value =
+        MpTargetHead_Find(head, this->gateway->dialect->target.limit, &size);
+    bool is_invalid = value && !MpTargetLimit_Parse(value, size, &rate_mrps);
+    if (is_invalid && !target->is_limit_invalid) {
+        char *text = g_strndup(value, MIN(size, LIMIT_LOG_BYTES));
+        char *escaped = g_strescape(text, NULL);
+        MpLog_Event(LOG_WARNING, "target-limit-invalid",
+                    "id=%s target=%s limit=\"%s\"", this->id ? this->id : "-",
+                    target->incarnation, escaped);
+        g_free(escaped);
+        g_free(text);
+    }
+    target->is_limit_invalid = is_invalid;
+    if (!is_invalid &&
+        MpTargetLimit_Note(&target->limit, rate_mrps, this->sent_ms, now_ms)) {
+        MpLog_Event(LOG_NOTICE, "target-limit",
+                    "id=%s target=%s pool=%s limit_mrps=%" PRId64
+                    " age_ms=%" PRId64 " from=answer",
+                    this->id ? this->id : "-", target->incarnation,
+                    target->pool, rate_mrps, now_ms - this->sent_ms);
+    }
+}
+
 /* Returns whether the target rejected the request without running it. */
 static bool
 is_rejected(const struct MpGatewayCall *this, const struct MpTargetHead *head)
@@ -116,6 +149,10 @@
     this->status = head->status;
     this->received_ms = now_ms;
     update_load(this, head);
+    if (head->status != 421) {
+        /* A 421 comes from another target at the same address. */
+        update_limit(this, head, now_ms);
+    }
     this->has_response = true;
     MpPoolTarget_NoteFirstAnswer(this->target, this->prefill_tokens,
                                  now_ms - this->sent_ms,
