Rate limits that targets name are kept by all instances together

Callers and targets saw: a target in need named how many requests a second it takes from all machines and got two to three times as many, because a target that answers less looks idle.

Cause: nothing read the limit, and nothing in the fleet could share a rate.

Change: two keepers for each target, chosen by hashing among the lenders, hand out permits for evenly spaced slots; the leader tells all instances of limits. A request without a permit goes to another target; what the others cannot take in time is refused at once, by rank. The second choice for a shared part is stable, so that limits do not scatter prefixes.

--- a/src/coordination/Lenders.h
+++ b/src/coordination/Lenders.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_LENDERS_H
 #define MP_COORDINATION_LENDERS_H
 
+#include "coordination/Permits.h"
 #include "gen/wire.h"
 
 #include <glib.h>
@@ -77,6 +78,14 @@
 void MpLenders_ListOwnZone(const struct MpLenders *this, int64_t now_ms,
                            GPtrArray *out);
 
+/* Appends the addresses of the keepers of a target, which hand out permits
+ * for it (see Permits.h): one lender in each of MP_KEEPERS_MAX zones, chosen
+ * by hashing.  All routers with the same list of peers get the same order. The
+ * strings belong to the lenders.  Returns the index of the keeper in the own
+ * zone, 0 if there is none. */
+guint MpLenders_ListKeepers(const struct MpLenders *this,
+                            const char *incarnation, GPtrArray *out);
+
 /* Records that the lender at address is unreachable or failed. */
 void MpLenders_NoteFailure(struct MpLenders *this, const char *address,
                            int64_t now_ms);
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -30,6 +30,11 @@
  * if this instance has not sent it there: all other instances may have. */
 #define SHARED_CACHED_RATIO 0.7
 
+/* Longest time behind others at an engine, in thousandths of the latency
+ * target, by rank; the last one is for all lower ranks. */
+#define RANKS 3
+static const int64_t queue_permille[RANKS] = {300, 200, 100};
+
 /* ---- construction ---- */
 
 void
@@ -111,6 +116,12 @@
     g_free(this->zone);
 }
 
+struct MpPoolTarget *
+MpRoster_Find(const struct MpRoster *this, const char *incarnation)
+{
+    return g_hash_table_lookup(this->targets, incarnation);
+}
+
 /* ---- target list ---- */
 
 static void
@@ -231,6 +242,24 @@
            g_ptr_array_find((GPtrArray *)query->avoid, target, NULL);
 }
 
+static bool
+is_permitted(const struct MpPoolTarget *target,
+             const struct MpPoolQuery *query)
+{
+    return query->permitted &&
+           strcmp(query->permitted, target->incarnation) == 0;
+}
+
+/* Whether the target names a limit and no permit can be had for it now. */
+static bool
+is_withheld(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
+            int64_t now_ms)
+{
+    return target->limit.rate_mrps != MP_LIMIT_NONE &&
+           (query->has_no_permits || now_ms < target->permit_ms) &&
+           !is_permitted(target, query);
+}
+
 /* Whether the target is healthy, or half-open and this request may be the one
  * that tests it. */
 static bool
@@ -252,9 +281,10 @@
  * time tests it, even while it is ejected. */
 static bool
 is_last_resort(const struct MpPoolTarget *target,
-               const struct MpPoolQuery *query)
+               const struct MpPoolQuery *query, int64_t now_ms)
 {
     return !target->is_leaving && !target->is_removed &&
+           !is_withheld(target, query, now_ms) &&
            (!target->is_under_test ||
             MP_FAULT(MP_FAULT_HALF_OPEN_UNBOUNDED)) &&
            !is_tried(target, query);
@@ -351,6 +381,16 @@
     return pool->len > 0 ? sum / pool->len : 0;
 }
 
+/* Returns the expected wait behind the requests that wait or run at an engine
+ * already. */
+static double
+queue_at(const struct MpPoolTarget *target, int64_t now_ms)
+{
+    return (waiting_at(target, now_ms) * WAITING_MS +
+            (double)target->prefill_tokens / MP_PREFILL_TOKENS_PER_MS) *
+           target->slowness;
+}
+
 static double
 wait_at(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
         int64_t tokens, int64_t now_ms)
@@ -383,10 +423,11 @@
 }
 
 /* Returns the usable target that all instances prefer for the affinity part
- * of the request, or NULL. */
+ * of the request, or NULL.  is_unlimited: only targets that name no limit
+ * count. */
 static const struct MpPoolTarget *
 preferred_of(const GPtrArray *pool, const struct MpPoolQuery *query,
-             int64_t now_ms)
+             bool is_unlimited, int64_t now_ms)
 {
     uint64_t part = affinity_part(query->meta);
     const struct MpPoolTarget *preferred = NULL;
@@ -394,7 +435,8 @@
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         uint64_t rank = rank_of(target, part);
-        if (is_usable(target, query, now_ms) &&
+        bool counts = !is_unlimited || target->limit.rate_mrps < 0;
+        if (counts && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
             preferred_rank = rank;
@@ -414,7 +456,7 @@
     }
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (is_last_resort(target, query) &&
+        if (is_last_resort(target, query, now_ms) &&
             (!best || target->ejected_until_ms < best->ejected_until_ms)) {
             best = target;
         }
@@ -430,30 +472,93 @@
     return MP_OK;
 }
 
-int
-MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
-              int64_t now_ms, struct MpPicked *picked)
+/* Picks the target for which there is a permit.  Returns false when it has
+ * become unusable. */
+static bool
+pick_permitted(struct MpRoster *this, const struct MpPoolQuery *query,
+               int64_t now_ms, struct MpPicked *picked)
 {
-    const GPtrArray *pool = g_hash_table_lookup(this->pools, query->pool);
-    double best_cost = 0;
-    bool has_usable = false;
-    *picked = (struct MpPicked){.target = NULL};
-    if (!pool) {
-        return MP_ERROR_NO_TARGET;
+    struct MpPoolTarget *target =
+        query->permitted ? MpRoster_Find(this, query->permitted) : NULL;
+    if (!target || !is_usable(target, query, now_ms)) {
+        return false;
+    }
+    int64_t tokens = uncached_tokens(target, query->meta, false, now_ms);
+    *picked = (struct MpPicked){
+        .target = target,
+        .wait_ms = (int64_t)wait_at(target, query, tokens, now_ms),
+        .prefill_tokens = tokens};
+    return true;
+}
+
+static bool
+needs_permit(const struct MpPoolTarget *target,
+             const struct MpPoolQuery *query)
+{
+    return target->limit.rate_mrps != MP_LIMIT_NONE &&
+           !is_permitted(target, query);
+}
+
+int64_t
+MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank)
+{
+    int64_t permille = queue_permille[CLAMP(rank, 0, RANKS - 1)];
+    return latency_target_ms > 0 ? MAX(latency_target_ms * permille / 1000, 1)
+                                 : 0;
+}
+
+/* Drops the picked target if the request would wait too long behind others. */
+static bool
+is_queue_too_long(const struct MpPoolQuery *query, int64_t now_ms,
+                  struct MpPicked *picked)
+{
+    if (!picked->target || !query->is_engine || query->queue_max_ms == 0) {
+        return false;
+    }
+    picked->queue_ms = (int64_t)queue_at(picked->target, now_ms);
+    if (picked->queue_ms <= query->queue_max_ms) {
+        return false;
     }
-    const struct MpPoolTarget *preferred = preferred_of(pool, query, now_ms);
+    picked->target = NULL;
+    return true;
+}
+
+/* Which targets were left out of a choice. */
+struct left_out {
+    bool has_full;     /* usable, but full or without a permit */
+    bool has_withheld; /* without a permit */
+};
+
+/* Picks the target that costs least, if any can take the request. */
+static void
+pick_cheapest(struct MpRoster *this, const GPtrArray *pool,
+              const struct MpPoolQuery *query, int64_t now_ms,
+              struct MpPicked *picked, struct left_out *left_out)
+{
+    double best_cost = 0;
+    const struct MpPoolTarget *preferred =
+        preferred_of(pool, query, false, now_ms);
+    /* What a target with a limit cannot take goes to one other target, not to
+     * whichever is free, so that shared parts are cached there too. */
+    const struct MpPoolTarget *second =
+        preferred && preferred->limit.rate_mrps != MP_LIMIT_NONE
+            ? preferred_of(pool, query, true, now_ms)
+            : NULL;
     double max_error_rate = mean_error_rate(pool) + ERROR_MARGIN;
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         if (!is_usable(target, query, now_ms)) {
             continue;
         }
-        has_usable = true;
-        if (is_full(target, now_ms) && query->is_engine) {
+        bool is_held = is_withheld(target, query, now_ms);
+        left_out->has_withheld |= is_held;
+        if (is_held || (is_full(target, now_ms) && query->is_engine)) {
+            left_out->has_full = true;
             continue;
         }
         int64_t tokens =
-            uncached_tokens(target, query->meta, target == preferred, now_ms);
+            uncached_tokens(target, query->meta,
+                            target == preferred || target == second, now_ms);
         double wait_ms = wait_at(target, query, tokens, now_ms);
         double cost = g_random_double();
         if (this->policy == MP_PICK_AFFINITY) {
@@ -470,13 +575,34 @@
                                         .prefill_tokens = tokens};
         }
     }
-    if (picked->target) {
+}
+
+int
+MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
+              int64_t now_ms, struct MpPicked *picked)
+{
+    const GPtrArray *pool = g_hash_table_lookup(this->pools, query->pool);
+    struct left_out left_out = {.has_full = false};
+    int code = MP_OK;
+    *picked = (struct MpPicked){.target = NULL};
+    if (!pool) {
+        return MP_ERROR_NO_TARGET;
+    }
+    if (pick_permitted(this, query, now_ms, picked)) {
         return MP_OK;
     }
-    if (has_usable) {
+    pick_cheapest(this, pool, query, now_ms, picked, &left_out);
+    if (left_out.has_withheld && is_queue_too_long(query, now_ms, picked)) {
         return MP_ERROR_LIMIT;
     }
-    return pick_last_resort(pool, query, now_ms, picked);
+    if (!picked->target) {
+        code = left_out.has_full
+                   ? MP_ERROR_LIMIT
+                   : pick_last_resort(pool, query, now_ms, picked);
+    }
+    picked->needs_permit =
+        picked->target && needs_permit(picked->target, query);
+    return code;
 }
 
 void
@@ -497,5 +623,12 @@
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
         status->full += is_full(target, now_ms);
+        if (is_withheld(target, query, now_ms)) {
+            status->limited++;
+            status->permit_ms =
+                status->permit_ms == 0
+                    ? target->permit_ms
+                    : MIN(status->permit_ms, target->permit_ms);
+        }
     }
 }
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -3,7 +3,7 @@
 
 #include "coordination/RequestMeta.h"
 #include "coordination/PickPolicy.h"
-#include "coordination/TargetLimit.h"
+#include "coordination/Permits.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -87,6 +87,10 @@
     int64_t reported_ms;       /* time of the report; 0: none */
     struct MpTargetLimit limit;
     bool is_limit_invalid; /* the last limit that it named is no number */
+    bool is_limit_seen;    /* in an answer since the last sync */
+    int64_t permit_ms;     /* with a limit: when a permit may be had again */
+    int64_t keeper_ms[MP_KEEPERS_MAX]; /* the same for each keeper, in the
+                                        * order of MpLenders_ListKeepers */
     /* health */
     uint32_t failures; /* consecutive */
     int64_t ejected_until_ms;
@@ -157,6 +161,10 @@
     bool is_at_most_once;   /* the request must not run twice */
     bool is_engine;         /* the targets of the pool are engines */
     const GPtrArray *avoid; /* of struct MpPoolTarget, already tried */
+    const char *permitted;  /* incarnation of a target that names a limit,
+                             * for which there is a permit; or NULL */
+    bool has_no_permits;    /* targets that name a limit are left out */
+    int64_t queue_max_ms;   /* see MpRoster_QueueMax */
 };
 
 /* Number of targets of a pool for each reason not to pick them; a target may
@@ -167,6 +175,9 @@
     uint32_t ejected; /* ejected or half-open */
     uint32_t tried;   /* already tried by this request */
     uint32_t full;
+    uint32_t limited;  /* a permit is to be had later */
+    int64_t permit_ms; /* when the first of these may be asked for again, 0
+                        * if there is none */
 };
 
 /* A picked target and what was expected of it. */
@@ -174,15 +185,30 @@
     struct MpPoolTarget *target;
     int64_t wait_ms;        /* expected time to the first answer */
     int64_t prefill_tokens; /* prompt tokens that are not cached there */
+    int64_t queue_ms;       /* part of wait_ms spent behind others; also set
+                             * when no target was picked because of it */
+    bool needs_permit;      /* the target names a limit */
 };
 
-/* Picks a target.  Returns MP_OK, MP_ERROR_NO_TARGET when no target may be
- * tried, or MP_ERROR_LIMIT when all usable targets are full.  When no target
+/* Returns the listed target with this incarnation, or NULL. */
+struct MpPoolTarget *MpRoster_Find(const struct MpRoster *this,
+                                   const char *incarnation);
+
+/* Picks a target, the permitted one if it is usable.  Returns MP_OK,
+ * MP_ERROR_NO_TARGET when no target may be tried, or MP_ERROR_LIMIT when all
+ * usable targets are full or wait for permits.  When no target
  * is usable, the request itself tests one that failed, even an at-most-once
  * request and during the ejection. */
 int MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
                   int64_t now_ms, struct MpPicked *picked);
 
+/* Returns how long a first attempt may wait behind others at an engine while
+ * other targets of the pool take no more by the limits that they name, ms: a
+ * part of its latency target, less for requests of a lower rank (0 is the
+ * highest).  Beyond it a request is better refused at once, as the answers of
+ * all that wait come late.  0: any time. */
+int64_t MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank);
+
 /* Fills status with the state of the pool's targets at now_ms. */
 void MpRoster_GetPoolStatus(const struct MpRoster *this,
                             const struct MpPoolQuery *query, int64_t now_ms,
--- a/src/coordination/TargetLimit.c
+++ b/src/coordination/TargetLimit.c
@@ -1,5 +1,7 @@
 #include "coordination/TargetLimit.h"
 
+#include "state/Fault.h"
+
 #include <glib.h>
 
 /* Digits after the decimal point that count. */
@@ -11,8 +13,18 @@
                    int64_t sent_ms, int64_t received_ms)
 {
     int64_t before = this->rate_mrps;
+    if (rate_mrps == MP_LIMIT_NONE && before == MP_LIMIT_NONE) {
+        /* Later answers confirm the end of a limit, for instances that have
+         * got a late answer which names it. */
+        if (this->sent_ms > 0) {
+            this->sent_ms = MAX(this->sent_ms, sent_ms);
+            this->received_ms = MAX(this->received_ms, received_ms);
+        }
+        return false;
+    }
     if (rate_mrps == MP_LIMIT_NONE) {
-        if (before == MP_LIMIT_NONE || sent_ms < this->received_ms) {
+        if (sent_ms < this->received_ms &&
+            !MP_FAULT(MP_FAULT_OLD_ANSWER_ENDS_LIMIT)) {
             return false;
         }
         *this = (struct MpTargetLimit){.rate_mrps = MP_LIMIT_NONE,
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -399,6 +399,14 @@
 };
 typedef struct mp_target mp_target;
 
+struct mp_limit {
+	char *incarnation;
+	quad_t rate_mrps;
+	u_int sent_age_ms;
+	u_int received_age_ms;
+};
+typedef struct mp_limit mp_limit;
+
 struct mp_sync {
 	mp_incarnation incarnation;
 	u_quad_t targets_hash;
@@ -406,6 +414,11 @@
 	u_quad_t document_version;
 	u_quad_t quarantine_version;
 	bool_t draining;
+	u_quad_t limits_hash;
+	struct {
+		u_int limits_len;
+		mp_limit *limits_val;
+	} limits;
 };
 typedef struct mp_sync mp_sync;
 
@@ -490,6 +503,11 @@
 		u_int targets_removed_len;
 		mp_target *targets_removed_val;
 	} targets_removed;
+	u_quad_t limits_hash;
+	struct {
+		u_int limits_len;
+		mp_limit *limits_val;
+	} limits;
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
@@ -534,6 +552,19 @@
 };
 typedef struct mp_lend_reply mp_lend_reply;
 
+struct mp_permit {
+	mp_limit limit;
+	u_int ahead_ms;
+};
+typedef struct mp_permit mp_permit;
+
+struct mp_permit_reply {
+	int code;
+	u_int wait_ms;
+	mp_limit limit;
+};
+typedef struct mp_permit_reply mp_permit_reply;
+
 struct mp_identify {
 	char *instance;
 	char *address;
@@ -781,6 +812,9 @@
 #define MP_PROC_REPAY 9
 extern  mp_repay_reply * mp_proc_repay_1(mp_repay , CLIENT *);
 extern  mp_repay_reply * mp_proc_repay_1_svc(mp_repay , struct svc_req *);
+#define MP_PROC_PERMIT 10
+extern  mp_permit_reply * mp_proc_permit_1(mp_permit , CLIENT *);
+extern  mp_permit_reply * mp_proc_permit_1_svc(mp_permit , struct svc_req *);
 extern int mimosapath_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -811,6 +845,9 @@
 #define MP_PROC_REPAY 9
 extern  mp_repay_reply * mp_proc_repay_1();
 extern  mp_repay_reply * mp_proc_repay_1_svc();
+#define MP_PROC_PERMIT 10
+extern  mp_permit_reply * mp_proc_permit_1();
+extern  mp_permit_reply * mp_proc_permit_1_svc();
 extern int mimosapath_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -854,6 +891,7 @@
 extern  bool_t xdr_mp_propose (XDR *, mp_propose*);
 extern  bool_t xdr_mp_propose_reply (XDR *, mp_propose_reply*);
 extern  bool_t xdr_mp_target (XDR *, mp_target*);
+extern  bool_t xdr_mp_limit (XDR *, mp_limit*);
 extern  bool_t xdr_mp_sync (XDR *, mp_sync*);
 extern  bool_t xdr_mp_lender (XDR *, mp_lender*);
 extern  bool_t xdr_mp_lenders (XDR *, mp_lenders*);
@@ -868,6 +906,8 @@
 extern  bool_t xdr_mp_repay (XDR *, mp_repay*);
 extern  bool_t xdr_mp_repay_reply (XDR *, mp_repay_reply*);
 extern  bool_t xdr_mp_lend_reply (XDR *, mp_lend_reply*);
+extern  bool_t xdr_mp_permit (XDR *, mp_permit*);
+extern  bool_t xdr_mp_permit_reply (XDR *, mp_permit_reply*);
 extern  bool_t xdr_mp_identify (XDR *, mp_identify*);
 extern  bool_t xdr_mp_identify_reply (XDR *, mp_identify_reply*);
 extern  bool_t xdr_mp_read_part (XDR *, mp_read_part*);
@@ -923,6 +963,7 @@
 extern bool_t xdr_mp_propose ();
 extern bool_t xdr_mp_propose_reply ();
 extern bool_t xdr_mp_target ();
+extern bool_t xdr_mp_limit ();
 extern bool_t xdr_mp_sync ();
 extern bool_t xdr_mp_lender ();
 extern bool_t xdr_mp_lenders ();
@@ -937,6 +978,8 @@
 extern bool_t xdr_mp_repay ();
 extern bool_t xdr_mp_repay_reply ();
 extern bool_t xdr_mp_lend_reply ();
+extern bool_t xdr_mp_permit ();
+extern bool_t xdr_mp_permit_reply ();
 extern bool_t xdr_mp_identify ();
 extern bool_t xdr_mp_identify_reply ();
 extern bool_t xdr_mp_read_part ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -413,6 +413,15 @@
     hyper cold_ms; /* remaining time of slow responses after its start */
 };
 
+/* The rate limit that a target names.  Ages are those of the request behind
+ * the answer that set it and of the answer itself. */
+struct mp_limit {
+    string incarnation<MP_NAME_MAX>;
+    hyper rate_mrps; /* thousandths of requests per second; -1: none */
+    unsigned int sent_age_ms;
+    unsigned int received_age_ms;
+};
+
 /* Periodic call of each instance to the leader. */
 struct mp_sync {
     mp_incarnation incarnation;
@@ -421,6 +430,8 @@
     unsigned hyper document_version;   /* version of the document it has */
     unsigned hyper quarantine_version; /* version of the suspects it has */
     bool draining;
+    unsigned hyper limits_hash;      /* hash of the limits it got last */
+    mp_limit limits<MP_TARGETS_MAX>; /* seen since the last call */
 };
 
 /* An instance that may lend from its slices. */
@@ -486,6 +497,10 @@
                                           * or only changes are sent. */
     mp_target targets<MP_TARGETS_MAX>;   /* new and changed targets */
     mp_target targets_removed<MP_TARGETS_MAX>; /* removed targets */
+    unsigned hyper limits_hash;                /* hash of limits */
+    mp_limit limits<MP_TARGETS_MAX>;           /* limits of targets, as all
+                                                * instances saw them; empty if
+                                                * the hash matches */
 };
 
 /* Requests the document in this version or a newer one from any replica. */
@@ -530,6 +545,20 @@
     hyper lent_mtok;
 };
 
+/* Requests a permit to send one request to a target that names a limit, from
+ * a keeper of that target. */
+struct mp_permit {
+    mp_limit limit;        /* as the caller knows it */
+    unsigned int ahead_ms; /* how long the request can wait for its slot */
+};
+
+struct mp_permit_reply {
+    int code;             /* MP_OK: granted; MP_ERROR_LIMIT: no slot is free;
+                           * MP_ERROR_NOT_FOUND: the callee is no keeper */
+    unsigned int wait_ms; /* until the slot, or until to ask again */
+    mp_limit limit;       /* as the keeper knows it */
+};
+
 /* Sent by a replica to other seeds and replicas, to find or form a cluster. */
 struct mp_identify {
     string instance<MP_NAME_MAX>;
@@ -723,5 +752,6 @@
         mp_fetch_reply MP_PROC_FETCH(mp_fetch) = 7;
         mp_lend_reply MP_PROC_LEND(mp_lend) = 8;
         mp_repay_reply MP_PROC_REPAY(mp_repay) = 9;
+        mp_permit_reply MP_PROC_PERMIT(mp_permit) = 10;
     } = 1;
 } = 0x20004d50;
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -652,6 +652,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_limit (XDR *xdrs, mp_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->incarnation, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->rate_mrps))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->received_age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_sync (XDR *xdrs, mp_sync *objp)
 {
@@ -669,6 +685,11 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->limits_hash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MP_TARGETS_MAX,
+		sizeof (mp_limit), (xdrproc_t) xdr_mp_limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -783,6 +804,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->targets_removed.targets_removed_val, (u_int *) &objp->targets_removed.targets_removed_len, MP_TARGETS_MAX,
 		sizeof (mp_target), (xdrproc_t) xdr_mp_target))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->limits_hash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MP_TARGETS_MAX,
+		sizeof (mp_limit), (xdrproc_t) xdr_mp_limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -868,6 +894,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_permit (XDR *xdrs, mp_permit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_mp_limit (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ahead_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_permit_reply (XDR *xdrs, mp_permit_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_mp_limit (xdrs, &objp->limit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_identify (XDR *xdrs, mp_identify *objp)
 {
--- a/src/protocol/Rpc.c
+++ b/src/protocol/Rpc.c
@@ -10,7 +10,7 @@
 
 #define RPC_VERSION 2
 #define LAST_FRAGMENT UINT32_C(0x80000000)
-#define PROCEDURE_COUNT 10
+#define PROCEDURE_COUNT 11
 #define SHA256_BYTES 32
 
 /* XDR codec of empty arguments and results. */
@@ -68,6 +68,11 @@
                        .argument_size = sizeof(struct mp_repay),
                        .result = (xdrproc_t)xdr_mp_repay_reply,
                        .result_size = sizeof(struct mp_repay_reply)},
+    [MP_PROC_PERMIT] = {.name = "permit",
+                        .argument = (xdrproc_t)xdr_mp_permit,
+                        .argument_size = sizeof(struct mp_permit),
+                        .result = (xdrproc_t)xdr_mp_permit_reply,
+                        .result_size = sizeof(struct mp_permit_reply)},
 };
 
 const struct MpRpcProcedure *
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -477,6 +477,17 @@
     MpCodec_Free(MP_XDR(mp_lenders), &peers);
 }
 
+static void
+apply_limits(struct MpControlClient *this, const struct mp_sync_reply *reply)
+{
+    if (!this->listener->limits || reply->limits_hash == this->limits_hash) {
+        return;
+    }
+    bool is_complete = this->listener->limits(
+        this->owner, reply->limits.limits_val, reply->limits.limits_len);
+    this->limits_hash = is_complete ? reply->limits_hash : 0;
+}
+
 static void
 on_synced(void *data, int code, const void *result)
 {
@@ -493,6 +504,7 @@
     this->instances = reply->instance_count;
     apply_peers(this, reply);
     apply_targets(this, reply);
+    apply_limits(this, reply);
     for (u_int i = 0; i < reply->replicas.replicas_len; i++) {
         learn_replica(this, reply->replicas.replicas_val[i].address);
     }
@@ -518,14 +530,20 @@
         .targets_hash = this->targets_hash,
         .lenders_hash = this->peers_hash,
         .draining = this->is_draining,
+        .limits_hash = this->limits_hash,
     };
     if (this->is_syncing) {
         return;
     }
     this->is_syncing = true;
+    if (this->listener->list_limits) {
+        sync.limits.limits_val =
+            this->listener->list_limits(this->owner, &sync.limits.limits_len);
+    }
     this->sent_targets_hash = this->targets_hash;
     MpRpcClient_Call(g_ptr_array_index(this->clients, this->leader),
                      MP_PROC_SYNC, &sync, CALL_TIMEOUT_MS, on_synced, this);
+    g_free(sync.limits.limits_val);
 }
 
 /* Returns the sync interval, which grows with the number of instances, so that
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -52,6 +52,12 @@
     void (*suspects)(void *owner);
     /* All instances that may lend budget.  This member may be NULL. */
     void (*peers)(void *owner, const struct mp_lender *peers, uint32_t count);
+    /* Returns the limits of targets seen since the last sync, to be freed with
+     * g_free.  This member may be NULL. */
+    struct mp_limit *(*list_limits)(void *owner, u_int *count);
+    /* The limits that the leader knows of.  Returns false when they are
+     * wanted again.  This member may be NULL. */
+    bool (*limits)(void *owner, const struct mp_limit *limits, u_int count);
 };
 
 struct MpControlClient {
@@ -79,6 +85,7 @@
     bool is_registering;
     struct MpTimer timer;
     uint64_t peers_hash;        /* of the list of peers; 0: none yet */
+    uint64_t limits_hash;       /* of the leader's limits; 0: none yet */
     uint64_t targets_hash;      /* of the leader's target list; 0: none yet */
     uint64_t sent_targets_hash; /* targets_hash in the last sync */
     uint32_t instances;         /* number of instances that the leader
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -375,6 +375,7 @@
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
     this->roster.policy = (enum MpPickPolicy)settings->routing;
     MpSlices_Init(&this->slices);
+    MpPermits_Init(&this->permits);
     this->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->list_confirmed_ms = -LIST_VALID_MS;
@@ -416,6 +417,10 @@
                          this->calls.length);
     MpMetrics_WriteValue(out, "mimosapath_slices_held_mtok", NULL, NULL,
                          MpSlices_Held(&this->slices));
+    MpMetrics_WriteValue(out, "mimosapath_permits_granted_total", NULL, NULL,
+                         (int64_t)this->permits.granted);
+    MpMetrics_WriteValue(out, "mimosapath_permits_denied_total", NULL, NULL,
+                         (int64_t)this->permits.denied);
     MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
                          (int64_t)this->retries_refused);
     MpGatewayLoans_WriteMetrics(this->loans, out);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -2,6 +2,7 @@
 #define MP_TRANSPORT_GATEWAY_H
 
 #include "coordination/RetryBudget.h"
+#include "coordination/Permits.h"
 #include "coordination/Roster.h"
 #include "coordination/Slices.h"
 #include "protocol/Dialect.h"
@@ -35,6 +36,7 @@
     struct MpRoster roster;
     struct MpSlices slices;
     struct MpGatewayLoans *loans;
+    struct MpPermits permits;
     GHashTable *retry_budgets; /* pool -> struct MpRetryBudget */
     GQueue calls;              /* of struct MpGatewayCall */
     struct MpTargetList *list_reader;
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -2,6 +2,7 @@
 
 #include "protocol/EventSplit.h"
 #include "state/Error.h"
+#include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/HttpServer.h"
@@ -12,6 +13,8 @@
 
 /* Bytes of an invalid limit that a log line shows. */
 #define LIMIT_LOG_BYTES 32
+/* Shortest Retry-After when no target takes a request now, ms. */
+#define RETRY_AFTER_MIN_MS 100
 
 static bool
 may_retry(struct MpGatewayCall *this)
@@ -109,8 +112,10 @@
         g_free(text);
     }
     target->is_limit_invalid = is_invalid;
+    target->is_limit_seen |= value && !is_invalid;
     if (!is_invalid &&
         MpTargetLimit_Note(&target->limit, rate_mrps, this->sent_ms, now_ms)) {
+        target->is_limit_seen = true;
         MpLog_Event(LOG_NOTICE, "target-limit",
                     "id=%s target=%s pool=%s limit_mrps=%" PRId64
                     " age_ms=%" PRId64 " from=answer",
@@ -386,31 +391,47 @@
         LOG_INFO, "request-sent",
         "id=%s same=%s parts=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
         " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64 " list=%" PRIu64
-        " left_ms=%" PRId64,
+        " left_ms=%" PRId64 " limit_mrps=%" PRId64 " permit_ms=%" PRId64,
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, this->pool, this->forward.sends, picked->wait_ms,
         picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
-        gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms));
+        gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
+        target->limit.rate_mrps, this->permit_wait_ms);
+    g_clear_pointer(&this->permitted, g_free);
+    this->permit_tries = 0;
+    this->permit_wait_ms = 0;
 }
 
+/* Refuses a request that no target takes now.  If permits are what is missing,
+ * the caller comes back when the next one may be had. */
 static void
-log_no_target(struct MpGatewayCall *this, const struct MpPoolQuery *query,
-              int code, int64_t now_ms)
+give_up_pick(struct MpGatewayCall *this, const struct MpPoolQuery *query,
+             const struct MpPicked *picked, int code, int64_t now_ms)
 {
     const struct MpRoster *roster = &this->gateway->roster;
-    struct MpPoolStatus pool_status;
-    MpRoster_GetPoolStatus(roster, query, now_ms, &pool_status);
+    struct MpPoolStatus status;
+    MpRoster_GetPoolStatus(roster, query, now_ms, &status);
+    int64_t retry_after_ms = MP_RETRY_AFTER_BUSY_MS;
+    if (code == MP_ERROR_LIMIT && picked->queue_ms > 0) {
+        retry_after_ms = picked->queue_ms - query->queue_max_ms;
+    }
+    else if (code == MP_ERROR_LIMIT && status.permit_ms > 0) {
+        retry_after_ms = status.permit_ms - now_ms;
+    }
+    retry_after_ms = MAX(retry_after_ms, RETRY_AFTER_MIN_MS);
     MpLog_Event(LOG_WARNING, "target-none",
                 "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
-                "paused=%u tried=%u full=%u list=%" PRIu64
-                " list_age_ms=%" PRId64 " has_retry=%d",
+                "paused=%u tried=%u full=%u limited=%u queue_ms=%" PRId64
+                " list=%" PRIu64 " list_age_ms=%" PRId64 " has_retry=%d",
                 this->id ? this->id : "-", this->pool, MpError_Name(code),
-                this->forward.sends + 1, pool_status.listed,
-                pool_status.leaving, pool_status.ejected, pool_status.tried,
-                pool_status.full, roster->version,
+                this->forward.sends + 1, status.listed, status.leaving,
+                status.ejected, status.tried, status.full, status.limited,
+                picked->queue_ms, roster->version,
                 roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
                 this->forward.sends == 0 || may_retry(this));
+    MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
+                         retry_after_ms);
 }
 
 void
@@ -420,24 +441,34 @@
     const struct MpPoolConf *pool =
         g_hash_table_lookup(this->document->pools, this->pool);
     struct MpPicked picked;
-    struct MpPoolQuery query = {.pool = this->pool,
-                                .meta = &this->meta,
-                                .is_at_most_once =
-                                    this->path->repeat == MP_REPEAT_NEVER,
-                                .is_engine = pool->engine.slots > 0,
-                                .avoid = this->tried};
+    struct MpPoolQuery query = {
+        .pool = this->pool,
+        .meta = &this->meta,
+        .is_at_most_once = this->path->repeat == MP_REPEAT_NEVER,
+        .is_engine = pool->engine.slots > 0,
+        .avoid = this->tried,
+        .permitted = this->permitted,
+        .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX};
     int64_t now_ms = MpLoop_Now();
+    bool is_retry = this->forward.sends > 0;
+    if (!is_retry) {
+        query.queue_max_ms = MpRoster_QueueMax(this->path->latency_target_ms,
+                                               MpGatewayCall_Rank(this));
+    }
     int code = MpRoster_Pick(&gateway->roster, &query, now_ms, &picked);
-    if (code == MP_OK && this->forward.sends > 0 &&
+    if (code == MP_OK && picked.needs_permit &&
+        (!is_retry || may_retry(this))) {
+        MpGatewayPermits_Request(this, picked.target);
+        return;
+    }
+    if (code == MP_OK && is_retry &&
         !MpRetryBudget_Take(MpGateway_GetRetryBudget(gateway, this->pool),
                             gateway->control->instances, now_ms)) {
         gateway->retries_refused++;
         code = MP_ERROR_LIMIT;
     }
     if (code != MP_OK) {
-        log_no_target(this, &query, code, now_ms);
-        MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
-                             MP_RETRY_AFTER_BUSY_MS);
+        give_up_pick(this, &query, &picked, code, now_ms);
         return;
     }
     send_attempt(this, &picked);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -4,6 +4,7 @@
 #include "transport/ErrorBody.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayLoans.h"
+#include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/HttpServer.h"
@@ -107,6 +108,7 @@
     int64_t now_ms = MpLoop_Now();
     this->stage = MP_CALL_ENDED;
     MpLoop_ClearTimer(&this->timer);
+    MpGatewayPermits_Cancel(this);
     MpGatewaySuspect_End(this);
     int64_t billed = settle(this);
     count_outcome(this, outcome, billed, now_ms);
@@ -126,6 +128,18 @@
                 this->document ? this->document->version : 0);
 }
 
+int64_t
+MpGatewayCall_Rank(const struct MpGatewayCall *this)
+{
+    const struct MpWorkspaceConf *workspace =
+        this->workspace
+            ? g_hash_table_lookup(this->document->workspaces, this->workspace)
+            : NULL;
+    return workspace && workspace->path_priority >= 0
+               ? workspace->path_priority
+               : this->path->priority;
+}
+
 /* ---- refusals ---- */
 
 static void
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -21,6 +21,7 @@
 enum MpCallStage {
     MP_CALL_TRIAL,   /* waits for a probe or for the quorum's decision */
     MP_CALL_BUDGET,  /* waits for budget of its workspace */
+    MP_CALL_PERMIT,  /* waits for a permit of a target that names a limit */
     MP_CALL_RUNNING, /* an attempt is under way */
     MP_CALL_ENDED    /* the rest of the response is being sent */
 };
@@ -50,6 +51,11 @@
     /* budget */
     int64_t reserved_mtok;
     uint32_t budget_rounds; /* reports answered while the call waited */
+    /* permits for targets that name a limit */
+    struct MpPermitRequest *permit; /* being sought */
+    char *permitted; /* incarnation of a target for which one was granted */
+    uint32_t permit_tries;  /* for this attempt */
+    int64_t permit_wait_ms; /* time spent in the stage MP_CALL_PERMIT */
     /* the current attempt */
     struct MpPoolTarget *target;
     struct MpTargetConn *conn;
@@ -91,6 +97,10 @@
  * report while the call waited. */
 void MpGatewayCall_RetryReserve(struct MpGatewayCall *this, bool is_answered);
 
+/* Returns the rank of the call, 0 for the most urgent: that of its workspace,
+ * or else of its path. */
+int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
+
 /* Checks whether the caller has disconnected, unless it was checked recently.
  * Returns true if it has and the call was ended. */
 bool MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
--- a/src/transport/GatewayLender.c
+++ b/src/transport/GatewayLender.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "state/Ledger.h"
+#include "transport/GatewayPermits.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
@@ -71,6 +72,10 @@
         apply_repayment(this, call);
         return;
     }
+    if (call->procedure == MP_PROC_PERMIT) {
+        MpGatewayPermits_Serve(this->gateway, call);
+        return;
+    }
     if (call->procedure != MP_PROC_LEND) {
         MpRpcCall_Reply(call, NULL);
         return;
--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -68,8 +68,8 @@
 
 /* ---- borrowing ---- */
 
-static struct MpRpcClient *
-get_client(struct MpGatewayLoans *this, const char *address)
+struct MpRpcClient *
+MpGatewayLoans_GetClient(struct MpGatewayLoans *this, const char *address)
 {
     struct MpRpcClient *client = g_hash_table_lookup(this->clients, address);
     if (!client) {
@@ -284,7 +284,7 @@
     while (request->next < request->addresses->len) {
         const char *address =
             g_ptr_array_index(request->addresses, request->next);
-        struct MpRpcClient *client = get_client(this, address);
+        struct MpRpcClient *client = MpGatewayLoans_GetClient(this, address);
         if (MpRpcClient_IsReady(client)) {
             send_lend(request, client);
             return;
@@ -313,8 +313,9 @@
     MpLenders_ListCandidates(&this->lenders, workspace, MpLoop_Now(),
                              addresses);
     struct MpRpcClient *client =
-        addresses->len > 0 ? get_client(this, g_ptr_array_index(addresses, 0))
-                           : NULL;
+        addresses->len > 0
+            ? MpGatewayLoans_GetClient(this, g_ptr_array_index(addresses, 0))
+            : NULL;
     if (client && MpRpcClient_IsReady(client)) {
         struct mp_lend lend = {.workspace = (char *)workspace,
                                .need_mtok = 1,
@@ -403,8 +404,9 @@
     GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
     MpLenders_ListCandidates(&this->lenders, workspace, now_ms, addresses);
     struct MpRpcClient *client =
-        addresses->len > 0 ? get_client(this, g_ptr_array_index(addresses, 0))
-                           : NULL;
+        addresses->len > 0
+            ? MpGatewayLoans_GetClient(this, g_ptr_array_index(addresses, 0))
+            : NULL;
     g_ptr_array_unref(addresses);
     if (!client || !MpRpcClient_IsReady(client)) {
         return;
@@ -469,6 +471,13 @@
     return MpLenders_IsPrimary(&this->lenders, workspace);
 }
 
+guint
+MpGatewayLoans_ListKeepers(const struct MpGatewayLoans *this,
+                           const char *incarnation, GPtrArray *out)
+{
+    return MpLenders_ListKeepers(&this->lenders, incarnation, out);
+}
+
 uint32_t
 MpGatewayLoans_CountPrimaries(const struct MpGatewayLoans *this)
 {
@@ -487,7 +496,7 @@
                 count, own_zone->len,
                 MpLenders_CountPrimaries(&this->lenders));
     for (guint i = 0; i < own_zone->len; i++) {
-        get_client(this, g_ptr_array_index(own_zone, i));
+        MpGatewayLoans_GetClient(this, g_ptr_array_index(own_zone, i));
     }
     g_ptr_array_unref(own_zone);
 }
--- a/src/transport/GatewayLoans.h
+++ b/src/transport/GatewayLoans.h
@@ -48,6 +48,15 @@
 /* Answers lend calls that were held too long, and repays surplus loans. */
 void MpGatewayLoans_Tick(struct MpGatewayLoans *this, int64_t now_ms);
 
+/* Appends the addresses of the keepers of a target; see
+ * MpLenders_ListKeepers. */
+guint MpGatewayLoans_ListKeepers(const struct MpGatewayLoans *this,
+                                 const char *incarnation, GPtrArray *out);
+
+/* Returns the RPC client for the lender at address, and connects it. */
+struct MpRpcClient *MpGatewayLoans_GetClient(struct MpGatewayLoans *this,
+                                             const char *address);
+
 void MpGatewayLoans_WriteMetrics(const struct MpGatewayLoans *this,
                                  GString *out);
 
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -6,6 +6,7 @@
 #include "transport/ReplicaCalls.h"
 #include "transport/ReplicaDocument.h"
 #include "transport/ReplicaLenders.h"
+#include "transport/ReplicaLimits.h"
 #include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
@@ -545,6 +546,7 @@
     this->reads = g_ptr_array_new();
     this->read_times = g_array_new(false, false, sizeof(int64_t));
     MpReplicaLenders_Init(this);
+    MpReplicaLimits_Init(this);
 }
 
 int
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -70,8 +70,11 @@
     GArray *lenders;       /* of struct mp_lender */
     struct MpTextPack lenders_pack;
     uint64_t lenders_hash;
-    int64_t lenders_ms; /* when lenders was built; 0: never */
-    GPtrArray *peers;   /* of char *, addresses of replicas and seeds */
+    int64_t lenders_ms;   /* when lenders was built; 0: never */
+    GHashTable *limits;   /* incarnation -> struct MpTargetLimit */
+    uint64_t limits_hash; /* 0: not computed yet */
+    int64_t limits_ms;    /* when limits_hash was computed */
+    GPtrArray *peers;     /* of char *, addresses of replicas and seeds */
     /* This replica, and seeds whose identify reply named no cluster. */
     GHashTable *identified; /* address -> struct mp_member */
     struct MpTimer tick_timer;
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -5,6 +5,7 @@
 #include "transport/Log.h"
 #include "transport/ReplicaDocument.h"
 #include "transport/ReplicaLenders.h"
+#include "transport/ReplicaLimits.h"
 #include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
@@ -258,6 +259,7 @@
     fill_replicas(this, replicas, &reply);
     MpReplicaTargets_Fill(this, sync, &reply);
     MpReplicaLenders_Fill(this, sync, &reply);
+    MpReplicaLimits_Fill(this, sync, &reply);
     GByteArray *stopped = NULL;
     GByteArray *suspected = NULL;
     GByteArray *groups = NULL;
@@ -275,6 +277,7 @@
     add_recalls(this, &sync->incarnation, &reply);
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
+    g_free(reply.limits.limits_val);
     g_clear_pointer(&stopped, g_byte_array_unref);
     g_clear_pointer(&suspected, g_byte_array_unref);
     g_clear_pointer(&groups, g_byte_array_unref);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -2,6 +2,7 @@
 
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
+#include "transport/GatewayPermits.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
@@ -227,6 +228,20 @@
     MpGateway_SetPeers(&this->gateway, peers, count);
 }
 
+static struct mp_limit *
+list_limits(void *owner, u_int *count)
+{
+    struct MpRouter *this = owner;
+    return MpGatewayPermits_ListSeen(&this->gateway, count);
+}
+
+static bool
+on_limits(void *owner, const struct mp_limit *limits, u_int count)
+{
+    struct MpRouter *this = owner;
+    return MpGatewayPermits_Apply(&this->gateway, limits, count);
+}
+
 static void
 on_suspects(void *owner)
 {
@@ -241,6 +256,8 @@
     .targets = on_targets,
     .suspects = on_suspects,
     .peers = on_peers,
+    .list_limits = list_limits,
+    .limits = on_limits,
 };
 
 /* ---- drain ---- */
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -315,6 +315,102 @@
     g_hash_table_unref(seen);
 }
 
+static struct MpPoolTarget *
+name_limit(struct MpRoster *roster, const char *incarnation, int64_t now_ms)
+{
+    struct MpPoolTarget *target = MpRoster_Find(roster, incarnation);
+    MpTargetLimit_Note(&target->limit, 2000, now_ms, now_ms);
+    return target;
+}
+
+/* A target that names a limit gets no request without a permit, not even as
+ * the last one left. */
+static void
+test_limit_needs_permit(void)
+{
+    struct MpRoster roster;
+    struct MpRequestMeta meta = {.prompt_tokens = 100};
+    struct MpPoolQuery query = {
+        .pool = POOL, .meta = &meta, .is_engine = true};
+    struct MpPicked picked;
+    struct MpPoolStatus status;
+    init_roster(&roster, 1);
+    struct MpPoolTarget *target = name_limit(&roster, "t0", 1000);
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1000, &picked), ==, MP_OK);
+    g_assert_true(picked.needs_permit);
+    target->permit_ms = 1300;
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1100, &picked), ==,
+                    MP_ERROR_LIMIT);
+    MpRoster_GetPoolStatus(&roster, &query, 1100, &status);
+    g_assert_cmpuint(status.limited, ==, 1);
+    g_assert_cmpint(status.permit_ms, ==, 1300);
+    target->failures = 1;
+    target->ejected_until_ms = 5000;
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1100, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    target->failures = 0;
+    target->ejected_until_ms = 0;
+    query.permitted = "t0";
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1100, &picked), ==, MP_OK);
+    g_assert_false(picked.needs_permit);
+    query.permitted = NULL;
+    query.has_no_permits = true;
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 2000, &picked), ==,
+                    MP_ERROR_LIMIT);
+    MpTargetLimit_Note(&target->limit, MP_LIMIT_NONE, 1500, 1600);
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 2000, &picked), ==, MP_OK);
+    g_assert_false(picked.needs_permit);
+    MpRoster_Done(&roster);
+}
+
+/* Most targets of a pool name limits, and what they do not take would pile up
+ * at the rest until every answer is late.  It is refused by rank instead;
+ * without limits the same queue is no reason to refuse. */
+static void
+test_limits_do_not_pile_up_work(void)
+{
+    struct MpRoster roster;
+    struct MpRequestMeta meta = {.prompt_tokens = 3000};
+    struct MpPicked picked;
+    init_roster(&roster, 2);
+    struct MpPoolTarget *limited = name_limit(&roster, "t1", 1000);
+    uint32_t taken[3] = {0, 0, 0};
+    struct MpPoolTarget *sent[12];
+    uint32_t count = 0;
+    limited->permit_ms = 9000;
+    for (uint32_t i = 0; i < 12; i++) {
+        /* Lower ranks come first, and still get less. */
+        uint32_t rank = 2 - i / 4;
+        struct MpPoolQuery query = {.pool = POOL,
+                                    .meta = &meta,
+                                    .is_engine = true,
+                                    .queue_max_ms =
+                                        MpRoster_QueueMax(600, rank)};
+        if (MpRoster_Pick(&roster, &query, 1000, &picked) == MP_OK) {
+            taken[rank]++;
+            sent[count++] = picked.target;
+            MpPoolTarget_StartAttempt(picked.target, &meta,
+                                      picked.prefill_tokens, 1000);
+        }
+        else {
+            g_assert_cmpint(picked.queue_ms, >, query.queue_max_ms);
+        }
+    }
+    g_assert_cmpuint(taken[2], ==, 1);
+    g_assert_cmpuint(taken[1], >, 0);
+    g_assert_cmpuint(taken[0], >, 0);
+    g_assert_cmpuint(taken[0] + taken[1] + taken[2], <, 8);
+    MpTargetLimit_Note(&limited->limit, MP_LIMIT_NONE, 1100, 1200);
+    struct MpPoolQuery query = {
+        .pool = POOL, .meta = &meta, .is_engine = true, .queue_max_ms = 1};
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1300, &picked), ==, MP_OK);
+    for (uint32_t i = 0; i < count; i++) {
+        MpPoolTarget_EndAttempt(&roster, sent[i], false, 0,
+                                MP_OUTCOME_CANCELLED, 1300);
+    }
+    MpRoster_Done(&roster);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -331,5 +427,9 @@
     g_test_add_func("/roster/changes", test_changes);
     g_test_add_func("/roster/classify update", test_classify_update);
     g_test_add_func("/roster/baselines", test_baselines);
+    g_test_add_func("/roster/a target with a limit needs a permit",
+                    test_limit_needs_permit);
+    g_test_add_func("/roster/limits do not pile up work at other targets",
+                    test_limits_do_not_pile_up_work);
     return g_test_run();
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -25,6 +25,7 @@
     "FuzzSuspects": (300, 2, 4000),
     "FuzzParts": (500, 2, 4000),
     "FuzzRoster": (2000, 2, 600),
+    "FuzzPermits": (60, 2, 600),
 }
 # fault number: description, fuzzer that finds it, seeds that it runs
 FAULTS = {
@@ -70,6 +71,9 @@
     40: ("returned amount counted again", "FuzzSlices", 200),
     41: ("loan above the lender's balance", "FuzzSlices", 200),
     42: ("old answer clears a part again", "FuzzParts", 50),
+    43: ("keeper gives out old slots again", "FuzzPermits", 60),
+    44: ("each keeper hands out a whole limit", "FuzzPermits", 60),
+    45: ("old answer ends a limit", "FuzzPermits", 60),
 }
 
 
