--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -45,6 +45,7 @@
     g_free(this->pool);
     g_free(this->address);
     g_free(this->zone);
+    g_free(this->version);
     g_free(this);
 }
 
@@ -60,6 +61,7 @@
     g_free(target->pool);
     g_free(target->address);
     g_free(target->zone);
+    g_free(target->version);
     g_free(target);
 }
 
@@ -94,6 +96,7 @@
     target->pool = g_strdup(entry->pool);
     target->address = g_strdup(entry->address);
     target->zone = g_strdup(entry->zone);
+    target->version = g_strdup(entry->version ? entry->version : "");
     target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
     target->slowness = 1.0;
     target->limit = (struct MpTargetLimit)MP_TARGET_LIMIT_INIT;
@@ -134,12 +137,13 @@
 }
 
 /* Whether an entry with the target's incarnation is the same target: another
- * address or pool makes it another one. */
+ * address, pool or version makes it another one. */
 static bool
 is_same(const struct MpPoolTarget *target, const struct MpListedTarget *entry)
 {
     return strcmp(target->address, entry->address) == 0 &&
-           strcmp(target->pool, entry->pool) == 0;
+           strcmp(target->pool, entry->pool) == 0 &&
+           strcmp(target->version, entry->version ? entry->version : "") == 0;
 }
 
 static uint32_t
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -47,6 +47,7 @@
     char *pool;
     char *address;
     char *zone;
+    char *version; /* of its software; NULL or empty: not reported */
     int64_t slots; /* requests that it runs at once; 0: no limit known */
     bool is_leaving;
     int64_t cold_ms;    /* remaining time that it is slow after its start */
@@ -71,6 +72,7 @@
     char *pool;
     char *address;
     char *zone;
+    char *version;   /* of its software; empty: not reported */
     int64_t slots;   /* requests that it runs at once; 0: no limit known */
     uint64_t hash;   /* of the incarnation */
     bool is_listed;  /* in the current list */
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -393,6 +393,7 @@
 	char *pool;
 	char *address;
 	char *zone;
+	char *software;
 	quad_t slots;
 	bool_t leaving;
 	quad_t cold_ms;
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -408,6 +408,7 @@
     string pool<MP_NAME_MAX>;
     string address<MP_ADDRESS_MAX>;
     string zone<MP_NAME_MAX>;
+    string software<MP_NAME_MAX>; /* version of its software */
     hyper slots;   /* requests that it can run at the same time */
     bool leaving;  /* is shutting down; gets no new requests */
     hyper cold_ms; /* remaining time of slow responses after its start */
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -643,6 +643,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MP_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->slots))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -25,8 +25,10 @@
     const char *request_id;     /* caller's id of this attempt */
     const char *deadline;       /* how long the caller waits, ms */
     const char *last_event_id;  /* id of the last event that it received */
-    const char *tokens;         /* PROMPT,MAX_OUTPUT */
-    const char *parts;          /* ID:TOKENS,... with hexadecimal ids */
+    const char *resumes; /* with it: id of the attempt that brought the first
+                          * event of the stream */
+    const char *tokens;  /* PROMPT,MAX_OUTPUT */
+    const char *parts;   /* ID:TOKENS,... with hexadecimal ids */
 };
 
 /* Names of headers exchanged with targets. */
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -418,6 +418,7 @@
                                          .pool = from[i].pool,
                                          .address = from[i].address,
                                          .zone = from[i].zone,
+                                         .version = from[i].software,
                                          .slots = from[i].slots,
                                          .is_leaving = from[i].leaving,
                                          .cold_ms = from[i].cold_ms};
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -389,12 +389,13 @@
     format_parts(&this->meta, parts);
     MpLog_Event(
         LOG_INFO, "request-sent",
-        "id=%s same=%s parts=%s target=%s pool=%s attempt=%u wait_ms=%" PRId64
-        " tokens=%" PRId64 " running=%d told_age_ms=%" PRId64 " list=%" PRIu64
-        " left_ms=%" PRId64 " limit_mrps=%" PRId64 " permit_ms=%" PRId64,
+        "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
+        "wait_ms=%" PRId64 " tokens=%" PRId64
+        " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
+        " limit_mrps=%" PRId64 " permit_ms=%" PRId64,
         this->id ? this->id : "-", this->fingerprint_hex, parts,
-        target->incarnation, this->pool, this->forward.sends, picked->wait_ms,
-        picked->prefill_tokens, target->running,
+        target->incarnation, target->version, this->pool, this->forward.sends,
+        picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
         target->limit.rate_mrps, this->permit_wait_ms);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -36,6 +36,7 @@
     MpCallerResponse_Done(&this->response);
     MpDocument_Unref(this->document);
     g_free(this->id);
+    g_free(this->resumes);
     if (this->head) {
         g_byte_array_unref(this->head);
     }
@@ -112,20 +113,21 @@
     MpGatewaySuspect_End(this);
     int64_t billed = settle(this);
     count_outcome(this, outcome, billed, now_ms);
-    MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
-                "id=%s same=%s path=%s workspace=%s outcome=%s error=%s "
-                "status=%d attempts=%u events=%" PRId64 " billed=%" PRId64
-                " prompt=%" PRId64 " most=%" PRId64 " after=%" PRId64
-                " first_ms=%" PRId64 " took_ms=%" PRId64 " document=%" PRIu64,
-                this->id ? this->id : "-",
-                this->fingerprint_hex[0] ? this->fingerprint_hex : "-",
-                this->path ? this->path->name : "-",
-                this->workspace ? this->workspace : "-", outcome,
-                MpError_Name(code), this->status, forward->sends,
-                forward->events, billed, this->meta.prompt_tokens,
-                this->meta.output_tokens_max, this->meta.resume_after,
-                this->first_byte_ms, now_ms - forward->began_ms,
-                this->document ? this->document->version : 0);
+    MpLog_Event(
+        code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
+        "id=%s same=%s path=%s workspace=%s outcome=%s error=%s "
+        "status=%d attempts=%u events=%" PRId64 " billed=%" PRId64
+        " prompt=%" PRId64 " most=%" PRId64 " after=%" PRId64 " resumes=%s"
+        " first_ms=%" PRId64 " took_ms=%" PRId64 " document=%" PRIu64,
+        this->id ? this->id : "-",
+        this->fingerprint_hex[0] ? this->fingerprint_hex : "-",
+        this->path ? this->path->name : "-",
+        this->workspace ? this->workspace : "-", outcome, MpError_Name(code),
+        this->status, forward->sends, forward->events, billed,
+        this->meta.prompt_tokens, this->meta.output_tokens_max,
+        this->meta.resume_after, this->resumes ? this->resumes : "-",
+        this->first_byte_ms, now_ms - forward->began_ms,
+        this->document ? this->document->version : 0);
 }
 
 int64_t
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -38,6 +38,7 @@
     const char *workspace; /* owned by document; NULL for anonymous paths */
     const char *pool;
     char *id;         /* of the request, chosen by the caller; may be NULL */
+    char *resumes;    /* id of the request whose stream it takes up, or NULL */
     GByteArray *head; /* request line and headers sent in every attempt */
     GByteArray *body;
     uint8_t fingerprint[MP_HASH_BYTES]; /* equal for repeated requests */
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Longest id of a stream that is taken up, bytes; a longer one is ignored. */
+#define RESUMES_MAX_BYTES 128
+
 /* Headers that are not forwarded: they concern one connection only, or are
  * written anew. */
 static const char *const hop_headers[] = {"connection",
@@ -102,6 +105,11 @@
     }
     value = find_header(req, names->request_id, &size);
     call->id = value ? g_strndup(value, size) : NULL;
+    value = find_header(req, names->resumes, &size);
+    call->resumes = value && meta->resume_after >= 0 && size > 0 &&
+                            size <= RESUMES_MAX_BYTES
+                        ? g_strndup(value, size)
+                        : NULL;
     return MP_OK;
 }
 
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -25,6 +25,13 @@
     g_free(this->pool);
     g_free(this->address);
     g_free(this->zone);
+    g_free(this->software);
+}
+
+static const char *
+version_of(const struct MpListedTarget *target)
+{
+    return target->version ? target->version : "";
 }
 
 /* Hashes a target without cold_ms, which counts down and so differs at each
@@ -36,6 +43,7 @@
     hash = XXH64(target->pool, strlen(target->pool), hash);
     hash = XXH64(target->address, strlen(target->address), hash);
     hash = XXH64(target->zone, strlen(target->zone), hash);
+    hash = XXH64(version_of(target), strlen(version_of(target)), hash);
     hash = XXH64(&target->slots, sizeof(target->slots), hash);
     return XXH64(&target->is_leaving, sizeof(target->is_leaving), hash);
 }
@@ -48,6 +56,7 @@
     return strlen(target->incarnation) <= MP_NAME_MAX &&
            strlen(target->pool) <= MP_NAME_MAX &&
            strlen(target->zone) <= MP_NAME_MAX &&
+           strlen(version_of(target)) <= MP_NAME_MAX &&
            strlen(target->address) <= MP_ADDRESS_MAX;
 }
 
@@ -65,7 +74,8 @@
     return a->slots == b->slots && a->leaving == b->leaving &&
            strcmp(a->pool, b->pool) == 0 &&
            strcmp(a->address, b->address) == 0 &&
-           strcmp(a->zone, b->zone) == 0;
+           strcmp(a->zone, b->zone) == 0 &&
+           strcmp(a->software, b->software) == 0;
 }
 
 /* Sets targets_changed and targets_removed to the differences between the
@@ -140,6 +150,7 @@
                                    .pool = g_strdup(from->pool),
                                    .address = g_strdup(from->address),
                                    .zone = g_strdup(from->zone),
+                                   .software = g_strdup(version_of(from)),
                                    .slots = from->slots,
                                    .leaving = from->is_leaving,
                                    .cold_ms = from->cold_ms};
