Behind limits, low ranks are refused while answers come late

Cause: what limited targets do not take is refused by the queue at the others, but with 86 or 300 routers each knows only its own few requests of that queue. Change: the time to the first answer at targets without a limit, which every router sees, decides too, by rank, while limits hold work back.

TestRoster replays the pattern; the calls are new, so no run shows it failing before.

--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -35,6 +35,22 @@
 #define RANKS 3
 static const int64_t queue_permille[RANKS] = {300, 200, 100};
 
+/* Largest decaying average of the time to the first answer at targets without
+ * a limit, as a part of the latency target, at which requests of each rank are
+ * still sent there. */
+static const double delay_max[RANKS] = {1.0, 0.7, 0.4};
+/* Weight of one answer in that average, and time over which the average falls
+ * linearly to 0 without answers, ms. */
+#define DELAY_WEIGHT 0.1
+#define DELAY_DECAY_MS 2000
+/* Longest time to the first answer that counts, in latency targets. */
+#define DELAY_PART_MAX 3.0
+
+struct delay {
+    double average;
+    int64_t noted_ms;
+};
+
 /* ---- construction ---- */
 
 void
@@ -75,6 +91,8 @@
     this->targets = g_hash_table_new(g_str_hash, g_str_equal);
     this->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         (GDestroyNotify)g_ptr_array_unref);
+    this->delays =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static GPtrArray *
@@ -118,6 +136,7 @@
     g_ptr_array_unref(nothing);
     g_hash_table_unref(this->targets);
     g_hash_table_unref(this->pools);
+    g_hash_table_unref(this->delays);
     g_free(this->zone);
 }
 
@@ -545,18 +564,51 @@
                                  : 0;
 }
 
-/* Drops the picked target if the request would wait too long behind others. */
+static double
+delay_at(const struct MpRoster *this, const char *pool, int64_t now_ms)
+{
+    const struct delay *delay = g_hash_table_lookup(this->delays, pool);
+    int64_t age_ms = delay ? now_ms - delay->noted_ms : DELAY_DECAY_MS;
+    return age_ms >= DELAY_DECAY_MS
+               ? 0.0
+               : delay->average * (1.0 - (double)age_ms / DELAY_DECAY_MS);
+}
+
+void
+MpRoster_NoteDelay(struct MpRoster *this, const struct MpPoolTarget *target,
+                   double part, int64_t now_ms)
+{
+    struct delay *delay = g_hash_table_lookup(this->delays, target->pool);
+    if (target->limit.rate_mrps != MP_LIMIT_NONE) {
+        return;
+    }
+    if (!delay) {
+        delay = g_new0(struct delay, 1);
+        g_hash_table_insert(this->delays, g_strdup(target->pool), delay);
+    }
+    delay->average = delay_at(this, target->pool, now_ms);
+    delay->average +=
+        DELAY_WEIGHT * (MIN(part, DELAY_PART_MAX) - delay->average);
+    delay->noted_ms = now_ms;
+}
+
+/* Drops the picked target if the request would wait too long behind others:
+ * by the queue that this instance knows of, or as the answers of all such
+ * targets come late. */
 static bool
-is_queue_too_long(const struct MpPoolQuery *query, int64_t now_ms,
-                  struct MpPicked *picked)
+is_queue_too_long(const struct MpRoster *this, const struct MpPoolQuery *query,
+                  int64_t now_ms, struct MpPicked *picked)
 {
     if (!picked->target || !query->is_engine || query->queue_max_ms == 0) {
         return false;
     }
     picked->queue_ms = (int64_t)queue_at(picked->target, now_ms);
-    if (picked->queue_ms <= query->queue_max_ms) {
+    double delay = delay_at(this, query->pool, now_ms);
+    if (picked->queue_ms <= query->queue_max_ms &&
+        delay <= delay_max[CLAMP(query->rank, 0, RANKS - 1)]) {
         return false;
     }
+    picked->queue_ms = MAX(picked->queue_ms, query->queue_max_ms + 1);
     picked->target = NULL;
     return true;
 }
@@ -630,7 +682,8 @@
         return MP_OK;
     }
     pick_cheapest(this, pool, query, now_ms, picked, &left_out);
-    if (left_out.has_withheld && is_queue_too_long(query, now_ms, picked)) {
+    if (left_out.has_withheld &&
+        is_queue_too_long(this, query, now_ms, picked)) {
         return MP_ERROR_LIMIT;
     }
     if (!picked->target) {
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -115,6 +115,7 @@
     enum MpPickPolicy policy; /* MP_PICK_AFFINITY unless it is set */
     GHashTable *targets;      /* incarnation -> struct MpPoolTarget */
     GHashTable *pools;        /* name -> GPtrArray of struct MpPoolTarget */
+    GHashTable *delays;       /* pool -> struct delay */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
     uint64_t version;  /* counts the changes of the list */
@@ -169,6 +170,7 @@
                              * for which there is a permit; or NULL */
     bool has_no_permits;    /* targets that name a limit are left out */
     int64_t queue_max_ms;   /* see MpRoster_QueueMax */
+    int64_t rank;           /* 0 is the highest */
     const char *version; /* only targets with this software version; or NULL */
     const struct MpVersionView *view; /* without version: only targets whose
                                        * version is active there; or NULL */
@@ -222,6 +224,12 @@
  * all that wait come late.  0: any time. */
 int64_t MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank);
 
+/* Notes how long the first answer of a target took, or how long a request
+ * waits for it so far, as a part of the latency target. */
+void MpRoster_NoteDelay(struct MpRoster *this,
+                        const struct MpPoolTarget *target, double part,
+                        int64_t now_ms);
+
 /* Fills status with the state of the pool's targets at now_ms. */
 void MpRoster_GetPoolStatus(const struct MpRoster *this,
                             const struct MpPoolQuery *query, int64_t now_ms,
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -156,6 +156,17 @@
                            head->size >= 0 ? (size_t)head->size : SIZE_MAX);
 }
 
+static void
+note_delay(struct MpGatewayCall *this, int64_t now_ms)
+{
+    int64_t target_ms = this->path->latency_target_ms;
+    if (target_ms > 0) {
+        MpRoster_NoteDelay(
+            &this->gateway->roster, this->target,
+            (double)(now_ms - this->sent_ms) / (double)target_ms, now_ms);
+    }
+}
+
 static void
 on_head(void *owner, const struct MpTargetHead *head)
 {
@@ -172,6 +183,7 @@
     MpPoolTarget_NoteFirstAnswer(this->target, this->prefill_tokens,
                                  now_ms - this->sent_ms,
                                  this->expected_wait_ms);
+    note_delay(this, now_ms);
     bool is_failure = head->status >= 500;
     if (is_rejected(this, head) ||
         (is_failure &&
@@ -469,6 +481,7 @@
     int64_t now_ms = MpLoop_Now();
     bool is_retry = this->forward.sends > 0;
     if (!is_retry) {
+        query.rank = MpGatewayCall_Rank(this);
         query.queue_max_ms = MpRoster_QueueMax(this->path->latency_target_ms,
                                                MpGatewayCall_Rank(this));
     }
@@ -505,6 +518,9 @@
                 "id=%s target=%s silent_ms=%" PRId64 " events=%" PRId64,
                 this->id ? this->id : "-", this->target->incarnation,
                 silent_ms, this->forward.events);
+    if (!this->has_response) {
+        note_delay(this, now_ms);
+    }
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
     run_next_step(
         this, this->forward.is_head_sent ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -411,6 +411,44 @@
     MpRoster_Done(&roster);
 }
 
+/* Hundreds of instances each know little of the queue at a target, but all see
+ * that answers come late.  While limits hold work back, lower ranks are
+ * refused first; without limits late answers are no reason to refuse. */
+static void
+test_late_answers_refuse_low_ranks(void)
+{
+    struct MpRoster roster;
+    struct MpRequestMeta meta = {.prompt_tokens = 100};
+    struct MpPicked picked;
+    init_roster(&roster, 2);
+    struct MpPoolTarget *limited = name_limit(&roster, "t1", 1000);
+    const struct MpPoolTarget *free = MpRoster_Find(&roster, "t0");
+    limited->permit_ms = 9000;
+    for (int i = 0; i < 50; i++) {
+        MpRoster_NoteDelay(&roster, free, 0.5, 1000);
+    }
+    for (int64_t rank = 0; rank < 4; rank++) {
+        struct MpPoolQuery query = {.pool = POOL,
+                                    .meta = &meta,
+                                    .is_engine = true,
+                                    .rank = rank,
+                                    .queue_max_ms =
+                                        MpRoster_QueueMax(600, rank)};
+        g_assert_cmpint(MpRoster_Pick(&roster, &query, 1000, &picked), ==,
+                        rank < 2 ? MP_OK : MP_ERROR_LIMIT);
+        g_assert_cmpint(MpRoster_Pick(&roster, &query, 4000, &picked), ==,
+                        MP_OK);
+    }
+    MpTargetLimit_Note(&limited->limit, MP_LIMIT_NONE, 1100, 1200);
+    struct MpPoolQuery query = {.pool = POOL,
+                                .meta = &meta,
+                                .is_engine = true,
+                                .rank = 2,
+                                .queue_max_ms = 1};
+    g_assert_cmpint(MpRoster_Pick(&roster, &query, 1000, &picked), ==, MP_OK);
+    MpRoster_Done(&roster);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -431,5 +469,7 @@
                     test_limit_needs_permit);
     g_test_add_func("/roster/limits do not pile up work at other targets",
                     test_limits_do_not_pile_up_work);
+    g_test_add_func("/roster/late answers behind limits refuse low ranks",
+                    test_late_answers_refuse_low_ranks);
     return g_test_run();
 }
