--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -116,12 +116,12 @@
                       len(body), body)).encode())
 
 
-def start_event_stream(conn, request):
-    conn.sendall(("HTTP/1.1 200 X\r\nx-mimosapath-request: %s\r\n"
+def start_event_stream(conn, request, extra_headers=""):
+    conn.sendall(("HTTP/1.1 200 X\r\nx-mimosapath-request: %s\r\n%s"
                   "Content-Type: text/event-stream\r\n"
-                  "Transfer-Encoding: chunked\r\n\r\n" %
-                  request["headers"].get("x-mimosapath-request", ""))
-                 .encode())
+                  "Transfer-Encoding: chunked\r\n\r\n" % (
+                      request["headers"].get("x-mimosapath-request", ""),
+                      extra_headers)).encode())
 
 
 def send_chunk(conn, text):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,12 +9,15 @@
 bytes; with an odd seed, instances lend budget to each other.  Targets crash
 and restart, reset the requests they run, or stop responding.  Some requests
 crash every target that runs them, and one part of a prompt crashes each
-target that begins to answer a request with it.
+target that begins to answer a request with it.  The targets have two software
+versions, and some name a rate limit for a while.
 
 Checked, from what callers and targets see:
 - an at-most-once request runs once, and a refused request has not run;
 - each caller gets its own complete response;
-- the events of a stream arrive once and in order;
+- the events of a stream arrive once and in order, and from one version, also
+  when its caller takes it up;
+- a target gets no more than its limit allows, and a margin;
 - no more than the prepaid amount is delivered;
 - a request that crashes its targets is refused after a few retries, and so are
   requests with the part;
@@ -34,9 +37,9 @@
 import time
 
 from fleet import KEY, Fleet, in_background, wait_for
-from pathfleet import (EVENT, LendingFleet, SimTarget, respond, end_chunks,
-                       path_conf, path_fleet, send, send_chunk,
-                       start_event_stream, status_of, wait_targets)
+from pathfleet import (LendingFleet, SimTarget, respond, end_chunks, path_conf,
+                       path_fleet, send, send_chunk, start_event_stream,
+                       status_of, wait_targets)
 
 PROPAGATION_S = 3
 RETRIES_MAX = 3
@@ -45,7 +48,19 @@
 EVENTS, EVENT_TOKENS, PROMPT = 8, 3, 50
 PREPAID = 40000
 QUIET_S = 8
-ALL_KINDS = "kill term freeze cut crash resets silent"
+ALL_KINDS = "kill term freeze cut crash resets silent limit"
+LIMIT, LIMIT_S, LIMIT_KNOWN_S, WINDOW_S = 4.0, 9, 3, 4
+LIMIT_FACTOR, LIMIT_MARGIN = 1.5, 5
+VERSIONS = ["v1", "v2"]
+
+
+class VersionedTarget(SimTarget):
+    """A target with a software version, which each of its events names."""
+
+    def entry(self, leaving=False):
+        entry = super().entry(leaving)
+        entry["version"] = self.version
+        return entry
 
 
 class Soak:
@@ -67,10 +82,13 @@
         self.is_stopped = False
         self.fault_kinds = os.environ.get("KINDS", ALL_KINDS).split()
         self.number = 0
-        self.targets = [SimTarget("t%d" % n, self.handle_request)
+        self.targets = [VersionedTarget("t%d" % n, self.handle_request)
                         for n in range(6)]
-        for target in self.targets:
+        self.limit_times = []      # target, start, end of a limit
+        for n, target in enumerate(self.targets):
             target.mode = "healthy"
+            target.version = VERSIONS[n % 2]
+            target.arrivals = []
 
     def report_violation(self, text):
         with self.lock:
@@ -85,7 +103,8 @@
     def handle_request(self, target, req, conn):
         name = req["headers"].get("x-mimosapath-request", "-")
         if req["path"].startswith("/ready/"):
-            return respond(conn, req)
+            return respond(conn, req, extra_headers=self.limit_header(target))
+        target.arrivals.append(time.monotonic())
         with self.lock:
             self.run_counts[name] = self.run_counts.get(name, 0) + 1
             if self.run_counts[name] > 1 and req["path"].startswith("/once/"):
@@ -110,14 +129,19 @@
         if target.mode == "silent":
             time.sleep(1)
         if not req["path"].startswith("/stream/"):
-            return respond(conn, req, body="own " + name)
+            return respond(conn, req, body="own " + name,
+                           extra_headers=self.limit_header(target))
         after = int(req["headers"].get("last-event-id", "-1"))
-        start_event_stream(conn, req)
+        start_event_stream(conn, req, self.limit_header(target))
         for event in range(after + 1, EVENTS):
-            send_chunk(conn, EVENT % (event, event))
+            send_chunk(conn, "id: %d\ndata: %s\n\n" % (event, target.version))
             time.sleep(0.01)
         end_chunks(conn)
 
+    def limit_header(self, target):
+        return ("x-mimosapath-limit: %g\r\n" % LIMIT
+                if target.mode == "limit" else "")
+
     # -- callers --
 
     def next_id(self, kind, name):
@@ -156,6 +180,8 @@
             ids = [int(i) for i in re.findall(r"^id: (\d+)\n", text, re.M)]
             if ids != list(range(len(ids))):
                 self.report_violation("%s got events %s" % (request_id, ids))
+            if len(set(re.findall(r"^data: (\w+)\n", text, re.M))) > 1:
+                self.report_violation("%s got two versions" % request_id)
             if status == 200 and len(ids) != EVENTS:
                 self.report_violation("%s looks whole with %d events" % (
                     request_id, len(ids)))
@@ -184,8 +210,39 @@
                                                 request_id, headers)
             self.count("%s %d" % (kind, status))
             self.check_response(kind, request_id, status, text)
+            if kind == "stream" and not self.is_stopped:
+                self.take_up(conns, rng, request_id, headers, text)
             time.sleep(0.01)
 
+    def take_up(self, conns, rng, request_id, headers, text):
+        """Takes a stream up that broke off, and now and then a whole one, as
+        if its last events had been lost."""
+        events = re.findall(r"^id: (\d+)\ndata: (\w+)\n\n", text, re.M)
+        if not events or (len(events) == EVENTS and rng.random() < 0.8):
+            return
+        after = int(events[rng.randrange(len(events))][0])
+        if after == EVENTS - 1:
+            return
+        name = rng.choice(self.fleet.names)
+        later_id = self.next_id("later", name)
+        status, text, _ = self.send_request(
+            conns, name, "stream", later_id, request_id,
+            dict(headers, **{"x-mimosapath-request": later_id,
+                             "x-mimosapath-resumes": request_id,
+                             "last-event-id": str(after)}))
+        self.count("taken up %d" % status)
+        rest = re.findall(r"^id: (\d+)\ndata: (\w+)\n\n", text, re.M)
+        with self.lock:
+            self.delivered += EVENT_TOKENS * len(rest) + (
+                PROMPT if rest else 0)
+        if [int(i) for i, _ in rest] != list(range(after + 1, after + 1 +
+                                                   len(rest))):
+            self.report_violation("%s took %s up after %d and got %s" % (
+                later_id, request_id, after, rest))
+        if rest and {v for _, v in rest} != {events[0][1]}:
+            self.report_violation("%s of %s goes on at %s" % (
+                request_id, events[0][1], rest[0][1]))
+
     def sound_parts(self, topic, request_id):
         return "system:20,topic%d:20,%s:10" % (topic, request_id)
 
@@ -251,9 +308,14 @@
         self.note_fault(self.partitioned_names)
 
     def set_mode(self, target, mode, seconds):
+        if target.mode == "limit":
+            return
         target.mode = mode
+        start = time.monotonic()
         time.sleep(seconds)
         target.mode = "healthy"
+        if mode == "limit":
+            self.limit_times.append((target, start, time.monotonic()))
 
     def start_fault(self, faulty):
         """Starts a fault on an instance or a target.  Instances that already
@@ -294,6 +356,8 @@
             def run():
                 if kind == "crash":
                     target.crash(length_s)
+                elif kind == "limit":
+                    self.set_mode(target, kind, LIMIT_S)
                 else:
                     self.set_mode(target, kind, length_s)
         self.count(kind)
@@ -323,6 +387,18 @@
                 self.report_violation("%s: %d retries after %d crashes" %
                                       (body, late, most))
 
+    def check_limits(self):
+        allowed = LIMIT * WINDOW_S * LIMIT_FACTOR + LIMIT_MARGIN
+        for target, start, end in self.limit_times:
+            times = [t for t in target.arrivals
+                     if start + LIMIT_KNOWN_S <= t < end]
+            most = max((sum(1 for u in times if t <= u < t + WINDOW_S)
+                        for t in times), default=0)
+            if most > allowed:
+                self.report_violation("%s got %d requests in %d s, its limit "
+                                      "is %g" % (target.name, most, WINDOW_S,
+                                                 LIMIT))
+
     def check_billing(self):
         """The logs must show at least what the caller got as billed, for each
         request whose end was logged; more if the caller disconnected.  The
@@ -396,6 +472,7 @@
             for thread in threads:
                 thread.join(10)
             self.check_crashes()
+            self.check_limits()
             self.check_billing()
             self.check_served()
             account = self.fleet.account()
