Knowledge of versions ages also while a machine is suspended

A machine that is suspended does not count that time on its monotonic clock, so that a router which wakes would take what it heard seconds ago for new and join a stream at the only version that it knew. Found in reading; a suspended machine cannot be played in our tests, so no run shows the fault. The lease on versions is now counted on CLOCK_BOOTTIME.

A permit that was granted while an earlier one was unused leaked its name.

--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -175,6 +175,8 @@
     const struct MpVersionView *view; /* without version: only targets whose
                                        * version is active there; or NULL */
     int64_t heard_ms; /* with view: when the leader was last heard */
+    int64_t boot_ms;  /* with view: now on the clock of view and heard_ms,
+                       * which counts while the machine is suspended */
 };
 
 /* Number of targets of a pool for each reason not to pick them; a target may
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -102,12 +102,13 @@
     if (query->version) {
         return strcmp(target->version, query->version) == 0;
     }
-    const struct MpVersionCandidate candidate = {.pool = target->pool,
-                                                 .version = target->version,
-                                                 .listed_ms =
-                                                     target->listed_ms};
-    return !query->view || MpVersionView_IsActive(query->view, &candidate,
-                                                  query->heard_ms, now_ms);
+    const struct MpVersionCandidate candidate = {
+        .pool = target->pool,
+        .version = target->version,
+        .listed_ms = query->boot_ms - (now_ms - target->listed_ms)};
+    return !query->view ||
+           MpVersionView_IsActive(query->view, &candidate, query->heard_ms,
+                                  query->boot_ms);
 }
 
 /* Whether the target is healthy, or half-open and this request may be the one
--- a/src/coordination/VersionView.h
+++ b/src/coordination/VersionView.h
@@ -32,6 +32,7 @@
     MP_TAKE_UP_ASK   /* the quorum must say where the stream began */
 };
 
+/* All times are of a clock that counts while the machine is suspended. */
 struct MpVersionView {
     GHashTable *pools; /* name -> struct pool_view */
     int64_t listed_ms; /* last own reading of the list */
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -556,7 +556,7 @@
         return;
     }
     this->is_syncing = true;
-    this->sync_sent_ms = MpLoop_Now();
+    this->sync_sent_ms = MpLoop_BootMs();
     if (this->listener->list_limits) {
         sync.limits.limits_val =
             this->listener->list_limits(this->owner, &sync.limits.limits_len);
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -83,7 +83,8 @@
     uint64_t fetch_version;  /* of the last fetch */
     struct MpSuspects suspects;
     int64_t synced_ms; /* time of the leader's last sync reply */
-    int64_t heard_ms;  /* when the sync was sent that it replied to */
+    int64_t heard_ms;  /* when the sync was sent that it replied to, on the
+                        * clock that counts while the machine is suspended */
     int64_t sync_sent_ms;
     bool is_draining;
     bool is_syncing;
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -123,12 +123,13 @@
     struct MpGateway *this = owner;
     int64_t now_ms = MpLoop_Now();
     uint32_t changes = MpRoster_SetList(&this->roster, targets, now_ms);
-    MpVersionView_BeginList(&this->versions, this->control->heard_ms, now_ms);
+    int64_t boot_ms = MpLoop_BootMs();
+    MpVersionView_BeginList(&this->versions, this->control->heard_ms, boot_ms);
     for (guint i = 0; i < targets->len; i++) {
         const struct MpListedTarget *target = g_ptr_array_index(targets, i);
         MpVersionView_NoteListed(&this->versions, target->pool,
                                  target->version ? target->version : "",
-                                 now_ms);
+                                 boot_ms);
     }
     this->control->targets_hash = 0;
     log_targets(this, changes, "own");
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -477,6 +477,7 @@
         .version = this->version,
         .view = is_resumable(this) ? &gateway->versions : NULL,
         .heard_ms = gateway->control->heard_ms,
+        .boot_ms = MpLoop_BootMs(),
         .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX};
     int64_t now_ms = MpLoop_Now();
     bool is_retry = this->forward.sends > 0;
--- a/src/transport/GatewayPermits.c
+++ b/src/transport/GatewayPermits.c
@@ -146,6 +146,7 @@
         call->stage = MP_CALL_RUNNING;
         call->permit_tries++;
         call->permit_wait_ms += MpLoop_Now() - request->began_ms;
+        g_free(call->permitted);
         call->permitted = is_granted ? g_strdup(request->incarnation) : NULL;
     }
     request_free(request);
--- a/src/transport/GatewayVersions.c
+++ b/src/transport/GatewayVersions.c
@@ -135,7 +135,7 @@
 MpGatewayVersions_NoteBegun(struct MpGatewayCall *call)
 {
     struct MpGateway *gateway = call->gateway;
-    int64_t now_ms = MpLoop_Now();
+    int64_t now_ms = MpLoop_BootMs();
     bool is_new = !call->version;
     if (is_new) {
         call->version = g_strdup(call->target->version);
@@ -169,7 +169,7 @@
 MpGatewayVersions_Apply(struct MpGateway *gateway,
                         const struct mp_pool_versions *pools, u_int count)
 {
-    int64_t now_ms = MpLoop_Now();
+    int64_t now_ms = MpLoop_BootMs();
     MpVersionView_Apply(&gateway->versions, pools, count, now_ms);
     for (u_int i = 0; i < count; i++) {
         u_int versions = pools[i].list.list_len;
@@ -197,7 +197,7 @@
                 " version=%s from=%s heard_age_ms=%" PRId64,
                 call->id ? call->id : "-", call->resumes ? call->resumes : "-",
                 call->meta.resume_after, call->version ? call->version : "-",
-                from, MpLoop_Now() - heard_ms);
+                from, MpLoop_BootMs() - heard_ms);
 }
 
 static void
@@ -236,7 +236,7 @@
         return;
     }
     call->version = reply->software ? g_strdup(reply->software->name) : NULL;
-    log_take_up(call, "quorum", MpLoop_Now());
+    log_take_up(call, "quorum", MpLoop_BootMs());
     if (!refuse_if_gone(call)) {
         MpGatewayAttempt_Start(call);
     }
@@ -262,7 +262,7 @@
 {
     struct MpGateway *gateway = call->gateway;
     const char *version = NULL;
-    int64_t now_ms = MpLoop_Now();
+    int64_t now_ms = MpLoop_BootMs();
     if (call->path->repeat != MP_REPEAT_RESUME ||
         call->meta.resume_after < 0 || call->is_version_checked) {
         return false;
--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #define LISTEN_BACKLOG 4096
@@ -15,6 +16,14 @@
     return g_get_monotonic_time() / 1000;
 }
 
+int64_t
+MpLoop_BootMs(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
 int64_t
 MpLoop_WallMs(void)
 {
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -50,6 +50,10 @@
 /* Returns the monotonic clock, ms. */
 int64_t MpLoop_Now(void);
 
+/* Returns a monotonic clock that also counts while the machine is suspended,
+ * ms; for the age of what other machines may have changed meanwhile. */
+int64_t MpLoop_BootMs(void);
+
 /* Returns the wall clock, ms since 1970. */
 int64_t MpLoop_WallMs(void);
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -89,6 +89,7 @@
             target.mode = "healthy"
             target.version = VERSIONS[n % 2]
             target.arrivals = []
+            target.is_limited = False
 
     def report_violation(self, text):
         with self.lock:
@@ -140,7 +141,7 @@
 
     def limit_header(self, target):
         return ("x-mimosapath-limit: %g\r\n" % LIMIT
-                if target.mode == "limit" else "")
+                if target.is_limited else "")
 
     # -- callers --
 
@@ -308,14 +309,19 @@
         self.note_fault(self.partitioned_names)
 
     def set_mode(self, target, mode, seconds):
-        if target.mode == "limit":
-            return
         target.mode = mode
-        start = time.monotonic()
         time.sleep(seconds)
         target.mode = "healthy"
-        if mode == "limit":
-            self.limit_times.append((target, start, time.monotonic()))
+
+    def set_limit(self, target):
+        with self.lock:
+            if target.is_limited:
+                return
+            target.is_limited = True
+        start = time.monotonic()
+        time.sleep(LIMIT_S)
+        target.is_limited = False
+        self.limit_times.append((target, start, time.monotonic()))
 
     def start_fault(self, faulty):
         """Starts a fault on an instance or a target.  Instances that already
@@ -357,7 +363,7 @@
                 if kind == "crash":
                     target.crash(length_s)
                 elif kind == "limit":
-                    self.set_mode(target, kind, LIMIT_S)
+                    self.set_limit(target)
                 else:
                     self.set_mode(target, kind, length_s)
         self.count(kind)
