Two keepers of a target also where there is a single zone

In a fleet of one zone a target had one keeper, so that its whole limit lay idle while that one was away, where half of it does elsewhere. Found in reading. The second keeper is then another lender of the same zone. TestLenders checks that all routers agree on the keepers, that they change only for the targets of a lender that leaves, and the case of one zone; its calls are new.

--- a/src/coordination/Lenders.c
+++ b/src/coordination/Lenders.c
@@ -204,54 +204,59 @@
     return XXH64(name, strlen(name), hash_of(incarnation));
 }
 
-/* Rendezvous hashing: when a lender joins or leaves, only the targets that it
- * keeps get another keeper. */
+/* Returns the lender of a zone with the highest rank for a target, other than
+ * taken.  Rendezvous hashing: when a lender joins or leaves, only the targets
+ * that it keeps get another keeper. */
 static const char *
-keeper_in(const struct MpLenderZone *zone, const char *incarnation)
+keeper_in(const struct MpLenderZone *zone, const char *incarnation,
+          const char *taken)
 {
     const char *keeper = NULL;
     for (guint i = 0; i < zone->addresses->len; i++) {
         const char *address = g_ptr_array_index(zone->addresses, i);
-        if (!keeper ||
-            rank_of(address, incarnation) > rank_of(keeper, incarnation)) {
+        if (address != taken &&
+            (!keeper ||
+             rank_of(address, incarnation) > rank_of(keeper, incarnation))) {
             keeper = address;
         }
     }
     return keeper;
 }
 
-/* Returns the zone with the highest rank for a target, after those in taken.
- */
+/* Returns the zone with the highest rank for a target, other than taken. */
 static const struct MpLenderZone *
-next_zone(const struct MpLenders *this, const char *incarnation,
-          const struct MpLenderZone *const *taken, guint taken_count)
+keeper_zone(const struct MpLenders *this, const char *incarnation,
+            const struct MpLenderZone *taken)
 {
-    const struct MpLenderZone *next = NULL;
+    const struct MpLenderZone *best = NULL;
     for (guint i = 0; i < this->zones->len; i++) {
         const struct MpLenderZone *zone = g_ptr_array_index(this->zones, i);
-        bool is_taken = false;
-        for (guint k = 0; k < taken_count; k++) {
-            is_taken |= taken[k] == zone;
-        }
-        if (!is_taken && (!next || rank_of(zone->name, incarnation) >
-                                       rank_of(next->name, incarnation))) {
-            next = zone;
+        if (zone != taken && (!best || rank_of(zone->name, incarnation) >
+                                           rank_of(best->name, incarnation))) {
+            best = zone;
         }
     }
-    return next;
+    return best;
 }
 
 guint
 MpLenders_ListKeepers(const struct MpLenders *this, const char *incarnation,
                       GPtrArray *out)
 {
-    const struct MpLenderZone *taken[MP_KEEPERS_MAX];
-    guint count = MIN(this->zones->len, MP_KEEPERS_MAX);
+    const struct MpLenderZone *zone = NULL;
+    const char *taken = NULL;
     guint near = 0;
-    for (guint i = 0; i < count; i++) {
-        taken[i] = next_zone(this, incarnation, taken, i);
-        near = strcmp(taken[i]->name, this->zone) == 0 ? i : near;
-        g_ptr_array_add(out, (char *)keeper_in(taken[i], incarnation));
+    for (guint i = 0; i < MP_KEEPERS_MAX; i++) {
+        const struct MpLenderZone *next = keeper_zone(this, incarnation, zone);
+        /* With a single zone both keepers are in it. */
+        zone = next ? next : zone;
+        const char *keeper = zone ? keeper_in(zone, incarnation, taken) : NULL;
+        if (!keeper) {
+            break;
+        }
+        near = i > 0 && next && strcmp(zone->name, this->zone) == 0 ? i : near;
+        taken = keeper;
+        g_ptr_array_add(out, (char *)keeper);
     }
     return near;
 }
--- a/src/coordination/Lenders.h
+++ b/src/coordination/Lenders.h
@@ -79,10 +79,10 @@
                            GPtrArray *out);
 
 /* Appends the addresses of the keepers of a target, which hand out permits
- * for it (see Permits.h): one lender in each of MP_KEEPERS_MAX zones, chosen
- * by hashing.  All routers with the same list of peers get the same order. The
- * strings belong to the lenders.  Returns the index of the keeper in the own
- * zone, 0 if there is none. */
+ * for it (see Permits.h): one lender in each of MP_KEEPERS_MAX zones, or
+ * as many of a single zone, chosen by hashing.  All routers with the same list
+ * of peers get the same order. The strings belong to the lenders.  Returns the
+ * index of the keeper in the own zone, 0 if there is none. */
 guint MpLenders_ListKeepers(const struct MpLenders *this,
                             const char *incarnation, GPtrArray *out);
 
--- a/tests/TestLenders.c
+++ b/tests/TestLenders.c
@@ -155,6 +155,83 @@
     g_ptr_array_unref(order);
 }
 
+/* Returns the keepers of a target by the list of one router. */
+static GPtrArray *
+list_keepers(const struct MpLenders *lenders, const char *incarnation)
+{
+    GPtrArray *keepers = g_ptr_array_new();
+    MpLenders_ListKeepers(lenders, incarnation, keepers);
+    return keepers;
+}
+
+static bool
+has_keepers(const struct MpLenders *lenders, const char *incarnation,
+            const GPtrArray *expected)
+{
+    GPtrArray *keepers = list_keepers(lenders, incarnation);
+    bool is_equal = keepers->len == expected->len;
+    for (guint i = 0; is_equal && i < keepers->len; i++) {
+        is_equal = strcmp(g_ptr_array_index(keepers, i),
+                          g_ptr_array_index(expected, i)) == 0;
+    }
+    g_ptr_array_unref(keepers);
+    return is_equal;
+}
+
+/* A target has the same two keepers, in different zones, in the view of all
+ * routers: with others it would get its limit several times.  They change only
+ * for the targets of a lender that leaves. */
+static void
+test_keepers(void)
+{
+    struct MpLenders first;
+    struct MpLenders other;
+    int moved = 0;
+    make_peers();
+    init_lenders(&first, 0, 12);
+    init_lenders(&other, 7, 12);
+    for (int i = 0; i < 100; i++) {
+        char incarnation[16];
+        g_snprintf(incarnation, sizeof(incarnation), "i-%d", i);
+        GPtrArray *keepers = list_keepers(&first, incarnation);
+        g_assert_cmpuint(keepers->len, ==, 2);
+        g_assert_true(has_keepers(&other, incarnation, keepers));
+        MpLenders_SetPeers(&other, peers, 11);
+        bool has_moved = !has_keepers(&other, incarnation, keepers);
+        moved += has_moved;
+        if (has_moved) {
+            g_assert_true(g_ptr_array_find_with_equal_func(
+                keepers, addresses[11], g_str_equal, NULL));
+        }
+        MpLenders_SetPeers(&other, peers, 12);
+        g_ptr_array_unref(keepers);
+    }
+    g_assert_cmpint(moved, >, 0);
+    MpLenders_Done(&first);
+    MpLenders_Done(&other);
+}
+
+/* With a single zone both keepers are in it, with a single lender there is
+ * one, and without a list none. */
+static void
+test_keepers_of_one_zone(void)
+{
+    struct MpLenders lenders;
+    struct mp_lender near[2] = {
+        {.address = (char *)"10.0.0.1:7", .zone = (char *)"a"},
+        {.address = (char *)"10.0.0.2:7", .zone = (char *)"a"}};
+    MpLenders_Init(&lenders, "10.0.0.1:7", "a");
+    for (uint32_t count = 0; count <= 2; count++) {
+        MpLenders_SetPeers(&lenders, near, count);
+        GPtrArray *keepers = list_keepers(&lenders, "t");
+        g_assert_cmpuint(keepers->len, ==, count);
+        g_assert_true(count < 2 || g_ptr_array_index(keepers, 0) !=
+                                       g_ptr_array_index(keepers, 1));
+        g_ptr_array_unref(keepers);
+    }
+    MpLenders_Done(&lenders);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -165,5 +242,8 @@
                     test_failed_lender_returns);
     g_test_add_func("/lenders/workspaces are spread", test_spread);
     g_test_add_func("/lenders/no address, or no list yet", test_no_lenders);
+    g_test_add_func("/lenders/all agree on the keepers of a target",
+                    test_keepers);
+    g_test_add_func("/lenders/keepers of one zone", test_keepers_of_one_zone);
     return g_test_run();
 }
