--- a/src/commands/HttpCall.c
+++ b/src/commands/HttpCall.c
@@ -100,6 +100,8 @@
 void
 MpHttpCall_Done(struct MpHttpCall *this)
 {
-    g_string_free(this->response, TRUE);
+    if (this->response) {
+        g_string_free(this->response, TRUE);
+    }
     g_free(this->etag);
 }
