The console's form of a pool keeps its engine

Cause: a field that is an object was written as text and read back as a string.

Decimal fields that hold no number became broken JSON; they now get a message like other fields. The document has no decimal fields, so no form can show it.

--- a/src/transport/ConsoleForm.c
+++ b/src/transport/ConsoleForm.c
@@ -90,6 +90,16 @@
     }
 }
 
+static void
+write_object(const struct MpField *field, struct json_object *value,
+             const char *name, GString *out)
+{
+    g_string_append_printf(out, "<fieldset><legend>%s</legend>",
+                           field->schema->name);
+    MpConsoleForm_Write(field->schema, value, name, out);
+    g_string_append(out, "</fieldset>");
+}
+
 static void
 write_field(const struct MpField *field, struct json_object *value,
             const char *name, GString *out)
@@ -112,6 +122,9 @@
     case MP_FIELD_LIST:
         write_list(field, value, name, out);
         break;
+    case MP_FIELD_OBJECT:
+        write_object(field, value, name, out);
+        break;
     default:
         write_input(field, value, name, out);
         break;
@@ -187,6 +200,46 @@
     return list;
 }
 
+/* Returns whether each field of an object has its default value, as the form
+ * shows it for an object that the document does not have. */
+static bool
+has_defaults_only(const struct MpSchema *schema, struct json_object *object)
+{
+    json_object_object_foreach(object, name, value)
+    {
+        const struct MpField *field = schema->fields;
+        while (strcmp(field->name, name) != 0) {
+            field++;
+        }
+        if (field->type != MP_FIELD_INTEGER ||
+            !json_object_is_type(value, json_type_int) ||
+            json_object_get_int64(value) != field->default_value) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct json_object *
+read_object(const struct MpField *field, GHashTable *form, const char *name)
+{
+    struct json_object *object = MpConsoleForm_Read(field->schema, form, name);
+    if (!has_defaults_only(field->schema, object)) {
+        return object;
+    }
+    json_object_put(object);
+    return NULL;
+}
+
+static struct json_object *
+read_decimal(const char *text)
+{
+    char *end;
+    double number = g_ascii_strtod(text, &end);
+    return *end == '\0' ? json_object_new_double_s(number, text)
+                        : json_object_new_string(text);
+}
+
 /* Returns NULL for a field that is left out of the document. */
 static struct json_object *
 read_field(const struct MpField *field, GHashTable *form, const char *name)
@@ -201,9 +254,9 @@
     case MP_FIELD_LIST:
         return read_list(field, form, name);
     case MP_FIELD_MILLI:
-        return text[0]
-                   ? json_object_new_double_s(g_ascii_strtod(text, NULL), text)
-                   : NULL;
+        return text[0] ? read_decimal(text) : NULL;
+    case MP_FIELD_OBJECT:
+        return read_object(field, form, name);
     case MP_FIELD_INTEGER:
         return text[0] ? read_integer(text) : NULL;
     default:
