An answered trial clears a suspect native request

Cause: the settlement of its trial was not told to the quarantine, as the answer to a request on a path is. An answer to an attempt from before the crash still clears nothing, nor does a failure of the target.

--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* From this HTTP status on an answer is a failure of the target. */
+#define SERVER_ERROR_STATUS 500
+
 /* ---- construction ---- */
 
 static void
@@ -288,6 +291,20 @@
     return code;
 }
 
+static int
+apply_settle(struct MpMachine *this, const struct mp_settle *settle,
+             struct mp_result *result)
+{
+    int code = MpLedger_Settle(&this->ledger, settle, this->now_ms, result);
+    const struct MpRecord *record =
+        MpLedger_FindRecord(&this->ledger, settle->workspace, settle->key);
+    if (code == MP_OK && record && settle->outcome == MP_RECORD_DONE &&
+        settle->status < SERVER_ERROR_STATUS) {
+        MpQuarantine_RecordAnswer(&this->quarantine, record, settle);
+    }
+    return code;
+}
+
 static int
 apply_lease(struct MpMachine *this, const struct mp_lease *lease,
             struct mp_result *result)
@@ -350,8 +367,7 @@
     case MP_CMD_OPEN:
         return apply_open(this, &body->mp_command_body_u.open, result);
     case MP_CMD_SETTLE:
-        return MpLedger_Settle(&this->ledger, &body->mp_command_body_u.settle,
-                               this->now_ms, result);
+        return apply_settle(this, &body->mp_command_body_u.settle, result);
     case MP_CMD_LEASE:
         return apply_lease(this, &body->mp_command_body_u.lease, result);
     case MP_CMD_LEASE_RETURN:
--- a/src/state/Quarantine.c
+++ b/src/state/Quarantine.c
@@ -236,6 +236,21 @@
     }
 }
 
+void
+MpQuarantine_RecordAnswer(struct MpQuarantine *this,
+                          const struct MpRecord *record,
+                          const struct mp_settle *settle)
+{
+    struct MpSuspect *suspect =
+        MpQuarantine_Find(this, (const char *)record->body_hash);
+    if (suspect && !is_stopped(suspect) && suspect->is_tried &&
+        suspect->open_id == settle->open_id &&
+        strcmp(suspect->key, settle->key) == 0 &&
+        strcmp(suspect->workspace, settle->workspace) == 0) {
+        MpQuarantine_Remove(this, suspect);
+    }
+}
+
 /* ---- requests on paths ---- */
 
 static bool
--- a/src/state/Quarantine.h
+++ b/src/state/Quarantine.h
@@ -14,8 +14,8 @@
  *
  * After the first crash, one attempt at a time in the whole fleet may run the
  * request: a trial.  After MP_POISON_CRASHES crashes the request is stopped.
- * A suspect is forgotten MP_POISON_MS after its last crash; a request on a
- * path is also cleared by a complete answer.
+ * A suspect is forgotten MP_POISON_MS after its last crash, and cleared by a
+ * complete answer to its trial.
  *
  * Native requests (see Ledger.h) get their trial by opening their record.
  * Requests on paths have no record; they request a trial by the number of
@@ -123,6 +123,12 @@
 void MpQuarantine_RecordOpen(struct MpQuarantine *this,
                              const struct mp_open *open);
 
+/* Records that a native request was answered, which clears a suspect if this
+ * was its trial. */
+void MpQuarantine_RecordAnswer(struct MpQuarantine *this,
+                               const struct MpRecord *record,
+                               const struct mp_settle *settle);
+
 /* Applies a message about a request on a path.  Returns whether its run may
  * go to a target: MP_OK, MP_ERROR_HELD_BACK while another run has the trial,
  * or MP_ERROR_POISON after too many crashes or trials; result->number is the
--- a/tests/TestLedger.c
+++ b/tests/TestLedger.c
@@ -276,6 +276,34 @@
     g_assert_cmpint(open_key(this, "d", 4, false, 8), ==, MP_ERROR_POISON);
 }
 
+/* A target crashed while it ran a request that is sound; its trial is
+ * answered. An answer to an attempt from before the crash says nothing of it.
+ */
+static void
+test_answer_clears_suspect(struct fixture *this, const void *data)
+{
+    (void)data;
+    struct mp_command command = {.at_ms = 1000,
+                                 .body = {.kind = MP_CMD_POISON}};
+    struct mp_poison *poison = &command.body.mp_command_body_u.poison;
+    g_assert_cmpint(topup(this, "t2", 1000), ==, MP_OK);
+    g_assert_cmpint(open_key(this, "a", 1, false, 7), ==, MP_OK);
+    memset(poison->body_hash, 7, MP_HASH_BYTES);
+    poison->workspace = (char *)"w";
+    poison->key = (char *)"a";
+    poison->open_id = 1;
+    poison->target = (char *)"engine-1";
+    apply(this, &command);
+    g_assert_cmpint(settle_key(this, "a", 1, this->boot, MP_RECORD_DONE, 10),
+                    ==, MP_OK);
+    g_assert_cmpint(open_key(this, "b", 2, false, 7), ==, MP_OK);
+    g_assert_cmpint(open_key(this, "c", 3, false, 7), ==, MP_ERROR_HELD_BACK);
+    g_assert_cmpint(settle_key(this, "b", 2, this->boot, MP_RECORD_DONE, 10),
+                    ==, MP_OK);
+    g_assert_cmpint(open_key(this, "c", 3, false, 7), ==, MP_OK);
+    g_assert_cmpint(open_key(this, "d", 4, false, 7), ==, MP_OK);
+}
+
 #define CASE(name, function)                                                  \
     g_test_add("/ledger/" name, struct fixture, NULL, set_up, function,       \
                tear_down)
@@ -318,5 +346,6 @@
     CASE("records expire after the retention time", test_retention);
     CASE("a poison request is stopped", test_poison);
     CASE("repeated crashes of one target count", test_poison_same_target);
+    CASE("an answered trial clears a suspect", test_answer_clears_suspect);
     return g_test_run();
 }
