One timeout tells when the quorum counts as unreachable

Both now use MpControlClient_IsPartitioned. Runs partition_lease and partition_refuse hold; nothing showed a caller the difference.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -275,7 +275,7 @@
 {
     release_target(this);
     if (!this->has_auto_key &&
-        MpLeaseManager_IsPartitioned(this->router->leases)) {
+        MpControlClient_IsPartitioned(&this->router->control)) {
         this->may_have_run = true; /* the ledger cannot be read */
     }
     if (this->has_auto_key || this->may_have_run || !this->req) {
@@ -404,7 +404,7 @@
     this->holder = MpControlClient_Holder(&this->router->control);
     this->deadline_ms = MpLoop_Now() + OPEN_TIMEOUT_MS;
     MpLeaseManager_RecordDemand(this->router->leases, this);
-    if (MpLeaseManager_IsPartitioned(this->router->leases)) {
+    if (MpControlClient_IsPartitioned(&this->router->control)) {
         /* No proposal is sent, as proposals would pile up until the
          * partition ends. */
         if (!MpLeaseManager_TryOffline(this->router->leases, this)) {
--- a/src/transport/LeaseManager.c
+++ b/src/transport/LeaseManager.c
@@ -10,7 +10,6 @@
 #include <string.h>
 
 #define TICK_MS 500
-#define PARTITION_TIMEOUT_MS 2000
 /* A lease covers the demand of this time; more is requested when less than
  * half of that is left. */
 #define LEASE_COVER_MS 30000
@@ -207,7 +206,8 @@
         lease->recent_mtok * (LEASE_COVER_MS / DEMAND_DECAY_MS);
     bool is_idle = MpLoop_Now() - lease->demand_ms > LEASE_IDLE_MS;
     lease->recent_mtok -= lease->recent_mtok / (DEMAND_DECAY_MS / TICK_MS);
-    if (lease->is_request_pending || MpLeaseManager_IsPartitioned(this)) {
+    if (lease->is_request_pending ||
+        MpControlClient_IsPartitioned(&this->router->control)) {
         return;
     }
     if (!conf || conf->partition != MP_PARTITION_LEASE || is_idle) {
@@ -302,13 +302,6 @@
     MpExchange_RunOffline(exchange);
 }
 
-bool
-MpLeaseManager_IsPartitioned(const struct MpLeaseManager *this)
-{
-    return MpLoop_Now() - this->router->control.synced_ms >
-           PARTITION_TIMEOUT_MS;
-}
-
 bool
 MpLeaseManager_TryOffline(struct MpLeaseManager *this,
                           struct MpExchange *exchange)
--- a/src/transport/LeaseManager.h
+++ b/src/transport/LeaseManager.h
@@ -26,9 +26,6 @@
  * error in *code, when the journal cannot be opened. */
 struct MpLeaseManager *MpLeaseManager_New(struct MpRouter *router, int *code);
 
-/* Returns whether the leader has not replied for a while. */
-bool MpLeaseManager_IsPartitioned(const struct MpLeaseManager *this);
-
 /* Starts a request that cannot be opened in the quorum from a lease.  Returns
  * false, and changes nothing, when the request is not repeatable or no lease
  * covers it. */
