Streams begin at an unannounced version when there is no other

A leader that cannot read the target list announces no versions. After a complete change of versions all streams that can be taken up would then be refused until it can, though routers read the list themselves. Such streams now begin at targets that have been in the list for 4 s, if the pool has no target of an announced version. TestRoster "a version that was not announced" covers it; the time before is as strict as it was.

--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -53,6 +53,11 @@
     int64_t noted_ms;
 };
 
+/* Time in the list after which streams begin at a target whose version was not
+ * announced, if the pool has no other, ms.  By then no router takes streams up
+ * at versions of a list in which it was missing. */
+#define UNANNOUNCED_MS 4000
+
 /* ---- conditions ---- */
 
 static bool
@@ -94,23 +99,49 @@
     return false;
 }
 
-/* Whether the request may go to the target's software version. */
+/* Whether streams may begin at the target's software version. */
 static bool
-has_right_version(const struct MpPoolTarget *target,
+is_version_active(const struct MpPoolTarget *target,
                   const struct MpPoolQuery *query, int64_t now_ms)
 {
-    if (query->version) {
-        return strcmp(target->version, query->version) == 0;
-    }
     const struct MpVersionCandidate candidate = {
         .pool = target->pool,
         .version = target->version,
         .listed_ms = query->boot_ms - (now_ms - target->listed_ms)};
-    return !query->view ||
-           MpVersionView_IsActive(query->view, &candidate, query->heard_ms,
+    return MpVersionView_IsActive(query->view, &candidate, query->heard_ms,
                                   query->boot_ms);
 }
 
+/* Whether the request may go to the target's software version. */
+static bool
+has_right_version(const struct MpPoolTarget *target,
+                  const struct MpPoolQuery *query, int64_t now_ms)
+{
+    if (query->version) {
+        return strcmp(target->version, query->version) == 0;
+    }
+    if (!query->view || is_version_active(target, query, now_ms)) {
+        return true;
+    }
+    return query->needs_no_announcement &&
+           now_ms - target->listed_ms >= UNANNOUNCED_MS;
+}
+
+/* Whether no target of the pool that is not leaving has an active version:
+ * the leader may be unable to read the target list. */
+static bool
+has_no_active_version(const GPtrArray *pool, const struct MpPoolQuery *query,
+                      int64_t now_ms)
+{
+    for (guint i = 0; i < pool->len; i++) {
+        const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        if (!target->is_leaving && is_version_active(target, query, now_ms)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Whether the target is healthy, or half-open and this request may be the one
  * that tests it. */
 static bool
@@ -463,17 +494,12 @@
     }
 }
 
-int
-MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
-              int64_t now_ms, struct MpPicked *picked)
+static int
+pick_from(struct MpRoster *this, const GPtrArray *pool,
+          const struct MpPoolQuery *query, int64_t now_ms,
+          struct MpPicked *picked)
 {
-    const GPtrArray *pool = g_hash_table_lookup(this->pools, query->pool);
     struct left_out left_out = {.has_full = false};
-    int code = MP_OK;
-    *picked = (struct MpPicked){.target = NULL};
-    if (!pool) {
-        return MP_ERROR_NO_TARGET;
-    }
     if (pick_permitted(this, query, now_ms, picked)) {
         return MP_OK;
     }
@@ -482,11 +508,27 @@
         is_queue_too_long(this, query, now_ms, picked)) {
         return MP_ERROR_LIMIT;
     }
-    if (!picked->target) {
-        code = left_out.has_full
-                   ? MP_ERROR_LIMIT
-                   : pick_last_resort(pool, query, now_ms, picked);
+    if (picked->target) {
+        return MP_OK;
+    }
+    return left_out.has_full ? MP_ERROR_LIMIT
+                             : pick_last_resort(pool, query, now_ms, picked);
+}
+
+int
+MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
+              int64_t now_ms, struct MpPicked *picked)
+{
+    const GPtrArray *pool = g_hash_table_lookup(this->pools, query->pool);
+    struct MpPoolQuery adjusted = *query;
+    *picked = (struct MpPicked){.target = NULL};
+    if (!pool) {
+        return MP_ERROR_NO_TARGET;
     }
+    adjusted.needs_no_announcement =
+        query->view && !query->version &&
+        has_no_active_version(pool, query, now_ms);
+    int code = pick_from(this, pool, &adjusted, now_ms, picked);
     picked->needs_permit =
         picked->target && needs_permit(picked->target, query);
     return code;
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -449,6 +449,61 @@
     MpRoster_Done(&roster);
 }
 
+static int
+pick_stream(struct MpRoster *roster, const struct MpVersionView *view,
+            const char *version, int64_t now_ms)
+{
+    struct MpRequestMeta meta = {.prompt_tokens = 100};
+    struct MpPoolQuery query = {.pool = POOL,
+                                .meta = &meta,
+                                .is_engine = true,
+                                .version = version,
+                                .view = view,
+                                .heard_ms = now_ms,
+                                .boot_ms = now_ms};
+    struct MpPicked picked;
+    return MpRoster_Pick(roster, &query, now_ms, &picked);
+}
+
+/* Streams begin only at versions that the leader has announced.  If it cannot
+ * read the list any more and all targets of known versions are gone, streams
+ * begin at the others after a while, as nothing would be served else. */
+static void
+test_unannounced_version(void)
+{
+    struct MpRoster roster;
+    struct MpVersionView view;
+    struct mp_version_name name = {.name = (char *)""};
+    struct mp_pool_versions versions = {
+        .pool = (char *)POOL,
+        .list = {.list_val = &name, .list_len = 1},
+        .age_ms = -1};
+    struct MpListedTarget newer = {.incarnation = (char *)"n",
+                                   .pool = (char *)POOL,
+                                   .address = (char *)"10.0.0.9:80",
+                                   .zone = (char *)"a",
+                                   .version = (char *)"v2",
+                                   .slots = 8};
+    GPtrArray *list = g_ptr_array_new();
+    init_roster(&roster, 1);
+    MpVersionView_Init(&view);
+    MpVersionView_Apply(&view, &versions, 1, 1000);
+    g_assert_cmpint(pick_stream(&roster, &view, NULL, 1000), ==, MP_OK);
+    g_assert_cmpint(pick_stream(&roster, &view, "v2", 1000), ==,
+                    MP_ERROR_NO_TARGET);
+    g_ptr_array_add(list, &newer);
+    MpRoster_SetList(&roster, list, 2000);
+    g_assert_cmpint(pick_stream(&roster, &view, NULL, 2000), ==,
+                    MP_ERROR_NO_TARGET);
+    g_assert_cmpint(pick_stream(&roster, &view, "v2", 2000), ==, MP_OK);
+    g_assert_cmpint(pick_stream(&roster, &view, NULL, 5900), ==,
+                    MP_ERROR_NO_TARGET);
+    g_assert_cmpint(pick_stream(&roster, &view, NULL, 6000), ==, MP_OK);
+    g_ptr_array_unref(list);
+    MpVersionView_Done(&view);
+    MpRoster_Done(&roster);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -471,5 +526,7 @@
                     test_limits_do_not_pile_up_work);
     g_test_add_func("/roster/late answers behind limits refuse low ranks",
                     test_late_answers_refuse_low_ranks);
+    g_test_add_func("/roster/a version that was not announced",
+                    test_unannounced_version);
     return g_test_run();
 }
