Connections between instances are made over slow links too

Operators and callers saw: a router that was cut off went on without the leader for 9 s after the cut had healed, and refused requests by a document that was 10 s old (404).

Cause: each connection attempt was given up after 300 ms. Class: a retry with a fixed timeout that is below what the network needs then. Change: each third attempt waits 1,200 ms. The others stay short, as the SYN to a machine that is off is lost.

TestRpc "a slow link can be connected over" is new with its call.

--- a/src/protocol/Rpc.c
+++ b/src/protocol/Rpc.c
@@ -75,6 +75,20 @@
                         .result_size = sizeof(struct mp_permit_reply)},
 };
 
+/* Timeout of a connection attempt, ms: a round trip between regions, with a
+ * margin for a busy machine. */
+#define CONNECT_TIMEOUT_MS 300
+/* The same over a link on which packets wait for their turn, ms. */
+#define SLOW_CONNECT_TIMEOUT_MS 1200
+#define SLOW_CONNECT_EACH 3
+
+int64_t
+MpRpc_ConnectTimeout(uint32_t failed)
+{
+    bool is_slow = failed % SLOW_CONNECT_EACH == SLOW_CONNECT_EACH - 1;
+    return is_slow ? SLOW_CONNECT_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+}
+
 const struct MpRpcProcedure *
 MpRpc_Procedure(uint32_t number)
 {
--- a/src/protocol/Rpc.h
+++ b/src/protocol/Rpc.h
@@ -102,6 +102,13 @@
 int MpRpc_ReadResult(const uint8_t *body, size_t size, uint32_t procedure,
                      void **result);
 
+/* Returns the timeout of a connection attempt after a number of failed ones,
+ * ms.  It is short, as the SYN to a machine that is still powered off is lost
+ * and the kernel sends it again only after a second.  Each third attempt waits
+ * longer, for a link on which packets queue: with short attempts only, a busy
+ * machine would not reach anyone as long as the queue lasts. */
+int64_t MpRpc_ConnectTimeout(uint32_t failed);
+
 /* Free a decoded argument or result; NULL is ignored. */
 void MpRpc_FreeArgument(uint32_t procedure, void *argument);
 void MpRpc_FreeResult(uint32_t procedure, void *result);
--- a/src/transport/RpcClient.c
+++ b/src/transport/RpcClient.c
@@ -13,9 +13,6 @@
 #define IDLE_CHECK_INTERVAL_MS 1000
 /* A connection on which nothing was received for this long is closed. */
 #define RECEIVE_TIMEOUT_MS 1200
-/* Timeout of a connection attempt, ms: a round trip between regions, with a
- * margin for a busy machine. */
-#define CONNECT_TIMEOUT_MS 300
 #define RECONNECT_DELAY_MS 200
 /* Delay to reconnect, and timer interval, while no connection has ever been
  * ready, ms.  It is shorter as the peer may be about to start. */
@@ -60,7 +57,9 @@
                         (const char *)conn->session.client_nonce,
                         hello->nonce);
     conn->is_ready = true;
-    ((struct MpRpcClient *)conn->owner)->was_ready = true;
+    struct MpRpcClient *this = conn->owner;
+    this->was_ready = true;
+    this->failed_connects = 0;
     return MP_OK;
 }
 
@@ -101,6 +100,7 @@
     struct MpRpcClient *this = conn->owner;
     if (this->conn == conn) {
         this->conn = NULL;
+        this->failed_connects += !conn->is_ready;
         this->retry_at_ms =
             MpLoop_Now() +
             (this->was_ready ? RECONNECT_DELAY_MS : FIRST_CONNECT_DELAY_MS);
@@ -204,13 +204,11 @@
            g_hash_table_size(this->pending) == 0;
 }
 
-/* Connection attempts have a shorter timeout: the SYN to a machine that is
- * still powered off is lost, and the kernel would send it again only seconds
- * later. */
 static int64_t
 inactivity_timeout_ms(const struct MpRpcClient *this)
 {
-    return this->conn->is_open ? RECEIVE_TIMEOUT_MS : CONNECT_TIMEOUT_MS;
+    return this->conn->is_open ? RECEIVE_TIMEOUT_MS
+                               : MpRpc_ConnectTimeout(this->failed_connects);
 }
 
 static void
--- a/src/transport/RpcLink.h
+++ b/src/transport/RpcLink.h
@@ -74,7 +74,8 @@
     uint32_t next_xid;
     int64_t retry_at_ms;
     int64_t pinged_ms;
-    bool was_ready; /* at least once */
+    bool was_ready;           /* at least once */
+    uint32_t failed_connects; /* attempts since the last one that got ready */
     /* Pings only while a call is pending; for many connections, few in
      * use. */
     bool may_idle;
--- a/tests/TestRpc.c
+++ b/tests/TestRpc.c
@@ -149,6 +149,24 @@
     g_free(list);
 }
 
+/* On a link on which packets wait for 400 ms, no connection is made within the
+ * short timeout, however often it is tried; a machine that is off must still
+ * be tried often. */
+static void
+test_connects_over_slow_link(void)
+{
+    const int64_t slow_link_ms = 2 * 400;
+    bool is_connected = false;
+    int64_t spent_ms = 0;
+    for (uint32_t failed = 0; failed < 3; failed++) {
+        is_connected |= MpRpc_ConnectTimeout(failed) > slow_link_ms;
+        spent_ms += MpRpc_ConnectTimeout(failed);
+    }
+    g_assert_true(is_connected);
+    g_assert_cmpint(spent_ms, <=, 2000);
+    g_assert_cmpint(MpRpc_ConnectTimeout(0), <, 500);
+}
+
 #define CASE(name, function)                                                  \
     g_test_add("/rpc/" name, struct fixture, NULL, set_up, function, tear_down)
 
@@ -162,5 +180,7 @@
     CASE("a wrong key is refused", test_wrong_key);
     CASE("a large state fits", test_large_state);
     g_test_add_func("/rpc/sizes are bounded", test_sizes);
+    g_test_add_func("/rpc/a slow link can be connected over",
+                    test_connects_over_slow_link);
     return g_test_run();
 }
