Calls to the leader wait longer once replies come late

Change: after a call that timed out, calls wait 2,400 ms until a reply comes within 350 ms again; never past their own deadline.

No test shows the fault: the proxy of the tests cannot queue packets.

--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -23,7 +23,11 @@
  * SYNC_MIN_MS. */
 #define FIRST_SYNC_MIN_MS 50
 #define FIRST_SYNCS_PER_S 2000
+/* Timeout of a call, ms, and the same after a call has timed out, until a
+ * reply comes quickly again: over a link on which packets queue all replies
+ * would come too late else. */
 #define CALL_TIMEOUT_MS 700
+#define SLOW_CALL_TIMEOUT_MS 2400
 /* Delay before a call is sent again, ms.  It starts at about one round trip
  * and doubles with each try, up to a part of the duration of an election, so
  * that hundreds of instances do not slow down the election of a leader. */
@@ -38,12 +42,31 @@
 
 /* ---- calls to the leader ---- */
 
+static int64_t
+call_timeout_ms(const struct MpControlClient *this)
+{
+    return this->is_slow ? SLOW_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
+}
+
+/* Learns from the end of a call whether replies take long. */
+static void
+note_call(struct MpControlClient *this, int code, int64_t sent_ms)
+{
+    if (code == MP_ERROR_TIMEOUT) {
+        this->is_slow = true;
+    }
+    else if (code == MP_OK) {
+        this->is_slow = MpLoop_Now() - sent_ms > CALL_TIMEOUT_MS / 2;
+    }
+}
+
 /* A call that is repeated until the leader replies, or until deadline_ms. */
 struct request {
     struct MpControlClient *control;
     uint32_t procedure;
     void *argument;      /* owned */
     int64_t deadline_ms; /* 0: none */
+    int64_t sent_ms;     /* last try */
     guint replica;       /* index of the replica that was called last */
     uint32_t tries;
     struct MpTimer timer;
@@ -169,6 +192,7 @@
 on_reply(void *data, int code, const void *result)
 {
     struct request *request = data;
+    note_call(request->control, code, request->sent_ms);
     const char *leader = "";
     int reply_code = code;
     if (code == MP_OK && request->procedure == MP_PROC_PROPOSE) {
@@ -194,9 +218,16 @@
 send_request(struct request *request)
 {
     struct MpControlClient *this = request->control;
+    int64_t timeout_ms = call_timeout_ms(this);
     request->replica = this->leader;
+    request->sent_ms = MpLoop_Now();
+    if (request->deadline_ms > 0) {
+        timeout_ms =
+            MIN(timeout_ms,
+                MAX(request->deadline_ms - request->sent_ms, CALL_TIMEOUT_MS));
+    }
     MpRpcClient_Call(g_ptr_array_index(this->clients, request->replica),
-                     request->procedure, request->argument, CALL_TIMEOUT_MS,
+                     request->procedure, request->argument, timeout_ms,
                      on_reply, request);
 }
 
@@ -506,6 +537,7 @@
     struct MpControlClient *this = data;
     const struct mp_sync_reply *reply = result;
     this->is_syncing = false;
+    note_call(this, code, this->sync_began_ms);
     if (code != MP_OK || reply->code == MP_ERROR_NOT_LEADER) {
         follow_leader(this, this->leader, reply ? reply->leader : "");
         return;
@@ -556,6 +588,7 @@
         return;
     }
     this->is_syncing = true;
+    this->sync_began_ms = MpLoop_Now();
     this->sync_sent_ms = MpLoop_BootMs();
     if (this->listener->list_limits) {
         sync.limits.limits_val =
@@ -563,7 +596,8 @@
     }
     this->sent_targets_hash = this->targets_hash;
     MpRpcClient_Call(g_ptr_array_index(this->clients, this->leader),
-                     MP_PROC_SYNC, &sync, CALL_TIMEOUT_MS, on_synced, this);
+                     MP_PROC_SYNC, &sync, call_timeout_ms(this), on_synced,
+                     this);
     g_free(sync.limits.limits_val);
 }
 
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -82,10 +82,12 @@
     guint fetch_replica;     /* index in clients; of the last fetch */
     uint64_t fetch_version;  /* of the last fetch */
     struct MpSuspects suspects;
-    int64_t synced_ms; /* time of the leader's last sync reply */
-    int64_t heard_ms;  /* when the sync was sent that it replied to, on the
-                        * clock that counts while the machine is suspended */
-    int64_t sync_sent_ms;
+    int64_t synced_ms;     /* time of the leader's last sync reply */
+    int64_t heard_ms;      /* when the sync was sent that it replied to, on the
+                            * clock that counts while the machine is suspended */
+    int64_t sync_sent_ms;  /* on the same clock */
+    int64_t sync_began_ms; /* the same on the monotonic clock */
+    bool is_slow;          /* replies come late */
     bool is_draining;
     bool is_syncing;
     bool is_registering;
