Streams that last longer than a minute are not joined either

A stream that began more than a minute ago, before the last change of versions, was taken up at the one version then in service.

Cause: the time for which an unrecorded stream counts as unsure was a constant. It is now a minute and the timeout of the path, which the router passes on.

--- a/fuzz/FuzzVersions.c
+++ b/fuzz/FuzzVersions.c
@@ -22,6 +22,9 @@
 #define ROUTERS 4
 #define VERSIONS 3
 #define STREAMS_MAX 64
+/* Streams last up to this long, ms. */
+#define STREAM_MS 20000
+#define CLOCK_MARGIN_MS 5000
 #define POOL "p"
 #define SYNC_MS 250
 #define READ_MS 500
@@ -186,7 +189,8 @@
         list[i].name = g_ptr_array_index(pool->names, i);
     }
     MpVersionView_Apply(&router->view, &versions, 1, this->now_ms);
-    if (!MpVersionView_MustRecord(&router->view, POOL, this->now_ms)) {
+    if (!MpVersionView_MustRecord(&router->view, POOL, STREAM_MS,
+                                  this->now_ms)) {
         return;
     }
     for (uint32_t i = 0; i < this->stream_count; i++) {
@@ -236,7 +240,8 @@
                               .version = version,
                               .at_ms = this->now_ms};
     memcpy(stream->id, &this->stream_count, sizeof(this->stream_count));
-    if (MpVersionView_MustRecord(&router->view, POOL, this->now_ms)) {
+    if (MpVersionView_MustRecord(&router->view, POOL, STREAM_MS,
+                                 this->now_ms)) {
         stream->is_record_lost =
             router->is_cut || FuzzInput_Below(this->input, 16) == 0;
         stream->recorded_ms =
@@ -250,15 +255,16 @@
              const struct stream *stream)
 {
     const char *version = NULL;
-    enum MpTakeUp how = MpVersionView_CheckTakeUp(
-        &router->view, POOL, router->heard_ms, this->now_ms, &version);
+    enum MpTakeUp how =
+        MpVersionView_CheckTakeUp(&router->view, POOL, STREAM_MS,
+                                  router->heard_ms, this->now_ms, &version);
     if (how == MP_TAKE_UP_SOLE) {
         return version;
     }
     return router->is_cut
                ? NULL
                : MpVersions_FindStream(&this->machine.versions, POOL,
-                                       stream->id,
+                                       stream->id, STREAM_MS,
                                        this->now_ms + this->clock_ms);
 }
 
@@ -279,7 +285,7 @@
         &this->streams[FuzzInput_Below(this->input, STREAMS_MAX) %
                        this->stream_count];
     int64_t age_ms = this->now_ms - stream->at_ms;
-    if (age_ms > MP_STREAM_AGE_MAX_MS / 2) {
+    if (age_ms > STREAM_MS + MP_TAKE_UP_MAX_MS - CLOCK_MARGIN_MS) {
         return;
     }
     const char *version = find_version(this, router, stream);
@@ -295,7 +301,8 @@
     }
     if (!version && is_serving && !stream->is_record_lost &&
         age_ms > TAKE_UP_MS &&
-        this->now_ms - this->announced_ms > TAKE_UP_MS &&
+        age_ms<MP_TAKE_UP_MAX_MS &&this->now_ms - this->announced_ms>
+            TAKE_UP_MS &&
         is_stable(this, router) &&
         is_stable(this, &this->routers[stream->router])) {
         Fuzz_Fail("a stream of %s is refused after %ld ms, though it still "
@@ -391,11 +398,14 @@
         save_and_load(this);
     }
     else {
-        /* Quiet for long enough that a sole version is trusted again. */
-        for (int i = 0; i < 300; i++) {
+        /* Quiet for about as long as streams can be taken up, so that a sole
+         * version is nearly trusted again. */
+        for (int i = 0; i < 250; i++) {
             advance(this, SYNC_MS);
         }
-        this->stream_count = 0;
+        if (FuzzInput_Below(this->input, 2) == 0) {
+            this->stream_count = 0;
+        }
     }
 }
 
--- a/src/coordination/VersionView.c
+++ b/src/coordination/VersionView.c
@@ -16,8 +16,8 @@
 
 struct pool_view {
     char *pool;
-    GPtrArray *versions; /* of struct version_view */
-    int64_t mixed_until_ms;
+    GPtrArray *versions;     /* of struct version_view */
+    int64_t changed_ms;      /* last change, -1 if there was none */
     int64_t other_listed_ms; /* last time the list had an unknown version, or
                               * one beside the sole version */
 };
@@ -88,13 +88,7 @@
         g_ptr_array_add(pool->versions, version);
     }
     pool->other_listed_ms = before ? before->other_listed_ms : 0;
-    if (from->list.list_len > 1) {
-        pool->mixed_until_ms = INT64_MAX;
-    }
-    else if (from->age_ms >= 0) {
-        pool->mixed_until_ms =
-            now_ms + MAX(MP_STREAM_AGE_MAX_MS - from->age_ms, 0);
-    }
+    pool->changed_ms = from->age_ms < 0 ? -1 : now_ms - from->age_ms;
     return pool;
 }
 
@@ -130,12 +124,23 @@
     return version && version->active_ms <= now_ms;
 }
 
+/* Returns whether streams that can still be taken up may have begun at several
+ * versions. */
+static bool
+is_mixed(const struct pool_view *pool, int64_t stream_ms, int64_t now_ms)
+{
+    return pool->versions->len != 1 ||
+           (pool->changed_ms >= 0 &&
+            now_ms - pool->changed_ms < MP_TAKE_UP_MAX_MS + stream_ms);
+}
+
 bool
 MpVersionView_MustRecord(const struct MpVersionView *this,
-                         const char *pool_name, int64_t now_ms)
+                         const char *pool_name, int64_t stream_ms,
+                         int64_t now_ms)
 {
     const struct pool_view *pool = g_hash_table_lookup(this->pools, pool_name);
-    return pool && now_ms < pool->mixed_until_ms;
+    return pool && is_mixed(pool, stream_ms, now_ms);
 }
 
 void
@@ -173,14 +178,15 @@
 
 enum MpTakeUp
 MpVersionView_CheckTakeUp(const struct MpVersionView *this,
-                          const char *pool_name, int64_t heard_ms,
-                          int64_t now_ms, const char **version)
+                          const char *pool_name, int64_t stream_ms,
+                          int64_t heard_ms, int64_t now_ms,
+                          const char **version)
 {
     const struct pool_view *pool = g_hash_table_lookup(this->pools, pool_name);
     if (!pool) {
         return MP_TAKE_UP_ANY;
     }
-    if (now_ms < pool->mixed_until_ms || pool->versions->len != 1 ||
+    if (is_mixed(pool, stream_ms, now_ms) ||
         !is_fresh(this, pool, heard_ms, now_ms)) {
         return MP_TAKE_UP_ASK;
     }
--- a/src/coordination/VersionView.h
+++ b/src/coordination/VersionView.h
@@ -60,9 +60,11 @@
                             const struct MpVersionCandidate *target,
                             int64_t heard_ms, int64_t now_ms);
 
-/* Returns whether streams that begin now must be recorded. */
+/* Returns whether streams that begin now and can last stream_ms must be
+ * recorded. */
 bool MpVersionView_MustRecord(const struct MpVersionView *this,
-                              const char *pool, int64_t now_ms);
+                              const char *pool, int64_t stream_ms,
+                              int64_t now_ms);
 
 /* Notes that this router has read the list itself, before
  * MpVersionView_NoteListed for each entry.  heard_ms: when it last heard from
@@ -74,11 +76,13 @@
 void MpVersionView_NoteListed(struct MpVersionView *this, const char *pool,
                               const char *version, int64_t now_ms);
 
-/* Decides how to find the version of a stream that is taken up.  Sets *version
- * for MP_TAKE_UP_SOLE.  A router that does not hear from the leader knows all
- * versions if it has read the list often enough since, and saw no other. */
+/* Decides how to find the version of a stream that is taken up and can have
+ * lasted stream_ms.  Sets *version for MP_TAKE_UP_SOLE.  A router that does
+ * not hear from the leader knows all versions if it has read the list often
+ * enough since, and saw no other. */
 enum MpTakeUp MpVersionView_CheckTakeUp(const struct MpVersionView *this,
-                                        const char *pool, int64_t heard_ms,
-                                        int64_t now_ms, const char **version);
+                                        const char *pool, int64_t stream_ms,
+                                        int64_t heard_ms, int64_t now_ms,
+                                        const char **version);
 
 #endif
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -638,6 +638,7 @@
 	char *key;
 	u_quad_t document_version;
 	char stream[MP_HASH_BYTES];
+	u_int stream_ms;
 };
 typedef struct mp_read mp_read;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -627,6 +627,7 @@
                                       * MP_READ_STREAM the pool */
     unsigned hyper document_version; /* for MP_READ_DOCUMENT; 0: newest */
     opaque stream[MP_HASH_BYTES];    /* for MP_READ_STREAM */
+    unsigned int stream_ms;          /* how long such a stream can last */
 };
 
 struct mp_instance_status {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -1044,6 +1044,8 @@
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->stream, MP_HASH_BYTES))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stream_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/state/Versions.c
+++ b/src/state/Versions.c
@@ -70,7 +70,7 @@
 MpVersions_Expire(struct MpVersions *this, int64_t now_ms)
 {
     const struct stream_record *oldest = g_queue_peek_head(&this->order);
-    while (oldest && now_ms - oldest->at_ms > MP_STREAM_AGE_MAX_MS) {
+    while (oldest && now_ms - oldest->at_ms > MP_TAKE_UP_MAX_MS) {
         drop_oldest(this);
         oldest = g_queue_peek_head(&this->order);
     }
@@ -171,7 +171,7 @@
 
 const char *
 MpVersions_FindStream(const struct MpVersions *this, const char *pool_name,
-                      const char *id, int64_t now_ms)
+                      const char *id, int64_t stream_ms, int64_t now_ms)
 {
     const struct MpPoolVersions *pool =
         g_hash_table_lookup(this->pools, pool_name);
@@ -182,7 +182,7 @@
     }
     bool is_settled =
         pool && (pool->changed_ms < 0 ||
-                 now_ms - pool->changed_ms > MP_STREAM_AGE_MAX_MS ||
+                 now_ms - pool->changed_ms > MP_TAKE_UP_MAX_MS + stream_ms ||
                  MP_FAULT(MP_FAULT_UNRECORDED_STREAM_JOINED));
     return is_settled && pool->names->len == 1
                ? g_ptr_array_index(pool->names, 0)
--- a/src/state/Versions.h
+++ b/src/state/Versions.h
@@ -14,15 +14,15 @@
  *
  * What targets of two versions write does not fit together, so that a stream
  * that broke off may go on only at the version that began it.  As long as a
- * pool has had a single version for MP_STREAM_AGE_MAX_MS, streams need no
- * record: all that can still be taken up began at this version.  Otherwise a
- * stream without a record is not taken up.
+ * pool has had a single version for longer than a stream can be taken up,
+ * streams need no record: all that can still be began at this version.
+ * Otherwise a stream without a record is not taken up.
  */
 
-/* Longest time from the first event of a stream to its last take-up, ms: the
- * callers' deadlines, and the time for which a partitioned router may go on
- * with what it knew. */
-#define MP_STREAM_AGE_MAX_MS 60000
+/* Time for which a stream can be taken up after the longest that it can last,
+ * ms: callers' retries, and the time for which a partitioned router may go on
+ * with what it knew.  Records are kept as long. */
+#define MP_TAKE_UP_MAX_MS 60000
 /* Records of streams that are kept at most; the oldest are dropped. */
 #define MP_STREAMS_KEPT_MAX 500000
 
@@ -54,10 +54,11 @@
                            const struct mp_streams *streams, int64_t now_ms);
 
 /* Returns the version of a pool at which the stream with this id, of
- * MP_HASH_BYTES, began, or NULL when that is not known. */
+ * MP_HASH_BYTES, began, or NULL when that is not known.  stream_ms: how long
+ * the stream can last. */
 const char *MpVersions_FindStream(const struct MpVersions *this,
                                   const char *pool, const char *id,
-                                  int64_t now_ms);
+                                  int64_t stream_ms, int64_t now_ms);
 
 /* Returns whether the pool's versions are equal to list, sorted. */
 bool MpVersions_IsEqual(const struct MpVersions *this, const char *pool,
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -304,11 +304,14 @@
 
 void
 MpControlClient_ReadStream(struct MpControlClient *this, const char *pool,
-                           const uint8_t *id, int64_t deadline_ms,
-                           MpReadDone done, void *data)
+                           const uint8_t *id, int64_t stream_ms,
+                           int64_t deadline_ms, MpReadDone done, void *data)
 {
-    struct mp_read read = {
-        .part = MP_READ_STREAM, .workspace = (char *)"", .key = (char *)pool};
+    struct mp_read read = {.part = MP_READ_STREAM,
+                           .workspace = (char *)"",
+                           .key = (char *)pool,
+                           .stream_ms =
+                               (u_int)CLAMP(stream_ms, 0, UINT32_MAX)};
     memcpy(read.stream, id, MP_HASH_BYTES);
     send_read(this, &read, deadline_ms, done, data);
 }
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -142,10 +142,12 @@
                                 void *data);
 
 /* Reads the software version of a pool at which the stream with this id, of
- * MP_HASH_BYTES, began, into reply->software. */
+ * MP_HASH_BYTES, began, into reply->software.  stream_ms: how long it can
+ * last. */
 void MpControlClient_ReadStream(struct MpControlClient *this, const char *pool,
-                                const uint8_t *id, int64_t deadline_ms,
-                                MpReadDone done, void *data);
+                                const uint8_t *id, int64_t stream_ms,
+                                int64_t deadline_ms, MpReadDone done,
+                                void *data);
 
 /* Returns the holder (instance and boot) for commands of this incarnation. */
 struct mp_incarnation
--- a/src/transport/GatewayVersions.c
+++ b/src/transport/GatewayVersions.c
@@ -106,7 +106,7 @@
     g_queue_push_tail(&gateway->recent_streams, stream);
     oldest = g_queue_peek_head(&gateway->recent_streams);
     while (gateway->recent_streams.length > RECENT_STREAMS_MAX ||
-           now_ms - oldest->at_ms > MP_STREAM_AGE_MAX_MS) {
+           now_ms - oldest->at_ms > MP_TAKE_UP_MAX_MS) {
         forget_oldest(gateway);
         oldest = g_queue_peek_head(&gateway->recent_streams);
     }
@@ -146,7 +146,8 @@
     }
     struct mp_stream_begun begun = {.software = g_strdup(call->version)};
     set_stream_id(call, call->id, begun.id);
-    if (!MpVersionView_MustRecord(&gateway->versions, call->pool, now_ms)) {
+    if (!MpVersionView_MustRecord(&gateway->versions, call->pool,
+                                  call->path->timeout_ms, now_ms)) {
         remember(gateway, call->pool, &begun, now_ms);
         return;
     }
@@ -179,7 +180,7 @@
                     versions > 0 ? pools[i].list.list_val[versions - 1].name
                                  : "-",
                     (int64_t)pools[i].age_ms);
-        if (MpVersionView_MustRecord(&gateway->versions, pools[i].pool,
+        if (MpVersionView_MustRecord(&gateway->versions, pools[i].pool, 0,
                                      now_ms)) {
             record_recent(gateway, pools[i].pool);
         }
@@ -252,9 +253,10 @@
     call->stage = MP_CALL_VERSION;
     /* Without the id of its first request no record is found. */
     set_stream_id(call, call->resumes ? call->resumes : "", id);
-    MpControlClient_ReadStream(
-        call->gateway->control, call->pool, (const uint8_t *)id,
-        MpLoop_Now() + QUERY_WAIT_MS, on_stream_read, query);
+    MpControlClient_ReadStream(call->gateway->control, call->pool,
+                               (const uint8_t *)id, call->path->timeout_ms,
+                               MpLoop_Now() + QUERY_WAIT_MS, on_stream_read,
+                               query);
 }
 
 bool
@@ -269,8 +271,9 @@
     }
     call->is_version_checked = true;
     int64_t heard_ms = gateway->control->heard_ms;
-    switch (MpVersionView_CheckTakeUp(&gateway->versions, call->pool, heard_ms,
-                                      now_ms, &version)) {
+    switch (MpVersionView_CheckTakeUp(&gateway->versions, call->pool,
+                                      call->path->timeout_ms, heard_ms, now_ms,
+                                      &version)) {
     case MP_TAKE_UP_ANY:
         return false;
     case MP_TAKE_UP_SOLE:
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -434,7 +434,8 @@
         .leader = (char *)"", .author = (char *)"", .document = (char *)""};
     struct mp_version_name software = {.name = (char *)MpVersions_FindStream(
                                            &this->machine.versions, read->key,
-                                           read->stream, MpLoop_WallMs())};
+                                           read->stream, read->stream_ms,
+                                           MpLoop_WallMs())};
     reply.software = software.name ? &software : NULL;
     MpRpcCall_Reply(call, &reply);
 }
