A trial that reached no target does not count

Cause: a part that all requests share was a suspect of the crash and got trials. Each was sent to a target that was down (attempt-ended how=not-sent), was ended without a result and counted, as the router told the quorum how often it had sent the request, not how often it can have run. After three such trials within 50 ms the part was stopped. Change: attempts that ended without having run, and those before the trial, are left out of what is told.

--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -50,6 +50,7 @@
                      bool has_budget, int64_t now_ms)
 {
     bool may_retry = result == MP_RESULT_NOT_RUN;
+    this->not_run += result == MP_RESULT_NOT_RUN;
     if (result != MP_RESULT_NOT_RUN) {
         this->may_have_run = !MP_FAULT(MP_FAULT_REFUSED_AFTER_UNKNOWN);
         this->runs++;
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -58,6 +58,7 @@
     bool is_head_sent;  /* the caller has got the head of an answer */
     uint32_t runs;      /* attempts that may have run; at most attempts_max */
     uint32_t sends;     /* all attempts; at most MP_FORWARD_SENDS_MAX */
+    uint32_t not_run;   /* attempts that have ended and have not run */
     int64_t events;     /* stream events forwarded to the caller */
     int64_t last_event; /* id of the last event forwarded; -1: none */
 };
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -52,7 +52,9 @@
     struct MpSuspectCheck *check; /* probe or quorum query under way */
     uint32_t trials; /* bits of its fingerprints that no other request may
                       * run with: bit 0 is the request, bit n part n - 1 */
-    bool is_head;    /* method HEAD */
+    uint32_t runs_before_trial; /* attempts that may have run when the last
+                                 * trial was granted */
+    bool is_head;               /* method HEAD */
     struct MpCallerResponse response;
     /* budget */
     int64_t reserved_mtok;
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -47,6 +47,14 @@
 
 /* ---- checks ---- */
 
+/* Returns the number of attempts that may have run, the current one included.
+ */
+static uint32_t
+count_runs(const struct MpGatewayCall *call)
+{
+    return call->forward.sends - call->forward.not_run;
+}
+
 static struct MpSuspectCheck *
 check_new(struct MpGatewayCall *call, enum mp_trial_kind kind, unsigned key)
 {
@@ -59,7 +67,9 @@
     check->key = key;
     check->trial.kind = kind;
     check->trial.run = call->run_id;
-    check->trial.attempt = call->forward.sends;
+    check->trial.attempt = kind == MP_TRIAL_RELEASE
+                               ? count_runs(call) - call->runs_before_trial
+                               : call->forward.sends;
     MpCallFingerprint_Copy(call, key, check->trial.fingerprint);
     return check;
 }
@@ -240,6 +250,7 @@
         int64_t left_ms = MpForward_TimeLeft(&check->call->forward, now_ms);
         check->trial.timeout_ms = (u_int)MIN(left_ms, MP_TRIAL_MAX_MS);
         check->call->trials |= 1U << check->key;
+        check->call->runs_before_trial = count_runs(check->call);
         MpLoop_SetTimer(check->gateway->loop, &check->timer,
                         MpControlClient_IsPartitioned(check->gateway->control)
                             ? 0
