The run of limits tells a killed router from a refusal

Traced by printing the statuses: one "none", 0.0 s after the kill. A cut connection promises nothing.

--- a/tests/runs/target_limit_exceeded.py
+++ b/tests/runs/target_limit_exceeded.py
@@ -29,7 +29,7 @@
 fleet, listed = path_fleet(targets, [
     path_conf("/ready/"), path_conf("/call/", repeat="any", attempts=2)],
     instances=5, control=1, fleet_class=LendingFleet)
-refused, served = [], []
+refused, served, cut = [], [], []
 is_over = threading.Event()
 
 
@@ -42,6 +42,8 @@
         sent = time.monotonic()
         if status_of(data) == "200":
             served.append(sent)
+        elif status_of(data) == "none":
+            cut.append((sent, name))
         else:
             refused.append((sent, status_of(data),
                             header_of(data, "retry-after")))
@@ -90,5 +92,8 @@
     print("refusals say that nothing has run",
           {status for _, status, _ in late} <= {"429", "503"})
     print("and when to come back", all(r[2] for r in late))
+    print("only the killed router cuts answers off",
+          all(name == "i2" and abs(at - steady_end) < 0.5
+              for at, name in cut))
     after = [t for t in served if t >= end + 1.5]
     print("no limit afterwards", len(after) > 2 * sum(LIMITS.values()) * 2.5)
