Log answers that do not go on with a stream

What becomes of the answer is unchanged. This tells "an answer of another kind stands in the stream" from "the target of the stream sent it".

--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -1,6 +1,8 @@
 #include "transport/Exchange.h"
 
+#include "protocol/EventStream.h"
 #include "state/Machine.h"
+#include "transport/Log.h"
 #include "transport/TargetPoller.h"
 
 #include <inttypes.h>
@@ -250,6 +252,20 @@
 
 /* ---- responses of the target ---- */
 
+/* Logs an answer that is sent to resume a stream and is no event stream. */
+static void
+log_not_resumed(const struct MpExchange *this)
+{
+    char *escaped = MpEventStream_EscapeType(this->content_type,
+                                             strlen(this->content_type));
+    MpLog_Event(LOG_WARNING, "stream-not-resumed",
+                "id=%s target=%s status=%d type=\"%s\" tokens=%" PRId64
+                " reason=%s",
+                this->request_id, this->target->name, this->status, escaped,
+                this->sent_tokens, this->status == 200 ? "type" : "status");
+    g_free(escaped);
+}
+
 static void
 on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
 {
@@ -268,6 +284,9 @@
     this->is_stream =
         this->is_chat && status == 200 &&
         g_str_has_prefix(this->content_type, "text/event-stream");
+    if (this->is_head_sent && !this->is_stream) {
+        log_not_resumed(this);
+    }
 }
 
 static void
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -1,6 +1,7 @@
 #include "transport/GatewayAttempt.h"
 
 #include "protocol/EventSplit.h"
+#include "protocol/EventStream.h"
 #include "state/Error.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
@@ -167,6 +168,30 @@
     }
 }
 
+/* Logs an answer that is sent to resume a stream and is no event stream. */
+static void
+log_not_resumed(const struct MpGatewayCall *this,
+                const struct MpTargetHead *head)
+{
+    size_t type_size = 0;
+    size_t encoding_size = 0;
+    const char *type = MpTargetHead_Find(head, "content-type", &type_size);
+    const char *encoding =
+        MpTargetHead_Find(head, "content-encoding", &encoding_size);
+    const char *reason = MpEventStream_Refute(head->status, type, type_size,
+                                              encoding, encoding_size);
+    if (!reason) {
+        return;
+    }
+    char *escaped = MpEventStream_EscapeType(type, type_size);
+    MpLog_Event(LOG_WARNING, "stream-not-resumed",
+                "id=%s target=%s status=%d type=\"%s\" first=-1 last=%" PRId64
+                " reason=%s",
+                this->id ? this->id : "-", this->target->incarnation,
+                head->status, escaped, this->forward.last_event, reason);
+    g_free(escaped);
+}
+
 static void
 on_head(void *owner, const struct MpTargetHead *head)
 {
@@ -191,6 +216,9 @@
         return;
     }
     bool is_resumed = this->forward.is_head_sent;
+    if (is_resumed) {
+        log_not_resumed(this, head);
+    }
     if (is_resumed && head->status != 200) {
         return;
     }
