A stream goes on only with events that follow its last one

What callers saw: after a stream broke off, text, JSON or events of another place in the middle of it, and an end that looked complete. A plain 200 on a path of streams lost its last bytes below its own length, and was sent again to two more targets behind itself. After 404 and 500 a third target got a request of which two were allowed.

Cause: status 200 was enough to be joined; each 200 of such a path was split into events; an answer that does not resume counted as not run; a stream whose events have no ids was asked for anew from its start.

Change: GatewayStream judges the head (EventStream: status, type with parameters in any case, no encoding; not for HEAD) and gives each block to MpForward_TakeEvent, which refuses an id that is not above the last one, and a first event without an id. A refused answer is dropped at once and counts as an attempt that may have run. MpForward_CanResume holds only for a stream whose ids increase and whose last event has one. Other answers are relayed byte by byte. Blocks without data no longer count as events, which are charged. An event above its limit is refused also when it comes in one piece.

A gap is not refused: ids are promised to increase, not to be consecutive.

--- a/fuzz/FuzzForward.c
+++ b/fuzz/FuzzForward.c
@@ -7,7 +7,8 @@
 
 /*
  * FuzzForward - fuzzes the retry decisions of MpForward: each request goes to
- * targets that refuse it, run it, or break the connection at any point.
+ * targets that refuse it, run it, break the connection at any point, leave out
+ * ids, or go on with a stream at a place before the one they were asked for.
  *
  * Oracle, from what the targets did: an at-most-once request runs at most
  * once; a request is refused as "not run" only if no target ran it; no more
@@ -41,15 +42,25 @@
     int64_t first = forward->is_head_sent ? forward->last_event + 1 : 0;
     int64_t stop =
         behavior == 3 ? (int64_t)FuzzInput_Below(input, EVENTS) : EVENTS;
-    forward->is_head_sent = true;
+    if (!forward->is_head_sent) {
+        MpForward_StartAnswer(forward, true);
+    }
+    if (forward->is_resuming && FuzzInput_Below(input, 4) == 0) {
+        /* The target goes on at another place than it was asked for. */
+        first = FuzzInput_Below(input, (uint32_t)first + 1);
+    }
+    /* An unnumbered stream, or events without an id among others. */
+    uint32_t unnumbered = FuzzInput_Below(input, 8);
     for (int64_t event = first; event < stop; event++) {
+        bool has_id = unnumbered > 1 || (unnumbered && event % 2 == 0);
+        if (!MpForward_TakeEvent(forward, true, has_id ? event : -1)) {
+            return MP_RESULT_CUT;
+        }
         if (event != oracle->next_event) {
             Fuzz_Fail("caller got event %d, expected %d", (int)event,
                       (int)oracle->next_event);
         }
         oracle->next_event++;
-        forward->events++;
-        forward->last_event = event;
     }
     *is_complete = behavior > 3;
     return MP_RESULT_CUT;
--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -28,6 +28,53 @@
 MpForward_StartAttempt(struct MpForward *this)
 {
     this->sends++;
+    this->attempt_events = 0;
+    this->is_resuming = this->is_head_sent;
+}
+
+void
+MpForward_StartAnswer(struct MpForward *this, bool is_stream_answer)
+{
+    this->is_head_sent = true;
+    this->is_stream_answer = is_stream_answer;
+}
+
+static bool
+continues(const struct MpForward *this, bool has_data, int64_t id)
+{
+    if (!this->is_resuming || this->last_event < 0 ||
+        MP_FAULT(MP_FAULT_EVENT_REPEATED)) {
+        return true;
+    }
+    if (id >= 0) {
+        return id > this->last_event;
+    }
+    return !has_data || this->attempt_events > 0;
+}
+
+bool
+MpForward_TakeEvent(struct MpForward *this, bool has_data, int64_t id)
+{
+    if (!continues(this, has_data, id)) {
+        return false;
+    }
+    if (has_data) {
+        this->is_unnumbered = id < 0 && !MP_FAULT(MP_FAULT_POSITION_GUESSED);
+    }
+    if (id >= 0) {
+        this->is_unordered |= this->events > 0 && id <= this->last_event;
+        this->last_event = id;
+    }
+    this->events += has_data;
+    this->attempt_events += has_data;
+    return true;
+}
+
+bool
+MpForward_CanResume(const struct MpForward *this)
+{
+    return this->repeat == MP_REPEAT_RESUME && this->is_stream_answer &&
+           !this->is_unordered && !this->is_unnumbered;
 }
 
 int64_t
@@ -59,7 +106,7 @@
                     (this->runs < this->attempts_max ||
                      MP_FAULT(MP_FAULT_ATTEMPTS_UNBOUNDED));
     }
-    if (this->is_head_sent && this->repeat != MP_REPEAT_RESUME) {
+    if (this->is_head_sent && !MpForward_CanResume(this)) {
         may_retry = false;
     }
     bool is_late =
@@ -93,9 +140,8 @@
         this->is_head_sent
             ? this->event_gap_ms * MP_FORWARD_GAP_STALL_TENTHS / 10
             : this->latency_target_ms * MP_FORWARD_FIRST_STALL_TENTHS / 10;
-    bool may_resend =
-        this->repeat == MP_REPEAT_RESUME ||
-        (this->repeat == MP_REPEAT_ALLOWED && !this->is_head_sent);
+    bool may_resend = this->is_head_sent ? MpForward_CanResume(this)
+                                         : this->repeat != MP_REPEAT_NEVER;
     return limit_ms > 0 && may_resend && has_budget &&
            idle_ms >= MAX(limit_ms, MP_FORWARD_STALL_MIN_MS) &&
            this->runs + 1 < this->attempts_max &&
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -55,12 +55,17 @@
     enum MpRepeatPolicy repeat;
     bool is_stream;
     bool may_have_run;
-    bool is_head_sent;  /* the caller has got the head of an answer */
-    uint32_t runs;      /* attempts that may have run; at most attempts_max */
-    uint32_t sends;     /* all attempts; at most MP_FORWARD_SENDS_MAX */
-    uint32_t not_run;   /* attempts that have ended and have not run */
-    int64_t events;     /* stream events forwarded to the caller */
-    int64_t last_event; /* id of the last event forwarded; -1: none */
+    bool is_head_sent;     /* the caller has got the head of an answer */
+    bool is_resuming;      /* the attempt is to go on with that answer */
+    bool is_stream_answer; /* the answer is a stream of events */
+    bool is_unordered;     /* its ids do not increase */
+    bool is_unnumbered;    /* its last event has no id */
+    uint32_t runs;    /* attempts that may have run; at most attempts_max */
+    uint32_t sends;   /* all attempts; at most MP_FORWARD_SENDS_MAX */
+    uint32_t not_run; /* attempts that have ended and have not run */
+    int64_t events;   /* stream events forwarded to the caller */
+    int64_t attempt_events; /* by the current attempt */
+    int64_t last_event;     /* id of the last event forwarded; -1: none */
 };
 
 /* Starts a request that arrived at now_ms.  caller_ms: how long the caller
@@ -72,6 +77,20 @@
 /* Counts the start of an attempt. */
 void MpForward_StartAttempt(struct MpForward *this);
 
+/* Notes that the head of an answer goes to the caller. */
+void MpForward_StartAnswer(struct MpForward *this, bool is_stream_answer);
+
+/* Takes the next event of the current attempt, or a block without data; id is
+ * -1 without a numeric id.  Returns false if it does not go on with the stream
+ * that the caller has: its id is not above the last one, or the attempt's
+ * first event has none.  Then nothing more of the attempt is forwarded.  A
+ * step of more than one is no gap, as ids are only promised to increase. */
+bool MpForward_TakeEvent(struct MpForward *this, bool has_data, int64_t id);
+
+/* Returns whether a started answer can go on at another target: it is a stream
+ * whose last event has an id that tells where it is. */
+bool MpForward_CanResume(const struct MpForward *this);
+
 /* Handles the end of an attempt and returns the next step.  has_budget:
  * whether the retry budget allows a further attempt now. */
 enum MpForwardStep MpForward_EndAttempt(struct MpForward *this,
--- a/src/protocol/EventSplit.c
+++ b/src/protocol/EventSplit.c
@@ -2,54 +2,76 @@
 
 #include "coordination/RequestMeta.h"
 
+#include <glib.h>
 #include <string.h>
 
-/* Parses an "id: NUMBER" line; any other line is ignored. */
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
+
+static bool
+has_name(const char *line, size_t size, const char *name)
+{
+    size_t length = strlen(name);
+    return size >= length && memcmp(line, name, length) == 0 &&
+           (size == length || line[length] == ':');
+}
+
+/* Reads an "id: NUMBER" or a data line; any other line is ignored. */
 static void
-parse_id_line(const char *line, size_t size, int64_t *last_id)
+read_line(const char *line, size_t size, struct MpEventBlock *block)
 {
-    int64_t number;
-    if (size < 3 || memcmp(line, "id:", 3) != 0) {
+    if (has_name(line, size, "data")) {
+        block->has_data = true;
+        return;
+    }
+    if (!has_name(line, size, "id") || size < strlen("id:")) {
         return;
     }
-    line += 3;
-    size -= 3;
+    line += strlen("id:");
+    size -= strlen("id:");
     if (size > 0 && line[0] == ' ') {
         line++;
         size--;
     }
-    if (MpRequestMeta_ParseNumber(line, size, &number)) {
-        *last_id = number;
+    if (!MpRequestMeta_ParseNumber(line, size, &block->id)) {
+        block->id = -1;
     }
 }
 
-size_t
-MpEventSplit_Complete(const char *data, size_t size, int64_t *events,
-                      int64_t *last_id)
+bool
+MpEventSplit_Next(const char *data, size_t size, struct MpEventBlock *block)
 {
-    size_t complete = 0;
     size_t offset = 0;
-    int64_t id = *last_id;
+    *block = (struct MpEventBlock){.id = -1};
     while (offset < size) {
         const char *end = memchr(data + offset, '\n', size - offset);
         if (!end) {
-            break;
+            return false;
         }
         size_t line = (size_t)(end - data) - offset;
+        size_t next = offset + line + 1;
         if (line > 0 && data[offset + line - 1] == '\r') {
             line--;
         }
-        size_t next = (size_t)(end - data) + 1;
-        if (line > 0) {
-            parse_id_line(data + offset, line, &id);
-        }
-        else {
-            /* An empty line ends an event. */
-            *events += offset > complete;
-            *last_id = id;
-            complete = next;
+        if (line == 0) {
+            block->size = next;
+            return true;
         }
+        read_line(data + offset, line, block);
         offset = next;
     }
-    return complete;
+    return false;
+}
+
+int
+MpEventSplit_MarkSize(const char *data, size_t size)
+{
+    size_t length = strlen(BYTE_ORDER_MARK);
+    size_t known = MIN(size, length);
+    if (known == 0) {
+        return -1;
+    }
+    if (memcmp(data, BYTE_ORDER_MARK, known) != 0) {
+        return 0;
+    }
+    return known == length ? (int)length : -1;
 }
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -1,10 +1,9 @@
 #include "transport/GatewayAttempt.h"
 
-#include "protocol/EventSplit.h"
-#include "protocol/EventStream.h"
 #include "state/Error.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
+#include "transport/GatewayStream.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
 #include "transport/HttpServer.h"
@@ -148,7 +147,7 @@
     if (this->is_event_stream && is_resumable(this)) {
         MpGatewayVersions_NoteBegun(this);
     }
-    this->forward.is_head_sent = true;
+    MpForward_StartAnswer(&this->forward, this->is_event_stream);
     this->caller_status = head->status;
     if (this->response.req) {
         MpGatewayRequest_CopyHeaders(head, this->response.req);
@@ -168,28 +167,16 @@
     }
 }
 
-/* Logs an answer that is sent to resume a stream and is no event stream. */
+/* Ends an attempt whose answer may not be forwarded any further; it may have
+ * run. */
 static void
-log_not_resumed(const struct MpGatewayCall *this,
-                const struct MpTargetHead *head)
+drop_answer(struct MpGatewayCall *this)
 {
-    size_t type_size = 0;
-    size_t encoding_size = 0;
-    const char *type = MpTargetHead_Find(head, "content-type", &type_size);
-    const char *encoding =
-        MpTargetHead_Find(head, "content-encoding", &encoding_size);
-    const char *reason = MpEventStream_Refute(head->status, type, type_size,
-                                              encoding, encoding_size);
-    if (!reason) {
-        return;
-    }
-    char *escaped = MpEventStream_EscapeType(type, type_size);
-    MpLog_Event(LOG_WARNING, "stream-not-resumed",
-                "id=%s target=%s status=%d type=\"%s\" first=-1 last=%" PRId64
-                " reason=%s",
-                this->id ? this->id : "-", this->target->incarnation,
-                head->status, escaped, this->forward.last_event, reason);
-    g_free(escaped);
+    bool is_refused = this->status >= 300 && this->status < 500;
+    g_byte_array_set_size(this->partial, 0);
+    MpGatewayAttempt_Cancel(this, is_refused ? MP_OUTCOME_REFUSED
+                                             : MP_OUTCOME_ERROR);
+    run_next_step(this, MP_RESULT_CUT, MP_ERROR_STREAM_CUT);
 }
 
 static void
@@ -215,11 +202,8 @@
          MpForward_MayRetryError(&this->forward, may_retry(this), now_ms))) {
         return;
     }
-    bool is_resumed = this->forward.is_head_sent;
-    if (is_resumed) {
-        log_not_resumed(this, head);
-    }
-    if (is_resumed && head->status != 200) {
+    if (!MpGatewayStream_Start(this, head)) {
+        drop_answer(this);
         return;
     }
     /* No response is started for a caller that has disconnected. */
@@ -228,46 +212,20 @@
         return;
     }
     this->is_relayed = true;
-    this->is_event_stream = this->path->is_stream && head->status == 200;
-    if (!is_resumed) {
+    if (!this->forward.is_resuming) {
         this->first_byte_ms = now_ms - this->forward.began_ms;
         start_response(this, head);
     }
 }
 
-/* Relays complete events only, because another target resumes the stream at
- * an event boundary. */
-static void
-relay_events(struct MpGatewayCall *this, const char *data, size_t size)
-{
-    struct MpForward *forward = &this->forward;
-    bool had_events = forward->events > this->events_before;
-    g_byte_array_append(this->partial, (const guint8 *)data, (guint)size);
-    size_t complete = MpEventSplit_Complete(
-        (const char *)this->partial->data, this->partial->len,
-        &forward->events, &forward->last_event);
-    if (complete > 0) {
-        if (!had_events && forward->events > this->events_before) {
-            MpGatewaySuspect_NoteContent(this);
-        }
-        MpCallerResponse_Write(&this->response, this->partial->data, complete);
-        g_byte_array_remove_range(this->partial, 0, (guint)complete);
-    }
-}
-
-/* Ends an attempt that has sent more than the maximum size of an event
- * without completing one. */
 static void
-end_oversized_event(struct MpGatewayCall *this)
+log_oversized_event(const struct MpGatewayCall *this)
 {
     MpLog_Event(LOG_WARNING, "event-too-long",
                 "id=%s same=%s target=%s bytes=%u events=%" PRId64,
                 this->id ? this->id : "-", this->fingerprint_hex,
                 this->target->incarnation, this->partial->len,
                 this->forward.events);
-    g_byte_array_set_size(this->partial, 0);
-    MpGatewayAttempt_Cancel(this, MP_OUTCOME_ERROR);
-    run_next_step(this, MP_RESULT_CUT, MP_ERROR_STREAM_CUT);
 }
 
 static void
@@ -279,9 +237,12 @@
         return;
     }
     if (this->is_event_stream) {
-        relay_events(this, data, size);
-        if (this->partial->len > MP_EVENT_MAX_BYTES) {
-            end_oversized_event(this);
+        int code = MpGatewayStream_Forward(this, data, size);
+        if (code == MP_ERROR_TOO_LARGE) {
+            log_oversized_event(this);
+        }
+        if (code != MP_OK) {
+            drop_answer(this);
             return;
         }
     }
@@ -318,7 +279,7 @@
         return;
     }
     if (this->forward.is_head_sent) {
-        /* The target did not resume the stream. */
+        /* The target said that it has not run the request. */
         release_target(this, MP_OUTCOME_REFUSED);
         run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_STREAM_CUT);
         return;
@@ -334,26 +295,12 @@
     run_next_step(this, MP_RESULT_UNKNOWN, MP_ERROR_TARGET_FAILED);
 }
 
-/* Returns the result of a stream by its events: one that ends inside an event,
- * or with the connection before the first, has broken off. */
-static enum MpTargetResult
-stream_result(const struct MpGatewayCall *this, enum MpTargetResult result)
-{
-    bool is_empty = this->forward.events == this->events_before;
-    bool has_broken_off =
-        this->is_relayed && this->is_event_stream &&
-        (this->partial->len > 0 || (result == MP_TARGET_CLOSED && is_empty));
-    return has_broken_off && result != MP_TARGET_NOT_SENT
-               ? MP_TARGET_INCOMPLETE
-               : result;
-}
-
 static void
 on_end(void *owner, enum MpTargetResult result)
 {
     struct MpGatewayCall *this = owner;
     this->conn = NULL;
-    result = stream_result(this, result);
+    result = MpGatewayStream_Result(this, result);
     bool is_complete =
         result == MP_TARGET_COMPLETE || result == MP_TARGET_CLOSED;
     MpLog_Event(is_complete ? LOG_DEBUG : LOG_WARNING, "attempt-ended",
@@ -364,8 +311,7 @@
                 : result == MP_TARGET_NOT_SENT ? "not-sent"
                                                : "cut",
                 this->has_response ? this->status : 0,
-                this->forward.events - this->events_before,
-                MpLoop_Now() - this->sent_ms);
+                this->forward.attempt_events, MpLoop_Now() - this->sent_ms);
     if (is_complete) {
         on_complete(this);
         return;
@@ -418,9 +364,9 @@
     this->received_ms = now_ms;
     this->expected_wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
-    this->events_before = this->forward.events;
     this->has_response = false;
     this->is_relayed = false;
+    this->is_event_stream = false;
     this->status = 0;
     MpForward_StartAttempt(&this->forward);
     MpPoolTarget_StartAttempt(target, &this->meta, picked->prefill_tokens,
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -72,10 +72,10 @@
     int64_t received_ms; /* last data from the target, at first sent_ms */
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
-    int64_t events_before; /* forward.events at the start of the attempt */
-    bool has_response;     /* the head of the target's response has arrived */
-    bool is_relayed;       /* the body of that response goes to the caller */
-    bool is_event_stream;
+    bool has_response;    /* the head of the target's response has arrived */
+    bool is_relayed;      /* the body of that response goes to the caller */
+    bool is_event_stream; /* ... by whole events */
+    bool is_stream_start; /* no byte of it has been looked at */
     int status;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -446,7 +446,7 @@
     call->check = check;
     check->call = call;
     check->has_begun = call->has_response;
-    if (parts > 0 && call->forward.events == call->events_before) {
+    if (parts > 0 && call->forward.attempt_events == 0) {
         check->parts = g_byte_array_new();
         g_byte_array_set_size(check->parts, parts * MP_HASH_BYTES);
         for (unsigned key = 1; key <= parts; key++) {
@@ -565,7 +565,7 @@
     const struct MpSuspects *suspects = &call->gateway->control->suspects;
     uint8_t fingerprint[MP_HASH_BYTES];
     if (call->stage != MP_CALL_RUNNING || !call->conn ||
-        call->forward.events > call->events_before) {
+        call->forward.attempt_events > 0) {
         return false;
     }
     for (unsigned key = 1; key < MpCallFingerprint_Count(call); key++) {
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -79,6 +79,8 @@
     47: ("snapshot drops where streams began", "FuzzVersions", 200),
     48: ("version used before all know of it", "FuzzVersions", 1000),
     49: ("old knowledge of versions trusted", "FuzzVersions", 1000),
+    50: ("events of a stream repeated by the next target", "FuzzForward", 50),
+    51: ("stream without ids goes on", "FuzzForward", 50),
 }
 
 
