A chat stream is followed by events of its next engine only

What callers saw: a chat stream broke off after three events, and the body of the next engine's 404, 400, JSON or text answer stood behind them, with a last chunk as if it were complete. After a 500, and where the next engine could not be reached, the error event that ends such a stream was missing. A compressed answer was joined; Text/Event-Stream was taken for a plain answer.

Cause: only 429 and statuses of 500 and above were retried; every other answer was buffered and written behind what had been sent. The error event depended on the last attempt being a stream, not on the response having begun as one. The type was compared by its first bytes, in lower case.

Change: an answer that is to go on with a stream and is none ends its attempt at the head, as one that may have run: another engine is asked within the limits, or the stream ends with the error event and without its last chunk. The head is judged by EventStream, as on paths. Only streams begin before their engine has finished, so the error event is written whenever the head was sent.

Not checked: at which place an engine goes on. Events of engines have no ids; the engine is told the number of tokens sent.

--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -205,13 +205,13 @@
     this->is_aborted = true;
     MpMetrics_Count(&this->router->metrics, "mimosapath_cut_total", "cause",
                     MpError_Name(code), 1);
-    if (this->is_stream) {
-        char *text = MpErrorBody_Format(code, NULL, "unknown");
-        char *event = g_strdup_printf("data: %s\n\n", text);
-        MpExchange_Write(this, event, strlen(event));
-        g_free(event);
-        g_free(text);
-    }
+    /* Only streams begin before their target has finished, and they are sent
+     * by whole events. */
+    char *text = MpErrorBody_Format(code, NULL, "unknown");
+    char *event = g_strdup_printf("data: %s\n\n", text);
+    MpExchange_Write(this, event, strlen(event));
+    g_free(event);
+    g_free(text);
     this->is_output_closed = true;
     flush(this);
 }
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -252,9 +252,8 @@
 
 /* ---- responses of the target ---- */
 
-/* Logs an answer that is sent to resume a stream and is no event stream. */
 static void
-log_not_resumed(const struct MpExchange *this)
+log_not_resumed(const struct MpExchange *this, const char *reason)
 {
     char *escaped = MpEventStream_EscapeType(this->content_type,
                                              strlen(this->content_type));
@@ -262,30 +261,43 @@
                 "id=%s target=%s status=%d type=\"%s\" tokens=%" PRId64
                 " reason=%s",
                 this->request_id, this->target->name, this->status, escaped,
-                this->sent_tokens, this->status == 200 ? "type" : "status");
+                this->sent_tokens, reason);
     g_free(escaped);
 }
 
+/* Returns the last header called name, or NULL. */
+static const h2o_iovec_t *
+find_header(const h2o_header_t *headers, size_t count, const char *name)
+{
+    const h2o_iovec_t *value = NULL;
+    for (size_t i = 0; i < count; i++) {
+        if (h2o_memis(headers[i].name->base, headers[i].name->len, name,
+                      strlen(name))) {
+            value = &headers[i].value;
+        }
+    }
+    return value;
+}
+
 static void
 on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
 {
     struct MpExchange *this = owner;
+    const h2o_iovec_t *type = find_header(headers, count, "content-type");
+    const h2o_iovec_t *encoding =
+        find_header(headers, count, "content-encoding");
+    const char *reason = MpEventStream_Refute(
+        status, type ? type->base : NULL, type ? type->len : 0,
+        encoding ? encoding->base : NULL, encoding ? encoding->len : 0);
     this->status = status;
     g_free(this->content_type);
-    this->content_type = g_strdup("");
-    for (size_t i = 0; i < count; i++) {
-        if (h2o_memis(headers[i].name->base, headers[i].name->len,
-                      H2O_STRLIT("content-type"))) {
-            g_free(this->content_type);
-            this->content_type =
-                g_strndup(headers[i].value.base, headers[i].value.len);
-        }
-    }
-    this->is_stream =
-        this->is_chat && status == 200 &&
-        g_str_has_prefix(this->content_type, "text/event-stream");
+    this->content_type =
+        type ? g_strndup(type->base, type->len) : g_strdup("");
+    this->is_stream = this->is_chat && !reason;
     if (this->is_head_sent && !this->is_stream) {
-        log_not_resumed(this);
+        log_not_resumed(this, reason);
+        MpUpstream_Cancel(this->upstream);
+        fail_attempt(this, true);
     }
 }
 
