Events of a chat stream end at their size limit, not at twice that

MP_SSE_EVENT_MAX was applied to the buffer, doubled, so that an event of up to 512 KiB passed, and a longer one failed or not with the size of the reads. The limit now holds for the event with its empty line, however it arrives: the stream fails like one with an error of the engine. Several events of the limit in one read pass.

--- a/src/protocol/Sse.c
+++ b/src/protocol/Sse.c
@@ -34,7 +34,7 @@
 MpSse_Feed(struct MpSse *this, const void *data, size_t size)
 {
     discard_consumed(this);
-    if (this->buffer->len + size > 2 * MP_SSE_EVENT_MAX) {
+    if (this->is_too_long) {
         return MP_ERROR_TOO_LARGE;
     }
     g_byte_array_append(this->buffer, data, (guint)size);
@@ -91,17 +91,24 @@
 MpSse_Next(struct MpSse *this, struct MpSseEvent *event)
 {
     discard_consumed(this);
-    if (this->buffer->len == 0) {
+    if (this->buffer->len == 0 || this->is_too_long) {
         return false;
     }
     const guint8 *end =
         memmem(this->buffer->data, this->buffer->len, "\n\n", 2);
+    size_t size = end ? (size_t)(end - this->buffer->data) + 2
+                      : (size_t)this->buffer->len + 1;
+    if (size > MP_SSE_EVENT_MAX) {
+        this->is_too_long = true;
+        *event = (struct MpSseEvent){.kind = MP_SSE_ERROR};
+        return true;
+    }
     if (!end) {
         return false;
     }
-    *event = (struct MpSseEvent){.text = (const char *)this->buffer->data};
-    event->size = (size_t)(end - this->buffer->data) + 2;
-    this->consumed = event->size;
+    *event = (struct MpSseEvent){.text = (const char *)this->buffer->data,
+                                 .size = size};
+    this->consumed = size;
     classify(event);
     return true;
 }
--- a/src/protocol/Sse.h
+++ b/src/protocol/Sse.h
@@ -11,15 +11,16 @@
  * classifies each event (token, usage, error, end).
  */
 
-/* Size limit of an event, bytes; a longer one ends the stream.  MpSse_Feed()
- * applies it to the buffer, with a factor of two. */
+/* Size limit of an event with its empty line, bytes; a longer one ends the
+ * stream. */
 #define MP_SSE_EVENT_MAX (256 * 1024)
 
 enum MpSseKind {
     MP_SSE_OTHER, /* comment, or data of another kind */
     MP_SSE_TOKEN,
     MP_SSE_USAGE, /* token usage of the whole completion */
-    MP_SSE_ERROR, /* error reported by the engine */
+    MP_SSE_ERROR, /* error reported by the engine, or an event above the size
+                   * limit, without its text */
     MP_SSE_DONE   /* end of the stream, "[DONE]" */
 };
 
@@ -34,14 +35,15 @@
 
 struct MpSse {
     GByteArray *buffer;
-    size_t consumed; /* size of the event last returned, bytes */
+    size_t consumed;  /* size of the event last returned, bytes */
+    bool is_too_long; /* an event was above the size limit */
 };
 
 void MpSse_Init(struct MpSse *this);
 void MpSse_Done(struct MpSse *this);
 
-/* Appends received bytes.  Errors: MP_ERROR_TOO_LARGE if more than
- * 2 * MP_SSE_EVENT_MAX bytes would be buffered. */
+/* Appends received bytes.  Errors: MP_ERROR_TOO_LARGE after an event above the
+ * size limit. */
 int MpSse_Feed(struct MpSse *this, const void *data, size_t size);
 
 /* Removes the next complete event from the buffer and returns it in *event, or
