Chat events with CR LF, a mark, other fields or no blank are read

A chat stream whose lines end with CR LF never had an event and timed out; "data:" without a blank, a byte order mark, or an event or id line before the data made tokens "other" events: not counted, so neither billed nor skipped where the next engine goes on. [DONE] was missed the same way.

Blocks are now found by EventSplit, as on paths, and classified by their first data line. A byte order mark is left out.

TestSse "separators and fields": before, "" for "tD" with CR LF; now as expected in pieces of 1, 7, 4,096 bytes and in one.

--- a/src/protocol/Sse.c
+++ b/src/protocol/Sse.c
@@ -1,12 +1,13 @@
 #include "protocol/Sse.h"
 
+#include "protocol/EventSplit.h"
 #include "state/Error.h"
 #include "state/Json.h"
 
 #include <json.h>
 #include <string.h>
 
-#define DATA_PREFIX "data: "
+#define DATA_PREFIX "data:"
 #define DONE_TEXT "[DONE]"
 
 void
@@ -68,17 +69,29 @@
     json_tokener_free(tokener);
 }
 
+/* Classifies an event by its first data line. */
 static void
 classify(struct MpSseEvent *event)
 {
     size_t prefix = strlen(DATA_PREFIX);
+    const char *line = event->text;
+    const char *end = event->text + event->size;
     event->kind = MP_SSE_OTHER;
-    if (event->size < prefix ||
-        memcmp(event->text, DATA_PREFIX, prefix) != 0) {
+    while (line < end && ((size_t)(end - line) < prefix ||
+                          memcmp(line, DATA_PREFIX, prefix) != 0)) {
+        line = (const char *)memchr(line, '\n', (size_t)(end - line)) + 1;
+    }
+    if (line >= end) {
         return;
     }
-    const char *text = event->text + prefix;
-    size_t size = event->size - prefix;
+    const char *text = line + prefix;
+    size_t size =
+        (size_t)((const char *)memchr(text, '\n', (size_t)(end - text)) -
+                 text);
+    if (size > 0 && text[0] == ' ') {
+        text++;
+        size--;
+    }
     if (size >= strlen(DONE_TEXT) &&
         memcmp(text, DONE_TEXT, strlen(DONE_TEXT)) == 0) {
         event->kind = MP_SSE_DONE;
@@ -87,28 +100,45 @@
     classify_json(event, text, size);
 }
 
+/* Discards a byte order mark at the start of the stream.  Returns false if
+ * more data is needed to tell whether there is one. */
+static bool
+skip_mark(struct MpSse *this)
+{
+    if (this->is_begun) {
+        return true;
+    }
+    int size = MpEventSplit_MarkSize((const char *)this->buffer->data,
+                                     this->buffer->len);
+    if (size < 0) {
+        return false;
+    }
+    this->is_begun = true;
+    g_byte_array_remove_range(this->buffer, 0, (guint)size);
+    return true;
+}
+
 bool
 MpSse_Next(struct MpSse *this, struct MpSseEvent *event)
 {
+    struct MpEventBlock block;
     discard_consumed(this);
-    if (this->buffer->len == 0 || this->is_too_long) {
+    if (this->is_too_long || !skip_mark(this)) {
         return false;
     }
-    const guint8 *end =
-        memmem(this->buffer->data, this->buffer->len, "\n\n", 2);
-    size_t size = end ? (size_t)(end - this->buffer->data) + 2
-                      : (size_t)this->buffer->len + 1;
-    if (size > MP_SSE_EVENT_MAX) {
+    const char *text = (const char *)this->buffer->data;
+    bool is_complete = MpEventSplit_Next(text, this->buffer->len, &block);
+    if (is_complete ? block.size > MP_SSE_EVENT_MAX
+                    : this->buffer->len >= MP_SSE_EVENT_MAX) {
         this->is_too_long = true;
         *event = (struct MpSseEvent){.kind = MP_SSE_ERROR};
         return true;
     }
-    if (!end) {
+    if (!is_complete) {
         return false;
     }
-    *event = (struct MpSseEvent){.text = (const char *)this->buffer->data,
-                                 .size = size};
-    this->consumed = size;
+    *event = (struct MpSseEvent){.text = text, .size = block.size};
+    this->consumed = event->size;
     classify(event);
     return true;
 }
--- a/src/protocol/Sse.h
+++ b/src/protocol/Sse.h
@@ -36,6 +36,7 @@
 struct MpSse {
     GByteArray *buffer;
     size_t consumed;  /* size of the event last returned, bytes */
+    bool is_begun;    /* past a byte order mark */
     bool is_too_long; /* an event was above the size limit */
 };
 
--- a/tests/TestSse.c
+++ b/tests/TestSse.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
-/* Sizes of the events of a chat stream. */
+/* Sizes, separators and fields of the events of a chat stream. */
 
 /* Feeds text in pieces, up to the first error.  Returns the kinds of its
  * events as letters, "!" if data is refused. */
@@ -32,6 +32,17 @@
     return g_string_free(kinds, FALSE);
 }
 
+static void
+check(const char *text, const char *expected)
+{
+    static const size_t pieces[] = {1, 7, 4096, SIZE_MAX / 2};
+    for (size_t i = 0; i < G_N_ELEMENTS(pieces); i++) {
+        char *kinds = read_kinds(text, strlen(text), pieces[i]);
+        g_assert_cmpstr(kinds, ==, expected);
+        g_free(kinds);
+    }
+}
+
 /* Returns an event with size bytes altogether. */
 static char *
 make_event(size_t size)
@@ -66,11 +77,30 @@
     g_free(longest);
 }
 
+#define TOKEN "{\"choices\":[{}]}"
+
+static void
+test_separators_and_fields(void)
+{
+    check("data: " TOKEN "\n\ndata: [DONE]\n\n", "tD");
+    check("data: " TOKEN "\r\n\r\ndata: [DONE]\r\n\r\n", "tD");
+    check("data:" TOKEN "\n\ndata:[DONE]\n\n", "tD");
+    check("\xef\xbb\xbf"
+          "data: " TOKEN "\n\ndata: [DONE]\n\n",
+          "tD");
+    check("event: x\nid: 7\ndata: " TOKEN "\n\n", "t");
+    check(": a comment\n\nretry: 5\n\n", "oo");
+    check("data: " TOKEN "\n: a comment\n\n", "t");
+    check("data: " TOKEN, "");
+    check("data: {\"error\":1}\n\n", "e");
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/sse/event of twice the limit passes",
                     test_event_of_twice_the_limit_passes);
+    g_test_add_func("/sse/separators and fields", test_separators_and_fields);
     return g_test_run();
 }
