Streams that may go on elsewhere are sent in chunks

What callers saw: a stream with a length broke off and another target went on with it; its last bytes stood before the next answer of the connection, or the caller waited for bytes that never came.

Cause: the caller was told the first target's content length, while the rest of the body is another target's, with its own line ends, comments and events.

Change: an event stream of a path that resumes has no length; its end is the last chunk, or the cut. Other streams and plain answers keep theirs.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -152,8 +152,11 @@
     if (this->response.req) {
         MpGatewayRequest_CopyHeaders(head, this->response.req);
     }
+    /* The length holds for the first target's bytes only. */
+    bool has_size =
+        head->size >= 0 && !(this->is_event_stream && is_resumable(this));
     MpCallerResponse_Start(&this->response, head->status,
-                           head->size >= 0 ? (size_t)head->size : SIZE_MAX);
+                           has_size ? (size_t)head->size : SIZE_MAX);
 }
 
 static void
