More endings and orders in stream_resumed_by_another_answer

An event above the limit in one piece, an end inside an event, a step of two in the ids (passed on), a first target whose ids step back (cut, never resumed), one that ends after a comment (resumed), and HEAD.

--- a/tests/runs/stream_resumed_by_another_answer.py
+++ b/tests/runs/stream_resumed_by_another_answer.py
@@ -57,6 +57,10 @@
         c, r, numbered(3, 5) + numbered(4, EVENTS), STREAM),
     "without-ids": lambda c, r: send_chunked(
         c, r, ["data: FOREIGN\n\n"], STREAM),
+    "too-long": lambda c, r: send_chunked(
+        c, r, [EVENT % (3, 3), "id: 4\ndata: %s\n\n" % ("x" * 65536)], STREAM),
+    "ends-inside": lambda c, r: send_chunked(
+        c, r, numbered(3, 5) + ["id: 5\ndata: piece-5\n"], STREAM),
     # These go on with the stream.
     "other-case": lambda c, r: send_chunked(
         c, r, numbered(3, EVENTS),
@@ -67,6 +71,8 @@
         c, r, [": hello\n\n", "retry: 5\n\n"] + numbered(3, EVENTS), STREAM),
     "crlf": lambda c, r: send_chunked(
         c, r, [e.replace("\n", "\r\n") for e in numbered(3, EVENTS)], STREAM),
+    "step-of-two": lambda c, r: send_chunked(
+        c, r, [EVENT % (5, 5)], STREAM),
     "empty": lambda c, r: send_chunked(c, r, [], STREAM),
 }
 
@@ -90,6 +96,19 @@
         send_chunk(conn, "data: piece-0\n\n")
         send_chunk(conn, "data: pie")
         return False
+    if first == 0 and how == "unordered":
+        start_event_stream(conn, request)
+        for number in (0, 2, 1):
+            send_chunk(conn, EVENT % (number, number))
+        return False
+    if first == 0 and how == "comment-last":
+        start_event_stream(conn, request)
+        for event in numbered(0, 2) + [": wait\n\n", ": wai"]:
+            send_chunk(conn, event)
+        return False
+    if request["method"] == "HEAD":
+        conn.sendall(head(request, STREAM).encode())
+        return False
     if first == 0 and how not in seen:
         seen.add(how)
         start_event_stream(conn, request)
@@ -140,8 +159,13 @@
         report(how, "/two/x")
         report(how, "/three/x")
     for how in ("plain-first", "plain-first-cut", "encoded-first",
-                "unnumbered"):
+                "unnumbered", "unordered", "comment-last"):
         report(how, "/three/x")
+    data = send(fleet, "i0", "/three/x", {"x-how": "head",
+                                          "x-mimosapath-request": "head"},
+                method="HEAD")
+    print("head", status_of(data), header_of(data, "content-type"),
+          data.split(b"\r\n\r\n", 1)[1])
     runs = {}
     for target in targets:
         for request in target.requests:
