A stream that its caller takes up goes on after the caller's last event

What callers saw: a caller that sent `last-event-id` got events again that it had, with an end that looked complete, if the target answered from another place.

Cause: ids were compared only where this router had joined two answers.

Change: on paths that resume, the events of each attempt that was asked to go on after an event must follow it. Otherwise the attempt may have run and another target is asked, or the answer is cut. Paths that do not resume pass the header and the answer on as before.

Evidence: taken_up_stream_repeats_events: before, repeated events or one without an id in 6 of 6 cases on such paths; now none, and the second target goes on in 3 of 3. Its expectation was written with status 200 for answers cut before their first event; their connection may close before the head, so the run prints whether the answer was whole instead.

--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -30,6 +30,9 @@
     this->sends++;
     this->attempt_events = 0;
     this->is_resuming = this->is_head_sent;
+    this->is_positioned =
+        this->is_resuming ||
+        (this->repeat == MP_REPEAT_RESUME && this->last_event >= 0);
 }
 
 void
@@ -42,7 +45,7 @@
 static bool
 continues(const struct MpForward *this, bool has_data, int64_t id)
 {
-    if (!this->is_resuming || this->last_event < 0 ||
+    if (!this->is_positioned || this->last_event < 0 ||
         MP_FAULT(MP_FAULT_EVENT_REPEATED)) {
         return true;
     }
