--- a/tests/runs/chat_stream_followed_by_error.py
+++ b/tests/runs/chat_stream_followed_by_error.py
@@ -48,6 +48,9 @@
         return respond(conn, request, json.dumps({"boot": target.name}))
     state["number"] += 1
     if state["number"] == 1:
+        if state["how"] == "unreachable":
+            for other in targets:
+                other.listener.shutdown(socket.SHUT_RDWR)
         return send_stream(conn, 0, 3, False)
     if state["number"] == 2 or not state["third"]:
         ANSWERS[state["how"]](conn, request)
@@ -104,4 +107,5 @@
         ask(how, False)
         if how != "other-case":
             ask(how, True)
+    ask("unreachable", False)
     print("reserved", fleet.wait_settled()["reserved_mtok"])
