--- a/fuzz/FuzzForward.c
+++ b/fuzz/FuzzForward.c
@@ -7,7 +7,8 @@
 
 /*
  * FuzzForward - fuzzes the retry decisions of MpForward: each request goes to
- * targets that refuse it, run it, or break the connection at any point.
+ * targets that refuse it, run it, break the connection at any point, leave out
+ * ids, or go on with a stream at a place before the one they were asked for.
  *
  * Oracle, from what the targets did: an at-most-once request runs at most
  * once; a request is refused as "not run" only if no target ran it; no more
@@ -38,18 +39,28 @@
     if (behavior <= 2) {
         return MP_RESULT_UNKNOWN;
     }
-    int64_t first = forward->is_head_sent ? forward->last_event + 1 : 0;
+    int64_t first = forward->last_event + 1;
     int64_t stop =
         behavior == 3 ? (int64_t)FuzzInput_Below(input, EVENTS) : EVENTS;
-    forward->is_head_sent = true;
+    if (!forward->is_head_sent) {
+        MpForward_StartAnswer(forward, true);
+    }
+    if (forward->is_positioned && FuzzInput_Below(input, 4) == 0) {
+        /* The target goes on at another place than it was asked for. */
+        first = FuzzInput_Below(input, (uint32_t)first + 1);
+    }
+    /* An unnumbered stream, or events without an id among others. */
+    uint32_t unnumbered = FuzzInput_Below(input, 8);
     for (int64_t event = first; event < stop; event++) {
+        bool has_id = unnumbered > 1 || (unnumbered && event % 2 == 0);
+        if (!MpForward_TakeEvent(forward, true, has_id ? event : -1)) {
+            return MP_RESULT_CUT;
+        }
         if (event != oracle->next_event) {
             Fuzz_Fail("caller got event %d, expected %d", (int)event,
                       (int)oracle->next_event);
         }
         oracle->next_event++;
-        forward->events++;
-        forward->last_event = event;
     }
     *is_complete = behavior > 3;
     return MP_RESULT_CUT;
@@ -80,7 +91,12 @@
     struct MpForward forward;
     int64_t now_ms = 1000;
     bool is_complete;
-    MpForward_Init(&forward, &path, FuzzInput_Byte(input) * 10, -1, now_ms);
+    int64_t caller_ms = FuzzInput_Byte(input) * 10;
+    if (path.repeat == MP_REPEAT_RESUME && FuzzInput_Below(input, 4) == 0) {
+        /* The caller takes a stream up. */
+        oracle.next_event = FuzzInput_Below(input, EVENTS);
+    }
+    MpForward_Init(&forward, &path, caller_ms, oracle.next_event - 1, now_ms);
     int64_t deadline_ms = forward.deadline_ms;
     for (;;) {
         if (now_ms >= deadline_ms) {
