Extract ResponseReader from TargetConn

Reading the responses of a connection, and deciding which one answers the request under way, moves to a class without sockets and time, so that unit tests and a fuzzer can play bytes to it.

No decision changes, with one exception at the edge: a connection whose end arrives together with a complete response is closed at once; it used to become idle and be closed by the next event.

--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 CPPFLAGS = -Isrc -Iplatform -Itests -D_GNU_SOURCE -DH2O_USE_EPOLL=1 \
 	$(shell pkg-config --cflags $(PKGS) $(PROGRAM_PKGS) 2>/dev/null)
 CFLAGS = -std=c11 -O2 -g -Wall -Wextra -Werror $(SANITIZE)
-LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lz -lm -lpthread
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lz -lm \
+	-lpthread
 PROGRAM_LDLIBS = $(shell pkg-config --libs $(PROGRAM_PKGS) 2>/dev/null) \
-	-lhttp_parser -lcrypto $(LDLIBS)
+	-lcrypto $(LDLIBS)
 
 OBJ = $(BUILD)/obj
 LIBRARY_O = $(LIBRARY:src/%.c=$(OBJ)/%.o)
--- /dev/null
+++ b/src/protocol/ResponseReader.c
@@ -0,0 +1,249 @@
+#include "protocol/ResponseReader.h"
+
+#include <string.h>
+
+/* Offsets and sizes of a header in the text of the head. */
+struct header_span {
+    guint name;
+    guint name_size;
+    guint value;
+    guint value_size;
+};
+
+const char *
+MpTargetHead_Find(const struct MpTargetHead *this, const char *name,
+                  size_t *size)
+{
+    size_t length = strlen(name);
+    for (size_t i = 0; i < this->count; i++) {
+        const struct MpTargetHeader *header = &this->headers[i];
+        if (header->name_size == length &&
+            g_ascii_strncasecmp(header->name, name, length) == 0) {
+            *size = header->value_size;
+            return header->value;
+        }
+    }
+    return NULL;
+}
+
+/* ---- callbacks of the parser ---- */
+
+static struct header_span *
+last_span(struct MpResponseReader *this)
+{
+    return &g_array_index(this->spans, struct header_span,
+                          this->spans->len - 1);
+}
+
+static int
+on_header_field(http_parser *parser, const char *data, size_t size)
+{
+    struct MpResponseReader *this = parser->data;
+    if (this->is_last_value || this->spans->len == 0) {
+        struct header_span span = {.name = (guint)this->text->len};
+        g_array_append_val(this->spans, span);
+        this->is_last_value = false;
+    }
+    g_string_append_len(this->text, data, (gssize)size);
+    last_span(this)->name_size += (guint)size;
+    return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
+}
+
+static int
+on_header_value(http_parser *parser, const char *data, size_t size)
+{
+    struct MpResponseReader *this = parser->data;
+    if (!this->is_last_value) {
+        this->is_last_value = true;
+        last_span(this)->value = (guint)this->text->len;
+    }
+    g_string_append_len(this->text, data, (gssize)size);
+    last_span(this)->value_size += (guint)size;
+    return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
+}
+
+static bool
+is_own_response(const struct MpResponseReader *this,
+                const struct MpTargetHead *head)
+{
+    size_t size;
+    if (!this->id_header || !this->id) {
+        return true;
+    }
+    const char *value = MpTargetHead_Find(head, this->id_header, &size);
+    return !value ||
+           (size == strlen(this->id) && memcmp(value, this->id, size) == 0);
+}
+
+/* Counts bytes of stray responses.  Returns true when there are too many. */
+static bool
+count_stray(struct MpResponseReader *this, size_t size)
+{
+    this->stray_bytes += size;
+    return this->stray_bytes > MP_TARGET_STRAY_MAX_BYTES;
+}
+
+/* Decides whose response begins with this head.  Returns false if there was
+ * too much stray data. */
+static bool
+handle_head(struct MpResponseReader *this, const struct MpTargetHead *head)
+{
+    bool is_interim = head->status >= 100 && head->status < 200;
+    this->is_stray = is_interim || !is_own_response(this, head);
+    if (!this->is_stray) {
+        this->klass->head(this->owner, head);
+        return true;
+    }
+    if (!is_interim) {
+        this->is_reusable = false;
+    }
+    return !count_stray(this, this->text->len + 1);
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    struct MpResponseReader *this = parser->data;
+    guint count = this->spans->len;
+    struct MpTargetHeader *headers = g_new(struct MpTargetHeader, count + 1);
+    for (guint i = 0; i < count; i++) {
+        const struct header_span *span =
+            &g_array_index(this->spans, struct header_span, i);
+        headers[i] =
+            (struct MpTargetHeader){.name = this->text->str + span->name,
+                                    .name_size = span->name_size,
+                                    .value = this->text->str + span->value,
+                                    .value_size = span->value_size};
+    }
+    bool has_size = (parser->flags & F_CONTENTLENGTH) != 0;
+    struct MpTargetHead head = {
+        .status = (int)parser->status_code,
+        .size = has_size ? (int64_t)parser->content_length : -1,
+        .headers = headers,
+        .count = count};
+    bool is_valid = handle_head(this, &head);
+    g_free(headers);
+    if (!is_valid) {
+        return -1;
+    }
+    return this->is_head_request ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t size)
+{
+    struct MpResponseReader *this = parser->data;
+    if (this->is_stray) {
+        return count_stray(this, size);
+    }
+    this->klass->body(this->owner, data, size);
+    return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    struct MpResponseReader *this = parser->data;
+    this->is_complete = true;
+    if (!http_should_keep_alive(parser)) {
+        this->is_reusable = false;
+    }
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+/* ---- interface ---- */
+
+void
+MpResponseReader_Init(struct MpResponseReader *this,
+                      const struct MpResponseReaderClass *klass, void *owner)
+{
+    *this = (struct MpResponseReader){
+        .klass = klass,
+        .owner = owner,
+        .text = g_string_new(NULL),
+        .spans = g_array_new(false, false, sizeof(struct header_span))};
+}
+
+void
+MpResponseReader_Done(struct MpResponseReader *this)
+{
+    g_string_free(this->text, TRUE);
+    g_array_unref(this->spans);
+    g_free(this->id_header);
+    g_free(this->id);
+}
+
+static void
+start_response(struct MpResponseReader *this)
+{
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+    g_string_truncate(this->text, 0);
+    g_array_set_size(this->spans, 0);
+    this->is_last_value = false;
+    this->is_stray = false;
+    this->is_complete = false;
+}
+
+void
+MpResponseReader_Start(struct MpResponseReader *this,
+                       const struct MpExpectedResponse *expected)
+{
+    g_free(this->id_header);
+    g_free(this->id);
+    this->id_header = g_strdup(expected->id_header);
+    this->id = g_strdup(expected->id);
+    this->is_head_request = expected->is_head;
+    this->stray_bytes = 0;
+    this->is_reusable = true;
+    start_response(this);
+}
+
+enum MpReadResult
+MpResponseReader_Read(struct MpResponseReader *this, const char *data,
+                      size_t size, bool is_end, size_t *used)
+{
+    *used = 0;
+    if (is_end) {
+        this->is_reusable = false;
+    }
+    while (*used < size || is_end) {
+        /* Without data the parser is told the end of the connection. */
+        size_t left = size - *used;
+        size_t step = http_parser_execute(&this->parser, &parser_settings,
+                                          left > 0 ? data + *used : "", left);
+        enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
+        if (error != HPE_OK && error != HPE_PAUSED) {
+            return MP_READ_INVALID;
+        }
+        *used += MIN(step, left);
+        if (this->is_complete && !this->is_stray) {
+            return left > 0 ? MP_READ_COMPLETE : MP_READ_CLOSED;
+        }
+        if (left == 0) {
+            return MP_READ_INVALID;
+        }
+        if (this->is_complete) {
+            start_response(this);
+        }
+        else if (*used < size) {
+            return MP_READ_INVALID;
+        }
+    }
+    return MP_READ_MORE;
+}
+
+bool
+MpResponseReader_MayKeep(const struct MpResponseReader *this)
+{
+    return this->is_reusable;
+}
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -1,22 +1,10 @@
 #include "transport/TargetConn.h"
 
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Maximum size of a response head, bytes. */
-#define HEAD_MAX_BYTES 65536
-
-/* Offsets and sizes of a header in the text of the head. */
-struct header_span {
-    guint name;
-    guint name_size;
-    guint value;
-    guint value_size;
-};
-
 struct MpTargetConn {
     const struct MpTargetConnClass *klass; /* NULL while idle */
     void *owner;
@@ -25,21 +13,9 @@
     GList link; /* in conn_pool->idle */
     h2o_socket_t *socket;
     struct MpTimer timer;
-    http_parser parser;
+    struct MpResponseReader reader;
     GByteArray *request;
-    char *id_header;
-    char *id;
-    GString *head;
-    GArray *headers;    /* of struct header_span */
-    bool is_last_value; /* the last part parsed was a header value */
-    bool is_head_request;
-    bool is_sent; /* bytes of the request may have been sent */
     bool is_written;
-    bool is_stray;      /* the response being read is to be discarded */
-    size_t stray_bytes; /* received since the request was sent */
-    bool is_reusable;   /* nothing received so far rules it out */
-    bool is_complete;
-    bool is_closed; /* the target has closed the connection */
     bool is_paused;
     bool is_in_callback;  /* a callback of the owner is running */
     bool is_free_pending; /* free it after the callback */
@@ -47,16 +23,12 @@
     int64_t idle_since_ms;
 };
 
-static void on_read(h2o_socket_t *socket, const char *error);
-
 /* ---- lifetime ---- */
 
 static void
 clear_request(struct MpTargetConn *this)
 {
     g_clear_pointer(&this->request, g_byte_array_unref);
-    g_clear_pointer(&this->id_header, g_free);
-    g_clear_pointer(&this->id, g_free);
     this->klass = NULL;
     this->owner = NULL;
 }
@@ -84,8 +56,7 @@
     }
     this->conn_pool->open--;
     maybe_free_pool(this->conn_pool);
-    g_string_free(this->head, TRUE);
-    g_array_unref(this->headers);
+    MpResponseReader_Done(&this->reader);
     g_free(this);
 }
 
@@ -113,56 +84,6 @@
 
 /* ---- reading ---- */
 
-static struct header_span *
-last_header(struct MpTargetConn *this)
-{
-    return &g_array_index(this->headers, struct header_span,
-                          this->headers->len - 1);
-}
-
-static int
-on_header_field(http_parser *parser, const char *data, size_t size)
-{
-    struct MpTargetConn *this = parser->data;
-    if (this->is_last_value || this->headers->len == 0) {
-        struct header_span span = {.name = (guint)this->head->len};
-        g_array_append_val(this->headers, span);
-        this->is_last_value = false;
-    }
-    g_string_append_len(this->head, data, (gssize)size);
-    last_header(this)->name_size += (guint)size;
-    return this->head->len > HEAD_MAX_BYTES;
-}
-
-static int
-on_header_value(http_parser *parser, const char *data, size_t size)
-{
-    struct MpTargetConn *this = parser->data;
-    if (!this->is_last_value) {
-        this->is_last_value = true;
-        last_header(this)->value = (guint)this->head->len;
-    }
-    g_string_append_len(this->head, data, (gssize)size);
-    last_header(this)->value_size += (guint)size;
-    return this->head->len > HEAD_MAX_BYTES;
-}
-
-const char *
-MpTargetHead_Find(const struct MpTargetHead *this, const char *name,
-                  size_t *size)
-{
-    size_t length = strlen(name);
-    for (size_t i = 0; i < this->count; i++) {
-        const struct MpTargetHeader *header = &this->headers[i];
-        if (header->name_size == length &&
-            g_ascii_strncasecmp(header->name, name, length) == 0) {
-            *size = header->value_size;
-            return header->value;
-        }
-    }
-    return NULL;
-}
-
 /* Returns the idle timeout from timeout=SECONDS in a Keep-Alive header, or the
  * default, ms. */
 static int64_t
@@ -181,108 +102,27 @@
     return idle_timeout_ms;
 }
 
-static bool
-is_own_response(const struct MpTargetConn *this,
-                const struct MpTargetHead *head)
-{
-    size_t size;
-    if (!this->id_header || !this->id) {
-        return true;
-    }
-    const char *value = MpTargetHead_Find(head, this->id_header, &size);
-    return !value ||
-           (size == strlen(this->id) && memcmp(value, this->id, size) == 0);
-}
-
-/* Counts bytes of stray responses.  Returns true when there are too many. */
-static bool
-count_stray(struct MpTargetConn *this, size_t size)
-{
-    this->stray_bytes += size;
-    return this->stray_bytes > MP_TARGET_STRAY_MAX_BYTES;
-}
-
-static int
-on_headers_complete(http_parser *parser)
-{
-    struct MpTargetConn *this = parser->data;
-    guint count = this->headers->len;
-    struct MpTargetHeader *headers = g_new(struct MpTargetHeader, count + 1);
-    for (guint i = 0; i < count; i++) {
-        const struct header_span *span =
-            &g_array_index(this->headers, struct header_span, i);
-        headers[i] =
-            (struct MpTargetHeader){.name = this->head->str + span->name,
-                                    .name_size = span->name_size,
-                                    .value = this->head->str + span->value,
-                                    .value_size = span->value_size};
-    }
-    bool has_size = (parser->flags & F_CONTENTLENGTH) != 0;
-    struct MpTargetHead head = {
-        .status = (int)parser->status_code,
-        .size = has_size ? (int64_t)parser->content_length : -1,
-        .headers = headers,
-        .count = count};
-    bool is_interim = head.status >= 100 && head.status < 200;
-    this->is_stray = is_interim || !is_own_response(this, &head);
-    if (this->is_stray && !is_interim) {
-        this->is_reusable = false;
-    }
-    if (this->is_stray && count_stray(this, this->head->len + 1)) {
-        g_free(headers);
-        return -1;
-    }
-    if (!this->is_stray && this->klass) {
-        this->idle_timeout_ms = read_idle_timeout(&head);
-        this->klass->head(this->owner, &head);
-    }
-    g_free(headers);
-    return this->is_head_request ? 1 : 0;
-}
-
-static int
-on_body(http_parser *parser, const char *data, size_t size)
+static void
+on_head(void *owner, const struct MpTargetHead *head)
 {
-    struct MpTargetConn *this = parser->data;
-    if (this->is_stray) {
-        return count_stray(this, size);
-    }
-    if (this->klass && !this->is_free_pending) {
-        this->klass->body(this->owner, data, size);
+    struct MpTargetConn *this = owner;
+    if (this->klass) {
+        this->idle_timeout_ms = read_idle_timeout(head);
+        this->klass->head(this->owner, head);
     }
-    return 0;
 }
 
 static void
-start_parser(struct MpTargetConn *this)
+on_body(void *owner, const char *data, size_t size)
 {
-    http_parser_init(&this->parser, HTTP_RESPONSE);
-    this->parser.data = this;
-    g_string_truncate(this->head, 0);
-    g_array_set_size(this->headers, 0);
-    this->is_last_value = false;
-    this->is_stray = false;
-}
-
-static int
-on_message_complete(http_parser *parser)
-{
-    struct MpTargetConn *this = parser->data;
-    this->is_complete = true;
-    if (!http_should_keep_alive(parser)) {
-        this->is_reusable = false;
+    struct MpTargetConn *this = owner;
+    if (this->klass) {
+        this->klass->body(this->owner, data, size);
     }
-    http_parser_pause(parser, 1);
-    return 0;
 }
 
-static const http_parser_settings parser_settings = {
-    .on_header_field = on_header_field,
-    .on_header_value = on_header_value,
-    .on_headers_complete = on_headers_complete,
-    .on_body = on_body,
-    .on_message_complete = on_message_complete,
-};
+static const struct MpResponseReaderClass reader_class = {.head = on_head,
+                                                          .body = on_body};
 
 static void
 become_idle(struct MpTargetConn *this)
@@ -295,17 +135,17 @@
 /* Ends a request with a complete response, and keeps or closes the
  * connection. */
 static void
-complete(struct MpTargetConn *this)
+complete(struct MpTargetConn *this, enum MpTargetResult result)
 {
-    bool may_keep = this->is_reusable && this->is_written &&
-                    !this->conn_pool->is_deleted &&
+    bool may_keep = MpResponseReader_MayKeep(&this->reader) &&
+                    this->is_written && !this->conn_pool->is_deleted &&
                     this->socket->input->size == 0 && !this->is_paused;
     if (!may_keep) {
-        fail(this, this->is_closed ? MP_TARGET_CLOSED : MP_TARGET_COMPLETE);
+        fail(this, result);
         return;
     }
     this->is_in_callback = true;
-    finish(this, MP_TARGET_COMPLETE);
+    finish(this, result);
     this->is_in_callback = false;
     if (this->is_free_pending || this->conn_pool->is_deleted) {
         conn_free(this);
@@ -314,48 +154,11 @@
     become_idle(this);
 }
 
-/* Parses the received data.  Returns false when the request has ended and the
- * connection may be freed. */
-static bool
-parse_input(struct MpTargetConn *this, bool is_end)
-{
-    h2o_buffer_t **input = &this->socket->input;
-    do {
-        size_t size = (*input)->size;
-        if (size == 0 && !is_end) {
-            return true;
-        }
-        this->is_in_callback = true;
-        size_t used = http_parser_execute(&this->parser, &parser_settings,
-                                          (*input)->bytes, size);
-        this->is_in_callback = false;
-        if (this->is_free_pending) {
-            conn_free(this);
-            return false;
-        }
-        enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
-        if (error != HPE_OK && error != HPE_PAUSED) {
-            fail(this, MP_TARGET_INCOMPLETE);
-            return false;
-        }
-        h2o_buffer_consume(input, MIN(used, size));
-        if (!this->is_complete) {
-            return true;
-        }
-        this->is_complete = false;
-        if (!this->is_stray) {
-            complete(this);
-            return false;
-        }
-        start_parser(this);
-    } while ((*input)->size > 0);
-    return true;
-}
-
 static void
 on_read(h2o_socket_t *socket, const char *error)
 {
     struct MpTargetConn *this = socket->data;
+    size_t used;
     if (!this->klass) {
         /* Idle: the target closed the connection or sent unrequested data. */
         g_queue_unlink(&this->conn_pool->idle, &this->link);
@@ -367,13 +170,22 @@
         fail(this, MP_TARGET_INCOMPLETE);
         return;
     }
-    if (parse_input(this, false) && is_end) {
-        /* A response without a length ends with its connection. */
-        this->is_reusable = false;
-        this->is_closed = true;
-        if (parse_input(this, true)) {
-            fail(this, MP_TARGET_INCOMPLETE);
-        }
+    this->is_in_callback = true;
+    enum MpReadResult result =
+        MpResponseReader_Read(&this->reader, socket->input->bytes,
+                              socket->input->size, is_end, &used);
+    this->is_in_callback = false;
+    if (this->is_free_pending) {
+        conn_free(this);
+        return;
+    }
+    h2o_buffer_consume(&socket->input, used);
+    if (result == MP_READ_INVALID) {
+        fail(this, MP_TARGET_INCOMPLETE);
+    }
+    else if (result != MP_READ_MORE) {
+        complete(this, result == MP_READ_CLOSED ? MP_TARGET_CLOSED
+                                                : MP_TARGET_COMPLETE);
     }
 }
 
@@ -395,9 +207,6 @@
     h2o_iovec_t buffer =
         h2o_iovec_init(this->request->data, this->request->len);
     this->is_written = false;
-    this->is_sent = true;
-    this->stray_bytes = 0;
-    start_parser(this);
     h2o_socket_read_start(this->socket, on_read);
     h2o_socket_write(this->socket, &buffer, 1, on_written);
 }
@@ -417,7 +226,6 @@
         conn_free(this);
         return;
     }
-    start_parser(this);
     h2o_socket_read_start(this->socket, on_read);
     become_idle(this);
 }
@@ -514,8 +322,7 @@
     struct sockaddr_in addr;
     struct MpTargetConn *conn = g_new0(struct MpTargetConn, 1);
     conn->conn_pool = this;
-    conn->head = g_string_new(NULL);
-    conn->headers = g_array_new(false, false, sizeof(struct header_span));
+    MpResponseReader_Init(&conn->reader, &reader_class, conn);
     conn->idle_timeout_ms = MP_TARGET_IDLE_MS;
     this->open++;
     this->opened++;
@@ -549,11 +356,10 @@
     conn->klass = klass;
     conn->owner = owner;
     conn->request = request->bytes;
-    conn->id_header = g_strdup(request->id_header);
-    conn->id = g_strdup(request->id);
-    conn->is_head_request = request->is_head;
-    conn->is_complete = false;
-    conn->is_reusable = true;
+    MpResponseReader_Start(&conn->reader, &(struct MpExpectedResponse){
+                                              .id_header = request->id_header,
+                                              .id = request->id,
+                                              .is_head = request->is_head});
     if (!is_new) {
         write_request(conn);
         return conn;
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_TARGET_CONN_H
 #define MP_TRANSPORT_TARGET_CONN_H
 
+#include "protocol/ResponseReader.h"
 #include "transport/Loop.h"
 
 #include <glib.h>
@@ -29,9 +30,6 @@
 /* Receive buffer of a connection (SO_RCVBUF), bytes; with it a connection
  * within a region carries 30 MB/s. */
 #define MP_TARGET_WINDOW_BYTES 65536
-/* Maximum size of stray responses before the right one, bytes; several times
- * the longest complete response of the engines in use. */
-#define MP_TARGET_STRAY_MAX_BYTES 262144
 /* Timeout of a probe, ms; several round trips within a region. */
 #define MP_TARGET_PROBE_MS 150
 /* An idle connection is closed this long before the target's own idle timeout
@@ -57,21 +55,6 @@
 
 typedef void (*MpProbeDone)(void *owner, enum MpProbeResult result);
 
-struct MpTargetHeader {
-    const char *name;
-    size_t name_size;
-    const char *value;
-    size_t value_size;
-};
-
-/* Head of a response; valid during the callback only. */
-struct MpTargetHead {
-    int status;
-    int64_t size; /* of the body in bytes, -1 without Content-Length */
-    const struct MpTargetHeader *headers;
-    size_t count;
-};
-
 struct MpTargetConnClass {
     void (*head)(void *owner, const struct MpTargetHead *head);
     void (*body)(void *owner, const char *data, size_t size);
@@ -129,9 +112,4 @@
 void MpTargetConn_Pause(struct MpTargetConn *this);
 void MpTargetConn_Resume(struct MpTargetConn *this);
 
-/* Returns the value of a header, not zero-terminated, or NULL; *size is its
- * length. */
-const char *MpTargetHead_Find(const struct MpTargetHead *this,
-                              const char *name, size_t *size);
-
 #endif
--- /dev/null
+++ b/tests/TestResponseReader.c
@@ -0,0 +1,208 @@
+#include "protocol/ResponseReader.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Responses that arrive on one connection, and whose they are. */
+
+#define OWN "x-id: a-1\r\n"
+#define OTHER "x-id: b-2\r\n"
+#define SIZED(id, text, size)                                                 \
+    "HTTP/1.1 200 X\r\n" id "content-length: " #size "\r\n\r\n" text
+
+struct reading {
+    struct MpResponseReader reader;
+    int heads;
+    int status;
+    GString *body;
+    size_t used;
+};
+
+static void
+on_head(void *owner, const struct MpTargetHead *head)
+{
+    struct reading *this = owner;
+    this->heads++;
+    this->status = head->status;
+}
+
+static void
+on_body(void *owner, const char *data, size_t size)
+{
+    struct reading *this = owner;
+    g_string_append_len(this->body, data, (gssize)size);
+}
+
+static const struct MpResponseReaderClass reading_class = {.head = on_head,
+                                                           .body = on_body};
+
+static void
+reading_start(struct reading *this, const char *id, bool is_head)
+{
+    *this = (struct reading){.body = g_string_new(NULL)};
+    MpResponseReader_Init(&this->reader, &reading_class, this);
+    MpResponseReader_Start(
+        &this->reader, &(struct MpExpectedResponse){
+                           .id_header = "x-id", .id = id, .is_head = is_head});
+}
+
+static void
+reading_end(struct reading *this)
+{
+    g_string_free(this->body, TRUE);
+    MpResponseReader_Done(&this->reader);
+}
+
+static enum MpReadResult
+feed(struct reading *this, const char *text, bool is_end)
+{
+    return MpResponseReader_Read(&this->reader, text, strlen(text), is_end,
+                                 &this->used);
+}
+
+/* Reads text in two pieces, split at each byte. */
+static void
+check_split(const char *text, enum MpReadResult expected, int status,
+            const char *body, size_t rest)
+{
+    size_t size = strlen(text);
+    for (size_t at = 0; at <= size; at++) {
+        struct reading reading;
+        reading_start(&reading, "a-1", false);
+        char *first = g_strndup(text, at);
+        enum MpReadResult result = feed(&reading, first, false);
+        size_t used = reading.used;
+        if (result == MP_READ_MORE) {
+            g_assert_cmpuint(used, ==, at);
+            result = feed(&reading, text + at, false);
+            used += reading.used;
+        }
+        g_assert_cmpint(result, ==, expected);
+        g_assert_cmpint(reading.heads, ==, status > 0);
+        g_assert_cmpint(reading.status, ==, status);
+        g_assert_cmpstr(reading.body->str, ==, body);
+        if (expected == MP_READ_COMPLETE) {
+            g_assert_cmpuint(used, ==, size - rest);
+        }
+        g_free(first);
+        reading_end(&reading);
+    }
+}
+
+static void
+test_own_answer(void)
+{
+    check_split(SIZED(OWN, "hello", 5), MP_READ_COMPLETE, 200, "hello", 0);
+    check_split(SIZED(OWN, "hello", 5) "rest", MP_READ_COMPLETE, 200, "hello",
+                4);
+    check_split("HTTP/1.1 100 X\r\n\r\n" SIZED(OWN, "hello", 5),
+                MP_READ_COMPLETE, 200, "hello", 0);
+    check_split("HTTP/1.1 200 X\r\n" OWN
+                "transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n",
+                MP_READ_COMPLETE, 200, "he", 0);
+}
+
+static void
+test_answer_of_another_id(void)
+{
+    check_split(SIZED(OTHER, "foreign", 7), MP_READ_MORE, 0, "", 0);
+    check_split(SIZED(OTHER, "foreign", 7) SIZED(OWN, "own", 3),
+                MP_READ_COMPLETE, 200, "own", 0);
+    check_split(SIZED(OTHER, "foreign", 7) SIZED(OTHER, "", 0)
+                    SIZED(OWN, "own", 3),
+                MP_READ_COMPLETE, 200, "own", 0);
+}
+
+static void
+test_malformed(void)
+{
+    check_split("not a response\r\n\r\n", MP_READ_INVALID, 0, "", 0);
+    check_split(SIZED(OTHER, "foreign", 5), MP_READ_INVALID, 0, "", 0);
+}
+
+static void
+check_end(const char *text, enum MpReadResult expected, const char *body)
+{
+    struct reading reading;
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(feed(&reading, text, true), ==, expected);
+    g_assert_cmpstr(reading.body->str, ==, body);
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
+    reading_end(&reading);
+}
+
+static void
+test_end_of_connection(void)
+{
+    check_end("", MP_READ_INVALID, "");
+    check_end("HTTP/1.1 200 X\r\n" OWN, MP_READ_INVALID, "");
+    check_end("HTTP/1.1 200 X\r\n" OWN "\r\n", MP_READ_CLOSED, "");
+    check_end("HTTP/1.1 200 X\r\n" OWN "\r\nhello", MP_READ_CLOSED, "hello");
+    check_end(SIZED(OWN, "hello", 5), MP_READ_COMPLETE, "hello");
+    check_end(SIZED(OWN, "hello", 6), MP_READ_INVALID, "hello");
+    check_end(SIZED(OTHER, "foreign", 7), MP_READ_INVALID, "");
+    check_end("HTTP/1.1 200 X\r\n" OTHER "\r\nforeign", MP_READ_INVALID, "");
+}
+
+static void
+test_head_request(void)
+{
+    struct reading reading;
+    reading_start(&reading, "a-1", true);
+    g_assert_cmpint(feed(&reading, SIZED(OWN, "", 5), false), ==,
+                    MP_READ_COMPLETE);
+    g_assert_cmpint(reading.heads, ==, 1);
+    reading_end(&reading);
+}
+
+static void
+test_endless_stray_answers(void)
+{
+    struct reading reading;
+    size_t bytes = 0;
+    reading_start(&reading, "a-1", false);
+    while (feed(&reading, SIZED(OTHER, "foreign", 7), false) == MP_READ_MORE) {
+        bytes += strlen(SIZED(OTHER, "foreign", 7));
+        g_assert_cmpuint(bytes, <, 2 * MP_TARGET_STRAY_MAX_BYTES);
+    }
+    g_assert_cmpint(reading.heads, ==, 0);
+    reading_end(&reading);
+}
+
+static void
+test_keeping(void)
+{
+    struct reading reading;
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(feed(&reading, SIZED(OWN, "own", 3), false), ==,
+                    MP_READ_COMPLETE);
+    g_assert_true(MpResponseReader_MayKeep(&reading.reader));
+    reading_end(&reading);
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(
+        feed(&reading, SIZED(OTHER, "foreign", 7) SIZED(OWN, "own", 3), false),
+        ==, MP_READ_COMPLETE);
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
+    reading_end(&reading);
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(
+        feed(&reading, SIZED(OWN "connection: close\r\n", "own", 3), false),
+        ==, MP_READ_COMPLETE);
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
+    reading_end(&reading);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/reader/own answer", test_own_answer);
+    g_test_add_func("/reader/answer of another id", test_answer_of_another_id);
+    g_test_add_func("/reader/malformed", test_malformed);
+    g_test_add_func("/reader/end of connection", test_end_of_connection);
+    g_test_add_func("/reader/HEAD request", test_head_request);
+    g_test_add_func("/reader/endless stray answers",
+                    test_endless_stray_answers);
+    g_test_add_func("/reader/keeping the connection", test_keeping);
+    return g_test_run();
+}
