Log stray answers, and how an answer was attributed

Nothing said that an answer was read past, that one came without an id, or on which connection an attempt went. Three things now do:

- answer-stray: id, target, reason (other-id, unrequested), status, bytes, and how many requests the connection carried; counted by reason in mimosapath_answers_stray_total.
- attempt-ended: conn=new or kept, by=id, first (on a new connection) or order (next answer on a kept one).
- mimosapath_connections_reused_total per target, beside _opened_total.

No decision changes.

--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -62,17 +62,21 @@
     return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
 }
 
-static bool
-is_own_response(const struct MpResponseReader *this,
-                const struct MpTargetHead *head)
+/* Returns how the response is attributed to the request, or
+ * MP_ATTRIBUTION_NONE if it has the id of another one. */
+static enum MpAttribution
+attribute(const struct MpResponseReader *this, const struct MpTargetHead *head)
 {
     size_t size;
-    if (!this->id_header || !this->id) {
-        return true;
+    const char *value = this->id_header && this->id
+                            ? MpTargetHead_Find(head, this->id_header, &size)
+                            : NULL;
+    if (!value) {
+        return this->is_new_conn ? MP_ATTRIBUTION_FIRST : MP_ATTRIBUTION_ORDER;
     }
-    const char *value = MpTargetHead_Find(head, this->id_header, &size);
-    return !value ||
-           (size == strlen(this->id) && memcmp(value, this->id, size) == 0);
+    return size == strlen(this->id) && memcmp(value, this->id, size) == 0
+               ? MP_ATTRIBUTION_ID
+               : MP_ATTRIBUTION_NONE;
 }
 
 /* Counts bytes of stray responses.  Returns true when there are too many. */
@@ -89,13 +93,17 @@
 handle_head(struct MpResponseReader *this, const struct MpTargetHead *head)
 {
     bool is_interim = head->status >= 100 && head->status < 200;
-    this->is_stray = is_interim || !is_own_response(this, head);
+    if (!is_interim) {
+        this->attribution = attribute(this, head);
+    }
+    this->is_stray = this->attribution == MP_ATTRIBUTION_NONE;
     if (!this->is_stray) {
         this->klass->head(this->owner, head);
         return true;
     }
     if (!is_interim) {
         this->is_reusable = false;
+        this->klass->stray(this->owner, MP_STRAY_OTHER_ID, head);
     }
     return !count_stray(this, this->text->len + 1);
 }
@@ -203,6 +211,8 @@
     this->id_header = g_strdup(expected->id_header);
     this->id = g_strdup(expected->id);
     this->is_head_request = expected->is_head;
+    this->is_new_conn = expected->is_new_conn;
+    this->attribution = MP_ATTRIBUTION_NONE;
     this->stray_bytes = 0;
     this->is_reusable = true;
     start_response(this);
@@ -247,3 +257,29 @@
 {
     return this->is_reusable;
 }
+
+enum MpAttribution
+MpResponseReader_Attribution(const struct MpResponseReader *this)
+{
+    return this->attribution;
+}
+
+const char *
+MpAttribution_Name(enum MpAttribution attribution)
+{
+    static const char *const names[] = {[MP_ATTRIBUTION_NONE] = "none",
+                                        [MP_ATTRIBUTION_ID] = "id",
+                                        [MP_ATTRIBUTION_FIRST] = "first",
+                                        [MP_ATTRIBUTION_ORDER] = "order"};
+    return names[attribution];
+}
+
+const char *
+MpStrayReason_Name(enum MpStrayReason reason)
+{
+    static const char *const names[] = {[MP_STRAY_OTHER_ID] = "other-id",
+                                        [MP_STRAY_NO_ID] = "no-id",
+                                        [MP_STRAY_UNREQUESTED] =
+                                            "unrequested"};
+    return names[reason];
+}
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -51,9 +51,28 @@
     MP_READ_INVALID   /* malformed, cut off, or too much stray data */
 };
 
+/* How it was told that a response answers the request. */
+enum MpAttribution {
+    MP_ATTRIBUTION_NONE,  /* there was none */
+    MP_ATTRIBUTION_ID,    /* it has the id of the request */
+    MP_ATTRIBUTION_FIRST, /* first response on a new connection */
+    MP_ATTRIBUTION_ORDER  /* next response on a kept connection */
+};
+
+/* Why a response does not answer the request. */
+enum MpStrayReason {
+    MP_STRAY_OTHER_ID,    /* it has the id of another request */
+    MP_STRAY_NO_ID,       /* it has no id, and another request was before */
+    MP_STRAY_UNREQUESTED, /* it came while no request was under way */
+    MP_STRAY_REASONS
+};
+
 struct MpResponseReaderClass {
     void (*head)(void *owner, const struct MpTargetHead *head);
     void (*body)(void *owner, const char *data, size_t size);
+    /* A response is read past; head is its head. */
+    void (*stray)(void *owner, enum MpStrayReason reason,
+                  const struct MpTargetHead *head);
 };
 
 /* What is known of the request whose response is read.  The strings are
@@ -61,7 +80,8 @@
 struct MpExpectedResponse {
     const char *id_header; /* echoed in the response, or NULL */
     const char *id;
-    bool is_head; /* method HEAD */
+    bool is_head;     /* method HEAD */
+    bool is_new_conn; /* no other request was sent on the connection */
 };
 
 struct MpResponseReader {
@@ -74,6 +94,8 @@
     char *id_header;
     char *id;
     bool is_head_request;
+    bool is_new_conn;
+    enum MpAttribution attribution;
     bool is_stray;      /* the response being read is to be discarded */
     size_t stray_bytes; /* received since the request was sent */
     bool is_reusable;   /* nothing received so far rules it out */
@@ -102,6 +124,13 @@
  * connection to carry another request. */
 bool MpResponseReader_MayKeep(const struct MpResponseReader *this);
 
+/* Returns how the response was attributed to the request. */
+enum MpAttribution
+MpResponseReader_Attribution(const struct MpResponseReader *this);
+
+const char *MpAttribution_Name(enum MpAttribution attribution);
+const char *MpStrayReason_Name(enum MpStrayReason reason);
+
 /* Returns the value of a header, not zero-terminated, or NULL; *size is its
  * length. */
 const char *MpTargetHead_Find(const struct MpTargetHead *this,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -98,7 +98,8 @@
 MpGateway_GetConnPool(struct MpGateway *this, struct MpPoolTarget *target)
 {
     if (!target->connections) {
-        target->connections = MpConnPool_New(this->loop, target->address);
+        target->connections =
+            MpConnPool_New(this->loop, this->metrics, target->address);
     }
     return target->connections;
 }
@@ -422,6 +423,9 @@
             MpMetrics_WriteValue(out, "mimosapath_connections_opened_total",
                                  "target", target->incarnation,
                                  (int64_t)conns->opened);
+            MpMetrics_WriteValue(out, "mimosapath_connections_reused_total",
+                                 "target", target->incarnation,
+                                 (int64_t)conns->reused);
         }
     }
     MpMetrics_WriteValue(out, "mimosapath_path_requests_running", NULL, NULL,
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -302,19 +302,23 @@
 on_end(void *owner, enum MpTargetResult result)
 {
     struct MpGatewayCall *this = owner;
+    const struct MpTargetConn *conn = this->conn;
     this->conn = NULL;
     result = MpGatewayStream_Result(this, result);
     bool is_complete =
         result == MP_TARGET_COMPLETE || result == MP_TARGET_CLOSED;
     MpLog_Event(is_complete ? LOG_DEBUG : LOG_WARNING, "attempt-ended",
                 "id=%s target=%s how=%s status=%d events=%" PRId64
-                " took_ms=%" PRId64,
+                " conn=%s by=%s took_ms=%" PRId64,
                 this->id ? this->id : "-", this->target->incarnation,
                 is_complete                    ? "whole"
                 : result == MP_TARGET_NOT_SENT ? "not-sent"
                                                : "cut",
                 this->has_response ? this->status : 0,
-                this->forward.attempt_events, MpLoop_Now() - this->sent_ms);
+                this->forward.attempt_events,
+                MpTargetConn_IsKept(conn) ? "kept" : "new",
+                MpAttribution_Name(MpTargetConn_Attribution(conn)),
+                MpLoop_Now() - this->sent_ms);
     if (is_complete) {
         on_complete(this);
         return;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -1,5 +1,8 @@
 #include "transport/TargetConn.h"
 
+#include "transport/Log.h"
+
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -15,6 +18,7 @@
     struct MpTimer timer;
     struct MpResponseReader reader;
     GByteArray *request;
+    uint32_t requests; /* sent on it, with the current one */
     bool is_written;
     bool is_paused;
     bool is_in_callback;  /* a callback of the owner is running */
@@ -121,8 +125,32 @@
     }
 }
 
-static const struct MpResponseReaderClass reader_class = {.head = on_head,
-                                                          .body = on_body};
+static void
+report_stray(struct MpTargetConn *this, enum MpStrayReason reason, int status,
+             int64_t bytes)
+{
+    struct MpConnPool *conn_pool = this->conn_pool;
+    const char *name = MpStrayReason_Name(reason);
+    if (conn_pool->metrics) {
+        MpMetrics_Count(conn_pool->metrics, "mimosapath_answers_stray_total",
+                        "reason", name, 1);
+    }
+    MpLog_Event(LOG_WARNING, "answer-stray",
+                "id=%s target=%s reason=%s status=%d bytes=%" PRId64
+                " requests=%u",
+                this->klass && this->reader.id ? this->reader.id : "-",
+                conn_pool->address, name, status, bytes, this->requests);
+}
+
+static void
+on_stray(void *owner, enum MpStrayReason reason,
+         const struct MpTargetHead *head)
+{
+    report_stray(owner, reason, head->status, head->size);
+}
+
+static const struct MpResponseReaderClass reader_class = {
+    .head = on_head, .body = on_body, .stray = on_stray};
 
 static void
 become_idle(struct MpTargetConn *this)
@@ -161,6 +189,10 @@
     size_t used;
     if (!this->klass) {
         /* Idle: the target closed the connection or sent unrequested data. */
+        if (socket->input->size > 0) {
+            report_stray(this, MP_STRAY_UNREQUESTED, 0,
+                         (int64_t)socket->input->size);
+        }
         g_queue_unlink(&this->conn_pool->idle, &this->link);
         conn_free(this);
         return;
@@ -271,10 +303,12 @@
 /* ---- connection pools ---- */
 
 struct MpConnPool *
-MpConnPool_New(struct MpLoop *loop, const char *address)
+MpConnPool_New(struct MpLoop *loop, struct MpMetrics *metrics,
+               const char *address)
 {
     struct MpConnPool *this = g_new0(struct MpConnPool, 1);
     this->loop = loop;
+    this->metrics = metrics;
     this->address = g_strdup(address);
     g_queue_init(&this->idle);
     return this;
@@ -356,10 +390,13 @@
     conn->klass = klass;
     conn->owner = owner;
     conn->request = request->bytes;
-    MpResponseReader_Start(&conn->reader, &(struct MpExpectedResponse){
-                                              .id_header = request->id_header,
-                                              .id = request->id,
-                                              .is_head = request->is_head});
+    conn->requests++;
+    MpResponseReader_Start(
+        &conn->reader,
+        &(struct MpExpectedResponse){.id_header = request->id_header,
+                                     .id = request->id,
+                                     .is_head = request->is_head,
+                                     .is_new_conn = conn->requests == 1});
     if (!is_new) {
         write_request(conn);
         return conn;
@@ -389,6 +426,18 @@
     conn_free(this);
 }
 
+bool
+MpTargetConn_IsKept(const struct MpTargetConn *this)
+{
+    return this->requests > 1;
+}
+
+enum MpAttribution
+MpTargetConn_Attribution(const struct MpTargetConn *this)
+{
+    return MpResponseReader_Attribution(&this->reader);
+}
+
 void
 MpTargetConn_Pause(struct MpTargetConn *this)
 {
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -2,6 +2,7 @@
 #define MP_TRANSPORT_TARGET_CONN_H
 
 #include "protocol/ResponseReader.h"
+#include "state/Metrics.h"
 #include "transport/Loop.h"
 
 #include <glib.h>
@@ -67,6 +68,7 @@
 /* The connections to one target. */
 struct MpConnPool {
     struct MpLoop *loop;
+    struct MpMetrics *metrics; /* counts stray answers; or NULL */
     char *address;
     GQueue idle;     /* of struct MpTargetConn, newest first */
     uint32_t open;   /* connections, idle or in use */
@@ -85,7 +87,10 @@
     bool needs_new_conn; /* never on a reused connection */
 };
 
-struct MpConnPool *MpConnPool_New(struct MpLoop *loop, const char *address);
+/* metrics may be NULL. */
+struct MpConnPool *MpConnPool_New(struct MpLoop *loop,
+                                  struct MpMetrics *metrics,
+                                  const char *address);
 
 /* Closes the idle connections; requests under way are finished. */
 void MpConnPool_Delete(struct MpConnPool *this);
@@ -108,6 +113,14 @@
 /* Cancels the request and closes its connection; no callbacks follow. */
 void MpTargetConn_Cancel(struct MpTargetConn *this);
 
+/* Returns whether the connection carried another request before this one.
+ * During the callback end, too. */
+bool MpTargetConn_IsKept(const struct MpTargetConn *this);
+
+/* Returns how the response was attributed to the request.  During the callback
+ * end, too. */
+enum MpAttribution MpTargetConn_Attribution(const struct MpTargetConn *this);
+
 /* Stop and resume reading, for back-pressure. */
 void MpTargetConn_Pause(struct MpTargetConn *this);
 void MpTargetConn_Resume(struct MpTargetConn *this);
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -210,7 +210,7 @@
     this->dialect = MpDialect_Find(settings->dialect);
     this->targets = g_ptr_array_new_with_free_func(MpListedTarget_Delete);
     this->body = g_byte_array_new();
-    this->conn_pool = MpConnPool_New(loop, address);
+    this->conn_pool = MpConnPool_New(loop, NULL, address);
     return this;
 }
 
--- a/tests/TestResponseReader.c
+++ b/tests/TestResponseReader.c
@@ -13,6 +13,8 @@
 struct reading {
     struct MpResponseReader reader;
     int heads;
+    int strays;
+    enum MpStrayReason reason; /* of the last one */
     int status;
     GString *body;
     size_t used;
@@ -33,8 +35,18 @@
     g_string_append_len(this->body, data, (gssize)size);
 }
 
-static const struct MpResponseReaderClass reading_class = {.head = on_head,
-                                                           .body = on_body};
+static void
+on_stray(void *owner, enum MpStrayReason reason,
+         const struct MpTargetHead *head)
+{
+    struct reading *this = owner;
+    (void)head;
+    this->strays++;
+    this->reason = reason;
+}
+
+static const struct MpResponseReaderClass reading_class = {
+    .head = on_head, .body = on_body, .stray = on_stray};
 
 static void
 reading_start(struct reading *this, const char *id, bool is_head)
