--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -13,7 +13,14 @@
 import threading
 import time
 
-from fleet import KEY, Fleet, free_port, in_background
+from fleet import KEY, Fleet, free_port, in_background, wait_for
+
+# Names of the two interfaces: the header of the id, the header of a refusal,
+# and what names a caller.
+NATIVE = {"id": "x-mimosapath-request", "not_run": "x-mimosapath-not-run",
+          "caller": {}}
+PLATFORM = {"id": "x-attempt-id", "not_run": "x-not-executed",
+            "caller": {"x-api-key": KEY}}
 
 EVENT = "id: %d\ndata: piece-%d\n\n"
 
@@ -196,6 +203,51 @@
     return fleet, listed
 
 
+class PlatformFleet(Fleet):
+    """A fleet that speaks the platform's dialect."""
+
+    def __init__(self, paths=None, **options):
+        super().__init__(engines=0, services=0, budget_tokens=0, wait=False,
+                         **options)
+        routes = [{
+            "name": p["prefix"].strip("/"), "host": p["host"],
+            "path-prefix": p["prefix"], "service": p["shares"][0]["pool"],
+            "route-type": {"once": "non_idempotent",
+                           "any": "idempotent"}.get(p["repeat"], "streaming"),
+            "stream-resume": p["repeat"] == "resume",
+            "timeout-ms": p["timeout_ms"], "max-attempts": p["attempts_most"],
+            "target-latency-ms": p["latency_target_ms"]} for p in paths]
+        document = {"version": 1, "routes": routes, "services": [
+            {"name": p["shares"][0]["pool"]} for p in paths[:1]],
+            "tenants": [{"name": "w", "api-keys": [KEY]}]}
+        if not wait_for(lambda: self.operator_request(
+                "POST", "/config/replace",
+                json.dumps(document)).status == 200):
+            raise SystemExit("the configuration is not accepted")
+
+    def write_settings(self, name):
+        super().write_settings(name)
+        with open(self.path(name + ".json")) as text:
+            settings = json.load(text)
+        settings["dialect"] = "platform"
+        settings.pop("first_document", None)
+        self.write(name + ".json", json.dumps(settings))
+
+
+def platform_fleet(targets, paths, **options):
+    """Returns a fleet with the platform's dialect whose routes lead to the
+    targets, and its target list."""
+    entries = [{"id": t.name, "service": t.pool, "zone": "a",
+                "address": "127.0.0.1:%d" % t.port, "version": "v1",
+                "slots": 8, "state": "ready"} for t in targets]
+    listed = TargetList([], list_handler=lambda target, request, conn: respond(
+        conn, request, json.dumps({"instances": entries, "next": None})))
+    fleet = PlatformFleet(paths=paths, extra_settings={
+        "target_list": {"address": listed.address, "interval_ms": 200}},
+        **options)
+    return fleet, listed
+
+
 def send(fleet, name, path, headers=None, body="", method="POST",
          key=KEY, timeout=10, wait=True):
     """Sends a request; returns the bytes of the response up to the end of the
@@ -276,11 +328,11 @@
     return status_of(data), event_tokens * seen + (prompt if seen else 0)
 
 
-def wait_targets(fleet, name, path="/ready/", seconds=10):
+def wait_targets(fleet, name, path="/ready/", seconds=10, headers=None):
     """Waits until a request on the path is served; returns whether it was."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        if status_of(send(fleet, name, path)) == "200":
+        if status_of(send(fleet, name, path, headers)) == "200":
             return True
         time.sleep(0.05)
     return False
