An answer is attributed by its id or by a new connection, not by order

Callers got the answer of another request, or the refusal of one: "not run" for what ran, and a second run of what may run once.

Cause: TargetConn took a response without an id for that of the request under way on kept connections too, so whatever was left over from an earlier request answered the next one; an id could be sent twice on one connection; and requests whose callers name no id were all in that case.

Now - a response is the request's own if all its id headers have the id, or if it has none and is the first on a connection that carried nothing else; the rest is read past and logged; - a connection is kept only after a complete response with the own id, for 256 requests at most, never for the same id again, nor after HEAD (the framing of a second copy of its response can't be told); - after a response without an id on a kept connection, connections to this target are not kept for 60 s; - data or an end that waits before the request is written rules a connection out, new ones as well; - the instance names requests whose callers name no id, where the dialect says that targets take such ids (MpDialect.names_requests: ours, not the platform's); the id is in the logs and in the answer to the caller. One id header is sent, also where the caller sent several; - pages of the target list, which no id tells apart, come over one connection each.

path_pages told reads of the list apart by their connection; each page now has one of its own, so its page token names the read. It is as strict: a read that starts again at a refused page is still missing from the four pairs.

--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -50,8 +50,10 @@
     const char *name; /* value of the setting */
     struct MpCallerHeaders caller;
     struct MpTargetHeaders target;
-    bool is_paths_only; /* only paths of the document are served; there
-                         * are no native requests */
+    bool is_paths_only;  /* only paths of the document are served; there
+                          * are no native requests */
+    bool names_requests; /* targets take ids that the instance has chosen, for
+                          * requests whose callers name none */
     bool has_decimal_retry_after; /* Retry-After may have decimals */
     bool has_numbered_documents;  /* operators set the version of a document */
     const char *put_document_path; /* path to submit a document; or NULL */
--- a/src/protocol/NativeDialect.c
+++ b/src/protocol/NativeDialect.c
@@ -120,6 +120,7 @@
                .load = "x-mimosapath-load",
                .limit = "x-mimosapath-limit",
                .reserved = reserved},
+    .names_requests = true,
     .target_list_path = "/targets",
     .parse_document = MpDocument_Parse,
     .parse_targets = parse_targets,
--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -62,21 +62,41 @@
     return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
 }
 
-/* Returns how the response is attributed to the request, or
- * MP_ATTRIBUTION_NONE if it has the id of another one. */
+/* Reads the id headers of a response.  Returns whether there are any that are
+ * not empty; *is_own is whether they all have the id of the request. */
+static bool
+read_ids(const struct MpResponseReader *this, const struct MpTargetHead *head,
+         bool *is_own)
+{
+    bool has_id = false;
+    size_t length = strlen(this->id_header);
+    *is_own = true;
+    for (size_t i = 0; i < head->count; i++) {
+        const struct MpTargetHeader *header = &head->headers[i];
+        if (header->name_size != length || header->value_size == 0 ||
+            g_ascii_strncasecmp(header->name, this->id_header, length) != 0) {
+            continue;
+        }
+        has_id = true;
+        *is_own = *is_own && header->value_size == strlen(this->id) &&
+                  memcmp(header->value, this->id, header->value_size) == 0;
+    }
+    return has_id;
+}
+
+/* Decides whether the response answers the request; *reason is why not. */
 static enum MpAttribution
-attribute(const struct MpResponseReader *this, const struct MpTargetHead *head)
+attribute(const struct MpResponseReader *this, const struct MpTargetHead *head,
+          enum MpStrayReason *reason)
 {
-    size_t size;
-    const char *value = this->id_header && this->id
-                            ? MpTargetHead_Find(head, this->id_header, &size)
-                            : NULL;
-    if (!value) {
-        return this->is_new_conn ? MP_ATTRIBUTION_FIRST : MP_ATTRIBUTION_ORDER;
+    bool is_own;
+    if (this->id_header && this->id && read_ids(this, head, &is_own)) {
+        *reason = MP_STRAY_OTHER_ID;
+        return is_own ? MP_ATTRIBUTION_ID : MP_ATTRIBUTION_NONE;
     }
-    return size == strlen(this->id) && memcmp(value, this->id, size) == 0
-               ? MP_ATTRIBUTION_ID
-               : MP_ATTRIBUTION_NONE;
+    *reason = MP_STRAY_NO_ID;
+    return this->is_new_conn && !this->has_stray ? MP_ATTRIBUTION_FIRST
+                                                 : MP_ATTRIBUTION_NONE;
 }
 
 /* Counts bytes of stray responses.  Returns true when there are too many. */
@@ -93,8 +113,9 @@
 handle_head(struct MpResponseReader *this, const struct MpTargetHead *head)
 {
     bool is_interim = head->status >= 100 && head->status < 200;
+    enum MpStrayReason reason = MP_STRAY_UNREQUESTED;
     if (!is_interim) {
-        this->attribution = attribute(this, head);
+        this->attribution = attribute(this, head, &reason);
     }
     this->is_stray = this->attribution == MP_ATTRIBUTION_NONE;
     if (!this->is_stray) {
@@ -102,8 +123,8 @@
         return true;
     }
     if (!is_interim) {
-        this->is_reusable = false;
-        this->klass->stray(this->owner, MP_STRAY_OTHER_ID, head);
+        this->has_stray = true;
+        this->klass->stray(this->owner, reason, head);
     }
     return !count_stray(this, this->text->len + 1);
 }
@@ -154,7 +175,7 @@
     struct MpResponseReader *this = parser->data;
     this->is_complete = true;
     if (!http_should_keep_alive(parser)) {
-        this->is_reusable = false;
+        this->is_closing = true;
     }
     http_parser_pause(parser, 1);
     return 0;
@@ -214,7 +235,8 @@
     this->is_new_conn = expected->is_new_conn;
     this->attribution = MP_ATTRIBUTION_NONE;
     this->stray_bytes = 0;
-    this->is_reusable = true;
+    this->has_stray = false;
+    this->is_closing = false;
     start_response(this);
 }
 
@@ -224,7 +246,7 @@
 {
     *used = 0;
     if (is_end) {
-        this->is_reusable = false;
+        this->is_closing = true;
     }
     while (*used < size || is_end) {
         /* Without data the parser is told the end of the connection. */
@@ -255,7 +277,8 @@
 bool
 MpResponseReader_MayKeep(const struct MpResponseReader *this)
 {
-    return this->is_reusable;
+    return this->attribution == MP_ATTRIBUTION_ID && !this->has_stray &&
+           !this->is_closing && !this->is_head_request;
 }
 
 enum MpAttribution
@@ -269,8 +292,7 @@
 {
     static const char *const names[] = {[MP_ATTRIBUTION_NONE] = "none",
                                         [MP_ATTRIBUTION_ID] = "id",
-                                        [MP_ATTRIBUTION_FIRST] = "first",
-                                        [MP_ATTRIBUTION_ORDER] = "order"};
+                                        [MP_ATTRIBUTION_FIRST] = "first"};
     return names[attribution];
 }
 
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -17,6 +17,11 @@
  * and the body of the response to the request; a stray response, which belongs
  * to another request, is read past and shown to nobody.
  *
+ * A response belongs to the request if all its id headers have the id of the
+ * request, or if it has none and is the first one on a connection that carried
+ * no other request.  On a kept connection a response without an id may be left
+ * over from an earlier request, so it is stray.
+ *
  * After MP_READ_COMPLETE the connection may carry the next request only if
  * MpResponseReader_MayKeep returns true, and the owner must see to the rest:
  * the request was written in full and no data follows the response.
@@ -53,16 +58,16 @@
 
 /* How it was told that a response answers the request. */
 enum MpAttribution {
-    MP_ATTRIBUTION_NONE,  /* there was none */
-    MP_ATTRIBUTION_ID,    /* it has the id of the request */
-    MP_ATTRIBUTION_FIRST, /* first response on a new connection */
-    MP_ATTRIBUTION_ORDER  /* next response on a kept connection */
+    MP_ATTRIBUTION_NONE, /* there was none */
+    MP_ATTRIBUTION_ID,   /* it has the id of the request */
+    MP_ATTRIBUTION_FIRST /* first response on a new connection, without an
+                          * id */
 };
 
 /* Why a response does not answer the request. */
 enum MpStrayReason {
     MP_STRAY_OTHER_ID,    /* it has the id of another request */
-    MP_STRAY_NO_ID,       /* it has no id, and another request was before */
+    MP_STRAY_NO_ID,       /* it has no id, and may be left over */
     MP_STRAY_UNREQUESTED, /* it came while no request was under way */
     MP_STRAY_REASONS
 };
@@ -79,9 +84,9 @@
  * copied. */
 struct MpExpectedResponse {
     const char *id_header; /* echoed in the response, or NULL */
-    const char *id;
-    bool is_head;     /* method HEAD */
-    bool is_new_conn; /* no other request was sent on the connection */
+    const char *id;        /* or NULL */
+    bool is_head;          /* method HEAD */
+    bool is_new_conn;      /* no other request was sent on the connection */
 };
 
 struct MpResponseReader {
@@ -98,7 +103,8 @@
     enum MpAttribution attribution;
     bool is_stray;      /* the response being read is to be discarded */
     size_t stray_bytes; /* received since the request was sent */
-    bool is_reusable;   /* nothing received so far rules it out */
+    bool has_stray;     /* stray responses came before */
+    bool is_closing;    /* the connection ends after the response */
     bool is_complete;
 };
 
@@ -120,8 +126,10 @@
                                         const char *data, size_t size,
                                         bool is_end, size_t *used);
 
-/* Returns whether the responses read since MpResponseReader_Start allow the
- * connection to carry another request. */
+/* Returns whether the connection may carry another request: the response had
+ * the id of the request, nothing else was read, and the target keeps the
+ * connection open.  Not after a HEAD request, since a second copy of its
+ * response could not be told from one that has a body. */
 bool MpResponseReader_MayKeep(const struct MpResponseReader *this);
 
 /* Returns how the response was attributed to the request. */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -150,7 +150,12 @@
     MpForward_StartAnswer(&this->forward, this->is_event_stream);
     this->caller_status = head->status;
     if (this->response.req) {
+        size_t size;
         MpGatewayRequest_CopyHeaders(head, this->response.req);
+        if (!MpTargetHead_Find(head, this->gateway->dialect->target.request_id,
+                               &size)) {
+            MpGatewayRequest_AddId(this, this->response.req);
+        }
     }
     /* The length holds for the first target's bytes only. */
     bool has_size =
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -38,7 +38,8 @@
     const struct MpPathConf *path;
     const char *workspace; /* owned by document; NULL for anonymous paths */
     const char *pool;
-    char *id;      /* of the request, chosen by the caller; may be NULL */
+    char *id;      /* of the request, chosen by the caller or else here; may be
+                    * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
                     * NULL: not known yet */
     bool is_version_checked;     /* a stream that is taken up */
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -104,7 +104,12 @@
         MpRequestMeta_ParseParts(meta, value, size);
     }
     value = find_header(req, names->request_id, &size);
-    call->id = value ? g_strndup(value, size) : NULL;
+    if (value && size > 0) {
+        call->id = g_strndup(value, size);
+    }
+    else if (call->gateway->dialect->names_requests) {
+        call->id = g_strdup_printf("r%016" PRIx64, call->run_id);
+    }
     value = find_header(req, names->resumes, &size);
     call->resumes = value && meta->resume_after >= 0 && size > 0 &&
                             size <= RESUMES_MAX_BYTES
@@ -172,9 +177,9 @@
 build_head(struct MpGatewayCall *call, const h2o_req_t *req)
 {
     const struct MpTargetHeaders *names = &call->gateway->dialect->target;
-    const char *const replaced[] = {names->deadline, names->incarnation,
-                                    names->workspace, names->last_event_id,
-                                    NULL};
+    const char *const replaced[] = {names->deadline,   names->incarnation,
+                                    names->workspace,  names->last_event_id,
+                                    names->request_id, NULL};
     char *connection = MpHttp_CopyHeader(req, "connection");
     call->head = g_byte_array_sized_new(512);
     append(call->head, req->input.method.base, req->input.method.len);
@@ -198,6 +203,9 @@
         append(call->head, header->value.base, header->value.len);
         append_text(call->head, "\r\n");
     }
+    if (call->id) {
+        append_header(call->head, names->request_id, call->id);
+    }
     g_free(connection);
 }
 
@@ -315,6 +323,15 @@
 
 /* ---- the target's response ---- */
 
+void
+MpGatewayRequest_AddId(const struct MpGatewayCall *call, h2o_req_t *req)
+{
+    const struct MpDialect *dialect = call->gateway->dialect;
+    if (call->id && dialect->names_requests) {
+        MpHttp_AddHeader(req, dialect->caller.request_id, call->id);
+    }
+}
+
 void
 MpGatewayRequest_CopyHeaders(const struct MpTargetHead *head, h2o_req_t *req)
 {
--- a/src/transport/GatewayRequest.h
+++ b/src/transport/GatewayRequest.h
@@ -18,6 +18,10 @@
                                    const struct MpPoolTarget *target,
                                    int64_t left_ms);
 
+/* Adds the id of the request to a response, on interfaces where the instance
+ * names requests. */
+void MpGatewayRequest_AddId(const struct MpGatewayCall *call, h2o_req_t *req);
+
 /* Copies the headers of a target's response into the caller's. */
 void MpGatewayRequest_CopyHeaders(const struct MpTargetHead *head,
                                   h2o_req_t *req);
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -2,11 +2,17 @@
 
 #include "transport/Log.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <xxhash.h>
+
+/* Bytes of unrequested data that are counted. */
+#define PEEK_BYTES 4096
 
 struct MpTargetConn {
     const struct MpTargetConnClass *klass; /* NULL while idle */
@@ -18,6 +24,7 @@
     struct MpTimer timer;
     struct MpResponseReader reader;
     GByteArray *request;
+    GArray *id_hashes; /* of the ids that it carried */
     uint32_t requests; /* sent on it, with the current one */
     bool is_written;
     bool is_paused;
@@ -61,6 +68,7 @@
     this->conn_pool->open--;
     maybe_free_pool(this->conn_pool);
     MpResponseReader_Done(&this->reader);
+    g_array_unref(this->id_hashes);
     g_free(this);
 }
 
@@ -126,10 +134,10 @@
 }
 
 static void
-report_stray(struct MpTargetConn *this, enum MpStrayReason reason, int status,
-             int64_t bytes)
+report_stray(const struct MpTargetConn *this, enum MpStrayReason reason,
+             int status, int64_t bytes)
 {
-    struct MpConnPool *conn_pool = this->conn_pool;
+    const struct MpConnPool *conn_pool = this->conn_pool;
     const char *name = MpStrayReason_Name(reason);
     if (conn_pool->metrics) {
         MpMetrics_Count(conn_pool->metrics, "mimosapath_answers_stray_total",
@@ -142,11 +150,32 @@
                 conn_pool->address, name, status, bytes, this->requests);
 }
 
+/* Closes the idle connections, and keeps none for a while. */
+static void
+stop_keeping(struct MpConnPool *this)
+{
+    GList *link;
+    int64_t now_ms = MpLoop_Now();
+    if (now_ms >= this->no_keep_until_ms) {
+        MpLog_Event(LOG_WARNING, "connections-not-kept",
+                    "target=%s idle=%u for_ms=%d", this->address,
+                    this->idle.length, MP_TARGET_NO_KEEP_MS);
+    }
+    this->no_keep_until_ms = now_ms + MP_TARGET_NO_KEEP_MS;
+    while ((link = g_queue_pop_head_link(&this->idle))) {
+        conn_free(link->data);
+    }
+}
+
 static void
 on_stray(void *owner, enum MpStrayReason reason,
          const struct MpTargetHead *head)
 {
-    report_stray(owner, reason, head->status, head->size);
+    struct MpTargetConn *this = owner;
+    report_stray(this, reason, head->status, head->size);
+    if (reason == MP_STRAY_NO_ID && this->requests > 1) {
+        stop_keeping(this->conn_pool);
+    }
 }
 
 static const struct MpResponseReaderClass reader_class = {
@@ -165,9 +194,15 @@
 static void
 complete(struct MpTargetConn *this, enum MpTargetResult result)
 {
+    size_t rest = this->socket->input->size;
     bool may_keep = MpResponseReader_MayKeep(&this->reader) &&
-                    this->is_written && !this->conn_pool->is_deleted &&
-                    this->socket->input->size == 0 && !this->is_paused;
+                    this->is_written && rest == 0 && !this->is_paused &&
+                    this->requests < MP_TARGET_REQUESTS_MAX &&
+                    !this->conn_pool->is_deleted &&
+                    MpLoop_Now() >= this->conn_pool->no_keep_until_ms;
+    if (rest > 0) {
+        report_stray(this, MP_STRAY_UNREQUESTED, 0, (int64_t)rest);
+    }
     if (!may_keep) {
         fail(this, result);
         return;
@@ -233,6 +268,23 @@
     }
 }
 
+/* Returns whether nothing waits to be read and the connection is open.  What
+ * came before a request can't be its response. */
+static bool
+is_silent(const struct MpTargetConn *this)
+{
+    char data[PEEK_BYTES];
+    size_t buffered = this->socket->input->size;
+    ssize_t size = recv(h2o_socket_get_fd(this->socket), data, sizeof(data),
+                        MSG_PEEK | MSG_DONTWAIT);
+    if (buffered > 0 || size > 0) {
+        report_stray(this, MP_STRAY_UNREQUESTED, 0,
+                     (int64_t)buffered + MAX(size, 0));
+        return false;
+    }
+    return size < 0 && (errno == EAGAIN || errno == EINTR);
+}
+
 static void
 write_request(struct MpTargetConn *this)
 {
@@ -285,6 +337,10 @@
         report_probe(this, MP_PROBE_LISTENING);
         return;
     }
+    if (!is_silent(this)) {
+        fail(this, MP_TARGET_NOT_SENT);
+        return;
+    }
     write_request(this);
 }
 
@@ -342,12 +398,48 @@
     }
 }
 
+static uint64_t
+hash_id(const char *id)
+{
+    return XXH3_64bits(id, strlen(id));
+}
+
+static bool
+has_carried(const struct MpTargetConn *this, uint64_t id_hash)
+{
+    for (guint i = 0; i < this->id_hashes->len; i++) {
+        if (g_array_index(this->id_hashes, uint64_t, i) == id_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns an idle connection for a request, or NULL.  One that carried the id
+ * before is left to others: the response to the earlier request could come
+ * again. */
 static struct MpTargetConn *
-pop_idle(struct MpConnPool *this)
+take_idle(struct MpConnPool *this, const struct MpTargetRequest *request)
 {
     MpConnPool_Sweep(this, MpLoop_Now());
-    GList *link = g_queue_pop_head_link(&this->idle);
-    return link ? link->data : NULL;
+    if (!request->id_header || !request->id || request->is_head) {
+        return NULL;
+    }
+    uint64_t id_hash = hash_id(request->id);
+    GList *link = this->idle.head;
+    while (link) {
+        struct MpTargetConn *conn = link->data;
+        link = link->next;
+        if (has_carried(conn, id_hash)) {
+            continue;
+        }
+        g_queue_unlink(&this->idle, &conn->link);
+        if (is_silent(conn)) {
+            return conn;
+        }
+        conn_free(conn);
+    }
+    return NULL;
 }
 
 static struct MpTargetConn *
@@ -357,6 +449,7 @@
     struct MpTargetConn *conn = g_new0(struct MpTargetConn, 1);
     conn->conn_pool = this;
     MpResponseReader_Init(&conn->reader, &reader_class, conn);
+    conn->id_hashes = g_array_new(false, false, sizeof(uint64_t));
     conn->idle_timeout_ms = MP_TARGET_IDLE_MS;
     this->open++;
     this->opened++;
@@ -378,8 +471,7 @@
 MpConnPool_Send(struct MpConnPool *this, const struct MpTargetConnClass *klass,
                 void *owner, const struct MpTargetRequest *request)
 {
-    struct MpTargetConn *conn =
-        request->needs_new_conn ? NULL : pop_idle(this);
+    struct MpTargetConn *conn = take_idle(this, request);
     bool is_new = !conn;
     if (is_new) {
         conn = conn_new(this);
@@ -391,6 +483,10 @@
     conn->owner = owner;
     conn->request = request->bytes;
     conn->requests++;
+    if (request->id) {
+        uint64_t id_hash = hash_id(request->id);
+        g_array_append_val(conn->id_hashes, id_hash);
+    }
     MpResponseReader_Start(
         &conn->reader,
         &(struct MpExpectedResponse){.id_header = request->id_header,
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -15,10 +15,14 @@
  * connection pool per target.
  *
  * A connection carries one request at a time.  It is reused only if the last
- * response was complete, no data followed it, the request was written in
- * full, and the target keeps the connection open.  A response with the id of
- * another request is stray: it is discarded, and the connection is closed
- * after the right response.
+ * response was complete and had the id of its request, no data followed it,
+ * the request was written in full, and the target keeps the connection open.
+ * A request without an id, or with method HEAD, goes over a connection of its
+ * own.  A connection never carries the same id twice.
+ *
+ * ResponseReader decides which response answers the request; others are
+ * discarded, and the connection is closed after the right one.  A connection
+ * on which data waits before the request is written is not used.
  */
 
 /* Connect timeout, ms; a healthy target is a few ms away. */
@@ -31,6 +35,12 @@
 /* Receive buffer of a connection (SO_RCVBUF), bytes; with it a connection
  * within a region carries 30 MB/s. */
 #define MP_TARGET_WINDOW_BYTES 65536
+/* After a response without an id on a kept connection, connections to the
+ * target are not kept for this long, ms: on a new one the first response is
+ * certain. */
+#define MP_TARGET_NO_KEEP_MS 60000
+/* Maximum number of requests on a connection. */
+#define MP_TARGET_REQUESTS_MAX 256
 /* Timeout of a probe, ms; several round trips within a region. */
 #define MP_TARGET_PROBE_MS 150
 /* An idle connection is closed this long before the target's own idle timeout
@@ -70,11 +80,12 @@
     struct MpLoop *loop;
     struct MpMetrics *metrics; /* counts stray answers; or NULL */
     char *address;
-    GQueue idle;     /* of struct MpTargetConn, newest first */
-    uint32_t open;   /* connections, idle or in use */
-    bool is_deleted; /* to be freed with its last connection */
-    uint64_t opened; /* counter */
-    uint64_t reused; /* counter */
+    GQueue idle;              /* of struct MpTargetConn, newest first */
+    uint32_t open;            /* connections, idle or in use */
+    bool is_deleted;          /* to be freed with its last connection */
+    int64_t no_keep_until_ms; /* until then no connection becomes idle */
+    uint64_t opened;          /* counter */
+    uint64_t reused;          /* counter */
 };
 
 /* One request.  MpConnPool_Send takes ownership of bytes and copies the
@@ -82,9 +93,8 @@
 struct MpTargetRequest {
     GByteArray *bytes;
     const char *id_header; /* echoed in the response, or NULL */
-    const char *id;
-    bool is_head;        /* method HEAD */
-    bool needs_new_conn; /* never on a reused connection */
+    const char *id;        /* or NULL */
+    bool is_head;          /* method HEAD */
 };
 
 /* metrics may be NULL. */
--- a/tests/TestResponseReader.c
+++ b/tests/TestResponseReader.c
@@ -49,13 +49,22 @@
     .head = on_head, .body = on_body, .stray = on_stray};
 
 static void
-reading_start(struct reading *this, const char *id, bool is_head)
+start_request(struct reading *this, const char *id, bool is_head,
+              bool is_new_conn)
 {
     *this = (struct reading){.body = g_string_new(NULL)};
     MpResponseReader_Init(&this->reader, &reading_class, this);
-    MpResponseReader_Start(
-        &this->reader, &(struct MpExpectedResponse){
-                           .id_header = "x-id", .id = id, .is_head = is_head});
+    MpResponseReader_Start(&this->reader, &(struct MpExpectedResponse){
+                                              .id_header = "x-id",
+                                              .id = id,
+                                              .is_head = is_head,
+                                              .is_new_conn = is_new_conn});
+}
+
+static void
+reading_start(struct reading *this, const char *id, bool is_head)
+{
+    start_request(this, id, is_head, true);
 }
 
 static void
@@ -164,6 +173,7 @@
     g_assert_cmpint(feed(&reading, SIZED(OWN, "", 5), false), ==,
                     MP_READ_COMPLETE);
     g_assert_cmpint(reading.heads, ==, 1);
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
     reading_end(&reading);
 }
 
@@ -204,6 +214,88 @@
     reading_end(&reading);
 }
 
+/* Reads text, and checks the result and how the response was attributed. */
+static void
+check_attribution(const char *id, bool is_new_conn, const char *text,
+                  enum MpReadResult expected, enum MpAttribution attribution,
+                  const char *body, int strays)
+{
+    struct reading reading;
+    start_request(&reading, id, false, is_new_conn);
+    g_assert_cmpint(feed(&reading, text, false), ==, expected);
+    g_assert_cmpint(MpResponseReader_Attribution(&reading.reader), ==,
+                    attribution);
+    g_assert_cmpstr(reading.body->str, ==, body);
+    g_assert_cmpint(reading.strays, ==, strays);
+    g_assert_cmpint(MpResponseReader_MayKeep(&reading.reader), ==,
+                    attribution == MP_ATTRIBUTION_ID && strays == 0);
+    reading_end(&reading);
+}
+
+static void
+test_answer_without_id(void)
+{
+    check_attribution("a-1", true, SIZED("", "own", 3), MP_READ_COMPLETE,
+                      MP_ATTRIBUTION_FIRST, "own", 0);
+    check_attribution("a-1", true, SIZED("x-id:\r\n", "own", 3),
+                      MP_READ_COMPLETE, MP_ATTRIBUTION_FIRST, "own", 0);
+    check_attribution("a-1", false, SIZED("", "left", 4), MP_READ_MORE,
+                      MP_ATTRIBUTION_NONE, "", 1);
+    check_attribution("a-1", false, SIZED("", "left", 4) SIZED(OWN, "own", 3),
+                      MP_READ_COMPLETE, MP_ATTRIBUTION_ID, "own", 1);
+    /* The first response was another one's, so the second is uncertain. */
+    check_attribution("a-1", true, SIZED(OTHER, "", 0) SIZED("", "left", 4),
+                      MP_READ_MORE, MP_ATTRIBUTION_NONE, "", 2);
+    /* An interim response has no id. */
+    check_attribution("a-1", true,
+                      "HTTP/1.1 103 X\r\n\r\n" SIZED("", "own", 3),
+                      MP_READ_COMPLETE, MP_ATTRIBUTION_FIRST, "own", 0);
+}
+
+static void
+test_request_without_id(void)
+{
+    check_attribution(NULL, true, SIZED("", "own", 3), MP_READ_COMPLETE,
+                      MP_ATTRIBUTION_FIRST, "own", 0);
+    check_attribution(NULL, true, SIZED(OTHER, "own", 3), MP_READ_COMPLETE,
+                      MP_ATTRIBUTION_FIRST, "own", 0);
+    check_attribution(NULL, false, SIZED("", "left", 4), MP_READ_MORE,
+                      MP_ATTRIBUTION_NONE, "", 1);
+}
+
+static void
+test_ids_that_disagree(void)
+{
+    check_attribution("a-1", true, SIZED(OWN OTHER, "left", 4), MP_READ_MORE,
+                      MP_ATTRIBUTION_NONE, "", 1);
+    check_attribution("a-1", true, SIZED(OTHER OWN, "left", 4), MP_READ_MORE,
+                      MP_ATTRIBUTION_NONE, "", 1);
+    check_attribution("a-1", true, SIZED("x-id: a-11\r\n", "left", 4),
+                      MP_READ_MORE, MP_ATTRIBUTION_NONE, "", 1);
+    check_attribution("a-1", true, SIZED("X-ID: a-1\r\n" OWN, "own", 3),
+                      MP_READ_COMPLETE, MP_ATTRIBUTION_ID, "own", 0);
+}
+
+static void
+test_second_request(void)
+{
+    struct reading reading;
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(feed(&reading, SIZED(OWN, "own", 3), false), ==,
+                    MP_READ_COMPLETE);
+    MpResponseReader_Start(
+        &reading.reader,
+        &(struct MpExpectedResponse){.id_header = "x-id", .id = "b-2"});
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
+    g_assert_cmpint(
+        feed(&reading, SIZED(OWN, "own", 3) SIZED(OTHER, "two", 3), false), ==,
+        MP_READ_COMPLETE);
+    g_assert_cmpstr(reading.body->str, ==, "owntwo");
+    g_assert_cmpint(reading.reason, ==, MP_STRAY_OTHER_ID);
+    g_assert_false(MpResponseReader_MayKeep(&reading.reader));
+    reading_end(&reading);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -216,5 +308,10 @@
     g_test_add_func("/reader/endless stray answers",
                     test_endless_stray_answers);
     g_test_add_func("/reader/keeping the connection", test_keeping);
+    g_test_add_func("/reader/answer without an id", test_answer_without_id);
+    g_test_add_func("/reader/request without an id", test_request_without_id);
+    g_test_add_func("/reader/ids that disagree", test_ids_that_disagree);
+    g_test_add_func("/reader/second request of a connection",
+                    test_second_request);
     return g_test_run();
 }
--- a/tests/runs/path_pages.py
+++ b/tests/runs/path_pages.py
@@ -1,18 +1,24 @@
 """A target list of several pages, whose provider refuses pages when requests
 are too frequent: reading continues at the refused page, not at the start."""
 import collections
+import itertools
 import json
 from fleet import wait_for
 from pathfleet import (SimTarget, respond, path_conf, path_fleet, send,
                        wait_targets)
 
-pages_by_conn = collections.defaultdict(list)  # connection -> pages
+pages_by_read = collections.defaultdict(list)  # number of a read -> pages
+read_numbers = itertools.count()
 request_counts = collections.Counter()
 
 
 def list_handler(target, req, conn):
-    page = int(req["path"].rpartition("=")[2]) if "=" in req["path"] else 0
-    pages = pages_by_conn[conn.getpeername()]
+    # The page token names the read as well, as several go on at once.
+    if "=" in req["path"]:
+        read, page = map(int, req["path"].rpartition("=")[2].split("-"))
+    else:
+        read, page = next(read_numbers), 0
+    pages = pages_by_read[read]
     pages.append(page)
     request_counts[page] += 1
     if page > 0 and request_counts[page] <= 2:
@@ -20,7 +26,7 @@
         return respond(conn, req, status=429)
     respond(conn, req, json.dumps({
         "targets": [entries[page]],
-        "next": str(page + 1) if page < 2 else None}))
+        "next": "%d-%d" % (read, page + 1) if page < 2 else None}))
 
 
 targets = [SimTarget("t%d" % n, lambda t, req, conn: respond(
@@ -36,7 +42,7 @@
 
     def pages_around_refusals():
         return sorted((pages[i - 1], pages[i + 1])
-                      for pages in pages_by_conn.values()
+                      for pages in pages_by_read.values()
                       for i in range(1, len(pages) - 1)
                       if pages[i] == "refused")
 
