Only an answer that says so counts as not run

A repeatable request ran more often than its path allows, and could then be refused as "not run".

Cause: on_complete took each 503, and each unrelayed answer below 500, for a refusal. A 503 without the not-run header may have run. (Below 500 only refusals are left unrelayed, so that half was harmless.)

Now an attempt is not run if its own answer is a 421 or has the not-run header, or if nothing was sent; every other one is unknown.

What it does to retries: on paths that may repeat, a 503 without the header now uses up one of the path's attempts, as a 500 does, and the last one goes to the caller as it is; it used to be sent on to up to four targets. At-most-once requests and streams saw such a 503 unchanged before, and do now. Health of the target is counted as before.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -205,7 +205,8 @@
                                  this->expected_wait_ms);
     note_delay(this, now_ms);
     bool is_failure = head->status >= 500;
-    if (is_rejected(this, head) ||
+    this->is_rejected = is_rejected(this, head);
+    if (this->is_rejected ||
         (is_failure &&
          MpForward_MayRetryError(&this->forward, may_retry(this), now_ms))) {
         return;
@@ -286,21 +287,20 @@
         finish_response(this);
         return;
     }
-    if (this->forward.is_head_sent) {
-        /* The target said that it has not run the request. */
-        release_target(this, MP_OUTCOME_REFUSED);
-        run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_STREAM_CUT);
+    bool is_resuming = this->forward.is_head_sent;
+    if (this->is_rejected) {
+        release_target(this, this->status == 421 ? MP_OUTCOME_REPLACED
+                                                 : MP_OUTCOME_REFUSED);
+        run_next_step(this, MP_RESULT_NOT_RUN,
+                      is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_NO_TARGET);
         return;
     }
-    bool is_misdirected = this->status == 421;
-    if (this->status < 500 || this->status == 503 || is_misdirected) {
-        release_target(this, is_misdirected ? MP_OUTCOME_REPLACED
-                                            : MP_OUTCOME_REFUSED);
-        run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_NO_TARGET);
-        return;
-    }
-    release_target(this, MP_OUTCOME_ERROR);
-    run_next_step(this, MP_RESULT_UNKNOWN, MP_ERROR_TARGET_FAILED);
+    /* Whatever its status, the answer doesn't say that nothing has run. */
+    release_target(this, this->status == 503 || this->status < 500
+                             ? MP_OUTCOME_REFUSED
+                             : MP_OUTCOME_ERROR);
+    run_next_step(this, is_resuming ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
+                  is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_TARGET_FAILED);
 }
 
 static void
@@ -377,6 +377,7 @@
     this->expected_wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
     this->has_response = false;
+    this->is_rejected = false;
     this->is_relayed = false;
     this->is_event_stream = false;
     this->status = 0;
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -74,6 +74,7 @@
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
     bool has_response;    /* the head of the target's response has arrived */
+    bool is_rejected;     /* that response says that nothing has run */
     bool is_relayed;      /* the body of that response goes to the caller */
     bool is_event_stream; /* ... by whole events */
     bool is_stream_start; /* no byte of it has been looked at */
