Two heads joined, 204 and 304 with a length, ids for requests without one

- A copy of a refusal that is torn off within its reason or a header value is joined with the next answer: the parser takes the next status line for the rest of it, so the head has the status of the one and the id of the other.
A head with a version and code in its reason or in a value is invalid now, and the outcome unknown.
Checked with the tear at each byte.
- After a 204 or 304 with Content-Length the parser waited for a body, and took what followed for it.
Their heads end them, as those of interim answers.
- A response that has an id was taken for the answer to a request without one.
It is stray now, except where no id header is named (the target list).

--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -35,6 +35,15 @@
                           this->spans->len - 1);
 }
 
+static int
+on_status(http_parser *parser, const char *data, size_t size)
+{
+    struct MpResponseReader *this = parser->data;
+    g_string_append_len(this->text, data, (gssize)size);
+    this->reason_size = this->text->len;
+    return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
+}
+
 static int
 on_header_field(http_parser *parser, const char *data, size_t size)
 {
@@ -62,6 +71,43 @@
     return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
 }
 
+/* Returns whether text has the beginning of a status line within it, with
+ * version and code. */
+static bool
+has_status_line(const char *text, size_t size)
+{
+    static const char version[] = "HTTP/1.";
+    const size_t length = sizeof(version) - 1;
+    for (size_t i = 0; i + length + 5 <= size; i++) {
+        const char *rest = text + i + length;
+        if (memcmp(text + i, version, length) == 0 &&
+            g_ascii_isdigit(rest[0]) && rest[1] == ' ' &&
+            g_ascii_isdigit(rest[2]) && g_ascii_isdigit(rest[3]) &&
+            g_ascii_isdigit(rest[4])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether the head consists of two: one that was torn off within its
+ * reason or a value, and the next one, which the parser takes for the rest of
+ * it. */
+static bool
+is_joined(const struct MpResponseReader *this, const struct MpTargetHead *head)
+{
+    if (has_status_line(this->text->str, this->reason_size)) {
+        return true;
+    }
+    for (size_t i = 0; i < head->count; i++) {
+        if (has_status_line(head->headers[i].value,
+                            head->headers[i].value_size)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Reads the id headers of a response.  Returns whether there are any that are
  * not empty; *is_own is whether they all have the id of the request. */
 static bool
@@ -150,12 +196,15 @@
         .size = has_size ? (int64_t)parser->content_length : -1,
         .headers = headers,
         .count = count};
-    bool is_valid = handle_head(this, &head);
+    bool is_valid = !is_joined(this, &head) && handle_head(this, &head);
     g_free(headers);
     if (!is_valid) {
         return -1;
     }
-    return this->is_head_request ? 1 : 0;
+    /* The parser would wait for a body if such a head has a length. */
+    bool has_no_body = this->is_head_request || head.status < 200 ||
+                       head.status == 204 || head.status == 304;
+    return has_no_body ? 1 : 0;
 }
 
 static int
@@ -182,6 +231,7 @@
 }
 
 static const http_parser_settings parser_settings = {
+    .on_status = on_status,
     .on_header_field = on_header_field,
     .on_header_value = on_header_value,
     .on_headers_complete = on_headers_complete,
@@ -217,6 +267,7 @@
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
     g_string_truncate(this->text, 0);
+    this->reason_size = 0;
     g_array_set_size(this->spans, 0);
     this->is_last_value = false;
     this->is_stray = false;
@@ -230,7 +281,9 @@
     g_free(this->id_header);
     g_free(this->id);
     this->id_header = g_strdup(expected->id_header);
-    this->id = g_strdup(expected->id);
+    /* Equal to no id that a response may have. */
+    const char *no_id = expected->id_header ? "" : NULL;
+    this->id = g_strdup(expected->id ? expected->id : no_id);
     this->is_head_request = expected->is_head;
     this->is_new_conn = expected->is_new_conn;
     this->attribution = MP_ATTRIBUTION_NONE;
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -19,8 +19,9 @@
  *
  * A response belongs to the request if all its id headers have the id of the
  * request, or if it has none and is the first one on a connection that carried
- * no other request.  On a kept connection a response without an id may be left
- * over from an earlier request, so it is stray.
+ * no other request.  A response with an id never answers a request without
+ * one, unless no id header is named.  On a kept connection a response without
+ * an id may be left over from an earlier request, so it is stray.
  *
  * After MP_READ_COMPLETE the connection may carry the next request only if
  * MpResponseReader_MayKeep returns true, and the owner must see to the rest:
@@ -93,7 +94,8 @@
     const struct MpResponseReaderClass *klass;
     void *owner;
     http_parser parser;
-    GString *text;      /* of the head */
+    GString *text;      /* of the head: the reason, then the headers */
+    size_t reason_size; /* of the reason in text */
     GArray *spans;      /* of the headers in text */
     bool is_last_value; /* the last part parsed was a header value */
     char *id_header;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -139,6 +139,7 @@
 {
     const struct MpConnPool *conn_pool = this->conn_pool;
     const char *name = MpStrayReason_Name(reason);
+    bool has_id = this->klass && this->reader.id && this->reader.id[0];
     if (conn_pool->metrics) {
         MpMetrics_Count(conn_pool->metrics, "mimosapath_answers_stray_total",
                         "reason", name, 1);
@@ -146,8 +147,8 @@
     MpLog_Event(LOG_WARNING, "answer-stray",
                 "id=%s target=%s reason=%s status=%d bytes=%" PRId64
                 " requests=%u",
-                this->klass && this->reader.id ? this->reader.id : "-",
-                conn_pool->address, name, status, bytes, this->requests);
+                has_id ? this->reader.id : "-", conn_pool->address, name,
+                status, bytes, this->requests);
 }
 
 /* Closes the idle connections, and keeps none for a while. */
