Log each error body that the HTTP server replaces

The line error-body-replaced names the status, the length and who started the response (the library or a handler), so that the logs of a site show it. No change of logic.

--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
+#include "transport/Log.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -57,6 +58,11 @@
         h2o_find_header_by_str(&req->res.headers,
                                H2O_STRLIT("x-mimosapath-run"), -1) < 0) {
         int code = status_to_error(req->res.status);
+        MpLog_Event(LOG_NOTICE, "error-body-replaced",
+                    "status=%d bytes=%zd by=%s", req->res.status,
+                    (ssize_t)req->res.content_length,
+                    req->pathconf == &req->hostconf->fallback_path ? "server"
+                                                                  : "handler");
         h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
         MpHttp_AddHeader(req, "x-mimosapath-run", "no");
         h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
