--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -284,3 +284,189 @@
             return True
         time.sleep(0.05)
     return False
+
+
+class ReadError(Exception):
+    """What a caller received is not a sequence of complete responses."""
+
+
+class Answer:
+    """One response as received: status, reason, header list and body."""
+
+    def __init__(self, head):
+        line, *fields = head.decode("latin-1").split("\r\n")
+        version, status, self.reason = (line.split(" ", 2) + ["", ""])[:3]
+        if not version.startswith("HTTP/1.") or not status.isdigit():
+            raise ReadError("no status line: %r" % line)
+        self.status = int(status)
+        self.headers = [(n.strip().lower(), v.strip()) for n, _, v in
+                        (f.partition(":") for f in fields)]
+        self.body = b""
+
+    def all(self, name):
+        return [v for n, v in self.headers if n == name]
+
+    def first(self, name):
+        return (self.all(name) + [None])[0]
+
+
+class KeptCaller:
+    """A caller that keeps its connection, and splits the bytes that it
+    receives into responses by their heads and by nothing else."""
+
+    def __init__(self, port, timeout=3, window=None):
+        self.conn = socket.socket()
+        if window:
+            self.conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        self.conn.settimeout(timeout)
+        self.conn.connect(("127.0.0.1", port))
+        self.data = b""
+        self.methods = []
+
+    def send(self, method, path, headers=(), body="", version="1.1"):
+        self.write(method, request_text(method, path, headers, body, version))
+
+    def write(self, method, text):
+        self.methods.append(method)
+        self.conn.sendall(text)
+
+    def fill(self):
+        """Receives more; returns whether the connection is still open."""
+        try:
+            part = self.conn.recv(65536)
+        except ConnectionError:
+            part = b""
+        except socket.timeout:
+            raise ReadError("nothing more comes") from None
+        self.data += part
+        return bool(part)
+
+    def take(self, size):
+        while len(self.data) < size:
+            if not self.fill():
+                raise ReadError("cut")
+        part, self.data = self.data[:size], self.data[size:]
+        return part
+
+    def take_line(self, end=b"\r\n"):
+        while end not in self.data:
+            if not self.fill():
+                raise ReadError("cut" if self.data else "closed")
+        line, _, self.data = self.data.partition(end)
+        return line
+
+    def read_chunks(self):
+        body = b""
+        while True:
+            line = self.take_line()
+            try:
+                size = int(line, 16)
+            except ValueError:
+                raise ReadError("no chunk: %r" % line) from None
+            part = self.take(size + 2)
+            if not part.endswith(b"\r\n"):
+                raise ReadError("chunk without its end")
+            if size == 0:
+                return body
+            body += part[:-2]
+
+    def read(self):
+        """Reads the response to the oldest request without one."""
+        method = self.methods.pop(0)
+        answer = Answer(self.take_line(b"\r\n\r\n"))
+        lengths = answer.all("content-length")
+        encodings = answer.all("transfer-encoding")
+        if len(lengths) + len(encodings) > 1:
+            raise ReadError("more than one length")
+        if answer.status in (204, 304) or method == "HEAD":
+            if answer.status == 204 and lengths + encodings:
+                raise ReadError("204 with a length")
+        elif encodings:
+            answer.body = self.read_chunks()
+        elif lengths:
+            answer.body = self.take(int(lengths[0]))
+        else:
+            while self.fill():
+                pass
+            answer.body, self.data = self.data, b""
+        return answer
+
+    def left_over(self, wait_s=0.15):
+        """Returns the bytes that belong to no response."""
+        self.conn.settimeout(wait_s)
+        try:
+            while self.fill():
+                pass
+        except ReadError:
+            pass
+        return self.data
+
+    def close(self):
+        self.conn.close()
+
+
+def request_text(method, path, headers=(), body="", version="1.1"):
+    fields = [("host", "h.example"), ("authorization", "Bearer " + KEY)]
+    if body or method == "POST":
+        fields.append(("content-length", len(body)))
+    fields += list(headers)
+    return ("%s %s HTTP/%s\r\n%s\r\n%s" % (
+        method, path, version, "".join("%s: %s\r\n" % f for f in fields),
+        body)).encode()
+
+
+class ServiceFleet(Fleet):
+    """A fleet whose service "raw" is served by a simulated target of the
+    script; of its routes, GET and HEAD may run again."""
+
+    service_target = None
+
+    def document(self):
+        document = super().document()
+        target = ServiceFleet.service_target
+        if target:
+            document["targets"]["raw-0"] = {
+                "address": "127.0.0.1:%d" % target.port, "zone": "a",
+                "capacity": 64}
+            document["services"]["raw"] = {
+                "targets": ["raw-0"], "price_mtok": 0, "timeout_ms": 5000}
+            for workspace in document["workspaces"].values():
+                workspace["services"].append("raw")
+        return document
+
+
+def serve_status(handle_request):
+    """Wraps the handler of a service's target so that it answers the polls
+    of instances."""
+    def handle(target, req, conn):
+        if req["path"].startswith("/status"):
+            target.requests.pop()
+            return respond(conn, req, json.dumps(
+                {"name": target.name, "boot": target.name}))
+        return handle_request(target, req, conn)
+    return handle
+
+
+def relay_fleet(handle_request):
+    """Returns a fleet whose path /x/ and whose service "raw" lead to the same
+    handler of requests, and the prefixes of both."""
+    def handle(target, req, conn):
+        if req["path"].startswith("/ready/"):
+            return respond(conn, req)
+        return handle_request(target, req, conn)
+    target = SimTarget("t0", handle)
+    ServiceFleet.service_target = SimTarget("raw-0", serve_status(handle))
+    fleet, _ = path_fleet([target], [path_conf("/ready/"), path_conf("/x/")],
+                          instances=1, control=1, fleet_class=ServiceFleet)
+    return fleet, {"path": "/x/", "native": "/services/raw/x/"}
+
+
+def wait_for_service(fleet, name, seconds=10):
+    """Waits until a request of the service "raw" is served."""
+    fleet.topup("w", 100000)
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if status_of(send(fleet, name, "/services/raw/ready/")) == "200":
+            return True
+        time.sleep(0.05)
+    return False
