Errors of targets reach their callers as they are

What callers saw: an error of a target (400 and above) had its body and type replaced by ours, in full once for each piece in which the target's came, with the length of one; run: no was claimed though the request had run; and on a kept connection the rest was read as the next response.

Cause: the filter that writes the bodies of errors that h2o makes took each response of 400 and above without x-mimosapath-run for one of those.

h2o sends its own errors through the fallback path, and only those: the handler takes each request of the path / and always returns 0. So the filter is now on the fallback path alone, and looks at no status and no header. It writes no body in response to HEAD. The header x-mimosapath-run is ours: one of a target is not forwarded. Headers named by a response's Connection header are not forwarded on paths; the native API forwards the others too, where it had kept the content type alone.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -55,6 +55,7 @@
     this->response = g_byte_array_new();
     this->tried = g_ptr_array_new_with_free_func(g_free);
     this->content_type = g_strdup("");
+    this->headers = g_ptr_array_new_with_free_func(g_free);
     this->link.data = this;
     MpSse_Init(&this->sse);
     g_queue_push_tail_link(&router->exchanges, &this->link);
@@ -71,6 +72,7 @@
     MpChat_Done(&this->chat);
     MpDocument_Unref(this->document);
     g_ptr_array_unref(this->tried);
+    g_ptr_array_unref(this->headers);
     g_byte_array_unref(this->body);
     g_byte_array_unref(this->unsent);
     g_byte_array_unref(this->sending);
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -107,6 +107,8 @@
     bool has_done_event; /* data: [DONE] was received */
     int32_t status;
     char *content_type;
+    GPtrArray *headers;    /* of the target's response: names, each followed by
+                            * its value */
     GByteArray *response;  /* data to send after settlement: a whole
                             * plain response, or the last event of a stream */
     int64_t sent_tokens;   /* tokens sent to the caller, by all attempts */
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -1,6 +1,7 @@
 #include "transport/Exchange.h"
 
 #include "transport/ErrorBody.h"
+#include "transport/HopHeaders.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -107,7 +108,7 @@
     if (request_id) {
         MpHttp_AddHeader(req, "x-mimosapath-request", request_id);
     }
-    MpHttp_AddHeader(req, "x-mimosapath-run", run);
+    MpHttp_AddHeader(req, MP_RUN_HEADER, run);
     if (retry_after_ms > 0) {
         g_snprintf(seconds, sizeof(seconds), "%" PRId64,
                    (retry_after_ms + 999) / 1000);
@@ -165,6 +166,13 @@
         MpHttp_AddHeader(this->req, "content-type", content_type);
     }
     MpHttp_AddHeader(this->req, "x-mimosapath-request", this->request_id);
+    for (guint i = 0; i + 1 < this->headers->len; i += 2) {
+        const char *name = g_ptr_array_index(this->headers, i);
+        const char *value = g_ptr_array_index(this->headers, i + 1);
+        MpHopHeaders_Forward(this->req, NULL,
+                             h2o_iovec_init(name, strlen(name)),
+                             h2o_iovec_init(value, strlen(value)));
+    }
     h2o_start_response(this->req, &this->caller->super);
 }
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -2,6 +2,7 @@
 
 #include "protocol/EventStream.h"
 #include "state/Machine.h"
+#include "transport/HopHeaders.h"
 #include "transport/Log.h"
 #include "transport/TargetPoller.h"
 
@@ -279,6 +280,30 @@
     return value;
 }
 
+/* Keeps the headers to forward, but the content type, which is recorded with
+ * the response. */
+static void
+keep_headers(struct MpExchange *this, const h2o_header_t *headers,
+             size_t count)
+{
+    const h2o_iovec_t *found = find_header(headers, count, "connection");
+    char *connection = found ? g_strndup(found->base, found->len) : NULL;
+    g_ptr_array_set_size(this->headers, 0);
+    for (size_t i = 0; i < count; i++) {
+        const char *name = headers[i].name->base;
+        size_t size = headers[i].name->len;
+        if (h2o_memis(name, size, H2O_STRLIT("content-type")) ||
+            h2o_memis(name, size, H2O_STRLIT("x-mimosapath-request")) ||
+            MpHopHeaders_Contains(connection, name, size)) {
+            continue;
+        }
+        g_ptr_array_add(this->headers, g_strndup(name, size));
+        g_ptr_array_add(this->headers, g_strndup(headers[i].value.base,
+                                                 headers[i].value.len));
+    }
+    g_free(connection);
+}
+
 static void
 on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
 {
@@ -293,6 +318,7 @@
     g_free(this->content_type);
     this->content_type =
         type ? g_strndup(type->base, type->len) : g_strdup("");
+    keep_headers(this, headers, count);
     this->is_stream = this->is_chat && !reason;
     if (this->is_head_sent && !this->is_stream) {
         log_not_resumed(this, reason);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -177,7 +177,7 @@
         /* Covers this request only, not earlier ones that it repeats. */
         const char *run = may_have_run ? "unknown" : "no";
         char *text = MpErrorBody_Format(code, NULL, run);
-        MpHttp_AddHeader(req, "x-mimosapath-run", run);
+        MpHttp_AddHeader(req, MP_RUN_HEADER, run);
         add_retry_after(this->gateway, req, retry_after_ms);
         if (code == MP_ERROR_INVALID) {
             req->http1_is_persistent = 0;
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -1,6 +1,7 @@
 #include "transport/GatewayRequest.h"
 
 #include "state/Error.h"
+#include "transport/HopHeaders.h"
 #include "transport/HttpServer.h"
 
 #include <inttypes.h>
@@ -10,20 +11,6 @@
 /* Longest id of a stream that is taken up, bytes; a longer one is ignored. */
 #define RESUMES_MAX_BYTES 128
 
-/* Headers that are not forwarded: they concern one connection only, or are
- * written anew. */
-static const char *const hop_headers[] = {"connection",
-                                          "keep-alive",
-                                          "proxy-connection",
-                                          "te",
-                                          "trailer",
-                                          "upgrade",
-                                          "expect",
-                                          "content-length",
-                                          "transfer-encoding",
-                                          "host",
-                                          NULL};
-
 static bool
 is_in_list(const char *name, size_t size, const char *const *list)
 {
@@ -36,24 +23,6 @@
     return false;
 }
 
-/* Returns whether the Connection header lists the header. */
-static bool
-is_connection_option(const char *connection, const char *name, size_t size)
-{
-    if (!connection) {
-        return false;
-    }
-    char **tokens = g_strsplit(connection, ",", -1);
-    bool is_found = false;
-    for (char **token = tokens; *token && !is_found; token++) {
-        g_strstrip(*token);
-        is_found = strlen(*token) == size &&
-                   g_ascii_strncasecmp(*token, name, size) == 0;
-    }
-    g_strfreev(tokens);
-    return is_found;
-}
-
 /* ---- the caller's request ---- */
 
 static const char *
@@ -187,10 +156,9 @@
         const h2o_header_t *header = &req->headers.entries[i];
         const char *name = header->name->base;
         size_t size = header->name->len;
-        if (is_in_list(name, size, hop_headers) ||
+        if (MpHopHeaders_Contains(connection, name, size) ||
             is_in_list(name, size, replaced) ||
-            is_in_list(name, size, names->reserved) ||
-            is_connection_option(connection, name, size)) {
+            is_in_list(name, size, names->reserved)) {
             continue;
         }
         append(call->head, name, size);
@@ -318,17 +286,14 @@
 void
 MpGatewayRequest_CopyHeaders(const struct MpTargetHead *head, h2o_req_t *req)
 {
+    size_t size = 0;
+    const char *value = MpTargetHead_Find(head, "connection", &size);
+    char *connection = value ? g_strndup(value, size) : NULL;
     for (size_t i = 0; i < head->count; i++) {
         const struct MpTargetHeader *header = &head->headers[i];
-        if (is_in_list(header->name, header->name_size, hop_headers)) {
-            continue;
-        }
-        h2o_iovec_t name =
-            h2o_strdup(&req->pool, header->name, header->name_size);
-        h2o_iovec_t value =
-            h2o_strdup(&req->pool, header->value, header->value_size);
-        h2o_strtolower(name.base, name.len);
-        h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
-                              name.len, 1, NULL, value.base, value.len);
+        MpHopHeaders_Forward(
+            req, connection, h2o_iovec_init(header->name, header->name_size),
+            h2o_iovec_init(header->value, header->value_size));
     }
+    g_free(connection);
 }
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -43,36 +43,29 @@
 send_error_body(h2o_ostream_t *self, h2o_req_t *req, h2o_iovec_t *bufs,
                 size_t count, h2o_send_state_t state)
 {
+    /* h2o sends an error as one buffer, or as none in response to HEAD. */
     h2o_iovec_t body = MpErrorBody_FormatInPool(
         &req->pool, status_to_error(req->res.status), NULL);
     (void)bufs;
-    (void)count;
-    h2o_ostream_send_next(self, req, &body, 1, state);
+    h2o_ostream_send_next(self, req, &body, count > 0 ? 1 : 0, state);
 }
 
+/* Filter of the path that h2o uses for requests that it does not pass to the
+ * handler.  Responses of the handler never come here. */
 static void
 on_setup_ostream(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
 {
     (void)self;
-    if (req->res.status >= 400 &&
-        h2o_find_header_by_str(&req->res.headers,
-                               H2O_STRLIT("x-mimosapath-run"), -1) < 0) {
-        int code = status_to_error(req->res.status);
-        MpLog_Event(LOG_NOTICE, "error-body-replaced",
-                    "status=%d bytes=%zd by=%s", req->res.status,
-                    (ssize_t)req->res.content_length,
-                    req->pathconf == &req->hostconf->fallback_path ? "server"
-                                                                  : "handler");
-        h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
-        MpHttp_AddHeader(req, "x-mimosapath-run", "no");
-        h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
-                       H2O_STRLIT("application/json"), 1);
-        req->res.content_length = body.len;
-        h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
-        stream->do_send = send_error_body;
-        slot = &stream->next;
-    }
-    h2o_setup_next_ostream(req, slot);
+    int code = status_to_error(req->res.status);
+    h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
+    MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", req->res.status);
+    MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
+    h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                   H2O_STRLIT("application/json"), 1);
+    req->res.content_length = body.len;
+    h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
+    stream->do_send = send_error_body;
+    h2o_setup_next_ostream(req, &stream->next);
 }
 
 /* ---- listening ---- */
@@ -101,8 +94,6 @@
         (struct server_handler *)h2o_create_handler(path, sizeof(*handler));
     handler->super.on_req = on_request;
     handler->server = this;
-    h2o_create_filter(path, sizeof(h2o_filter_t))->on_setup_ostream =
-        on_setup_ostream;
     h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))
         ->on_setup_ostream = on_setup_ostream;
 }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -13,6 +13,10 @@
  * the JSON body of ErrorBody.h too.
  */
 
+/* Header of error responses of this instance: whether a target may have run
+ * the request. */
+#define MP_RUN_HEADER "x-mimosapath-run"
+
 struct MpHttpServer {
     h2o_globalconf_t config;
     h2o_context_t context;
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -85,7 +85,7 @@
 {
     if (this->req) {
         if (status >= 400) {
-            MpHttp_AddHeader(this->req, "x-mimosapath-run", "no");
+            MpHttp_AddHeader(this->req, MP_RUN_HEADER, "no");
         }
         MpHttp_Send(this->req, status, content_type, body, strlen(body));
     }
