Responses have as many bytes as their heads say

What callers saw: a body behind 204 or 304, read as the next response, or a wait until the deadline for one that was announced with them; a wait without end by HTTP/1.0 callers that keep connections; an error in chunks that was cut off and looked whole.

Cause: what a target's head says was passed to h2o as it was. h2o writes whatever it is given behind 204 and 304, encodes chunks for status 200 only (other bodies of unknown length end with the connection, so a cut is not seen), and keeps the connection of an HTTP/1.0 caller without any end of the body. The native API announced the bytes that it had, also with 204, and 0 for HEAD and 304; of two lengths its client took the last.

BodyLength starts each response of both interfaces: it knows which have no body, has h2o encode chunks for every status, ends the connection of HTTP/1.0 callers, and counts what is written. A response that would be longer or shorter than announced is aborted with a log line (response-length-wrong). Where only the connection ends a body, an abort resets it. Connections to targets that announce a body with 204 are not used again. More than one length or encoding in a target's head makes its response incomplete by the native API too, as on paths.

--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -112,29 +112,38 @@
     if (!this->req) {
         return;
     }
-    this->req->res.status = status;
-    this->req->res.reason = "Answer";
-    this->req->res.content_length = size;
-    h2o_start_response(this->req, &this->link->super);
+    MpBodyLength_Start(&this->length, this->req, &this->link->super, status,
+                       size);
 }
 
 void
 MpCallerResponse_Write(struct MpCallerResponse *this, const void *data,
                        size_t size)
 {
-    if (this->req && size > 0) {
-        g_byte_array_append(this->pending, data, (guint)size);
-        flush(this);
+    if (!this->req || size == 0 || this->is_output_closed ||
+        this->length.has_no_body) {
+        return;
+    }
+    if (!MpBodyLength_Add(&this->length, this->id, size)) {
+        MpCallerResponse_Abort(this);
+        return;
     }
+    g_byte_array_append(this->pending, data, (guint)size);
+    flush(this);
 }
 
 void
 MpCallerResponse_Finish(struct MpCallerResponse *this)
 {
-    if (!this->is_output_closed) {
-        this->is_output_closed = true;
-        flush(this);
+    if (this->is_output_closed) {
+        return;
     }
+    if (this->req && !MpBodyLength_CheckEnd(&this->length, this->id)) {
+        MpCallerResponse_Abort(this);
+        return;
+    }
+    this->is_output_closed = true;
+    flush(this);
 }
 
 static h2o_socket_t *
--- a/src/transport/CallerResponse.h
+++ b/src/transport/CallerResponse.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_CALLER_RESPONSE_H
 #define MP_TRANSPORT_CALLER_RESPONSE_H
 
+#include "transport/BodyLength.h"
+
 #include <glib.h>
 #include <h2o.h>
 #include <stdbool.h>
@@ -42,6 +44,8 @@
     struct MpResponseLink *link;
     GByteArray *pending; /* not yet passed to h2o */
     GByteArray *sending; /* being sent by h2o */
+    struct MpBodyLength length;
+    const char *id; /* for log lines, or NULL */
     bool is_started;
     bool is_output_closed; /* no more data follows */
     bool is_aborted;
@@ -57,8 +61,13 @@
  * size in bytes, SIZE_MAX if unknown. */
 void MpCallerResponse_Start(struct MpCallerResponse *this, int status,
                             size_t size);
+
+/* Writes a part of the body, if the response has one.  Aborts the response if
+ * its body would be longer than announced. */
 void MpCallerResponse_Write(struct MpCallerResponse *this, const void *data,
                             size_t size);
+
+/* Ends the response; aborts it if its body is shorter than announced. */
 void MpCallerResponse_Finish(struct MpCallerResponse *this);
 
 /* Ends a started response in a way that the caller sees as incomplete. */
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -145,10 +145,13 @@
 void
 MpExchange_FinishSettled(struct MpExchange *this)
 {
+    bool is_head = strcmp(this->method, "HEAD") == 0;
     record_response_time(this);
     if (!this->is_head_sent) {
         MpExchange_StartResponse(this, this->status, this->content_type,
-                                 this->response->len);
+                                 MpBodyLength_HasNoBody(is_head, this->status)
+                                     ? this->announced_bytes
+                                     : this->response->len);
     }
     MpExchange_Write(this, this->response->data, this->response->len);
     MpExchange_FinishResponse(this);
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -6,6 +6,7 @@
 #include "protocol/Chat.h"
 #include "protocol/Sse.h"
 #include "state/Error.h"
+#include "transport/BodyLength.h"
 #include "transport/Router.h"
 #include "transport/Upstream.h"
 
@@ -50,8 +51,9 @@
     h2o_req_t *req; /* NULL once the caller has disconnected, or was sent a
                      * refusal */
     struct MpCallerLink *caller;
-    GByteArray *unsent;    /* data not yet passed to h2o */
-    GByteArray *sending;   /* data that h2o is sending */
+    GByteArray *unsent;  /* data not yet passed to h2o */
+    GByteArray *sending; /* data that h2o is sending */
+    struct MpBodyLength length;
     bool is_head_sent;     /* the head of the response was sent */
     bool is_output_closed; /* no more data follows unsent */
     bool is_aborted;       /* the response is not completed */
@@ -106,6 +108,8 @@
     bool is_stream;      /* the response is a text/event-stream */
     bool has_done_event; /* data: [DONE] was received */
     int32_t status;
+    size_t announced_bytes; /* Content-Length of the target's response,
+                             * SIZE_MAX if it has none */
     char *content_type;
     GPtrArray *headers;    /* of the target's response: names, each followed by
                             * its value */
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -159,9 +159,6 @@
     if (!this->req) {
         return;
     }
-    this->req->res.status = status;
-    this->req->res.reason = "Answer";
-    this->req->res.content_length = size;
     if (content_type[0]) {
         MpHttp_AddHeader(this->req, "content-type", content_type);
     }
@@ -173,13 +170,21 @@
                              h2o_iovec_init(name, strlen(name)),
                              h2o_iovec_init(value, strlen(value)));
     }
-    h2o_start_response(this->req, &this->caller->super);
+    MpBodyLength_Start(&this->length, this->req, &this->caller->super, status,
+                       size);
 }
 
 void
 MpExchange_Write(struct MpExchange *this, const void *data, size_t size)
 {
-    if (!this->req || size == 0) {
+    if (!this->req || size == 0 || this->length.has_no_body ||
+        this->is_output_closed) {
+        return;
+    }
+    if (!MpBodyLength_Add(&this->length, this->request_id, size)) {
+        this->is_output_closed = true;
+        this->is_aborted = true;
+        flush(this);
         return;
     }
     g_byte_array_append(this->unsent, data, (guint)size);
@@ -196,6 +201,9 @@
         return;
     }
     this->is_output_closed = true;
+    if (this->req && !MpBodyLength_CheckEnd(&this->length, this->request_id)) {
+        this->is_aborted = true;
+    }
     flush(this);
 }
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -7,6 +7,7 @@
 #include "transport/TargetPoller.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* The target's side of an exchange: attempts, retries and responses. */
@@ -289,6 +290,10 @@
     const h2o_iovec_t *found = find_header(headers, count, "connection");
     char *connection = found ? g_strndup(found->base, found->len) : NULL;
     g_ptr_array_set_size(this->headers, 0);
+    /* The value is followed by the end of its line. */
+    const h2o_iovec_t *length = find_header(headers, count, "content-length");
+    this->announced_bytes =
+        length ? (size_t)strtoull(length->base, NULL, 10) : SIZE_MAX;
     for (size_t i = 0; i < count; i++) {
         const char *name = headers[i].name->base;
         size_t size = headers[i].name->len;
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 
 #define ACCEPT_BATCH 64
+/* h2o_req_t.version */
+#define HTTP_1_1 0x101
 
 struct server_handler {
     h2o_handler_t super;
@@ -191,13 +193,27 @@
                           NULL, copy.base, copy.len);
 }
 
+bool
+MpHttp_EndsWithConnection(const h2o_req_t *req)
+{
+    return req->version < HTTP_1_1 && req->res.content_length == SIZE_MAX;
+}
+
 void
 MpHttp_Abort(h2o_req_t *req)
 {
-    /* On errors h2o ends a chunked response with a malformed chunk, which
-     * looks like a bug of this server, so the socket is shut down first. */
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
-    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    int fd = h2o_socket_get_fd(socket);
+    if (MpHttp_EndsWithConnection(req)) {
+        struct linger reset = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    else {
+        /* On errors h2o ends a chunked response with a malformed chunk, which
+         * looks like a bug of this server, so the socket is shut down first.
+         */
+        shutdown(fd, SHUT_RDWR);
+    }
     h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
 }
 
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -55,8 +55,13 @@
 /* Adds a header to the response; value is copied. */
 void MpHttp_AddHeader(h2o_req_t *req, const char *name, const char *value);
 
+/* Returns whether only the end of the connection ends the response's body. */
+bool MpHttp_EndsWithConnection(const h2o_req_t *req);
+
 /* Aborts a response that was started: closes its connection, so that the
- * client sees that it is incomplete.  Data sent before still arrives. */
+ * client sees that it is incomplete.  Data sent before still arrives, unless
+ * the body ends with the connection: that is reset, as its end would look like
+ * the end of the body. */
 void MpHttp_Abort(h2o_req_t *req);
 
 /* Sends a complete response. */
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -1,5 +1,7 @@
 #include "transport/TargetConn.h"
 
+#include "transport/BodyLength.h"
+
 #include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -237,7 +239,11 @@
         this->klass->head(this->owner, &head);
     }
     g_free(headers);
-    return this->is_head_request ? 1 : 0;
+    bool may_have_body = head.size > 0 || (parser->flags & F_CHUNKED) != 0;
+    if (head.status == 204 && may_have_body) {
+        this->is_reusable = false;
+    }
+    return MpBodyLength_HasNoBody(this->is_head_request, head.status) ? 1 : 0;
 }
 
 static int
--- a/src/transport/Upstream.c
+++ b/src/transport/Upstream.c
@@ -1,5 +1,7 @@
 #include "transport/Upstream.h"
 
+#include "transport/BodyLength.h"
+
 #include <string.h>
 
 /* h2o's timeout for reads and writes.  It is set high because the owner bounds
@@ -71,21 +73,20 @@
     return 0;
 }
 
-static bool
-has_framing(const h2o_header_t *headers, size_t count, int status)
+/* Returns the number of headers that tell where the body ends. */
+static uint32_t
+count_framings(const h2o_header_t *headers, size_t count)
 {
-    if (status == 204 || status == 304) {
-        return true;
-    }
+    uint32_t framings = 0;
     for (size_t i = 0; i < count; i++) {
         if (h2o_memis(headers[i].name->base, headers[i].name->len,
                       H2O_STRLIT("content-length")) ||
             h2o_memis(headers[i].name->base, headers[i].name->len,
                       H2O_STRLIT("transfer-encoding"))) {
-            return true;
+            framings++;
         }
     }
-    return false;
+    return framings;
 }
 
 static h2o_http1client_body_cb
@@ -101,11 +102,18 @@
         finish(this, MP_UPSTREAM_INCOMPLETE);
         return NULL;
     }
-    this->is_framed = this->is_head || has_framing(headers, count, status);
+    bool has_no_body = MpBodyLength_HasNoBody(this->is_head, status);
+    uint32_t framings = count_framings(headers, count);
+    if (framings > 1) {
+        /* h2o takes the last of several lengths. */
+        finish(this, MP_UPSTREAM_INCOMPLETE);
+        return NULL;
+    }
+    this->is_framed = has_no_body || framings > 0;
     this->is_in_callback = true;
     this->klass->head(this->owner, status, headers, count);
     this->is_in_callback = false;
-    if (error) {
+    if (error || (has_no_body && !this->is_cancelled)) {
         finish(this, this->is_framed ? MP_UPSTREAM_COMPLETE
                                      : MP_UPSTREAM_INCOMPLETE);
         return NULL;
