--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -155,6 +155,7 @@
     /* The length holds for the first target's bytes only. */
     bool has_size =
         head->size >= 0 && !(this->is_event_stream && is_resumable(this));
+    this->response.id = this->id;
     MpCallerResponse_Start(&this->response, head->status,
                            has_size ? (size_t)head->size : SIZE_MAX);
 }
