At-most-once responses with a long content type are answered

What callers saw: 504 outcome_unknown for a request that its target had answered, and 409 in_progress for its key.

Cause: the settlement carries the content type in a field of 64 bytes; a longer one could not be encoded, so the settlement failed. Such a response is now settled without a copy, as one of more than 4096 bytes: it reaches its caller, and the key sent again gets 409 already_answered.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -198,7 +198,8 @@
             enum mp_record_state outcome, int64_t spent_mtok)
 {
     bool is_stored = this->at_most_once && outcome == MP_RECORD_DONE &&
-                     this->response->len <= STORED_RESPONSE_MAX_BYTES;
+                     this->response->len <= STORED_RESPONSE_MAX_BYTES &&
+                     strlen(this->content_type) <= MP_NAME_MAX;
     command->body.kind = MP_CMD_SETTLE;
     command->body.mp_command_body_u.settle = (struct mp_settle){
         .incarnation = this->holder,
