--- a/tests/runs/answer_longer_than_its_head.py
+++ b/tests/runs/answer_longer_than_its_head.py
@@ -2,6 +2,7 @@
 connection split what they receive by the heads and find one response for each
 request and nothing between or behind them.  Printed for each response: status
 + bytes of its body, and how its end is told if not by that length."""
+from fleet import TOKEN
 from pathfleet import (KeptCaller, ReadError, relay_fleet,
                        request_text, respond, wait_for_service,
                        wait_targets)
@@ -145,6 +146,24 @@
     "no-path-of-ours": ("HEAD", make_text("HEAD /none HTTP/1.1")),
 }
 
+# Errors of the console are pages, not the JSON of errors of h2o.
+def report_console(port, method):
+    caller = KeptCaller(port)
+    text = ("%s /none HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n"
+            % (method, TOKEN)).encode()
+    try:
+        for turn in ("first", "second"):
+            caller.write(method, text)
+            answer = caller.read()
+            print("console", method, turn, answer.status,
+                  answer.first("content-type"), answer.body[:15])
+    except ReadError as error:
+        print("console", method, error)
+    if caller.left_over(0.05):
+        print("LEFT-OVER")
+    caller.close()
+
+
 fleet, prefixes = relay_fleet(handle_request)
 with fleet:
     print("ready", wait_targets(fleet, "i0"), wait_for_service(fleet, "i0"))
@@ -171,3 +190,5 @@
                             ("simulated-target", fleet.targets["service-0"])):
             seen = exchange(other, [(method, text)], False)
             print(kind, name, seen)
+    for method in ("GET", "HEAD"):
+        report_console(fleet.operators["i0"], method)
