An encoded answer is not replayed without its encoding

What callers saw: an at-most-once answer with a Content-Encoding was recorded without it and replayed for the same key, in bytes that cannot be read; and a target's own x-mimosapath-replayed was passed on as ours, since headers of targets are forwarded by the native API.

A record holds the content type alone. An encoded answer is settled without a copy now, and the key sent again gets 409 already_answered. The header is ours, like x-mimosapath-run.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -199,7 +199,8 @@
 {
     bool is_stored = this->at_most_once && outcome == MP_RECORD_DONE &&
                      this->response->len <= STORED_RESPONSE_MAX_BYTES &&
-                     strlen(this->content_type) <= MP_NAME_MAX;
+                     strlen(this->content_type) <= MP_NAME_MAX &&
+                     !this->is_encoded;
     command->body.kind = MP_CMD_SETTLE;
     command->body.mp_command_body_u.settle = (struct mp_settle){
         .incarnation = this->holder,
@@ -313,7 +314,7 @@
 {
     release_target(this);
     if (this->req && result->answer.answer_len > 0) {
-        MpHttp_AddHeader(this->req, "x-mimosapath-replayed", "yes");
+        MpHttp_AddHeader(this->req, MP_REPLAYED_HEADER, "yes");
         MpExchange_StartResponse(this, result->status, result->content_type,
                                  result->answer.answer_len);
         MpExchange_Write(this, result->answer.answer_val,
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -111,6 +111,7 @@
     size_t announced_bytes; /* Content-Length of the target's response,
                              * SIZE_MAX if it has none */
     char *content_type;
+    bool is_encoded;       /* the target's response has a Content-Encoding */
     GPtrArray *headers;    /* of the target's response: names, each followed by
                             * its value */
     GByteArray *response;  /* data to send after settlement: a whole
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -323,6 +323,7 @@
     g_free(this->content_type);
     this->content_type =
         type ? g_strndup(type->base, type->len) : g_strdup("");
+    this->is_encoded = encoding != NULL;
     keep_headers(this, headers, count);
     this->is_stream = this->is_chat && !reason;
     if (this->is_head_sent && !this->is_stream) {
--- a/src/transport/HopHeaders.c
+++ b/src/transport/HopHeaders.c
@@ -64,7 +64,8 @@
     h2o_iovec_t name_copy = h2o_strdup(&req->pool, name.base, name.len);
     h2o_iovec_t value_copy = h2o_strdup(&req->pool, value.base, value.len);
     h2o_strtolower(name_copy.base, name_copy.len);
-    if (MpHttp_Equals(name_copy, MP_RUN_HEADER)) {
+    if (MpHttp_Equals(name_copy, MP_RUN_HEADER) ||
+        MpHttp_Equals(name_copy, MP_REPLAYED_HEADER)) {
         return;
     }
     if (MpHttp_Equals(name_copy, "date")) {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -16,6 +16,8 @@
 /* Header of error responses of this instance: whether a target may have run
  * the request. */
 #define MP_RUN_HEADER "x-mimosapath-run"
+/* Header of recorded responses that are sent again. */
+#define MP_REPLAYED_HEADER "x-mimosapath-replayed"
 
 struct MpHttpServer {
     h2o_globalconf_t config;
--- a/tests/runs/callers_leave_inside_answers.py
+++ b/tests/runs/callers_leave_inside_answers.py
@@ -1,6 +1,6 @@
 """Callers leave, reset, or read slowly at each point of an answer, beside
 others that keep their connections: these get each answer whole and their own,
-and nothing stays behind.  SEED and PLAY_SECONDS are taken from the environment."""
+and nothing stays behind.  SEED and PLAY_SECONDS change what is played."""
 import os
 import random
 import struct
