--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -55,6 +55,7 @@
     this->response = g_byte_array_new();
     this->tried = g_ptr_array_new_with_free_func(g_free);
     this->content_type = g_strdup("");
+    this->headers = g_ptr_array_new_with_free_func(g_free);
     this->link.data = this;
     MpSse_Init(&this->sse);
     g_queue_push_tail_link(&router->exchanges, &this->link);
@@ -71,6 +72,7 @@
     MpChat_Done(&this->chat);
     MpDocument_Unref(this->document);
     g_ptr_array_unref(this->tried);
+    g_ptr_array_unref(this->headers);
     g_byte_array_unref(this->body);
     g_byte_array_unref(this->unsent);
     g_byte_array_unref(this->sending);
@@ -143,10 +145,13 @@
 void
 MpExchange_FinishSettled(struct MpExchange *this)
 {
+    bool is_head = strcmp(this->method, "HEAD") == 0;
     record_response_time(this);
     if (!this->is_head_sent) {
         MpExchange_StartResponse(this, this->status, this->content_type,
-                                 this->response->len);
+                                 MpBodyLength_HasNoBody(is_head, this->status)
+                                     ? this->announced_bytes
+                                     : this->response->len);
     }
     MpExchange_Write(this, this->response->data, this->response->len);
     MpExchange_FinishResponse(this);
@@ -193,7 +198,9 @@
             enum mp_record_state outcome, int64_t spent_mtok)
 {
     bool is_stored = this->at_most_once && outcome == MP_RECORD_DONE &&
-                     this->response->len <= STORED_RESPONSE_MAX_BYTES;
+                     this->response->len <= STORED_RESPONSE_MAX_BYTES &&
+                     strlen(this->content_type) <= MP_NAME_MAX &&
+                     !this->is_encoded;
     command->body.kind = MP_CMD_SETTLE;
     command->body.mp_command_body_u.settle = (struct mp_settle){
         .incarnation = this->holder,
@@ -307,7 +314,7 @@
 {
     release_target(this);
     if (this->req && result->answer.answer_len > 0) {
-        MpHttp_AddHeader(this->req, "x-mimosapath-replayed", "yes");
+        MpHttp_AddHeader(this->req, MP_REPLAYED_HEADER, "yes");
         MpExchange_StartResponse(this, result->status, result->content_type,
                                  result->answer.answer_len);
         MpExchange_Write(this, result->answer.answer_val,
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -1,6 +1,7 @@
 #include "transport/Exchange.h"
 
 #include "transport/ErrorBody.h"
+#include "transport/HopHeaders.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -107,7 +108,7 @@
     if (request_id) {
         MpHttp_AddHeader(req, "x-mimosapath-request", request_id);
     }
-    MpHttp_AddHeader(req, "x-mimosapath-run", run);
+    MpHttp_AddHeader(req, MP_RUN_HEADER, run);
     if (retry_after_ms > 0) {
         g_snprintf(seconds, sizeof(seconds), "%" PRId64,
                    (retry_after_ms + 999) / 1000);
@@ -158,20 +159,32 @@
     if (!this->req) {
         return;
     }
-    this->req->res.status = status;
-    this->req->res.reason = "Answer";
-    this->req->res.content_length = size;
     if (content_type[0]) {
         MpHttp_AddHeader(this->req, "content-type", content_type);
     }
     MpHttp_AddHeader(this->req, "x-mimosapath-request", this->request_id);
-    h2o_start_response(this->req, &this->caller->super);
+    for (guint i = 0; i + 1 < this->headers->len; i += 2) {
+        const char *name = g_ptr_array_index(this->headers, i);
+        const char *value = g_ptr_array_index(this->headers, i + 1);
+        MpHopHeaders_Forward(this->req, NULL,
+                             h2o_iovec_init(name, strlen(name)),
+                             h2o_iovec_init(value, strlen(value)));
+    }
+    MpBodyLength_Start(&this->length, this->req, &this->caller->super, status,
+                       size);
 }
 
 void
 MpExchange_Write(struct MpExchange *this, const void *data, size_t size)
 {
-    if (!this->req || size == 0) {
+    if (!this->req || size == 0 || this->length.has_no_body ||
+        this->is_output_closed) {
+        return;
+    }
+    if (!MpBodyLength_Add(&this->length, this->request_id, size)) {
+        this->is_output_closed = true;
+        this->is_aborted = true;
+        flush(this);
         return;
     }
     g_byte_array_append(this->unsent, data, (guint)size);
@@ -188,6 +201,9 @@
         return;
     }
     this->is_output_closed = true;
+    if (this->req && !MpBodyLength_CheckEnd(&this->length, this->request_id)) {
+        this->is_aborted = true;
+    }
     flush(this);
 }
 
