--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -201,6 +201,11 @@
     if (!is_valid) {
         return -1;
     }
+    /* A target that announces a body with status 204 may send it. */
+    if (head.status == 204 &&
+        (head.size > 0 || (parser->flags & F_CHUNKED) != 0)) {
+        this->is_closing = true;
+    }
     /* The parser would wait for a body if such a head has a length. */
     bool has_no_body = this->is_head_request || head.status < 200 ||
                        head.status == 204 || head.status == 304;
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
+#include "transport/Log.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,6 +10,8 @@
 #include <sys/socket.h>
 
 #define ACCEPT_BATCH 64
+/* h2o_req_t.version */
+#define HTTP_1_1 0x101
 
 struct server_handler {
     h2o_handler_t super;
@@ -42,31 +45,29 @@
 send_error_body(h2o_ostream_t *self, h2o_req_t *req, h2o_iovec_t *bufs,
                 size_t count, h2o_send_state_t state)
 {
+    /* h2o sends an error as one buffer, or as none in response to HEAD. */
     h2o_iovec_t body = MpErrorBody_FormatInPool(
         &req->pool, status_to_error(req->res.status), NULL);
     (void)bufs;
-    (void)count;
-    h2o_ostream_send_next(self, req, &body, 1, state);
+    h2o_ostream_send_next(self, req, &body, count > 0 ? 1 : 0, state);
 }
 
+/* Filter of the path that h2o uses for requests that it does not pass to the
+ * handler.  Responses of the handler never come here. */
 static void
 on_setup_ostream(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
 {
     (void)self;
-    if (req->res.status >= 400 &&
-        h2o_find_header_by_str(&req->res.headers,
-                               H2O_STRLIT("x-mimosapath-run"), -1) < 0) {
-        int code = status_to_error(req->res.status);
-        h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
-        MpHttp_AddHeader(req, "x-mimosapath-run", "no");
-        h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
-                       H2O_STRLIT("application/json"), 1);
-        req->res.content_length = body.len;
-        h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
-        stream->do_send = send_error_body;
-        slot = &stream->next;
-    }
-    h2o_setup_next_ostream(req, slot);
+    int code = status_to_error(req->res.status);
+    h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
+    MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", req->res.status);
+    MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
+    h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                   H2O_STRLIT("application/json"), 1);
+    req->res.content_length = body.len;
+    h2o_ostream_t *stream = h2o_add_ostream(req, sizeof(*stream), slot);
+    stream->do_send = send_error_body;
+    h2o_setup_next_ostream(req, &stream->next);
 }
 
 /* ---- listening ---- */
@@ -95,8 +96,6 @@
         (struct server_handler *)h2o_create_handler(path, sizeof(*handler));
     handler->super.on_req = on_request;
     handler->server = this;
-    h2o_create_filter(path, sizeof(h2o_filter_t))->on_setup_ostream =
-        on_setup_ostream;
     h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))
         ->on_setup_ostream = on_setup_ostream;
 }
@@ -194,13 +193,27 @@
                           NULL, copy.base, copy.len);
 }
 
+bool
+MpHttp_EndsWithConnection(const h2o_req_t *req)
+{
+    return req->version < HTTP_1_1 && req->res.content_length == SIZE_MAX;
+}
+
 void
 MpHttp_Abort(h2o_req_t *req)
 {
-    /* On errors h2o ends a chunked response with a malformed chunk, which
-     * looks like a bug of this server, so the socket is shut down first. */
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
-    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    int fd = h2o_socket_get_fd(socket);
+    if (MpHttp_EndsWithConnection(req)) {
+        struct linger reset = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    else {
+        /* On errors h2o ends a chunked response with a malformed chunk, which
+         * looks like a bug of this server, so the socket is shut down first.
+         */
+        shutdown(fd, SHUT_RDWR);
+    }
     h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
 }
 
