One odd entry of the target list costs that entry and no other

What callers saw: with one odd entry in the list (nested 20 levels, invalid UTF-8, strings or brackets that do not match, and others) a new target got no requests and one that was gone stayed in use, until the entry went.

Cause: a page was parsed as one JSON text, by a parser with a limit of depth, twice over (one copy for each dialect).

Change: protocol/TargetPage cuts a page into its entries by bytes (state/JsonScan, without recursion) and parses each alone with a limit of size and depth; both dialects only name the fields and check an entry. Where brackets or strings do not match, the next entry that stands between separators is taken; a page whose length is not known is not repaired, as it may have been cut off. Of two entries that claim one incarnation one counts, the one in use first: before, the last one did, and with a changing order the target was made anew at each read. A page above 8 MiB is refused. The line target-entries-unreadable names the first such entry.

Conclusion: an entry's bytes decide over the entry. What remains, as the header says: bytes that end the list in valid JSON, and complete entries inside of an entry whose brackets do not match.

--- a/Makefile
+++ b/Makefile
@@ -94,6 +94,7 @@
 FUZZ_SUPPORT = fuzz/MemoryDisk.c fuzz/Agents.c fuzz/AgentsCheck.c \
 	fuzz/Cluster.c fuzz/ClusterNode.c
 FUZZ_SOURCES = src/gen/wire_xdr.c $(STATE) $(COORDINATION) $(PROTOCOL) \
+	$(PLATFORM) \
 	src/transport/FormData.c $(FUZZ_SUPPORT)
 FUZZ_SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
 FUZZ_FLAGS = $(CPPFLAGS) -Ifuzz -DMP_TEST_FAULTS -std=c11 -O1 -g -w
--- a/fuzz/FuzzParsers.c
+++ b/fuzz/FuzzParsers.c
@@ -1,6 +1,8 @@
 #include "Input.h"
 
+#include "PlatformDialect.h"
 #include "protocol/Chat.h"
+#include "protocol/Dialect.h"
 #include "protocol/Rpc.h"
 #include "protocol/Sse.h"
 #include "state/Codec.h"
@@ -222,7 +224,209 @@
     g_free(escaped);
 }
 
-/* Lowest values of a case's first byte that choose settings and form data. */
+/* ---- pages of target lists ---- */
+
+/* Good entries; each value names its entry, so that one made of pieces of two
+ * is found. */
+static const char *const good_entries[][3] = {
+    {"{\"incarnation\":\"g0\",\"pool\":\"p0\",\"zone\":\"z0\","
+     "\"version\":\"v0\",\"address\":\"127.0.0.1:10\",\"slots\":10}",
+     "{\"incarnation\":\"g1\",\"pool\":\"p1\",\"zone\":\"z1\","
+     "\"version\":\"v1\",\"address\":\"127.0.0.1:11\",\"slots\":11}",
+     "{\"incarnation\":\"g2\",\"pool\":\"p2\",\"zone\":\"z2\","
+     "\"version\":\"v2\",\"address\":\"127.0.0.1:12\",\"slots\":12}"},
+    {"{\"id\":\"g0\",\"service\":\"p0\",\"zone\":\"z0\",\"version\":\"v0\","
+     "\"address\":\"127.0.0.1:10\",\"slots\":10,\"state\":\"ready\","
+     "\"models\":[{\"name\":\"m\",\"adapters\":[]}]}",
+     "{\"models\":[{\"name\":\"m\",\"adapters\":[]}],\"zone\":\"z1\","
+     "\"id\":\"g1\",\"service\":\"p1\",\"version\":\"v1\","
+     "\"address\":\"127.0.0.1:11\",\"slots\":11,\"state\":\"ready\"}",
+     "{\"id\":\"g2\",\"service\":\"p2\",\"zone\":\"z2\",\"version\":\"v2\","
+     "\"address\":\"127.0.0.1:12\",\"slots\":12,\"state\":\"draining\"}"},
+};
+
+static const char *const odd_fragments[] = {
+    "{",
+    "}",
+    "[",
+    "]",
+    ":",
+    ",",
+    "\"",
+    "\\",
+    " ",
+    "\n",
+    "1",
+    "1e999",
+    "99999999999999999999",
+    "null",
+    "\"a\"",
+    "\"x\":",
+    "\"incarnation\":\"odd\"",
+    "\"pool\":\"odd\"",
+    "\"zone\":\"odd\"",
+    "\"address\":\"127.0.0.1:9\"",
+    "\"id\":\"odd\"",
+    "\"service\":\"odd\"",
+    "\"state\":\"ready\"",
+    "\"version\":\"odd\"",
+    "\"slots\":9",
+    "{\"a\":[",
+    "]}",
+    "\xff",
+    "/*",
+    "//",
+    "[[[[[[[[[[[[[[[[[[[[",
+    "]]]]]]]]]]]]]]]]]]]]",
+};
+
+static GString *
+make_odd(struct FuzzInput *input, bool is_raw)
+{
+    GString *text = g_string_new(NULL);
+    while (!FuzzInput_IsAtEnd(input)) {
+        uint8_t byte = FuzzInput_Byte(input);
+        if (is_raw) {
+            g_string_append_c(text, (char)byte);
+        }
+        else {
+            g_string_append(text,
+                            odd_fragments[byte % G_N_ELEMENTS(odd_fragments)]);
+        }
+    }
+    return text;
+}
+
+/* Returns a balanced entry: each bracket is closed, and the text between them
+ * holds neither brackets nor quotes. */
+static GString *
+make_balanced(struct FuzzInput *input)
+{
+    GString *text = g_string_new("{\"x\":");
+    GString *closers = g_string_new("}");
+    while (!FuzzInput_IsAtEnd(input)) {
+        uint8_t byte = FuzzInput_Byte(input);
+        if (byte < 64) {
+            g_string_append_c(text, byte % 2 ? '{' : '[');
+            g_string_append_c(closers, byte % 2 ? '}' : ']');
+        }
+        else if (byte < 128 && closers->len > 1) {
+            g_string_append_c(text, closers->str[closers->len - 1]);
+            g_string_truncate(closers, closers->len - 1);
+        }
+        else if (byte < 192) {
+            g_string_append(text, byte % 2 ? ",\"]}{[\\\"\":" : ",\"\xff\",");
+        }
+        else if (!strchr("\"{}[]", byte & 127)) {
+            g_string_append_c(text, (char)byte);
+        }
+    }
+    while (closers->len > 0) {
+        g_string_append_c(text, closers->str[closers->len - 1]);
+        g_string_truncate(closers, closers->len - 1);
+    }
+    g_string_free(closers, TRUE);
+    return text;
+}
+
+/* Returns the number of a good entry if all fields of target are of it, -1 if
+ * none is. */
+static int
+check_target(const struct MpListedTarget *target)
+{
+    int number =
+        target->incarnation[0] == 'g' ? target->incarnation[1] - '0' : -1;
+    char expected[32];
+    g_snprintf(expected, sizeof(expected), "g%dp%dz%dv%d127.0.0.1:1%d", number,
+               number, number, number, number);
+    char *fields = g_strconcat(target->incarnation, target->pool, target->zone,
+                               target->version ? target->version : "",
+                               target->address, NULL);
+    bool is_odd = strcspn(fields, "gzv") == strlen(fields) &&
+                  strstr(fields, ":9") && target->slots != 10 &&
+                  target->slots != 11 && target->slots != 12;
+    if (number >= 0
+            ? strcmp(fields, expected) != 0 || target->slots != 10 + number
+            : !is_odd) {
+        Fuzz_Fail("entry is made of pieces: %.200s", fields);
+    }
+    g_free(fields);
+    return number;
+}
+
+/* Returns a bit for each good entry in the page. */
+static uint32_t
+parse_page(const struct MpDialect *dialect, const GString *page, bool is_whole,
+           int *code)
+{
+    GPtrArray *targets = g_ptr_array_new_with_free_func(MpListedTarget_Delete);
+    struct MpUnreadableEntries unreadable = {0};
+    uint32_t found = 0;
+    char *next;
+    *code = MpTargetPage_Parse(&dialect->target_page, page->str, page->len,
+                               is_whole, targets, &unreadable, &next);
+    for (guint i = 0; i < targets->len; i++) {
+        int number = check_target(g_ptr_array_index(targets, i));
+        found |= number >= 0 ? 1U << number : 0;
+    }
+    if (*code == MP_OK && found == 7 && is_whole &&
+        g_strcmp0(next, "?page=n") != 0 &&
+        g_strcmp0(next, "?page-token=n") != 0) {
+        Fuzz_Fail("next page is lost");
+    }
+    g_free(next);
+    g_ptr_array_unref(targets);
+    return found;
+}
+
+/* One odd entry in any place costs that entry, and a page that was cut off is
+ * never taken for a whole one. */
+static void
+parse_pages(struct FuzzInput *input)
+{
+    uint8_t choice = FuzzInput_Byte(input);
+    uint8_t cut = FuzzInput_Byte(input);
+    const struct MpDialect *dialect =
+        choice % 2 ? &MpDialect_Platform : &MpDialect_Native;
+    uint32_t place = choice / 2 % 4;
+    uint32_t kind = choice / 8 % 4;
+    GString *odd =
+        kind < 2 ? make_balanced(input) : make_odd(input, kind == 3);
+    GString *page = g_string_new(NULL);
+    int code;
+    g_string_append_printf(page, "{\"%s\":[", dialect->target_page.list);
+    for (uint32_t i = 0; i < 4; i++) {
+        g_string_append(page, i > 0 ? "," : "");
+        if (i == place) {
+            g_string_append_len(page, odd->str, (gssize)odd->len);
+        }
+        else {
+            g_string_append(page, good_entries[choice % 2][i - (i > place)]);
+        }
+    }
+    g_string_append(page, "],\"next\":\"n\"}");
+    uint32_t found = parse_page(dialect, page, true, &code);
+    /* Bytes that end the list and go on with another field are JSON. */
+    bool may_end_list = kind >= 2 && strchr(odd->str, ']');
+    if (!may_end_list && !memchr(odd->str, 0, odd->len) &&
+        (code != MP_OK || found != 7)) {
+        Fuzz_Fail("an entry costs others: found %u of %.400s", found,
+                  page->str);
+    }
+    if (kind < 2) {
+        g_string_truncate(page, page->len * cut / 256);
+        parse_page(dialect, page, false, &code);
+        if (code == MP_OK) {
+            Fuzz_Fail("a page that was cut off is accepted");
+        }
+    }
+    g_string_free(page, TRUE);
+    g_string_free(odd, TRUE);
+}
+
+/* Lowest values of a case's first byte that choose pages, settings and form
+ * data. */
+#define FIRST_PAGE_BYTE 192
 #define FIRST_SETTINGS_BYTE 224
 #define FIRST_FORM_BYTE 240
 #define CHOICE_NONE 99
@@ -233,6 +437,11 @@
     struct FuzzInput input = {.data = data, .size = size};
     uint8_t first = FuzzInput_Byte(&input);
     uint32_t choice = first % 10;
+    if (first >= FIRST_PAGE_BYTE && first < FIRST_SETTINGS_BYTE) {
+        parse_pages(&input);
+        Fuzz_Steps++;
+        return 0;
+    }
     GString *text = make_text(&input, choice >= 5);
     if (first >= FIRST_FORM_BYTE) {
         parse_form(text);
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -1,7 +1,7 @@
 #ifndef MP_PROTOCOL_DIALECT_H
 #define MP_PROTOCOL_DIALECT_H
 
-#include "coordination/Roster.h"
+#include "protocol/TargetPage.h"
 #include "state/Document.h"
 
 #include <glib.h>
@@ -61,12 +61,7 @@
      * Sets its version if has_numbered_documents. */
     struct MpDocument *(*parse_document)(const char *text, size_t size,
                                          GPtrArray *findings);
-    /* Parses one page of the target list.  Adds the valid entries to targets
-     * (struct MpListedTarget) and the number of invalid ones to *unreadable.
-     * *next is the query string of the next page, to be freed with g_free, or
-     * NULL.  Returns MP_ERROR_INVALID if the page cannot be parsed. */
-    int (*parse_targets)(const char *text, size_t size, GPtrArray *targets,
-                         uint32_t *unreadable, char **next);
+    struct MpTargetPageFormat target_page; /* format of the target list */
 };
 
 /* The native dialect of the product. */
--- a/src/protocol/NativeDialect.c
+++ b/src/protocol/NativeDialect.c
@@ -1,7 +1,5 @@
 #include "protocol/Dialect.h"
 
-#include "state/Error.h"
-
 #include <string.h>
 
 /* The native dialect: header names and target list of the product's own HTTP
@@ -51,50 +49,19 @@
                                                  sizeof(struct MpListedTarget),
                                              .fields = entry_fields};
 
-static void
-read_entry(struct json_object *value, GPtrArray *targets, uint32_t *unreadable)
+static struct MpListedTarget *
+parse_entry(struct json_object *value, const char **reason)
 {
     GPtrArray *findings = MpFindings_New();
     struct MpListedTarget *target = g_new0(struct MpListedTarget, 1);
     MpSchema_Decode(&entry_schema, value, "", target, findings);
-    if (findings->len == 0) {
-        g_ptr_array_add(targets, target);
-    }
-    else {
-        (*unreadable)++;
-        MpListedTarget_Delete(target);
+    if (findings->len > 0) {
+        const struct MpFinding *finding = g_ptr_array_index(findings, 0);
+        *reason = MpFinding_KindName(finding->kind);
+        g_clear_pointer(&target, MpListedTarget_Delete);
     }
     g_ptr_array_unref(findings);
-}
-
-static int
-parse_targets(const char *text, size_t size, GPtrArray *targets,
-              uint32_t *unreadable, char **next)
-{
-    GPtrArray *findings = MpFindings_New();
-    struct json_object *root = MpJson_Parse(text, size, findings);
-    struct json_object *list = NULL;
-    struct json_object *cursor = NULL;
-    *next = NULL;
-    g_ptr_array_unref(findings);
-    if (!json_object_is_type(root, json_type_object) ||
-        !json_object_object_get_ex(root, "targets", &list) ||
-        !json_object_is_type(list, json_type_array)) {
-        json_object_put(root);
-        return MP_ERROR_INVALID;
-    }
-    for (size_t i = 0; i < json_object_array_length(list); i++) {
-        read_entry(json_object_array_get_idx(list, i), targets, unreadable);
-    }
-    if (json_object_object_get_ex(root, "next", &cursor) &&
-        json_object_is_type(cursor, json_type_string)) {
-        char *escaped =
-            g_uri_escape_string(json_object_get_string(cursor), NULL, false);
-        *next = g_strdup_printf("?page=%s", escaped);
-        g_free(escaped);
-    }
-    json_object_put(root);
-    return MP_OK;
+    return target;
 }
 
 static const char *const reserved[] = {"authorization",
@@ -122,5 +89,8 @@
                .reserved = reserved},
     .target_list_path = "/targets",
     .parse_document = MpDocument_Parse,
-    .parse_targets = parse_targets,
+    .target_page = {.list = "targets",
+                    .next = "next",
+                    .next_query = "?page=",
+                    .parse_entry = parse_entry},
 };
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -14,6 +14,7 @@
 #define RETRY_MS 200
 #define RETRY_MAX_MS 3000
 #define PAGES_MAX 256
+#define PAGE_MAX_BYTES (8 * 1024 * 1024)
 /* A page after the first that is refused with status 429 is requested again
  * after PAGE_RETRY_MS, at most PAGE_REFUSALS_MAX times in one read.  A
  * provider that allows 40 calls a second lets four calls pass during the
@@ -35,12 +36,15 @@
     struct MpTimer timer;
     GPtrArray *targets; /* from the pages read so far */
     GByteArray *body;
+    bool is_too_long; /* the body is longer than PAGE_MAX_BYTES */
     int status;
     uint32_t pages;
     uint32_t refusals; /* with status 429, during this read */
-    uint32_t unreadable;
-    uint32_t failures; /* in a row */
-    uint64_t calls;    /* counter */
+    struct MpUnreadableEntries unreadable;
+    GHashTable *known; /* incarnation -> address, from the last list */
+    uint32_t unreadable_logged; /* number in the last line of the log */
+    uint32_t failures;          /* in a row */
+    uint64_t calls;             /* counter */
     char *next_query;
 };
 
@@ -68,7 +72,7 @@
     g_clear_pointer(&this->next_query, g_free);
     this->pages = 0;
     this->refusals = 0;
-    this->unreadable = 0;
+    this->unreadable = (struct MpUnreadableEntries){0};
     read_page(this);
 }
 
@@ -86,10 +90,99 @@
               MAX(wait_ms, this->klass->interval(this->owner, &may_skip)));
 }
 
+/* Logs the number of unreadable entries when it changes, and the first. */
+static void
+log_unreadable(struct MpTargetList *this)
+{
+    if (this->unreadable.count == this->unreadable_logged) {
+        return;
+    }
+    this->unreadable_logged = this->unreadable.count;
+    MpLog_Event(this->unreadable.count > 0 ? LOG_WARNING : LOG_NOTICE,
+                "target-entries-unreadable", "count=%u reason=%s first=%s",
+                this->unreadable.count,
+                this->unreadable.count > 0 ? this->unreadable.reason : "-",
+                this->unreadable.sample);
+}
+
+/* Returns whether entry may replace other, which has the same incarnation.
+ * The address that is in use stays; otherwise the order of the addresses and
+ * pools decides, as that of a provider's list is arbitrary. */
+static bool
+is_preferred(const struct MpTargetList *this,
+             const struct MpListedTarget *entry,
+             const struct MpListedTarget *other)
+{
+    const char *known = g_hash_table_lookup(this->known, entry->incarnation);
+    int order = strcmp(entry->address, other->address);
+    if (order != 0 && g_strcmp0(known, entry->address) == 0) {
+        return true;
+    }
+    if (order != 0 && g_strcmp0(known, other->address) == 0) {
+        return false;
+    }
+    return order < 0 || (order == 0 && strcmp(entry->pool, other->pool) < 0);
+}
+
+/* Leaves one entry of those that claim the same incarnation.  An entry may
+ * have moved to another page between two requests: then it stands twice, and
+ * leaves if one of the two says so. */
+static void
+drop_duplicates(struct MpTargetList *this)
+{
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    guint i = 0;
+    while (i < this->targets->len) {
+        struct MpListedTarget *entry = g_ptr_array_index(this->targets, i);
+        gpointer at;
+        if (!g_hash_table_lookup_extended(seen, entry->incarnation, NULL,
+                                          &at)) {
+            g_hash_table_insert(seen, entry->incarnation, GUINT_TO_POINTER(i));
+            i++;
+            continue;
+        }
+        struct MpListedTarget **first =
+            (struct MpListedTarget **)&this->targets
+                ->pdata[GPOINTER_TO_UINT(at)];
+        if (strcmp(entry->address, (*first)->address) == 0 &&
+            strcmp(entry->pool, (*first)->pool) == 0) {
+            (*first)->is_leaving |= entry->is_leaving;
+        }
+        else {
+            MpUnreadableEntries_Add(&this->unreadable, "duplicate_incarnation",
+                                    entry->incarnation,
+                                    strlen(entry->incarnation));
+            if (is_preferred(this, entry, *first)) {
+                struct MpListedTarget *other = *first;
+                *first = entry;
+                this->targets->pdata[i] = other;
+                g_hash_table_replace(seen, entry->incarnation, at);
+            }
+        }
+        g_ptr_array_remove_index(this->targets, i);
+    }
+    g_hash_table_unref(seen);
+}
+
+static void
+remember_list(struct MpTargetList *this)
+{
+    g_hash_table_remove_all(this->known);
+    for (guint i = 0; i < this->targets->len; i++) {
+        const struct MpListedTarget *entry =
+            g_ptr_array_index(this->targets, i);
+        g_hash_table_insert(this->known, g_strdup(entry->incarnation),
+                            g_strdup(entry->address));
+    }
+}
+
 static void
 apply_list(struct MpTargetList *this)
 {
     bool may_skip;
+    drop_duplicates(this);
+    remember_list(this);
+    log_unreadable(this);
     uint32_t changes = this->klass->apply(this->owner, this->targets);
     if (this->failures > 0) {
         MpLog_Event(LOG_NOTICE, "target-list-back", "failures=%u",
@@ -99,7 +192,7 @@
     if (changes > 0) {
         MpLog_Event(LOG_INFO, "target-list-changed",
                     "targets=%u changes=%u unreadable=%u", this->targets->len,
-                    changes, this->unreadable);
+                    changes, this->unreadable.count);
     }
     set_timer(this, this->klass->interval(this->owner, &may_skip) +
                         (int64_t)(this->pages - 1) * PAGE_PAUSE_MS);
@@ -116,6 +209,10 @@
 on_body(void *owner, const char *data, size_t size)
 {
     struct MpTargetList *this = owner;
+    if (size > PAGE_MAX_BYTES - this->body->len) {
+        this->is_too_long = true;
+        return;
+    }
     g_byte_array_append(this->body, (const guint8 *)data, (guint)size);
 }
 
@@ -148,9 +245,15 @@
         on_page_failed(this, is_complete ? "status" : "connection");
         return;
     }
-    if (dialect->parse_targets((const char *)this->body->data, this->body->len,
-                               this->targets, &this->unreadable,
-                               &this->next_query) != MP_OK) {
+    if (this->is_too_long) {
+        on_page_failed(this, "too_long");
+        return;
+    }
+    /* The end of a connection may have cut a page off. */
+    if (MpTargetPage_Parse(&dialect->target_page,
+                           (const char *)this->body->data, this->body->len,
+                           result == MP_TARGET_COMPLETE, this->targets,
+                           &this->unreadable, &this->next_query) != MP_OK) {
         on_page_failed(this, "unreadable");
         return;
     }
@@ -186,6 +289,7 @@
     g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text));
     g_free(text);
     g_byte_array_set_size(this->body, 0);
+    this->is_too_long = false;
     this->status = 0;
     this->calls++;
     struct MpTargetRequest request = {.bytes = bytes};
@@ -210,6 +314,8 @@
     this->dialect = MpDialect_Find(settings->dialect);
     this->targets = g_ptr_array_new_with_free_func(MpListedTarget_Delete);
     this->body = g_byte_array_new();
+    this->known =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->conn_pool = MpConnPool_New(loop, address);
     return this;
 }
@@ -233,5 +339,5 @@
     MpMetrics_WriteValue(out, "mimosapath_target_list_failures", NULL, NULL,
                          this->failures);
     MpMetrics_WriteValue(out, "mimosapath_target_list_unreadable", NULL, NULL,
-                         this->unreadable);
+                         this->unreadable.count);
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -81,6 +81,8 @@
     49: ("old knowledge of versions trusted", "FuzzVersions", 1000),
     50: ("events of a stream repeated by the next target", "FuzzForward", 50),
     51: ("stream without ids goes on", "FuzzForward", 50),
+    52: ("unreadable entry spoils its page", "FuzzParsers", 200),
+    53: ("page that was cut off is repaired", "FuzzParsers", 4000),
 }
 
 
