More tokens than an amount can hold are refused, not added up

What callers saw: a caller that named 2^63-1,2^63-1 tokens (or another sum whose thousandths overflow) was served, and from then on its whole workspace was served beyond its budget: the reservation was negative.

Cause: the header's numbers were bounded by 64 bits only; their sum, and the sum in thousandths of a token, overflowed.

Change: each is at most 10^11 (MP_REQUEST_TOKENS_MAX), so that the sum stays an amount; above it the header is invalid (400). The same bound holds for the parts of a prompt, whose surplus is added up. Both dialects read the header with this function.

--- a/src/coordination/RequestMeta.c
+++ b/src/coordination/RequestMeta.c
@@ -24,6 +24,14 @@
     return true;
 }
 
+/* Parses a number of tokens. */
+static bool
+parse_count(const char *text, size_t size, int64_t *number)
+{
+    return MpRequestMeta_ParseNumber(text, size, number) &&
+           *number <= MP_REQUEST_TOKENS_MAX;
+}
+
 bool
 MpRequestMeta_ParseTokens(struct MpRequestMeta *this, const char *text,
                           size_t size)
@@ -35,8 +43,8 @@
         return false;
     }
     size_t first = (size_t)(comma - text);
-    if (!MpRequestMeta_ParseNumber(text, first, &prompt) ||
-        !MpRequestMeta_ParseNumber(comma + 1, size - first - 1, &output)) {
+    if (!parse_count(text, first, &prompt) ||
+        !parse_count(comma + 1, size - first - 1, &output)) {
         return false;
     }
     this->prompt_tokens = prompt;
@@ -55,7 +63,7 @@
         return false;
     }
     size_t id_size = (size_t)(colon - text);
-    if (!MpRequestMeta_ParseNumber(colon + 1, size - id_size - 1, &tokens)) {
+    if (!parse_count(colon + 1, size - id_size - 1, &tokens)) {
         return false;
     }
     if (this->part_count == MP_PROMPT_PARTS_MAX) {
--- a/src/coordination/RequestMeta.h
+++ b/src/coordination/RequestMeta.h
@@ -13,6 +13,10 @@
 /* Parts that are stored; the tokens of further ones are added to the last. */
 #define MP_PROMPT_PARTS_MAX 32
 
+/* Largest number of tokens that a header may name, so that sums of them stay
+ * amounts (MP_AMOUNT_MAX_MTOK). */
+#define MP_REQUEST_TOKENS_MAX INT64_C(100000000000)
+
 /* A part of a prompt, e.g. a system prompt that many requests share. */
 struct MpPromptPart {
     uint64_t id;     /* hash of the ids of this part and all parts before it */
@@ -34,7 +38,8 @@
 bool MpRequestMeta_ParseNumber(const char *text, size_t size, int64_t *number);
 
 /* Parses "PROMPT,OUTPUT", the tokens of the prompt and the largest number of
- * output tokens.  Returns false and leaves the struct unchanged on error. */
+ * output tokens, each at most MP_REQUEST_TOKENS_MAX.  Returns false and leaves
+ * the struct unchanged on error. */
 bool MpRequestMeta_ParseTokens(struct MpRequestMeta *this, const char *text,
                                size_t size);
 
