Usage of engines, prompts with NUL characters, quotes in metrics: read as they are

Found by reading the parsers of what others write, each red in TestOddAnswers before: - Usage with negative numbers, fractions, texts or numbers beyond 64 bits was taken (clamped, or 0), and the price of it could overflow. Now both numbers must be whole, 0 to 10^9, else the answer counts as one without usage; the price is at most an amount. One function reads bodies and events. - A prompt was reserved up to its first NUL character only, though all of it went to the engine; a model's name was compared likewise. Now all counts; such a model is refused. "n": 1.5 was taken for 1. - Names with a quote, backslash or line end made the page of metrics unreadable. They are escaped. Evidence: TestOddAnswers, 4 of 4 cases red before and green after.

--- a/src/protocol/Chat.c
+++ b/src/protocol/Chat.c
@@ -9,6 +9,15 @@
 #define TEMPLATE_TOKENS 16
 #define MESSAGES_MAX 4096
 
+/* Appends all of a string, which may hold NUL characters. */
+static void
+append_text(GString *out, struct json_object *text)
+{
+    g_string_append_len(out, json_object_get_string(text),
+                        json_object_get_string_len(text));
+    g_string_append_c(out, '\n');
+}
+
 static int
 parse_messages(struct MpChat *this, const char **reason)
 {
@@ -33,9 +42,8 @@
                       "both strings";
             return MP_ERROR_INVALID;
         }
-        g_string_append_printf(this->prompt, "%s\n%s\n",
-                               json_object_get_string(role),
-                               json_object_get_string(content));
+        append_text(this->prompt, role);
+        append_text(this->prompt, content);
     }
     return MP_OK;
 }
@@ -45,8 +53,10 @@
 {
     struct json_object *value;
     if (!json_object_object_get_ex(this->root, "model", &value) ||
-        !json_object_is_type(value, json_type_string)) {
-        *reason = "\"model\" must be a string";
+        !json_object_is_type(value, json_type_string) ||
+        strlen(json_object_get_string(value)) !=
+            (size_t)json_object_get_string_len(value)) {
+        *reason = "\"model\" must be a string without NUL characters";
         return MP_ERROR_INVALID;
     }
     this->model = g_strdup(json_object_get_string(value));
@@ -66,7 +76,8 @@
         }
     }
     if (json_object_object_get_ex(this->root, "n", &value) &&
-        json_object_get_int64(value) != 1) {
+        (!json_object_is_type(value, json_type_int) ||
+         json_object_get_int64(value) != 1)) {
         *reason = "\"n\" other than 1 is not offered";
         return MP_ERROR_INVALID;
     }
@@ -145,23 +156,47 @@
     return text;
 }
 
+static bool
+read_count(struct json_object *usage, const char *name, int64_t *count)
+{
+    struct json_object *value;
+    if (!json_object_object_get_ex(usage, name, &value) ||
+        !json_object_is_type(value, json_type_int)) {
+        return false;
+    }
+    *count = json_object_get_int64(value);
+    return *count >= 0 && *count <= MP_USAGE_TOKENS_MAX;
+}
+
+bool
+MpChat_ReadUsage(struct json_object *answer, int64_t *prompt_tokens,
+                 int64_t *output_tokens)
+{
+    struct json_object *usage;
+    int64_t prompt;
+    int64_t output;
+    if (!json_object_object_get_ex(answer, "usage", &usage) ||
+        !json_object_is_type(usage, json_type_object) ||
+        !read_count(usage, "prompt_tokens", &prompt) ||
+        !read_count(usage, "completion_tokens", &output)) {
+        return false;
+    }
+    *prompt_tokens = prompt;
+    *output_tokens = output;
+    return true;
+}
+
 bool
 MpChat_ParseUsage(const char *body, size_t size, int64_t *prompt_tokens,
                   int64_t *output_tokens)
 {
+    if (size > INT32_MAX) {
+        return false;
+    }
     struct json_tokener *tokener = json_tokener_new();
     struct json_object *root = json_tokener_parse_ex(tokener, body, (int)size);
-    struct json_object *usage;
-    struct json_object *value;
     bool has_usage = json_object_is_type(root, json_type_object) &&
-                     json_object_object_get_ex(root, "usage", &usage) &&
-                     json_object_is_type(usage, json_type_object);
-    if (has_usage) {
-        json_object_object_get_ex(usage, "prompt_tokens", &value);
-        *prompt_tokens = json_object_get_int64(value);
-        json_object_object_get_ex(usage, "completion_tokens", &value);
-        *output_tokens = json_object_get_int64(value);
-    }
+                     MpChat_ReadUsage(root, prompt_tokens, output_tokens);
     json_object_put(root);
     json_tokener_free(tokener);
     return has_usage;
--- a/src/protocol/Chat.h
+++ b/src/protocol/Chat.h
@@ -46,8 +46,15 @@
                         const struct MpModelConf *model, int64_t resume_from,
                         const char *priority);
 
-/* Reads the token usage from the body of a non-streaming response; returns
- * whether it has one. */
+/* Largest number of tokens that an answer may report. */
+#define MP_USAGE_TOKENS_MAX INT64_C(1000000000)
+
+/* Reads the token usage from an answer or event of an engine; returns whether
+ * it has one, with two whole numbers from 0 to MP_USAGE_TOKENS_MAX. */
+bool MpChat_ReadUsage(struct json_object *answer, int64_t *prompt_tokens,
+                      int64_t *output_tokens);
+
+/* The same for the body of a non-streaming response. */
 bool MpChat_ParseUsage(const char *body, size_t size, int64_t *prompt_tokens,
                        int64_t *output_tokens);
 
--- a/src/protocol/Sse.c
+++ b/src/protocol/Sse.c
@@ -1,8 +1,8 @@
 #include "protocol/Sse.h"
 
+#include "protocol/Chat.h"
 #include "protocol/EventSplit.h"
 #include "state/Error.h"
-#include "state/Json.h"
 
 #include <json.h>
 #include <string.h>
@@ -52,12 +52,9 @@
         if (json_object_object_get_ex(root, "error", &value)) {
             event->kind = MP_SSE_ERROR;
         }
-        else if (json_object_object_get_ex(root, "usage", &value) &&
-                 json_object_is_type(value, json_type_object)) {
+        else if (MpChat_ReadUsage(root, &event->prompt_tokens,
+                                  &event->output_tokens)) {
             event->kind = MP_SSE_USAGE;
-            event->prompt_tokens = MpJson_GetInteger(value, "prompt_tokens");
-            event->output_tokens =
-                MpJson_GetInteger(value, "completion_tokens");
         }
         else if (json_object_object_get_ex(root, "choices", &value) &&
                  json_object_is_type(value, json_type_array) &&
--- a/src/state/Metrics.c
+++ b/src/state/Metrics.c
@@ -97,13 +97,30 @@
 }
 
 #define SERIES_BYTES 256
+#define LABEL_BYTES 160
+
+/* Escapes a label's value; a long one is cut, so that the series fits. */
+static void
+escape_label(char *out, const char *value)
+{
+    char *end = out + LABEL_BYTES - sizeof("\\n");
+    for (; *value && out < end; value++) {
+        if (*value == '"' || *value == '\\' || *value == '\n') {
+            *out++ = '\\';
+        }
+        *out++ = *value == '\n' ? 'n' : *value;
+    }
+    *out = '\0';
+}
 
 static void
 format_series(char *out, const char *name, const char *label,
               const char *value)
 {
     if (label) {
-        g_snprintf(out, SERIES_BYTES, "%s{%s=\"%s\"}", name, label, value);
+        char escaped[LABEL_BYTES];
+        escape_label(escaped, value);
+        g_snprintf(out, SERIES_BYTES, "%s{%s=\"%s\"}", name, label, escaped);
     }
     else {
         g_strlcpy(out, name, SERIES_BYTES);
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -113,6 +113,16 @@
 
 /* ---- settlement ---- */
 
+/* Returns the price of tokens, at most MP_AMOUNT_MAX_MTOK: engines report
+ * their number. */
+static int64_t
+price_of(int64_t tokens, int64_t price_mtok)
+{
+    return tokens > 0 && price_mtok > MP_AMOUNT_MAX_MTOK / tokens
+               ? MP_AMOUNT_MAX_MTOK
+               : tokens * price_mtok;
+}
+
 int64_t
 MpExchange_Price(const struct MpExchange *this)
 {
@@ -124,8 +134,9 @@
                         : (int64_t)this->chat.prompt->len / BYTES_PER_TOKEN;
     int64_t output_tokens =
         this->has_usage ? this->output_tokens : this->sent_tokens;
-    return prompt_tokens * this->model->prompt_price_mtok +
-           output_tokens * this->model->output_price_mtok;
+    return MIN(price_of(prompt_tokens, this->model->prompt_price_mtok) +
+                   price_of(output_tokens, this->model->output_price_mtok),
+               MP_AMOUNT_MAX_MTOK);
 }
 
 static void
