An empty body is refused and does not end the instance

What callers saw: POST /v1/chat/completions with Content-Length 0 got no answer, and the instance was gone with all that it served. An empty answer to GET /status, or an empty page of the own interface's target list, did the same.

Cause: MpJson_Parse copied the text with g_strndup, which returns NULL for NULL, and an empty body has no address; the parser then read from address 0.

Change: a text of size 0 is an empty text, wherever it comes from; all callers of MpJson_Parse have it.

TestTargetPage with an empty page that has no address.

--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -294,12 +294,14 @@
 MpJson_Parse(const char *text, size_t size, GPtrArray *findings)
 {
     guint before = findings->len;
-    if (size > INT32_MAX - 1 || memchr(text, 0, size)) {
+    if (size > INT32_MAX - 1 || (size > 0 && memchr(text, 0, size))) {
         MpFindings_Add(findings, MP_FINDING_SYNTAX, 0, "",
                        "the text is too long or holds a NUL byte");
         return NULL;
     }
-    struct reader reader = {.text = g_strndup(text, size), .size = size};
+    /* An empty text may have no address. */
+    struct reader reader = {.text = g_strndup(size > 0 ? text : "", size),
+                            .size = size};
     blank_comments(&reader);
     struct json_object *value =
         parse_strict(reader.text, reader.size, findings);
--- a/tests/TestTargetPage.c
+++ b/tests/TestTargetPage.c
@@ -79,6 +79,9 @@
     check(" { \"next\" : null , \"targets\" : [ " GOOD(1) " ] } \n", "g1", 0);
     check("{\"targets\":[" GOOD(1) "," GOOD(2) "],\"x\":[{}]}", "g1 g2", 0);
     check_failed("", true);
+    struct result empty = parse(NULL, 0, true);
+    g_assert_cmpint(empty.code, ==, MP_ERROR_INVALID);
+    done(&empty);
     check_failed("[]", true);
     check_failed("{}", true);
     check_failed("{\"targets\":{}}", true);
