A status that cannot be right is not taken over

What was seen: running and waiting of 2^63-1 overflow (end of the process under the sanitizers, a negative load without them, which draws all requests); numbers beyond 64 bits, fractions, texts and negative numbers were clamped or taken as 0; an event with the sequence -1 made all later events old; names twice and texts with control characters were taken.

Change: protocol/TargetStatus reads a status: fields have their type and range (load up to 10^6, sequences up to 2^53), or the status before it stays; an unreadable event is left out alone. The line target-status-unreadable names the field when a status first cannot be read.

TestOddAnswers, both cases of statuses.

--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -1,10 +1,9 @@
 #include "transport/TargetPoller.h"
 
-#include "state/Json.h"
+#include "protocol/TargetStatus.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define POLL_INTERVAL_MS 400
@@ -16,6 +15,7 @@
     char *boot;
     bool is_query_pending;
     bool is_unreachable; /* the last query failed */
+    bool is_unreadable;  /* the last status could not be read */
 };
 
 struct MpTargetPoller {
@@ -58,29 +58,13 @@
 /* ---- responses ---- */
 
 static void
-apply_events(struct MpTarget *target, struct json_object *root)
+apply_events(struct MpTarget *target, const struct MpTargetStatus *status)
 {
-    struct json_object *events;
-    if (!json_object_object_get_ex(root, "events", &events) ||
-        !json_object_is_type(events, json_type_array)) {
-        return;
-    }
-    for (size_t i = 0; i < json_object_array_length(events); i++) {
-        struct json_object *event = json_object_array_get_idx(events, i);
-        if (!json_object_is_type(event, json_type_array) ||
-            json_object_array_length(event) != 3) {
-            continue;
-        }
-        const char *sign =
-            json_object_get_string(json_object_array_get_idx(event, 1));
-        const char *block =
-            json_object_get_string(json_object_array_get_idx(event, 2));
-        if (sign && block) {
-            MpTarget_ApplyCacheEvent(target,
-                                     (uint64_t)json_object_get_int64(
-                                         json_object_array_get_idx(event, 0)),
-                                     strtoull(block, NULL, 16),
-                                     sign[0] == '+');
+    struct MpStatusEvent event;
+    for (size_t i = 0; i < MpTargetStatus_EventCount(status); i++) {
+        if (MpTargetStatus_GetEvent(status, i, &event)) {
+            MpTarget_ApplyCacheEvent(target, event.sequence, event.block,
+                                     event.is_added);
         }
     }
 }
@@ -97,33 +81,28 @@
     }
 }
 
-static bool
+/* Takes the status of a target over, or keeps the one before it. */
+static void
 apply_status(struct status_query *this)
 {
-    GPtrArray *findings = MpFindings_New();
-    struct json_object *root = MpJson_Parse((const char *)this->body->data,
-                                            this->body->len, findings);
-    bool is_valid = json_object_is_type(root, json_type_object);
-    if (is_valid) {
-        struct json_object *value;
-        struct MpLoadReport report = {
-            .sequence = (uint64_t)MpJson_GetInteger(root, "sequence"),
-            .running = MpJson_GetInteger(root, "running"),
-            .waiting = MpJson_GetInteger(root, "waiting"),
-            .is_leaving = json_object_object_get_ex(root, "leaving", &value) &&
-                          json_object_get_boolean(value),
-        };
-        set_boot(this->poller, this->target,
-                 json_object_object_get_ex(root, "boot", &value)
-                     ? json_object_get_string(value)
-                     : "");
-        MpTarget_ApplyReport(this->target, &report, MpLoop_Now());
-        apply_events(this->target, root);
+    struct MpTargetStatus status;
+    struct target_state *state = get_state(this->poller, this->target->name);
+    const char *reason;
+    bool was_unreadable = state->is_unreadable;
+    state->is_unreadable = !MpTargetStatus_Parse(
+        &status, (const char *)this->body->data, this->body->len, &reason);
+    if (!state->is_unreadable) {
+        set_boot(this->poller, this->target, status.boot);
+        MpTarget_ApplyReport(this->target, &status.report, MpLoop_Now());
+        apply_events(this->target, &status);
         MpRouter_ScheduleDispatch(this->poller->router);
     }
-    json_object_put(root);
-    g_ptr_array_unref(findings);
-    return is_valid;
+    else if (!was_unreadable) {
+        MpLog_Event(LOG_WARNING, "target-status-unreadable",
+                    "target=%s reason=%s bytes=%u", this->target->name, reason,
+                    this->body->len);
+    }
+    MpTargetStatus_Done(&status);
 }
 
 /* ---- queries ---- */
--- a/tests/TestOddAnswers.c
+++ b/tests/TestOddAnswers.c
@@ -1,5 +1,6 @@
 #include "protocol/Chat.h"
 #include "protocol/Sse.h"
+#include "protocol/TargetStatus.h"
 
 #include "state/Error.h"
 #include "state/Metrics.h"
@@ -117,6 +118,58 @@
     g_string_free(out, TRUE);
 }
 
+static void
+check_status(const char *text, const char *expected_reason)
+{
+    struct MpTargetStatus status;
+    const char *reason;
+    bool is_readable =
+        MpTargetStatus_Parse(&status, text, strlen(text), &reason);
+    g_assert_cmpstr(is_readable ? "" : reason, ==, expected_reason);
+    MpTargetStatus_Done(&status);
+}
+
+static void
+test_status(void)
+{
+    check_status("{}", "");
+    check_status("{\"boot\":\"b\",\"running\":1000000,\"leaving\":true}", "");
+    check_status("", "syntax");
+    check_status("[]", "no_object");
+    check_status("{\"boot\":null}", "boot");
+    check_status("{\"boot\":\"a\\u0000b\"}", "boot");
+    check_status("{\"boot\":\"a\",\"boot\":\"b\"}", "duplicate_key");
+    check_status("{\"running\":9223372036854775807}", "running");
+    check_status("{\"running\":1.5}", "running");
+    check_status("{\"waiting\":-1}", "waiting");
+    check_status("{\"sequence\":99999999999999999999}", "sequence");
+    check_status("{\"leaving\":\"no\"}", "leaving");
+}
+
+static void
+test_status_events(void)
+{
+    const char *text =
+        "{\"events\":[[1,\"+\",\"0f\"],null,[2,\"-\"],[-1,\"+\","
+        "\"1\"],[3,\"+\",\"x\"],[4,\"+\",5],[5,\"-\","
+        "\"fffffffffffffffff\"],[6,\"-\",\"ffffffffffffffff\"]]}";
+    static const bool readable[] = {true,  false, false, false,
+                                    false, false, false, true};
+    struct MpTargetStatus status;
+    struct MpStatusEvent event;
+    const char *reason;
+    g_assert_true(MpTargetStatus_Parse(&status, text, strlen(text), &reason));
+    g_assert_cmpuint(MpTargetStatus_EventCount(&status), ==,
+                     G_N_ELEMENTS(readable));
+    for (size_t i = 0; i < G_N_ELEMENTS(readable); i++) {
+        g_assert_true(MpTargetStatus_GetEvent(&status, i, &event) ==
+                      readable[i]);
+    }
+    g_assert_cmpuint(event.sequence, ==, 6);
+    g_assert_cmpuint(event.block, ==, UINT64_MAX);
+    MpTargetStatus_Done(&status);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -125,5 +178,7 @@
     g_test_add_func("/odd/usage events", test_usage_events);
     g_test_add_func("/odd/hidden prompt", test_hidden_prompt);
     g_test_add_func("/odd/metric labels", test_metric_labels);
+    g_test_add_func("/odd/status", test_status);
+    g_test_add_func("/odd/status events", test_status_events);
     return g_test_run();
 }
