--- a/tests/TestOddAnswers.c
+++ b/tests/TestOddAnswers.c
@@ -1,3 +1,4 @@
+#include "PlatformDialect.h"
 #include "protocol/Chat.h"
 #include "protocol/Sse.h"
 #include "protocol/TargetStatus.h"
@@ -170,6 +171,60 @@
     MpTargetStatus_Done(&status);
 }
 
+/* Parses a document of the platform with one field changed; returns its
+ * findings as text. */
+static char *
+platform_findings(const char *version, const char *timeout, const char *weight,
+                  const char *name, const char *prepaid)
+{
+    char *text = g_strdup_printf(
+        "{\"version\":%s,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"path-prefix\":\"/a/"
+        "\",\"route-type\":\"idempotent\",\"timeout-ms\":%s,"
+        "\"backends\":[{\"service\":\"%s\",\"weight\":%s}]}],"
+        "\"services\":[{\"name\":\"%s\"}],\"tenants\":[{\"name\":\"t\","
+        "\"api-keys\":[\"k\"],\"prepaid\":%s}]}",
+        version, timeout, name, weight, name, prepaid);
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document =
+        MpPlatform_ParseDocument(text, strlen(text), findings);
+    char *lines = MpFindings_Format(findings, "d");
+    g_assert_true((document == NULL) == (findings->len > 0));
+    MpDocument_Unref(document);
+    g_ptr_array_unref(findings);
+    g_free(text);
+    return lines;
+}
+
+static void
+check_platform(bool is_valid, const char *version, const char *timeout,
+               const char *weight, const char *name, const char *prepaid)
+{
+    char *lines = platform_findings(version, timeout, weight, name, prepaid);
+    g_assert_cmpstr(is_valid ? lines : "", ==, "");
+    g_assert_true(is_valid || lines[0]);
+    g_free(lines);
+}
+
+static void
+test_platform_document(void)
+{
+    check_platform(true, "1", "10", "1", "s", "5");
+    check_platform(true, "1", "10.5", "1", "s", "-1");
+    check_platform(true, "1760000000000000000", "10", "1", "s", "5");
+    check_platform(true, "7.0", "10", "1", "s", "5");
+    check_platform(false, "0", "10", "1", "s", "5");
+    check_platform(false, "99999999999999999999", "10", "1", "s", "5");
+    check_platform(false, "1e999", "10", "1", "s", "5");
+    check_platform(false, "NaN", "10", "1", "s", "5");
+    check_platform(false, "1", "1e999", "1", "s", "5");
+    check_platform(false, "1", "9223372036854775807", "1", "s", "5");
+    check_platform(false, "1", "10", "9223372036854775807", "s", "5");
+    check_platform(false, "1", "10", "1", "s", "9223372036854775807");
+    check_platform(false, "1", "10", "1", "s\\u0000x", "5");
+    check_platform(false, "1", "10", "1", "s\\r\\nx", "5");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -180,5 +235,6 @@
     g_test_add_func("/odd/metric labels", test_metric_labels);
     g_test_add_func("/odd/status", test_status);
     g_test_add_func("/odd/status events", test_status_events);
+    g_test_add_func("/odd/platform document", test_platform_document);
     return g_test_run();
 }
