Numbers in a target's headers that cannot be right are not taken

What was seen: Keep-Alive: timeout= overflows (end of the process under the sanitizers; else a connection that is never or always old); a load report with numbers of 63 bits was taken, so that the target's slots were unlimited from then on, and the sum of running and waiting could overflow.

Change: the timeout is bounded before it becomes milliseconds; a load report with numbers above 10^6 is ignored as a whole.

Evidence: run target_header_numbers (23 headers, three requests each), before: the sanitizer build ended at the first; after: 69 of 69 answered.

--- a/src/coordination/PoolTarget.c
+++ b/src/coordination/PoolTarget.c
@@ -11,6 +11,8 @@
 #define AVERAGE_WEIGHT 0.1
 /* Largest value of slowness. */
 #define SLOWNESS_MAX 8.0
+/* Largest number of requests or slots that a report may name. */
+#define REPORTED_MAX 1000000
 
 /* ---- attempts ---- */
 
@@ -164,8 +166,13 @@
 MpPoolTarget_ApplyReport(struct MpPoolTarget *this, int64_t running,
                          int64_t waiting, int64_t slots, int64_t now_ms)
 {
-    this->reported_running = (int32_t)CLAMP(running, 0, INT32_MAX);
-    this->reported_waiting = (int32_t)CLAMP(waiting, 0, INT32_MAX);
+    /* A report that cannot be right is ignored. */
+    if (running > REPORTED_MAX || waiting > REPORTED_MAX ||
+        slots > REPORTED_MAX) {
+        return;
+    }
+    this->reported_running = (int32_t)MAX(running, 0);
+    this->reported_waiting = (int32_t)MAX(waiting, 0);
     this->reported_ms = now_ms;
     this->sent_since_report = 0;
     if (slots > 0) {
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -270,7 +270,8 @@
                              enum MpTargetOutcome outcome, int64_t now_ms);
 
 /* Applies a load report of the target: requests running and waiting there
- * from all instances, and its slots, 0 when not reported. */
+ * from all instances, and its slots, 0 when not reported.  A report with
+ * numbers above 10^6 is ignored. */
 void MpPoolTarget_ApplyReport(struct MpPoolTarget *this, int64_t running,
                               int64_t waiting, int64_t slots, int64_t now_ms);
 
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -178,7 +178,8 @@
     char *text = g_strndup(value, size);
     const char *timeout = strstr(text, "timeout=");
     int64_t idle_timeout_ms =
-        timeout ? strtoll(timeout + 8, NULL, 10) * 1000 : MP_TARGET_IDLE_MS;
+        timeout ? CLAMP(strtoll(timeout + 8, NULL, 10), 0, G_MAXINT32) * 1000
+                : MP_TARGET_IDLE_MS;
     g_free(text);
     return idle_timeout_ms;
 }
