--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -150,7 +150,12 @@
     MpForward_StartAnswer(&this->forward, this->is_event_stream);
     this->caller_status = head->status;
     if (this->response.req) {
+        size_t size;
         MpGatewayRequest_CopyHeaders(head, this->response.req);
+        if (!MpTargetHead_Find(head, this->gateway->dialect->target.request_id,
+                               &size)) {
+            MpGatewayRequest_AddId(this, this->response.req);
+        }
     }
     /* The length holds for the first target's bytes only. */
     bool has_size =
@@ -201,7 +206,8 @@
                                  this->expected_wait_ms);
     note_delay(this, now_ms);
     bool is_failure = head->status >= 500;
-    if (is_rejected(this, head) ||
+    this->is_rejected = is_rejected(this, head);
+    if (this->is_rejected ||
         (is_failure &&
          MpForward_MayRetryError(&this->forward, may_retry(this), now_ms))) {
         return;
@@ -282,40 +288,43 @@
         finish_response(this);
         return;
     }
-    if (this->forward.is_head_sent) {
-        /* The target said that it has not run the request. */
-        release_target(this, MP_OUTCOME_REFUSED);
-        run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_STREAM_CUT);
-        return;
-    }
-    bool is_misdirected = this->status == 421;
-    if (this->status < 500 || this->status == 503 || is_misdirected) {
-        release_target(this, is_misdirected ? MP_OUTCOME_REPLACED
-                                            : MP_OUTCOME_REFUSED);
-        run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_NO_TARGET);
+    bool is_resuming = this->forward.is_head_sent;
+    if (this->is_rejected) {
+        release_target(this, this->status == 421 ? MP_OUTCOME_REPLACED
+                                                 : MP_OUTCOME_REFUSED);
+        run_next_step(this, MP_RESULT_NOT_RUN,
+                      is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_NO_TARGET);
         return;
     }
-    release_target(this, MP_OUTCOME_ERROR);
-    run_next_step(this, MP_RESULT_UNKNOWN, MP_ERROR_TARGET_FAILED);
+    /* Whatever its status, the answer doesn't say that nothing has run. */
+    release_target(this, this->status == 503 || this->status < 500
+                             ? MP_OUTCOME_REFUSED
+                             : MP_OUTCOME_ERROR);
+    run_next_step(this, is_resuming ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
+                  is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_TARGET_FAILED);
 }
 
 static void
 on_end(void *owner, enum MpTargetResult result)
 {
     struct MpGatewayCall *this = owner;
+    const struct MpTargetConn *conn = this->conn;
     this->conn = NULL;
     result = MpGatewayStream_Result(this, result);
     bool is_complete =
         result == MP_TARGET_COMPLETE || result == MP_TARGET_CLOSED;
     MpLog_Event(is_complete ? LOG_DEBUG : LOG_WARNING, "attempt-ended",
                 "id=%s target=%s how=%s status=%d events=%" PRId64
-                " took_ms=%" PRId64,
+                " conn=%s by=%s took_ms=%" PRId64,
                 this->id ? this->id : "-", this->target->incarnation,
                 is_complete                    ? "whole"
                 : result == MP_TARGET_NOT_SENT ? "not-sent"
                                                : "cut",
                 this->has_response ? this->status : 0,
-                this->forward.attempt_events, MpLoop_Now() - this->sent_ms);
+                this->forward.attempt_events,
+                MpTargetConn_IsKept(conn) ? "kept" : "new",
+                MpAttribution_Name(MpTargetConn_Attribution(conn)),
+                MpLoop_Now() - this->sent_ms);
     if (is_complete) {
         on_complete(this);
         return;
@@ -369,6 +378,7 @@
     this->expected_wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
     this->has_response = false;
+    this->is_rejected = false;
     this->is_relayed = false;
     this->is_event_stream = false;
     this->status = 0;
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -38,7 +38,8 @@
     const struct MpPathConf *path;
     const char *workspace; /* owned by document; NULL for anonymous paths */
     const char *pool;
-    char *id;      /* of the request, chosen by the caller; may be NULL */
+    char *id;      /* of the request, chosen by the caller or else here; may be
+                    * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
                     * NULL: not known yet */
     bool is_version_checked;     /* a stream that is taken up */
@@ -73,6 +74,7 @@
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
     bool has_response;    /* the head of the target's response has arrived */
+    bool is_rejected;     /* that response says that nothing has run */
     bool is_relayed;      /* the body of that response goes to the caller */
     bool is_event_stream; /* ... by whole events */
     bool is_stream_start; /* no byte of it has been looked at */
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_TARGET_CONN_H
 #define MP_TRANSPORT_TARGET_CONN_H
 
+#include "protocol/ResponseReader.h"
+#include "state/Metrics.h"
 #include "transport/Loop.h"
 
 #include <glib.h>
@@ -13,10 +15,14 @@
  * connection pool per target.
  *
  * A connection carries one request at a time.  It is reused only if the last
- * response was complete, no data followed it, the request was written in
- * full, and the target keeps the connection open.  A response with the id of
- * another request is stray: it is discarded, and the connection is closed
- * after the right response.
+ * response was complete and had the id of its request, no data followed it,
+ * the request was written in full, and the target keeps the connection open.
+ * A request without an id, or with method HEAD, goes over a connection of its
+ * own.  A connection never carries the same id twice.
+ *
+ * ResponseReader decides which response answers the request; others are
+ * discarded, and the connection is closed after the right one.  A connection
+ * on which data waits before the request is written is not used.
  */
 
 /* Connect timeout, ms; a healthy target is a few ms away. */
@@ -29,9 +35,12 @@
 /* Receive buffer of a connection (SO_RCVBUF), bytes; with it a connection
  * within a region carries 30 MB/s. */
 #define MP_TARGET_WINDOW_BYTES 65536
-/* Maximum size of stray responses before the right one, bytes; several times
- * the longest complete response of the engines in use. */
-#define MP_TARGET_STRAY_MAX_BYTES 262144
+/* After a response without an id on a kept connection, connections to the
+ * target are not kept for this long, ms: on a new one the first response is
+ * certain. */
+#define MP_TARGET_NO_KEEP_MS 60000
+/* Maximum number of requests on a connection. */
+#define MP_TARGET_REQUESTS_MAX 256
 /* Timeout of a probe, ms; several round trips within a region. */
 #define MP_TARGET_PROBE_MS 150
 /* An idle connection is closed this long before the target's own idle timeout
@@ -57,21 +66,6 @@
 
 typedef void (*MpProbeDone)(void *owner, enum MpProbeResult result);
 
-struct MpTargetHeader {
-    const char *name;
-    size_t name_size;
-    const char *value;
-    size_t value_size;
-};
-
-/* Head of a response; valid during the callback only. */
-struct MpTargetHead {
-    int status;
-    int64_t size; /* of the body in bytes, -1 without Content-Length */
-    const struct MpTargetHeader *headers;
-    size_t count;
-};
-
 struct MpTargetConnClass {
     void (*head)(void *owner, const struct MpTargetHead *head);
     void (*body)(void *owner, const char *data, size_t size);
@@ -84,12 +78,14 @@
 /* The connections to one target. */
 struct MpConnPool {
     struct MpLoop *loop;
+    struct MpMetrics *metrics; /* counts stray answers; or NULL */
     char *address;
-    GQueue idle;     /* of struct MpTargetConn, newest first */
-    uint32_t open;   /* connections, idle or in use */
-    bool is_deleted; /* to be freed with its last connection */
-    uint64_t opened; /* counter */
-    uint64_t reused; /* counter */
+    GQueue idle;              /* of struct MpTargetConn, newest first */
+    uint32_t open;            /* connections, idle or in use */
+    bool is_deleted;          /* to be freed with its last connection */
+    int64_t no_keep_until_ms; /* until then no connection becomes idle */
+    uint64_t opened;          /* counter */
+    uint64_t reused;          /* counter */
 };
 
 /* One request.  MpConnPool_Send takes ownership of bytes and copies the
@@ -97,12 +93,14 @@
 struct MpTargetRequest {
     GByteArray *bytes;
     const char *id_header; /* echoed in the response, or NULL */
-    const char *id;
-    bool is_head;        /* method HEAD */
-    bool needs_new_conn; /* never on a reused connection */
+    const char *id;        /* or NULL */
+    bool is_head;          /* method HEAD */
 };
 
-struct MpConnPool *MpConnPool_New(struct MpLoop *loop, const char *address);
+/* metrics may be NULL. */
+struct MpConnPool *MpConnPool_New(struct MpLoop *loop,
+                                  struct MpMetrics *metrics,
+                                  const char *address);
 
 /* Closes the idle connections; requests under way are finished. */
 void MpConnPool_Delete(struct MpConnPool *this);
@@ -125,13 +123,16 @@
 /* Cancels the request and closes its connection; no callbacks follow. */
 void MpTargetConn_Cancel(struct MpTargetConn *this);
 
+/* Returns whether the connection carried another request before this one.
+ * During the callback end, too. */
+bool MpTargetConn_IsKept(const struct MpTargetConn *this);
+
+/* Returns how the response was attributed to the request.  During the callback
+ * end, too. */
+enum MpAttribution MpTargetConn_Attribution(const struct MpTargetConn *this);
+
 /* Stop and resume reading, for back-pressure. */
 void MpTargetConn_Pause(struct MpTargetConn *this);
 void MpTargetConn_Resume(struct MpTargetConn *this);
 
-/* Returns the value of a header, not zero-terminated, or NULL; *size is its
- * length. */
-const char *MpTargetHead_Find(const struct MpTargetHead *this,
-                              const char *name, size_t *size);
-
 #endif
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -316,7 +316,7 @@
     this->body = g_byte_array_new();
     this->known =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    this->conn_pool = MpConnPool_New(loop, address);
+    this->conn_pool = MpConnPool_New(loop, NULL, address);
     return this;
 }
 
