A replica that has not applied a document yet is asked again before the leader

Cause: a replica learns with the next heartbeat (80 ms) that a document is committed, and parses it; instances that ask before are sent to the leader at once, all of them, which is what asking the replicas is to prevent. Change: the replica is asked again after 100 ms, three times at most, before the leader. The bound of the test is unchanged.

--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -78,9 +78,11 @@
     char *document_text;
     bool needs_full_document; /* the last fetched text or patch was invalid */
     bool is_fetching;
-    bool needs_leader_fetch; /* the last fetch of a document failed */
-    guint fetch_replica;     /* index in clients; of the last fetch */
-    uint64_t fetch_version;  /* of the last fetch */
+    bool needs_leader_fetch;    /* the last fetch of a document failed */
+    guint fetch_replica;        /* index in clients; of the last fetch */
+    uint64_t fetch_version;     /* of the last fetch */
+    struct MpTimer fetch_timer; /* set while the replica is to catch up */
+    uint32_t fetch_waits;       /* for the replica, since the last document */
     struct MpSuspects suspects;
     int64_t synced_ms;     /* time of the leader's last sync reply */
     int64_t heard_ms;      /* when the sync was sent that it replied to, on the
--- a/src/transport/DocumentFetch.c
+++ b/src/transport/DocumentFetch.c
@@ -1,5 +1,6 @@
 #include "transport/DocumentFetch.h"
 
+#include "coordination/Raft.h"
 #include "protocol/TextPack.h"
 #include "state/Error.h"
 #include "state/TextPatch.h"
@@ -10,6 +11,12 @@
 
 /* Allows for a large document on a slow link, ms. */
 #define FETCH_TIMEOUT_MS 1200
+/* A replica learns with the leader's next heartbeat that a document is
+ * committed; one that has an older document is asked again after this, ms. */
+#define FETCH_RETRY_MS (MP_RAFT_HEARTBEAT_MS + 20)
+/* It is asked so many times before the leader is, which hundreds of instances
+ * would ask at once. */
+#define FETCH_RETRIES_MAX 3
 
 static const char *
 address_at(const struct MpControlClient *this, guint at)
@@ -80,16 +87,33 @@
     this->listener->document(this->owner, document);
 }
 
+static void
+on_fetch_timer(struct MpTimer *timer)
+{
+    struct MpControlClient *this = timer->data;
+    this->is_fetching = false;
+    MpDocumentFetch_Start(this, this->fetch_version);
+}
+
 static void
 on_fetched(void *data, int code, const void *result)
 {
     struct MpControlClient *this = data;
     const struct mp_fetch_reply *reply = result;
+    bool is_older = code == MP_OK && reply->code == MP_ERROR_NOT_FOUND;
+    if (is_older && this->fetch_waits < FETCH_RETRIES_MAX &&
+        this->fetch_replica != this->leader) {
+        this->fetch_waits++;
+        MpLoop_SetTimer(this->loop, &this->fetch_timer, FETCH_RETRY_MS,
+                        on_fetch_timer, this);
+        return;
+    }
     this->is_fetching = false;
-    /* If the replica is unreachable or has an older version, the leader is
-     * used. */
+    /* If the replica is unreachable or still has an older version, the leader
+     * is used. */
     this->needs_leader_fetch = code != MP_OK || reply->code != MP_OK;
     if (!this->needs_leader_fetch) {
+        this->fetch_waits = 0;
         apply_document(this, reply);
     }
     else if (this->fetch_replica != this->leader) {
