Soak: whose is each byte that a caller got?

Callers kept a connection only for requests that went well and compared the body of 200 with a fixed text; answers with errors, bytes after the end, and answers without an id were not looked at.

Each request now carries a random token in path, header and body; answers repeat it with a sequence number and a checksum, events with their position. The targets keep what they made, and callers read their connections byte by byte and compare. New series, beside those there: targets that answer or refuse twice, late, torn, in pieces, with errors of their own, without a body, a length or an id, with bytes after the end, or with something else than the stream that is taken up; callers that name no id, reuse one, pipeline, read slowly, send HEAD, or leave. The prepaid amount is 120,000 instead of 40,000 tokens, because it was used up after 5 s and later streams saw no fault.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,11 +10,17 @@
 and restart, reset the requests they run, or stop responding.  Some requests
 crash every target that runs them, and one part of a prompt crashes each
 target that begins to answer a request with it.  The targets have two software
-versions, and some name a rate limit for a while.
+versions, and some name a rate limit for a while.  Targets also garble their
+answers for a while (answers.GARBLES): they write one twice or late, refuse
+twice, tear answers or write them in pieces, answer with errors of their own,
+without a body, length or id, or with something else than the stream that is
+taken up.  Callers keep their connections after errors, pipeline, read slowly,
+leave, name no id, or one that they used before.
 
 Checked, from what callers and targets see:
 - an at-most-once request runs once, and a refused request has not run;
-- each caller gets its own complete response;
+- each byte on a connection of a caller belongs to the answer to its request,
+  as the target made it, or to an error of the instance;
 - the events of a stream arrive once and in order, and from one version, also
   when its caller takes it up;
 - a target gets no more than its limit allows, and a margin;
@@ -26,34 +32,39 @@
 
 Prints the violations, and exits with 1 if there are any.
 """
-import http.client
 import os
 import random
 import re
 import signal
-import socket
 import sys
 import threading
 import time
 
-from fleet import KEY, Fleet, in_background, wait_for
-from pathfleet import (LendingFleet, SimTarget, respond, end_chunks, path_conf,
-                       path_fleet, send, send_chunk, start_event_stream,
-                       status_of, wait_targets)
+from answers import (GARBLES, Answers, CallerConn, GarbledWriter, Response,
+                     format_event, format_request, read_events)
+from fleet import Fleet, in_background, wait_for
+from pathfleet import (LendingFleet, SimTarget, respond, path_conf, path_fleet,
+                       send, start_event_stream, status_of, wait_targets)
 
 PROPAGATION_S = 3
 RETRIES_MAX = 3
 CRASHING_PART = "dead:7"
 RECOVERY_S = 15
 EVENTS, EVENT_TOKENS, PROMPT = 8, 3, 50
-PREPAID = 40000
+PREPAID = 120000
 QUIET_S = 8
-ALL_KINDS = "kill term freeze cut crash resets silent limit"
+ALL_KINDS = "kill term freeze cut crash resets silent limit %s" % (
+    " ".join("garble/" + how for how in GARBLES))
 LIMIT, LIMIT_S, LIMIT_KNOWN_S, WINDOW_S = 4.0, 9, 3, 4
 LIMIT_FACTOR, LIMIT_MARGIN = 1.5, 5
+ID = "x-mimosapath-request"
 VERSIONS = ["v1", "v2"]
 
 
+def kind_of(token):
+    return token.split("-")[0]
+
+
 class VersionedTarget(SimTarget):
     """A target with a software version, which each of its events names."""
 
@@ -64,23 +75,22 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, kinds=ALL_KINDS):
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.lock = threading.Lock()
         self.violations = []
-        self.run_counts = {}       # request id -> runs at targets
-        self.refused = set()       # request ids that were refused as not run
+        self.answers = Answers(self.report_violation)
         self.crashes = {}          # body -> times when it crashed a target
-        self.crash_sends = []      # time, body, id of requests that crash
-        self.sent_to = {}          # request id -> instance
+        self.crash_sends = []      # time, body, token of requests that crash
+        self.sent_to = {}          # token -> instance
         self.fault_times = {}      # instance -> start or end of its last fault
         self.delivered = 0         # tokens delivered to callers
-        self.delivered_by_id = {}  # request id -> tokens
+        self.delivered_by_id = {}  # token of the request -> tokens
         self.counts = {}
         self.is_stopped = False
-        self.fault_kinds = os.environ.get("KINDS", ALL_KINDS).split()
+        self.fault_kinds = os.environ.get("KINDS", kinds).split()
         self.number = 0
         self.targets = [VersionedTarget("t%d" % n, self.handle_request)
                         for n in range(6)]
@@ -88,6 +98,7 @@
         for n, target in enumerate(self.targets):
             target.mode = "healthy"
             target.version = VERSIONS[n % 2]
+            target.writer = GarbledWriter(self.answers, seed * 10 + n)
             target.arrivals = []
             target.is_limited = False
 
@@ -102,42 +113,45 @@
     # -- targets --
 
     def handle_request(self, target, req, conn):
-        name = req["headers"].get("x-mimosapath-request", "-")
+        token = req["headers"].get("x-token", "-")
         if req["path"].startswith("/ready/"):
             return respond(conn, req, extra_headers=self.limit_header(target))
         target.arrivals.append(time.monotonic())
-        with self.lock:
-            self.run_counts[name] = self.run_counts.get(name, 0) + 1
-            if self.run_counts[name] > 1 and req["path"].startswith("/once/"):
-                self.violations.append("%s ran twice" % name)
-            if name in self.refused:
-                self.violations.append("%s ran after it was refused" % name)
+        how = "healthy"
+        if target.mode.startswith("garble/") and target.writer.random.random(
+                ) < 0.6:
+            how = target.mode.split("/")[1]
+        if how in ("refuse", "refuse-bare"):
+            if target.writer.random.random() < 0.5:
+                return target.writer.refuse(conn, req, how == "refuse")
+        if token != "-":
+            self.answers.note_run(token, not req["path"].startswith("/once/"))
         body = req["body"].decode()
         has_part = CRASHING_PART in req["headers"].get(
             "x-mimosapath-parts", "").split(",")
         if body.startswith("#end") or has_part:
-            cause = CRASHING_PART if has_part else body
-            if has_part:
-                start_event_stream(conn, req)
-                time.sleep(0.02)
-            with self.lock:
-                self.crash_sends.append((time.monotonic(), cause, name))
-                self.crashes.setdefault(cause, []).append(time.monotonic())
-            target.crash(1)
-            return False
-        if target.mode == "resets" and hash(name) % 2:
+            return self.crash(target, req, conn, token,
+                              CRASHING_PART if has_part else body)
+        if target.mode == "resets" and hash(token) % 2:
             return False
-        if target.mode == "silent":
+        if target.mode == "silent" or how == "late":
             time.sleep(1)
         if not req["path"].startswith("/stream/"):
-            return respond(conn, req, body="own " + name,
-                           extra_headers=self.limit_header(target))
-        after = int(req["headers"].get("last-event-id", "-1"))
-        start_event_stream(conn, req, self.limit_header(target))
-        for event in range(after + 1, EVENTS):
-            send_chunk(conn, "id: %d\ndata: %s\n\n" % (event, target.version))
-            time.sleep(0.01)
-        end_chunks(conn)
+            return target.writer.respond(conn, req, how,
+                                         self.limit_header(target))
+        return target.writer.respond_events(conn, req, how, EVENTS,
+                                            target.version,
+                                            self.limit_header(target))
+
+    def crash(self, target, req, conn, token, cause):
+        if cause == CRASHING_PART:
+            start_event_stream(conn, req)
+            time.sleep(0.02)
+        with self.lock:
+            self.crash_sends.append((time.monotonic(), cause, token))
+            self.crashes.setdefault(cause, []).append(time.monotonic())
+        target.crash(1)
+        return False
 
     def limit_header(self, target):
         return ("x-mimosapath-limit: %g\r\n" % LIMIT
@@ -145,118 +159,205 @@
 
     # -- callers --
 
-    def next_id(self, kind, name):
+    def next_token(self, kind, name):
         with self.lock:
             self.number += 1
-            request_id = "%s-%d" % (kind, self.number)
-            self.sent_to[request_id] = name
-        return request_id
-
-    def send_request(self, conns, name, kind, request_id, body, headers):
-        """Returns status, body and response; status 0 is a connection that
-        ended early."""
+            token = "%s-%d-%08x" % (kind, self.number,
+                                    self.random.getrandbits(32))
+            self.sent_to[token] = name
+        return token
+
+    def connect(self, conns, name, window=None):
+        """Returns the caller's connection to the instance; bytes that came
+        while no answer was due are a violation."""
         conn = conns.get(name)
-        if not conn:
-            conn = http.client.HTTPConnection(
-                "127.0.0.1", self.fleet.callers[name], timeout=6)
+        if conn and conn.is_open:
+            stray = conn.stray_bytes()
+            if stray:
+                self.report_violation("%r came while no answer was due" %
+                                      stray[:60])
+        if not conn or not conn.is_open:
+            conn = CallerConn(self.fleet.callers[name], window=window)
             conns[name] = conn
-        try:
-            conn.request("POST", "/%s/x" % kind, body, headers)
-            response = conn.getresponse()
-            return response.status, response.read().decode(), response
-        except (OSError, http.client.HTTPException) as error:
-            conn.close()
-            del conns[name]
-            partial = getattr(error, "partial", b"") or b""
-            return 0, partial.decode(), None
+        return conn
 
-    def check_response(self, kind, request_id, status, text):
-        if status == 503 or status == 429:
-            with self.lock:
-                self.refused.add(request_id)
-                if self.run_counts.get(request_id) and kind != "any":
-                    self.violations.append(
-                        "%s was refused and ran" % request_id)
-        if kind == "stream":
-            ids = [int(i) for i in re.findall(r"^id: (\d+)\n", text, re.M)]
+    def send_request(self, conns, name, token, prefix, window=None, pause_s=0,
+                     method="POST", **options):
+        """Returns the response to a request that is sent alone."""
+        try:
+            conn = self.connect(conns, name, window)
+            conn.send(format_request(token, prefix, method, **options))
+            conn.pause_s = pause_s
+            response = conn.read_response(method)
+            conn.pause_s = 0
+        except OSError:
+            conns.pop(name, None)
+            return Response()
+        return response
+
+    def check_response(self, kind, token, response, method="POST"):
+        status = response.status if response.is_whole else 0
+        self.count("%s %d" % (kind, status))
+        is_own = "x-answer" in response.fields
+        if status in (503, 429) and not is_own:
+            if kind == "any":
+                self.answers.not_run.add(token)
+            else:
+                self.answers.note_not_run(token)
+        if kind in ("stream", "later") and response.status == 200 and (
+                not is_own):
+            return self.check_events(token, response)
+        self.answers.check(token, response, method)
+        return []
+
+    def check_events(self, token, response, first=0):
+        """Checks the events of a stream; returns them."""
+        if response.fault:
+            self.report_violation("%s: %s" % (token, response.fault))
+        events, rest = read_events(response.body.decode(), token)
+        last = first + len(events)
+        if rest and (response.is_whole or not any(
+                format_event(last, v, token).startswith(rest)
+                for v in VERSIONS)):
+            self.report_violation("%s: %r is no event of it" % (
+                token, rest[:60]))
+        if kind_of(token) == "stream":
+            ids = [number for number, _ in events]
             if ids != list(range(len(ids))):
-                self.report_violation("%s got events %s" % (request_id, ids))
-            if len(set(re.findall(r"^data: (\w+)\n", text, re.M))) > 1:
-                self.report_violation("%s got two versions" % request_id)
-            if status == 200 and len(ids) != EVENTS:
+                self.report_violation("%s got events %s" % (token, ids))
+            if len({version for _, version in events}) > 1:
+                self.report_violation("%s got two versions" % token)
+            if response.is_whole and len(ids) != EVENTS:
                 self.report_violation("%s looks whole with %d events" % (
-                    request_id, len(ids)))
+                    token, len(ids)))
             tokens = (PROMPT if ids else 0) + EVENT_TOKENS * len(ids)
             with self.lock:
                 self.delivered += tokens
-                self.delivered_by_id[request_id] = tokens
-        elif status == 200 and text != "own " + request_id:
-            self.report_violation("%s got %r" % (request_id, text[:40]))
+                self.delivered_by_id[token] = tokens
+        return events
 
     def run_caller(self, seed):
         rng = random.Random(seed)
         conns = {}
+        earlier_ids = ["used-%d" % seed]
         while not self.is_stopped:
             name = rng.choice(self.fleet.names)
             kind = rng.choice(["once", "any", "stream"])
-            request_id = self.next_id(kind, name)
-            headers = {"host": "h.example", "authorization": "Bearer " + KEY,
-                       "x-mimosapath-request": request_id}
+            way = rng.random()
             if kind == "stream":
-                headers["x-mimosapath-tokens"] = "%d,%d" % (
-                    PROMPT, EVENTS * EVENT_TOKENS)
-                headers["x-mimosapath-parts"] = self.sound_parts(
-                    rng.randrange(4), request_id)
-            status, text, _ = self.send_request(conns, name, kind, request_id,
-                                                request_id, headers)
-            self.count("%s %d" % (kind, status))
-            self.check_response(kind, request_id, status, text)
-            if kind == "stream" and not self.is_stopped:
-                self.take_up(conns, rng, request_id, headers, text)
+                self.request_stream(conns, rng, name)
+            elif way < 0.08:
+                self.pipeline(conns, rng, name, kind)
+            elif way < 0.12:
+                self.leave(rng, name, kind)
+            else:
+                self.request_answer(conns, rng, name, kind, earlier_ids)
             time.sleep(0.01)
 
-    def take_up(self, conns, rng, request_id, headers, text):
+    def choose_fields(self, rng, token, earlier_ids):
+        """Returns headers: mostly with an id of its own."""
+        draw, fields = rng.random(), {}
+        if draw < 0.7:
+            fields[ID] = token
+            earlier_ids[:] = (earlier_ids + [token])[-3:]
+        elif draw < 0.85:
+            fields[ID] = rng.choice(earlier_ids)
+        if rng.random() < 0.1:
+            fields["x-mimosapath-deadline-ms"] = str(rng.randint(200, 700))
+        return fields
+
+    def request_answer(self, conns, rng, name, kind, earlier_ids):
+        token = self.next_token(kind, name)
+        method = "HEAD" if rng.random() < 0.08 else "POST"
+        response = self.send_request(
+            conns, name, token, "/%s/" % kind, method=method,
+            fields=self.choose_fields(rng, token, earlier_ids),
+            window=4096 if rng.random() < 0.2 else None,
+            pause_s=0.02 if rng.random() < 0.05 else 0,
+            body="" if method == "HEAD" else None)
+        self.check_response(kind, token, response, method)
+
+    def request_stream(self, conns, rng, name):
+        token = self.next_token("stream", name)
+        fields = {ID: token, "x-mimosapath-tokens": "%d,%d" % (
+            PROMPT, EVENTS * EVENT_TOKENS),
+                  "x-mimosapath-parts": self.sound_parts(rng.randrange(4),
+                                                         token)}
+        response = self.send_request(conns, name, token, "/stream/",
+                                     fields=fields)
+        events = self.check_response("stream", token, response)
+        if not self.is_stopped:
+            self.take_up(conns, rng, token, fields, events)
+
+    def pipeline(self, conns, rng, name, kind):
+        """Sends some requests at once; the answers come in their order."""
+        tokens = [self.next_token(kind, name) for _ in range(
+            rng.randint(2, 4))]
+        try:
+            conn = self.connect(conns, name)
+            conn.send(b"".join(format_request(
+                t, "/%s/" % kind, fields={ID: t}) for t in tokens))
+            for token in tokens:
+                if conn.is_open or conn.data:
+                    self.check_response(kind, token, conn.read_response())
+        except OSError:
+            conns.pop(name, None)
+
+    def leave(self, rng, name, kind):
+        """Sends a request and closes the connection, mostly unanswered."""
+        token = self.next_token(kind, name)
+        try:
+            conn = CallerConn(self.fleet.callers[name])
+            conn.send(format_request(token, "/%s/" % kind, fields={ID: token}))
+            time.sleep(rng.uniform(0, 0.05))
+            conn.close()
+        except OSError:
+            pass
+
+    def take_up(self, conns, rng, token, fields, events):
         """Takes a stream up that broke off, and now and then a whole one, as
         if its last events had been lost."""
-        events = re.findall(r"^id: (\d+)\ndata: (\w+)\n\n", text, re.M)
         if not events or (len(events) == EVENTS and rng.random() < 0.8):
             return
-        after = int(events[rng.randrange(len(events))][0])
+        after = events[rng.randrange(len(events))][0]
         if after == EVENTS - 1:
             return
         name = rng.choice(self.fleet.names)
-        later_id = self.next_id("later", name)
-        status, text, _ = self.send_request(
-            conns, name, "stream", later_id, request_id,
-            dict(headers, **{"x-mimosapath-request": later_id,
-                             "x-mimosapath-resumes": request_id,
-                             "last-event-id": str(after)}))
-        self.count("taken up %d" % status)
-        rest = re.findall(r"^id: (\d+)\ndata: (\w+)\n\n", text, re.M)
+        later = self.next_token("later", name)
+        response = self.send_request(
+            conns, name, later, "/stream/", body=token, fields=dict(fields, **{
+                ID: later, "x-mimosapath-resumes": token,
+                "last-event-id": str(after)}))
+        if "x-answer" in response.fields or response.status != 200:
+            self.check_response("later", later, response)
+            return
+        self.count("later %d" % response.is_whole)
+        rest = self.check_events(later, response, after + 1)
         with self.lock:
             self.delivered += EVENT_TOKENS * len(rest) + (
                 PROMPT if rest else 0)
-        if [int(i) for i, _ in rest] != list(range(after + 1, after + 1 +
-                                                   len(rest))):
+        if [i for i, _ in rest] != list(range(after + 1, after + 1 +
+                                              len(rest))):
             self.report_violation("%s took %s up after %d and got %s" % (
-                later_id, request_id, after, rest))
+                later, token, after, rest))
+        if response.is_whole and len(rest) != EVENTS - after - 1:
+            self.report_violation("%s looks whole with %d events after %d" % (
+                later, len(rest), after))
         if rest and {v for _, v in rest} != {events[0][1]}:
             self.report_violation("%s of %s goes on at %s" % (
-                request_id, events[0][1], rest[0][1]))
+                token, events[0][1], rest[0][1]))
 
-    def sound_parts(self, topic, request_id):
-        return "system:20,topic%d:20,%s:10" % (topic, request_id)
+    def sound_parts(self, topic, token):
+        return "system:20,topic%d:20,%s:10" % (topic, token)
 
     def run_part_crasher(self, interval_s):
         conns = {}
         while not self.is_stopped:
             name = self.random.choice(self.fleet.names)
-            request_id = self.next_id("part", name)
-            self.send_request(conns, name, "stream", request_id, request_id, {
-                "host": "h.example", "authorization": "Bearer " + KEY,
-                "x-mimosapath-request": request_id,
-                "x-mimosapath-parts": "system:20,%s,%s:10" % (
-                    CRASHING_PART, request_id)})
+            token = self.next_token("part", name)
+            self.send_request(conns, name, token, "/stream/", fields={
+                ID: token, "x-mimosapath-parts": "system:20,%s,%s:10" % (
+                    CRASHING_PART, token)})
             time.sleep(interval_s)
 
     def run_crasher(self, body, interval_s):
@@ -264,10 +365,9 @@
         while not self.is_stopped:
             name = self.random.choice(self.fleet.names)
             kind = "any" if body.endswith("1") else "once"
-            request_id = self.next_id("end", name)
-            self.send_request(conns, name, kind, request_id, body, {
-                "host": "h.example", "authorization": "Bearer " + KEY,
-                "x-mimosapath-request": request_id})
+            token = self.next_token("end", name)
+            self.send_request(conns, name, token, "/%s/" % kind, path="x",
+                              fields={ID: token}, body=body)
             time.sleep(interval_s)
 
     # -- faults --
@@ -365,7 +465,8 @@
                 elif kind == "limit":
                     self.set_limit(target)
                 else:
-                    self.set_mode(target, kind, length_s)
+                    self.set_mode(target, kind, length_s * (
+                        2 if kind.startswith("garble/") else 1))
         self.count(kind)
         return in_background(run)
 
@@ -414,7 +515,7 @@
         for name in self.fleet.names:
             with open(self.fleet.path(name + ".log")) as log:
                 for request_id, billed in re.findall(
-                        r" request-ended id=(stream-\d+) .* billed=(\d+) ",
+                        r" request-ended id=(stream-[\w-]+) .* billed=(\d+) ",
                         log.read()):
                     total += int(billed)
                     received = self.delivered_by_id.get(request_id, 0)
@@ -433,14 +534,13 @@
             for kind in ("once", "any"):
                 if not wait_for(lambda n=name, k=kind: status_of(send(
                         self.fleet, n, "/%s/x" % k, {
-                            "x-mimosapath-request": self.next_id(
-                                "last", n)})) == "200", RECOVERY_S, 0.1):
+                            ID: self.next_token("last", n)})) == "200", RECOVERY_S, 0.1):
                     self.report_violation("%s does not serve %s" % (
                         name, kind))
             for topic in range(4):
                 if not wait_for(lambda n=name, t=topic: status_of(send(
                         self.fleet, n, "/stream/x", {
-                            "x-mimosapath-request": self.next_id("last", n),
+                            ID: self.next_token("last", n),
                             "x-mimosapath-parts": self.sound_parts(
                                 t, "last")})) == "200", RECOVERY_S, 0.1):
                     self.report_violation("%s does not serve topic %d" % (
@@ -461,7 +561,7 @@
                 self.report_violation("not ready")
                 return
             threads = [in_background(lambda s=s: self.run_caller(s))
-                       for s in range(6)]
+                       for s in range(self.seed * 10, self.seed * 10 + 6)]
             threads += [in_background(lambda b=b: self.run_crasher(b, 0.3))
                         for b in ("#end0", "#end1")]
             threads.append(in_background(lambda: self.run_part_crasher(0.4)))
