--- a/tests/answers.py
+++ b/tests/answers.py
@@ -196,6 +196,107 @@
                 len(body), body)).encode()
 
 
+class Caller:
+    """A caller with one connection to each instance, kept after errors too.
+    ports maps instances to ports; next_token(kind, name) returns a new token;
+    check(kind, token, response, method) checks a response."""
+
+    def __init__(self, answers, rng, ports, next_token, check):
+        self.answers, self.random, self.ports = answers, rng, ports
+        self.next_token, self.check = next_token, check
+        self.conns = {}
+        self.earlier_ids = ["used-%d" % rng.getrandbits(20)]
+
+    def connect(self, name, window=None):
+        """Returns the connection; bytes that came while no answer was due are
+        a violation."""
+        conn = self.conns.get(name)
+        if conn and conn.is_open:
+            stray = conn.stray_bytes()
+            if stray:
+                self.answers.report_violation(
+                    "%r came while no answer was due" % stray[:60])
+        if not conn or not conn.is_open:
+            conn = CallerConn(self.ports[name], window=window)
+            self.conns[name] = conn
+        return conn
+
+    def send(self, name, token, prefix, window=None, pause_s=0, method="POST",
+             **options):
+        """Returns the response to a request that is sent alone."""
+        try:
+            conn = self.connect(name, window)
+            conn.send(format_request(token, prefix, method, **options))
+            conn.pause_s = pause_s
+            response = conn.read_response(method)
+            conn.pause_s = 0
+        except OSError:
+            self.conns.pop(name, None)
+            return Response()
+        return response
+
+    def choose_fields(self, token):
+        """Returns headers: mostly with an id of its own."""
+        rng, fields = self.random, {}
+        draw = rng.random()
+        if draw < 0.7:
+            fields[ID] = token
+            self.earlier_ids = (self.earlier_ids + [token])[-3:]
+        elif draw < 0.85:
+            fields[ID] = rng.choice(self.earlier_ids)
+        if rng.random() < 0.1:
+            fields["x-mimosapath-deadline-ms"] = str(rng.randint(200, 700))
+        return fields
+
+    def request(self, name, kind):
+        """Sends a request whose path begins with kind, in one of the ways of
+        callers."""
+        way = self.random.random()
+        if way < 0.08:
+            self.pipeline(name, kind)
+        elif way < 0.12:
+            self.leave(name, kind)
+        else:
+            self.request_answer(name, kind)
+
+    def request_answer(self, name, kind):
+        rng = self.random
+        token = self.next_token(kind, name)
+        method = "HEAD" if rng.random() < 0.08 else "POST"
+        response = self.send(
+            name, token, "/%s/" % kind, method=method,
+            fields=self.choose_fields(token),
+            window=4096 if rng.random() < 0.2 else None,
+            pause_s=0.02 if rng.random() < 0.05 else 0,
+            body="" if method == "HEAD" else None)
+        self.check(kind, token, response, method)
+
+    def pipeline(self, name, kind):
+        """Sends some requests at once; the answers come in their order."""
+        tokens = [self.next_token(kind, name) for _ in range(
+            self.random.randint(2, 4))]
+        try:
+            conn = self.connect(name)
+            conn.send(b"".join(format_request(
+                t, "/%s/" % kind, fields={ID: t}) for t in tokens))
+            for token in tokens:
+                if conn.is_open or conn.data:
+                    self.check(kind, token, conn.read_response(), "POST")
+        except OSError:
+            self.conns.pop(name, None)
+
+    def leave(self, name, kind):
+        """Sends a request and closes the connection, mostly unanswered."""
+        token = self.next_token(kind, name)
+        try:
+            conn = CallerConn(self.ports[name])
+            conn.send(format_request(token, "/%s/" % kind, fields={ID: token}))
+            time.sleep(self.random.uniform(0, 0.05))
+            conn.close()
+        except OSError:
+            pass
+
+
 class Answers:
     """What targets made, ran and said, and whether callers got only that."""
 
@@ -245,11 +346,11 @@
             return
         if not response.has_head:
             return
-        number = response.fields.get("x-answer")
+        number = number_of(response)
         if number is None:
             self.check_error(token, response, method)
             return
-        owner, status, body = self.made[int(number)]
+        owner, status, body = self.made[number]
         if owner != token:
             self.report_violation("%s got the answer of %s" % (token, owner))
         if status != response.status:
@@ -260,6 +361,27 @@
                                   "not run" % token)
         self.check_body(token, response, method, body)
 
+    def check_events(self, token, response, first, count, versions):
+        """Checks the events of a stream of count events that begins with the
+        event first; returns them."""
+        if response.fault:
+            self.report_violation("%s: %s" % (token, response.fault))
+        events, rest = read_events(response.body.decode(), token)
+        if rest and (response.is_whole or not any(
+                format_event(first + len(events), v, token).startswith(rest)
+                for v in versions)):
+            self.report_violation("%s: %r is no event of it" % (
+                token, rest[:60]))
+        if [n for n, _ in events] != list(range(first, first + len(events))):
+            self.report_violation("%s got events %s from %d on" % (
+                token, events, first))
+        if len({version for _, version in events}) > 1:
+            self.report_violation("%s got two versions" % token)
+        if response.is_whole and first + len(events) != count:
+            self.report_violation("%s looks whole with %d events from %d on" %
+                                  (token, len(events), first))
+        return events
+
     def check_body(self, token, response, method, body):
         length = response.fields.get("content-length")
         if length is not None and status_has_body(response.status) and int(
@@ -292,6 +414,20 @@
                 token, response.status, response.body[:60]))
 
 
+def number_of(response):
+    """Returns the number of the target's answer, or None: from its header,
+    which the API of our own does not forward, or its body."""
+    number = response.fields.get("x-answer")
+    match = re.match(rb"path=\S+ token=\S+ n=(\d+) ", response.body)
+    return int(number or (match and match.group(1)) or 0) or None
+
+
+def token_of(req):
+    """Returns the token of a request; the API of our own forwards it in the
+    path only."""
+    return req["headers"].get("x-token") or req["path"].split("/")[-1] or "-"
+
+
 def status_has_body(status):
     return status >= 200 and status not in BODILESS
 
@@ -350,11 +486,11 @@
         return self.random.choice([0, 100, 100, 300, 3000, 120000])
 
     def format(self, req, status=200, extra="", has_id=True, framing="length",
-               has_body=True):
+               size=None):
         """Returns the bytes of a new answer for the caller."""
         number, body = self.answers.make(
-            req["headers"].get("x-token", "-"), req["path"], status,
-            self.body_size())
+            token_of(req), req["path"], status,
+            self.body_size() if size is None else size)
         fields = "x-answer: %d\r\n%s" % (number, extra)
         if framing == "length" and (body or status != 204):
             fields += "Content-Length: %d\r\n" % len(body)
@@ -421,7 +557,7 @@
     def respond_events(self, conn, req, how, events, version, extra=""):
         """Answers with a stream of events; returns False to close."""
         rng = self.random
-        token = req["headers"].get("x-token", "-")
+        token = token_of(req)
         first = int(req["headers"].get("last-event-id", "-1")) + 1
         if how in ("errors", "bodiless") or (how == "foreign" and first):
             if how == "foreign":
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,9 +39,10 @@
 import sys
 import threading
 import time
+import traceback
 
-from answers import (GARBLES, Answers, CallerConn, GarbledWriter, Response,
-                     format_event, format_request, read_events)
+from answers import (GARBLES, Answers, Caller, GarbledWriter, number_of,
+                     token_of)
 from fleet import Fleet, in_background, wait_for
 from pathfleet import (LendingFleet, SimTarget, respond, path_conf, path_fleet,
                        send, start_event_stream, status_of, wait_targets)
@@ -61,10 +62,6 @@
 VERSIONS = ["v1", "v2"]
 
 
-def kind_of(token):
-    return token.split("-")[0]
-
-
 class VersionedTarget(SimTarget):
     """A target with a software version, which each of its events names."""
 
@@ -113,7 +110,7 @@
     # -- targets --
 
     def handle_request(self, target, req, conn):
-        token = req["headers"].get("x-token", "-")
+        token = token_of(req)
         if req["path"].startswith("/ready/"):
             return respond(conn, req, extra_headers=self.limit_header(target))
         target.arrivals.append(time.monotonic())
@@ -124,8 +121,7 @@
         if how in ("refuse", "refuse-bare"):
             if target.writer.random.random() < 0.5:
                 return target.writer.refuse(conn, req, how == "refuse")
-        if token != "-":
-            self.answers.note_run(token, not req["path"].startswith("/once/"))
+        self.answers.note_run(token, not req["path"].startswith("/once/"))
         body = req["body"].decode()
         has_part = CRASHING_PART in req["headers"].get(
             "x-mimosapath-parts", "").split(",")
@@ -167,156 +163,69 @@
             self.sent_to[token] = name
         return token
 
-    def connect(self, conns, name, window=None):
-        """Returns the caller's connection to the instance; bytes that came
-        while no answer was due are a violation."""
-        conn = conns.get(name)
-        if conn and conn.is_open:
-            stray = conn.stray_bytes()
-            if stray:
-                self.report_violation("%r came while no answer was due" %
-                                      stray[:60])
-        if not conn or not conn.is_open:
-            conn = CallerConn(self.fleet.callers[name], window=window)
-            conns[name] = conn
-        return conn
-
-    def send_request(self, conns, name, token, prefix, window=None, pause_s=0,
-                     method="POST", **options):
-        """Returns the response to a request that is sent alone."""
-        try:
-            conn = self.connect(conns, name, window)
-            conn.send(format_request(token, prefix, method, **options))
-            conn.pause_s = pause_s
-            response = conn.read_response(method)
-            conn.pause_s = 0
-        except OSError:
-            conns.pop(name, None)
-            return Response()
-        return response
+    def new_caller(self, seed):
+        return Caller(self.answers, random.Random(seed), self.fleet.callers,
+                      self.next_token, self.check_response)
 
     def check_response(self, kind, token, response, method="POST"):
         status = response.status if response.is_whole else 0
         self.count("%s %d" % (kind, status))
-        is_own = "x-answer" in response.fields
+        is_own = number_of(response) is not None
         if status in (503, 429) and not is_own:
             if kind == "any":
                 self.answers.not_run.add(token)
             else:
                 self.answers.note_not_run(token)
-        if kind in ("stream", "later") and response.status == 200 and (
-                not is_own):
+        if kind == "stream" and response.status == 200 and not is_own:
             return self.check_events(token, response)
         self.answers.check(token, response, method)
         return []
 
-    def check_events(self, token, response, first=0):
+    def check_events(self, token, response):
         """Checks the events of a stream; returns them."""
-        if response.fault:
-            self.report_violation("%s: %s" % (token, response.fault))
-        events, rest = read_events(response.body.decode(), token)
-        last = first + len(events)
-        if rest and (response.is_whole or not any(
-                format_event(last, v, token).startswith(rest)
-                for v in VERSIONS)):
-            self.report_violation("%s: %r is no event of it" % (
-                token, rest[:60]))
-        if kind_of(token) == "stream":
-            ids = [number for number, _ in events]
-            if ids != list(range(len(ids))):
-                self.report_violation("%s got events %s" % (token, ids))
-            if len({version for _, version in events}) > 1:
-                self.report_violation("%s got two versions" % token)
-            if response.is_whole and len(ids) != EVENTS:
-                self.report_violation("%s looks whole with %d events" % (
-                    token, len(ids)))
-            tokens = (PROMPT if ids else 0) + EVENT_TOKENS * len(ids)
-            with self.lock:
-                self.delivered += tokens
-                self.delivered_by_id[token] = tokens
+        events = self.answers.check_events(token, response, 0, EVENTS,
+                                           VERSIONS)
+        tokens = (PROMPT if events else 0) + EVENT_TOKENS * len(events)
+        with self.lock:
+            self.delivered += tokens
+            self.delivered_by_id[token] = tokens
         return events
 
+    def start_thread(self, work):
+        """Runs work in a thread; an exception in it is a violation."""
+        def run():
+            try:
+                work()
+            except Exception:
+                self.report_violation(traceback.format_exc())
+        return in_background(run)
+
     def run_caller(self, seed):
-        rng = random.Random(seed)
-        conns = {}
-        earlier_ids = ["used-%d" % seed]
+        caller = self.new_caller(seed)
         while not self.is_stopped:
-            name = rng.choice(self.fleet.names)
-            kind = rng.choice(["once", "any", "stream"])
-            way = rng.random()
+            name = caller.random.choice(self.fleet.names)
+            kind = caller.random.choice(["once", "any", "stream"])
             if kind == "stream":
-                self.request_stream(conns, rng, name)
-            elif way < 0.08:
-                self.pipeline(conns, rng, name, kind)
-            elif way < 0.12:
-                self.leave(rng, name, kind)
+                self.request_stream(caller, name)
             else:
-                self.request_answer(conns, rng, name, kind, earlier_ids)
+                caller.request(name, kind)
             time.sleep(0.01)
 
-    def choose_fields(self, rng, token, earlier_ids):
-        """Returns headers: mostly with an id of its own."""
-        draw, fields = rng.random(), {}
-        if draw < 0.7:
-            fields[ID] = token
-            earlier_ids[:] = (earlier_ids + [token])[-3:]
-        elif draw < 0.85:
-            fields[ID] = rng.choice(earlier_ids)
-        if rng.random() < 0.1:
-            fields["x-mimosapath-deadline-ms"] = str(rng.randint(200, 700))
-        return fields
-
-    def request_answer(self, conns, rng, name, kind, earlier_ids):
-        token = self.next_token(kind, name)
-        method = "HEAD" if rng.random() < 0.08 else "POST"
-        response = self.send_request(
-            conns, name, token, "/%s/" % kind, method=method,
-            fields=self.choose_fields(rng, token, earlier_ids),
-            window=4096 if rng.random() < 0.2 else None,
-            pause_s=0.02 if rng.random() < 0.05 else 0,
-            body="" if method == "HEAD" else None)
-        self.check_response(kind, token, response, method)
-
-    def request_stream(self, conns, rng, name):
+    def request_stream(self, caller, name):
         token = self.next_token("stream", name)
         fields = {ID: token, "x-mimosapath-tokens": "%d,%d" % (
             PROMPT, EVENTS * EVENT_TOKENS),
-                  "x-mimosapath-parts": self.sound_parts(rng.randrange(4),
-                                                         token)}
-        response = self.send_request(conns, name, token, "/stream/",
-                                     fields=fields)
+                  "x-mimosapath-parts": self.sound_parts(
+                      caller.random.randrange(4), token)}
+        response = caller.send(name, token, "/stream/", fields=fields)
         events = self.check_response("stream", token, response)
         if not self.is_stopped:
-            self.take_up(conns, rng, token, fields, events)
+            self.take_up(caller, token, fields, events)
 
-    def pipeline(self, conns, rng, name, kind):
-        """Sends some requests at once; the answers come in their order."""
-        tokens = [self.next_token(kind, name) for _ in range(
-            rng.randint(2, 4))]
-        try:
-            conn = self.connect(conns, name)
-            conn.send(b"".join(format_request(
-                t, "/%s/" % kind, fields={ID: t}) for t in tokens))
-            for token in tokens:
-                if conn.is_open or conn.data:
-                    self.check_response(kind, token, conn.read_response())
-        except OSError:
-            conns.pop(name, None)
-
-    def leave(self, rng, name, kind):
-        """Sends a request and closes the connection, mostly unanswered."""
-        token = self.next_token(kind, name)
-        try:
-            conn = CallerConn(self.fleet.callers[name])
-            conn.send(format_request(token, "/%s/" % kind, fields={ID: token}))
-            time.sleep(rng.uniform(0, 0.05))
-            conn.close()
-        except OSError:
-            pass
-
-    def take_up(self, conns, rng, token, fields, events):
+    def take_up(self, caller, token, fields, events):
         """Takes a stream up that broke off, and now and then a whole one, as
         if its last events had been lost."""
+        rng = caller.random
         if not events or (len(events) == EVENTS and rng.random() < 0.8):
             return
         after = events[rng.randrange(len(events))][0]
@@ -324,25 +233,19 @@
             return
         name = rng.choice(self.fleet.names)
         later = self.next_token("later", name)
-        response = self.send_request(
-            conns, name, later, "/stream/", body=token, fields=dict(fields, **{
+        response = caller.send(
+            name, later, "/stream/", body=token, fields=dict(fields, **{
                 ID: later, "x-mimosapath-resumes": token,
                 "last-event-id": str(after)}))
         if "x-answer" in response.fields or response.status != 200:
             self.check_response("later", later, response)
             return
         self.count("later %d" % response.is_whole)
-        rest = self.check_events(later, response, after + 1)
+        rest = self.answers.check_events(later, response, after + 1, EVENTS,
+                                         VERSIONS)
         with self.lock:
             self.delivered += EVENT_TOKENS * len(rest) + (
                 PROMPT if rest else 0)
-        if [i for i, _ in rest] != list(range(after + 1, after + 1 +
-                                              len(rest))):
-            self.report_violation("%s took %s up after %d and got %s" % (
-                later, token, after, rest))
-        if response.is_whole and len(rest) != EVENTS - after - 1:
-            self.report_violation("%s looks whole with %d events after %d" % (
-                later, len(rest), after))
         if rest and {v for _, v in rest} != {events[0][1]}:
             self.report_violation("%s of %s goes on at %s" % (
                 token, events[0][1], rest[0][1]))
@@ -351,23 +254,23 @@
         return "system:20,topic%d:20,%s:10" % (topic, token)
 
     def run_part_crasher(self, interval_s):
-        conns = {}
+        caller = self.new_caller(0)
         while not self.is_stopped:
             name = self.random.choice(self.fleet.names)
             token = self.next_token("part", name)
-            self.send_request(conns, name, token, "/stream/", fields={
+            caller.send(name, token, "/stream/", fields={
                 ID: token, "x-mimosapath-parts": "system:20,%s,%s:10" % (
                     CRASHING_PART, token)})
             time.sleep(interval_s)
 
     def run_crasher(self, body, interval_s):
-        conns = {}
+        caller = self.new_caller(1)
         while not self.is_stopped:
             name = self.random.choice(self.fleet.names)
             kind = "any" if body.endswith("1") else "once"
             token = self.next_token("end", name)
-            self.send_request(conns, name, token, "/%s/" % kind, path="x",
-                              fields={ID: token}, body=body)
+            caller.send(name, token, "/%s/" % kind, path="x",
+                        fields={ID: token}, body=body)
             time.sleep(interval_s)
 
     # -- faults --
@@ -523,26 +426,31 @@
                         self.report_violation(
                             "%s got %d tokens, %s are billed" % (
                                 request_id, received, billed))
+        if self.delivered_by_id and not total:
+            self.report_violation("no log says what was billed")
         account = self.fleet.account()
         accounted = account["settled_mtok"] + account["leased_mtok"]
         if total * 1000 > accounted:
             self.report_violation("%d tokens are billed, %d in the account" % (
                 total, accounted // 1000))
 
+    def is_served(self, name, path, fields):
+        token = self.next_token("last", name)
+        return status_of(send(self.fleet, name, path, dict(
+            fields, **{ID: token, "x-token": token}))) == "200"
+
     def check_served(self):
         for name in self.fleet.names:
             for kind in ("once", "any"):
-                if not wait_for(lambda n=name, k=kind: status_of(send(
-                        self.fleet, n, "/%s/x" % k, {
-                            ID: self.next_token("last", n)})) == "200", RECOVERY_S, 0.1):
+                if not wait_for(lambda n=name, k=kind: self.is_served(
+                        n, "/%s/x" % k, {}), RECOVERY_S, 0.1):
                     self.report_violation("%s does not serve %s" % (
                         name, kind))
             for topic in range(4):
-                if not wait_for(lambda n=name, t=topic: status_of(send(
-                        self.fleet, n, "/stream/x", {
-                            ID: self.next_token("last", n),
-                            "x-mimosapath-parts": self.sound_parts(
-                                t, "last")})) == "200", RECOVERY_S, 0.1):
+                parts = {"x-mimosapath-parts": self.sound_parts(topic,
+                                                                "last")}
+                if not wait_for(lambda n=name, p=parts: self.is_served(
+                        n, "/stream/x", p), RECOVERY_S, 0.1):
                     self.report_violation("%s does not serve topic %d" % (
                         name, topic))
 
@@ -560,11 +468,12 @@
             if not all(wait_targets(self.fleet, n) for n in self.fleet.names):
                 self.report_violation("not ready")
                 return
-            threads = [in_background(lambda s=s: self.run_caller(s))
+            threads = [self.start_thread(lambda s=s: self.run_caller(s))
                        for s in range(self.seed * 10, self.seed * 10 + 6)]
-            threads += [in_background(lambda b=b: self.run_crasher(b, 0.3))
+            threads += [self.start_thread(lambda b=b: self.run_crasher(b, 0.3))
                         for b in ("#end0", "#end1")]
-            threads.append(in_background(lambda: self.run_part_crasher(0.4)))
+            threads.append(self.start_thread(
+                lambda: self.run_part_crasher(0.4)))
             end = time.monotonic() + self.seconds
             faulty, faults = set(), []
             while time.monotonic() < end:
