--- a/tests/answers.py
+++ b/tests/answers.py
@@ -26,9 +26,9 @@
     r"id: (\d+)\ndata: (\w+) ([\w-]+) (\d+) ([0-9a-f]{8})\n\n")
 # What a target may do wrong; "pieces", "errors", "bodiless", "unframed" and
 # "bare" are allowed.
-GARBLES = ("twice", "twice-bare", "bare", "refuse", "refuse-bare", "late",
-           "torn", "pieces", "errors", "bodiless", "unframed", "foreign",
-           "extra")
+GARBLES = ("twice", "twice-bare", "twice-torn", "bare", "refuse",
+           "refuse-bare", "refuse-torn", "late", "torn", "pieces", "errors", "bodiless",
+           "unframed", "foreign", "extra")
 
 
 def format_event(number, version, token):
@@ -317,8 +317,6 @@
         text += (token + filler) * (max(size - len(text), 0) //
                                     (len(token) + len(filler)))
         body = ("%s sum=%08x" % (text, zlib.crc32(text.encode()))).encode()
-        if status in BODILESS:
-            body = b""
         self.made[number] = (token, status, body)
         return number, body
 
@@ -390,6 +388,8 @@
                 token, length, len(body)))
         if method == "HEAD" or not response.is_whole:
             body = body[:len(response.body)]
+        if not status_has_body(response.status):
+            body = b""
         if response.body != body:
             self.report_violation("%s: %d got %r instead of %r" % (
                 token, response.status, response.body[:60], body[:60]))
@@ -447,7 +447,7 @@
 
     def head(self, req, status, fields, has_id=True):
         name = req["headers"].get(ID)
-        return "HTTP/1.1 %d X\r\n%s%s\r\n" % (
+        return "HTTP/1.1 %d A reason phrase\r\n%s%s\r\n" % (
             status, "%s: %s\r\n" % (ID, name) if name and has_id else "",
             fields)
 
@@ -482,6 +482,11 @@
                             struct.pack("ii", 1, 0))
         return False
 
+    def tear(self, data):
+        """Returns a first part of data, often less than its head."""
+        most = self.random.choice([30, 250, len(data)])
+        return data[:self.random.randrange(1, min(most, len(data)))]
+
     def body_size(self):
         return self.random.choice([0, 100, 100, 300, 3000, 120000])
 
@@ -492,32 +497,35 @@
             token_of(req), req["path"], status,
             self.body_size() if size is None else size)
         fields = "x-answer: %d\r\n%s" % (number, extra)
-        if framing == "length" and (body or status != 204):
+        if framing == "length" and status != 204:
             fields += "Content-Length: %d\r\n" % len(body)
         if framing == "chunked":
             fields += "Transfer-Encoding: chunked\r\n"
             body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
         if framing == "none":
             fields += "Connection: close\r\n" * self.random.randrange(2)
-        if req["method"] == "HEAD":
+        if req["method"] == "HEAD" or not status_has_body(status):
             body = b""
         return self.head(req, status, fields, has_id).encode() + body
 
-    def refuse(self, conn, req, has_id):
-        """Refuses, and writes that once more while the next request of the
-        connection runs."""
+    def refuse(self, conn, req, how):
+        """Refuses, and writes that once more, perhaps without its id or torn,
+        while the next request of the connection runs."""
         body = "refused by the target"
         fields = NOT_RUN + "Content-Length: %d\r\n" % len(body)
         if req["method"] == "HEAD":
             body = ""
         self.write(conn, (self.head(req, 503, fields) + body).encode())
-        copy = (self.head(req, 503, fields, has_id) + body).encode()
+        copy = (self.head(req, 503, fields, how != "refuse-bare") +
+                body).encode()
+        if how == "refuse-torn":
+            copy = self.tear(copy)
         self.write_later(conn, copy, self.random.uniform(0.01, 0.2))
 
     def respond(self, conn, req, how, extra=""):
         """Answers a request that is no stream; returns False to close."""
         rng = self.random
-        if how in ("refuse", "refuse-bare", "twice", "twice-bare", "bare"):
+        if how.startswith(("refuse", "twice", "bare")):
             time.sleep(rng.choice([0, 0.02, 0.2]))
         if how in ("errors", "foreign"):
             data = self.format(req, rng.choice(OWN_ERRORS), extra)
@@ -538,20 +546,23 @@
             data = self.format(req, 200, extra)
             self.write(conn, data[:rng.randrange(len(data))])
             return self.cut(conn)
-        data = self.format(req, 200, extra, has_id=how != "bare")
+        status = rng.choice(OWN_ERRORS) if how == "twice-torn" else 200
+        data = self.format(req, status, extra, has_id=how != "bare")
         self.write(conn, data)
         if how == "extra":
             self.write(conn, rng.choice([
                 b"x", b"\r\n", b"0\r\n\r\n", b"more of it " * 30,
                 b"HTTP/1.1 200 X\r\nContent-Length: 900\r\n\r\nnobody's"]))
-        if how in ("twice", "twice-bare", "bare"):
+        if how in ("twice", "twice-bare", "twice-torn", "bare"):
             head, _, body = data.partition(b"\r\n\r\n")
-            if how != "twice":
+            if how in ("twice-bare", "bare"):
                 head = b"\r\n".join(
                     line for line in head.split(b"\r\n")
                     if not line.startswith(ID.encode()))
-            self.write_later(conn, head + b"\r\n\r\n" + body,
-                             rng.choice([0, 0.02, 0.05, 0.2]))
+            copy = head + b"\r\n\r\n" + body
+            if how == "twice-torn":
+                copy = self.tear(copy)
+            self.write_later(conn, copy, rng.choice([0, 0.02, 0.05, 0.2]))
         return None
 
     def respond_events(self, conn, req, how, events, version, extra=""):
--- a/tests/runs/answers_byte_by_byte.py
+++ b/tests/runs/answers_byte_by_byte.py
@@ -22,7 +22,7 @@
 answers = Answers(violations.append)
 mode = "healthy"
 lock = threading.Lock()
-state = {"number": 0, "whole": 0, "at": 0}
+state = {"number": 0, "whole": 0, "at": 0, "sized": 0}
 
 
 class ServiceFleet(Fleet):
@@ -55,8 +55,8 @@
         return respond(conn, request, STATUS)
     how = mode if target.writer.random.random() < 0.6 else "healthy"
     writer, token = target.writer, token_of(request)
-    if how in ("refuse", "refuse-bare") and writer.random.random() < 0.5:
-        return writer.refuse(conn, request, how == "refuse")
+    if how.startswith("refuse") and writer.random.random() < 0.5:
+        return writer.refuse(conn, request, how)
     answers.note_run(token, not token.startswith("once"))
     if how == "late":
         time.sleep(0.8)
@@ -76,6 +76,8 @@
 def check(kind, token, response, method):
     with lock:
         state["whole"] += response.is_whole and response.status == 200
+        state["sized"] += response.is_whole and response.status == 304 and (
+            response.fields.get("content-length", "0") != "0")
     answers.check(token, response, method)
 
 
@@ -143,4 +145,5 @@
     print("ready", wait_targets(fleet, "i0"))
     for number, how in enumerate(("healthy", "each-byte") + GARBLES):
         play(how, number)
+    print("304 with a length arrived", state["sized"] > 0)
     print("instance runs", fleet.processes["i0"].poll() is None)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -118,9 +118,9 @@
         if target.mode.startswith("garble/") and target.writer.random.random(
                 ) < 0.6:
             how = target.mode.split("/")[1]
-        if how in ("refuse", "refuse-bare"):
+        if how.startswith("refuse"):
             if target.writer.random.random() < 0.5:
-                return target.writer.refuse(conn, req, how == "refuse")
+                return target.writer.refuse(conn, req, how)
         self.answers.note_run(token, not req["path"].startswith("/once/"))
         body = req["body"].decode()
         has_part = CRASHING_PART in req["headers"].get(
