--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -1,5 +1,7 @@
 #include "protocol/ResponseReader.h"
 
+#include "state/Fault.h"
+
 #include <string.h>
 
 /* Offsets and sizes of a header in the text of the head. */
@@ -124,8 +126,11 @@
             continue;
         }
         has_id = true;
-        *is_own = *is_own && header->value_size == strlen(this->id) &&
-                  memcmp(header->value, this->id, header->value_size) == 0;
+        bool is_equal =
+            header->value_size == strlen(this->id) &&
+            memcmp(header->value, this->id, header->value_size) == 0;
+        *is_own = MP_FAULT(MP_FAULT_ONE_OWN_ID_SUFFICES) ? is_equal
+                                                         : *is_own && is_equal;
     }
     return has_id;
 }
@@ -141,8 +146,10 @@
         return is_own ? MP_ATTRIBUTION_ID : MP_ATTRIBUTION_NONE;
     }
     *reason = MP_STRAY_NO_ID;
-    return this->is_new_conn && !this->has_stray ? MP_ATTRIBUTION_FIRST
-                                                 : MP_ATTRIBUTION_NONE;
+    bool is_first =
+        (this->is_new_conn || MP_FAULT(MP_FAULT_ANSWER_BY_ORDER)) &&
+        (!this->has_stray || MP_FAULT(MP_FAULT_FIRST_AFTER_STRAY));
+    return is_first ? MP_ATTRIBUTION_FIRST : MP_ATTRIBUTION_NONE;
 }
 
 /* Counts bytes of stray responses.  Returns true when there are too many. */
@@ -216,7 +223,7 @@
 on_body(http_parser *parser, const char *data, size_t size)
 {
     struct MpResponseReader *this = parser->data;
-    if (this->is_stray) {
+    if (this->is_stray && !MP_FAULT(MP_FAULT_STRAY_BODY_SHOWN)) {
         return count_stray(this, size);
     }
     this->klass->body(this->owner, data, size);
@@ -317,7 +324,12 @@
         }
         *used += MIN(step, left);
         if (this->is_complete && !this->is_stray) {
-            return left > 0 ? MP_READ_COMPLETE : MP_READ_CLOSED;
+            if (MP_FAULT(MP_FAULT_REST_IGNORED)) {
+                *used = size;
+            }
+            return left > 0 || MP_FAULT(MP_FAULT_END_IS_COMPLETE)
+                       ? MP_READ_COMPLETE
+                       : MP_READ_CLOSED;
         }
         if (left == 0) {
             return MP_READ_INVALID;
@@ -335,8 +347,10 @@
 bool
 MpResponseReader_MayKeep(const struct MpResponseReader *this)
 {
-    return this->attribution == MP_ATTRIBUTION_ID && !this->has_stray &&
-           !this->is_closing && !this->is_head_request;
+    bool has_own_id = this->attribution == MP_ATTRIBUTION_ID ||
+                      MP_FAULT(MP_FAULT_KEPT_WITHOUT_ID);
+    return has_own_id && !this->has_stray && !this->is_closing &&
+           !this->is_head_request;
 }
 
 enum MpAttribution
