Load test: callers keep their connections, after errors too

Each request had a connection of its own, so that bytes after an answer went unseen. LoadConn keeps a connection after each complete response unless the server closes it; bytes that no request asked for are counted (connections: opened, reused, stray), and errors whose body does not say the same of "run" as their head (foreign).

--- a/src/commands/LoadCall.c
+++ b/src/commands/LoadCall.c
@@ -18,12 +18,13 @@
     char *prompt;
     uint32_t next_address; /* index into the addresses, modulo their number */
     uint32_t attempts;
-    struct MpUpstream *upstream;
+    struct MpLoadConn *conn;
     struct MpTimer timer;
     struct MpSse sse;
     GByteArray *response_body;
     int status;
-    bool is_not_run; /* this attempt can't have run */
+    bool is_not_run;    /* this attempt can't have run */
+    char run_claim[16]; /* of the response; empty without one */
     int64_t retry_after_ms;
     int64_t start_us;
     int64_t last_token_us;
@@ -34,7 +35,7 @@
     bool has_error_event;
 };
 
-static const struct MpUpstreamClass upstream_class;
+static const struct MpLoadConnClass conn_class;
 
 static void send_attempt(struct load_call *this);
 
@@ -101,7 +102,7 @@
         body = build_chat_body(this);
     }
     char *head = g_strdup_printf(
-        "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n"
+        "%s %s HTTP/1.1\r\nhost: %s\r\n"
         "authorization: Bearer key-%s\r\nidempotency-key: %s\r\n"
         "content-length: %zu\r\n\r\n%s",
         method, path, address, this->request->workspace, this->request->key,
@@ -156,22 +157,23 @@
 }
 
 static void
-on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
+on_header(void *owner, const char *name, const char *value)
 {
     struct load_call *this = owner;
-    this->status = status;
-    for (size_t i = 0; i < count; i++) {
-        const h2o_iovec_t *name = headers[i].name;
-        const h2o_iovec_t *value = &headers[i].value;
-        if (h2o_memis(name->base, name->len, H2O_STRLIT("x-mimosapath-run"))) {
-            this->is_not_run =
-                h2o_memis(value->base, value->len, H2O_STRLIT("no"));
-        }
-        if (h2o_memis(name->base, name->len, H2O_STRLIT("retry-after"))) {
-            this->retry_after_ms =
-                1000 * (int64_t)h2o_strtosize(value->base, value->len);
-        }
+    if (g_ascii_strcasecmp(name, "x-mimosapath-run") == 0) {
+        g_strlcpy(this->run_claim, value, sizeof(this->run_claim));
+        this->is_not_run = strcmp(value, "no") == 0;
     }
+    if (g_ascii_strcasecmp(name, "retry-after") == 0) {
+        this->retry_after_ms = 1000 * strtoll(value, NULL, 10);
+    }
+}
+
+static void
+on_head(void *owner, int status)
+{
+    struct load_call *this = owner;
+    this->status = status;
 }
 
 static void
@@ -215,6 +217,26 @@
     return is_complete;
 }
 
+/* Returns whether a response of an instance that is an error is whole: its
+ * body says the same as its head. */
+static bool
+is_error_whole(const struct load_call *this)
+{
+    struct json_object *root = NULL;
+    struct json_object *error;
+    struct json_object *run;
+    char *text = g_strndup((const char *)this->response_body->data,
+                           this->response_body->len);
+    root = json_tokener_parse(text);
+    bool is_whole = json_object_is_type(root, json_type_object) &&
+                    json_object_object_get_ex(root, "error", &error) &&
+                    json_object_object_get_ex(error, "run", &run) &&
+                    strcmp(json_object_get_string(run), this->run_claim) == 0;
+    json_object_put(root);
+    g_free(text);
+    return is_whole;
+}
+
 static int64_t
 count_plain_tokens(const struct load_call *this)
 {
@@ -311,7 +333,7 @@
 end_attempt(struct load_call *this, bool is_complete)
 {
     MpLoop_ClearTimer(&this->timer);
-    this->upstream = NULL;
+    this->conn = NULL;
     if (!this->is_not_run) {
         this->request->all_not_run = false;
     }
@@ -326,13 +348,17 @@
 }
 
 static void
-on_end(void *owner, enum MpUpstreamResult result)
+on_end(void *owner, enum MpLoadResult result)
 {
     struct load_call *this = owner;
-    bool is_complete = result == MP_UPSTREAM_COMPLETE && this->status == 200;
-    if (result != MP_UPSTREAM_COMPLETE) {
+    bool is_complete = result == MP_LOAD_COMPLETE && this->status == 200;
+    if (result == MP_LOAD_COMPLETE && this->run_claim[0] &&
+        !is_error_whole(this)) {
+        this->test->counts[this->request->kind].foreign++;
+    }
+    if (result != MP_LOAD_COMPLETE) {
         /* If nothing was sent, the request can't have run. */
-        this->is_not_run = result == MP_UPSTREAM_NOT_SENT;
+        this->is_not_run = result == MP_LOAD_NOT_SENT;
         this->status = this->status == 200 ? 200 : 0;
     }
     if (is_complete && this->request->kind == MP_LOAD_RECIPE) {
@@ -347,14 +373,14 @@
     end_attempt(this, is_complete);
 }
 
-static const struct MpUpstreamClass upstream_class = {
-    .head = on_head, .body = on_body, .end = on_end};
+static const struct MpLoadConnClass conn_class = {
+    .header = on_header, .head = on_head, .body = on_body, .end = on_end};
 
 static void
 on_timeout(struct MpTimer *timer)
 {
     struct load_call *this = timer->data;
-    MpUpstream_Cancel(this->upstream);
+    MpLoadConn_Cancel(this->conn);
     this->status = 0;
     this->is_not_run = false;
     end_attempt(this, false);
@@ -370,6 +396,7 @@
     this->attempts++;
     this->status = 0;
     this->is_not_run = false;
+    this->run_claim[0] = '\0';
     this->retry_after_ms = 0;
     this->tokens = 0;
     this->is_wrong = false;
@@ -381,10 +408,8 @@
     MpSse_Init(&this->sse);
     MpLoop_SetTimer(this->test->loop, &this->timer, RESPONSE_TIMEOUT_MS,
                     on_timeout, this);
-    this->upstream = MpUpstream_Start(
-        &this->test->upstreams, &upstream_class, this, address,
-        this->request->kind == MP_LOAD_STOCK ? "GET" : "POST",
-        build_request(this, address));
+    this->conn = MpLoadConns_Send(&this->test->conns, &conn_class, this,
+                                  address, build_request(this, address));
 }
 
 static struct MpLoadRequest *
--- a/src/commands/LoadTest.c
+++ b/src/commands/LoadTest.c
@@ -122,7 +122,7 @@
     this->random = g_rand_new_with_seed(options->seed);
     this->requests = g_ptr_array_new();
     MpMetrics_Init(&this->metrics);
-    MpUpstreamContext_Init(&this->upstreams, loop);
+    MpLoadConns_Init(&this->conns, loop);
     MpLoop_SetTimer(loop, &this->arrival_timer, 0, on_arrival, this);
     if (!options->is_quiet) {
         MpLoop_SetTimer(loop, &this->progress_timer, PROGRESS_INTERVAL_MS,
@@ -150,6 +150,7 @@
     {"lost", offsetof(struct MpLoadCounts, lost)},
     {"other", offsetof(struct MpLoadCounts, other)},
     {"retries", offsetof(struct MpLoadCounts, retries)},
+    {"foreign", offsetof(struct MpLoadCounts, foreign)},
 };
 
 static uint64_t
@@ -238,6 +239,19 @@
     return list;
 }
 
+static struct json_object *
+connections_json(const struct MpLoadConns *conns)
+{
+    struct json_object *object = json_object_new_object();
+    json_object_object_add(object, "opened",
+                           json_object_new_int64((int64_t)conns->opened));
+    json_object_object_add(object, "reused",
+                           json_object_new_int64((int64_t)conns->reused));
+    json_object_object_add(object, "stray",
+                           json_object_new_int64((int64_t)conns->stray));
+    return object;
+}
+
 struct json_object *
 MpLoadTest_Report(struct MpLoadTest *this)
 {
@@ -249,6 +263,8 @@
     }
     json_object_object_add(root, "kinds", kinds);
     json_object_object_add(root, "histograms", histograms_json(this));
+    json_object_object_add(root, "connections",
+                           connections_json(&this->conns));
     json_object_object_add(root, "keys", requests_json(this));
     return root;
 }
--- a/src/commands/LoadTest.h
+++ b/src/commands/LoadTest.h
@@ -1,9 +1,9 @@
 #ifndef MP_COMMANDS_LOAD_TEST_H
 #define MP_COMMANDS_LOAD_TEST_H
 
+#include "commands/LoadConn.h"
 #include "state/Metrics.h"
 #include "transport/Loop.h"
-#include "transport/Upstream.h"
 
 #include <json.h>
 #include <stdbool.h>
@@ -15,8 +15,10 @@
  *
  * Requests start as a Poisson process whether or not earlier ones have ended,
  * so that the latencies include queueing.  A request without a final response
- * is retried with the same idempotency key at the next instance.  Each
- * response is checked to be complete and to belong to its request.
+ * is retried with the same idempotency key at the next instance.  Callers keep
+ * their connections, after errors too.  Each response is checked to be
+ * complete and to belong to its request, and bytes that no request asked for
+ * are counted.
  */
 
 enum MpLoadKind {
@@ -63,6 +65,7 @@
     uint64_t lost;      /* no response in time, or an incomplete error */
     uint64_t other;     /* any other status */
     uint64_t retries;   /* attempts after the first ones */
+    uint64_t foreign;   /* errors whose body is not that of their head */
 };
 
 /* One request and its outcome. */
@@ -82,7 +85,7 @@
 struct MpLoadTest {
     const struct MpLoadOptions *options;
     struct MpLoop *loop;
-    struct MpUpstreamContext upstreams;
+    struct MpLoadConns conns;
     GRand *random;
     struct MpLoadCounts counts[MP_LOAD_KINDS];
     GPtrArray *requests; /* of struct MpLoadRequest */
