--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -27,6 +27,7 @@
     "FuzzRoster": (2000, 2, 600),
     "FuzzPermits": (60, 2, 600),
     "FuzzVersions": (1000, 2, 4000),
+    "FuzzRelay": (1500, 2, 2000),
 }
 # fault number: description, fuzzer that finds it, seeds that it runs
 FAULTS = {
@@ -83,6 +84,14 @@
     51: ("stream without ids goes on", "FuzzForward", 50),
     52: ("unreadable entry spoils its page", "FuzzParsers", 200),
     53: ("page that was cut off is repaired", "FuzzParsers", 4000),
+    52: ("answer without an id taken on a kept connection", "FuzzRelay", 50),
+    53: ("connection kept after an answer without its id", "FuzzRelay", 50),
+    54: ("one id of several suffices", "FuzzRelay", 50),
+    55: ("body of a stray answer shown", "FuzzRelay", 50),
+    56: ("first answer taken after a stray one", "FuzzRelay", 50),
+    57: ("bytes after the end ignored", "FuzzRelay", 50),
+    58: ("answer that ends with its connection counts as complete",
+         "FuzzRelay", 50),
 }
 
 
