--- a/fuzz/FuzzRelay.c
+++ b/fuzz/FuzzRelay.c
@@ -23,10 +23,6 @@
  * The choice of connections follows the rules of TargetConn: no id twice on
  * one connection, none that has carried a request for one without an id or for
  * HEAD, none with data that waits.
- *
- * With FUZZ_KNOWN_RED in the environment it also plays what KNOWN-RED.txt
- * lists: copies torn within their head, and answers with an id to requests
- * that name none.
  */
 
 #define CONNS 4
@@ -73,7 +69,6 @@
     bool is_ended; /* the target writes no more */
 };
 
-static bool plays_known_red;
 static GArray *requests; /* of struct request */
 static GArray *answers;  /* of struct answer */
 static struct conn conns[CONNS];
@@ -331,26 +326,13 @@
     return number;
 }
 
-/* Returns the size of the head of what was written from start on. */
-static size_t
-head_size(const struct conn *this, size_t start)
-{
-    const char *text = (const char *)this->wire->data + start;
-    const char *end = memmem(text, this->wire->len - start, "\r\n\r\n", 4);
-    return (size_t)(end - text) + 4;
-}
-
-/* Takes the last bytes of what was written from start on away, but leaves
- * min_size. */
+/* Takes the last bytes of what was written from start on away. */
 static void
-tear(struct conn *this, size_t start, size_t min_size, struct FuzzInput *input)
+tear(struct conn *this, size_t start, struct FuzzInput *input)
 {
-    size_t size = this->wire->len - start - min_size;
+    size_t size = this->wire->len - start;
     size_t keep = (size_t)FuzzInput_Byte(input) * 256 + FuzzInput_Byte(input);
-    if (size == 0) {
-        return;
-    }
-    g_byte_array_set_size(this->wire, (guint)(start + min_size + keep % size));
+    g_byte_array_set_size(this->wire, (guint)(start + keep % size));
     g_array_set_size(this->origins, this->wire->len);
     this->is_clean = false;
 }
@@ -394,7 +376,7 @@
     this->is_answered = true;
     g_array_append_val(this->written, number);
     if (kind == 6 || (kind == 1 && FuzzInput_Below(input, 2))) {
-        tear(this, start, 0, input);
+        tear(this, start, input);
     }
     /* After a torn answer nothing can be told apart any more. */
     this->is_ended = kind == 1 || kind == 6;
@@ -416,10 +398,6 @@
     if (this != from && (id == NONE || has_carried(this, id))) {
         return;
     }
-    if (this != from && !plays_known_red &&
-        request_at(this->request)->id == NONE) {
-        return;
-    }
     size_t start = this->wire->len;
     uint32_t kind = FuzzInput_Below(input, 8);
     /* An answer to another connection first comes with its id. */
@@ -439,7 +417,7 @@
         write_answer(this, &answer, input);
     }
     if (kind == 7) {
-        tear(this, start, plays_known_red ? 0 : head_size(this, start), input);
+        tear(this, start, input);
         this->is_ended = answer.request == this->request;
     }
 }
@@ -574,7 +552,6 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     struct FuzzInput input = {.data = data, .size = size};
-    plays_known_red = getenv("FUZZ_KNOWN_RED") != NULL;
     requests = g_array_new(false, false, sizeof(struct request));
     answers = g_array_new(false, false, sizeof(struct answer));
     while (!FuzzInput_IsAtEnd(&input)) {
