--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -40,8 +40,10 @@
         self.conns = []
         self.crash_count = 0
         self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.port = self.listener.getsockname()[1]
+        # Nobody else gets the port while the target is down.
+        self.port = free_port()
+        self.listener = socket.create_server(("127.0.0.1", self.port),
+                                             backlog=64)
         in_background(lambda: self.accept(self.listener))
 
     def entry(self, leaving=False):
