Soak: refusals of a target that names a limit name it too

The refusals of garble/refuse had no limit header, so the instances took the limit for ended (target-limit limit_mrps=-1 from=answer after each 503 in the log). The soak contradicted itself; refusals, and the streams that crash a target, carry the header now.

--- a/tests/answers.py
+++ b/tests/answers.py
@@ -513,11 +513,11 @@
             body = b""
         return self.head(req, status, fields, has_id).encode() + body
 
-    def refuse(self, conn, req, how):
+    def refuse(self, conn, req, how, extra=""):
         """Refuses, and writes that once more, perhaps without its id or torn,
         while the next request of the connection runs."""
         body = "refused by the target"
-        fields = NOT_RUN + "Content-Length: %d\r\n" % len(body)
+        fields = extra + NOT_RUN + "Content-Length: %d\r\n" % len(body)
         if req["method"] == "HEAD":
             body = ""
         self.write(conn, (self.head(req, 503, fields) + body).encode())
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -120,7 +120,8 @@
             how = target.mode.split("/")[1]
         if how.startswith("refuse"):
             if target.writer.random.random() < 0.5:
-                return target.writer.refuse(conn, req, how)
+                return target.writer.refuse(conn, req, how,
+                                            self.limit_header(target))
         self.answers.note_run(token, not req["path"].startswith("/once/"))
         body = req["body"].decode()
         has_part = CRASHING_PART in req["headers"].get(
@@ -141,7 +142,7 @@
 
     def crash(self, target, req, conn, token, cause):
         if cause == CRASHING_PART:
-            start_event_stream(conn, req)
+            start_event_stream(conn, req, self.limit_header(target))
             time.sleep(0.02)
         with self.lock:
             self.crash_sends.append((time.monotonic(), cause, token))
