--- a/tests/soak.py
+++ b/tests/soak.py
@@ -52,7 +52,9 @@
 CRASHING_PART = "dead:7"
 RECOVERY_S = 15
 EVENTS, EVENT_TOKENS, PROMPT = 8, 3, 50
-PREPAID = 120000
+# The smaller amount is used up within seconds, the larger one leaves later
+# streams to see faults.
+PREPAID_AMOUNTS = [120000, 40000]
 QUIET_S = 8
 ALL_KINDS = "kill term freeze cut crash resets silent limit %s" % (
     " ".join("garble/" + how for how in GARBLES))
@@ -76,6 +78,7 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
+        self.prepaid = PREPAID_AMOUNTS[seed // 2 % 2]
         self.lock = threading.Lock()
         self.violations = []
         self.answers = Answers(self.report_violation)
@@ -461,7 +464,7 @@
             path_conf("/ready/"), path_conf("/once/"),
             path_conf("/any/", repeat="any", attempts=2),
             path_conf("/stream/", repeat="resume", stream=True, attempts=2)],
-            prepaid=PREPAID, instances=5, control=3,
+            prepaid=self.prepaid, instances=5, control=3,
             behind_proxy=self.partitioned_names,
             fleet_class=LendingFleet if self.seed % 2 else Fleet,
             extra_settings={"stop_within_s": 8})
@@ -492,10 +495,10 @@
             self.check_billing()
             self.check_served()
             account = self.fleet.account()
-            if self.delivered > PREPAID:
+            if self.delivered > self.prepaid:
                 self.report_violation("%d tokens delivered of %d" % (
-                    self.delivered, PREPAID))
-            if account["settled_mtok"] > PREPAID * 1000:
+                    self.delivered, self.prepaid))
+            if account["settled_mtok"] > self.prepaid * 1000:
                 self.report_violation("settled %d" % account["settled_mtok"])
             if self.violations and os.environ.get("KEEP"):
                 print("logs in", self.fleet.folder)
