Odd heads of targets are not passed on to callers

What callers saw: a target that writes a blank behind a header's name ("Content-Length : 5") gave its callers two lengths, or a length and an encoding, the second in the target's form; callers that accept the blank may read other bytes than the body. The id of another request in such a line was passed on instead of compared. A status below 100 closed the caller's connection without a response. A body in an encoding other than chunks came without the name of that encoding, and looked whole.

Cause: http_parser takes a blank for part of a name and compares the lengths without it, while all later comparisons saw the name with it; it leaves the range of statuses and the encodings to its users.

Change: ResponseReader drops blanks behind names and values, and takes a head as malformed if a name has a blank within, the status is below 100, or the body's encoding is not chunked.

TestResponseReader, 2 new cases.

--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -110,6 +110,42 @@
     return false;
 }
 
+static bool
+equals(const char *text, size_t size, const char *word)
+{
+    return size == strlen(word) && g_ascii_strncasecmp(text, word, size) == 0;
+}
+
+/* Returns whether a header is one that may be passed on.  The parser takes a
+ * blank for a character of a name, and decodes chunks only. */
+static bool
+is_sound(const struct MpTargetHeader *header)
+{
+    if (header->name_size == 0 ||
+        memchr(header->name, ' ', header->name_size)) {
+        return false;
+    }
+    return !equals(header->name, header->name_size, "transfer-encoding") ||
+           equals(header->value, header->value_size, "chunked") ||
+           equals(header->value, header->value_size, "identity");
+}
+
+/* Returns whether the head is that of one response, which can be passed on. */
+static bool
+is_readable(const struct MpResponseReader *this,
+            const struct MpTargetHead *head)
+{
+    if (head->status < 100 || is_joined(this, head)) {
+        return false;
+    }
+    for (size_t i = 0; i < head->count; i++) {
+        if (!is_sound(&head->headers[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Reads the id headers of a response.  Returns whether there are any that are
  * not empty; *is_own is whether they all have the id of the request. */
 static bool
@@ -182,28 +218,47 @@
     return !count_stray(this, this->text->len + 1);
 }
 
-static int
-on_headers_complete(http_parser *parser)
+/* Returns the size of a text without the blanks at its end. */
+static size_t
+trim_end(const char *text, size_t size)
+{
+    while (size > 0 && (text[size - 1] == ' ' || text[size - 1] == '\t')) {
+        size--;
+    }
+    return size;
+}
+
+static struct MpTargetHeader *
+make_headers(const struct MpResponseReader *this)
 {
-    struct MpResponseReader *this = parser->data;
     guint count = this->spans->len;
     struct MpTargetHeader *headers = g_new(struct MpTargetHeader, count + 1);
     for (guint i = 0; i < count; i++) {
         const struct header_span *span =
             &g_array_index(this->spans, struct header_span, i);
-        headers[i] =
-            (struct MpTargetHeader){.name = this->text->str + span->name,
-                                    .name_size = span->name_size,
-                                    .value = this->text->str + span->value,
-                                    .value_size = span->value_size};
+        const char *name = this->text->str + span->name;
+        const char *value = this->text->str + span->value;
+        headers[i] = (struct MpTargetHeader){
+            .name = name,
+            .name_size = trim_end(name, span->name_size),
+            .value = value,
+            .value_size = trim_end(value, span->value_size)};
     }
+    return headers;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    struct MpResponseReader *this = parser->data;
+    struct MpTargetHeader *headers = make_headers(this);
     bool has_size = (parser->flags & F_CONTENTLENGTH) != 0;
     struct MpTargetHead head = {
         .status = (int)parser->status_code,
         .size = has_size ? (int64_t)parser->content_length : -1,
         .headers = headers,
-        .count = count};
-    bool is_valid = !is_joined(this, &head) && handle_head(this, &head);
+        .count = this->spans->len};
+    bool is_valid = is_readable(this, &head) && handle_head(this, &head);
     g_free(headers);
     if (!is_valid) {
         return -1;
--- a/tests/TestResponseReader.c
+++ b/tests/TestResponseReader.c
@@ -152,6 +152,46 @@
     reading_end(&reading);
 }
 
+#define HEAD(line, header) line "\r\n" OWN header "\r\n\r\nbody"
+
+/* Heads that the parser takes and that cannot be passed on. */
+static void
+test_odd_heads(void)
+{
+    static const char *const heads[] = {
+        HEAD("HTTP/1.1 0 X", "content-length: 4"),
+        HEAD("HTTP/1.1 99 X", "content-length: 4"),
+        HEAD("HTTP/1.1 200 X", "x a: b\r\ncontent-length: 4"),
+        HEAD("HTTP/1.1 200 X", "transfer-encoding: gzip"),
+        HEAD("HTTP/1.1 200 X", "transfer-encoding : gzip, chunked"),
+    };
+    struct reading reading;
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        reading_start(&reading, "a-1", false);
+        g_assert_cmpint(feed(&reading, heads[i], true), ==, MP_READ_INVALID);
+        g_assert_cmpint(reading.heads, ==, 0);
+        reading_end(&reading);
+    }
+}
+
+/* Blanks behind a name are no part of it. */
+static void
+test_blank_behind_name(void)
+{
+    struct reading reading;
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(feed(&reading, SIZED("x-id : b-2\r\n", "two", 3), false),
+                    ==, MP_READ_MORE);
+    g_assert_cmpint(reading.strays, ==, 1);
+    reading_end(&reading);
+    reading_start(&reading, "a-1", false);
+    g_assert_cmpint(feed(&reading, SIZED("x-id  : a-1 \r\n", "own", 3), false),
+                    ==, MP_READ_COMPLETE);
+    g_assert_cmpint(MpResponseReader_Attribution(&reading.reader), ==,
+                    MP_ATTRIBUTION_ID);
+    reading_end(&reading);
+}
+
 static void
 test_end_of_connection(void)
 {
@@ -353,6 +393,8 @@
     g_test_add_func("/reader/own answer", test_own_answer);
     g_test_add_func("/reader/answer of another id", test_answer_of_another_id);
     g_test_add_func("/reader/malformed", test_malformed);
+    g_test_add_func("/reader/odd heads", test_odd_heads);
+    g_test_add_func("/reader/blank behind a name", test_blank_behind_name);
     g_test_add_func("/reader/end of connection", test_end_of_connection);
     g_test_add_func("/reader/HEAD request", test_head_request);
     g_test_add_func("/reader/endless stray answers",
