Responses to services and polls are read as those on paths are

What was seen: a target of a service or an engine whose response, also that to a poll, has a folded header line, or a Transfer-Encoding or Content-Length that cannot be right, ended the process, and with it all requests under way. A response with Transfer-Encoding: identity that was cut looked complete, since that header counted as a length.

Cause: there were two readers of responses. h2o's client gives folded lines as headers without a name, which MpExchange_StartResponse took for a string, and it asserts in on_error_before_head() that the connection can't be kept, which is false for HTTP/1.1 by then.

Change: Upstream sends its requests by TargetConn, without an id, each on a connection of its own, so that ResponseReader reads all responses. Only a response that does not end with its connection is complete, as before.

Evidence: run odd_head_ends_process, 16 heads of responses and of polls and 7 statuses: before, the process ended at the first one; after, under the sanitizers, each costs its own response at most and the service answers behind it. Under the sanitizers hold answer_longer_than_its_head, target_error_replaced, target_status_unreadable, chat_stream_followed_by_error, stream_resumed_behind_a_length, callers_leave_inside_answers and basic.

--- a/src/commands/HttpCall.c
+++ b/src/commands/HttpCall.c
@@ -11,22 +11,19 @@
 /* The event loop of all calls of this process.  The first call initializes it;
  * it is reused because h2o can't free a loop with sockets. */
 static struct MpLoop call_loop;
-static struct MpUpstreamContext call_context;
 static bool is_loop_ready;
 static int call_code;
 
 static void
-on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
+on_head(void *owner, const struct MpTargetHead *head)
 {
     struct MpHttpCall *this = owner;
-    this->status = status;
-    for (size_t i = 0; i < count; i++) {
-        if (h2o_memis(headers[i].name->base, headers[i].name->len,
-                      H2O_STRLIT("etag"))) {
-            g_free(this->etag);
-            this->etag =
-                g_strndup(headers[i].value.base, headers[i].value.len);
-        }
+    size_t size;
+    const char *etag = MpTargetHead_Find(head, "etag", &size);
+    this->status = head->status;
+    if (etag) {
+        g_free(this->etag);
+        this->etag = g_strndup(etag, size);
     }
 }
 
@@ -86,11 +83,10 @@
     if (!is_loop_ready) {
         is_loop_ready = true;
         MpLoop_Init(&call_loop);
-        MpUpstreamContext_Init(&call_context, &call_loop);
     }
     call_loop.is_stopped = false;
     MpLoop_SetTimer(&call_loop, &timer, TIMEOUT_MS, on_timeout, NULL);
-    MpUpstream_Start(&call_context, &call_class, this, this->address,
+    MpUpstream_Start(&call_loop, &call_class, this, this->address,
                      this->method, build_request(this));
     MpLoop_Run(&call_loop);
     MpLoop_ClearTimer(&timer);
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -7,7 +7,6 @@
 #include "transport/TargetPoller.h"
 
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* The target's side of an exchange: attempts, retries and responses. */
@@ -117,9 +116,9 @@
         MpTarget_NoteBlocks(this->target, this->blocks, this->block_count);
     }
     arm_silence_timer(this, first_wait_ms(this));
-    this->upstream = MpUpstream_Start(&this->router->upstreams, &attempt_class,
-                                      this, this->target->address,
-                                      this->method, build_request(this));
+    this->upstream = MpUpstream_Start(this->router->loop, &attempt_class, this,
+                                      this->target->address, this->method,
+                                      build_request(this));
 }
 
 void
@@ -267,64 +266,48 @@
     g_free(escaped);
 }
 
-/* Returns the last header called name, or NULL. */
-static const h2o_iovec_t *
-find_header(const h2o_header_t *headers, size_t count, const char *name)
-{
-    const h2o_iovec_t *value = NULL;
-    for (size_t i = 0; i < count; i++) {
-        if (h2o_memis(headers[i].name->base, headers[i].name->len, name,
-                      strlen(name))) {
-            value = &headers[i].value;
-        }
-    }
-    return value;
-}
-
 /* Keeps the headers to forward, but the content type, which is recorded with
  * the response. */
 static void
-keep_headers(struct MpExchange *this, const h2o_header_t *headers,
-             size_t count)
+keep_headers(struct MpExchange *this, const struct MpTargetHead *head)
 {
-    const h2o_iovec_t *found = find_header(headers, count, "connection");
-    char *connection = found ? g_strndup(found->base, found->len) : NULL;
+    size_t size;
+    const char *value = MpTargetHead_Find(head, "connection", &size);
+    char *connection = value ? g_strndup(value, size) : NULL;
     g_ptr_array_set_size(this->headers, 0);
-    /* The value is followed by the end of its line. */
-    const h2o_iovec_t *length = find_header(headers, count, "content-length");
-    this->announced_bytes =
-        length ? (size_t)strtoull(length->base, NULL, 10) : SIZE_MAX;
-    for (size_t i = 0; i < count; i++) {
-        const char *name = headers[i].name->base;
-        size_t size = headers[i].name->len;
-        if (h2o_memis(name, size, H2O_STRLIT("content-type")) ||
-            h2o_memis(name, size, H2O_STRLIT("x-mimosapath-request")) ||
-            MpHopHeaders_Contains(connection, name, size)) {
+    for (size_t i = 0; i < head->count; i++) {
+        const struct MpTargetHeader *header = &head->headers[i];
+        char *name = g_ascii_strdown(header->name, (gssize)header->name_size);
+        if (strcmp(name, "content-type") == 0 ||
+            strcmp(name, "x-mimosapath-request") == 0 ||
+            MpHopHeaders_Contains(connection, name, header->name_size)) {
+            g_free(name);
             continue;
         }
-        g_ptr_array_add(this->headers, g_strndup(name, size));
-        g_ptr_array_add(this->headers, g_strndup(headers[i].value.base,
-                                                 headers[i].value.len));
+        g_ptr_array_add(this->headers, name);
+        g_ptr_array_add(this->headers,
+                        g_strndup(header->value, header->value_size));
     }
     g_free(connection);
 }
 
 static void
-on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
+on_head(void *owner, const struct MpTargetHead *head)
 {
     struct MpExchange *this = owner;
-    const h2o_iovec_t *type = find_header(headers, count, "content-type");
-    const h2o_iovec_t *encoding =
-        find_header(headers, count, "content-encoding");
-    const char *reason = MpEventStream_Refute(
-        status, type ? type->base : NULL, type ? type->len : 0,
-        encoding ? encoding->base : NULL, encoding ? encoding->len : 0);
-    this->status = status;
+    size_t type_size = 0;
+    size_t encoding_size = 0;
+    const char *type = MpTargetHead_Find(head, "content-type", &type_size);
+    const char *encoding =
+        MpTargetHead_Find(head, "content-encoding", &encoding_size);
+    const char *reason = MpEventStream_Refute(head->status, type, type_size,
+                                              encoding, encoding_size);
+    this->status = head->status;
+    this->announced_bytes = head->size >= 0 ? (size_t)head->size : SIZE_MAX;
     g_free(this->content_type);
-    this->content_type =
-        type ? g_strndup(type->base, type->len) : g_strdup("");
+    this->content_type = type ? g_strndup(type, type_size) : g_strdup("");
     this->is_encoded = encoding != NULL;
-    keep_headers(this, headers, count);
+    keep_headers(this, head);
     this->is_stream = this->is_chat && !reason;
     if (this->is_head_sent && !this->is_stream) {
         log_not_resumed(this, reason);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -329,7 +329,6 @@
     MpLimits_Init(&this->limits);
     MpPicker_Init(&this->picker, settings->zone, g_random_int());
     this->picker.policy = (enum MpPickPolicy)settings->routing;
-    MpUpstreamContext_Init(&this->upstreams, loop);
     this->poller = MpTargetPoller_New(this);
     this->leases = MpLeaseManager_New(this, &code);
     if (!this->leases) {
--- a/src/transport/Router.h
+++ b/src/transport/Router.h
@@ -31,7 +31,6 @@
     struct MpLimits limits;
     struct MpMetrics metrics;
     GHashTable *queues; /* model or service -> struct MpFairQueue */
-    struct MpUpstreamContext upstreams;
     struct MpTargetPoller *poller;
     struct MpLeaseManager *leases;
     struct MpHttpServer http;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -368,6 +368,7 @@
     this->loop = loop;
     this->metrics = metrics;
     this->address = g_strdup(address);
+    this->connect_ms = MP_TARGET_CONNECT_MS;
     g_queue_init(&this->idle);
     return this;
 }
@@ -501,8 +502,8 @@
     }
     /* If there is no socket, the request fails in the next loop iteration. */
     MpLoop_SetTimer(this->loop, &conn->timer,
-                    conn->socket ? MP_TARGET_CONNECT_MS : 0,
-                    on_connect_timeout, conn);
+                    conn->socket ? this->connect_ms : 0, on_connect_timeout,
+                    conn);
     return conn;
 }
 
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -25,7 +25,7 @@
  * on which data waits before the request is written is not used.
  */
 
-/* Connect timeout, ms; a healthy target is a few ms away. */
+/* Connect timeout of a new pool, ms; a healthy target is a few ms away. */
 #define MP_TARGET_CONNECT_MS 300
 /* TCP_USER_TIMEOUT: a connection is dropped when data stays unacknowledged
  * for this long, ms. */
@@ -80,6 +80,7 @@
     struct MpLoop *loop;
     struct MpMetrics *metrics; /* counts stray answers; or NULL */
     char *address;
+    int64_t connect_ms;       /* connect timeout */
     GQueue idle;              /* of struct MpTargetConn, newest first */
     uint32_t open;            /* connections, idle or in use */
     bool is_deleted;          /* to be freed with its last connection */
--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -148,12 +148,10 @@
 }
 
 static void
-on_head(void *owner, int status, const h2o_header_t *headers, size_t count)
+on_head(void *owner, const struct MpTargetHead *head)
 {
     struct status_query *this = owner;
-    (void)headers;
-    (void)count;
-    this->status = status;
+    this->status = head->status;
 }
 
 static void
@@ -207,7 +205,7 @@
     MpLoop_SetTimer(this->poller->router->loop, &this->timer,
                     RESPONSE_TIMEOUT_MS, on_timeout, this);
     this->upstream =
-        MpUpstream_Start(&this->poller->router->upstreams, &query_class, this,
+        MpUpstream_Start(this->poller->router->loop, &query_class, this,
                          this->target->address, "GET", request);
 }
 
