Requests with folded header lines are rejected

What was seen: the further lines of a folded header reached targets of paths as lines without a name; by the native API they were dropped, also those of an Idempotency-Key, an API key or a content type.

Cause: h2o gives such a line as a header whose name is empty, which was written out like any other, and lookups by name see the first line only.

Change: HttpServer answers a request with such a header with 400, as RFC 9112 (5.2) allows, on all its addresses; nothing has run.

Evidence: run folded_header_of_caller: before, 4 of 4 on paths reach the target without a name; after, 400 with run: no for 8 of 8, and the next request on the connection is served.

--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -18,10 +18,38 @@
     struct MpHttpServer *server;
 };
 
+/* h2o gives the further lines of a folded header as headers without a name. */
+static bool
+has_folded_header(const h2o_req_t *req)
+{
+    for (size_t i = 0; i < req->headers.size; i++) {
+        if (req->headers.entries[i].name->len == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* RFC 9112, 5.2: a server may reject folded headers. */
+static void
+reject_malformed(h2o_req_t *req)
+{
+    char *text = MpErrorBody_Format(MP_ERROR_INVALID, NULL, "no");
+    int status = MpError_Info(MP_ERROR_INVALID)->http_status;
+    MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", status);
+    MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
+    MpHttp_Send(req, status, "application/json", text, strlen(text));
+    g_free(text);
+}
+
 static int
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     struct MpHttpServer *this = ((struct server_handler *)handler)->server;
+    if (has_folded_header(req)) {
+        reject_malformed(req);
+        return 0;
+    }
     this->handle(this->owner, req);
     return 0;
 }
