Requests whose head tells two lengths are refused on all interfaces

What was seen: requests with two lengths, or with a length and chunks, were refused on paths, but run by the native API, and the connection was kept. What an HTTP server in front of an instance takes for the rest of such a body would be read as the head of the next caller's request.

Cause: the check was made by the gateway alone.

Change: HttpServer makes it, with that for folded lines, for all its users, and closes the connection behind the response, as the gateway did.

--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -226,9 +226,6 @@
 int
 MpGatewayRequest_Read(struct MpGatewayCall *call, const h2o_req_t *req)
 {
-    if (MpHttp_HasAmbiguousLength(req)) {
-        return MP_ERROR_INVALID;
-    }
     call->path = find_path(call, req);
     if (!call->path) {
         return MP_ERROR_NOT_FOUND;
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -18,6 +18,40 @@
     struct MpHttpServer *server;
 };
 
+/* Returns whether the line at text is a header with this name. */
+static bool
+is_header_line(const char *text, size_t size, const char *name)
+{
+    size_t length = strlen(name);
+    return size > length && text[length] == ':' &&
+           g_ascii_strncasecmp(text, name, length) == 0;
+}
+
+/* Returns whether the request has more than one header that tells where its
+ * body ends, so that other HTTP servers may read it in another way. */
+static bool
+has_ambiguous_length(const h2o_req_t *req)
+{
+    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
+    const char *text = socket->input->bytes;
+    size_t size = socket->input->size;
+    int length_headers = 0;
+    /* h2o keeps only one of these headers, but the raw request head is still
+     * in the socket's input buffer. */
+    while (size > 0) {
+        const char *end = memchr(text, '\n', size);
+        size_t line_size = end ? (size_t)(end - text) + 1 : size;
+        if (line_size <= 2) {
+            break;
+        }
+        length_headers += is_header_line(text, line_size, "content-length") ||
+                          is_header_line(text, line_size, "transfer-encoding");
+        text += line_size;
+        size -= line_size;
+    }
+    return length_headers > 1;
+}
+
 /* h2o gives the further lines of a folded header as headers without a name. */
 static bool
 has_folded_header(const h2o_req_t *req)
@@ -30,7 +64,8 @@
     return false;
 }
 
-/* RFC 9112, 5.2: a server may reject folded headers. */
+/* RFC 9112, 5.2 and 6.3: a server may reject folded headers and ambiguous
+ * lengths. */
 static void
 reject_malformed(h2o_req_t *req)
 {
@@ -38,6 +73,7 @@
     int status = MpError_Info(MP_ERROR_INVALID)->http_status;
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
+    req->http1_is_persistent = 0;
     MpHttp_Send(req, status, "application/json", text, strlen(text));
     g_free(text);
 }
@@ -46,7 +82,7 @@
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     struct MpHttpServer *this = ((struct server_handler *)handler)->server;
-    if (has_folded_header(req)) {
+    if (has_folded_header(req) || has_ambiguous_length(req)) {
         reject_malformed(req);
         return 0;
     }
@@ -174,38 +210,6 @@
     return g_strndup(value.base, value.len);
 }
 
-/* Returns whether the line at text is a header with this name. */
-static bool
-is_header_line(const char *text, size_t size, const char *name)
-{
-    size_t length = strlen(name);
-    return size > length && text[length] == ':' &&
-           g_ascii_strncasecmp(text, name, length) == 0;
-}
-
-bool
-MpHttp_HasAmbiguousLength(const h2o_req_t *req)
-{
-    h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
-    const char *text = socket->input->bytes;
-    size_t size = socket->input->size;
-    int length_headers = 0;
-    /* h2o keeps only one of these headers, but the raw request head is still
-     * in the socket's input buffer. */
-    while (size > 0) {
-        const char *end = memchr(text, '\n', size);
-        size_t line_size = end ? (size_t)(end - text) + 1 : size;
-        if (line_size <= 2) {
-            break;
-        }
-        length_headers += is_header_line(text, line_size, "content-length") ||
-                          is_header_line(text, line_size, "transfer-encoding");
-        text += line_size;
-        size -= line_size;
-    }
-    return length_headers > 1;
-}
-
 bool
 MpHttp_Equals(h2o_iovec_t vector, const char *text)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -46,11 +46,6 @@
  * with g_free. */
 char *MpHttp_CopyHeader(const h2o_req_t *req, const char *name);
 
-/* Returns whether the request being handled has more than one Content-Length
- * or Transfer-Encoding header, so that another server may see a different end
- * of its body (request smuggling). */
-bool MpHttp_HasAmbiguousLength(const h2o_req_t *req);
-
 /* Returns whether the bytes of vector equal text. */
 bool MpHttp_Equals(h2o_iovec_t vector, const char *text);
 
--- a/tests/runs/folded_header_of_caller.py
+++ b/tests/runs/folded_header_of_caller.py
@@ -18,17 +18,18 @@
     print("ready", wait_targets(fleet, "i0"), wait_for_service(fleet, "i0"))
     for api, prefix in prefixes.items():
         for name, value in FOLDED.items():
-            caller = KeptCaller(fleet.callers["i0"])
             del seen[:]
             answers = []
             for fields in ([(name, value)], []):
+                caller = KeptCaller(fleet.callers["i0"])
                 caller.send("POST", prefix, fields, "{}")
                 answer = caller.read()
                 answers.append((answer.status, answer.first(
-                    "x-mimosapath-run")))
+                    "x-mimosapath-run"), answer.first("connection"),
+                    caller.left_over()))
+                caller.close()
             print(api, name, answers, "requests", len(seen), "without a name",
                   sum("" in headers for headers in seen))
-            caller.close()
     caller = KeptCaller(fleet.operators["i0"])
     caller.send("GET", "/metrics", [("x-a", "a\r\n b")])
     print("operator", caller.read().status)
