The repair of a list page parses only what may be an entry

What was seen: a request took 2.22 s (latency target: 0.5 s) each time a page with an odd entry of 4 MB was read: small objects whose brackets do not match.

Cause: to find the end of such an entry, the repair parses each object that follows a comma, 250,000 of them, to see whether it is a readable entry.

Change: an object without the name of a field that each entry has is not parsed; the dialect names the field. An entry that follows the odd one and writes that name with escapes is taken for a part of it.

--- a/src/protocol/NativeDialect.c
+++ b/src/protocol/NativeDialect.c
@@ -91,6 +91,7 @@
     .target_list_path = "/targets",
     .parse_document = MpDocument_Parse,
     .target_page = {.list = "targets",
+                    .key = "incarnation",
                     .next = "next",
                     .next_query = "?page=",
                     .parse_entry = parse_entry},
--- a/src/protocol/TargetPage.c
+++ b/src/protocol/TargetPage.c
@@ -283,12 +283,22 @@
     return MpJsonScan_IsAt(&this->scan, next, ',') || is_list_end(this, next);
 }
 
+/* Returns whether an object may be an entry.  An odd entry may hold very many
+ * objects, and to parse each of them would stop the process for seconds. */
+static bool
+may_be_entry(const struct page *this, size_t start, size_t end)
+{
+    char name[MP_NAME_MAX];
+    g_snprintf(name, sizeof(name), "\"%s\"", this->format->key);
+    return g_strstr_len(this->scan.text + start, (gssize)(end - start), name);
+}
+
 static bool
 is_readable(struct page *this, size_t at)
 {
     const char *reason;
     size_t end;
-    if (!find_object(this, at, &end)) {
+    if (!find_object(this, at, &end) || !may_be_entry(this, at, end)) {
         return false;
     }
     struct MpListedTarget *target =
--- a/src/protocol/TargetPage.h
+++ b/src/protocol/TargetPage.h
@@ -43,6 +43,7 @@
 /* Format of the pages of a dialect. */
 struct MpTargetPageFormat {
     const char *list;       /* name of the field with the entries */
+    const char *key;        /* name of a field that each entry has */
     const char *next;       /* name of the field with the next page */
     const char *next_query; /* precedes it in the query of the next request */
     /* Returns a new target, or NULL and a reason. */
