Settings that nothing obeys are refused

Operators could set checks_fencing of a target, memory_tokens of an engine, health_path of a pool and header_timeout_ms of the limits; the document was accepted and nothing changed. Cause: schema fields without a reader.

Readers were looked up for every member: connections_max is the one other without any.

--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -63,6 +63,10 @@
      * Sets its version if has_numbered_documents. */
     struct MpDocument *(*parse_document)(const char *text, size_t size,
                                          GPtrArray *findings);
+    /* Parses a stored document; as above, but what only earlier builds
+     * accepted is ignored. */
+    struct MpDocument *(*load_document)(const char *text, size_t size,
+                                        GPtrArray *findings);
     struct MpTargetPageFormat target_page; /* format of the target list */
 };
 
--- a/src/protocol/NativeDialect.c
+++ b/src/protocol/NativeDialect.c
@@ -90,6 +90,7 @@
     .names_requests = true,
     .target_list_path = "/targets",
     .parse_document = MpDocument_Parse,
+    .load_document = MpDocument_Load,
     .target_page = {.list = "targets",
                     .key = "incarnation",
                     .next = "next",
--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -228,8 +228,10 @@
     return this;
 }
 
-struct MpDocument *
-MpDocument_Parse(const char *text, size_t size, GPtrArray *findings)
+/* Parses text; ignores what only earlier builds accepted if is_stored. */
+static struct MpDocument *
+parse_document(const char *text, size_t size, bool is_stored,
+               GPtrArray *findings)
 {
     if (size > MP_DOCUMENT_MAX_BYTES) {
         MpFindings_Add(findings, MP_FINDING_RANGE, 0, "",
@@ -243,9 +245,24 @@
     struct MpDocument *this = document_alloc();
     MpSchema_Decode(&MpDocument_Schema, value, "", this, findings);
     json_object_put(value);
+    if (is_stored) {
+        MpFindings_DropRetired(findings);
+    }
     return MpDocument_Finish(this, findings);
 }
 
+struct MpDocument *
+MpDocument_Parse(const char *text, size_t size, GPtrArray *findings)
+{
+    return parse_document(text, size, false, findings);
+}
+
+struct MpDocument *
+MpDocument_Load(const char *text, size_t size, GPtrArray *findings)
+{
+    return parse_document(text, size, true, findings);
+}
+
 struct MpDocument *
 MpDocument_Ref(struct MpDocument *this)
 {
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -46,7 +46,6 @@
     char *zone;
     int64_t capacity;
     int32_t state; /* enum MpTargetState */
-    bool checks_fencing;
 };
 
 struct MpModelConf {
@@ -107,14 +106,12 @@
 
 /* Capabilities of each engine of a pool. */
 struct MpEngineConf {
-    int64_t slots; /* concurrent requests; 0: not a pool of engines */
-    int64_t memory_tokens;
+    int64_t slots;        /* concurrent requests; 0: not a pool of engines */
     int64_t event_tokens; /* largest number of tokens in one event */
 };
 
 /* Pool of targets; the target list assigns targets to pools by name. */
 struct MpPoolConf {
-    char *health_path;
     int64_t connections_max; /* to one target, from all instances */
     struct MpEngineConf engine;
 };
@@ -123,7 +120,6 @@
 struct MpLimitConf {
     int64_t header_max_bytes;
     int64_t body_max_bytes;
-    int64_t header_timeout_ms;
     int64_t idle_timeout_ms;
 };
 
@@ -181,6 +177,11 @@
  * NULL and adds to findings. */
 struct MpDocument *MpDocument_Parse(const char *text, size_t size,
                                     GPtrArray *findings);
+
+/* Parses a stored document, which was accepted by this or an earlier build:
+ * like MpDocument_Parse, but what only earlier builds accepted is ignored. */
+struct MpDocument *MpDocument_Load(const char *text, size_t size,
+                                   GPtrArray *findings);
 struct MpDocument *MpDocument_Ref(struct MpDocument *this);
 void MpDocument_Unref(struct MpDocument *this);
 
--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -13,6 +13,11 @@
 
 #define AT(type, member) .offset = offsetof(struct type, member)
 
+static const char *const target_retired[] = {"checks_fencing", NULL};
+static const char *const engine_retired[] = {"memory_tokens", NULL};
+static const char *const pool_retired[] = {"health_path", NULL};
+static const char *const limit_retired[] = {"header_timeout_ms", NULL};
+
 static const struct MpField target_fields[] = {
     {.name = "address",
      .type = MP_FIELD_ADDRESS,
@@ -39,18 +44,13 @@
      .choices = state_names,
      AT(MpTargetConf, state),
      .description = "`drain`: the target gets no new requests."},
-    {.name = "checks_fencing",
-     .type = MP_FIELD_BOOLEAN,
-     AT(MpTargetConf, checks_fencing),
-     .description =
-         "Whether the target rejects requests with an outdated fencing "
-         "number."},
     {.name = NULL},
 };
 static const struct MpSchema target_schema = {.name = "target",
                                               .size =
                                                   sizeof(struct MpTargetConf),
-                                              .fields = target_fields};
+                                              .fields = target_fields,
+                                              .retired = target_retired};
 
 static const struct MpField model_fields[] = {
     {.name = "targets",
@@ -382,12 +382,6 @@
      .unit = "requests",
      AT(MpEngineConf, slots),
      .description = "Concurrent requests of an engine; 0 for plain services."},
-    {.name = "memory_tokens",
-     .type = MP_FIELD_INTEGER,
-     .max = INT64_C(1000000000000),
-     .unit = "tokens",
-     AT(MpEngineConf, memory_tokens),
-     .description = "Memory of an engine for prompts and outputs."},
     {.name = "event_tokens",
      .type = MP_FIELD_INTEGER,
      .min = 1,
@@ -401,15 +395,10 @@
 static const struct MpSchema engine_schema = {.name = "engine",
                                               .size =
                                                   sizeof(struct MpEngineConf),
-                                              .fields = engine_fields};
+                                              .fields = engine_fields,
+                                              .retired = engine_retired};
 
 static const struct MpField pool_fields[] = {
-    {.name = "health_path",
-     .type = MP_FIELD_STRING,
-     .min = 1,
-     .max = 1024,
-     AT(MpPoolConf, health_path),
-     .description = "Path of the health check of a target."},
     {.name = "connections_most",
      .type = MP_FIELD_INTEGER,
      .min = 1,
@@ -426,8 +415,11 @@
      .description = "Capabilities of its model engines."},
     {.name = NULL},
 };
-const struct MpSchema MpDocument_PoolSchema = {
-    .name = "pool", .size = sizeof(struct MpPoolConf), .fields = pool_fields};
+const struct MpSchema MpDocument_PoolSchema = {.name = "pool",
+                                               .size =
+                                                   sizeof(struct MpPoolConf),
+                                               .fields = pool_fields,
+                                               .retired = pool_retired};
 
 static const struct MpField limit_fields[] = {
     {.name = "header_most_bytes",
@@ -446,15 +438,6 @@
      .unit = "bytes",
      AT(MpLimitConf, body_max_bytes),
      .description = "Largest body of a request on a path."},
-    {.name = "header_timeout_ms",
-     .type = MP_FIELD_INTEGER,
-     .min = 100,
-     .max = 3600000,
-     .default_value = 10000,
-     .unit = "ms",
-     AT(MpLimitConf, header_timeout_ms),
-     .description =
-         "Longest time until the headers of a request have arrived."},
     {.name = "idle_timeout_ms",
      .type = MP_FIELD_INTEGER,
      .min = 100,
@@ -462,13 +445,16 @@
      .default_value = 60000,
      .unit = "ms",
      AT(MpLimitConf, idle_timeout_ms),
-     .description = "Longest idle time of a connection between two requests."},
+     .description =
+         "Longest time of a connection between two requests, until the "
+         "headers of the next one have arrived."},
     {.name = NULL},
 };
 static const struct MpSchema limit_schema = {.name = "limits",
                                              .size =
                                                  sizeof(struct MpLimitConf),
-                                             .fields = limit_fields};
+                                             .fields = limit_fields,
+                                             .retired = limit_retired};
 
 static const struct MpField document_fields[] = {
     {.name = "retention_s",
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -10,6 +10,7 @@
     [MP_FINDING_SYNTAX] = "syntax",
     [MP_FINDING_DUPLICATE] = "duplicate_key",
     [MP_FINDING_UNKNOWN] = "unknown_key",
+    [MP_FINDING_RETIRED] = "retired_key",
     [MP_FINDING_MISSING] = "missing_key",
     [MP_FINDING_TYPE] = "wrong_type",
     [MP_FINDING_RANGE] = "out_of_range",
@@ -47,6 +48,17 @@
     g_ptr_array_add(this, finding);
 }
 
+void
+MpFindings_DropRetired(GPtrArray *this)
+{
+    for (guint i = this->len; i > 0; i--) {
+        const struct MpFinding *finding = g_ptr_array_index(this, i - 1);
+        if (finding->kind == MP_FINDING_RETIRED) {
+            g_ptr_array_remove_index(this, i - 1);
+        }
+    }
+}
+
 const char *
 MpFinding_KindName(enum MpFindingKind kind)
 {
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -21,6 +21,7 @@
     MP_FINDING_SYNTAX,
     MP_FINDING_DUPLICATE,
     MP_FINDING_UNKNOWN,
+    MP_FINDING_RETIRED, /* accepted by earlier builds */
     MP_FINDING_MISSING,
     MP_FINDING_TYPE,
     MP_FINDING_RANGE,
@@ -39,6 +40,9 @@
 /* Returns an empty list that owns its findings (struct MpFinding). */
 GPtrArray *MpFindings_New(void);
 
+/* Removes the findings of kind MP_FINDING_RETIRED. */
+void MpFindings_DropRetired(GPtrArray *this);
+
 /* Adds a finding; format is that of printf. */
 void MpFindings_Add(GPtrArray *this, enum MpFindingKind kind, int line,
                     const char *path, const char *format, ...)
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -380,12 +380,19 @@
     json_object_object_foreach(value, key, child)
     {
         (void)child;
-        if (!find_field(this, key)) {
-            char *field_path = join_path(path, key);
+        if (find_field(this, key)) {
+            continue;
+        }
+        char *field_path = join_path(path, key);
+        if (this->retired && g_strv_contains(this->retired, key)) {
+            MpFindings_Add(findings, MP_FINDING_RETIRED, 0, field_path,
+                           "this key never had an effect; remove it");
+        }
+        else {
             MpFindings_Add(findings, MP_FINDING_UNKNOWN, 0, field_path,
                            "%s has no such key", this->name);
-            g_free(field_path);
         }
+        g_free(field_path);
     }
 }
 
--- a/src/state/Schema.h
+++ b/src/state/Schema.h
@@ -53,6 +53,8 @@
     const char *name;
     size_t size;                  /* of the struct */
     const struct MpField *fields; /* ends with an entry without a name */
+    const char *const *retired;   /* keys that earlier builds accepted and did
+                                   * not obey, ends with NULL; or NULL */
 };
 
 /* Sets the members of target to their defaults, then decodes value into them.
--- a/src/transport/DocumentFetch.c
+++ b/src/transport/DocumentFetch.c
@@ -59,7 +59,7 @@
     char *text = text_from_reply(this, reply);
     GPtrArray *findings = MpFindings_New();
     struct MpDocument *document =
-        text ? this->dialect->parse_document(text, strlen(text), findings)
+        text ? this->dialect->load_document(text, strlen(text), findings)
              : NULL;
     g_ptr_array_unref(findings);
     this->needs_full_document = !document;
--- /dev/null
+++ b/tests/TestDocument.c
@@ -0,0 +1,84 @@
+#include "state/Document.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Keys of earlier builds, which nothing obeyed. */
+static const char *const retired_documents[] = {
+    "{\"targets\":{\"t\":{\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+    "\"checks_fencing\":true}},\"workspaces\":{}}",
+    "{\"targets\":{},\"workspaces\":{},\"pools\":{\"p\":{\"health_path\":"
+    "\"/healthz\"}}}",
+    "{\"targets\":{},\"workspaces\":{},\"pools\":{\"p\":{\"engine\":{"
+    "\"memory_tokens\":5}}}}",
+    "{\"targets\":{},\"workspaces\":{},\"limits\":{\"header_timeout_ms\":"
+    "3000}}",
+};
+
+typedef struct MpDocument *(*parse_fn)(const char *text, size_t size,
+                                       GPtrArray *findings);
+
+/* Parses text; returns the findings, in *is_valid whether it is valid. */
+static char *
+findings_of(parse_fn parse, const char *text, bool *is_valid)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document = parse(text, strlen(text), findings);
+    char *lines = MpFindings_Format(findings, "d");
+    *is_valid = document != NULL;
+    MpDocument_Unref(document);
+    g_ptr_array_unref(findings);
+    return lines;
+}
+
+static void
+test_settings_nothing_obeys(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(retired_documents); i++) {
+        bool is_valid;
+        char *lines =
+            findings_of(MpDocument_Parse, retired_documents[i], &is_valid);
+        g_assert_false(is_valid);
+        g_assert_nonnull(strstr(lines, "retired"));
+        g_assert_null(strchr(strchr(lines, '\n') + 1, '\n'));
+        g_free(lines);
+    }
+}
+
+static void
+test_stored_document_is_lost(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(retired_documents); i++) {
+        bool is_valid;
+        char *lines =
+            findings_of(MpDocument_Load, retired_documents[i], &is_valid);
+        g_assert_cmpstr(lines, ==, "");
+        g_assert_true(is_valid);
+        g_free(lines);
+    }
+}
+
+static void
+test_stored_document_is_not_checked(void)
+{
+    bool is_valid;
+    char *lines = findings_of(MpDocument_Load,
+                              "{\"targets\":{},\"workspaces\":{},\"other\":1}",
+                              &is_valid);
+    g_assert_false(is_valid);
+    g_assert_nonnull(strstr(lines, "unknown_key"));
+    g_free(lines);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/document/settings that nothing obeys",
+                    test_settings_nothing_obeys);
+    g_test_add_func("/document/stored document is lost",
+                    test_stored_document_is_lost);
+    g_test_add_func("/document/stored document is not checked",
+                    test_stored_document_is_not_checked);
+    return g_test_run();
+}
