Idle connections to a target stay within an instance's share

Callers of a target that accepts few connections from all instances got resets after a burst at one of them, which kept every connection it had opened. Cause: connections_max of a pool (max-connections of the platform) was read by nothing. Now a connection is kept after its response only while the instance has no more open than that number divided by the instances, at least one. Connections in use are not refused: callers come unevenly to the instances, so a fixed share would refuse work that the target has room for.

--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -406,8 +406,9 @@
      .default_value = 1024,
      .unit = "connections",
      AT(MpPoolConf, connections_max),
-     .description =
-         "Connections that a target accepts, from all instances together."},
+     .description = "Connections that a target accepts, from all instances "
+                    "together.  An instance keeps a connection "
+                    "open after a response only within its share of them."},
     {.name = "engine",
      .type = MP_FIELD_OBJECT,
      .schema = &engine_schema,
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -94,6 +94,18 @@
     }
 }
 
+/* Returns this instance's share of the connections that a target of the pool
+ * accepts from all instances. */
+static int64_t
+connection_share(const struct MpGateway *this, const char *pool_name)
+{
+    const struct MpDocument *document = this->control->document;
+    const struct MpPoolConf *pool =
+        document ? g_hash_table_lookup(document->pools, pool_name) : NULL;
+    int64_t instances = MAX(this->control->instances, 1);
+    return pool ? MAX(pool->connections_max / instances, 1) : INT64_MAX;
+}
+
 struct MpConnPool *
 MpGateway_GetConnPool(struct MpGateway *this, struct MpPoolTarget *target)
 {
@@ -101,7 +113,9 @@
         target->connections =
             MpConnPool_New(this->loop, this->metrics, target->address);
     }
-    return target->connections;
+    struct MpConnPool *conn_pool = target->connections;
+    conn_pool->kept_max = connection_share(this, target->pool);
+    return conn_pool;
 }
 
 static void
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -201,6 +201,7 @@
                     this->is_written && rest == 0 && !this->is_paused &&
                     this->requests < MP_TARGET_REQUESTS_MAX &&
                     !this->conn_pool->is_deleted &&
+                    this->conn_pool->open <= this->conn_pool->kept_max &&
                     MpLoop_Now() >= this->conn_pool->no_keep_until_ms;
     if (rest > 0) {
         report_stray(this, MP_STRAY_UNREQUESTED, 0, (int64_t)rest);
@@ -369,6 +370,7 @@
     this->metrics = metrics;
     this->address = g_strdup(address);
     this->connect_ms = MP_TARGET_CONNECT_MS;
+    this->kept_max = INT64_MAX;
     g_queue_init(&this->idle);
     return this;
 }
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -83,6 +83,7 @@
     int64_t connect_ms;       /* connect timeout */
     GQueue idle;              /* of struct MpTargetConn, newest first */
     uint32_t open;            /* connections, idle or in use */
+    int64_t kept_max;         /* above it no connection becomes idle */
     bool is_deleted;          /* to be freed with its last connection */
     int64_t no_keep_until_ms; /* until then no connection becomes idle */
     uint64_t opened;          /* counter */
