An unreadable load report is ignored as a whole

A busy target whose load header could not be read got nearly all requests. Cause: update_load took each unreadable or missing number for 0, so that the target looked idle. Now a report counts only if it has three numbers (blanks around them are allowed); otherwise the last one stays, with the weight that falls with its age, and requests sent since count. target-load-invalid names the first such header of each target.

--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -90,6 +90,7 @@
     int32_t sent_since_report; /* attempts of this instance since the report */
     int64_t reported_ms;       /* time of the report; 0: none */
     struct MpTargetLimit limit;
+    bool is_load_invalid;  /* it has sent an unreadable load report */
     bool is_limit_invalid; /* the last limit that it named is no number */
     bool is_limit_seen;    /* in an answer since the last sync */
     int64_t permit_ms;     /* with a limit: when a permit may be had again */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -12,8 +12,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Bytes of an invalid limit that a log line shows. */
-#define LIMIT_LOG_BYTES 32
+/* Bytes of an unreadable header that a log line shows. */
+#define VALUE_LOG_BYTES 32
+/* Numbers in a load report. */
+#define LOAD_NUMBERS 3
 /* Shortest Retry-After when no target takes a request now, ms. */
 #define RETRY_AFTER_MIN_MS 100
 
@@ -75,27 +77,58 @@
     MpGatewaySuspect_Admit(this);
 }
 
+/* Writes a log line about a header that cannot be read. */
+static void
+log_unreadable(const struct MpGatewayCall *this, const char *event,
+               const char *name, const char *value, size_t size)
+{
+    char *text = g_strndup(value, MIN(size, VALUE_LOG_BYTES));
+    char *escaped = g_strescape(text, NULL);
+    MpLog_Event(LOG_WARNING, event, "id=%s target=%s %s=\"%s\"",
+                this->id ? this->id : "-", this->target->incarnation, name,
+                escaped);
+    g_free(escaped);
+    g_free(text);
+}
+
+/* Reads the numbers of running and waiting requests and of slots, separated by
+ * commas. */
+static bool
+parse_load(const char *text, int64_t numbers[static LOAD_NUMBERS])
+{
+    char **fields = g_strsplit(text, ",", -1);
+    bool is_valid = g_strv_length(fields) == LOAD_NUMBERS;
+    for (int i = 0; is_valid && i < LOAD_NUMBERS; i++) {
+        const char *field = g_strstrip(fields[i]);
+        is_valid =
+            MpRequestMeta_ParseNumber(field, strlen(field), &numbers[i]);
+    }
+    g_strfreev(fields);
+    return is_valid;
+}
+
+/* Applies the load that the target reports.  A report that cannot be read is
+ * ignored as a whole: a part of it could make a busy target look idle. */
 static void
 update_load(struct MpGatewayCall *this, const struct MpTargetHead *head)
 {
+    struct MpPoolTarget *target = this->target;
+    int64_t numbers[LOAD_NUMBERS];
     size_t size;
     const char *value =
         MpTargetHead_Find(head, this->gateway->dialect->target.load, &size);
     if (!value) {
         return;
     }
-    int64_t numbers[3] = {0, 0, 0};
     char *text = g_strndup(value, size);
-    char **fields = g_strsplit(text, ",", 3);
-    for (int i = 0; i < 3 && fields[i]; i++) {
-        if (!MpRequestMeta_ParseNumber(fields[i], strlen(fields[i]),
-                                       &numbers[i])) {
-            numbers[i] = 0;
-        }
+    if (strlen(text) == size && parse_load(text, numbers)) {
+        MpPoolTarget_ApplyReport(target, numbers[0], numbers[1], numbers[2],
+                                 MpLoop_Now());
+    }
+    else if (!target->is_load_invalid) {
+        target->is_load_invalid = true;
+        log_unreadable(this, "target-load-invalid", "load", value, size);
     }
-    MpPoolTarget_ApplyReport(this->target, numbers[0], numbers[1], numbers[2],
-                             MpLoop_Now());
-    g_strfreev(fields);
     g_free(text);
 }
 
@@ -110,13 +143,7 @@
         MpTargetHead_Find(head, this->gateway->dialect->target.limit, &size);
     bool is_invalid = value && !MpTargetLimit_Parse(value, size, &rate_mrps);
     if (is_invalid && !target->is_limit_invalid) {
-        char *text = g_strndup(value, MIN(size, LIMIT_LOG_BYTES));
-        char *escaped = g_strescape(text, NULL);
-        MpLog_Event(LOG_WARNING, "target-limit-invalid",
-                    "id=%s target=%s limit=\"%s\"", this->id ? this->id : "-",
-                    target->incarnation, escaped);
-        g_free(escaped);
-        g_free(text);
+        log_unreadable(this, "target-limit-invalid", "limit", value, size);
     }
     target->is_limit_invalid = is_invalid;
     target->is_limit_seen |= value && !is_invalid;
