An empty key of a workspace is refused

Requests with an empty X-Api-Key were served, and charged, as the workspace whose configuration had an empty or blank key. Cause: keys were hashed without a look at them. Now such a document is refused with bad_value at workspaces.NAME.key_hashes, on the own interface the hash of an empty key too, and an empty or blank key belongs to no workspace whatever the document says. A stored document with one is loaded without that key.

Before: 200 for the document and for the requests. After: 400 and 401. The own interface never let an empty key in (401 before as well).

--- a/src/state/Document.c
+++ b/src/state/Document.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* SHA-256 of an empty key. */
+#define EMPTY_KEY_HASH                                                        \
+    "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+#define BLANKS " \t\r\n"
+
 /* ---- cross references ---- */
 
 static void
@@ -49,12 +54,27 @@
     }
 }
 
+static void
+add_empty_key(const char *workspace, GPtrArray *findings)
+{
+    char *path = g_strdup_printf("workspaces.%s.key_hashes", workspace);
+    MpFindings_Add(findings, MP_FINDING_VALUE, 0, path, "a key is empty");
+    g_free(path);
+}
+
 static void
 index_keys(struct MpDocument *this, const char *workspace,
-           const struct MpWorkspaceConf *conf, GPtrArray *findings)
+           const struct MpWorkspaceConf *conf, bool is_stored,
+           GPtrArray *findings)
 {
     for (guint i = 0; i < conf->key_hashes->len; i++) {
         char *hash = g_ptr_array_index(conf->key_hashes, i);
+        if (strcmp(hash, EMPTY_KEY_HASH) == 0) {
+            if (!is_stored) {
+                add_empty_key(workspace, findings);
+            }
+            continue;
+        }
         const char *owner = g_hash_table_lookup(this->workspaces_by_key, hash);
         if (owner) {
             char *path =
@@ -69,7 +89,7 @@
 }
 
 static void
-check_workspaces(struct MpDocument *this, GPtrArray *findings)
+check_workspaces(struct MpDocument *this, bool is_stored, GPtrArray *findings)
 {
     GHashTableIter iter;
     void *name;
@@ -81,7 +101,7 @@
         check_references(conf->models, this->models, "model", path, findings);
         check_references(conf->services, this->services, "service", path,
                          findings);
-        index_keys(this, name, conf, findings);
+        index_keys(this, name, conf, is_stored, findings);
         g_free(path);
     }
 }
@@ -215,12 +235,15 @@
 }
 
 struct MpDocument *
-MpDocument_Finish(struct MpDocument *this, GPtrArray *findings)
+MpDocument_Finish(struct MpDocument *this, bool is_stored, GPtrArray *findings)
 {
+    if (is_stored) {
+        MpFindings_DropRetired(findings);
+    }
     check_models(this, findings);
     check_services(this, findings);
     check_paths(this, findings);
-    check_workspaces(this, findings);
+    check_workspaces(this, is_stored, findings);
     if (findings->len > 0) {
         MpDocument_Unref(this);
         return NULL;
@@ -245,10 +268,7 @@
     struct MpDocument *this = document_alloc();
     MpSchema_Decode(&MpDocument_Schema, value, "", this, findings);
     json_object_put(value);
-    if (is_stored) {
-        MpFindings_DropRetired(findings);
-    }
-    return MpDocument_Finish(this, findings);
+    return MpDocument_Finish(this, is_stored, findings);
 }
 
 struct MpDocument *
@@ -293,6 +313,9 @@
 const char *
 MpDocument_FindWorkspace(const struct MpDocument *this, const char *key)
 {
+    if (key[strspn(key, BLANKS)] == '\0') {
+        return NULL;
+    }
     char *hash = MpDocument_HashKey(key);
     const char *workspace = g_hash_table_lookup(this->workspaces_by_key, hash);
     g_free(hash);
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -162,9 +162,10 @@
 struct MpDocument *MpDocument_New(void);
 
 /* Checks the references and builds the indexes of a document that has been
- * filled in.  Returns the document, or releases it and returns NULL if there
- * are findings, including earlier ones. */
-struct MpDocument *MpDocument_Finish(struct MpDocument *this,
+ * filled in.  What only earlier builds accepted is ignored if is_stored, and a
+ * finding otherwise.  Returns the document, or releases it and returns NULL if
+ * there are findings, including earlier ones. */
+struct MpDocument *MpDocument_Finish(struct MpDocument *this, bool is_stored,
                                      GPtrArray *findings);
 
 /* Returns the entry for host, in lower case, with the longest prefix of path,
@@ -185,8 +186,8 @@
 struct MpDocument *MpDocument_Ref(struct MpDocument *this);
 void MpDocument_Unref(struct MpDocument *this);
 
-/* Returns the name of the workspace that the key belongs to, or NULL.  The
- * name is owned by the document. */
+/* Returns the name of the workspace that the key belongs to, or NULL; an empty
+ * or blank key belongs to none.  The name is owned by the document. */
 const char *MpDocument_FindWorkspace(const struct MpDocument *this,
                                      const char *key);
 
--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -194,7 +194,7 @@
      .min = 1,
      .max = 16,
      AT(MpWorkspaceConf, key_hashes),
-     .description = "SHA-256 of each workspace key."},
+     .description = "SHA-256 of each workspace key, none of them empty."},
     {.name = "models",
      .type = MP_FIELD_NAMES,
      .max = 256,
--- a/tests/TestDocument.c
+++ b/tests/TestDocument.c
@@ -1,4 +1,4 @@
-#include "state/Document.h"
+#include "PlatformDialect.h"
 
 #include <glib.h>
 #include <string.h>
@@ -70,6 +70,35 @@
     g_free(lines);
 }
 
+/* A stored document of an earlier build may have an empty key: it is kept, and
+ * the key belongs to nobody. */
+static void
+test_empty_key_is_let_in(void)
+{
+    static const char *const keys[] = {"", " ", "    "};
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        char *text = g_strdup_printf(
+            "{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":[{"
+            "\"name\":\"t\",\"api-keys\":[\"k\",\"%s\"]}]}",
+            keys[i]);
+        bool is_valid;
+        char *lines = findings_of(MpPlatform_ParseDocument, text, &is_valid);
+        g_assert_false(is_valid);
+        g_assert_nonnull(strstr(lines, "bad_value"));
+        g_free(lines);
+        GPtrArray *findings = MpFindings_New();
+        struct MpDocument *document =
+            MpPlatform_LoadDocument(text, strlen(text), findings);
+        g_assert_nonnull(document);
+        g_assert_null(MpDocument_FindWorkspace(document, keys[i]));
+        g_assert_null(MpDocument_FindWorkspace(document, ""));
+        g_assert_cmpstr(MpDocument_FindWorkspace(document, "k"), ==, "t");
+        MpDocument_Unref(document);
+        g_ptr_array_unref(findings);
+        g_free(text);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -80,5 +109,6 @@
                     test_stored_document_is_lost);
     g_test_add_func("/document/stored document is not checked",
                     test_stored_document_is_not_checked);
+    g_test_add_func("/document/empty key is let in", test_empty_key_is_let_in);
     return g_test_run();
 }
