The roster forgets pools without targets

Entries of the target list with ever new names of pools grew an instance's memory, an array for each name it had ever seen. Now a pool goes with its last target; a request for it gets the same error as before (no target).

Before: TestRoster /roster/names of pools grow failed (3 pools where 2 have targets). The leak that the binary reports at its end (12 bytes, tests that leave a roster) was there before.

--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -105,8 +105,12 @@
 static void
 remove_target(struct MpRoster *this, struct MpPoolTarget *target)
 {
+    GPtrArray *pool = pool_of(this, target->pool);
     target->is_removed = true;
-    g_ptr_array_remove(pool_of(this, target->pool), target);
+    g_ptr_array_remove(pool, target);
+    if (pool->len == 0) {
+        g_hash_table_remove(this->pools, target->pool);
+    }
     g_hash_table_remove(this->targets, target->incarnation);
     MpPoolTarget_Unref(this, target);
 }
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -50,6 +50,43 @@
     return MpRoster_Pick(roster, &ask, now_ms, picked);
 }
 
+/* Entries with ever new names of pools must not grow memory. */
+static void
+test_names_of_pools_grow(void)
+{
+    struct MpRoster roster;
+    GPtrArray *none = g_ptr_array_new();
+    GPtrArray *list = g_ptr_array_new();
+    init_roster(&roster, 2);
+    for (int64_t i = 0; i < 1000; i++) {
+        char *pool = g_strdup_printf("pool%" G_GINT64_FORMAT, i);
+        struct MpListedTarget entry = {.incarnation = (char *)"t0",
+                                       .pool = pool,
+                                       .address = (char *)"10.0.0.0:80",
+                                       .zone = (char *)"a",
+                                       .slots = 8};
+        g_ptr_array_set_size(list, 0);
+        g_ptr_array_add(list, &entry);
+        if (i % 2) {
+            MpRoster_SetList(&roster, list, 2000 + i);
+        }
+        else {
+            MpRoster_ApplyChanges(&roster, list, none, 2000 + i);
+        }
+        g_assert_cmpuint(g_hash_table_size(roster.pools), <=, 2);
+        g_free(pool);
+    }
+    MpRoster_SetList(&roster, none, 4000);
+    g_assert_cmpuint(g_hash_table_size(roster.pools), ==, 0);
+    struct MpRequestMeta meta = {.prompt_tokens = 100};
+    struct MpPicked picked;
+    g_assert_cmpint(pick(&roster, &meta, false, 4000, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    g_ptr_array_unref(list);
+    g_ptr_array_unref(none);
+    MpRoster_Done(&roster);
+}
+
 /* The estimated load of a target that never reports its load must not grow
  * until the target counts as full. */
 static void
@@ -528,5 +565,6 @@
                     test_late_answers_refuse_low_ranks);
     g_test_add_func("/roster/a version that was not announced",
                     test_unannounced_version);
+    g_test_add_func("/roster/names of pools grow", test_names_of_pools_grow);
     return g_test_run();
 }
