Entries of unnamed pools displace no targets

Behind more than 4,096 entries of other pools, changes of the targets in use and targets of new pools did not reach the instances: the leader passed on the first 4,096 entries. Now, of a list that is too long, entries of pools that the document names come first; the document is parsed once a version, and only while the list is too long. target-list-too-long says that it is.

Before: a target that had left was not dropped in 5 s, a new pool got none. If the pools that are named have more than 4,096 targets, the rest is cut by position as before.

--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -94,6 +94,10 @@
     GArray *targets_changed;
     GArray *targets_removed;
     int64_t targets_read_ms; /* last read of the list; 0: never */
+    /* For lists that are too long: the document parsed for them, or NULL, and
+     * the version that it was parsed from, 0 while the list is short. */
+    struct MpDocument *list_document;
+    uint64_t list_document_version;
     bool is_failed;
     bool was_leader;
     int64_t instances_counted_ms; /* when instance_count was taken; 0: never */
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -1,10 +1,12 @@
 #include "transport/ReplicaTargets.h"
 
+#include "protocol/Dialect.h"
 #include "state/Codec.h"
 #include "transport/Log.h"
 #include "transport/ReplicaVersions.h"
 #include "transport/TargetList.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -120,15 +122,12 @@
     MpTextPack_Encode(&this->targets_pack, MP_XDR(mp_targets), &list);
 }
 
+/* Replaces the list; returns 0 if it is the same. */
 static uint32_t
-on_list(void *owner, const GPtrArray *targets)
+apply_list(struct MpReplica *this, const GPtrArray *targets)
 {
-    struct MpReplica *this = owner;
     uint64_t hash = 1;
-    guint count = MIN(targets->len, MP_TARGETS_MAX);
-    this->targets_read_ms = MpLoop_Now();
-    MpReplicaVersions_Announce(this, targets);
-    for (guint i = 0; i < count; i++) {
+    for (guint i = 0; i < targets->len; i++) {
         /* The hashes are added, as the order of a provider's list is
          * arbitrary. */
         hash += hash_entry(g_ptr_array_index(targets, i));
@@ -141,7 +140,7 @@
     this->previous_targets_hash = this->targets_hash;
     this->targets = new_list();
     this->targets_hash = hash;
-    for (guint i = 0; i < count; i++) {
+    for (guint i = 0; i < targets->len; i++) {
         const struct MpListedTarget *from = g_ptr_array_index(targets, i);
         if (!is_sendable(from)) {
             MpLog_Event(LOG_WARNING, "target-name-too-long", "target=%.64s",
@@ -163,6 +162,78 @@
     return 1;
 }
 
+/* Parses the document in force, if that has not been done. */
+static void
+update_list_document(struct MpReplica *this)
+{
+    if (this->list_document_version == this->machine.document_version) {
+        return;
+    }
+    const char *text = this->machine.document;
+    GPtrArray *findings = MpFindings_New();
+    MpDocument_Unref(this->list_document);
+    this->list_document = MpDialect_Find(this->settings->dialect)
+                              ->load_document(text, strlen(text), findings);
+    this->list_document_version = this->machine.document_version;
+    if (!this->list_document) {
+        MpLog_Event(LOG_ERR, "target-list-document-unreadable",
+                    "version=%" PRIu64 " findings=%u",
+                    this->list_document_version, findings->len);
+    }
+    g_ptr_array_unref(findings);
+}
+
+static void
+append_entries(struct MpReplica *this, const GPtrArray *targets, bool is_named,
+               GPtrArray *chosen)
+{
+    const struct MpDocument *document = this->list_document;
+    for (guint i = 0; i < targets->len && chosen->len < MP_TARGETS_MAX; i++) {
+        struct MpListedTarget *target = g_ptr_array_index(targets, i);
+        bool has_pool =
+            document && g_hash_table_contains(document->pools, target->pool);
+        if (has_pool == is_named) {
+            g_ptr_array_add(chosen, target);
+        }
+    }
+}
+
+/* Returns the entries to pass on: of a list that is too long, first those of
+ * pools that the document names.  The result does not own them. */
+static GPtrArray *
+choose_entries(struct MpReplica *this, const GPtrArray *targets)
+{
+    GPtrArray *chosen = g_ptr_array_new();
+    bool is_too_long = targets->len > MP_TARGETS_MAX;
+    bool was_too_long = this->list_document_version != 0;
+    if (is_too_long) {
+        update_list_document(this);
+    }
+    else {
+        g_clear_pointer(&this->list_document, MpDocument_Unref);
+        this->list_document_version = 0;
+    }
+    append_entries(this, targets, true, chosen);
+    append_entries(this, targets, false, chosen);
+    if (is_too_long && !was_too_long) {
+        MpLog_Event(LOG_WARNING, "target-list-too-long",
+                    "targets=%u passed_on=%u", targets->len, chosen->len);
+    }
+    return chosen;
+}
+
+static uint32_t
+on_list(void *owner, const GPtrArray *targets)
+{
+    struct MpReplica *this = owner;
+    GPtrArray *chosen = choose_entries(this, targets);
+    this->targets_read_ms = MpLoop_Now();
+    MpReplicaVersions_Announce(this, targets);
+    uint32_t changes = apply_list(this, chosen);
+    g_ptr_array_unref(chosen);
+    return changes;
+}
+
 static int64_t
 read_interval(void *owner, bool *may_skip)
 {
