Retries of all routers stay within the budget in any window

Cause: a router counted retries over nine slots and a part of the tenth, 9 to 10 s, so that retries in the first and the last second of a window were never counted together. Behind it stood a second fault, which even load hides: each router counted the requests of its own last window, and no window of the fleet need hold those of all (3,690 retries too many when load moves). An incarnation also used its share of the slack again after a restart, and the number of instances could fall while those that were cut off kept their shares.

Now each retry is checked for all windows that it may arrive in, against half of the ratio of the router's own requests in that window and in the one before; the sum over routers is at most the mean of both. The slack is shared among the most instances told lately, by those in contact for longer than a window only, in thousandths of a retry (at 300 routers a share was 0).

--- a/src/coordination/RetryBudget.c
+++ b/src/coordination/RetryBudget.c
@@ -1,12 +1,61 @@
 #include "coordination/RetryBudget.h"
 
+#include "state/Fault.h"
+
 #include <glib.h>
 
 #define PERMILLE 1000
-/* Added to the number of instances by which the slack is divided.  The number
- * is updated with a delay, and the sum of all shares must stay within the
- * slack while new instances join. */
-#define SLACK_MARGIN 2
+
+/* ---- the fleet ---- */
+
+void
+MpRetryFleet_Note(struct MpRetryFleet *this, uint32_t instances,
+                  uint64_t registrations, int64_t heard_ms)
+{
+    int64_t period = heard_ms / MP_RETRY_FLEET_MEMORY_MS;
+    bool is_first = this->most == 0 && this->most_before == 0;
+    if (instances == 0 || (is_first && registrations == 0)) {
+        return;
+    }
+    if (is_first || heard_ms - this->heard_ms >= MP_RETRY_FLEET_CONTACT_MS) {
+        this->since_ms = heard_ms;
+        this->is_first_contact = is_first;
+    }
+    if (period != this->period) {
+        this->most_before = period == this->period + 1 ? this->most : 0;
+        this->most = 0;
+        this->period = period;
+    }
+    this->heard_ms = heard_ms;
+    this->most = MAX(this->most, instances);
+    if (heard_ms - this->since_ms < MP_RETRY_FLEET_SETTLE_MS) {
+        this->is_complete = registrations <= this->most;
+    }
+    if (MP_FAULT(MP_FAULT_RETRY_FLEET_FORGOTTEN)) {
+        this->most = instances;
+        this->most_before = 0;
+    }
+}
+
+uint32_t
+MpRetryFleet_Size(const struct MpRetryFleet *this, int64_t window_ms,
+                  int64_t now_ms)
+{
+    int64_t wait_ms = 0;
+    if (!(this->is_first_contact && this->is_complete) &&
+        !MP_FAULT(MP_FAULT_RETRY_START_UNAWAITED)) {
+        int64_t late_ms =
+            window_ms * MP_RETRY_DELAY_SLOTS / MP_RETRY_WINDOW_SLOTS;
+        wait_ms = MAX(window_ms + late_ms, MP_RETRY_FLEET_CONTACT_MS) +
+                  MP_RETRY_FLEET_SETTLE_MS;
+    }
+    bool is_lost = now_ms - this->heard_ms >= MP_RETRY_FLEET_CONTACT_MS;
+    return is_lost || now_ms - this->since_ms < wait_ms
+               ? 0
+               : MAX(this->most, this->most_before);
+}
+
+/* ---- the budget ---- */
 
 void
 MpRetryBudget_Init(struct MpRetryBudget *this, int64_t window_ms,
@@ -19,16 +68,31 @@
 static void
 advance(struct MpRetryBudget *this, int64_t now_ms)
 {
-    int64_t slot = now_ms / MAX(this->window_ms / MP_RETRY_SLOTS, 1);
+    /* The fraction keeps slots even where they are no whole milliseconds. */
+    int64_t slot = now_ms * MP_RETRY_WINDOW_SLOTS / MAX(this->window_ms, 1);
     int64_t steps = MIN(slot - this->slot, MP_RETRY_SLOTS);
-    for (int64_t i = 1; i <= steps; i++) {
-        int64_t cleared = (this->slot + i) % MP_RETRY_SLOTS;
+    for (int64_t i = 0; i < steps; i++) {
+        int64_t cleared = (slot - i) % MP_RETRY_SLOTS;
         this->requests[cleared] = 0;
         this->retries[cleared] = 0;
     }
-    if (slot > this->slot) {
-        this->slot = slot;
-    }
+    this->slot = MAX(this->slot, slot);
+}
+
+/* Returns the count of the slot that was the newest age slots ago. */
+static int64_t
+count_at(const struct MpRetryBudget *this, const uint32_t *counts, int64_t age)
+{
+    return age > this->slot ? 0 : counts[(this->slot - age) % MP_RETRY_SLOTS];
+}
+
+/* Returns an instance's share of the slack, in thousandths of a retry. */
+static int64_t
+slack_share(const struct MpRetryBudget *this, int64_t instances)
+{
+    return instances > 0
+               ? this->slack * PERMILLE / (instances + MP_RETRY_FLEET_JOINS)
+               : 0;
 }
 
 void
@@ -43,15 +107,25 @@
                        int64_t now_ms)
 {
     int64_t requests = 0;
-    int64_t retries = 0;
+    int64_t retries = 1;
+    int64_t slack = slack_share(this, instances);
+    int64_t part = MP_FAULT(MP_FAULT_RETRY_REQUESTS_TWICE) ? 1 : 2;
+    int64_t spans = MP_FAULT(MP_FAULT_RETRY_WINDOW_SHORT)
+                        ? MP_RETRY_WINDOW_SLOTS - 1
+                        : MP_RETRY_SPANS;
     advance(this, now_ms);
-    for (int i = 0; i < MP_RETRY_SLOTS; i++) {
-        requests += this->requests[i];
-        retries += this->retries[i];
+    for (int64_t age = 0; age < MP_RETRY_EARLIER_SLOTS; age++) {
+        requests += count_at(this, this->requests, age);
+    }
+    for (int64_t age = 0; age < spans; age++) {
+        retries += count_at(this, this->retries, age);
+        requests +=
+            count_at(this, this->requests, age + MP_RETRY_EARLIER_SLOTS);
+        if (part * (retries * PERMILLE - slack) > requests * this->permille) {
+            return false;
+        }
     }
-    int64_t slack = this->slack / (MAX(instances, 1) + SLACK_MARGIN);
-    return (retries + 1) * PERMILLE <=
-           requests * this->permille + slack * PERMILLE;
+    return true;
 }
 
 bool
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -196,6 +196,22 @@
     return budget;
 }
 
+static void
+note_fleet(struct MpGateway *this)
+{
+    MpRetryFleet_Note(&this->retry_fleet, this->control->instances,
+                      this->control->boot, this->control->heard_ms);
+}
+
+uint32_t
+MpGateway_CountRetryFleet(struct MpGateway *this)
+{
+    note_fleet(this);
+    return MpRetryFleet_Size(&this->retry_fleet,
+                             this->settings->retries.window_ms,
+                             MpLoop_BootMs());
+}
+
 /* ---- requests ---- */
 
 bool
@@ -300,6 +316,7 @@
             MpGatewayCall_RetryReserve(call, false);
         }
     }
+    note_fleet(this);
     check_silence(this, now_ms);
     this->slices.quorum_reply_ms = this->control->synced_ms;
     MpGatewayLoans_Tick(this->loans, now_ms);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -43,7 +43,8 @@
     GArray *begun_streams;     /* of struct mp_stream_begun, to be recorded */
     bool is_recording;         /* a record is under way to the quorum */
     GHashTable *retry_budgets; /* pool -> struct MpRetryBudget */
-    GQueue calls;              /* of struct MpGatewayCall */
+    struct MpRetryFleet retry_fleet;
+    GQueue calls; /* of struct MpGatewayCall */
     struct MpTargetList *list_reader;
     int64_t list_confirmed_ms; /* when the leader last confirmed the list */
     int64_t read_from_ms;      /* this instance reads no list before then */
@@ -102,6 +103,10 @@
 struct MpRetryBudget *MpGateway_GetRetryBudget(struct MpGateway *this,
                                                const char *pool);
 
+/* Returns the number of instances that share the slack of retry budgets, 0 if
+ * this one has no share of it now. */
+uint32_t MpGateway_CountRetryFleet(struct MpGateway *this);
+
 /* Returns the connection pool of target. */
 struct MpConnPool *MpGateway_GetConnPool(struct MpGateway *this,
                                          struct MpPoolTarget *target);
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -28,7 +28,7 @@
 {
     return MpRetryBudget_MayRetry(
         MpGateway_GetRetryBudget(this->gateway, this->pool),
-        this->gateway->control->instances, MpLoop_Now());
+        MpGateway_CountRetryFleet(this->gateway), MpLoop_Now());
 }
 
 /* Ends the attempt's use of its target. */
@@ -482,7 +482,7 @@
     }
     if (code == MP_OK && is_retry &&
         !MpRetryBudget_Take(MpGateway_GetRetryBudget(gateway, this->pool),
-                            gateway->control->instances, now_ms)) {
+                            MpGateway_CountRetryFleet(gateway), now_ms)) {
         gateway->retries_refused++;
         code = MP_ERROR_LIMIT;
     }
--- a/tests/red/TestRetryBudget.c
+++ b/tests/TestRetryBudget.c
@@ -138,6 +138,78 @@
     g_free(this);
 }
 
+#define CONTACT_MS MP_RETRY_FLEET_CONTACT_MS
+#define WAIT_MS (WINDOW_MS + WINDOW_MS / 20 + MP_RETRY_FLEET_SETTLE_MS)
+
+static void
+test_restarted_instance_has_no_slack_yet(void)
+{
+    struct MpRetryFleet fleet = {0};
+    g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, 5000), ==, 0);
+    for (int64_t t = 50000; t <= 50000 + 2 * WAIT_MS; t += 500) {
+        /* 11 registrations of 10 instances: one had an earlier life. */
+        MpRetryFleet_Note(&fleet, ROUTERS, ROUTERS + 1, t);
+        uint32_t size = MpRetryFleet_Size(&fleet, WINDOW_MS, t);
+        g_assert_cmpuint(size, ==, t < 50000 + WAIT_MS ? 0 : ROUTERS);
+    }
+}
+
+static void
+test_new_fleet_has_slack_at_once(void)
+{
+    struct MpRetryFleet fleet = {0};
+    MpRetryFleet_Note(&fleet, 0, 1, 400);
+    g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, 400), ==, 0);
+    MpRetryFleet_Note(&fleet, 1, 1, 500);
+    g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, 500), ==, 1);
+    MpRetryFleet_Note(&fleet, ROUTERS, 1, 1000);
+    g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, 1000), ==, ROUTERS);
+}
+
+static void
+test_fewer_instances_leave_the_shares(void)
+{
+    struct MpRetryFleet fleet = {0};
+    for (int64_t t = 500; t <= 100000; t += 500) {
+        MpRetryFleet_Note(&fleet, t < 20000 ? ROUTERS : 1, 1, t);
+        g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, t), ==, ROUTERS);
+    }
+}
+
+static void
+test_no_slack_without_contact(void)
+{
+    struct MpRetryFleet fleet = {0};
+    int64_t woken_ms = 1000 + 3 * CONTACT_MS;
+    MpRetryFleet_Note(&fleet, ROUTERS, 1, 1000);
+    g_assert_cmpuint(
+        MpRetryFleet_Size(&fleet, WINDOW_MS, 1000 + CONTACT_MS - 1), ==,
+        ROUTERS);
+    g_assert_cmpuint(MpRetryFleet_Size(&fleet, WINDOW_MS, 1000 + CONTACT_MS),
+                     ==, 0);
+    for (int64_t t = woken_ms; t <= woken_ms + 2 * WAIT_MS; t += 500) {
+        MpRetryFleet_Note(&fleet, ROUTERS, 1, t);
+        uint32_t size = MpRetryFleet_Size(&fleet, WINDOW_MS, t);
+        g_assert_cmpuint(size, ==, t < woken_ms + WAIT_MS ? 0 : ROUTERS);
+    }
+}
+
+/* 300 instances have less than a retry each, and no load. */
+static void
+test_shares_below_one_retry(void)
+{
+    struct MpRetryBudget budget;
+    MpRetryBudget_Init(&budget, WINDOW_MS, PERMILLE, SLACK);
+    g_assert_false(MpRetryBudget_Take(&budget, 300, 100000));
+    for (int i = 0; i < 9; i++) {
+        MpRetryBudget_CountRequest(&budget, 100000);
+    }
+    /* 0.1 of 9, and 60 / 302. */
+    g_assert_true(MpRetryBudget_Take(&budget, 300, 100000));
+    g_assert_false(MpRetryBudget_Take(&budget, 300, 100000));
+    g_assert_false(MpRetryBudget_Take(&budget, 300, 110000));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -148,5 +220,15 @@
                     test_late_arrivals_meet_the_next_retries);
     g_test_add_func("/retry-budget/load moves to other routers",
                     test_load_moves_to_other_routers);
+    g_test_add_func("/retry-budget/a restarted instance has no slack yet",
+                    test_restarted_instance_has_no_slack_yet);
+    g_test_add_func("/retry-budget/a new fleet has slack at once",
+                    test_new_fleet_has_slack_at_once);
+    g_test_add_func("/retry-budget/fewer instances leave the shares",
+                    test_fewer_instances_leave_the_shares);
+    g_test_add_func("/retry-budget/no slack without contact",
+                    test_no_slack_without_contact);
+    g_test_add_func("/retry-budget/shares below one retry",
+                    test_shares_below_one_retry);
     return g_test_run();
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -28,6 +28,7 @@
     "FuzzPermits": (60, 2, 600),
     "FuzzVersions": (1000, 2, 4000),
     "FuzzRelay": (1500, 2, 2000),
+    "FuzzRetries": (200, 2, 1000),
 }
 # fault number: description, fuzzer that finds it, seeds that it runs
 FAULTS = {
@@ -92,6 +93,10 @@
     59: ("bytes after the end ignored", "FuzzRelay", 50),
     60: ("answer that ends with its connection counts as complete",
          "FuzzRelay", 50),
+    61: ("retries counted for less than a window", "FuzzRetries", 50),
+    62: ("requests of both windows counted in full", "FuzzRetries", 50),
+    63: ("slack shared by the instances of the moment", "FuzzRetries", 50),
+    64: ("restarted instance uses the slack again", "FuzzRetries", 50),
 }
 
 
