A request is sent again only where that is of use to its caller

Cause: the only bound was 20 ms before the deadline; the expected wait, which is known when a target is picked, was not looked at. A retry now needs the expected wait plus, for a stream, the longest good pause between events. The caller gets its final answer at once: outcome unknown, or not run with Retry-After. An attempt that is silent is not given up for a retry that would be too late.

The test: closed 1700 sends 2 before, now status 504, run unknown, sends 1; refused 1700 sends 2 before, now 503, run no, Retry-After, sends 1.

--- a/src/coordination/Forward.c
+++ b/src/coordination/Forward.c
@@ -86,6 +86,16 @@
     return MAX(this->deadline_ms - now_ms, 0);
 }
 
+bool
+MpForward_IsOfUse(const struct MpForward *this, int64_t wait_ms,
+                  int64_t now_ms)
+{
+    int64_t answer_ms = this->is_stream ? this->event_gap_ms : 0;
+    int64_t needed_ms = MAX(wait_ms + answer_ms, MP_FORWARD_ATTEMPT_MIN_MS);
+    return MpForward_TimeLeft(this, now_ms) >= needed_ms ||
+           MP_FAULT(MP_FAULT_SENT_AFTER_DEADLINE);
+}
+
 static enum MpForwardStep
 give_up(const struct MpForward *this)
 {
@@ -112,10 +122,7 @@
     if (this->is_head_sent && !MpForward_CanResume(this)) {
         may_retry = false;
     }
-    bool is_late =
-        MpForward_TimeLeft(this, now_ms) < MP_FORWARD_ATTEMPT_MIN_MS &&
-        !MP_FAULT(MP_FAULT_SENT_AFTER_DEADLINE);
-    if (!may_retry || !has_budget || is_late ||
+    if (!may_retry || !has_budget || !MpForward_IsOfUse(this, 0, now_ms) ||
         this->sends >= MP_FORWARD_SENDS_MAX) {
         return give_up(this);
     }
@@ -132,7 +139,7 @@
     return has_budget && this->repeat == MP_REPEAT_ALLOWED &&
            !this->is_head_sent && this->runs + 1 < this->attempts_max &&
            this->sends < MP_FORWARD_SENDS_MAX &&
-           MpForward_TimeLeft(this, now_ms) >= MP_FORWARD_ATTEMPT_MIN_MS;
+           MpForward_IsOfUse(this, 0, now_ms);
 }
 
 bool
@@ -149,7 +156,7 @@
            idle_ms >= MAX(limit_ms, MP_FORWARD_STALL_MIN_MS) &&
            this->runs + 1 < this->attempts_max &&
            this->sends < MP_FORWARD_SENDS_MAX &&
-           MpForward_TimeLeft(this, now_ms) > MP_FORWARD_STALL_MIN_MS;
+           MpForward_IsOfUse(this, MP_FORWARD_STALL_MIN_MS, now_ms);
 }
 
 enum MpForwardStep
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -108,6 +108,12 @@
 bool MpForward_IsStalled(const struct MpForward *this, int64_t idle_ms,
                          bool has_budget, int64_t now_ms);
 
+/* Returns whether a further attempt can be of use to the caller: an event, or
+ * the answer of a plain service, can still reach it.  wait_ms: expected time
+ * to the first answer. */
+bool MpForward_IsOfUse(const struct MpForward *this, int64_t wait_ms,
+                       int64_t now_ms);
+
 /* Returns the step when no target is available. */
 enum MpForwardStep MpForward_NoTarget(const struct MpForward *this);
 
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -445,6 +445,18 @@
                          retry_after_ms);
 }
 
+static void
+log_late_retry(const struct MpGatewayCall *this, const struct MpPicked *picked,
+               int64_t now_ms)
+{
+    MpLog_Event(LOG_NOTICE, "retry-too-late",
+                "id=%s pool=%s target=%s attempt=%u wait_ms=%" PRId64
+                " left_ms=%" PRId64,
+                this->id ? this->id : "-", this->pool,
+                picked->target->incarnation, this->forward.sends + 1,
+                picked->wait_ms, MpForward_TimeLeft(&this->forward, now_ms));
+}
+
 void
 MpGatewayAttempt_Start(struct MpGatewayCall *this)
 {
@@ -475,6 +487,14 @@
                                                MpGatewayCall_Rank(this));
     }
     int code = MpRoster_Pick(&gateway->roster, &query, now_ms, &picked);
+    if (code == MP_OK && is_retry &&
+        !MpForward_IsOfUse(&this->forward, picked.wait_ms, now_ms)) {
+        /* The retry stays for a request that can still be answered. */
+        log_late_retry(this, &picked, now_ms);
+        MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward),
+                             MP_ERROR_NO_TARGET, MP_RETRY_AFTER_BUSY_MS);
+        return;
+    }
     if (code == MP_OK && picked.needs_permit &&
         (!is_retry || may_retry(this))) {
         MpGatewayPermits_Request(this, picked.target);
