Restarted instances are told by their incarnation

Now only first incarnations in a fleet of up to four use their share at once: counting those before them they have 1/3, 1/4, 1/5, 1/6. All others wait for a window in contact with the leader, joined ones too, so that the bound on joins falls.

--- a/src/coordination/RetryBudget.c
+++ b/src/coordination/RetryBudget.c
@@ -10,16 +10,16 @@
 
 void
 MpRetryFleet_Note(struct MpRetryFleet *this, uint32_t instances,
-                  uint64_t registrations, int64_t heard_ms)
+                  uint64_t incarnation, int64_t heard_ms)
 {
     int64_t period = heard_ms / MP_RETRY_FLEET_MEMORY_MS;
     bool is_first = this->most == 0 && this->most_before == 0;
-    if (instances == 0 || (is_first && registrations == 0)) {
+    if (instances == 0 || (is_first && incarnation == 0)) {
         return;
     }
     if (is_first || heard_ms - this->heard_ms >= MP_RETRY_FLEET_CONTACT_MS) {
         this->since_ms = heard_ms;
-        this->is_first_contact = is_first;
+        this->is_first = is_first;
     }
     if (period != this->period) {
         this->most_before = period == this->period + 1 ? this->most : 0;
@@ -28,9 +28,7 @@
     }
     this->heard_ms = heard_ms;
     this->most = MAX(this->most, instances);
-    if (heard_ms - this->since_ms < MP_RETRY_FLEET_SETTLE_MS) {
-        this->is_complete = registrations <= this->most;
-    }
+    this->is_first = this->is_first && incarnation == 1;
     if (MP_FAULT(MP_FAULT_RETRY_FLEET_FORGOTTEN)) {
         this->most = instances;
         this->most_before = 0;
@@ -41,8 +39,9 @@
 MpRetryFleet_Size(const struct MpRetryFleet *this, int64_t window_ms,
                   int64_t now_ms)
 {
+    uint32_t most = MAX(this->most, this->most_before);
     int64_t wait_ms = 0;
-    if (!(this->is_first_contact && this->is_complete) &&
+    if (!(this->is_first && most <= MP_RETRY_FLEET_FIRST) &&
         !MP_FAULT(MP_FAULT_RETRY_START_UNAWAITED)) {
         int64_t late_ms =
             window_ms * MP_RETRY_DELAY_SLOTS / MP_RETRY_WINDOW_SLOTS;
@@ -50,9 +49,7 @@
                   MP_RETRY_FLEET_SETTLE_MS;
     }
     bool is_lost = now_ms - this->heard_ms >= MP_RETRY_FLEET_CONTACT_MS;
-    return is_lost || now_ms - this->since_ms < wait_ms
-               ? 0
-               : MAX(this->most, this->most_before);
+    return is_lost || now_ms - this->since_ms < wait_ms ? 0 : most;
 }
 
 /* ---- the budget ---- */
@@ -91,7 +88,7 @@
 slack_share(const struct MpRetryBudget *this, int64_t instances)
 {
     return instances > 0
-               ? this->slack * PERMILLE / (instances + MP_RETRY_FLEET_JOINS)
+               ? this->slack * PERMILLE / (instances + MP_RETRY_FLEET_MARGIN)
                : 0;
 }
 
--- a/src/coordination/RetryBudget.h
+++ b/src/coordination/RetryBudget.h
@@ -43,8 +43,12 @@
 /* Time in which all instances hear of a new one, or a new leader of all, ms.
  */
 #define MP_RETRY_FLEET_SETTLE_MS 1000
-/* Instances that may join within a window while the fleet is new. */
-#define MP_RETRY_FLEET_JOINS 2
+/* The first instances of a fleet do not wait for their shares. */
+#define MP_RETRY_FLEET_FIRST 4
+/* Added to the number of instances by which the slack is divided: if each of
+ * the first four counts only itself and those before it, they have 1/3, 1/4,
+ * 1/5 and 1/6 of it. */
+#define MP_RETRY_FLEET_MARGIN 2
 
 /*
  * MpRetryFleet - how many instances share the slack.
@@ -53,9 +57,8 @@
  * others do not count it yet.  It uses its share only once it has been in
  * contact with the leader for a window and the delay, so that no window holds
  * retries by the slack from two incarnations, or from one that the others did
- * not count.  If all registrations were still in use when it had just started,
- * none has had an earlier incarnation, and it does not wait.  Times are on a
- * clock that goes on while the process stands still.
+ * not count.  First incarnations in a fleet of up to MP_RETRY_FLEET_FIRST do
+ * not wait.  Times are on a clock that goes on while the process stands still.
  */
 struct MpRetryFleet {
     int64_t since_ms; /* in contact since then */
@@ -63,8 +66,7 @@
     int64_t period;   /* of length MP_RETRY_FLEET_MEMORY_MS */
     uint32_t most;    /* largest number of instances in this period */
     uint32_t most_before;
-    bool is_first_contact;
-    bool is_complete; /* all registrations were in use when it had started */
+    bool is_first; /* first incarnation, and first contact */
 };
 
 struct MpRetryBudget {
@@ -77,10 +79,10 @@
 };
 
 /* Notes an answer of the leader to a call sent at heard_ms: the number of
- * instances that it counts, 0 for none yet, and the number of registrations
- * up to this instance's. */
+ * instances that it counts, and that of this incarnation of the instance, from
+ * 1; 0 for none yet. */
 void MpRetryFleet_Note(struct MpRetryFleet *this, uint32_t instances,
-                       uint64_t registrations, int64_t heard_ms);
+                       uint64_t incarnation, int64_t heard_ms);
 
 /* Returns the number of instances that share the slack, 0 if this one has no
  * share now; window_ms is that of the budget. */
