The own API hears that a target leaves or wants a pause

Answers of the product's own interface name both in the same headers as on paths (x-mimosapath-leaving: 1; retry-after with 503). The picker uses the same two classes: a report counts as the list, a new boot id ends both, and an answer counts only if its target has not started again since the request was sent. The first status of a target is no restart any more; it took back what an answer before it had said. A refusal with a pause is no failure that ejects the target. When all targets of a model or service are paused, callers are refused at once and told when the first is back.

The simulated targets send both (simulated_target_notices). FuzzPicker knows both words.

--- a/fuzz/FuzzPicker.c
+++ b/fuzz/FuzzPicker.c
@@ -11,10 +11,11 @@
  * FuzzPicker - fuzzes the choice of targets, the rate and concurrency limits,
  * and the fair queue.
  *
- * Oracle, from plain counts: no pick of a target that is draining, leaving or
- * full, nor of an ejected one while at most half of the targets are ejected;
- * no queue item lost or dequeued twice; no item dequeued before one of a
- * higher priority class; no more concurrent requests than the limit.
+ * Oracle, from plain counts: no pick of a target that is draining, leaving,
+ * within a pause that it asked for, or full, nor of an ejected one while at
+ * most half of the targets are ejected; no queue item lost or dequeued twice;
+ * no item dequeued before one of a higher priority class; no more concurrent
+ * requests than the limit.
  */
 
 #define TARGETS 6
@@ -33,6 +34,8 @@
     uint32_t queued;
     int64_t in_flight[TARGETS];
     bool is_out[TARGETS]; /* draining or leaving */
+    bool has_said_leaving[TARGETS];
+    int64_t paused_until_ms[TARGETS];
     uint32_t entered;
     int64_t now_ms;
 };
@@ -76,9 +79,13 @@
 static void
 check_pick(struct fixture *this, const struct MpTarget *target)
 {
-    if (target->is_draining || target->is_leaving) {
+    if (target->is_draining || target->leaving.by_list ||
+        this->has_said_leaving[target_number(target)]) {
         Fuzz_Fail("%s is picked while draining or leaving", target->name);
     }
+    if (this->now_ms < this->paused_until_ms[target_number(target)]) {
+        Fuzz_Fail("%s is picked within its pause", target->name);
+    }
     if (MpTarget_Load(target) >= target->capacity) {
         Fuzz_Fail("%s is picked while full", target->name);
     }
@@ -122,6 +129,35 @@
     this->in_flight[target_number(target)]++;
 }
 
+/* A report and, for some sequence numbers, an answer by which the target
+ * leaves, asks for a pause or shows that it has started again. */
+static void
+hear_target(struct fixture *this, struct MpTarget *target,
+            const struct MpLoadReport *report)
+{
+    int number = target_number(target);
+    bool was_leaving = target->leaving.by_list;
+    MpTarget_ApplyReport(target, report, this->now_ms);
+    this->has_said_leaving[number] &= !was_leaving || target->leaving.by_list;
+    switch (report->sequence % 32) {
+    case 3:
+        MpTargetLeaving_NoteAnswer(&target->leaving);
+        this->has_said_leaving[number] = true;
+        break;
+    case 5:
+        MpTargetPause_Note(&target->pause, 700, this->now_ms, this->now_ms, 0);
+        this->paused_until_ms[number] = this->now_ms + 700;
+        break;
+    case 7:
+        MpTarget_HandleRestart(target);
+        this->has_said_leaving[number] = false;
+        this->paused_until_ms[number] = 0;
+        break;
+    default:
+        break;
+    }
+}
+
 static void
 change_target(struct fixture *this, struct FuzzInput *input)
 {
@@ -133,7 +169,7 @@
     switch (FuzzInput_Below(input, 5)) {
     case 0:
         report.is_leaving = FuzzInput_Below(input, 2);
-        MpTarget_ApplyReport(target, &report, this->now_ms);
+        hear_target(this, target, &report);
         break;
     case 1:
         MpTarget_ReportFailed(&this->picker, target, this->now_ms);
--- a/src/commands/SimTarget.h
+++ b/src/commands/SimTarget.h
@@ -28,6 +28,7 @@
  *     #late     respond 3 s late
  *     #short    cut a stream after two tokens
  *     #refuse   respond with status 503, without running the request
+ *     #pause=S  with #refuse: ask for a pause of S seconds
  *     #error    respond with status 500; counts as a run
  *     #long     generate as many tokens as the request allows (no fault)
  */
--- a/src/commands/SimTargetJob.c
+++ b/src/commands/SimTargetJob.c
@@ -2,6 +2,7 @@
 
 #include "coordination/Picker.h"
 #include "protocol/Chat.h"
+#include "protocol/Dialect.h"
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
 
@@ -53,8 +54,9 @@
     uint64_t blocks[MP_PREFIX_BLOCKS_MAX];
     uint32_t block_count;
     enum job_fault fault;
-    int64_t token_count; /* to generate */
-    int64_t next_token;  /* index of the token to generate next */
+    char pause[TAG_BYTES]; /* value of "#pause=" in the request; or empty */
+    int64_t token_count;   /* to generate */
+    int64_t next_token;    /* index of the token to generate next */
     int priority;
     GString *output;    /* of a stream, not yet sent */
     GList waiting_link; /* in a waiting queue; data is NULL when in none */
@@ -101,10 +103,24 @@
     }
 }
 
+/* Each answer of a target that leaves says so. */
+static void
+add_notices(struct MpSimTargetJob *this, int status)
+{
+    if (this->target->is_leaving) {
+        MpHttp_AddHeader(this->req, MpDialect_Native.target.leaving, "1");
+    }
+    if (status == 503 && this->pause[0]) {
+        MpHttp_AddHeader(this->req, MpDialect_Native.target.pause,
+                         this->pause);
+    }
+}
+
 static void
 send_response(struct MpSimTargetJob *this, int status, const char *body)
 {
     h2o_req_t *req = this->req;
+    add_notices(this, status);
     job_free(this);
     MpHttp_Send(req, status, "application/json", body, strlen(body));
 }
@@ -299,6 +315,7 @@
     this->req->res.status = 200;
     this->req->res.reason = "OK";
     MpHttp_AddHeader(this->req, "content-type", "text/event-stream");
+    add_notices(this, 200);
     h2o_start_response(this->req, &this->generator->super);
 }
 
@@ -357,9 +374,22 @@
 
 /* ---- new requests ---- */
 
+static void
+set_pause(struct MpSimTargetJob *this, const char *text)
+{
+    static const char marker[] = "#pause=";
+    const char *start = strstr(text, marker);
+    if (start) {
+        start += strlen(marker);
+        g_strlcpy(this->pause, start,
+                  MIN(strspn(start, "0123456789.") + 1, TAG_BYTES));
+    }
+}
+
 static void
 set_tag(struct MpSimTargetJob *this, const char *text)
 {
+    set_pause(this, text);
     const char *start = strstr(text, "id=");
     size_t length = start ? strspn(start + 3, "0123456789abcdefghijklmnopqrst"
                                               "uvwxyzABCDEFGHIJKLMNOPQRSTUVWX"
--- a/src/coordination/Picker.c
+++ b/src/coordination/Picker.c
@@ -17,8 +17,8 @@
 
 const char *const MpTargetHealth_Names[] = {
     [MP_HEALTH_OK] = "in",           [MP_HEALTH_DRAINING] = "draining",
-    [MP_HEALTH_LEAVING] = "leaving", [MP_HEALTH_EJECTED] = "ejected",
-    [MP_HEALTH_PROBING] = "probing",
+    [MP_HEALTH_LEAVING] = "leaving", [MP_HEALTH_PAUSED] = "paused",
+    [MP_HEALTH_EJECTED] = "ejected", [MP_HEALTH_PROBING] = "probing",
 };
 
 /* ---- targets ---- */
@@ -77,7 +77,8 @@
     clear_blocks(this);
     this->report_sequence = 0;
     this->event_sequence = 0;
-    this->is_leaving = false;
+    this->leaving = (struct MpTargetLeaving){.by_list = false};
+    this->pause = (struct MpTargetPause){.until_ms = 0};
 }
 
 int64_t
@@ -94,9 +95,12 @@
     if (this->is_draining || !this->is_listed) {
         return MP_HEALTH_DRAINING;
     }
-    if (this->is_leaving) {
+    if (MpTargetLeaving_IsLeaving(&this->leaving)) {
         return MP_HEALTH_LEAVING;
     }
+    if (MpTargetPause_IsActive(&this->pause, now_ms)) {
+        return MP_HEALTH_PAUSED;
+    }
     if (now_ms < this->ejected_until_ms) {
         return MP_HEALTH_EJECTED;
     }
@@ -107,6 +111,7 @@
 MpTarget_Start(struct MpTarget *this)
 {
     this->in_flight++;
+    MpTargetPause_NoteSent(&this->pause);
     this->picked++;
     /* The first request after an ejection is a probe. */
     this->is_probing = this->ejected_until_ms > 0;
@@ -153,7 +158,7 @@
     this->reported_load = report->running + report->waiting;
     this->in_flight_at_report = this->in_flight;
     this->report_ms = now_ms;
-    this->is_leaving = report->is_leaving;
+    MpTargetLeaving_NoteEntry(&this->leaving, report->is_leaving, 0);
     /* The target answers again.  At-most-once requests are never probes, so
      * the end of the ejection is noted here to let them use the target. */
     if (now_ms >= this->ejected_until_ms && !this->is_probing) {
@@ -334,9 +339,11 @@
 }
 
 static void
-add_candidate(struct candidates *candidates, struct MpTarget *target)
+add_candidate(struct candidates *candidates, struct MpTarget *target,
+              int64_t now_ms)
 {
-    if (MpTarget_Load(target) >= target->capacity) {
+    if (MpTarget_Load(target) >= target->capacity ||
+        !MpTargetPause_MaySend(&target->pause, now_ms)) {
         candidates->full++;
         return;
     }
@@ -357,7 +364,7 @@
         if (query->is_at_most_once && target->ejected_until_ms > 0) {
             continue;
         }
-        add_candidate(candidates, target);
+        add_candidate(candidates, target, now_ms);
     }
 }
 
@@ -382,7 +389,7 @@
         struct MpTarget *target = MpPicker_Find(this, name);
         if (target && !is_avoided(query, name) &&
             MpTarget_Health(target, now_ms) == MP_HEALTH_EJECTED) {
-            add_candidate(candidates, target);
+            add_candidate(candidates, target, now_ms);
         }
     }
 }
@@ -526,3 +533,23 @@
     g_free(candidates.list);
     return target;
 }
+
+int64_t
+MpPicker_FirstPauseEnd(const struct MpPicker *this, const GPtrArray *names,
+                       int64_t now_ms)
+{
+    int64_t first_ms = INT64_MAX;
+    for (guint i = 0; i < names->len; i++) {
+        const struct MpTarget *target =
+            MpPicker_Find(this, g_ptr_array_index(names, i));
+        enum MpTargetHealth health =
+            target ? MpTarget_Health(target, now_ms) : MP_HEALTH_DRAINING;
+        if (health == MP_HEALTH_PAUSED) {
+            first_ms = MIN(first_ms, target->pause.until_ms);
+        }
+        else if (health != MP_HEALTH_DRAINING && health != MP_HEALTH_LEAVING) {
+            return 0;
+        }
+    }
+    return first_ms == INT64_MAX ? 0 : first_ms;
+}
--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -2,6 +2,8 @@
 #define MP_COORDINATION_PICKER_H
 
 #include "coordination/PickPolicy.h"
+#include "coordination/TargetLeaving.h"
+#include "coordination/TargetPause.h"
 #include "state/Document.h"
 
 #include <glib.h>
@@ -37,7 +39,8 @@
 enum MpTargetHealth {
     MP_HEALTH_OK,
     MP_HEALTH_DRAINING, /* by the document, or no longer in it */
-    MP_HEALTH_LEAVING,  /* by its own report */
+    MP_HEALTH_LEAVING,  /* by its own report or answer */
+    MP_HEALTH_PAUSED,   /* by its own answer */
     MP_HEALTH_EJECTED,
     MP_HEALTH_PROBING /* a probe is in flight */
 };
@@ -64,8 +67,10 @@
     char *address;
     char *zone;
     int64_t capacity;
-    bool is_draining;  /* by the document */
-    bool is_leaving;   /* by its own report */
+    bool is_draining;               /* by the document */
+    struct MpTargetLeaving leaving; /* by its reports (as a list), or by an
+                                     * answer */
+    struct MpTargetPause pause;
     bool is_listed;    /* in the current document */
     int64_t in_flight; /* requests in flight from this instance */
     int64_t in_flight_at_report;
@@ -119,6 +124,11 @@
                                const struct MpPickQuery *query, int64_t now_ms,
                                int *code);
 
+/* Returns when the first of the pauses of names ends if all targets that are
+ * neither draining nor leaving are paused, else 0. */
+int64_t MpPicker_FirstPauseEnd(const struct MpPicker *this,
+                               const GPtrArray *names, int64_t now_ms);
+
 /* Counts the start and the end of a request at a target. */
 void MpTarget_Start(struct MpTarget *this);
 void MpTarget_Finish(struct MpPicker *picker, struct MpTarget *this,
@@ -143,7 +153,7 @@
                          uint32_t count);
 
 /* Clears what belongs to the previous incarnation of a restarted target:
- * cached blocks, sequence numbers and the leaving state. */
+ * cached blocks, sequence numbers, the leaving state and a pause. */
 void MpTarget_HandleRestart(struct MpTarget *this);
 
 /* Returns the estimated load of a target in requests. */
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -448,10 +448,22 @@
 
 /* ---- arrival ---- */
 
+int64_t
+MpExchange_RetryAfter(const struct MpExchange *this, int64_t other_ms)
+{
+    int64_t now_ms = MpLoop_Now();
+    int64_t end_ms =
+        MpPicker_FirstPauseEnd(&this->router->picker, this->targets, now_ms);
+    return end_ms > now_ms
+               ? MpTargetPause_CallerWait(end_ms - now_ms, g_random_double())
+               : other_ms;
+}
+
 void
 MpExchange_Shed(struct MpExchange *this, int code)
 {
-    look_up_and_refuse(this, code, BUSY_RETRY_AFTER_MS);
+    look_up_and_refuse(this, code,
+                       MpExchange_RetryAfter(this, BUSY_RETRY_AFTER_MS));
 }
 
 static void
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -102,11 +102,13 @@
     struct MpSse sse;
     GPtrArray *tried; /* names of targets with a failed attempt */
     uint32_t attempts;
-    bool was_sent;       /* a target may have received this request */
-    bool may_have_run;   /* an earlier request with this key may have run */
-    char *target_boot;   /* boot id of target at the start, or NULL */
-    bool is_stream;      /* the response is a text/event-stream */
-    bool has_done_event; /* data: [DONE] was received */
+    int64_t sent_ms;
+    bool is_pause_answer; /* the target has asked for a pause */
+    bool was_sent;        /* a target may have received this request */
+    bool may_have_run;    /* an earlier request with this key may have run */
+    char *target_boot;    /* boot id of target at the start, or NULL */
+    bool is_stream;       /* the response is a text/event-stream */
+    bool has_done_event;  /* data: [DONE] was received */
     int32_t status;
     size_t announced_bytes; /* Content-Length of the target's response,
                              * SIZE_MAX if it has none */
@@ -130,6 +132,10 @@
 /* Opens the ledger record of a request for which target was picked. */
 void MpExchange_Open(struct MpExchange *this, struct MpTarget *target);
 
+/* Returns when a request that no target takes may come back: after the first
+ * pause if all its targets are paused, else after other_ms. */
+int64_t MpExchange_RetryAfter(const struct MpExchange *this, int64_t other_ms);
+
 /* Refuses a request that was not sent to a target, with error code. */
 void MpExchange_Shed(struct MpExchange *this, int code);
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -1,9 +1,11 @@
 #include "transport/Exchange.h"
 
+#include "protocol/Dialect.h"
 #include "protocol/EventStream.h"
 #include "state/Machine.h"
 #include "transport/HopHeaders.h"
 #include "transport/Log.h"
+#include "transport/TargetNotice.h"
 #include "transport/TargetPoller.h"
 
 #include <inttypes.h>
@@ -98,10 +100,24 @@
     return request;
 }
 
+static struct MpTargetNotice
+notice_of(const struct MpExchange *this, int64_t sent_ms)
+{
+    return (struct MpTargetNotice){.id = this->request_id,
+                                   .target = this->target->name,
+                                   .pool = this->queue_name,
+                                   .sent_ms = sent_ms,
+                                   .received_ms = MpLoop_Now()};
+}
+
 void
 MpExchange_StartAttempt(struct MpExchange *this)
 {
+    const struct MpTargetNotice notice = notice_of(this, MpLoop_Now());
     this->stage = MP_STAGE_RUNNING;
+    this->sent_ms = notice.received_ms;
+    this->is_pause_answer = false;
+    MpTargetNotice_Sent(&notice, &this->target->pause);
     this->attempts++;
     this->is_stream = false;
     this->has_done_event = false;
@@ -152,7 +168,8 @@
 fail_request(struct MpExchange *this, int code)
 {
     if (!this->was_sent) {
-        MpExchange_Refuse(this, MP_ERROR_NO_TARGET, NULL, 1000);
+        MpExchange_Refuse(this, MP_ERROR_NO_TARGET, NULL,
+                          MpExchange_RetryAfter(this, 1000));
         this->is_aborted = true;
         MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
         return;
@@ -240,7 +257,8 @@
     g_ptr_array_add(this->tried, g_strdup(target->name));
     this->upstream = NULL;
     this->was_sent = this->was_sent || is_sent;
-    MpExchange_EndAttempt(this, MP_ATTEMPT_FAILED);
+    MpExchange_EndAttempt(this, this->is_pause_answer ? MP_ATTEMPT_CANCELLED
+                                                      : MP_ATTEMPT_FAILED);
     MpMetrics_Count(&this->router->metrics, "mimosapath_attempt_failed_total",
                     "target", target->name, 1);
     if (!is_sent) {
@@ -291,10 +309,37 @@
     g_free(connection);
 }
 
+/* Applies what the target says of itself, unless it has started again since
+ * the request was sent. */
+static void
+read_notices(struct MpExchange *this, const struct MpTargetHead *head)
+{
+    const struct MpTargetHeaders *names = &MpDialect_Native.target;
+    const struct MpTargetNotice notice = notice_of(this, this->sent_ms);
+    char *boot =
+        MpTargetPoller_GetBoot(this->router->poller, this->target->name);
+    bool is_same =
+        head->status != 421 &&
+        (!this->target_boot || g_strcmp0(boot, this->target_boot) == 0);
+    g_free(boot);
+    if (!is_same) {
+        return;
+    }
+    size_t size = 0;
+    const char *value = MpTargetHead_Find(head, names->leaving, &size);
+    MpTargetNotice_ReadLeaving(&notice, value, size, &this->target->leaving);
+    value = head->status == 503 ? MpTargetHead_Find(head, names->pause, &size)
+                                : NULL;
+    this->is_pause_answer =
+        MpTargetNotice_ReadPause(&notice, value, size, &this->target->pause,
+                                 &this->router->gateway.target_pauses);
+}
+
 static void
 on_head(void *owner, const struct MpTargetHead *head)
 {
     struct MpExchange *this = owner;
+    read_notices(this, head);
     size_t type_size = 0;
     size_t encoding_size = 0;
     const char *type = MpTargetHead_Find(head, "content-type", &type_size);
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -445,8 +445,8 @@
                          (int64_t)this->permits.granted);
     MpMetrics_WriteValue(out, "mimosapath_permits_denied_total", NULL, NULL,
                          (int64_t)this->permits.denied);
-    MpMetrics_WriteValue(out, "mimosapath_pool_target_pauses_total", NULL,
-                         NULL, (int64_t)this->target_pauses);
+    MpMetrics_WriteValue(out, "mimosapath_target_pauses_total", NULL, NULL,
+                         (int64_t)this->target_pauses);
     MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
                          (int64_t)this->retries_refused);
     MpGatewayLoans_WriteMetrics(this->loans, out);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -366,6 +366,14 @@
                          MpTarget_Health(target, now_ms) == MP_HEALTH_OK);
     MpMetrics_WriteValue(out, "mimosapath_target_picked_total", "target",
                          target->name, (int64_t)target->picked);
+    if (MpTargetLeaving_IsLeaving(&target->leaving)) {
+        MpMetrics_WriteValue(out, "mimosapath_target_leaving", "target",
+                             target->name, 1);
+    }
+    if (MpTargetPause_IsActive(&target->pause, now_ms)) {
+        MpMetrics_WriteValue(out, "mimosapath_target_pause_ms", "target",
+                             target->name, target->pause.until_ms - now_ms);
+    }
 }
 
 void
--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -75,7 +75,11 @@
 {
     struct target_state *state = get_state(this, target->name);
     if (g_strcmp0(state->boot, boot) != 0) {
-        MpTarget_HandleRestart(target);
+        /* The first status shows no restart; answers may have come before it.
+         */
+        if (state->boot) {
+            MpTarget_HandleRestart(target);
+        }
         g_free(state->boot);
         state->boot = g_strdup(boot);
     }
