--- a/tests/runs/leaving_target_gets_requests.py
+++ b/tests/runs/leaving_target_gets_requests.py
@@ -98,6 +98,13 @@
     print("resumed streams", {chunks_of(d)[0].count("data:")
                               for d in resumed}, len(late))
     cuts_streams.clear()
+    if {chunks_of(d)[0].count("data:") for d in resumed} != {8}:
+        for router in ROUTERS:
+            lines = open(fleet.path(router + ".log")).readlines()
+            ids = {line.split(" id=")[1].split(" ")[0] for line in lines
+                   if "outcome=cut" in line}
+            print("".join(line for line in lines if any(
+                " id=%s " % i in line for i in ids)))
 
     said["q0"] = "1"
     print("the last target", [status_of(send(fleet, "i2", "/alone/i2/"))
