--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -504,6 +504,87 @@
     MpRoster_Done(&roster);
 }
 
+/* Sets the list of the only target t0. */
+static void
+list_one(struct MpRoster *roster, bool is_leaving, int64_t started_ms,
+         int64_t now_ms)
+{
+    struct MpListedTarget entry = {.incarnation = (char *)"t0",
+                                   .pool = (char *)POOL,
+                                   .address = (char *)"10.0.0.0:80",
+                                   .zone = (char *)"a",
+                                   .slots = 8,
+                                   .is_leaving = is_leaving,
+                                   .started_ms = started_ms};
+    GPtrArray *list = g_ptr_array_new();
+    g_ptr_array_add(list, &entry);
+    MpRoster_SetList(roster, list, now_ms);
+    g_ptr_array_unref(list);
+}
+
+static int
+pick_one(struct MpRoster *roster, int64_t now_ms)
+{
+    struct MpRequestMeta meta = {.prompt_tokens = 10};
+    struct MpPicked picked;
+    return pick(roster, &meta, false, now_ms, &picked);
+}
+
+/* Neither as the last resort nor after any list that shows no other start. */
+static void
+test_said_leaving(void)
+{
+    struct MpRoster roster;
+    struct MpPoolTarget *target;
+    init_roster(&roster, 1);
+    list_one(&roster, false, 500, 1000);
+    target = MpRoster_Find(&roster, "t0");
+    g_assert_cmpint(pick_one(&roster, 1000), ==, MP_OK);
+    MpTargetLeaving_NoteAnswer(&target->leaving);
+    target->is_leaving = true;
+    g_assert_cmpint(pick_one(&roster, 1001), ==, MP_ERROR_NO_TARGET);
+    list_one(&roster, false, 500, 1100);
+    g_assert_cmpint(pick_one(&roster, 1100), ==, MP_ERROR_NO_TARGET);
+    list_one(&roster, false, 1050, 1200);
+    g_assert_cmpint(pick_one(&roster, 1200), ==, MP_OK);
+    MpRoster_Done(&roster);
+}
+
+static void
+test_paused(void)
+{
+    struct MpRoster roster;
+    struct MpPoolTarget *target;
+    struct MpPoolStatus status;
+    GPtrArray *probes = g_ptr_array_new();
+    const struct MpPoolQuery query = {.pool = POOL};
+    init_roster(&roster, 2);
+    target = MpRoster_Find(&roster, "t0");
+    MpTargetPause_Note(&target->pause, 5000, 900, 1000, 0);
+    MpRoster_GetPoolStatus(&roster, &query, 1000, &status);
+    g_assert_cmpint(status.pause_ms, ==, 0);
+    target->failures = 1; /* it may not be probed either */
+    target = MpRoster_Find(&roster, "t1");
+    MpTargetPause_Note(&target->pause, 3000, 900, 1000, 0);
+    MpRoster_GetPoolStatus(&roster, &query, 1000, &status);
+    g_assert_cmpint(status.pause_ms, ==, 4000);
+    g_assert_cmpint(status.resting, ==, 2);
+    g_assert_cmpint(pick_one(&roster, 3999), ==, MP_ERROR_NO_TARGET);
+    MpRoster_ListProbeCandidates(&roster, 3999, probes);
+    g_assert_cmpuint(probes->len, ==, 0);
+    g_assert_cmpint(pick_one(&roster, 4000), ==, MP_OK);
+    /* A target that leaves does not keep callers from hearing of a pause. */
+    target->is_leaving = true;
+    MpRoster_GetPoolStatus(&roster, &query, 4000, &status);
+    g_assert_cmpint(status.pause_ms, ==, 6000);
+    /* A new start ends a pause. */
+    list_one(&roster, true, 0, 4100);
+    list_one(&roster, false, 0, 4200);
+    g_assert_cmpint(pick_one(&roster, 4200), ==, MP_OK);
+    g_ptr_array_unref(probes);
+    MpRoster_Done(&roster);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -528,5 +609,8 @@
                     test_late_answers_refuse_low_ranks);
     g_test_add_func("/roster/a version that was not announced",
                     test_unannounced_version);
+    g_test_add_func("/roster/the list takes back no word of a target",
+                    test_said_leaving);
+    g_test_add_func("/roster/a paused target gets nothing", test_paused);
     return g_test_run();
 }
