A target that starts again under its name is not leaving, by its later start

Routers that get the list from the leader did not learn when a target had started, so a target that had said that it leaves, and was back under the same name with no list between that missed it, got nothing any more (leaving_target_gets_requests printed "later start False"). The leader passes the start on, and it counts as a change of the list.

--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -433,6 +433,7 @@
 	quad_t slots;
 	bool_t leaving;
 	quad_t cold_ms;
+	quad_t started_ms;
 };
 typedef struct mp_target mp_target;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -443,6 +443,7 @@
     hyper slots;   /* requests that it can run at the same time */
     bool leaving;  /* is shutting down; gets no new requests */
     hyper cold_ms; /* remaining time of slow responses after its start */
+    hyper started_ms; /* wall clock time of its start; 0: not reported */
 };
 
 /* The rate limit that a target names.  Ages are those of the request behind
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -708,6 +708,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->cold_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -466,7 +466,8 @@
                                          .version = from[i].software,
                                          .slots = from[i].slots,
                                          .is_leaving = from[i].leaving,
-                                         .cold_ms = from[i].cold_ms};
+                                         .cold_ms = from[i].cold_ms,
+                                         .started_ms = from[i].started_ms};
         g_ptr_array_add(list, entry);
     }
     return list;
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -46,6 +46,7 @@
     hash = XXH64(target->zone, strlen(target->zone), hash);
     hash = XXH64(version_of(target), strlen(version_of(target)), hash);
     hash = XXH64(&target->slots, sizeof(target->slots), hash);
+    hash = XXH64(&target->started_ms, sizeof(target->started_ms), hash);
     return XXH64(&target->is_leaving, sizeof(target->is_leaving), hash);
 }
 
@@ -73,7 +74,7 @@
 is_equal(const struct mp_target *a, const struct mp_target *b)
 {
     return a->slots == b->slots && a->leaving == b->leaving &&
-           strcmp(a->pool, b->pool) == 0 &&
+           a->started_ms == b->started_ms && strcmp(a->pool, b->pool) == 0 &&
            strcmp(a->address, b->address) == 0 &&
            strcmp(a->zone, b->zone) == 0 &&
            strcmp(a->software, b->software) == 0;
@@ -155,7 +156,8 @@
                                    .software = g_strdup(version_of(from)),
                                    .slots = from->slots,
                                    .leaving = from->is_leaving,
-                                   .cold_ms = from->cold_ms};
+                                   .cold_ms = from->cold_ms,
+                                   .started_ms = from->started_ms};
         g_array_append_val(this->targets, target);
     }
     compare_lists(this);
--- a/tests/runs/leaving_target_gets_requests.py
+++ b/tests/runs/leaving_target_gets_requests.py
@@ -71,6 +71,7 @@
     path_conf("/stream/", repeat="resume", stream=True, attempts=3)],
     instances=4, control=1,
     extra_settings={"retries": {"slack": 500}}, extra_pools=["q"])
+listed.entries[1]["born_ms"] = 1000
 with fleet:
     print("ready", all(wait_targets(fleet, name) for name in ROUTERS))
     running = []
@@ -146,3 +147,13 @@
     before = count_of(targets[2])
     print("back after it was gone", wait_for(
         lambda: calls(2) == {"200"} and count_of(targets[2]) - before > 10))
+
+    # The same name with a later start, while the list never named it so.
+    said["t1"] = "1"
+    all(hears("t1", r) for r in ROUTERS)
+    said.clear()
+    answered.clear()
+    before = count_of(targets[1])
+    listed.entries[1]["born_ms"] = 2000
+    print("later start", wait_for(
+        lambda: calls(2) == {"200"} and count_of(targets[1]) - before > 10))
