--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -92,9 +92,9 @@
     59: ("bytes after the end ignored", "FuzzRelay", 50),
     60: ("answer that ends with its connection counts as complete",
          "FuzzRelay", 50),
-    60: ("old refusal ends a pause", "FuzzRoster", 200),
-    61: ("paused target gets what no other takes", "FuzzRoster", 200),
-    62: ("list takes back that a target leaves", "FuzzRoster", 200),
+    61: ("old refusal ends a pause", "FuzzRoster", 200),
+    62: ("paused target gets what no other takes", "FuzzRoster", 200),
+    63: ("list takes back that a target leaves", "FuzzRoster", 200),
 }
 
 
