--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -97,6 +97,9 @@
     62: ("requests of both windows counted in full", "FuzzRetries", 50),
     63: ("slack shared by the instances of the moment", "FuzzRetries", 50),
     64: ("restarted instance uses the slack again", "FuzzRetries", 50),
+    65: ("old refusal ends a pause", "FuzzRoster", 200),
+    66: ("paused target gets what no other takes", "FuzzRoster", 200),
+    67: ("list takes back that a target leaves", "FuzzRoster", 200),
 }
 
 
