--- a/fuzz/FuzzRetries.c
+++ b/fuzz/FuzzRetries.c
@@ -49,8 +49,8 @@
 struct phase {
     int64_t until_ms;
     uint32_t load;     /* multiple of the load */
-    uint32_t from;     /* the routers that get it */
-    uint32_t part;     /* ... one in this many */
+    uint32_t from;     /* shifts which routers get it */
+    uint32_t part;     /* one router in so many does */
     uint32_t appetite; /* retries wanted in a tick; 255: all */
     bool is_late;      /* all retries arrive at the latest moment */
 };
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -55,9 +55,9 @@
     enum MpRepeatPolicy repeat;
     bool is_stream;
     bool may_have_run;
-    bool is_head_sent;  /* the caller has got the head of an answer */
-    bool is_resuming;   /* the attempt is to go on with that answer */
-    bool is_positioned; /* ... or with the stream that its caller takes up */
+    bool is_head_sent;     /* the caller has got the head of an answer */
+    bool is_resuming;      /* the attempt is to go on with that answer */
+    bool is_positioned;    /* resuming, or the caller takes up a stream */
     bool is_stream_answer; /* the answer is a stream of events */
     bool is_unordered;     /* its ids do not increase */
     bool is_unnumbered;    /* its last event has no id */
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -77,7 +77,7 @@
     bool has_response;    /* the head of the target's response has arrived */
     bool is_rejected;     /* that response says that nothing has run */
     bool is_relayed;      /* the body of that response goes to the caller */
-    bool is_event_stream; /* ... by whole events */
+    bool is_event_stream; /* the body is forwarded by whole events */
     bool is_stream_start; /* no byte of it has been looked at */
     int status;
     GByteArray *partial;       /* event that is not complete yet */
