--- a/src/transport/DocumentFetch.c
+++ b/src/transport/DocumentFetch.c
@@ -14,9 +14,9 @@
 /* A replica learns with the leader's next heartbeat that a document is
  * committed; one that has an older document is asked again after this, ms. */
 #define FETCH_RETRY_MS (MP_RAFT_HEARTBEAT_MS + 20)
-/* It is asked so many times before the leader is, which hundreds of instances
- * would ask at once. */
-#define FETCH_RETRIES_MAX 3
+/* It is asked again so many times before the leader is, which hundreds of
+ * instances would ask at once. */
+#define FETCH_RETRIES_MAX 1
 
 static const char *
 address_at(const struct MpControlClient *this, guint at)
