--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -109,10 +109,15 @@
                            "count": len(self.requests)}
                 self.requests.append(request)
                 if self.handle_request(self, request, conn) is False:
-                    conn.close()
                     return
         except OSError:
             pass
+        finally:
+            source.close()
+            conn.close()
+            with self.lock:
+                if conn in self.conns:
+                    self.conns.remove(conn)
 
     def stop(self):
         self.listener.close()
