--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -22,7 +22,6 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-FRONT, READY, CONTROL, INTERNAL = 8227, 8220, 8229, 7340
 HOST, KEY, TENANT = "shop.example", "key-of-the-tenant", "tenant"
 BOUNDS = {"contact-ms": 3000, "drain-ms": 3000, "grace-s": 8,
           "config-apply-ms": 2000, "retry-budget-ratio": 0.2,
@@ -33,6 +32,22 @@
     pass
 
 
+def free_ports(count):
+    """Returns ports that are free on all addresses, below those that the
+    system gives to outgoing connections."""
+    ports = []
+    for port in random.sample(range(12000, 30000), 4000):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun("no free ports")
+
+
 def in_background(work, *arguments):
     thread = threading.Thread(target=work, args=arguments, daemon=True)
     thread.start()
@@ -235,14 +250,18 @@
         self.listener.close()
         with self.lock:
             conns = list(self.conns)
+        dead = os.open(os.devnull, os.O_RDWR)
         for conn in conns:
             try:
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                 struct.pack("ii", 1, 0))
                 conn.shutdown(socket.SHUT_RD)
-                os.close(conn.detach())
+                # The thread of the connection still has the descriptor: it
+                # must not become that of another connection.
+                os.dup2(dead, conn.fileno())
             except OSError:
                 pass
+        os.close(dead)
 
 
 def respond(conn, request, status, body=b"", extra="", reason="OK"):
@@ -288,58 +307,65 @@
     """Machines 0, 1 and 2 have a disk and run both roles, any further ones a
     router."""
 
-    def __init__(self, machines=3, folder=None):
+    def __init__(self, machines=3):
+        program = os.path.join(ROOT, "target/mimosapath")
+        if not os.path.exists(program):
+            raise CannotRun("target/mimosapath is not built")
         self.folder = tempfile.mkdtemp(prefix="mimosapath-review-")
         self.net = "127.%d.%d" % (random.randint(20, 250),
                                   random.randint(1, 250))
         self.platform = Platform(self.ip(200))
         self.processes = {}
         self.machines = machines
-        self.first_start = True
+        ports = free_ports(7)
+        self.front_port, self.ready_port, self.control_port = ports[:3]
+        self.internal_ports, self.metrics_ports = ports[3:5], ports[5:]
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as text:
             self.roles = tomllib.load(text)["roles"]
-        program = os.path.join(ROOT, "target/mimosapath")
-        if not os.path.exists(program):
-            raise CannotRun("target/mimosapath is not built")
 
     def ip(self, number):
         return "%s.%d" % (self.net, number + 1)
 
     def front(self, machine):
-        return (self.ip(machine), FRONT)
+        return (self.ip(machine), self.front_port)
 
-    def settings(self, machine, role):
+    def settings(self, machine, role, is_first):
         serves = self.roles[role]["serves"]
         listen = {}
         if "edge" in serves:
             listen.update({"front": "%s:%d" % self.front(machine),
-                           "ready": "%s:%d" % (self.ip(machine), READY)})
+                           "ready": "%s:%d" % (self.ip(machine),
+                                               self.ready_port)})
         if "control_plane" in serves:
-            listen["control"] = "%s:%d" % (self.ip(machine), CONTROL)
+            listen["control"] = "%s:%d" % (self.ip(machine),
+                                           self.control_port)
         fields = {
             "node-name": "edge-%d" % machine, "role": role,
             "zone": "zone-%s" % "abc"[machine % 3], "ip": self.ip(machine),
-            "bootstrap": self.first_start, "listen": listen,
-            "internal-ports": [INTERNAL, INTERNAL + 15],
-            "seeds": ["%s:%d" % (self.ip(i), INTERNAL) for i in range(3)],
+            "bootstrap": is_first, "listen": listen,
+            "internal-ports": self.internal_ports,
+            "seeds": ["%s:%d" % (self.ip(i), self.control_port)
+                      for i in range(3)],
             "bounds": BOUNDS,
             "cloud": {"address": "%s:%d" % self.platform.address}}
         if machine < 3:
             fields["data-dir"] = os.path.join(self.folder,
                                               "data-%d-%s" % (machine, role))
-        # The platform's seeds are addresses of control.
-        fields["seeds"] = ["%s:%d" % (self.ip(i), CONTROL) for i in range(3)]
         return fields
 
     def start(self, machine, role):
+        is_first = (machine, role) not in self.processes
         with open(os.path.join(ROOT, self.roles[role]["template"])) as text:
-            settings = render(text.read(), [self.settings(machine, role)])
+            settings = render(text.read(),
+                              [self.settings(machine, role, is_first)])
+        for number, port in zip((9100, 9101), self.metrics_ports):
+            settings = settings.replace(":%d\"" % number, ":%d\"" % port)
         name = "%d-%s" % (machine, role)
         path = os.path.join(self.folder, name + ".yaml")
         with open(path, "w") as out:
             out.write(settings)
-        command = self.roles[role]["run"].replace(
-            "/etc/mimosapath/local.yaml", path).split()
+        command = [word.replace("/etc/mimosapath/local.yaml", path)
+                   for word in self.roles[role]["run"].split()]
         with open(os.path.join(self.folder, name + ".log"), "a") as log:
             self.processes[machine, role] = subprocess.Popen(
                 command, cwd=ROOT, stdout=log, stderr=log)
@@ -371,7 +397,7 @@
 
         def put():
             for machine in range(3):
-                answer = ask((self.ip(machine), CONTROL), "POST",
+                answer = ask((self.ip(machine), self.control_port), "POST",
                              "/config/replace",
                              {"Content-Type": "application/json"}, body, 2)
                 if answer.status == 200:
@@ -382,7 +408,7 @@
 
     def wait_ready(self, seconds=20):
         def is_ready(machine):
-            return ask((self.ip(machine), READY), "GET",
+            return ask((self.ip(machine), self.ready_port), "GET",
                        "/readyz", timeout=2).status == 200
         if not wait_for(lambda: all(is_ready(m)
                                     for m in range(self.machines)), seconds):
@@ -405,20 +431,24 @@
 
 def main(run, file):
     """Runs run(deployment, record), which returns whether the rule held."""
+    def end(number, frame):
+        raise CannotRun("ended by signal %d" % number)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end)
     record = Record(file)
     deployment = None
+    code = 2
     try:
         deployment = run.deployment()
         held = run.play(deployment, record)
         text = "the rule held" if held else "the rule was broken"
-        record.write("%s", text)
-        print(text)
         code = 0 if held else 1
-    except CannotRun as error:
-        record.write("cannot run: %s", error)
-        print("cannot run:", error)
-        code = 2
-    finally:
-        if deployment:
-            deployment.stop()
+    except Exception as error:
+        text = "cannot run: %s: %s" % (type(error).__name__, error)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+    if deployment:
+        deployment.stop()
+    record.write("%s", text)
+    print(text, flush=True)
     os._exit(code)
