Requests and connections of callers are counted by how they end

The logs could not tell why a caller's connection had closed: the HTTP library closes most of them, and the end of a process all that are left, without a line.

Each connection now has a record (HttpConn): a request that was read whole is counted when it is read and when it ends, with one end; a connection with the reason of its close. The counts are on the metrics address, and in the last line of a process, which the limit of the log does not drop. A connection on which a request stands at the end of a process has a line. No decision changes.

--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -23,6 +23,7 @@
     if (this->is_output_closed && !this->is_aborted) {
         this->is_handed_over = true;
         state = H2O_SEND_STATE_FINAL;
+        MpHttp_NoteEnd(req, MP_HTTP_ANSWERED);
     }
     else if (this->is_output_closed && full->len == 0) {
         this->is_handed_over = true;
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -48,6 +48,7 @@
     if (this->is_output_closed && this->unsent->len == 0 &&
         !this->is_aborted) {
         state = H2O_SEND_STATE_FINAL;
+        MpHttp_NoteEnd(req, MP_HTTP_ANSWERED);
     }
     h2o_send(req, &buffer, chunk->len > 0 ? 1 : 0, state);
 }
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -428,6 +428,7 @@
         this->reserved_mtok = 0;
     }
     this->forward.may_have_run |= this->forward.sends > 0;
+    MpHttp_NoteEnd(this->response.req, MP_HTTP_CALLER_LEFT);
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
     MpGatewayCall_GiveUp(
         this, this->forward.is_head_sent ? MP_STEP_CUT : MP_STEP_FAIL,
--- /dev/null
+++ b/src/transport/HttpConn.h
@@ -0,0 +1,95 @@
+#ifndef MP_TRANSPORT_HTTP_CONN_H
+#define MP_TRANSPORT_HTTP_CONN_H
+
+#include <glib.h>
+#include <h2o.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * HttpConn - one connection of a client to an HttpServer, and the record of
+ * how its requests and the connection itself end.
+ *
+ * Each request that was read whole is counted once when it is read and once
+ * when it ends, so that the counts of the ends add up to the requests read,
+ * but for those in progress.
+ */
+
+struct MpHttpServer;
+
+/* How a request ended. */
+enum MpHttpEnd {
+    MP_HTTP_ANSWERED,    /* whole response of a target or of this instance */
+    MP_HTTP_REFUSED,     /* error response of this instance */
+    MP_HTTP_CUT,         /* response aborted by this instance */
+    MP_HTTP_CALLER_LEFT, /* the client closed or reset its connection */
+    MP_HTTP_UNANSWERED,  /* the process ended first */
+    MP_HTTP_ENDS
+};
+
+/* Why a connection was closed. */
+enum MpHttpClose {
+    MP_HTTP_CLOSE_CLIENT,    /* by the client */
+    MP_HTTP_CLOSE_ANNOUNCED, /* after a response that announced it */
+    MP_HTTP_CLOSE_CUT,       /* to abort a response */
+    MP_HTTP_CLOSE_IDLE,      /* idle for too long */
+    MP_HTTP_CLOSE_STALLED,   /* its next request did not arrive in time */
+    MP_HTTP_CLOSE_STOP,      /* the process ends */
+    MP_HTTP_CLOSES
+};
+
+/* Counts of one server. */
+struct MpHttpCounts {
+    uint64_t read; /* requests read whole */
+    uint64_t ended[MP_HTTP_ENDS];
+    uint64_t opened; /* connections */
+    uint64_t closed[MP_HTTP_CLOSES];
+};
+
+/* Allocated in the memory of h2o's request. */
+struct MpHttpRequest {
+    struct MpHttpConn *conn;
+    h2o_req_t *req;
+    enum MpHttpEnd end; /* MP_HTTP_ENDS: not known yet */
+};
+
+struct MpHttpConn {
+    struct MpHttpServer *server;
+    h2o_socket_t *socket;
+    GList link;                    /* in MpHttpServer.conns */
+    struct MpHttpRequest *request; /* in progress, or NULL */
+    enum MpHttpClose reason;       /* why it is to be closed, or by default */
+    uint32_t requests;             /* read so far */
+    int64_t idle_since_ms;         /* end of the last request, or accepted */
+};
+
+/* Starts the record of an accepted connection. */
+void MpHttpConn_New(struct MpHttpServer *server, h2o_socket_t *socket);
+
+/* Returns the connection of a request. */
+struct MpHttpConn *MpHttpConn_Of(const h2o_req_t *req);
+
+/* Records that a request was read. */
+void MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req);
+
+/* Records how the request in progress ends; the first call counts. */
+void MpHttpConn_NoteEnd(struct MpHttpConn *this, enum MpHttpEnd end);
+
+/* Returns the bytes of a request that were received and are not answered: in
+ * the buffer, and waiting in the socket (at most a few KB of these). */
+size_t MpHttpConn_UnreadBytes(const struct MpHttpConn *this);
+
+/* Writes a line for a connection that the end of the process closes with a
+ * request on it, read or not, and counts it. */
+void MpHttpConn_Stop(struct MpHttpConn *this);
+
+/* Formats the counts of requests, and of connections still open, as fields of
+ * a log line, each after a blank. */
+void MpHttpCounts_Format(const struct MpHttpCounts *this, GString *out);
+
+/* Appends the counts as metrics; client, as in mimosapath_CLIENT_requests_...,
+ * says who connects to the server. */
+void MpHttpCounts_Write(const struct MpHttpCounts *this, const char *client,
+                        GString *out);
+
+#endif
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -82,6 +82,7 @@
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     struct MpHttpServer *this = ((struct server_handler *)handler)->server;
+    MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
     if (has_folded_header(req) || has_ambiguous_length(req)) {
         reject_malformed(req);
         return 0;
@@ -123,6 +124,8 @@
 {
     (void)self;
     int code = status_to_error(req->res.status);
+    MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
+    MpHttp_NoteEnd(req, MP_HTTP_REFUSED);
     h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", req->res.status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
@@ -148,6 +151,7 @@
         }
         setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &yes,
                    sizeof(yes));
+        MpHttpConn_New(this, socket);
         h2o_accept(&this->accept, socket);
     }
 }
@@ -171,6 +175,7 @@
 {
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
+    g_queue_init(&this->conns);
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = body_max_bytes;
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosapath"));
@@ -197,8 +202,22 @@
     h2o_context_request_shutdown(&this->context);
 }
 
+void
+MpHttpServer_Stop(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_Stop(link->data);
+    }
+}
+
 /* ---- requests and responses ---- */
 
+void
+MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end)
+{
+    MpHttpConn_NoteEnd(MpHttpConn_Of(req), end);
+}
+
 char *
 MpHttp_CopyHeader(const h2o_req_t *req, const char *name)
 {
@@ -236,6 +255,7 @@
 {
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
     int fd = h2o_socket_get_fd(socket);
+    MpHttp_NoteEnd(req, MP_HTTP_CUT);
     if (MpHttp_EndsWithConnection(req)) {
         struct linger reset = {.l_onoff = 1, .l_linger = 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -256,6 +276,7 @@
     req->res.status = status;
     req->res.reason = "Answer";
     req->res.content_length = size;
+    MpHttp_NoteEnd(req, status >= 400 ? MP_HTTP_REFUSED : MP_HTTP_ANSWERED);
     MpHttp_AddHeader(req, "content-type", content_type);
     h2o_send_inline(req, body, size);
 }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_HTTP_SERVER_H
 #define MP_TRANSPORT_HTTP_SERVER_H
 
+#include "transport/HttpConn.h"
 #include "transport/Loop.h"
 
 #include <h2o.h>
@@ -28,7 +29,8 @@
     void (*handle)(void *owner, h2o_req_t *req);
     void *owner;
     uint16_t port;
-    size_t connections;
+    GQueue conns; /* of struct MpHttpConn */
+    struct MpHttpCounts counts;
 };
 
 /* Listens on address and passes each request to handle; rejects bodies over
@@ -42,6 +44,13 @@
  * request. */
 void MpHttpServer_StopListening(struct MpHttpServer *this);
 
+/* The process ends: counts requests in progress as unanswered, and writes a
+ * line for each connection with a request on it. */
+void MpHttpServer_Stop(struct MpHttpServer *this);
+
+/* Records how a request ends; the first call counts. */
+void MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end);
+
 /* Returns a copy of a request header's value, NULL if there is none; free it
  * with g_free. */
 char *MpHttp_CopyHeader(const h2o_req_t *req, const char *name);
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -391,6 +391,11 @@
     if (settings->is_control) {
         MpReplica_Stop(&this->replica);
     }
-    MpLog_Event(LOG_NOTICE, "ended", "failed=%d", has_failed);
+    GString *counts = g_string_new(NULL);
+    if (settings->is_router) {
+        MpRouter_Stop(&this->router, counts);
+    }
+    MpLog_Last(LOG_NOTICE, "ended", "failed=%d%s", has_failed, counts->str);
+    g_string_free(counts, TRUE);
     return has_failed ? MP_ERROR_IO : MP_OK;
 }
--- a/src/transport/Log.c
+++ b/src/transport/Log.c
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -17,6 +18,8 @@
 #define TIME_BYTES 32
 #define EVENT_DROPPED "lines-left-out"
 #define TRUNCATION_MARK "...\n"
+/* Wait for a full pipe before the last line, ms. */
+#define LAST_WAIT_MS 100
 
 static char *log_instance;
 
@@ -142,7 +145,7 @@
 /* Writes one line.  A line that does not fit into the buffer is truncated and
  * ends with TRUNCATION_MARK. */
 static void
-write_line(int priority, const char *event, const char *text)
+write_line(int priority, const char *event, const char *text, bool is_last)
 {
     char time[TIME_BYTES];
     char line[LINE_BYTES];
@@ -155,7 +158,7 @@
         g_strlcpy(line + size - strlen(TRUNCATION_MARK), TRUNCATION_MARK,
                   sizeof(TRUNCATION_MARK));
     }
-    if (!is_allowed(priority, size)) {
+    if (!is_last && !is_allowed(priority, size)) {
         dropped++;
         return;
     }
@@ -173,7 +176,8 @@
                             G_LOG_LEVEL_WARNING)
                        ? LOG_WARNING
                        : LOG_INFO;
-    write_line(priority, "message", field_text(fields, count, "MESSAGE"));
+    write_line(priority, "message", field_text(fields, count, "MESSAGE"),
+               false);
     return G_LOG_WRITER_HANDLED;
 }
 
@@ -201,5 +205,19 @@
     va_start(args, format);
     g_vsnprintf(text, sizeof(text), format, args);
     va_end(args);
-    write_line(priority, event, text);
+    write_line(priority, event, text, false);
+}
+
+void
+MpLog_Last(int priority, const char *event, const char *format, ...)
+{
+    char text[LINE_BYTES];
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    va_list args;
+    count_event(event);
+    va_start(args, format);
+    g_vsnprintf(text, sizeof(text), format, args);
+    va_end(args);
+    poll(&out, 1, LAST_WAIT_MS);
+    write_line(priority, event, text, true);
 }
--- a/src/transport/Log.h
+++ b/src/transport/Log.h
@@ -33,4 +33,9 @@
 void MpLog_Event(int priority, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
+/* Writes the last line of a process, which is never dropped by the limit;
+ * waits a moment for a full pipe. */
+void MpLog_Last(int priority, const char *event, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
 #endif
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -333,6 +333,13 @@
     MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
 }
 
+void
+MpRouter_Stop(struct MpRouter *this, GString *out)
+{
+    MpHttpServer_Stop(&this->http);
+    MpHttpCounts_Format(&this->http.counts, out);
+}
+
 /* ---- start ---- */
 
 int
@@ -403,6 +410,7 @@
     uint64_t received = 0;
     uint64_t busy_ns = 0;
     MpMetrics_Write(&this->metrics, out);
+    MpHttpCounts_Write(&this->http.counts, "caller", out);
     g_hash_table_iter_init(&iter, this->picker.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         write_target(out, value);
--- a/src/transport/Router.h
+++ b/src/transport/Router.h
@@ -58,6 +58,10 @@
 void MpRouter_Drain(struct MpRouter *this, void (*on_drained)(void *owner),
                     void *owner);
 
+/* The process ends: records what its callers' connections still hold, and
+ * appends how their requests ended as fields of a log line. */
+void MpRouter_Stop(struct MpRouter *this, GString *out);
+
 /* Schedules the dispatch of queued requests to targets, at the end of the
  * current round of the event loop. */
 void MpRouter_ScheduleDispatch(struct MpRouter *this);
