Connections are not closed in the middle of a request

Callers sent a whole request on a kept connection and saw it close without an answer. h2o has one timeout for idle connections and for the reading of a request, counted from the end of the last response: a request whose rest came later than that was dropped. A document with a shorter idle timeout set it for all connections at once, so beside such a change requests that were being sent were cut, and connections closed that their callers could still use.

The instance now keeps these times itself. A connection is idle for as long as was in force when it became idle, or as is now, and a second more; the head of a request gets that time again, its body no pause that is longer, and at least 5 s. A request of which the rest does not come is refused with 408 (request_stalled). A request that crosses the close of an idle connection has a line (request-crossed-close) and is not run.

--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -447,8 +447,10 @@
      .unit = "ms",
      AT(MpLimitConf, idle_timeout_ms),
      .description =
-         "Longest time of a connection between two requests, until the "
-         "headers of the next one have arrived."},
+         "Longest time of a connection between two requests. A connection "
+         "that is idle already keeps a longer one that it had. The head of a "
+         "request must arrive within this time, and its body without a longer "
+         "pause, but with 5 s at least."},
     {.name = NULL},
 };
 static const struct MpSchema limit_schema = {.name = "limits",
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -83,6 +83,8 @@
     ROW(MP_ERROR_STREAM_VERSION, "stream_version_gone", 503, MP_RUN_NO,
         "The software version that began the stream is not in service or not "
         "known; start the stream anew."),
+    ROW(MP_ERROR_STALLED, "request_stalled", 408, MP_RUN_NO,
+        "The rest of the request did not arrive in time."),
 };
 
 const struct MpErrorInfo *
--- a/src/state/Error.h
+++ b/src/state/Error.h
@@ -47,7 +47,8 @@
     MP_ERROR_HELD_BACK = -34,
     MP_ERROR_HEAD_TOO_LARGE = -35,
     MP_ERROR_STREAM_VERSION = -36,
-    MP_ERROR_LAST = -37
+    MP_ERROR_STALLED = -37,
+    MP_ERROR_LAST = -38
 };
 
 /* Whether a target may have received the request. */
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -1,14 +1,26 @@
 #include "transport/HttpConn.h"
 
+#include "state/Error.h"
 #include "state/Metrics.h"
+#include "transport/ErrorBody.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* Bytes that wait in a socket are counted up to this number. */
 #define PEEK_BYTES 4096
+/* Shortest time that the rest of a request is waited for, ms. */
+#define STALL_MIN_MS 5000
+/* What the client sent before the timeout may arrive this much later, ms. */
+#define IDLE_MARGIN_MS 1000
+/* How long a new connection is kept open for its first request, ms. */
+#define FIRST_REQUEST_MS 1000
+/* How long a client may take to close its side after ours, ms; a request that
+ * crosses the close arrives within a round trip. */
+#define CLOSING_MS 300
 /* Longest name of a metric. */
 #define NAME_BYTES 64
 
@@ -17,8 +29,22 @@
 static const char *const close_names[MP_HTTP_CLOSES] = {
     "client", "announced", "cut", "idle", "stalled", "stop"};
 
+const char *
+MpHttpClose_Name(enum MpHttpClose reason)
+{
+    return close_names[reason];
+}
+
 /* ---- requests ---- */
 
+static void
+become_idle(struct MpHttpConn *this)
+{
+    this->idle_since_ms = MpLoop_Now();
+    this->idle_timeout_ms = this->server->idle_timeout_ms;
+    this->reading_since_ms = 0;
+}
+
 /* Called when h2o is done with a request: it was answered, or its connection
  * failed. */
 static void
@@ -33,7 +59,7 @@
         this->end == MP_HTTP_ENDS ? MP_HTTP_CALLER_LEFT : this->end;
     conn->server->counts.ended[end]++;
     conn->request = NULL;
-    conn->idle_since_ms = MpLoop_Now();
+    become_idle(conn);
     if (end == MP_HTTP_CUT) {
         conn->reason = MP_HTTP_CLOSE_CUT;
     }
@@ -80,10 +106,9 @@
 MpHttpConn_New(struct MpHttpServer *server, h2o_socket_t *socket)
 {
     struct MpHttpConn *this = g_new0(struct MpHttpConn, 1);
-    *this = (struct MpHttpConn){.server = server,
-                                .socket = socket,
-                                .reason = MP_HTTP_CLOSE_CLIENT,
-                                .idle_since_ms = MpLoop_Now()};
+    *this = (struct MpHttpConn){
+        .server = server, .socket = socket, .reason = MP_HTTP_CLOSE_CLIENT};
+    become_idle(this);
     this->link.data = this;
     g_queue_push_tail_link(&server->conns, &this->link);
     server->counts.opened++;
@@ -107,6 +132,106 @@
     return buffered + (size_t)MAX(waiting, 0);
 }
 
+/* ---- timeouts ---- */
+
+static void
+close_our_side(struct MpHttpConn *this, enum MpHttpClose reason)
+{
+    this->reason = reason;
+    this->closing_ms = MpLoop_Now();
+    shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
+}
+
+/* Returns whether the client has connected just now: its first request is on
+ * its way. */
+static bool
+is_fresh(const struct MpHttpConn *this)
+{
+    return this->requests == 0 &&
+           MpLoop_Now() - this->idle_since_ms < FIRST_REQUEST_MS;
+}
+
+void
+MpHttpConn_CloseIdle(struct MpHttpConn *this, enum MpHttpClose reason)
+{
+    if (!this->request && this->closing_ms == 0 && !is_fresh(this) &&
+        MpHttpConn_UnreadBytes(this) == 0) {
+        close_our_side(this, reason);
+    }
+}
+
+/* Refuses a request of which only a part has arrived. */
+static void
+refuse_stalled(struct MpHttpConn *this, int64_t now_ms)
+{
+    char *body = MpErrorBody_Format(MP_ERROR_STALLED, NULL, "no");
+    char *text = g_strdup_printf(
+        "HTTP/1.1 %d Answer\r\nConnection: close\r\n" MP_RUN_HEADER
+        ": no\r\nContent-Type: application/json\r\n"
+        "Content-Length: %zu\r\n\r\n%s",
+        MpError_Info(MP_ERROR_STALLED)->http_status, strlen(body), body);
+    MpLog_Event(LOG_NOTICE, "request-stalled",
+                "received_bytes=%zu since_ms=%" PRId64 " silent_ms=%" PRId64,
+                this->socket->input->size, now_ms - this->reading_since_ms,
+                now_ms - this->read_ms);
+    /* h2o writes nothing while it waits for a request.  A response of this
+     * size fits into the empty send buffer. */
+    send(h2o_socket_get_fd(this->socket), text, strlen(text),
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    close_our_side(this, MP_HTTP_CLOSE_STALLED);
+    g_free(text);
+    g_free(body);
+}
+
+/* The head of a request has to arrive within the timeout; its body may take
+ * longer, but not pause for longer. */
+static void
+check_reading(struct MpHttpConn *this, int64_t timeout_ms, int64_t now_ms)
+{
+    const h2o_buffer_t *input = this->socket->input;
+    if (this->reading_since_ms == 0) {
+        this->reading_since_ms = now_ms;
+        this->read_ms = now_ms;
+    }
+    if (this->socket->bytes_read != this->read_bytes) {
+        this->read_bytes = this->socket->bytes_read;
+        this->read_ms = now_ms;
+    }
+    timeout_ms = MAX(timeout_ms, STALL_MIN_MS);
+    if (now_ms - this->reading_since_ms < timeout_ms) {
+        return;
+    }
+    bool has_head =
+        g_strstr_len(input->bytes, (gssize)input->size, "\r\n\r\n") != NULL;
+    if (!has_head || now_ms - this->read_ms >= timeout_ms) {
+        refuse_stalled(this, now_ms);
+    }
+}
+
+void
+MpHttpConn_Check(struct MpHttpConn *this, int64_t now_ms)
+{
+    /* Callers go by the timeout that held when the connection became idle, or
+     * by a longer one that came into force since. */
+    int64_t timeout_ms =
+        MAX(this->idle_timeout_ms, this->server->idle_timeout_ms);
+    if (this->closing_ms > 0) {
+        if (now_ms - this->closing_ms >= CLOSING_MS) {
+            shutdown(h2o_socket_get_fd(this->socket), SHUT_RDWR);
+        }
+        return;
+    }
+    if (this->request) {
+        return;
+    }
+    if (this->socket->input->size > 0) {
+        check_reading(this, timeout_ms, now_ms);
+    }
+    else if (now_ms - this->idle_since_ms >= timeout_ms + IDLE_MARGIN_MS) {
+        MpHttpConn_CloseIdle(this, MP_HTTP_CLOSE_IDLE);
+    }
+}
+
 void
 MpHttpConn_Stop(struct MpHttpConn *this)
 {
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -61,14 +61,32 @@
     enum MpHttpClose reason;       /* why it is to be closed, or by default */
     uint32_t requests;             /* read so far */
     int64_t idle_since_ms;         /* end of the last request, or accepted */
+    int64_t idle_timeout_ms;       /* in force at idle_since_ms */
+    int64_t reading_since_ms;      /* first seen part of the next request, or
+                                    * 0 */
+    size_t read_bytes;             /* by the last check, of all requests */
+    int64_t read_ms;               /* when read_bytes last changed */
+    int64_t closing_ms;            /* when our side was closed, 0: open */
 };
 
+/* Returns the name of a reason for log lines and metrics. */
+const char *MpHttpClose_Name(enum MpHttpClose reason);
+
 /* Starts the record of an accepted connection. */
 void MpHttpConn_New(struct MpHttpServer *server, h2o_socket_t *socket);
 
 /* Returns the connection of a request. */
 struct MpHttpConn *MpHttpConn_Of(const h2o_req_t *req);
 
+/* Closes a connection that is idle for longer than its timeout, and one whose
+ * next request does not arrive in time; completes a close under way. */
+void MpHttpConn_Check(struct MpHttpConn *this, int64_t now_ms);
+
+/* Closes an idle connection: our side at once, the rest when the client closes
+ * or a moment later.  One with bytes of a request on it stays open, and so
+ * does one that was opened just now. */
+void MpHttpConn_CloseIdle(struct MpHttpConn *this, enum MpHttpClose reason);
+
 /* Records that a request was read. */
 void MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req);
 
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -4,12 +4,21 @@
 #include "transport/ErrorBody.h"
 #include "transport/Log.h"
 
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define ACCEPT_BATCH 64
+/* Idle timeout until the owner sets one, ms. */
+#define IDLE_TIMEOUT_MS 60000
+/* Interval of checks for idle connections, ms. */
+#define CHECK_MS 100
+/* h2o has one timeout for idle connections and for the reading of a request,
+ * and closes a connection in the middle of one.  HttpConn keeps these times
+ * instead. */
+#define H2O_TIMEOUT_MS (UINT64_C(365) * 24 * 3600 * 1000)
 /* h2o_req_t.version */
 #define HTTP_1_1 0x101
 
@@ -78,10 +87,28 @@
     g_free(text);
 }
 
+/* Drops a request that the client sent before it saw the close of its idle
+ * connection: nothing can be written to it any more. */
+static void
+drop_crossed(const struct MpHttpConn *conn, h2o_req_t *req)
+{
+    MpLog_Event(LOG_NOTICE, "request-crossed-close",
+                "reason=%s closed_ms=%" PRId64 " idle_ms=%" PRId64,
+                MpHttpClose_Name(conn->reason),
+                MpLoop_Now() - conn->closing_ms,
+                MpLoop_Now() - conn->idle_since_ms);
+    req->http1_is_persistent = 0;
+    h2o_send_inline(req, "", 0);
+}
+
 static int
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     struct MpHttpServer *this = ((struct server_handler *)handler)->server;
+    if (MpHttpConn_Of(req)->closing_ms > 0) {
+        drop_crossed(MpHttpConn_Of(req), req);
+        return 0;
+    }
     MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
     if (has_folded_header(req) || has_ambiguous_length(req)) {
         reject_malformed(req);
@@ -139,21 +166,42 @@
 
 /* ---- listening ---- */
 
-static void
-on_accept(h2o_socket_t *listener, const char *error)
+/* Accepts up to ACCEPT_BATCH connections; returns whether there may be
+ * more. */
+static bool
+accept_batch(struct MpHttpServer *this)
 {
-    struct MpHttpServer *this = listener->data;
     int yes = 1;
-    for (int i = 0; !error && i < ACCEPT_BATCH; i++) {
-        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+    for (int i = 0; i < ACCEPT_BATCH; i++) {
+        h2o_socket_t *socket = h2o_evloop_socket_accept(this->listener);
         if (!socket) {
-            return;
+            return false;
         }
         setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &yes,
                    sizeof(yes));
         MpHttpConn_New(this, socket);
         h2o_accept(&this->accept, socket);
     }
+    return true;
+}
+
+static void
+on_accept(h2o_socket_t *listener, const char *error)
+{
+    if (!error) {
+        accept_batch(listener->data);
+    }
+}
+
+static void
+on_check_timer(struct MpTimer *timer)
+{
+    struct MpHttpServer *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_Check(link->data, now_ms);
+    }
+    MpLoop_SetTimer(this->loop, timer, CHECK_MS, on_check_timer, this);
 }
 
 static void
@@ -176,21 +224,30 @@
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
     g_queue_init(&this->conns);
+    this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = body_max_bytes;
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosapath"));
     this->config.http1.upgrade_to_http2 = 0;
+    this->config.http1.req_timeout = H2O_TIMEOUT_MS;
     h2o_hostconf_t *host = h2o_config_register_host(
         &this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     add_path(this, host);
     h2o_context_init(&this->context, loop->h2o, &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
+    MpLoop_SetTimer(loop, &this->check_timer, CHECK_MS, on_check_timer, this);
     this->listener =
         MpLoop_Listen(loop, address, on_accept, this, &this->port);
     return this->listener ? MP_OK : MP_ERROR_IO;
 }
 
+void
+MpHttpServer_SetIdleTimeout(struct MpHttpServer *this, int64_t timeout_ms)
+{
+    this->idle_timeout_ms = timeout_ms;
+}
+
 void
 MpHttpServer_StopListening(struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -31,6 +31,8 @@
     uint16_t port;
     GQueue conns; /* of struct MpHttpConn */
     struct MpHttpCounts counts;
+    struct MpTimer check_timer;
+    int64_t idle_timeout_ms;
 };
 
 /* Listens on address and passes each request to handle; rejects bodies over
@@ -40,6 +42,11 @@
                        void (*handle)(void *owner, h2o_req_t *req),
                        void *owner);
 
+/* Sets how long a connection may be idle, ms.  Connections that are idle
+ * already keep a longer timeout that held when they became idle. */
+void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
+                                 int64_t timeout_ms);
+
 /* Closes the listener; open connections are closed after their current
  * request. */
 void MpHttpServer_StopListening(struct MpHttpServer *this);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -198,8 +198,7 @@
     struct MpRouter *this = owner;
     MpPicker_SetDocument(&this->picker, document);
     MpGateway_SetDocument(&this->gateway, document);
-    this->http.context.http1.req_timeout.timeout =
-        (uint64_t)document->limits.idle_timeout_ms;
+    MpHttpServer_SetIdleTimeout(&this->http, document->limits.idle_timeout_ms);
     MpRouter_ScheduleDispatch(this);
 }
 
--- /dev/null
+++ b/tests/runs/idle_timeout_cuts_requests.py
@@ -0,0 +1,113 @@
+"""A connection is closed while a request is being sent on it, or is on its way,
+as the idle timeout was shortened or has run for longer than the rest takes."""
+import json
+import socket
+import time
+
+from fleet import KEY, wait_for
+from pathfleet import (NATIVE, PLATFORM, SimTarget, path_conf, path_fleet,
+                       platform_fleet, respond, wait_targets)
+
+LONG_MS, SHORT_MS = 20000, 500
+
+
+def handle_request(target, request, conn):
+    respond(conn, request, "%d" % len(request["body"]))
+
+
+def put_timeout(fleet, is_platform, version, timeout_ms):
+    """Puts a document with this idle timeout; returns whether it is taken."""
+    if is_platform:
+        document = json.loads(fleet.operator_request(
+            "GET", "/config/read").body)
+        document.update(version=version,
+                        limits={"idle-timeout-ms": timeout_ms})
+        return wait_for(lambda: fleet.operator_request(
+            "POST", "/config/replace", json.dumps(document)).status == 200)
+    answer = fleet.operator_request("GET", "/control/v1/document")
+    document = answer.json()
+    document["limits"] = {"idle_timeout_ms": timeout_ms}
+    base = int(answer.headers["etag"].strip('"'))
+    return fleet.put_document(document, base, "put-%d" % version).status == 200
+
+
+class Caller:
+    """A connection with a number of requests on it."""
+
+    def __init__(self, fleet, names, name):
+        self.names, self.name, self.count = names, name, 0
+        self.conn = socket.create_connection(
+            ("127.0.0.1", fleet.callers["i0"]), 15)
+
+    def head(self, size):
+        self.count += 1
+        fields = {"host": "h.example", "authorization": "Bearer " + KEY,
+                  "content-length": str(size), self.names["id"]: "%s-%d" % (
+                      self.name, self.count)}
+        fields.update(self.names["caller"])
+        return "POST /x/ HTTP/1.1\r\n%s\r\n" % "".join(
+            "%s: %s\r\n" % field for field in fields.items())
+
+    def send(self, text):
+        try:
+            self.conn.sendall(text.encode())
+        except OSError:
+            pass  # the answer tells
+
+    def answer(self):
+        """Returns the status, or how the connection ended without one."""
+        try:
+            data = self.conn.recv(65536)
+        except OSError as error:
+            return type(error).__name__
+        return data.split(b" ")[1].decode() if data else "closed"
+
+    def call(self):
+        self.send(self.head(2) + "ab")
+        return self.answer()
+
+
+def play(label, names, make_fleet):
+    fleet, _ = make_fleet([SimTarget("t0", handle_request)],
+                          [path_conf("/x/")], instances=1, control=1)
+    is_platform = names is PLATFORM
+
+    def put(version, timeout_ms):
+        taken = put_timeout(fleet, is_platform, version, timeout_ms)
+        time.sleep(1.5)  # in force within a second
+        return taken
+
+    with fleet:
+        print(label, "ready", wait_targets(fleet, "i0", "/x/", headers=dict(
+            names["caller"], **{names["id"]: "first"})))
+        print("long timeout", put(2, LONG_MS))
+        half, idle, head = (Caller(fleet, names, n) for n in
+                            ("half", "idle", "head"))
+        print("before", half.call(), idle.call(), head.call())
+        time.sleep(1)
+        half.send(half.head(10) + "abc")
+        text = head.head(2) + "ab"
+        head.send(text[:30])
+        print("short timeout", put(3, SHORT_MS))
+        half.send("defghij")
+        head.send(text[30:])
+        print("body sent across the change", half.answer())
+        print("head sent across the change", head.answer())
+        print("idle across the change", idle.call())
+        slow = Caller(fleet, names, "slow")
+        print("before", slow.call())
+        time.sleep(SHORT_MS * 0.8 / 1000)
+        slow.send(slow.head(10))
+        for _ in range(10):
+            time.sleep(0.2)
+            slow.send("x")
+        print("body that takes four times as long", slow.answer())
+        silent = Caller(fleet, names, "silent")
+        silent.send(silent.head(10) + "abc")
+        print("body that stops", silent.answer())
+        unused = Caller(fleet, names, "unused")
+        print("before", unused.call(), "then", unused.answer())
+
+
+play("own interface,", NATIVE, path_fleet)
+play("platform,", PLATFORM, platform_fleet)
