Connections are closed in stages after a last response

A caller that was refused while it was still sending (a body over the limit, a request that cannot be read with more behind it) saw its connection reset: a socket that is closed with unread bytes is reset, and the reset can overtake the refusal.

Left: bytes that are not HTTP, which the library answers itself with a plain 400.

--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -66,6 +66,11 @@
     else if (end != MP_HTTP_CALLER_LEFT && !this->req->http1_is_persistent) {
         conn->reason = MP_HTTP_CLOSE_ANNOUNCED;
     }
+    if (conn->reason == MP_HTTP_CLOSE_ANNOUNCED && this->must_linger) {
+        /* h2o closes the socket now. */
+        MpLingeringClose_Start(&conn->server->lingering,
+                               h2o_socket_get_fd(conn->socket));
+    }
 }
 
 void
@@ -73,8 +78,10 @@
 {
     struct MpHttpRequest *request =
         h2o_mem_alloc_shared(&req->pool, sizeof(*request), on_request_freed);
-    *request =
-        (struct MpHttpRequest){.conn = this, .req = req, .end = MP_HTTP_ENDS};
+    *request = (struct MpHttpRequest){.conn = this,
+                                      .req = req,
+                                      .end = MP_HTTP_ENDS,
+                                      .must_linger = req->http1_is_persistent};
     this->request = request;
     this->requests++;
     this->server->counts.read++;
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -51,6 +51,7 @@
     struct MpHttpConn *conn;
     h2o_req_t *req;
     enum MpHttpEnd end; /* MP_HTTP_ENDS: not known yet */
+    bool must_linger;   /* the client may send more after the response */
 };
 
 struct MpHttpConn {
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -153,6 +153,8 @@
     int code = status_to_error(req->res.status);
     MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
     MpHttp_NoteEnd(req, MP_HTTP_REFUSED);
+    /* The client may still be sending what h2o does not read. */
+    MpHttpConn_Of(req)->request->must_linger = true;
     h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", req->res.status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
@@ -224,6 +226,7 @@
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
     g_queue_init(&this->conns);
+    MpLingeringClose_Init(&this->lingering, loop);
     this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = body_max_bytes;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -2,6 +2,7 @@
 #define MP_TRANSPORT_HTTP_SERVER_H
 
 #include "transport/HttpConn.h"
+#include "transport/LingeringClose.h"
 #include "transport/Loop.h"
 
 #include <h2o.h>
@@ -31,6 +32,7 @@
     uint16_t port;
     GQueue conns; /* of struct MpHttpConn */
     struct MpHttpCounts counts;
+    struct MpLingeringClose lingering;
     struct MpTimer check_timer;
     int64_t idle_timeout_ms;
 };
