A process that ends answers what waits on its connections

While an instance stops, connections in the queue of its listener were reset with the requests on them, and at its end all idle connections were closed without a look at them, in the round of the loop in which the last request ended.

The listener is closed when its queue is empty.

--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -255,6 +255,8 @@
 MpHttpServer_StopListening(struct MpHttpServer *this)
 {
     if (this->listener) {
+        while (accept_batch(this)) {
+        }
         h2o_socket_read_stop(this->listener);
         h2o_socket_close(this->listener);
         this->listener = NULL;
@@ -262,6 +264,20 @@
     h2o_context_request_shutdown(&this->context);
 }
 
+void
+MpHttpServer_CloseIdle(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_CloseIdle(link->data, MP_HTTP_CLOSE_STOP);
+    }
+}
+
+bool
+MpHttpServer_IsClosed(const struct MpHttpServer *this)
+{
+    return this->conns.length == 0 && this->lingering.sockets.length == 0;
+}
+
 void
 MpHttpServer_Stop(struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -49,10 +49,16 @@
 void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
                                  int64_t timeout_ms);
 
-/* Closes the listener; open connections are closed after their current
- * request. */
+/* Closes the listener once it has taken the connections that wait in its
+ * queue; open connections are closed after their next response. */
 void MpHttpServer_StopListening(struct MpHttpServer *this);
 
+/* Closes idle connections. */
+void MpHttpServer_CloseIdle(struct MpHttpServer *this);
+
+/* Returns whether all connections are closed. */
+bool MpHttpServer_IsClosed(const struct MpHttpServer *this);
+
 /* The process ends: counts requests in progress as unanswered, and writes a
  * line for each connection with a request on it. */
 void MpHttpServer_Stop(struct MpHttpServer *this);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -285,6 +285,14 @@
     MpGateway_StopCalls(&this->gateway);
 }
 
+static bool
+is_idle(const struct MpRouter *this)
+{
+    return this->exchanges.length == 0 &&
+           MpLeaseManager_Pending(this->leases) == 0 &&
+           MpGateway_IsIdle(&this->gateway);
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -296,10 +304,11 @@
         if (now_ms >= this->drain_until_ms - STOP_ANSWER_MS) {
             stop_requests(this);
         }
-        bool is_idle = this->exchanges.length == 0 &&
-                       MpLeaseManager_Pending(this->leases) == 0 &&
-                       MpGateway_IsIdle(&this->gateway);
-        if (is_idle || now_ms >= this->drain_until_ms) {
+        if (is_idle(this)) {
+            MpHttpServer_CloseIdle(&this->http);
+        }
+        if ((is_idle(this) && MpHttpServer_IsClosed(&this->http)) ||
+            now_ms >= this->drain_until_ms) {
             MpLog_Event(LOG_NOTICE, "drained", "left=%u",
                         this->exchanges.length);
             this->on_drained(this->owner);
