The head of a stream waits for its first bytes

What callers saw: a target that sent the head of a stream and then broke off, fell silent until the deadline or was given up at the end of a drain left the caller a connection that closed without a byte; a stream that may be sent once was also billed for its prompt.

Cause: the head of an event stream counted as sent when it came from the target, though the HTTP library holds it until the first data. From then on the answer could only be cut, or resumed at the same version and with the first head.

Change: the head of a stream is held as those of other bodies are, until the first bytes are about to go out (GatewayResponse, taken out of GatewayAttempt). Until then an attempt that fails may be replaced by a new one, or the caller gets the error (504 with x-mimosapath-run: unknown) on a connection that lives on, and nothing is billed. The version at which a stream began is noted with its first bytes, so that it is that of the target which sent them. Before the first bytes an attempt counts as stalled by the latency target, not by the event gap. first_ms tells the time to the first bytes sent.

FuzzForward starts an answer with its first event, and asks in addition that an answer is cut only if the caller has some of it. The simulated platform of the runs takes a budget, and knows streams that may be sent once and event gaps.

runs/stream_ends_inside_event expected that a stream without any event ended with a closed connection; it now expects the error (504), which asks for more.

--- a/fuzz/FuzzForward.c
+++ b/fuzz/FuzzForward.c
@@ -13,8 +13,9 @@
  * Oracle, from what the targets did: an at-most-once request runs at most
  * once; a request is refused as "not run" only if no target ran it; no more
  * targets than allowed run it; the caller gets each event once and in order; a
- * response that breaks off after its head ends as cut, and no second response
- * follows; no attempt starts after the deadline.
+ * response that breaks off after its first event ends as cut, one that breaks
+ * off before in an error or another attempt, and no second response follows;
+ * no attempt starts after the deadline.
  */
 
 #define EVENTS 6
@@ -22,6 +23,7 @@
 struct oracle {
     uint32_t runs;
     int64_t next_event; /* event number that the caller expects next */
+    bool has_answer;    /* the caller has got an event */
 };
 
 /* Simulates one attempt; returns its result as the router sees it. */
@@ -42,28 +44,31 @@
     int64_t first = forward->last_event + 1;
     int64_t stop =
         behavior == 3 ? (int64_t)FuzzInput_Below(input, EVENTS) : EVENTS;
-    if (!forward->is_head_sent) {
-        MpForward_StartAnswer(forward, true);
-    }
     if (forward->is_positioned && FuzzInput_Below(input, 4) == 0) {
         /* The target goes on at another place than it was asked for. */
         first = FuzzInput_Below(input, (uint32_t)first + 1);
     }
     /* An unnumbered stream, or events without an id among others. */
     uint32_t unnumbered = FuzzInput_Below(input, 8);
+    int64_t left = MAX(stop - first, 0);
     for (int64_t event = first; event < stop; event++) {
         bool has_id = unnumbered > 1 || (unnumbered && event % 2 == 0);
         if (!MpForward_TakeEvent(forward, true, has_id ? event : -1)) {
-            return MP_RESULT_CUT;
+            break;
+        }
+        if (!forward->is_head_sent) {
+            MpForward_StartAnswer(forward, true);
         }
         if (event != oracle->next_event) {
             Fuzz_Fail("caller got event %d, expected %d", (int)event,
                       (int)oracle->next_event);
         }
         oracle->next_event++;
+        oracle->has_answer = true;
+        left--;
     }
-    *is_complete = behavior > 3;
-    return MP_RESULT_CUT;
+    *is_complete = behavior > 3 && left == 0;
+    return oracle->has_answer ? MP_RESULT_CUT : MP_RESULT_UNKNOWN;
 }
 
 static void
@@ -73,8 +78,11 @@
     if (step == MP_STEP_REFUSE && oracle->runs > 0) {
         Fuzz_Fail("request refused as not run after %u runs", oracle->runs);
     }
-    if (step != MP_STEP_CUT && forward->is_head_sent) {
-        Fuzz_Fail("second response after the head of the first");
+    if (step != MP_STEP_CUT && oracle->has_answer) {
+        Fuzz_Fail("second response after the start of the first");
+    }
+    if (step == MP_STEP_CUT && !oracle->has_answer) {
+        Fuzz_Fail("response cut of which the caller got nothing");
     }
 }
 
--- a/src/coordination/Forward.h
+++ b/src/coordination/Forward.h
@@ -22,7 +22,7 @@
 #define MP_FORWARD_ATTEMPT_MIN_MS 20
 
 /* An attempt counts as stalled after this multiple, in tenths, of the latency
- * target (before the head of the answer) or of the event gap (after it).
+ * target (before the caller has any of the answer) or of the event gap (then).
  * Callers of streams disconnect at 4 and 8 times these values. */
 #define MP_FORWARD_FIRST_STALL_TENTHS 25
 #define MP_FORWARD_GAP_STALL_TENTHS 25
@@ -34,7 +34,7 @@
 enum MpForwardResult {
     MP_RESULT_NOT_RUN, /* the target said so, or nothing was sent */
     MP_RESULT_UNKNOWN, /* sent, without a usable answer: it may have run */
-    MP_RESULT_CUT      /* the answer broke off after its head was forwarded */
+    MP_RESULT_CUT      /* the answer broke off after its start was forwarded */
 };
 
 /* What the owner does next with the request. */
@@ -55,7 +55,7 @@
     enum MpRepeatPolicy repeat;
     bool is_stream;
     bool may_have_run;
-    bool is_head_sent;     /* the caller has got the head of an answer */
+    bool is_head_sent;     /* the start of an answer went to the caller */
     bool is_resuming;      /* the attempt is to go on with that answer */
     bool is_positioned;    /* resuming, or the caller takes up a stream */
     bool is_stream_answer; /* the answer is a stream of events */
@@ -78,7 +78,8 @@
 /* Counts the start of an attempt. */
 void MpForward_StartAttempt(struct MpForward *this);
 
-/* Notes that the head of an answer goes to the caller. */
+/* Notes that an answer goes to the caller: its head and, if a body is due, the
+ * first bytes of that. */
 void MpForward_StartAnswer(struct MpForward *this, bool is_stream_answer);
 
 /* Takes the next event of the current attempt, or a block without data; id is
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -4,6 +4,7 @@
 #include "transport/GatewayNotice.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
+#include "transport/GatewayResponse.h"
 #include "transport/GatewayStream.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
@@ -16,12 +17,6 @@
 /* Shortest Retry-After when no target takes a request now, ms. */
 #define RETRY_AFTER_MIN_MS 100
 
-static bool
-is_resumable(const struct MpGatewayCall *this)
-{
-    return this->path->repeat == MP_REPEAT_RESUME;
-}
-
 static bool
 may_retry(struct MpGatewayCall *this)
 {
@@ -44,8 +39,6 @@
     this->conn = NULL;
 }
 
-static void drop_head(struct MpGatewayCall *this);
-
 void
 MpGatewayAttempt_Cancel(struct MpGatewayCall *this,
                         enum MpTargetOutcome outcome)
@@ -53,7 +46,7 @@
     if (this->conn) {
         MpTargetConn_Cancel(this->conn);
     }
-    drop_head(this);
+    MpGatewayResponse_DropHead(this);
     release_target(this, outcome);
 }
 
@@ -79,6 +72,13 @@
     MpGatewaySuspect_Admit(this);
 }
 
+/* Returns the result of an attempt that broke off or was given up. */
+static enum MpForwardResult
+result_of_break(const struct MpGatewayCall *this)
+{
+    return this->forward.is_head_sent ? MP_RESULT_CUT : MP_RESULT_UNKNOWN;
+}
+
 /* Returns whether the target rejected the request without running it. */
 static bool
 is_rejected(const struct MpGatewayCall *this, const struct MpTargetHead *head)
@@ -89,57 +89,6 @@
                              &size) != NULL;
 }
 
-/* Sends the head of the response to the caller. */
-static void
-start_response(struct MpGatewayCall *this)
-{
-    if (this->is_event_stream && is_resumable(this)) {
-        MpGatewayVersions_NoteBegun(this);
-    }
-    this->is_head_held = false;
-    MpForward_StartAnswer(&this->forward, this->is_event_stream);
-    this->caller_status = this->status;
-    /* The length holds for the first target's bytes only. */
-    bool has_size =
-        this->held_size >= 0 && !(this->is_event_stream && is_resumable(this));
-    this->response.id = this->id;
-    MpCallerResponse_Start(&this->response, this->status,
-                           has_size ? (size_t)this->held_size : SIZE_MAX);
-}
-
-/* Takes over the head of the response.  If a body is due, the head waits for
- * its first bytes: a target that fails before them can still be replaced, or
- * the failure be told. */
-static void
-take_head(struct MpGatewayCall *this, const struct MpTargetHead *head)
-{
-    size_t size;
-    this->held_size = head->size;
-    this->is_head_held = !this->is_event_stream && !this->is_head &&
-                         head->size != 0 && head->status != 204 &&
-                         head->status != 304;
-    if (this->response.req) {
-        MpGatewayRequest_CopyHeaders(head, this->response.req);
-        if (!MpTargetHead_Find(head, this->gateway->dialect->target.request_id,
-                               &size)) {
-            MpGatewayRequest_AddId(this, this->response.req);
-        }
-    }
-    if (!this->is_head_held) {
-        start_response(this);
-    }
-}
-
-/* Drops a head that was not sent. */
-static void
-drop_head(struct MpGatewayCall *this)
-{
-    if (this->is_head_held && this->response.req) {
-        MpGatewayRequest_ClearHeaders(this->response.req);
-    }
-    this->is_head_held = false;
-}
-
 static void
 note_delay(struct MpGatewayCall *this, int64_t now_ms)
 {
@@ -160,7 +109,7 @@
     g_byte_array_set_size(this->partial, 0);
     MpGatewayAttempt_Cancel(this, is_refused ? MP_OUTCOME_REFUSED
                                              : MP_OUTCOME_ERROR);
-    run_next_step(this, MP_RESULT_CUT, MP_ERROR_STREAM_CUT);
+    run_next_step(this, result_of_break(this), MP_ERROR_STREAM_CUT);
 }
 
 static void
@@ -194,8 +143,7 @@
     }
     this->is_relayed = true;
     if (!this->forward.is_resuming) {
-        this->first_byte_ms = now_ms - this->forward.began_ms;
-        take_head(this, head);
+        MpGatewayResponse_TakeHead(this, head);
     }
 }
 
@@ -217,9 +165,6 @@
     if (!this->is_relayed) {
         return;
     }
-    if (this->is_head_held) {
-        start_response(this);
-    }
     if (this->is_event_stream) {
         int code = MpGatewayStream_Forward(this, data, size);
         if (code == MP_ERROR_TOO_LARGE) {
@@ -231,7 +176,7 @@
         }
     }
     else {
-        MpCallerResponse_Write(&this->response, data, size);
+        MpGatewayResponse_Write(this, data, size);
     }
     if (this->response.pending->len > MP_RESPONSE_HIGH_BYTES && this->conn) {
         MpTargetConn_Pause(this->conn);
@@ -261,9 +206,7 @@
 on_complete(struct MpGatewayCall *this)
 {
     if (this->is_relayed) {
-        if (this->is_head_held) {
-            start_response(this);
-        }
+        MpGatewayResponse_SendHead(this);
         finish_response(this);
         return;
     }
@@ -279,7 +222,7 @@
     release_target(this, this->status == 503 || this->status < 500
                              ? MP_OUTCOME_REFUSED
                              : MP_OUTCOME_ERROR);
-    run_next_step(this, is_resuming ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
+    run_next_step(this, result_of_break(this),
                   is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_TARGET_FAILED);
 }
 
@@ -310,7 +253,7 @@
         on_complete(this);
         return;
     }
-    drop_head(this);
+    MpGatewayResponse_DropHead(this);
     if (result == MP_TARGET_INCOMPLETE) {
         MpGatewaySuspect_ProbeTarget(this);
     }
@@ -324,9 +267,7 @@
         run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_NO_TARGET);
         return;
     }
-    run_next_step(
-        this, this->forward.is_head_sent ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
-        MP_ERROR_STREAM_CUT);
+    run_next_step(this, result_of_break(this), MP_ERROR_STREAM_CUT);
 }
 
 static const struct MpTargetConnClass attempt_class = {
@@ -467,7 +408,7 @@
         .avoid = this->tried,
         .permitted = this->permitted,
         .version = this->version,
-        .view = is_resumable(this) ? &gateway->versions : NULL,
+        .view = MpGatewayCall_IsResumable(this) ? &gateway->versions : NULL,
         .heard_ms = gateway->control->heard_ms,
         .boot_ms = MpLoop_BootMs(),
         .instance_rank = gateway->dialer.peers.own_rank,
@@ -529,7 +470,5 @@
         note_delay(this, now_ms);
     }
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
-    run_next_step(
-        this, this->forward.is_head_sent ? MP_RESULT_CUT : MP_RESULT_UNKNOWN,
-        MP_ERROR_TIMEOUT);
+    run_next_step(this, result_of_break(this), MP_ERROR_TIMEOUT);
 }
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -133,6 +133,12 @@
         this->document ? this->document->version : 0);
 }
 
+bool
+MpGatewayCall_IsResumable(const struct MpGatewayCall *this)
+{
+    return this->path->repeat == MP_REPEAT_RESUME;
+}
+
 int64_t
 MpGatewayCall_Rank(const struct MpGatewayCall *this)
 {
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -84,7 +84,7 @@
     int status;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
-    int64_t first_byte_ms;     /* from arrival to response head, 0: none */
+    int64_t first_byte_ms;     /* from arrival to first byte sent, 0: none */
     int64_t caller_checked_ms; /* last check for a disconnected caller */
 };
 
@@ -114,6 +114,9 @@
  * report while the call waited. */
 void MpGatewayCall_RetryReserve(struct MpGatewayCall *this, bool is_answered);
 
+/* Returns whether its stream may go on at another target. */
+bool MpGatewayCall_IsResumable(const struct MpGatewayCall *this);
+
 /* Returns the rank of the call, 0 for the most urgent: that of its workspace,
  * or else of its path. */
 int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
--- a/src/transport/GatewayStream.c
+++ b/src/transport/GatewayStream.c
@@ -3,6 +3,7 @@
 #include "protocol/EventSplit.h"
 #include "protocol/EventStream.h"
 #include "state/Error.h"
+#include "transport/GatewayResponse.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/Log.h"
 
@@ -59,8 +60,7 @@
     this->is_stream_start = false;
     if (size > 0) {
         if (!this->forward.is_resuming) {
-            MpCallerResponse_Write(&this->response, this->partial->data,
-                                   (size_t)size);
+            MpGatewayResponse_Write(this, this->partial->data, (size_t)size);
         }
         g_byte_array_remove_range(this->partial, 0, (guint)size);
     }
@@ -109,7 +109,7 @@
     if (!had_events && forward->attempt_events > 0) {
         MpGatewaySuspect_NoteContent(this);
     }
-    MpCallerResponse_Write(&this->response, text + start, offset - start);
+    MpGatewayResponse_Write(this, text + start, offset - start);
     g_byte_array_remove_range(this->partial, 0, (guint)offset);
     if (code == MP_OK && this->partial->len > MP_EVENT_MAX_BYTES) {
         code = MP_ERROR_TOO_LARGE;
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -233,20 +233,25 @@
 class PlatformFleet(Fleet):
     """A fleet that speaks the platform's dialect."""
 
-    def __init__(self, paths=None, **options):
+    def __init__(self, paths=None, prepaid=None, **options):
         super().__init__(engines=0, services=0, budget_tokens=0, wait=False,
                          **options)
+        tenant = {"name": "w", "api-keys": [KEY]}
+        if prepaid is not None:
+            tenant["prepaid"] = prepaid
         routes = [{
             "name": p["prefix"].strip("/"), "host": p["host"],
             "path-prefix": p["prefix"], "service": p["shares"][0]["pool"],
-            "route-type": {"once": "non_idempotent",
-                           "any": "idempotent"}.get(p["repeat"], "streaming"),
+            "route-type": "streaming" if p["stream"] else
+                          {"once": "non_idempotent",
+                           "any": "idempotent"}[p["repeat"]],
             "stream-resume": p["repeat"] == "resume",
             "timeout-ms": p["timeout_ms"], "max-attempts": p["attempts_most"],
-            "target-latency-ms": p["latency_target_ms"]} for p in paths]
+            "target-latency-ms": p["latency_target_ms"],
+            "itl-target-ms": p.get("event_gap_ms", 0)} for p in paths]
         document = {"version": 1, "routes": routes, "services": [
             {"name": p["shares"][0]["pool"]} for p in paths[:1]],
-            "tenants": [{"name": "w", "api-keys": [KEY]}]}
+            "tenants": [tenant]}
         if not wait_for(lambda: self.operator_request(
                 "POST", "/config/replace",
                 json.dumps(document)).status == 200):
--- a/tests/runs/stream_ends_inside_event.py
+++ b/tests/runs/stream_ends_inside_event.py
@@ -1,6 +1,7 @@
 """An event stream may have neither a length nor chunks and end with its
 connection.  One that ends inside an event, or before the first, has been broken
-off: it is resumed, or it looks incomplete to the caller."""
+off: it is resumed, or it looks incomplete to the caller, who is told by an error
+where no event went out."""
 from pathfleet import (EVENT, SimTarget, chunks_of, path_conf, path_fleet,
                        send, status_of, wait_targets)
 
