A silent attempt is given up only for one that can be sent

What callers saw: a sound target that fell silent for longer than 2.5 times the latency target or event gap cost them the request where no other target could take it: 504, or a stream cut.

Cause: the silent attempt was cancelled first, and only then was a target picked for the next one; the pick failed, as there was no other target, or the others were leaving, paused, full or without a permit, or too late to be of use.

Change: the pick comes first. The attempt is given up if a target without failures can take the request at once, without a permit to be waited for and without a question to the quorum, or if its path is known to be lost. Else it goes on to its deadline, and one line (target-silent with replaced=0) says so.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -310,6 +310,7 @@
     this->is_relayed = false;
     this->is_head_held = false;
     this->is_event_stream = false;
+    this->is_silence_borne = false;
     this->status = 0;
     MpForward_StartAttempt(&this->forward);
     MpGatewayNotice_Sent(this, target, now_ms);
@@ -390,17 +391,15 @@
                 picked->wait_ms, MpForward_TimeLeft(&this->forward, now_ms));
 }
 
-void
-MpGatewayAttempt_Start(struct MpGatewayCall *this)
+/* Picks a target for the next attempt. */
+static int
+pick(struct MpGatewayCall *this, int64_t now_ms, struct MpPoolQuery *query,
+     struct MpPicked *picked)
 {
     struct MpGateway *gateway = this->gateway;
-    if (MpGatewayVersions_Check(this)) {
-        return;
-    }
     const struct MpPoolConf *pool =
         g_hash_table_lookup(this->document->pools, this->pool);
-    struct MpPicked picked;
-    struct MpPoolQuery query = {
+    *query = (struct MpPoolQuery){
         .pool = this->pool,
         .meta = &this->meta,
         .is_at_most_once = this->path->repeat == MP_REPEAT_NEVER,
@@ -415,14 +414,26 @@
         .instances = gateway->dialer.peers.listed->len + 1,
         .wall_ms = MpLoop_WallMs(),
         .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX};
+    if (this->forward.sends == 0) {
+        query->rank = MpGatewayCall_Rank(this);
+        query->queue_max_ms = MpRoster_QueueMax(this->path->latency_target_ms,
+                                                MpGatewayCall_Rank(this));
+    }
+    return MpRoster_Pick(&gateway->roster, query, now_ms, picked);
+}
+
+void
+MpGatewayAttempt_Start(struct MpGatewayCall *this)
+{
+    struct MpGateway *gateway = this->gateway;
+    if (MpGatewayVersions_Check(this)) {
+        return;
+    }
+    struct MpPicked picked;
+    struct MpPoolQuery query;
     int64_t now_ms = MpLoop_Now();
     bool is_retry = this->forward.sends > 0;
-    if (!is_retry) {
-        query.rank = MpGatewayCall_Rank(this);
-        query.queue_max_ms = MpRoster_QueueMax(this->path->latency_target_ms,
-                                               MpGatewayCall_Rank(this));
-    }
-    int code = MpRoster_Pick(&gateway->roster, &query, now_ms, &picked);
+    int code = pick(this, now_ms, &query, &picked);
     if (code == MP_OK && is_retry &&
         !MpForward_IsOfUse(&this->forward, picked.wait_ms, now_ms)) {
         /* The retry stays for a request that can still be answered. */
@@ -449,24 +460,60 @@
     send_attempt(this, &picked);
 }
 
+/* Returns whether an attempt that has fallen silent can be replaced at once by
+ * one at a healthy target.  A permit would have to be waited for, so that
+ * targets that name a limit are left out, now and when the attempt is made. */
+static bool
+can_replace(struct MpGatewayCall *this, int64_t now_ms)
+{
+    struct MpPicked picked;
+    struct MpPoolQuery query;
+    uint32_t permit_tries = this->permit_tries;
+    this->permit_tries = MP_PERMIT_TRIES_MAX;
+    if (MpGatewaySuspect_MayGoOn(this) &&
+        pick(this, now_ms, &query, &picked) == MP_OK &&
+        picked.target->failures == 0 &&
+        MpForward_IsOfUse(&this->forward, picked.wait_ms, now_ms)) {
+        return true;
+    }
+    this->permit_tries = permit_tries;
+    return false;
+}
+
+static void
+log_silence(struct MpGatewayCall *this, int64_t silent_ms, bool is_path_lost,
+            bool is_replaced)
+{
+    if (!is_replaced && this->is_silence_borne) {
+        return;
+    }
+    this->is_silence_borne = !is_replaced;
+    MpLog_Event(LOG_WARNING, "target-silent",
+                "id=%s target=%s silent_ms=%" PRId64 " events=%" PRId64
+                " path_lost=%d replaced=%d",
+                this->id ? this->id : "-", this->target->incarnation,
+                silent_ms, this->forward.events, is_path_lost, is_replaced);
+}
+
 void
 MpGatewayAttempt_CheckSilence(struct MpGatewayCall *this, int64_t now_ms)
 {
     int64_t silent_ms = now_ms - this->received_ms;
     if (this->stage != MP_CALL_RUNNING || !this->conn || !this->response.req ||
-        this->response.pending->len > 0 ||
-        !MpForward_IsStalled(&this->forward, silent_ms,
-                             MpTargetConn_IsStuck(this->conn, now_ms),
+        this->response.pending->len > 0) {
+        return;
+    }
+    bool is_path_lost = MpTargetConn_IsStuck(this->conn, now_ms);
+    if (!MpForward_IsStalled(&this->forward, silent_ms, is_path_lost,
                              may_retry(this), now_ms)) {
         return;
     }
-    bool is_stuck = MpTargetConn_IsStuck(this->conn, now_ms);
-    MpLog_Event(LOG_WARNING, "target-silent",
-                "id=%s target=%s silent_ms=%" PRId64 " events=%" PRId64
-                " path_lost=%d",
-                this->id ? this->id : "-", this->target->incarnation,
-                silent_ms, this->forward.events, is_stuck);
-    if (!this->has_response && !is_stuck) {
+    bool is_replaced = is_path_lost || can_replace(this, now_ms);
+    log_silence(this, silent_ms, is_path_lost, is_replaced);
+    if (!is_replaced) {
+        return;
+    }
+    if (!this->has_response && !is_path_lost) {
         note_delay(this, now_ms);
     }
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
--- a/src/transport/GatewayAttempt.h
+++ b/src/transport/GatewayAttempt.h
@@ -12,8 +12,9 @@
  * take it. */
 void MpGatewayAttempt_Start(struct MpGatewayCall *call);
 
-/* Moves the call to another target if this one has sent nothing for too
- * long. */
+/* Moves the call to another target if this one has sent nothing for too long.
+ * The attempt goes on if no other target can take the call at once, unless
+ * the path to its target is lost: a sound target may pause. */
 void MpGatewayAttempt_CheckSilence(struct MpGatewayCall *call, int64_t now_ms);
 
 /* Cancels the attempt; outcome counts towards the target's health. */
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -74,13 +74,14 @@
     int64_t received_ms; /* last data from the target, at first sent_ms */
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
-    bool has_response;    /* the head of the target's response has arrived */
-    bool is_rejected;     /* that response says that nothing has run */
-    bool is_relayed;      /* the body of that response goes to the caller */
-    bool is_head_held;    /* its head goes there with the first of the body */
-    int64_t held_size;    /* length of the body that the head names, or -1 */
-    bool is_event_stream; /* the body is forwarded by whole events */
-    bool is_stream_start; /* no byte of it has been looked at */
+    bool has_response;     /* the head of the target's response has arrived */
+    bool is_rejected;      /* that response says that nothing has run */
+    bool is_relayed;       /* the body of that response goes to the caller */
+    bool is_head_held;     /* its head goes there with the first of the body */
+    int64_t held_size;     /* length of the body that the head names, or -1 */
+    bool is_event_stream;  /* the body is forwarded by whole events */
+    bool is_stream_start;  /* no byte of it has been looked at */
+    bool is_silence_borne; /* it has fallen silent, and none can replace it */
     int status;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
--- a/src/transport/GatewaySuspect.c
+++ b/src/transport/GatewaySuspect.c
@@ -376,6 +376,21 @@
     admit_from(call, 0);
 }
 
+bool
+MpGatewaySuspect_MayGoOn(const struct MpGatewayCall *call)
+{
+    uint8_t fingerprint[MP_HASH_BYTES];
+    for (unsigned key = 0; key < MpCallFingerprint_Count(call); key++) {
+        MpCallFingerprint_Copy(call, key, fingerprint);
+        if (!(call->trials & 1U << key) &&
+            MpSuspects_Lookup(&call->gateway->control->suspects,
+                              fingerprint) != MP_SUSPICION_NONE) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 MpGatewaySuspect_NoteContent(struct MpGatewayCall *call)
 {
--- a/src/transport/GatewaySuspect.h
+++ b/src/transport/GatewaySuspect.h
@@ -28,6 +28,9 @@
  * suspect waits for the quorum's decision. */
 void MpGatewaySuspect_Admit(struct MpGatewayCall *call);
 
+/* Returns whether MpGatewaySuspect_Admit would let the call go on at once. */
+bool MpGatewaySuspect_MayGoOn(const struct MpGatewayCall *call);
+
 /* Probes the target of an attempt whose response broke off.  The call may end
  * at once, or wait for the result in the stage MP_CALL_TRIAL, which
  * MpGatewaySuspect_WaitForProbe sets. */
