Callers that close their sending side are not told "not run" of what has run

What callers saw: who closed its sending side after a request and still read got 503 for a stream that must not run twice and that a target had run, with x-mimosapath-run: unknown; for callers of the platform 503 is the promise that it has not run.

Cause: a closed sending side counts as leaving, which is right: RFC 9112 gives it no meaning of its own (9.5 lets each side answer a close as it sees fit), and the end of a connection that was closed altogether looks the same until bytes reach it, while work for a caller that has left has to stop. But the error for it was 'closed', 503, whatever had been sent. Few read it, so it was never seen.

Change: 504 outcome_unknown if the request was sent to a target; 503 closed if not. Requests that must not run twice, other than streams, are answered as before.

--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -224,7 +224,9 @@
         return;
     }
     if (step == MP_STEP_FAIL) {
-        refuse(this, code == MP_ERROR_CLOSED ? code : MP_ERROR_TARGET_FAILED,
+        refuse(this,
+               code == MP_ERROR_OUTCOME_UNKNOWN ? code
+                                                : MP_ERROR_TARGET_FAILED,
                0);
         return;
     }
@@ -433,11 +435,13 @@
     if (this->stage == MP_CALL_BUDGET) {
         this->reserved_mtok = 0;
     }
+    /* It may have closed its sending side only, and read what it is told. */
+    enum MpForwardStep step = MpForward_Expired(&this->forward);
     this->forward.may_have_run |= this->forward.sends > 0;
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
     MpGatewayCall_GiveUp(
-        this, this->forward.is_head_sent ? MP_STEP_CUT : MP_STEP_FAIL,
-        MP_ERROR_CLOSED, 0);
+        this, step,
+        step == MP_STEP_FAIL ? MP_ERROR_OUTCOME_UNKNOWN : MP_ERROR_CLOSED, 0);
     return true;
 }
 
