A chat stream without a token waits for its bill with its head too

What callers saw: an engine ended a stream without a token, the bill could not be made durable, and the caller got the head of a stream, an error event and the close of its connection, where an error could be told.

Cause: the head of such a stream was started before the bill, and the last event is held back until after it; from then on the answer could only be broken off.

Change: the head goes out with the last event. Events that do come start the answer as before, each with its own bytes.

--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -434,15 +434,12 @@
 
 static const char done_event[] = "data: [DONE]\n\n";
 
-/* Settles a complete stream; its last event is sent after the settlement. */
+/* Settles a complete stream; its last event is sent after the settlement, and
+ * so is the head of one without others. */
 static void
 finish_stream(struct MpExchange *this)
 {
     MpExchange_EndAttempt(this, MP_ATTEMPT_OK);
-    if (!this->is_head_sent) {
-        MpExchange_StartResponse(this, this->status, this->content_type,
-                                 SIZE_MAX);
-    }
     g_byte_array_append(this->response, (const guint8 *)done_event,
                         sizeof(done_event) - 1);
     MpExchange_Settle(this, MP_RECORD_DONE, MpExchange_Price(this));
