--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -133,6 +133,12 @@
         this->document ? this->document->version : 0);
 }
 
+bool
+MpGatewayCall_IsResumable(const struct MpGatewayCall *this)
+{
+    return this->path->repeat == MP_REPEAT_RESUME;
+}
+
 int64_t
 MpGatewayCall_Rank(const struct MpGatewayCall *this)
 {
@@ -218,7 +224,9 @@
         return;
     }
     if (step == MP_STEP_FAIL) {
-        refuse(this, code == MP_ERROR_CLOSED ? code : MP_ERROR_TARGET_FAILED,
+        refuse(this,
+               code == MP_ERROR_OUTCOME_UNKNOWN ? code
+                                                : MP_ERROR_TARGET_FAILED,
                0);
         return;
     }
@@ -427,12 +435,14 @@
     if (this->stage == MP_CALL_BUDGET) {
         this->reserved_mtok = 0;
     }
+    /* It may have closed its sending side only, and read what it is told. */
+    enum MpForwardStep step = MpForward_Expired(&this->forward);
     this->forward.may_have_run |= this->forward.sends > 0;
     MpHttp_NoteEnd(this->response.req, MP_HTTP_CALLER_LEFT);
     MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
     MpGatewayCall_GiveUp(
-        this, this->forward.is_head_sent ? MP_STEP_CUT : MP_STEP_FAIL,
-        MP_ERROR_CLOSED, 0);
+        this, step,
+        step == MP_STEP_FAIL ? MP_ERROR_OUTCOME_UNKNOWN : MP_ERROR_CLOSED, 0);
     return true;
 }
 
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -74,17 +74,18 @@
     int64_t received_ms; /* last data from the target, at first sent_ms */
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
-    bool has_response;    /* the head of the target's response has arrived */
-    bool is_rejected;     /* that response says that nothing has run */
-    bool is_relayed;      /* the body of that response goes to the caller */
-    bool is_head_held;    /* its head goes there with the first of the body */
-    int64_t held_size;    /* length of the body that the head names, or -1 */
-    bool is_event_stream; /* the body is forwarded by whole events */
-    bool is_stream_start; /* no byte of it has been looked at */
+    bool has_response;     /* the head of the target's response has arrived */
+    bool is_rejected;      /* that response says that nothing has run */
+    bool is_relayed;       /* the body of that response goes to the caller */
+    bool is_head_held;     /* its head goes there with the first of the body */
+    int64_t held_size;     /* length of the body that the head names, or -1 */
+    bool is_event_stream;  /* the body is forwarded by whole events */
+    bool is_stream_start;  /* no byte of it has been looked at */
+    bool is_silence_borne; /* it has fallen silent, and none can replace it */
     int status;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
-    int64_t first_byte_ms;     /* from arrival to response head, 0: none */
+    int64_t first_byte_ms;     /* from arrival to first byte sent, 0: none */
     int64_t caller_checked_ms; /* last check for a disconnected caller */
 };
 
@@ -114,6 +115,9 @@
  * report while the call waited. */
 void MpGatewayCall_RetryReserve(struct MpGatewayCall *this, bool is_answered);
 
+/* Returns whether its stream may go on at another target. */
+bool MpGatewayCall_IsResumable(const struct MpGatewayCall *this);
+
 /* Returns the rank of the call, 0 for the most urgent: that of its workspace,
  * or else of its path. */
 int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
