Operators' calls are answered while an instance stops

Operators whose calls were under way when an instance got SIGTERM lost the answer, and so did those who came later: a control instance ended 300 ms after the signal, a relay at once, one that also serves callers when these were done. Calls waiting for the quorum were not looked at, and whatever stood in the queue of the listener or on a kept connection was dropped with the process.

From SIGTERM on an instance now refuses new calls at once: 503 "draining", before anything is proposed, and the connection closes. It completes the calls that it has, at most until stop_within_s or drain_ms; its control role goes on meanwhile. What still waits then is answered: 503, for a change that was proposed with "run: unknown". The listener is closed when no call is left, and the process ends a little later when nothing is left on the connections that are open. /healthz and /metrics are served until the end.

A change that met its deadline also said "run: no", though it may be made later; it says "unknown" now. Error pages of the console say it too.

--- a/src/transport/Console.c
+++ b/src/transport/Console.c
@@ -313,7 +313,6 @@
 void
 MpConsole_Serve(struct MpOperatorCall *call)
 {
-    call->is_console = true;
     if (MpHttp_Equals(call->req->method, "GET")) {
         serve_get(call);
     }
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -10,7 +10,6 @@
 #include <string.h>
 
 #define JSON_TYPE "application/json"
-#define PATH_PREFIX "/control/v1/"
 
 static int64_t
 deadline(void)
@@ -134,6 +133,7 @@
     struct mp_document_put *put = &command.body.mp_command_body_u.document;
     put->grants.grants_val =
         MpDocument_ListGrants(document, &put->grants.grants_len);
+    call->is_proposed = true;
     MpControlClient_Propose(call->server->control, &command, deadline(), done,
                             call);
     g_free(put->grants.grants_val);
@@ -248,6 +248,7 @@
                           .topup_id = (char *)topup_id,
                           .amount_mtok = amount_mtok};
     call->workspace = g_strdup(workspace);
+    call->is_proposed = true;
     MpControlClient_Propose(call->server->control, &command, deadline(), done,
                             call);
     return MP_OK;
@@ -441,6 +442,7 @@
             .incarnation = {.instance = (char *)instance,
                             .boot = (uint64_t)json_object_get_int64(value)},
             .with_paths = true};
+        call->is_proposed = true;
         MpControlClient_Propose(call->server->control, &command, deadline(),
                                 on_written_off, call);
     }
@@ -457,7 +459,7 @@
 void
 MpControlApi_Serve(struct MpOperatorCall *call)
 {
-    const char *rest = call->path + strlen(PATH_PREFIX);
+    const char *rest = call->path + strlen(MP_CONTROL_API_PREFIX);
     if (g_str_has_prefix(rest, "document?version=") &&
         is_method(call, "GET")) {
         MpControlClient_ReadDocument(
--- a/src/transport/ControlApi.h
+++ b/src/transport/ControlApi.h
@@ -16,6 +16,9 @@
  *     POST /control/v1/drain                drains this instance
  */
 
+/* Start of the paths above. */
+#define MP_CONTROL_API_PREFIX "/control/v1/"
+
 /* Serves the call and takes ownership of it. */
 void MpControlApi_Serve(struct MpOperatorCall *call);
 
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -21,6 +21,16 @@
 /* Time that a control instance keeps running after it has drained, ms: other
  * instances can finish their last calls, and a new leader can be elected. */
 #define CONTROL_LINGER_MS 300
+/* The same for other instances, ms: requests on their way over connections
+ * that are open still get an answer. */
+#define LINGER_MS 100
+#define STOP_CHECK_MS 20
+/* With stop_within_s set, the process is killed from outside after that time;
+ * operators' calls end this much earlier, ms. */
+#define STOP_MARGIN_MS 400
+/* Operators' calls that still wait this long before their end are answered,
+ * ms. */
+#define STOP_ANSWER_MS 200
 
 struct instance {
     struct MpLoop loop;
@@ -36,6 +46,8 @@
     struct MpTimer submit_timer;
     char *first_document;
     bool is_stopping;
+    bool is_router_drained;
+    int64_t stop_until_ms; /* stopping: latest end of operators' calls */
     const char *file;
     struct stat file_info; /* of file when it was last read */
     int64_t file_checked_ms;
@@ -174,27 +186,60 @@
 on_lingered(struct MpTimer *timer)
 {
     struct instance *this = timer->data;
-    MpLoop_Stop(&this->loop);
+    if (MpOperatorServer_IsIdle(&this->operator_server) ||
+        MpLoop_Now() >= this->stop_until_ms) {
+        MpLoop_Stop(&this->loop);
+        return;
+    }
+    MpLoop_SetTimer(&this->loop, &this->stop_timer, STOP_CHECK_MS, on_lingered,
+                    this);
 }
 
 static void
-on_drained(void *owner)
+check_drained(struct MpTimer *timer)
 {
-    struct instance *this = owner;
+    struct instance *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    if (now_ms >= this->stop_until_ms - STOP_ANSWER_MS) {
+        MpOperatorServer_StopCalls(&this->operator_server);
+    }
+    if (!this->is_router_drained ||
+        (!MpOperatorServer_IsIdle(&this->operator_server) &&
+         now_ms < this->stop_until_ms)) {
+        MpLoop_SetTimer(&this->loop, &this->stop_timer, STOP_CHECK_MS,
+                        check_drained, this);
+        return;
+    }
+    MpOperatorServer_StopListening(&this->operator_server);
     MpLoop_SetTimer(&this->loop, &this->stop_timer,
-                    this->settings->is_control ? CONTROL_LINGER_MS : 0,
+                    this->settings->is_control ? CONTROL_LINGER_MS : LINGER_MS,
                     on_lingered, this);
 }
 
+static void
+on_router_drained(void *owner)
+{
+    struct instance *this = owner;
+    this->is_router_drained = true;
+}
+
 static void
 begin_stop(struct instance *this)
 {
+    const struct MpSettings *settings = this->settings;
     this->is_stopping = true;
-    if (this->settings->is_router) {
-        MpRouter_Drain(&this->router, on_drained, this);
-        return;
+    this->stop_until_ms =
+        MpLoop_Now() + (settings->stop_within_ms > 0
+                            ? settings->stop_within_ms - STOP_MARGIN_MS
+                            : settings->drain_ms);
+    MpOperatorServer_Drain(&this->operator_server);
+    if (settings->is_router) {
+        MpRouter_Drain(&this->router, on_router_drained, this);
+    }
+    else {
+        this->is_router_drained = true;
     }
-    on_drained(this);
+    MpLoop_SetTimer(&this->loop, &this->stop_timer, 0, check_drained, this);
 }
 
 /* ---- reloading of settings ---- */
@@ -395,6 +440,7 @@
     if (settings->is_router) {
         MpRouter_Stop(&this->router, counts);
     }
+    MpOperatorServer_Stop(&this->operator_server);
     MpLog_Last(LOG_NOTICE, "ended", "failed=%d%s", has_failed, counts->str);
     g_string_free(counts, TRUE);
     return has_failed ? MP_ERROR_IO : MP_OK;
--- a/src/transport/NumberedDocument.c
+++ b/src/transport/NumberedDocument.c
@@ -92,6 +92,7 @@
     put->grants.grants_val =
         MpDocument_ListGrants(document, &put->grants.grants_len);
     call->document_version = document->version;
+    call->is_proposed = true;
     MpControlClient_Propose(call->server->control, &command,
                             MpLoop_Now() + PUT_TIMEOUT_MS, on_put, call);
     g_free(put->grants.grants_val);
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/Console.h"
 #include "transport/ControlApi.h"
+#include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
 #include "transport/Log.h"
 #include "transport/NumberedDocument.h"
@@ -36,6 +37,8 @@
     this->link = h2o_mem_alloc_shared(&req->pool, sizeof(*this->link),
                                       on_request_freed);
     this->link->call = this;
+    this->link_in_server.data = this;
+    g_queue_push_tail_link(&server->calls, &this->link_in_server);
     return this;
 }
 
@@ -45,23 +48,37 @@
     if (this->link) {
         this->link->call = NULL;
     }
+    g_queue_unlink(&this->server->calls, &this->link_in_server);
     g_free(this->path);
     g_free(this->workspace);
     g_free(this->document_text);
     g_free(this);
 }
 
+static void
+send_error(struct MpOperatorCall *this, int code, const char *detail)
+{
+    bool is_unknown = this->is_proposed && code == MP_ERROR_NO_QUORUM;
+    if (!detail && is_unknown) {
+        detail = "The change may or may not be in force.";
+    }
+    if (!this->is_console) {
+        MpExchange_SendError(this->req, code, detail, NULL, 0, is_unknown);
+        return;
+    }
+    char *page = MpConsole_ErrorPage(code, detail);
+    MpHttp_AddHeader(this->req, MP_RUN_HEADER,
+                     MpErrorBody_RunName(code, is_unknown));
+    MpHttp_Send(this->req, MpError_Info(code)->http_status,
+                "text/html; charset=utf-8", page, strlen(page));
+    g_free(page);
+}
+
 void
 MpOperatorCall_Fail(struct MpOperatorCall *this, int code, const char *detail)
 {
-    if (this->req && this->is_console) {
-        char *page = MpConsole_ErrorPage(code, detail);
-        MpHttp_Send(this->req, MpError_Info(code)->http_status,
-                    "text/html; charset=utf-8", page, strlen(page));
-        g_free(page);
-    }
-    else if (this->req) {
-        MpExchange_SendError(this->req, code, detail, NULL, 0, false);
+    if (this->req) {
+        send_error(this, code, detail);
     }
     MpOperatorCall_Delete(this);
 }
@@ -175,6 +192,7 @@
     }
     MpMetrics_WriteValue(out, "mimosapath_operator_rejected_total", NULL, NULL,
                          (int64_t)this->rejected);
+    MpHttpCounts_Write(&this->http.counts, "operator", out);
     MpLog_WriteMetrics(out);
     MpHttp_Send(req, 200, "text/plain; version=0.0.4", out->str, out->len);
     g_string_free(out, TRUE);
@@ -188,10 +206,27 @@
 
 /* ---- requests ---- */
 
+static void
+serve_call(struct MpOperatorCall *call, bool is_numbered)
+{
+    if (is_numbered) {
+        MpNumberedDocument_Serve(call);
+    }
+    else if (call->is_console) {
+        MpConsole_Serve(call);
+    }
+    else {
+        MpControlApi_Serve(call);
+    }
+}
+
 static void
 on_request(void *owner, h2o_req_t *req)
 {
     struct MpOperatorServer *this = owner;
+    if (this->is_draining) {
+        req->http1_is_persistent = 0;
+    }
     if (MpHttp_Equals(req->path, "/healthz")) {
         MpHttp_Send(req, 200, "text/plain", "alive\n", 6);
         return;
@@ -200,11 +235,8 @@
         send_metrics(this, req);
         return;
     }
-    if (MpNumberedDocument_Matches(this, req)) {
-        MpNumberedDocument_Serve(MpOperatorCall_New(this, req));
-        return;
-    }
-    if (!is_authorized(this, req)) {
+    bool is_numbered = MpNumberedDocument_Matches(this, req);
+    if (!is_numbered && !is_authorized(this, req)) {
         this->rejected++;
         MpHttp_AddHeader(req, "www-authenticate",
                          "Basic realm=\"mimosapath\"");
@@ -213,13 +245,78 @@
         return;
     }
     struct MpOperatorCall *call = MpOperatorCall_New(this, req);
-    if (g_str_has_prefix(call->path, "/control/v1/")) {
-        MpControlApi_Serve(call);
+    call->is_console =
+        !is_numbered && !g_str_has_prefix(call->path, MP_CONTROL_API_PREFIX);
+    if (this->is_draining) {
+        MpLog_Event(LOG_INFO, "operator-call-refused", "path=%.128s",
+                    call->path);
+        MpOperatorCall_Fail(call, MP_ERROR_DRAINING, NULL);
         return;
     }
-    MpConsole_Serve(call);
+    serve_call(call, is_numbered);
+}
+
+/* ---- drain ---- */
+
+void
+MpOperatorServer_Drain(struct MpOperatorServer *this)
+{
+    this->is_draining = true;
+    for (GList *link = this->calls.head; link; link = link->next) {
+        struct MpOperatorCall *call = link->data;
+        if (call->req) {
+            call->req->http1_is_persistent = 0;
+        }
+    }
 }
 
+bool
+MpOperatorServer_IsIdle(const struct MpOperatorServer *this)
+{
+    for (GList *link = this->http.conns.head; link; link = link->next) {
+        const struct MpHttpConn *conn = link->data;
+        if (conn->request || MpHttpConn_UnreadBytes(conn) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+MpOperatorServer_StopCalls(struct MpOperatorServer *this)
+{
+    for (GList *link = this->calls.head; link; link = link->next) {
+        struct MpOperatorCall *call = link->data;
+        if (!call->req) {
+            continue;
+        }
+        int code = call->is_proposed ? MP_ERROR_NO_QUORUM : MP_ERROR_DRAINING;
+        MpLog_Event(LOG_WARNING, "operator-call-outlasts-drain",
+                    "path=%.128s error=%s", call->path, MpError_Name(code));
+        send_error(call, code, NULL);
+        /* The reply of the control replicas ends the call. */
+        call->link->call = NULL;
+        call->link = NULL;
+        call->req = NULL;
+    }
+}
+
+void
+MpOperatorServer_StopListening(struct MpOperatorServer *this)
+{
+    if (this->http.listener) {
+        MpHttpServer_StopListening(&this->http);
+    }
+}
+
+void
+MpOperatorServer_Stop(struct MpOperatorServer *this)
+{
+    MpHttpServer_Stop(&this->http);
+}
+
+/* ---- start ---- */
+
 /* Without a token setting, *token is NULL. */
 static int
 read_token(const struct MpSettings *settings, char **token)
@@ -257,6 +354,7 @@
                                       .control = control,
                                       .router = router,
                                       .replica = replica};
+    g_queue_init(&this->calls);
     int code = read_token(settings, &this->token);
     /* Without a token only the dialect's document requests, /healthz and
      * /metrics can be used. */
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -13,6 +13,9 @@
  * Requests need the operator token, as a bearer token or as the password of
  * basic authentication, except for /healthz, /metrics and the document
  * requests of a dialect (NumberedDocument.h).
+ *
+ * While the instance stops, calls that were read before are completed and new
+ * ones are refused; /healthz and /metrics are served until the end.
  */
 
 struct MpOperatorServer {
@@ -24,6 +27,8 @@
     struct MpRouter *router;   /* NULL unless the instance is a router */
     struct MpReplica *replica; /* NULL unless it is a control replica */
     char *token;
+    GQueue calls; /* of struct MpOperatorCall */
+    bool is_draining;
     uint64_t rejected; /* requests with a wrong token */
 };
 
@@ -39,16 +44,37 @@
                            struct MpControlClient *control,
                            struct MpRouter *router, struct MpReplica *replica);
 
+/* Refuses new calls from now on: MP_ERROR_DRAINING, and their connection is
+ * closed.  May be called for a server that was not started, as may the
+ * functions below. */
+void MpOperatorServer_Drain(struct MpOperatorServer *this);
+
+/* Returns whether no request is in progress, nor received and unread, and all
+ * responses were sent. */
+bool MpOperatorServer_IsIdle(const struct MpOperatorServer *this);
+
+/* Answers the calls that still wait: MP_ERROR_DRAINING, or MP_ERROR_NO_QUORUM
+ * for a change whose outcome is not known. */
+void MpOperatorServer_StopCalls(struct MpOperatorServer *this);
+
+/* Closes the listener; open connections can still be used. */
+void MpOperatorServer_StopListening(struct MpOperatorServer *this);
+
+/* The process ends: records what the connections still hold. */
+void MpOperatorServer_Stop(struct MpOperatorServer *this);
+
 /* An operator's request, from its arrival to its response. */
 struct MpOperatorCall {
     struct MpOperatorServer *server;
-    h2o_req_t *req; /* NULL once the operator has disconnected */
+    GList link_in_server; /* in MpOperatorServer.calls */
+    h2o_req_t *req;       /* NULL once the operator has disconnected */
     struct MpOperatorLink *link;
     char *path;
     char *workspace;
     char *document_text;
     uint64_t document_version; /* assigned by the operator */
     bool is_console;
+    bool is_proposed; /* a change was proposed to the control replicas */
 };
 
 /* Allocated in the request's memory pool; its destructor clears call->req. */
@@ -61,7 +87,8 @@
 void MpOperatorCall_Delete(struct MpOperatorCall *this);
 
 /* Sends an error response, a page for the console and otherwise JSON, and
- * frees the call.  detail may be NULL. */
+ * frees the call.  detail may be NULL.  MP_ERROR_NO_QUORUM of a call that has
+ * proposed a change says that its outcome is not known. */
 void MpOperatorCall_Fail(struct MpOperatorCall *this, int code,
                          const char *detail);
 /* Returns whether a proposal succeeded; if not, sends the error and frees the
