An instance whose disk failed is drained before it ends

The callers of an instance that serves them and holds a control replica lost their answers when the disk of the replica failed: 4 s later the loop stopped at once, whatever was under way. Operators' calls were lost too.

The instance is now drained, as by SIGTERM; it still ends with the error.

The control process ends as soon as it has no calls, as before; one that serves callers, when these are served.

--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -10,6 +10,7 @@
 #include "transport/ReplicaTargets.h"
 
 #include <inttypes.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,7 +26,7 @@
 /* Interval of identify calls to seeds that are not members, ms; during the
  * first STARTUP_MS they are sent at each maintenance. */
 #define IDENTIFY_SEEDS_MS 1000
-/* Delay between a disk failure and the end of the process, ms: most disk
+/* Delay between a disk failure and the drain of the instance, ms: most disk
  * failures last some seconds. */
 #define FAILED_EXIT_MS 4000
 /* Interval at which budgets are logged, ms, and the maximum of lines. */
@@ -92,14 +93,14 @@
 static void
 on_failed_exit(struct MpTimer *timer)
 {
-    struct MpReplica *this = timer->data;
-    MpLoop_Stop(this->loop);
+    (void)timer;
+    raise(SIGTERM); /* drains the instance */
 }
 
 /* Stops the replica at once: after a failed write the state of the disk is
  * unknown, and the replica must not go on as if its vote and its log were
- * durable.  The process ends after FAILED_EXIT_MS: restarted at once, it would
- * fail on the same disk again. */
+ * durable.  The instance is drained after FAILED_EXIT_MS: restarted at once,
+ * it would fail on the same disk again. */
 static void
 fail_replica(struct MpReplica *this)
 {
