Requests of our own API have a line that tells how they ended

A request of our own API left no line when it ended: the logs could not tell an answer from a refusal, a cut or a caller that left, and `explain` said of each "not logged", or knew no line at all of one that was refused.

An exchange now writes request-ended once, when it is decided how it ends for its caller: outcome answered, refused, cut or caller-gone, with error, status, attempts, tokens, times and the version of its document. The ends are counted in mimosapath_exchange_ended_total; `explain` needs no change.

runs/path_counters compared the lines request-ended with the counter of paths alone. The request on no path is an exchange and has such a line now, so the counters of both are added up; the numbers must still be equal.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -91,6 +91,27 @@
     }
 }
 
+void
+MpExchange_NoteEnd(struct MpExchange *this, const char *outcome, int code)
+{
+    if (this->is_end_logged) {
+        return;
+    }
+    this->is_end_logged = true;
+    MpMetrics_Count(&this->router->metrics, "mimosapath_exchange_ended_total",
+                    "outcome", outcome, 1);
+    int64_t first_ms =
+        this->first_token_ms > 0 ? this->first_token_ms - this->began_ms : 0;
+    MpLog_Event(code == MP_OK ? LOG_INFO : LOG_WARNING, "request-ended",
+                "id=%s workspace=%s outcome=%s error=%s status=%d attempts=%u"
+                " tokens=%" PRId64 " first_ms=%" PRId64 " took_ms=%" PRId64
+                " document=%" PRIu64,
+                this->request_id, this->workspace ? this->workspace : "-",
+                outcome, MpError_Name(code), this->status, this->attempts,
+                this->sent_tokens, first_ms, MpLoop_Now() - this->began_ms,
+                this->document->version);
+}
+
 void
 MpExchange_End(struct MpExchange *this)
 {
@@ -175,6 +196,7 @@
 {
     release_target(this);
     if (this->req && result->answer.answer_len > 0) {
+        this->status = result->status;
         MpHttp_AddHeader(this->req, MP_REPLAYED_HEADER, "yes");
         MpExchange_StartResponse(this, result->status, result->content_type,
                                  result->answer.answer_len);
@@ -443,6 +465,7 @@
 {
     this->req = NULL;
     this->caller = NULL;
+    MpExchange_NoteEnd(this, "caller-gone", MP_OK);
     switch (this->stage) {
     case MP_STAGE_WAITING:
         leave_queue(this);
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -57,6 +57,7 @@
     bool is_head_sent;     /* the head of the response was sent */
     bool is_output_closed; /* no more data follows unsent */
     bool is_aborted;       /* the response is not completed */
+    bool is_end_logged;    /* see MpExchange_NoteEnd */
     bool is_stopping;      /* the process is about to end */
     bool wants_usage;      /* stream_options.include_usage is set */
 
@@ -156,6 +157,12 @@
  * this. */
 void MpExchange_End(struct MpExchange *this);
 
+/* Records how the exchange ends for its caller, "answered", "refused", "cut"
+ * or "caller-gone", and writes its request-ended line.  Only the first call
+ * counts; each exchange has one. */
+void MpExchange_NoteEnd(struct MpExchange *this, const char *outcome,
+                        int code);
+
 /* -- request (ExchangeRequest.c) -- */
 /* Parses workspace, key, model or service, and upper price bound from req.
  * Returns MP_OK or the error to refuse the request with; *why is then set to
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -142,6 +142,7 @@
     }
     /* h2o gets the whole response at once and makes no calls that need the
      * exchange. */
+    MpExchange_NoteEnd(this, "refused", code);
     this->is_output_closed = true;
     this->caller->exchange = NULL;
     this->req = NULL;
@@ -183,6 +184,7 @@
         return;
     }
     if (!MpBodyLength_Add(&this->length, this->request_id, size)) {
+        MpExchange_NoteEnd(this, "cut", MP_ERROR_TARGET_FAILED);
         this->is_output_closed = true;
         this->is_aborted = true;
         flush(this);
@@ -203,8 +205,10 @@
     }
     this->is_output_closed = true;
     if (this->req && !MpBodyLength_CheckEnd(&this->length, this->request_id)) {
+        MpExchange_NoteEnd(this, "cut", MP_ERROR_TARGET_FAILED);
         this->is_aborted = true;
     }
+    MpExchange_NoteEnd(this, "answered", MP_OK);
     flush(this);
 }
 
@@ -220,6 +224,7 @@
         return;
     }
     this->is_aborted = true;
+    MpExchange_NoteEnd(this, "cut", code);
     MpMetrics_Count(&this->router->metrics, "mimosapath_cut_total", "cause",
                     MpError_Name(code), 1);
     /* Only streams begin before their target has finished, and they are sent
--- a/tests/runs/path_counters.py
+++ b/tests/runs/path_counters.py
@@ -56,7 +56,8 @@
     print("left out", counted["mimosapath_log_left_out_total"])
     print("events as lines", all(events[e] == lines[e] > 0 for e in events))
     outcomes = sum(value for name, value in counted.items()
-                   if name.startswith("mimosapath_path_ended_total"))
+                   if name.startswith(("mimosapath_path_ended_total",
+                                       "mimosapath_exchange_ended_total")))
     print("outcomes as ends", outcomes == events["request-ended"])
     for path in ("plain", "stream"):
         print(path, "first answers", counted.get(
