Proxies of simulated targets keep their ports while they are down

Cause: CutProxy.stop() closes the only socket that is bound to its port, and scripts that run beside are given free ports, among them this one. Simulated targets keep theirs by free_port(); the proxies in front of them did not. Looked for elsewhere in tests/: TcpProxy and TargetList never give their ports up, and all other ports come from free_port(). Change: CutProxy takes its port from free_port() too, whose socket stays bound. Test: runs/target_port_given_away, on the code before: down, listening [False, False] kept [True, False] and now [True, True]; both come back.

--- a/tests/cutproxy.py
+++ b/tests/cutproxy.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from fleet import in_background
+from fleet import free_port, in_background
 
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -74,13 +74,13 @@
         self.cuts = {}
         self.live = []  # (instance, client, server)
         self.requests = []  # (time, instance) of what was forwarded
-        self.port = 0
+        # Nobody else gets the port while the target is down.
+        self.port = free_port()
         self.listen()
 
     def listen(self):
         self.listener = socket.create_server(("127.0.0.1", self.port),
                                              backlog=256)
-        self.port = self.listener.getsockname()[1]
         in_background(lambda: self.accept(self.listener))
 
     def stop(self):
