An event in many small pieces stops the instance no more

What callers saw: while a target sent an event in chunks of one byte, requests of all other callers at that instance waited for seconds.

Cause: each chunk was passed on by itself, and for each the whole incomplete event (up to 64 KB, by lines) was looked through again; both interfaces did so, and the product's own API moved the rest of its buffer once more for each event.

--- a/src/protocol/EventSplit.c
+++ b/src/protocol/EventSplit.c
@@ -62,6 +62,25 @@
     return false;
 }
 
+bool
+MpEventSplit_MayEnd(const char *data, size_t size, size_t seen)
+{
+    const char *end = data + size;
+    const char *at = data + MIN(seen, size);
+    /* A block ends with an empty line, whose line feed is new. */
+    while (at < end && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        const char *before = at;
+        if (before > data && before[-1] == '\r') {
+            before--;
+        }
+        if (before == data || before[-1] == '\n') {
+            return true;
+        }
+        at++;
+    }
+    return false;
+}
+
 int
 MpEventSplit_MarkSize(const char *data, size_t size)
 {
--- a/src/protocol/EventSplit.h
+++ b/src/protocol/EventSplit.h
@@ -26,6 +26,11 @@
 bool MpEventSplit_Next(const char *data, size_t size,
                        struct MpEventBlock *block);
 
+/* Returns whether data can have a complete block, of which the first seen
+ * bytes have none.  It looks at the others only, which MpEventSplit_Next does
+ * not. */
+bool MpEventSplit_MayEnd(const char *data, size_t size, size_t seen);
+
 /* Returns the size of the byte order mark at the start of a stream, 0 without
  * one, or -1 if more data is needed to tell. */
 int MpEventSplit_MarkSize(const char *data, size_t size);
--- a/src/protocol/Sse.c
+++ b/src/protocol/Sse.c
@@ -111,7 +111,7 @@
         return false;
     }
     this->is_begun = true;
-    g_byte_array_remove_range(this->buffer, 0, (guint)size);
+    this->consumed = (size_t)size;
     return true;
 }
 
@@ -119,14 +119,16 @@
 MpSse_Next(struct MpSse *this, struct MpSseEvent *event)
 {
     struct MpEventBlock block;
-    discard_consumed(this);
     if (this->is_too_long || !skip_mark(this)) {
         return false;
     }
-    const char *text = (const char *)this->buffer->data;
-    bool is_complete = MpEventSplit_Next(text, this->buffer->len, &block);
+    const char *text = (const char *)this->buffer->data + this->consumed;
+    size_t size = this->buffer->len - this->consumed;
+    bool is_complete = MpEventSplit_MayEnd(text, size, this->scanned) &&
+                       MpEventSplit_Next(text, size, &block);
+    this->scanned = is_complete ? 0 : size;
     if (is_complete ? block.size > MP_SSE_EVENT_MAX
-                    : this->buffer->len >= MP_SSE_EVENT_MAX) {
+                    : size >= MP_SSE_EVENT_MAX) {
         this->is_too_long = true;
         *event = (struct MpSseEvent){.kind = MP_SSE_ERROR};
         return true;
@@ -135,7 +137,7 @@
         return false;
     }
     *event = (struct MpSseEvent){.text = text, .size = block.size};
-    this->consumed = event->size;
+    this->consumed += event->size;
     classify(event);
     return true;
 }
--- a/src/protocol/Sse.h
+++ b/src/protocol/Sse.h
@@ -35,7 +35,9 @@
 
 struct MpSse {
     GByteArray *buffer;
-    size_t consumed;  /* size of the event last returned, bytes */
+    size_t consumed;  /* size of the events returned, bytes */
+    size_t scanned;   /* of the bytes after them, without the end of an
+                       * event */
     bool is_begun;    /* past a byte order mark */
     bool is_too_long; /* an event was above the size limit */
 };
@@ -47,7 +49,7 @@
  * size limit. */
 int MpSse_Feed(struct MpSse *this, const void *data, size_t size);
 
-/* Removes the next complete event from the buffer and returns it in *event, or
+/* Takes the next complete event from the buffer and returns it in *event, or
  * returns false if there is none.  event->text is valid until the next call.
  */
 bool MpSse_Next(struct MpSse *this, struct MpSseEvent *event);
--- a/src/transport/GatewayStream.c
+++ b/src/transport/GatewayStream.c
@@ -85,13 +85,15 @@
     size_t start = 0;
     size_t offset = 0;
     bool had_events = forward->attempt_events > 0;
+    size_t seen = this->is_stream_start ? 0 : this->partial->len;
     g_byte_array_append(this->partial, (const guint8 *)data, (guint)size);
     if (!take_mark(this)) {
         return MP_OK;
     }
     const char *text = (const char *)this->partial->data;
     size_t length = this->partial->len;
-    while (code == MP_OK &&
+    bool may_end = MpEventSplit_MayEnd(text, length, seen);
+    while (code == MP_OK && may_end &&
            MpEventSplit_Next(text + offset, length - offset, &block)) {
         if (block.size > MP_EVENT_MAX_BYTES) {
             code = MP_ERROR_TOO_LARGE;
--- a/tests/TestEventStream.c
+++ b/tests/TestEventStream.c
@@ -67,6 +67,8 @@
     g_assert_cmpint(block.has_data, ==, has_data);
     for (size_t part = 0; part < size; part++) {
         g_assert_false(MpEventSplit_Next(text, part, &block));
+        g_assert_false(MpEventSplit_MayEnd(text, part, 0));
+        g_assert_true(MpEventSplit_MayEnd(text, strlen(text), part));
     }
 }
 
