A head with a long Connection header stops the instance no more

What callers saw: while targets sent such heads, requests of all other callers at that instance waited for seconds.

Cause: the options of a Connection header (up to 20,000 of them) were taken apart anew for each header of the head, of which there could be 20,000.

Now a head has at most 256 headers, and is malformed otherwise, and the options are looked through without copies.

TestResponseReader "many headers" holds the bound.

--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -57,7 +57,8 @@
     }
     g_string_append_len(this->text, data, (gssize)size);
     last_span(this)->name_size += (guint)size;
-    return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES;
+    return this->text->len > MP_RESPONSE_HEAD_MAX_BYTES ||
+           this->spans->len > MP_RESPONSE_HEADERS_MAX;
 }
 
 static int
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -30,6 +30,8 @@
 
 /* Maximum size of a response head, bytes. */
 #define MP_RESPONSE_HEAD_MAX_BYTES 65536
+/* Maximum number of headers of a response. */
+#define MP_RESPONSE_HEADERS_MAX 256
 /* Small pieces of a body, such as short chunks, that arrive together are put
  * together up to this size, bytes. */
 #define MP_RESPONSE_JOINED_MAX_BYTES 65536
--- a/src/transport/HopHeaders.c
+++ b/src/transport/HopHeaders.c
@@ -29,22 +29,28 @@
     return false;
 }
 
-/* Returns whether the Connection header lists the header. */
+/* Returns whether the Connection header lists the header.  It is looked
+ * through for each header, so that its length counts. */
 static bool
 is_connection_option(const char *connection, const char *name, size_t size)
 {
-    if (!connection) {
-        return false;
-    }
-    char **tokens = g_strsplit(connection, ",", -1);
-    bool is_found = false;
-    for (char **token = tokens; *token && !is_found; token++) {
-        g_strstrip(*token);
-        is_found = strlen(*token) == size &&
-                   g_ascii_strncasecmp(*token, name, size) == 0;
+    const char *at = connection;
+    while (at) {
+        const char *comma = strchr(at, ',');
+        const char *end = comma ? comma : at + strlen(at);
+        while (at < end && g_ascii_isspace(at[0])) {
+            at++;
+        }
+        while (end > at && g_ascii_isspace(end[-1])) {
+            end--;
+        }
+        if ((size_t)(end - at) == size &&
+            g_ascii_strncasecmp(at, name, size) == 0) {
+            return true;
+        }
+        at = comma ? comma + 1 : NULL;
     }
-    g_strfreev(tokens);
-    return is_found;
+    return false;
 }
 
 bool
--- a/tests/TestResponseReader.c
+++ b/tests/TestResponseReader.c
@@ -413,6 +413,25 @@
     reading_end(&reading);
 }
 
+static void
+test_many_headers(void)
+{
+    for (int more = 0; more < 2; more++) {
+        struct reading reading;
+        GString *text = g_string_new("HTTP/1.1 200 X\r\n" OWN);
+        for (int i = 1; i < MP_RESPONSE_HEADERS_MAX + more; i++) {
+            g_string_append(text, "b:\r\n");
+        }
+        g_string_append(text, "\r\n");
+        reading_start(&reading, "a-1", false);
+        g_assert_cmpint(feed(&reading, text->str, false), ==,
+                        more ? MP_READ_INVALID : MP_READ_MORE);
+        g_assert_cmpint(reading.heads, ==, more ? 0 : 1);
+        g_string_free(text, TRUE);
+        reading_end(&reading);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -437,5 +456,6 @@
     g_test_add_func("/reader/second request of a connection",
                     test_second_request);
     g_test_add_func("/reader/short chunks", test_short_chunks);
+    g_test_add_func("/reader/many headers", test_many_headers);
     return g_test_run();
 }
--- a/tests/runs/endless_at_once.py
+++ b/tests/runs/endless_at_once.py
@@ -33,6 +33,11 @@
                       b"\r\n", 0),
     "one-byte-chunks": (STREAM + CHUNKED, b"1\r\nb\r\n1\r\n\n\r\n" * 9999,
                         ALL_S),
+    "options": ("connection: %s\r\n%s\r\n" % ("a," * 20000, "b:\r\n" * 9000),
+                b"b" * PIECE, ALL_S),
+    "options-few": ("connection: %s\r\n%s\r\n" % ("a," * 20000,
+                                                  "b:\r\n" * 240),
+                    b"b" * PIECE, ALL_S),
 }
 
 
