A refusal or an error to be replaced ends with its head

What callers saw: a target that refused a request, or whose error was to be replaced, and whose body then went on (without end, a byte now and then, or silent) kept the request until its deadline; the caller got 504 although the next target would have served it. The instance read such a body at full speed meanwhile: 1.3 to 3.8 s of processor time for eight requests in 4 s.

Cause: the attempt ended with the answer. But status and headers say all that is used of it.

Now the rest of such an answer is read past, up to 64 KB and 100 ms (MpTargetConn_SkipRest), so that the connection of an ordinary refusal can be used again; then it is closed, the attempt ends as it does with a whole answer, and the next target gets the request. One line, answer-left, says so.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -181,6 +181,7 @@
     if (this->is_rejected ||
         (is_failure &&
          MpForward_MayRetryError(&this->forward, may_retry(this), now_ms))) {
+        MpTargetConn_SkipRest(this->conn, head);
         return;
     }
     if (!MpGatewayStream_Start(this, head)) {
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -18,6 +18,8 @@
 clear_request(struct MpTargetConn *this)
 {
     MpPathWait_End(&this->wait);
+    MpLoop_ClearTimer(&this->timer);
+    this->is_rest_skipped = false;
     g_clear_pointer(&this->request, g_byte_array_unref);
     this->klass = NULL;
     this->owner = NULL;
@@ -138,11 +140,28 @@
 on_body(void *owner, const char *data, size_t size)
 {
     struct MpTargetConn *this = owner;
-    if (this->klass) {
+    if (this->klass && !this->is_rest_skipped) {
         this->klass->body(this->owner, data, size);
     }
 }
 
+/* Ends a request whose response goes on, though nobody gets the rest. */
+static void
+leave_rest(struct MpTargetConn *this)
+{
+    MpLog_Event(LOG_NOTICE, "answer-left",
+                "id=%s target=%s received_bytes=%zu",
+                this->reader.id ? this->reader.id : "-",
+                this->conn_pool->address, this->received_bytes);
+    fail(this, MP_TARGET_COMPLETE, NULL);
+}
+
+static void
+on_rest_timeout(struct MpTimer *timer)
+{
+    leave_rest(timer->data);
+}
+
 static void
 report_stray(const struct MpTargetConn *this, enum MpStrayReason reason,
              int status, int64_t bytes)
@@ -331,6 +350,10 @@
     else if (failure) {
         fail(this, MP_TARGET_INCOMPLETE, failure);
     }
+    else if (this->is_rest_skipped &&
+             this->received_bytes > this->rest_max_bytes) {
+        leave_rest(this);
+    }
 }
 
 /* ---- writing ---- */
@@ -506,6 +529,18 @@
                                  now_ms);
 }
 
+void
+MpTargetConn_SkipRest(struct MpTargetConn *this,
+                      const struct MpTargetHead *head)
+{
+    bool is_long = head->size > MP_TARGET_REST_MAX_BYTES;
+    this->is_rest_skipped = true;
+    this->rest_max_bytes =
+        is_long ? 0 : this->received_bytes + MP_TARGET_REST_MAX_BYTES;
+    MpLoop_SetTimer(this->conn_pool->loop, &this->timer, MP_TARGET_REST_MS,
+                    on_rest_timeout, this);
+}
+
 void
 MpTargetConn_Pause(struct MpTargetConn *this)
 {
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -41,6 +41,10 @@
 #define MP_TARGET_REQUESTS_MAX 256
 /* Timeout of a probe, ms; several round trips within a region. */
 #define MP_TARGET_PROBE_MS 150
+/* Most that is read of a response whose rest nobody gets, bytes and ms: it
+ * usually comes with the head, and its connection can then be kept. */
+#define MP_TARGET_REST_MAX_BYTES 65536
+#define MP_TARGET_REST_MS 100
 /* An idle connection is closed this long before the target's own idle timeout
  * would close it, ms. */
 #define MP_TARGET_IDLE_MARGIN_MS 700
@@ -149,6 +153,13 @@
  * that nothing will arrive soon. */
 bool MpTargetConn_IsStuck(const struct MpTargetConn *this, int64_t now_ms);
 
+/* Called during the callback head by an owner that knows all it needs: no body
+ * follows.  The request ends as complete with its response, or once that is
+ * longer than MP_TARGET_REST_MAX_BYTES or takes MP_TARGET_REST_MS; then the
+ * connection is closed. */
+void MpTargetConn_SkipRest(struct MpTargetConn *this,
+                           const struct MpTargetHead *head);
+
 /* Stop and resume reading, for back-pressure. */
 void MpTargetConn_Pause(struct MpTargetConn *this);
 void MpTargetConn_Resume(struct MpTargetConn *this);
--- a/src/transport/TargetConnInternal.h
+++ b/src/transport/TargetConnInternal.h
@@ -36,6 +36,8 @@
     int64_t idle_timeout_ms;
     int64_t idle_since_ms;
     size_t received_bytes; /* since the request */
+    bool is_rest_skipped;  /* the rest of the response is read past */
+    size_t rest_max_bytes; /* received_bytes up to which that is done */
     const char *failure;   /* why the request failed, or NULL */
 };
 
