Plain answers that are kept have a bound together

What callers saw: targets of the product's own API that sent answers without end to several requests at once used up the instance's memory.

Cause: each plain answer is kept until its bill is durable, up to 16 MB, and nothing bounded their sum (requests_most is 4,096 by default); errors that are never passed on were kept too, to the same size; and memory stayed taken after an attempt had failed.

Now all of an instance are at most 64 MB together; beyond it the attempt with the largest one fails, which an endless answer soon is (response-dropped). Answers up to 64 KB do not count. Of an error that is to be replaced at most 64 KB are read, for 100 ms, and none is kept. What was kept is freed when an attempt fails and when it was passed on.

An answer kept for a caller that does not read it still counts until it is read.

--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -187,9 +187,27 @@
                           const char *request_id, int64_t retry_after_ms,
                           bool may_have_run);
 
+/* -- plain responses (ExchangeBuffer.c) -- */
+/* Largest plain response that is kept until its settlement, bytes; a larger
+ * one fails the attempt. */
+#define MP_PLAIN_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
+/* Largest sum of those of an instance, bytes.  Beyond it the attempt with the
+ * largest one fails; small ones do not count. */
+#define MP_PLAIN_RESPONSES_MAX_BYTES (64 * 1024 * 1024)
+#define MP_PLAIN_RESPONSE_SMALL_BYTES (64 * 1024)
+/* Keeps a part of a plain response.  Returns false if there is no room: the
+ * attempt of this exchange has to fail. */
+bool MpExchange_KeepResponse(struct MpExchange *this, const char *data,
+                             size_t size);
+/* Frees what was kept. */
+void MpExchange_DropResponse(struct MpExchange *this);
+
 /* -- target (ExchangeTarget.c) -- */
 /* Sends the request to this->target. */
 void MpExchange_StartAttempt(struct MpExchange *this);
+/* Cancels the attempt under way, which may have run, and looks into it: the
+ * target may have crashed. */
+void MpExchange_FailAttempt(struct MpExchange *this);
 /* Cancels the upstream request, if any, and releases the target. */
 void MpExchange_EndAttempt(struct MpExchange *this,
                            enum MpAttemptOutcome outcome);
--- a/src/transport/ExchangeSettlement.c
+++ b/src/transport/ExchangeSettlement.c
@@ -67,6 +67,7 @@
                                      : this->response->len);
     }
     MpExchange_Write(this, this->response->data, this->response->len);
+    MpExchange_DropResponse(this);
     MpExchange_FinishResponse(this);
     MpExchange_End(this);
 }
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -14,9 +14,6 @@
 /* The target's side of an exchange: attempts, retries and responses. */
 
 #define ATTEMPTS_MAX 3
-/* Largest plain response that is buffered until its settlement; a larger one
- * fails the attempt. */
-#define RESPONSE_MAX_BYTES (16 * 1024 * 1024)
 
 static const struct MpUpstreamClass attempt_class;
 
@@ -30,9 +27,7 @@
     struct MpExchange *this = timer->data;
     MpMetrics_Count(&this->router->metrics, "mimosapath_silent_total", NULL,
                     NULL, 1);
-    MpUpstream_Cancel(this->upstream);
-    this->upstream = NULL;
-    fail_attempt(this, true);
+    MpExchange_FailAttempt(this);
 }
 
 static void
@@ -271,6 +266,7 @@
     g_ptr_array_add(this->tried, g_strdup(target->name));
     this->upstream = NULL;
     this->was_sent = this->was_sent || is_sent;
+    MpExchange_DropResponse(this);
     MpExchange_EndAttempt(this, this->is_pause_answer ? MP_ATTEMPT_CANCELLED
                                                       : MP_ATTEMPT_FAILED);
     MpMetrics_Count(&this->router->metrics, "mimosapath_attempt_failed_total",
@@ -283,6 +279,13 @@
                          on_probed, this);
 }
 
+void
+MpExchange_FailAttempt(struct MpExchange *this)
+{
+    MpUpstream_Cancel(this->upstream);
+    fail_attempt(this, true);
+}
+
 /* ---- responses of the target ---- */
 
 static void
@@ -349,6 +352,12 @@
                                  &this->router->gateway.target_pauses);
 }
 
+static bool
+is_retryable(const struct MpExchange *this)
+{
+    return !this->at_most_once && (this->status >= 500 || this->status == 429);
+}
+
 static void
 on_head(void *owner, const struct MpTargetHead *head)
 {
@@ -370,8 +379,11 @@
     this->is_stream = this->is_chat && !reason;
     if (this->is_head_sent && !this->is_stream) {
         log_not_resumed(this, reason);
-        MpUpstream_Cancel(this->upstream);
-        fail_attempt(this, true);
+        MpExchange_FailAttempt(this);
+    }
+    else if (is_retryable(this)) {
+        /* Whether it is sent again or not, nobody gets the answer. */
+        MpUpstream_SkipRest(this->upstream, head);
     }
 }
 
@@ -467,8 +479,7 @@
         }
     }
     if (code != MP_OK) {
-        MpUpstream_Cancel(this->upstream);
-        fail_attempt(this, true);
+        MpExchange_FailAttempt(this);
     }
 }
 
@@ -480,18 +491,9 @@
         read_stream(this, data, size);
         return;
     }
-    if (this->response->len + size > RESPONSE_MAX_BYTES) {
-        MpUpstream_Cancel(this->upstream);
-        fail_attempt(this, true);
-        return;
+    if (!MpExchange_KeepResponse(this, data, size)) {
+        MpExchange_FailAttempt(this);
     }
-    g_byte_array_append(this->response, (const guint8 *)data, (guint)size);
-}
-
-static bool
-is_retryable(const struct MpExchange *this)
-{
-    return !this->at_most_once && (this->status >= 500 || this->status == 429);
 }
 
 static void
--- a/src/transport/Upstream.c
+++ b/src/transport/Upstream.c
@@ -69,6 +69,12 @@
     g_free(this);
 }
 
+void
+MpUpstream_SkipRest(struct MpUpstream *this, const struct MpTargetHead *head)
+{
+    MpTargetConn_SkipRest(this->conn, head);
+}
+
 void
 MpUpstream_Pause(struct MpUpstream *this)
 {
--- a/src/transport/Upstream.h
+++ b/src/transport/Upstream.h
@@ -44,6 +44,10 @@
 /* Cancels the request and closes its connection; no callbacks follow. */
 void MpUpstream_Cancel(struct MpUpstream *this);
 
+/* See MpTargetConn_SkipRest. */
+void MpUpstream_SkipRest(struct MpUpstream *this,
+                         const struct MpTargetHead *head);
+
 /* Stop and resume reading, for back-pressure. */
 void MpUpstream_Pause(struct MpUpstream *this);
 void MpUpstream_Resume(struct MpUpstream *this);
