The poll of an endless status ends at its bound

A target whose status went on without end was read at full speed for 0.8 s, two times in each second: 7.3 GB in 3 s, none of which was of use. Now the poll ends with the bound of 1 MB that was already there, the last status stays, and target-status-unreadable says too_long once.

--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -32,6 +32,7 @@
     struct MpTimer timer;
     GByteArray *body;
     int status;
+    bool is_too_long;
     char *boot; /* of a probe: the incarnation to check */
     bool is_probe;
     void (*done)(void *data, bool has_crashed);
@@ -89,12 +90,14 @@
 static void
 apply_status(struct status_query *this)
 {
-    struct MpTargetStatus status;
+    struct MpTargetStatus status = {.boot = ""};
     struct target_state *state = get_state(this->poller, this->target->name);
-    const char *reason;
+    const char *reason = "too_long";
     bool was_unreadable = state->is_unreadable;
-    state->is_unreadable = !MpTargetStatus_Parse(
-        &status, (const char *)this->body->data, this->body->len, &reason);
+    state->is_unreadable =
+        this->is_too_long ||
+        !MpTargetStatus_Parse(&status, (const char *)this->body->data,
+                              this->body->len, &reason);
     if (!state->is_unreadable) {
         set_boot(this->poller, this->target, status.boot);
         MpTarget_ApplyReport(this->target, &status.report, MpLoop_Now());
@@ -164,7 +167,11 @@
     struct status_query *this = owner;
     if (this->body->len + size <= STATUS_MAX_BYTES) {
         g_byte_array_append(this->body, (const guint8 *)data, (guint)size);
+        return;
     }
+    this->is_too_long = true;
+    MpUpstream_Cancel(this->upstream);
+    finish(this, true);
 }
 
 static void
--- a/tests/runs/endless_service_answers.py
+++ b/tests/runs/endless_service_answers.py
@@ -1,9 +1,11 @@
 """Targets of the product's own API send endless bytes, to several requests at
 once: in plain answers, which are kept until they are paid for, in errors that
-nobody gets, and in many short events.  The memory of the instance stays bounded, requests of other callers are served
+nobody gets, in many short events and in the status that instances poll.  The
+memory of the instance stays bounded, requests of other callers are served
 meanwhile, and the targets see the connections closed."""
 import json
 import os
+import time
 
 # Memory in the quarantine of ASan would count as used.
 os.environ["ASAN_OPTIONS"] = "detect_leaks=0:quarantine_size_mb=0"
@@ -19,7 +21,7 @@
 TIMEOUT_S = 5             # of the service, and more for the model
 GRACE_S = 15
 PIECE = b"b" * (1 << 20)
-# What is taken of an error: a part of it, and what sockets hold.
+# What is taken of an error or a status: a part of it, and what sockets hold.
 TAKEN_MAX = 16 << 20
 CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = b'data: {"x":1}\n\n' * 4096
@@ -51,6 +53,8 @@
 def handle_request(target, req, conn):
     if req["path"].startswith("/status"):
         target.requests.pop()
+        if state["kind"] == "status" and target.name == "raw-1":
+            return send_endless(conn, *KINDS["plain"])
         return respond(conn, req, json.dumps(
             {"name": target.name, "boot": target.name}))
     if req["path"].startswith("/ready"):
@@ -63,6 +67,9 @@
 
     def document(self):
         document = super().document()
+        document["targets"]["raw-1"] = {
+            "address": "127.0.0.1:%d" % status_target.port, "zone": "a",
+            "capacity": 64}
         document["services"]["raw"]["timeout_ms"] = TIMEOUT_S * 1000
         document["models"]["m"]["targets"] = ["raw-0"]
         return document
@@ -71,8 +78,10 @@
 def play(number):
     if state["kind"] == "events":
         fleet.chat("i0", "x", stream=True, timeout=20)
-    else:
+    elif state["kind"] != "status":
         fleet.call("i0", "/services/raw/%d" % number, method="GET")
+    else:
+        time.sleep(3)
 
 
 def serve_other():
@@ -80,12 +89,13 @@
 
 
 target = SimTarget("raw-0", handle_request)
+status_target = SimTarget("raw-1", handle_request)
 ServiceFleet.service_target = target
 fleet, _ = path_fleet([target], [path_conf("/ready/")], instances=1,
                       control=1, fleet_class=EndlessFleet)
 with fleet:
     print("ready", wait_targets(fleet, "i0"), wait_for_service(fleet, "i0"))
-    for kind in KINDS:
+    for kind in list(KINDS) + ["status"]:
         state.update(kind=kind, most=0)
         cost = Cost(kind, fleet.processes["i0"].pid, AT_ONCE, play,
                     serve_other)
@@ -97,5 +107,5 @@
               "others served", cost.are_others_served and
               cost.other_s < OTHER_MAX_S, "closed", is_closed,
               *(["little taken", state["most"] <= TAKEN_MAX]
-                if kind == "error" else []))
+                if kind in ("error", "status") else []))
     print("serves", status_of(send(fleet, "i0", "/ready/")))
