The target list has a bound for all of its pages

What could happen: a list whose pages go on without end was read for 256 pages of up to 8 MB each, and all entries were kept: 153 MB after 4 s of a list with 5,000 entries a page, and growing.

Now no further page is read once there are 65,536 entries, sixteen times what instances are told of; what was read is in force, as it was after 256 pages, and target-list-cut says so.

--- a/src/protocol/TargetPage.c
+++ b/src/protocol/TargetPage.c
@@ -9,6 +9,8 @@
 
 /* The fields behind the list of a page that is repaired, bytes. */
 #define TAIL_MAX_BYTES 4096
+/* The field that names the next page, bytes. */
+#define NEXT_MAX_BYTES 4096
 #define SLOTS_MAX 100000
 /* Largest number that all JSON libraries can represent exactly. */
 #define NUMBER_MAX ((INT64_C(1) << 53) - 1)
@@ -364,6 +366,9 @@
                       memcmp(text, "null", strlen("null")) == 0)) {
         return MP_OK;
     }
+    if (size > NEXT_MAX_BYTES) {
+        return MP_ERROR_INVALID;
+    }
     GPtrArray *findings = MpFindings_New();
     struct json_object *value = MpJson_Parse(text, size, findings);
     bool is_string = json_object_is_type(value, json_type_string);
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -15,6 +15,9 @@
 #define RETRY_MAX_MS 3000
 #define PAGES_MAX 256
 #define PAGE_MAX_BYTES (8 * 1024 * 1024)
+/* No further page is read once there are so many entries; several times the
+ * number of targets that instances are told of. */
+#define ENTRIES_MAX 65536
 /* A page after the first that is refused with status 429 is requested again
  * after PAGE_RETRY_MS, at most PAGE_REFUSALS_MAX times in one read.  A
  * provider that allows 40 calls a second lets four calls pass during the
@@ -36,13 +39,13 @@
     struct MpTimer timer;
     GPtrArray *targets; /* from the pages read so far */
     GByteArray *body;
-    bool is_too_long; /* the body is longer than PAGE_MAX_BYTES */
     int status;
     uint32_t pages;
     uint32_t refusals; /* with status 429, during this read */
     struct MpUnreadableEntries unreadable;
     GHashTable *known; /* incarnation -> address, from the last list */
     uint32_t unreadable_logged; /* number in the last line of the log */
+    bool is_cut;                /* the last list had further pages */
     uint32_t failures;          /* in a row */
     uint64_t calls;             /* counter */
     char *next_query;
@@ -131,19 +134,21 @@
 drop_duplicates(struct MpTargetList *this)
 {
     GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-    guint i = 0;
-    while (i < this->targets->len) {
-        struct MpListedTarget *entry = g_ptr_array_index(this->targets, i);
+    struct MpListedTarget **list =
+        (struct MpListedTarget **)this->targets->pdata;
+    guint kept = 0;
+    for (guint i = 0; i < this->targets->len; i++) {
+        struct MpListedTarget *entry = list[i];
         gpointer at;
         if (!g_hash_table_lookup_extended(seen, entry->incarnation, NULL,
                                           &at)) {
-            g_hash_table_insert(seen, entry->incarnation, GUINT_TO_POINTER(i));
-            i++;
+            g_hash_table_insert(seen, entry->incarnation,
+                                GUINT_TO_POINTER(kept));
+            list[i] = list[kept];
+            list[kept++] = entry;
             continue;
         }
-        struct MpListedTarget **first =
-            (struct MpListedTarget **)&this->targets
-                ->pdata[GPOINTER_TO_UINT(at)];
+        struct MpListedTarget **first = &list[GPOINTER_TO_UINT(at)];
         if (strcmp(entry->address, (*first)->address) == 0 &&
             strcmp(entry->pool, (*first)->pool) == 0) {
             (*first)->is_leaving |= entry->is_leaving;
@@ -155,15 +160,29 @@
             if (is_preferred(this, entry, *first)) {
                 struct MpListedTarget *other = *first;
                 *first = entry;
-                this->targets->pdata[i] = other;
+                list[i] = other;
                 g_hash_table_replace(seen, entry->incarnation, at);
             }
         }
-        g_ptr_array_remove_index(this->targets, i);
     }
+    /* The others are behind those that are kept. */
+    g_ptr_array_set_size(this->targets, (gint)kept);
     g_hash_table_unref(seen);
 }
 
+/* Logs that the list has more pages than are read, when that changes. */
+static void
+log_cut(struct MpTargetList *this)
+{
+    bool was_cut = this->is_cut;
+    this->is_cut = this->next_query != NULL;
+    if (this->is_cut != was_cut) {
+        MpLog_Event(this->is_cut ? LOG_WARNING : LOG_NOTICE,
+                    this->is_cut ? "target-list-cut" : "target-list-whole",
+                    "pages=%u entries=%u", this->pages, this->targets->len);
+    }
+}
+
 static void
 remember_list(struct MpTargetList *this)
 {
@@ -210,7 +229,9 @@
 {
     struct MpTargetList *this = owner;
     if (size > PAGE_MAX_BYTES - this->body->len) {
-        this->is_too_long = true;
+        MpTargetConn_Cancel(this->conn);
+        this->conn = NULL;
+        on_page_failed(this, "too_long");
         return;
     }
     g_byte_array_append(this->body, (const guint8 *)data, (guint)size);
@@ -245,10 +266,6 @@
         on_page_failed(this, is_complete ? "status" : "connection");
         return;
     }
-    if (this->is_too_long) {
-        on_page_failed(this, "too_long");
-        return;
-    }
     /* The end of a connection may have cut a page off. */
     if (MpTargetPage_Parse(&dialect->target_page,
                            (const char *)this->body->data, this->body->len,
@@ -258,10 +275,12 @@
         return;
     }
     this->pages++;
-    if (this->next_query && this->pages < PAGES_MAX) {
+    if (this->next_query && this->pages < PAGES_MAX &&
+        this->targets->len < ENTRIES_MAX) {
         read_page(this);
         return;
     }
+    log_cut(this);
     apply_list(this);
 }
 
@@ -289,7 +308,6 @@
     g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text));
     g_free(text);
     g_byte_array_set_size(this->body, 0);
-    this->is_too_long = false;
     this->status = 0;
     this->calls++;
     struct MpTargetRequest request = {.bytes = bytes};
