A command leaves a response that has no end

mimosapath status and its like kept all that an address sent for 10 s: 531 MB in a run whose server stops at 512 MB. Now they end with an error at 64 MB, several times the state of a large fleet. After a timeout the call is cancelled as well, so that no callback can come for a response that was freed (seen in the code, not in a run).

--- a/src/commands/HttpCall.c
+++ b/src/commands/HttpCall.c
@@ -12,8 +12,18 @@
  * it is reused because h2o can't free a loop with sockets. */
 static struct MpLoop call_loop;
 static bool is_loop_ready;
+static struct MpUpstream *call_upstream;
 static int call_code;
 
+/* Ends the call before its response is complete. */
+static void
+give_up(int code)
+{
+    MpUpstream_Cancel(call_upstream);
+    call_code = code;
+    MpLoop_Stop(&call_loop);
+}
+
 static void
 on_head(void *owner, const struct MpTargetHead *head)
 {
@@ -31,6 +41,10 @@
 on_body(void *owner, const char *data, size_t size)
 {
     struct MpHttpCall *this = owner;
+    if (size > MP_HTTP_CALL_MAX_BYTES - this->response->len) {
+        give_up(MP_ERROR_CORRUPT);
+        return;
+    }
     g_string_append_len(this->response, data, (gssize)size);
 }
 
@@ -49,8 +63,7 @@
 on_timeout(struct MpTimer *timer)
 {
     (void)timer;
-    call_code = MP_ERROR_TIMEOUT;
-    MpLoop_Stop(&call_loop);
+    give_up(MP_ERROR_TIMEOUT);
 }
 
 static GByteArray *
@@ -86,8 +99,9 @@
     }
     call_loop.is_stopped = false;
     MpLoop_SetTimer(&call_loop, &timer, TIMEOUT_MS, on_timeout, NULL);
-    MpUpstream_Start(&call_loop, NULL, &call_class, this, this->address,
-                     this->method, build_request(this));
+    call_upstream =
+        MpUpstream_Start(&call_loop, NULL, &call_class, this, this->address,
+                         this->method, build_request(this));
     MpLoop_Run(&call_loop);
     MpLoop_ClearTimer(&timer);
     return call_code;
--- a/src/commands/HttpCall.h
+++ b/src/commands/HttpCall.h
@@ -7,6 +7,9 @@
  * HttpCall - a blocking HTTP client for commands: one request and response.
  */
 
+/* Several times the state of a large fleet. */
+#define MP_HTTP_CALL_MAX_BYTES (64 * 1024 * 1024)
+
 struct MpHttpCall {
     const char *address; /* IP number and port */
     const char *method;
@@ -20,7 +23,8 @@
 
 /* Sends the request and waits for the complete response; status, response and
  * etag are set.  Errors: MP_ERROR_CLOSED when the connection failed,
- * MP_ERROR_TIMEOUT after 10 s, MP_ERROR_INVALID for a bad address. */
+ * MP_ERROR_TIMEOUT after 10 s, MP_ERROR_CORRUPT when the body is longer than
+ * MP_HTTP_CALL_MAX_BYTES, MP_ERROR_INVALID for a bad address. */
 int MpHttpCall_Perform(struct MpHttpCall *this);
 
 /* Frees response and etag. */
