--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -237,14 +237,42 @@
                    : 0);
 }
 
+/* Refuses a request without its record.  A request with an Idempotency-Key may
+ * have been sent and run before. */
+static void
+refuse_unread(struct MpExchange *this, int code)
+{
+    this->may_have_run = this->may_have_run || !this->has_auto_key;
+    MpExchange_Refuse(this, code, NULL,
+                      MpExchange_RetryAfter(this, BUSY_RETRY_AFTER_MS));
+}
+
+/* The journal does not reply, as when its disk stalls.  Its reply, when it
+ * comes, ends the exchange. */
+static void
+on_journal_timeout(struct MpTimer *timer)
+{
+    refuse_unread(timer->data, MP_ERROR_NO_QUORUM);
+}
+
+static bool
+try_offline(struct MpExchange *this)
+{
+    if (!MpLeaseManager_TryOffline(this->router->leases, this)) {
+        return false;
+    }
+    MpLoop_SetTimer(this->router->loop, &this->timer, OPEN_TIMEOUT_MS,
+                    on_journal_timeout, this);
+    return true;
+}
+
 static void
 on_opened(void *data, int code, const struct mp_result *result)
 {
     struct MpExchange *this = data;
     if (code != MP_OK) {
         MpLeaseManager_SettleNotRun(this->router->leases, this);
-        if (this->req &&
-            MpLeaseManager_TryOffline(this->router->leases, this)) {
+        if (this->req && try_offline(this)) {
             return;
         }
         refuse_unopened(this, code);
@@ -296,7 +324,7 @@
     if (MpControlClient_IsPartitioned(&this->router->control)) {
         /* No proposal is sent, as proposals would pile up until the
          * partition ends. */
-        if (!MpLeaseManager_TryOffline(this->router->leases, this)) {
+        if (!try_offline(this)) {
             look_up_and_refuse(this, MP_ERROR_NO_QUORUM,
                                NO_QUORUM_RETRY_AFTER_MS);
         }
@@ -308,6 +336,7 @@
 void
 MpExchange_RunOffline(struct MpExchange *this)
 {
+    MpLoop_ClearTimer(&this->timer);
     if (!this->req) {
         release_target(this);
         this->is_aborted = true;
@@ -408,14 +437,6 @@
     }
 }
 
-static void
-refuse_unread(struct MpExchange *this)
-{
-    this->may_have_run = this->may_have_run || !this->has_auto_key;
-    MpExchange_Refuse(this, MP_ERROR_DRAINING, NULL,
-                      MpExchange_RetryAfter(this, BUSY_RETRY_AFTER_MS));
-}
-
 void
 MpExchange_Stop(struct MpExchange *this)
 {
@@ -445,7 +466,7 @@
     case MP_STAGE_OPENING:
     case MP_STAGE_REFUSING:
         if (is_second_call) {
-            refuse_unread(this);
+            refuse_unread(this, MP_ERROR_DRAINING);
         }
         return;
     case MP_STAGE_SETTLING:
--- a/src/transport/ExchangeSettlement.c
+++ b/src/transport/ExchangeSettlement.c
@@ -95,8 +95,9 @@
     MpExchange_End(this);
 }
 
-/* No reply from the quorum: the caller gets an error, and the settlement
- * continues in the background. */
+/* No reply from the quorum, or from the journal of a request that runs from a
+ * lease: the caller gets an error, and the settlement continues in the
+ * background. */
 static void
 on_settle_timeout(struct MpTimer *timer)
 {
@@ -142,12 +143,12 @@
         MpExchange_FinishSettled(this);
         return;
     }
+    MpLoop_SetTimer(this->router->loop, &this->timer, SETTLE_TIMEOUT_MS,
+                    on_settle_timeout, this);
     if (this->is_offline) {
         MpLeaseManager_Settle(this->router->leases, this, spent_mtok);
         return;
     }
-    MpLoop_SetTimer(this->router->loop, &this->timer, SETTLE_TIMEOUT_MS,
-                    on_settle_timeout, this);
     fill_settle(this, &command, outcome, spent_mtok);
     MpControlClient_Propose(&this->router->control, &command, 0, on_settled,
                             this);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -141,14 +141,16 @@
 # that reach the control instances through proxies, which set_partitioned()
 # blocks.  file_size_limits maps instances to the maximum size of the files
 # they write, in bytes.  refusable lists the instances whose connections
-# refuse_connections() may refuse.
+# refuse_connections() may refuse, stallable those whose disk stall_disk() may
+# stall.
 class Fleet:
     def __init__(self, instances=3, control=3, engines=2, services=1,
                  partition="refuse", engine_options=(), service_options=(),
                  budget_tokens=1000000, concurrent_max=64, persistent=None,
                  behind_proxy=(), file_size_limits=None, workspaces=None,
                  capacity=64, routing=None, extra_document=None,
-                 extra_settings=None, wait=True, refusable=()):
+                 extra_settings=None, wait=True, refusable=(),
+                 stallable=()):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         self.callers, self.operators, self.rpc = {}, {}, {}
@@ -164,6 +166,7 @@
         self.proxies = []
         self.file_size_limits = file_size_limits or {}
         self.refusable = refusable
+        self.stallable = stallable
         self.workspaces = workspaces or {"w": KEY}
         self.capacity = capacity
         self.routing = routing
@@ -272,24 +275,43 @@
         size = self.file_size_limits.get(name)
         self.processes[name] = subprocess.Popen(
             [PROGRAM] + arguments, stderr=log, stdout=log,
-            env=self.refusable_environment(name),
+            env=self.preload_environment(name),
             preexec_fn=(lambda: resource.setrlimit(
                 resource.RLIMIT_FSIZE, (size, size))) if size else None)
         log.close()
 
-    def refusable_environment(self, name):
-        if name not in self.refusable:
+    def preload_environment(self, name):
+        """Returns the environment that preloads into an instance what lets
+        its calls fail or wait, None if it needs nothing of that."""
+        variables, libraries = {}, []
+        if name in self.refusable:
+            variables["REFUSE_CONNECT"] = self.path(name + ".refused")
+            libraries.append(self.build_library("refuse_connect"))
+        if name in self.stallable:
+            variables["STALL_SYNC"] = self.path(name + ".stalled")
+            libraries.append(self.build_library("stall_sync"))
+        if not libraries:
             return None
-        library = self.path("refuse_connect.so")
+        return dict(os.environ, LD_PRELOAD=":".join(libraries),
+                    ASAN_OPTIONS=":".join(filter(None, [
+                        os.environ.get("ASAN_OPTIONS"),
+                        "verify_asan_link_order=0"])), **variables)
+
+    def build_library(self, name):
+        library = self.path(name + ".so")
         if not os.path.exists(library):
             subprocess.check_call(["cc", "-shared", "-fPIC", "-o", library,
                                    os.path.join(os.path.dirname(__file__),
-                                                "refuse_connect.c")])
-        return dict(os.environ, LD_PRELOAD=library,
-                    REFUSE_CONNECT=self.path(name + ".refused"),
-                    ASAN_OPTIONS=":".join(filter(None, [
-                        os.environ.get("ASAN_OPTIONS"),
-                        "verify_asan_link_order=0"])))
+                                                name + ".c")])
+        return library
+
+    def stall_disk(self, name, is_stalled=True):
+        """Lets what the instance writes reach its disk only when the disk is
+        no longer stalled."""
+        if is_stalled:
+            self.write(name + ".stalled", "")
+        else:
+            os.unlink(self.path(name + ".stalled"))
 
     def refuse_connections(self, name, ports):
         """Refuses the instance's new connections to these ports of targets;
