A half-open target may replace a silent attempt

Now the target must not be ejected; one that may be tested takes the request.

In that run the silent stream comes first, while no target is ejected: what is asked there is that it begins anew, not which failed target may be used.

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -461,8 +461,9 @@
 }
 
 /* Returns whether an attempt that has fallen silent can be replaced at once by
- * one at a healthy target.  A permit would have to be waited for, so that
- * targets that name a limit are left out, now and when the attempt is made. */
+ * one at a target that is not ejected.  A permit would have to be waited for,
+ * so targets that name a limit are passed over, now and when the attempt is
+ * made. */
 static bool
 can_replace(struct MpGatewayCall *this, int64_t now_ms)
 {
@@ -472,7 +473,7 @@
     this->permit_tries = MP_PERMIT_TRIES_MAX;
     if (MpGatewaySuspect_MayGoOn(this) &&
         pick(this, now_ms, &query, &picked) == MP_OK &&
-        picked.target->failures == 0 &&
+        picked.target->ejected_until_ms <= now_ms &&
         MpForward_IsOfUse(&this->forward, picked.wait_ms, now_ms)) {
         return true;
     }
--- a/tests/runs/stream_cut_before_first_event.py
+++ b/tests/runs/stream_cut_before_first_event.py
@@ -127,12 +127,12 @@
                               "slack": 500}}, **options)
     with fleet:
         print(name, "ready", wait_for(lambda: is_served(fleet, names)))
+        report(fleet, names, "/stream/silent/1/x/")
         for how in ("closed", "reset", "inside", "garbled", "length",
                     "unframed"):
             report(fleet, names, "/once/%s/9/x/" % how)
             report(fleet, names, "/stream/%s/1/x/" % how)
         report(fleet, names, "/stream/closed/9/x/")
-        report(fleet, names, "/stream/silent/1/x/")
         report(fleet, names, "/deadline/silent/9/x/")
         report_drain(fleet, names)
 
