--- a/tests/runs/sound_target_falls_silent.py
+++ b/tests/runs/sound_target_falls_silent.py
@@ -1,7 +1,7 @@
 """A sound target falls silent for 1.2 to 1.9 s, before the head of its answer,
 in it, before the first event or between events, and goes on.  No other target
-takes the request: there is none, it leaves, wants a pause, is full, or the retry
-budget is used up.  Nothing is lost or refused that the target serves."""
+takes the request: there is none, it leaves, wants a pause, is at its limit, is
+full, or the retry budget is used up.  Nothing is lost or refused that the target serves."""
 import time
 from collections import Counter
 from fleet import in_background, wait_for
@@ -64,7 +64,9 @@
     if req["path"].startswith("/ready/"):
         if target.name == "t1" and target.how == "full":
             time.sleep(8)
-        return respond(conn, req)
+        return respond(conn, req, extra_headers=(
+            "x-mimosapath-limit: 0.001\r\nServer-Limit: 0.001\r\n"
+            if target.name == "t1" and target.how == "limited" else ""))
     return serve(conn, req)
 
 
@@ -85,7 +87,7 @@
 
 def prepare(fleet, names, targets, how):
     """Has the second target take nothing more."""
-    if how == "paused":
+    if how in ("paused", "limited"):
         return wait_for(lambda: call(fleet, names, "/ready/x") and
                         len(targets[1].requests) > 0)
     if how == "full":
@@ -146,5 +148,5 @@
 for dialect, make, header_names in (("native", path_fleet, NATIVE),
                                     ("platform", platform_fleet, PLATFORM)):
     print(dialect)
-    for other in ("one", "leaving", "paused", "full", "budget"):
+    for other in ("one", "leaving", "paused", "limited", "full", "budget"):
         play(dialect, make, header_names, other)
