A write for which the disk had no room spoils no file

Cause: the first bytes of a frame may still find room. They stayed in the file, the next frame was appended behind them, and a bad frame in front of a good one is corruption. The log of a replica was safe only as the process ended after each failed write.

A temporary file is removed when it could not be replaced, and at the start. A failed sync is never reported as a full disk, as it is unknown then what is durable.

--- a/fuzz/MemoryDisk.c
+++ b/fuzz/MemoryDisk.c
@@ -49,8 +49,14 @@
 disk_append(struct MpDisk *super, const char *name, const void *data,
             size_t size)
 {
-    g_byte_array_append(find_or_create(super, name)->bytes, data, (guint)size);
-    return MP_OK;
+    const struct MemoryDisk *this = (const struct MemoryDisk *)super;
+    if (this->is_full && !find(super, name)) {
+        return MP_ERROR_DISK_FULL;
+    }
+    size_t taken = this->is_full ? MIN(size, this->room_bytes) : size;
+    g_byte_array_append(find_or_create(super, name)->bytes, data,
+                        (guint)taken);
+    return taken == size ? MP_OK : MP_ERROR_DISK_FULL;
 }
 
 static int
@@ -74,6 +80,9 @@
 disk_replace(struct MpDisk *super, const char *name, const void *data,
              size_t size)
 {
+    if (((const struct MemoryDisk *)super)->is_full) {
+        return MP_ERROR_DISK_FULL;
+    }
     struct memory_file *file = find_or_create(super, name);
     g_byte_array_set_size(file->bytes, 0);
     g_byte_array_append(file->bytes, data, (guint)size);
@@ -113,7 +122,7 @@
 void
 MemoryDisk_Init(struct MemoryDisk *this)
 {
-    this->super.klass = &memory_disk_class;
+    *this = (struct MemoryDisk){.super = {.klass = &memory_disk_class}};
     this->files =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, file_delete);
 }
--- a/fuzz/MemoryDisk.h
+++ b/fuzz/MemoryDisk.h
@@ -5,16 +5,21 @@
 
 #include "state/Disk.h"
 
+#include <stdbool.h>
+
 /*
  * MemoryDisk - a disk in memory that loses unsynced bytes in a crash.
  *
  * After a crash a file holds its synced bytes and the first part of the bytes
- * appended after them; the input chooses how much of these.
+ * appended after them; the input chooses how much of these.  A full disk takes
+ * the first room_bytes of what is appended, and no new files.
  */
 
 struct MemoryDisk {
     struct MpDisk super;
     GHashTable *files; /* name -> struct memory_file */
+    bool is_full;
+    size_t room_bytes; /* of each append, while the disk is full */
 };
 
 void MemoryDisk_Init(struct MemoryDisk *this);
--- a/src/state/Disk.h
+++ b/src/state/Disk.h
@@ -10,6 +10,10 @@
  *
  * Names are plain file names inside one data folder.  Every function returns
  * MP_OK, MP_ERROR_IO, MP_ERROR_DISK_FULL or MP_ERROR_NOT_FOUND.
+ *
+ * After MP_ERROR_DISK_FULL the call may be repeated: append may have added a
+ * part of the data, all other functions have changed nothing.  sync never
+ * returns it, since after a failed sync it is unknown what is durable.
  */
 
 struct MpDisk;
--- a/src/state/Journal.c
+++ b/src/state/Journal.c
@@ -42,6 +42,7 @@
             if (MpFrame_HasValid(file->data + offset + 1, left - 1)) {
                 return MP_ERROR_CORRUPT;
             }
+            this->file.end_bytes = offset;
             return this->disk->klass->truncate(this->disk, JOURNAL_NAME,
                                                offset);
         }
@@ -53,6 +54,7 @@
         }
         offset += length;
     }
+    this->file.end_bytes = offset;
     return MP_OK;
 }
 
@@ -84,11 +86,8 @@
     }
     GByteArray *frame = g_byte_array_new();
     MpFrame_Append(frame, ++this->sequence, payload);
-    int code = this->disk->klass->append(this->disk, JOURNAL_NAME, frame->data,
-                                         frame->len);
-    if (code == MP_OK) {
-        code = this->disk->klass->sync(this->disk, JOURNAL_NAME);
-    }
+    int code =
+        MpFrameFile_Append(&this->file, this->disk, JOURNAL_NAME, frame);
     g_byte_array_unref(frame);
     g_bytes_unref(payload);
     return code;
@@ -98,6 +97,9 @@
 MpJournal_Clear(struct MpJournal *this)
 {
     int code = this->disk->klass->truncate(this->disk, JOURNAL_NAME, 0);
-    return code == MP_OK ? this->disk->klass->sync(this->disk, JOURNAL_NAME)
-                         : code;
+    if (code != MP_OK) {
+        return code;
+    }
+    this->file = (struct MpFrameFile){.end_bytes = 0};
+    return this->disk->klass->sync(this->disk, JOURNAL_NAME);
 }
--- a/src/state/Journal.h
+++ b/src/state/Journal.h
@@ -3,6 +3,7 @@
 
 #include "gen/wire.h"
 #include "state/Disk.h"
+#include "state/FrameFile.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -21,6 +22,7 @@
 struct MpJournal {
     struct MpDisk *disk;
     uint64_t sequence; /* of the last frame */
+    struct MpFrameFile file;
 };
 
 /* Reads the journal.  *entries becomes a new table of the newest entry of each
@@ -30,7 +32,8 @@
 int MpJournal_Open(struct MpJournal *this, struct MpDisk *disk,
                    GHashTable **entries);
 
-/* Appends an entry and syncs it. */
+/* Appends an entry and syncs it.  After MP_ERROR_DISK_FULL the entry is not in
+ * the journal, and others may be appended. */
 int MpJournal_Append(struct MpJournal *this,
                      const struct mp_journal_entry *entry);
 
--- a/src/state/Storage.c
+++ b/src/state/Storage.c
@@ -139,6 +139,7 @@
         this->frame = sequence;
         offset += length;
     }
+    this->file.end_bytes = offset;
     g_byte_array_unref(file);
     return code;
 }
@@ -262,14 +263,13 @@
         return MP_ERROR_TOO_LARGE;
     }
     GByteArray *frame = g_byte_array_new();
-    MpFrame_Append(frame, ++this->frame, payload);
-    int code =
-        this->disk->klass->append(this->disk, name, frame->data, frame->len);
-    if (code == MP_OK && !MP_FAULT(MP_FAULT_SYNC_SKIPPED)) {
-        code = this->disk->klass->sync(this->disk, name);
+    MpFrame_Append(frame, this->frame + 1, payload);
+    int code = MpFrameFile_Append(&this->file, this->disk, name, frame);
+    if (code == MP_OK) {
+        this->frame++;
+        this->synced_bytes += frame->len;
+        this->syncs++;
     }
-    this->synced_bytes += frame->len;
-    this->syncs++;
     g_byte_array_unref(frame);
     g_bytes_unref(payload);
     return code;
@@ -319,6 +319,31 @@
     return code;
 }
 
+/* Starts a new segment that begins with a frame of payload. */
+static int
+start_segment(struct MpStorage *this, GBytes *payload)
+{
+    char name[SEGMENT_NAME_BYTES];
+    segment_name(this, name);
+    int code = MpFrameFile_CutPartial(&this->file, this->disk, name);
+    if (code != MP_OK) {
+        return code;
+    }
+    g_snprintf(name, sizeof(name), SEGMENT_PREFIX "%" PRIu64,
+               this->segment + 1);
+    GByteArray *frame = g_byte_array_new();
+    MpFrame_Append(frame, this->frame + 1, payload);
+    code =
+        this->disk->klass->replace(this->disk, name, frame->data, frame->len);
+    if (code == MP_OK) {
+        this->segment++;
+        this->frame++;
+        this->file = (struct MpFrameFile){.end_bytes = frame->len};
+    }
+    g_byte_array_unref(frame);
+    return code;
+}
+
 int
 MpStorage_SaveSnapshot(struct MpStorage *this,
                        const struct mp_snapshot_head *head, GBytes *data,
@@ -326,21 +351,14 @@
                        const struct MpLogEntry *entries, uint32_t count)
 {
     int code = write_snapshot_file(this, head, data);
+    if (code != MP_OK) {
+        return code;
+    }
     GBytes *payload = encode_batch(hard, entries, count);
-    if (code != MP_OK || !payload) {
-        return code == MP_OK ? MP_ERROR_TOO_LARGE : code;
+    if (!payload) {
+        return MP_ERROR_TOO_LARGE;
     }
-    char name[SEGMENT_NAME_BYTES];
-    this->segment++;
-    segment_name(this, name);
-    GByteArray *frame = g_byte_array_new();
-    MpFrame_Append(frame, ++this->frame, payload);
-    code =
-        this->disk->klass->replace(this->disk, name, frame->data, frame->len);
-    g_byte_array_unref(frame);
+    code = start_segment(this, payload);
     g_bytes_unref(payload);
-    if (code == MP_OK) {
-        code = remove_old_segments(this);
-    }
-    return code;
+    return code == MP_OK ? remove_old_segments(this) : code;
 }
--- a/src/state/Storage.h
+++ b/src/state/Storage.h
@@ -3,6 +3,7 @@
 
 #include "gen/wire.h"
 #include "state/Disk.h"
+#include "state/FrameFile.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -40,10 +41,11 @@
 
 struct MpStorage {
     struct MpDisk *disk;
-    uint64_t segment;      /* number of the current segment */
-    uint64_t frame;        /* sequence number of the last frame */
-    uint64_t synced_bytes; /* counter, for metrics */
-    uint64_t syncs;        /* counter, for metrics */
+    uint64_t segment;        /* number of the current segment */
+    uint64_t frame;          /* sequence number of the last frame */
+    struct MpFrameFile file; /* the current segment */
+    uint64_t synced_bytes;   /* counter, for metrics */
+    uint64_t syncs;          /* counter, for metrics */
 };
 
 /* Reads the state from disk into recovered.  Errors: MP_ERROR_CORRUPT,
@@ -51,13 +53,17 @@
 int MpStorage_Open(struct MpStorage *this, struct MpDisk *disk,
                    struct MpRecovered *recovered);
 
-/* Writes one batch and syncs it.  hard may be NULL.  After an error it is
- * unknown what is durable, and the replica must stop. */
+/* Writes one batch and syncs it.  hard may be NULL.  After MP_ERROR_DISK_FULL
+ * nothing of it is in the log, and the same call may be repeated; other writes
+ * must wait for it.  After any other error it is unknown what is durable, and
+ * the replica must stop. */
 int MpStorage_Append(struct MpStorage *this, const struct mp_hard_state *hard,
                      const struct MpLogEntry *entries, uint32_t count);
 
 /* Writes a snapshot durably, starts a new segment with hard and the entries
- * after the snapshot, and removes older segments. */
+ * after the snapshot, and removes older segments.  Errors: as for
+ * MpStorage_Append; after MP_ERROR_DISK_FULL the snapshot may be written,
+ * which changes nothing of what is recovered. */
 int MpStorage_SaveSnapshot(struct MpStorage *this,
                            const struct mp_snapshot_head *head, GBytes *data,
                            const struct mp_hard_state *hard,
--- a/src/transport/FileDisk.c
+++ b/src/transport/FileDisk.c
@@ -31,6 +31,14 @@
     }
 }
 
+/* Returns MP_ERROR_IO for every failure: even after ENOSPC a second fsync may
+ * succeed although data was lost. */
+static int
+sync_fd(int fd)
+{
+    return fsync(fd) == 0 ? MP_OK : MP_ERROR_IO;
+}
+
 static int
 write_all(int fd, const void *data, size_t size)
 {
@@ -84,7 +92,7 @@
     if (this->append_fd < 0) {
         return error_of_errno();
     }
-    return fsync(this->folder_fd) == 0 ? MP_OK : error_of_errno();
+    return sync_fd(this->folder_fd);
 }
 
 static int
@@ -104,7 +112,7 @@
     if (code != MP_OK) {
         return code;
     }
-    return fdatasync(this->append_fd) == 0 ? MP_OK : error_of_errno();
+    return fdatasync(this->append_fd) == 0 ? MP_OK : MP_ERROR_IO;
 }
 
 static int
@@ -147,8 +155,12 @@
         renameat(this->folder_fd, temporary, this->folder_fd, name) != 0) {
         code = error_of_errno();
     }
-    if (code == MP_OK && fsync(this->folder_fd) != 0) {
-        code = error_of_errno();
+    if (code == MP_OK) {
+        code = sync_fd(this->folder_fd);
+    }
+    else {
+        /* It would keep a full disk full. */
+        unlinkat(this->folder_fd, temporary, 0);
     }
     g_free(temporary);
     return code;
@@ -187,6 +199,22 @@
     .list = disk_list,
 };
 
+/* Removes the files that replace had not finished when the process ended. */
+static int
+remove_temporary_files(struct MpFileDisk *this)
+{
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    int code = disk_list(&this->super, names);
+    for (guint i = 0; code == MP_OK && i < names->len; i++) {
+        const char *name = g_ptr_array_index(names, i);
+        if (g_str_has_suffix(name, TEMPORARY_SUFFIX)) {
+            code = disk_remove(&this->super, name);
+        }
+    }
+    g_ptr_array_unref(names);
+    return code;
+}
+
 int
 MpFileDisk_Init(struct MpFileDisk *this, const char *folder)
 {
@@ -207,8 +235,10 @@
     if (this->lock_fd < 0) {
         return MP_ERROR_IO;
     }
-    return flock(this->lock_fd, LOCK_EX | LOCK_NB) == 0 ? MP_OK
-                                                        : MP_ERROR_LOCKED;
+    if (flock(this->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+        return MP_ERROR_LOCKED;
+    }
+    return remove_temporary_files(this);
 }
 
 void
--- a/src/transport/FileDisk.h
+++ b/src/transport/FileDisk.h
@@ -17,7 +17,8 @@
     char *append_name;
 };
 
-/* Opens and locks folder; creates it if it is missing.  Errors: MP_ERROR_IO,
+/* Opens and locks folder, and removes unfinished files of an earlier process
+ * from it; creates it if it is missing.  Errors: MP_ERROR_IO,
  * MP_ERROR_LOCKED. */
 int MpFileDisk_Init(struct MpFileDisk *this, const char *folder);
 void MpFileDisk_Done(struct MpFileDisk *this);
