A control instance whose disk is full for a moment goes on

What callers saw: an instance that is a router and a control replica ended 4 s after its disk was full for a moment, and the requests that it served were cut without an answer. It was away for longer than its disk was full, so that two replicas were away where disks fill up in turn.

Cause: every failed write was taken for a disk whose state is unknown, and was fatal. After ENOSPC, EDQUOT or EFBIG the state is known: nothing of the write is in the log (commit before), nothing was acknowledged.

Change: such a write is tried again, after 20 ms first and at least each 320 ms; for the agreement it is a write that takes long. Meanwhile the replica gives up the lead and stands for no election, as the writes of a leader would pile up without a bound; as a follower it gets no more than it acknowledges. Replies that wait for the write are merged, so that they are bounded too, and requests for votes of an election that is over are not sent late. Other failures of a disk end the process as before.

--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -14,7 +14,8 @@
 /*
  * Cluster - simulated control replicas for a fuzz case.  The input chooses
  * which messages are lost, duplicated, delayed or reordered, when replicas
- * crash and lose unsynced bytes, and how fast each replica's clock runs.
+ * crash and lose unsynced bytes, when their disks are full, and how fast each
+ * replica's clock runs.
  */
 
 #define CLUSTER_NODES_MAX 5
@@ -82,7 +83,7 @@
 void Node_Start(struct Node *this);
 /* Crashes the replica; its disk keeps synced bytes and a part of the rest. */
 void Node_Crash(struct Node *this);
-/* Completes the oldest pending write, if any. */
+/* Completes the oldest pending write, if any, unless the disk is full. */
 void Node_CompleteWrite(struct Node *this);
 
 void Cluster_Init(struct Cluster *this, struct FuzzInput *input);
--- a/fuzz/ClusterNode.c
+++ b/fuzz/ClusterNode.c
@@ -192,7 +192,7 @@
 void
 Node_CompleteWrite(struct Node *this)
 {
-    struct MpRaftWrite *write = g_queue_pop_head(&this->writes);
+    struct MpRaftWrite *write = g_queue_peek_head(&this->writes);
     int code;
     if (!write) {
         return;
@@ -213,10 +213,15 @@
                                 (struct MpLogEntry *)write->entries->data,
                                 write->entries->len);
     }
+    if (code == MP_ERROR_DISK_FULL) {
+        MpRaft_SetDiskFull(&this->raft, true, this->clock_ms);
+        return;
+    }
     if (code != MP_OK) {
         Fuzz_Fail("a write failed");
     }
     uint64_t seq = write->seq;
-    MpRaftWrite_Delete(write);
+    MpRaftWrite_Delete(g_queue_pop_head(&this->writes));
+    MpRaft_SetDiskFull(&this->raft, false, this->clock_ms);
     MpRaft_Persisted(&this->raft, seq, this->clock_ms);
 }
--- a/src/coordination/Raft.c
+++ b/src/coordination/Raft.c
@@ -231,6 +231,15 @@
     return write_submit(this, write);
 }
 
+/* Returns whether message asks for votes in an election that is over for this
+ * replica; sent late, it would only depose a leader of the same term. */
+static bool
+is_obsolete(const struct MpRaft *this, const struct mp_raft_message *message)
+{
+    return message->kind == MP_RAFT_VOTE &&
+           (this->role != MP_ROLE_CANDIDATE || message->term != this->term);
+}
+
 void
 MpRaft_Persisted(struct MpRaft *this, uint64_t seq, int64_t now_ms)
 {
@@ -245,7 +254,9 @@
     struct delayed_message *delayed;
     while ((delayed = g_queue_peek_head(&this->delayed)) &&
            delayed->after_seq <= this->durable_seq) {
-        this->port->klass->send(this->port, &delayed->message);
+        if (!is_obsolete(this, &delayed->message)) {
+            this->port->klass->send(this->port, &delayed->message);
+        }
         delayed_message_delete(g_queue_pop_head(&this->delayed));
     }
     if (this->role == MP_ROLE_CANDIDATE) {
@@ -269,6 +280,32 @@
                                     .commit = this->commit};
 }
 
+/* Merges message into a delayed one that differs only in what the newer one
+ * may raise, so that few are kept while a write takes long. */
+static bool
+merge_delayed(struct MpRaft *this, const struct mp_raft_message *message,
+              uint64_t after_seq)
+{
+    for (GList *link = this->delayed.tail; link; link = link->prev) {
+        struct delayed_message *delayed = link->data;
+        struct mp_raft_message *older = &delayed->message;
+        if (delayed->after_seq != after_seq) {
+            return false;
+        }
+        if (older->kind == message->kind && older->to == message->to &&
+            older->term == message->term && older->ok == message->ok) {
+            uint64_t index = message->ok ? MAX(older->index, message->index)
+                                         : message->index;
+            int64_t echo_ms = MAX(older->echo_ms, message->echo_ms);
+            *older = *message;
+            older->index = index;
+            older->echo_ms = echo_ms;
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 MpRaft_SendAfter(struct MpRaft *this, const struct mp_raft_message *message,
                  uint64_t after_seq)
@@ -277,6 +314,9 @@
         this->port->klass->send(this->port, message);
         return;
     }
+    if (merge_delayed(this, message, after_seq)) {
+        return;
+    }
     /* Only replies and vote requests are delayed; they hold no pointers. */
     struct delayed_message *delayed = g_new0(struct delayed_message, 1);
     delayed->after_seq = after_seq;
@@ -398,12 +438,22 @@
     }
     if (this->now_ms >= this->election_deadline_ms) {
         MpRaft_ResetElection(this);
-        if (MpRaft_IsVoter(this)) {
+        if (MpRaft_IsVoter(this) && !this->is_disk_full) {
             MpRaft_StartPreVote(this);
         }
     }
 }
 
+void
+MpRaft_SetDiskFull(struct MpRaft *this, bool is_full, int64_t now_ms)
+{
+    this->now_ms = MAX(this->now_ms, now_ms);
+    this->is_disk_full = is_full;
+    if (is_full && this->role != MP_ROLE_FOLLOWER) {
+        MpRaft_BecomeFollower(this, this->term, 0);
+    }
+}
+
 /* ---- proposals ---- */
 
 int
--- a/src/coordination/Raft.h
+++ b/src/coordination/Raft.h
@@ -145,6 +145,7 @@
                                 * term */
     uint32_t snapshot_entries; /* entries after which a snapshot is due */
     bool is_flush_pending;     /* proposals await MpRaft_Flush() */
+    bool is_disk_full;         /* writes wait for room on the disk */
 };
 
 /* Initializes a replica with the state recovered from disk; recovered may be
@@ -168,6 +169,12 @@
 /* Reports that write seq and all writes before it are durable. */
 void MpRaft_Persisted(struct MpRaft *this, uint64_t seq, int64_t now_ms);
 
+/* Reports whether writes wait for room on the disk.  While they do, this
+ * replica neither leads nor starts an election: its own writes would pile up,
+ * while what a leader sends to a follower is bounded by what that one
+ * acknowledges. */
+void MpRaft_SetDiskFull(struct MpRaft *this, bool is_full, int64_t now_ms);
+
 /* Appends an entry on the leader and stores its index in *index, unless index
  * is NULL.  MpRaft_Flush() sends it.  Errors: MP_ERROR_NOT_LEADER. */
 int MpRaft_Propose(struct MpRaft *this, enum mp_entry_kind kind,
--- a/src/transport/DiskTask.c
+++ b/src/transport/DiskTask.c
@@ -5,6 +5,11 @@
 
 #include <string.h>
 
+/* Interval of the tries of a write for which the disk has no room, ms; doubled
+ * with each try. */
+#define ROOM_INTERVAL_MS 20
+#define ROOM_INTERVAL_MAX_MS 320
+
 /* Reports a completed write to the loop. */
 struct disk_message {
     h2o_multithread_message_t super; /* first member */
@@ -89,17 +94,45 @@
 }
 
 static int
-execute_write(struct MpDiskTask *this, struct MpRaftWrite *write)
+try_write(struct MpDiskTask *this, const struct MpRaftWrite *write)
 {
-    int code;
     if (write->has_snapshot) {
-        code = save_snapshot(this, write);
+        return save_snapshot(this, write);
+    }
+    return MpStorage_Append(this->storage, &write->hard,
+                            (const struct MpLogEntry *)write->entries->data,
+                            write->entries->len);
+}
+
+/* Returns whether the task is being stopped. */
+static bool
+wait_or_stop(struct MpDiskTask *this, int64_t wait_ms)
+{
+    int64_t end_us = g_get_monotonic_time() + wait_ms * 1000;
+    g_mutex_lock(&this->lock);
+    while (!this->is_stopped &&
+           g_cond_wait_until(&this->stopped, &this->lock, end_us)) {
     }
-    else {
-        code =
-            MpStorage_Append(this->storage, &write->hard,
-                             (const struct MpLogEntry *)write->entries->data,
-                             write->entries->len);
+    bool is_stopped = this->is_stopped;
+    g_mutex_unlock(&this->lock);
+    return is_stopped;
+}
+
+static int
+execute_write(struct MpDiskTask *this, struct MpRaftWrite *write)
+{
+    int64_t wait_ms = ROOM_INTERVAL_MS;
+    int code = try_write(this, write);
+    if (code == MP_ERROR_DISK_FULL) {
+        post_result(this, write->seq, code);
+    }
+    while (code == MP_ERROR_DISK_FULL && !wait_or_stop(this, wait_ms)) {
+        wait_ms = MIN(wait_ms * 2, ROOM_INTERVAL_MAX_MS);
+        code = try_write(this, write);
+    }
+    if (code == MP_ERROR_DISK_FULL) {
+        MpRaftWrite_Delete(write);
+        return code;
     }
     this->writes++;
     post_result(this, write->seq, code);
@@ -137,6 +170,8 @@
     *this =
         (struct MpDiskTask){.storage = storage, .done = done, .owner = owner};
     this->inbox = g_async_queue_new();
+    g_mutex_init(&this->lock);
+    g_cond_init(&this->stopped);
     h2o_multithread_register_receiver(loop->queue, &this->outbox, on_messages);
     h2o_multithread_create_thread(&this->thread, NULL, run, this);
 }
@@ -150,6 +185,12 @@
 void
 MpDiskTask_Stop(struct MpDiskTask *this)
 {
+    g_mutex_lock(&this->lock);
+    this->is_stopped = true;
+    g_cond_signal(&this->stopped);
+    g_mutex_unlock(&this->lock);
     g_async_queue_push(this->inbox, &stop_sentinel);
     pthread_join(this->thread, NULL);
+    g_cond_clear(&this->stopped);
+    g_mutex_clear(&this->lock);
 }
--- a/src/transport/DiskTask.h
+++ b/src/transport/DiskTask.h
@@ -15,6 +15,9 @@
  * batch with one sync, so that they share the cost of the sync.  Each batch is
  * reported to the owner's loop with its last sequence number and an error
  * code.
+ *
+ * A batch for which the disk has no room is tried again until there is room;
+ * those behind it wait.
  */
 
 struct MpDiskTask {
@@ -25,10 +28,15 @@
     void (*done)(void *owner, uint64_t seq, int code);
     void *owner;
     uint64_t writes; /* number of executed writes */
+    GMutex lock;
+    GCond stopped;
+    bool is_stopped; /* guarded by lock */
 };
 
 /* Starts the thread.  done is called on the loop: all writes up to seq are
- * durable if code is MP_OK.  After an error the thread ends. */
+ * durable if code is MP_OK.  With MP_ERROR_DISK_FULL, which is reported once,
+ * the write up to seq waits for room.  After any other error the thread ends.
+ */
 void MpDiskTask_Start(struct MpDiskTask *this, struct MpStorage *storage,
                       struct MpLoop *loop,
                       void (*done)(void *owner, uint64_t seq, int code),
@@ -37,7 +45,8 @@
 /* Queues a write and takes ownership of it. */
 void MpDiskTask_Submit(struct MpDiskTask *this, struct MpRaftWrite *write);
 
-/* Finishes the queued writes and joins the thread. */
+/* Finishes the queued writes, unless they wait for room, and joins the
+ * thread. */
 void MpDiskTask_Stop(struct MpDiskTask *this);
 
 #endif
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -4,6 +4,7 @@
 #include "state/Error.h"
 #include "transport/Log.h"
 #include "transport/ReplicaCalls.h"
+#include "transport/ReplicaDisk.h"
 #include "transport/ReplicaDocument.h"
 #include "transport/ReplicaLenders.h"
 #include "transport/ReplicaLimits.h"
@@ -25,9 +26,6 @@
 /* Interval of identify calls to seeds that are not members, ms; during the
  * first STARTUP_MS they are sent at each maintenance. */
 #define IDENTIFY_SEEDS_MS 1000
-/* Delay between a disk failure and the end of the process, ms: most disk
- * failures last some seconds. */
-#define FAILED_EXIT_MS 4000
 /* Interval at which budgets are logged, ms, and the maximum of lines. */
 #define ACCOUNTS_LOG_MS 5000
 #define ACCOUNTS_LINES_MAX 32
@@ -76,56 +74,6 @@
     }
 }
 
-/* ---- disk ---- */
-
-static void
-port_persist(struct MpRaftPort *port, struct MpRaftWrite *write)
-{
-    struct MpReplica *this = (struct MpReplica *)port;
-    if (this->is_failed) {
-        MpRaftWrite_Delete(write);
-        return;
-    }
-    MpDiskTask_Submit(&this->disk_task, write);
-}
-
-static void
-on_failed_exit(struct MpTimer *timer)
-{
-    struct MpReplica *this = timer->data;
-    MpLoop_Stop(this->loop);
-}
-
-/* Stops the replica at once: after a failed write the state of the disk is
- * unknown, and the replica must not go on as if its vote and its log were
- * durable.  The process ends after FAILED_EXIT_MS: restarted at once, it would
- * fail on the same disk again. */
-static void
-fail_replica(struct MpReplica *this)
-{
-    if (this->is_failed) {
-        return;
-    }
-    this->is_failed = true;
-    MpReplica_FailProposals(this);
-    MpLoop_ClearTimer(&this->tick_timer);
-    MpLoop_ClearTimer(&this->maintenance_timer);
-    MpLoop_SetTimer(this->loop, &this->tick_timer, FAILED_EXIT_MS,
-                    on_failed_exit, this);
-}
-
-static void
-disk_done(void *owner, uint64_t seq, int code)
-{
-    struct MpReplica *this = owner;
-    if (code != MP_OK) {
-        MpLog_Event(LOG_CRIT, "disk-failed", "error=%s", MpError_Name(code));
-        fail_replica(this);
-        return;
-    }
-    MpRaft_Persisted(&this->raft, seq, MpLoop_Now());
-}
-
 /* ---- replicated state machine ---- */
 
 static void
@@ -176,7 +124,7 @@
 
 static const struct MpRaftPortClass replica_port_class = {
     .send = port_send,
-    .persist = port_persist,
+    .persist = MpReplicaDisk_Persist,
     .apply = port_apply,
     .save = port_save,
     .load = port_load,
@@ -567,7 +515,8 @@
         return code;
     }
     this->address = g_strdup(settings->listen.rpc);
-    MpDiskTask_Start(&this->disk_task, &this->storage, loop, disk_done, this);
+    MpDiskTask_Start(&this->disk_task, &this->storage, loop,
+                     MpReplicaDisk_OnDone, this);
     code = MpRaft_Init(&this->raft, &this->port, this->id, &recovered,
                        (uint32_t)this->id, MpLoop_Now());
     MpRecovered_Done(&recovered);
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -100,6 +100,7 @@
     struct MpDocument *list_document;
     uint64_t list_document_version;
     bool is_failed;
+    int64_t disk_full_ms; /* when the disk was last found to be full */
     bool was_leader;
     int64_t instances_counted_ms; /* when instance_count was taken; 0: never */
     uint32_t instance_count;
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -102,6 +102,7 @@
     67: ("list takes back that a target leaves", "FuzzRoster", 200),
     68: ("refused trial counted", "FuzzSuspects", 50),
     69: ("snapshot that failed to load acknowledged", "FuzzCluster", 50),
+    70: ("part of a frame kept on a full disk", "FuzzCluster", 50),
 }
 
 
