--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -141,15 +141,15 @@
 # that reach the control instances through proxies, which set_partitioned()
 # blocks.  file_size_limits maps instances to the maximum size of the files
 # they write, in bytes.  refusable lists the instances whose connections
-# refuse_connections() may refuse, stallable those whose disk stall_disk() may
-# stall.
+# refuse_connections() may refuse, fillable and stallable those whose disk
+# fill_disk() may fill and stall_disk() stall.
 class Fleet:
     def __init__(self, instances=3, control=3, engines=2, services=1,
                  partition="refuse", engine_options=(), service_options=(),
                  budget_tokens=1000000, concurrent_max=64, persistent=None,
                  behind_proxy=(), file_size_limits=None, workspaces=None,
                  capacity=64, routing=None, extra_document=None,
-                 extra_settings=None, wait=True, refusable=(),
+                 extra_settings=None, wait=True, refusable=(), fillable=(),
                  stallable=()):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
@@ -166,6 +166,7 @@
         self.proxies = []
         self.file_size_limits = file_size_limits or {}
         self.refusable = refusable
+        self.fillable = fillable
         self.stallable = stallable
         self.workspaces = workspaces or {"w": KEY}
         self.capacity = capacity
@@ -189,7 +190,11 @@
             self.write_settings(name)
             self.start(name)
         if wait:
-            self.wait_ready()
+            try:
+                self.wait_ready()
+            except SystemExit:
+                self.stop_all()
+                raise
         for workspace in self.workspaces if budget_tokens else []:
             self.topup(workspace, budget_tokens)
 
@@ -287,6 +292,10 @@
         if name in self.refusable:
             variables["REFUSE_CONNECT"] = self.path(name + ".refused")
             libraries.append(self.build_library("refuse_connect"))
+        if name in self.fillable:
+            variables["FILL_DISK"] = os.path.realpath(
+                self.path("data-" + name))
+            libraries.append(self.build_library("fill_disk"))
         if name in self.stallable:
             variables["STALL_SYNC"] = self.path(name + ".stalled")
             libraries.append(self.build_library("stall_sync"))
@@ -313,6 +322,20 @@
         else:
             os.unlink(self.path(name + ".stalled"))
 
+    def fail_disk(self, name):
+        """Lets the syncs of a stallable instance fail."""
+        self.write(name + ".stalled", "fail")
+
+    def fill_disk(self, name, room_bytes=0):
+        """Lets the instance's disk be full; of each write so many bytes still
+        find room."""
+        self.write("data-%s.new" % name, str(room_bytes))
+        os.replace(self.path("data-%s.new" % name),
+                   self.path("data-%s.full" % name))
+
+    def empty_disk(self, name):
+        os.remove(self.path("data-%s.full" % name))
+
     def refuse_connections(self, name, ports):
         """Refuses the instance's new connections to these ports of targets;
         live ones go on."""
