What waits unread from callers has a bound

What callers saw: eight connections that sent without end, or many requests without reading the answers, took 110 to 290 MB of an instance and left 30 to 67 MB more waiting on its sockets, which counts toward a limit of memory just the same; requests of other callers then waited up to 10 s, also after the connections had ended.

Cause: the system lets the receive buffer of a connection grow while much arrives (to 32 MB here), and h2o takes all of it in one read; what it cannot use up at once, such as options of a chunk or further requests, stays in memory.

Now connections of callers and operators have a receive buffer of 192 KB. Those of other instances, which carry large documents between regions, keep the system's. A caller 100 ms away sends a large body at 2 MB a second at most.

--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -8,6 +8,9 @@
 #include <unistd.h>
 
 #define LISTEN_BACKLOG 4096
+/* Receive buffer of accepted connections, bytes.  Without it the system lets
+ * one grow to tens of MB while much arrives, and a read takes all of it. */
+#define RECEIVE_BYTES (192 * 1024)
 #define WAIT_MAX_MS 1000
 
 int64_t
@@ -178,9 +181,11 @@
     return inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
-h2o_socket_t *
-MpLoop_Listen(struct MpLoop *this, const char *address,
-              h2o_socket_cb on_accept, void *data, uint16_t *port)
+/* Listens; receive_bytes is the receive buffer of accepted connections, 0: the
+ * system chooses. */
+static h2o_socket_t *
+listen_on(struct MpLoop *this, const char *address, int receive_bytes,
+          h2o_socket_cb on_accept, void *data, uint16_t *port)
 {
     struct sockaddr_in addr;
     socklen_t length = sizeof(addr);
@@ -193,6 +198,11 @@
         return NULL;
     }
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    if (receive_bytes > 0) {
+        /* Accepted sockets inherit it. */
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                   sizeof(receive_bytes));
+    }
     if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
         listen(fd, LISTEN_BACKLOG) != 0 ||
         getsockname(fd, (struct sockaddr *)&addr, &length) != 0) {
@@ -208,3 +218,17 @@
     h2o_socket_read_start(socket, on_accept);
     return socket;
 }
+
+h2o_socket_t *
+MpLoop_Listen(struct MpLoop *this, const char *address,
+              h2o_socket_cb on_accept, void *data, uint16_t *port)
+{
+    return listen_on(this, address, RECEIVE_BYTES, on_accept, data, port);
+}
+
+h2o_socket_t *
+MpLoop_ListenForPeers(struct MpLoop *this, const char *address,
+                      h2o_socket_cb on_accept, void *data, uint16_t *port)
+{
+    return listen_on(this, address, 0, on_accept, data, port);
+}
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -68,11 +68,18 @@
 
 /* Opens a listening socket on an IPv4 address such as 127.0.0.1:8080; with
  * port 0 the system chooses one.  Returns the socket, or NULL on error.  If
- * port is not NULL, *port is set to the port in use. */
+ * port is not NULL, *port is set to the port in use.  What may wait unread on
+ * an accepted connection is bounded. */
 h2o_socket_t *MpLoop_Listen(struct MpLoop *this, const char *address,
                             h2o_socket_cb on_accept, void *data,
                             uint16_t *port);
 
+/* The same for instances of the fleet, which send large documents between
+ * regions: their receive buffers grow with the distance. */
+h2o_socket_t *MpLoop_ListenForPeers(struct MpLoop *this, const char *address,
+                                    h2o_socket_cb on_accept, void *data,
+                                    uint16_t *port);
+
 /* Parses an IPv4 address with a port; returns false if it is invalid. */
 bool MpLoop_ParseAddress(const char *address, struct sockaddr_in *out);
 
--- a/src/transport/RpcServer.c
+++ b/src/transport/RpcServer.c
@@ -136,6 +136,6 @@
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     this->conns = g_ptr_array_new();
     h2o_socket_t *listener =
-        MpLoop_Listen(loop, address, on_accept, this, &this->port);
+        MpLoop_ListenForPeers(loop, address, on_accept, this, &this->port);
     return listener ? MP_OK : MP_ERROR_IO;
 }
