--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -275,44 +275,6 @@
     return has_no_body ? 1 : 0;
 }
 
-/* Passes on what was read of the body. */
-static void
-pass_body(struct MpResponseReader *this)
-{
-    GByteArray *joined = g_steal_pointer(&this->joined);
-    const char *piece = joined ? (const char *)joined->data : this->piece;
-    size_t size = joined ? joined->len : this->piece_size;
-    this->piece = NULL;
-    if (piece) {
-        this->klass->body(this->owner, piece, size);
-    }
-    if (joined) {
-        g_byte_array_unref(joined);
-    }
-}
-
-/* Keeps a piece of the body until the data that has arrived is parsed, as its
- * owner may look at all that it has of an event with each piece. */
-static void
-add_piece(struct MpResponseReader *this, const char *data, size_t size)
-{
-    size_t kept = this->joined ? this->joined->len : this->piece_size;
-    if (this->piece && kept + size > MP_RESPONSE_JOINED_MAX_BYTES) {
-        pass_body(this);
-    }
-    if (!this->piece) {
-        this->piece = data;
-        this->piece_size = size;
-        return;
-    }
-    if (!this->joined) {
-        this->joined = g_byte_array_new();
-        g_byte_array_append(this->joined, (const guint8 *)this->piece,
-                            (guint)this->piece_size);
-    }
-    g_byte_array_append(this->joined, (const guint8 *)data, (guint)size);
-}
-
 static int
 on_body(http_parser *parser, const char *data, size_t size)
 {
@@ -320,7 +282,7 @@
     if (this->is_stray && !MP_FAULT(MP_FAULT_STRAY_BODY_SHOWN)) {
         return count_stray(this, size);
     }
-    add_piece(this, data, size);
+    this->klass->body(this->owner, data, size);
     return 0;
 }
 
@@ -412,7 +374,6 @@
         size_t left = size - *used;
         size_t step = http_parser_execute(&this->parser, &parser_settings,
                                           left > 0 ? data + *used : "", left);
-        pass_body(this);
         enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
         if (error != HPE_OK && error != HPE_PAUSED) {
             return MP_READ_INVALID;
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -32,9 +32,6 @@
 #define MP_RESPONSE_HEAD_MAX_BYTES 65536
 /* Maximum number of headers of a response. */
 #define MP_RESPONSE_HEADERS_MAX 256
-/* Small pieces of a body, such as short chunks, that arrive together are put
- * together up to this size, bytes. */
-#define MP_RESPONSE_JOINED_MAX_BYTES 65536
 /* Maximum size of stray responses before the right one, bytes; several times
  * the longest complete response of the engines in use. */
 #define MP_TARGET_STRAY_MAX_BYTES 262144
@@ -80,7 +77,6 @@
 
 struct MpResponseReaderClass {
     void (*head)(void *owner, const struct MpTargetHead *head);
-    /* Called a few times at most for the data of one MpResponseReader_Read. */
     void (*body)(void *owner, const char *data, size_t size);
     /* A response is read past; head is its head. */
     void (*stray)(void *owner, enum MpStrayReason reason,
@@ -104,9 +100,6 @@
     size_t reason_size; /* of the reason in text */
     GArray *spans;      /* of the headers in text */
     bool is_last_value; /* the last part parsed was a header value */
-    const char *piece;  /* of the body, not passed on yet; or NULL */
-    size_t piece_size;
-    GByteArray *joined; /* several of them; or NULL */
     char *id_header;
     char *id;
     bool is_head_request;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -138,6 +138,13 @@
 
 static void
 on_body(void *owner, const char *data, size_t size)
+{
+    struct MpTargetConn *this = owner;
+    MpBodyJoin_Add(&this->body, data, size);
+}
+
+static void
+pass_body(void *owner, const char *data, size_t size)
 {
     struct MpTargetConn *this = owner;
     if (this->klass && !this->is_rest_skipped) {
@@ -329,6 +336,7 @@
     }
     this->is_in_callback = true;
     enum MpReadResult result = read_response(this, is_end, &used);
+    MpBodyJoin_Flush(&this->body);
     this->is_in_callback = false;
     if (this->is_free_pending) {
         MpTargetConn_Free(this);
@@ -474,6 +482,7 @@
     struct MpTargetConn *conn = g_new0(struct MpTargetConn, 1);
     conn->conn_pool = conn_pool;
     MpResponseReader_Init(&conn->reader, &reader_class, conn);
+    conn->body = (struct MpBodyJoin){.body = pass_body, .owner = conn};
     conn->id_hashes = g_array_new(false, false, sizeof(uint64_t));
     conn->idle_timeout_ms = MP_TARGET_IDLE_MS;
     conn_pool->open++;
--- a/src/transport/TargetConnInternal.h
+++ b/src/transport/TargetConnInternal.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_TARGET_CONN_INTERNAL_H
 #define MP_TRANSPORT_TARGET_CONN_INTERNAL_H
 
+#include "protocol/BodyJoin.h"
 #include "protocol/TunnelFrame.h"
 #include "transport/TargetConn.h"
 
@@ -25,6 +26,7 @@
     int64_t expected_ms;
     struct MpTimer timer;
     struct MpResponseReader reader;
+    struct MpBodyJoin body; /* what reader passes on of the body */
     GByteArray *request;
     GArray *id_hashes; /* of the ids that it carried */
     uint32_t requests; /* sent on it, with the current one */
--- a/tests/TestResponseReader.c
+++ b/tests/TestResponseReader.c
@@ -33,7 +33,6 @@
 on_body(void *owner, const char *data, size_t size)
 {
     struct reading *this = owner;
-    this->pieces++;
     g_string_append_len(this->body, data, (gssize)size);
 }
 
@@ -388,31 +387,6 @@
     reading_end(&reading);
 }
 
-/* Passing each chunk on would cost the owner a look at all that it has. */
-static void
-test_short_chunks(void)
-{
-    struct reading reading;
-    GString *text = g_string_new("HTTP/1.1 200 X\r\n" OWN
-                                 "transfer-encoding: chunked\r\n\r\n");
-    GString *body = g_string_new(NULL);
-    for (int i = 0; i < 3 * MP_RESPONSE_JOINED_MAX_BYTES / 2; i++) {
-        char c = (char)('a' + i % 26);
-        g_string_append_printf(text, "1\r\n%c\r\n", c);
-        g_string_append_c(body, c);
-    }
-    reading_start(&reading, "a-1", false);
-    g_assert_cmpint(feed(&reading, text->str, false), ==, MP_READ_MORE);
-    g_assert_cmpint(reading.pieces, ==, 2);
-    g_assert_cmpint(feed(&reading, "1\r\n!\r\n0\r\n\r\n", false), ==,
-                    MP_READ_COMPLETE);
-    g_string_append_c(body, '!');
-    g_assert_cmpstr(reading.body->str, ==, body->str);
-    g_string_free(text, TRUE);
-    g_string_free(body, TRUE);
-    reading_end(&reading);
-}
-
 static void
 test_many_headers(void)
 {
@@ -455,7 +429,6 @@
                     test_bodiless_answer_with_length);
     g_test_add_func("/reader/second request of a connection",
                     test_second_request);
-    g_test_add_func("/reader/short chunks", test_short_chunks);
     g_test_add_func("/reader/many headers", test_many_headers);
     return g_test_run();
 }
