What a replica reads at its start is durable before it counts

What was seen, in the simulated cluster: an acknowledged entry is lost. A leader sends it to one of two followers, which is killed between its write and the sync; after its restart it acknowledges the entry, which counts as durable since it was read from the log; it loses power, comes back without it, and is elected with the other follower while the leader stands still. Only a leader that goes on can count such an acknowledgement, as a new one first adds an entry of its own.

Cause: MpStorage_Open synced the log only where it cut a torn end off.

Change: the last segment is synced at the start. All before it were synced when they were left, and the first sync of a file syncs its folder too.

FuzzCluster kills replicas between a write and its sync, at random and in the order above.

--- a/fuzz/Cluster.c
+++ b/fuzz/Cluster.c
@@ -14,6 +14,8 @@
  * are proposed again after each of FROZEN_PARTS equal parts. */
 #define FROZEN_ROUNDS 200
 #define FROZEN_PARTS 8
+/* Rounds after which a leader has sent again what was not acknowledged. */
+#define KILLED_ROUNDS_MIN 16
 
 static struct Node *
 find_node(struct Cluster *this, uint64_t id)
@@ -307,11 +309,8 @@
     }
 }
 
-/* Suspends a leader while the others continue; its last messages are delayed
- * until it resumes.  It then handles a read first, which must not be answered
- * from its old state. */
-static void
-freeze_leader(struct Cluster *this)
+static struct Node *
+find_leader(struct Cluster *this)
 {
     struct Node *leader = NULL;
     for (uint32_t i = 0; i < this->count; i++) {
@@ -320,6 +319,16 @@
             leader = node;
         }
     }
+    return leader;
+}
+
+/* Suspends a leader while the others continue; its last messages are delayed
+ * until it resumes.  It then handles a read first, which must not be answered
+ * from its old state. */
+static void
+freeze_leader(struct Cluster *this)
+{
+    struct Node *leader = find_leader(this);
     if (!leader) {
         return;
     }
@@ -343,11 +352,42 @@
     release_delayed(this);
 }
 
+/* Only one replica gets what a leader sends.  It is killed between the write
+ * and its sync, acknowledges the entries after its restart, and loses power;
+ * then the leader is suspended. */
+static void
+lose_power_after_kill(struct Cluster *this, struct Node *node)
+{
+    struct Node *leader = find_leader(this);
+    if (!leader || leader == node || !node->is_alive) {
+        return;
+    }
+    for (uint32_t i = 0; i < this->count; i++) {
+        this->is_link_down[leader->number][i] = i != node->number;
+    }
+    node->disk.is_full = false;
+    propose_all(this);
+    MpRaft_Flush(&leader->raft);
+    while (this->packets->len > 0) {
+        deliver(this, 0, false);
+    }
+    while (g_queue_get_length(&node->writes) > 1) {
+        Node_CompleteWrite(node);
+    }
+    Node_KillInWrite(node);
+    Node_Start(node);
+    run_rounds(this, KILLED_ROUNDS_MIN + FuzzInput_Below(this->input, 16));
+    Node_Crash(node);
+    Node_Start(node);
+    memset(this->is_link_down, 0, sizeof(this->is_link_down));
+    freeze_leader(this);
+}
+
 static void
 inject_fault(struct Cluster *this, struct Node *node)
 {
     struct FuzzInput *input = this->input;
-    switch (FuzzInput_Below(input, 12)) {
+    switch (FuzzInput_Below(input, 14)) {
     case 0:
         if (node->is_alive) {
             Node_Crash(node);
@@ -382,6 +422,14 @@
         node->disk.is_full = !node->disk.is_full;
         node->disk.room_bytes = FuzzInput_Byte(input);
         break;
+    case 12:
+        if (node->is_alive) {
+            Node_KillInWrite(node);
+        }
+        break;
+    case 13:
+        lose_power_after_kill(this, node);
+        break;
     default:
         drop_or_delay(this, FuzzInput_Below(input, 4));
         break;
@@ -449,37 +497,6 @@
     return leaders == 1;
 }
 
-/* Prints each replica's Raft state after a failure. */
-static void
-print_state(const struct Cluster *this)
-{
-    for (uint32_t i = 0; i < this->count; i++) {
-        const struct MpRaft *raft = &this->nodes[i].raft;
-        fprintf(stderr,
-                "node %u id %" PRIu64 " role %d term %" PRIu64 " last %" PRIu64
-                " commit %" PRIu64 " applied %" PRIu64 " first %" PRIu64
-                " snapshot %" PRIu64 " members",
-                i, raft->id, raft->role, raft->term, MpRaft_LastIndex(raft),
-                raft->commit, raft->applied, raft->first_index,
-                raft->snapshot_index);
-        for (u_int j = 0; j < raft->members.list.list_len; j++) {
-            fprintf(stderr, " %" PRIu64 "%s%s",
-                    (uint64_t)raft->members.list.list_val[j].id,
-                    raft->members.list.list_val[j].voter ? "" : "?",
-                    raft->members.list.list_val[j].next_voter ? "+" : "");
-        }
-        fprintf(stderr, " peers");
-        for (guint j = 0; j < raft->progress->len; j++) {
-            const struct MpProgress *peer =
-                &g_array_index(raft->progress, struct MpProgress, j);
-            fprintf(stderr, " %" PRIu64 ":%" PRIu64 "/%" PRIu64 "%s%s",
-                    peer->id, peer->match, peer->next,
-                    peer->in_flight ? "f" : "", peer->in_snapshot ? "s" : "");
-        }
-        fprintf(stderr, "\n");
-    }
-}
-
 void
 Cluster_Converge(struct Cluster *this)
 {
@@ -500,7 +517,9 @@
         }
         run_rounds(this, 1);
         if (++rounds > HEAL_ROUNDS_MAX) {
-            print_state(this);
+            for (uint32_t i = 0; i < this->count; i++) {
+                Node_Print(&this->nodes[i]);
+            }
             Fuzz_Fail("the replicas do not converge after healing");
         }
         Fuzz_Steps++;
--- a/fuzz/Cluster.h
+++ b/fuzz/Cluster.h
@@ -14,8 +14,8 @@
 /*
  * Cluster - simulated control replicas for a fuzz case.  The input chooses
  * which messages are lost, duplicated, delayed or reordered, when replicas
- * crash and lose unsynced bytes, when their disks are full, and how fast each
- * replica's clock runs.
+ * crash and lose unsynced bytes or are killed between a write and its sync,
+ * when their disks are full, and how fast each replica's clock runs.
  */
 
 #define CLUSTER_NODES_MAX 5
@@ -83,8 +83,13 @@
 void Node_Start(struct Node *this);
 /* Crashes the replica; its disk keeps synced bytes and a part of the rest. */
 void Node_Crash(struct Node *this);
+/* Ends the replica's process between a write and its sync; its disk keeps the
+ * bytes, until power is lost. */
+void Node_KillInWrite(struct Node *this);
 /* Completes the oldest pending write, if any, unless the disk is full. */
 void Node_CompleteWrite(struct Node *this);
+/* Prints the replica's Raft state, after a failure. */
+void Node_Print(const struct Node *this);
 
 void Cluster_Init(struct Cluster *this, struct FuzzInput *input);
 void Cluster_Done(struct Cluster *this);
--- a/fuzz/ClusterNode.c
+++ b/fuzz/ClusterNode.c
@@ -171,15 +171,15 @@
     MpRaftWrite_Delete(data);
 }
 
-void
-Node_Crash(struct Node *this)
+/* Ends the replica's process and leaves its disk as it is. */
+static void
+end_process(struct Node *this)
 {
     struct Cluster *cluster = this->cluster;
     g_queue_clear_full(&this->writes, delete_write);
     MpRaft_Done(&this->raft);
     MpMachine_Done(&this->machine);
     MpMembership_Done(&this->membership);
-    MemoryDisk_Crash(&this->disk, cluster->input);
     this->is_alive = false;
     for (guint i = cluster->proposals->len; i > 0; i--) {
         if (g_array_index(cluster->proposals, struct Proposal, i - 1).node ==
@@ -189,6 +189,33 @@
     }
 }
 
+void
+Node_Crash(struct Node *this)
+{
+    end_process(this);
+    MemoryDisk_Crash(&this->disk, this->cluster->input);
+}
+
+static int
+append_entries(struct Node *this, const struct MpRaftWrite *write)
+{
+    return MpStorage_Append(&this->storage, &write->hard,
+                            (const struct MpLogEntry *)write->entries->data,
+                            write->entries->len);
+}
+
+void
+Node_KillInWrite(struct Node *this)
+{
+    const struct MpRaftWrite *write = g_queue_peek_head(&this->writes);
+    if (write && !write->has_snapshot) {
+        this->disk.has_bad_sync = true;
+        append_entries(this, write);
+        this->disk.has_bad_sync = false;
+    }
+    end_process(this);
+}
+
 void
 Node_CompleteWrite(struct Node *this)
 {
@@ -209,9 +236,7 @@
         MpCodec_Free(MP_XDR(mp_snapshot_head), &head);
     }
     else {
-        code = MpStorage_Append(&this->storage, &write->hard,
-                                (struct MpLogEntry *)write->entries->data,
-                                write->entries->len);
+        code = append_entries(this, write);
     }
     if (code == MP_ERROR_DISK_FULL) {
         MpRaft_SetDiskFull(&this->raft, true, this->clock_ms);
@@ -225,3 +250,30 @@
     MpRaft_SetDiskFull(&this->raft, false, this->clock_ms);
     MpRaft_Persisted(&this->raft, seq, this->clock_ms);
 }
+
+void
+Node_Print(const struct Node *this)
+{
+    const struct MpRaft *raft = &this->raft;
+    fprintf(stderr,
+            "node %u id %" PRIu64 " role %d term %" PRIu64 " last %" PRIu64
+            " commit %" PRIu64 " applied %" PRIu64 " first %" PRIu64
+            " snapshot %" PRIu64 " members",
+            this->number, raft->id, raft->role, raft->term,
+            MpRaft_LastIndex(raft), raft->commit, raft->applied,
+            raft->first_index, raft->snapshot_index);
+    for (u_int j = 0; j < raft->members.list.list_len; j++) {
+        const struct mp_member *member = &raft->members.list.list_val[j];
+        fprintf(stderr, " %" PRIu64 "%s%s", (uint64_t)member->id,
+                member->voter ? "" : "?", member->next_voter ? "+" : "");
+    }
+    fprintf(stderr, " peers");
+    for (guint j = 0; j < raft->progress->len; j++) {
+        const struct MpProgress *peer =
+            &g_array_index(raft->progress, struct MpProgress, j);
+        fprintf(stderr, " %" PRIu64 ":%" PRIu64 "/%" PRIu64 "%s%s", peer->id,
+                peer->match, peer->next, peer->in_flight ? "f" : "",
+                peer->in_snapshot ? "s" : "");
+    }
+    fprintf(stderr, "\n");
+}
--- a/fuzz/MemoryDisk.c
+++ b/fuzz/MemoryDisk.c
@@ -63,6 +63,9 @@
 disk_sync(struct MpDisk *super, const char *name)
 {
     struct memory_file *file = find_or_create(super, name);
+    if (((const struct MemoryDisk *)super)->has_bad_sync) {
+        return MP_ERROR_IO;
+    }
     file->synced = file->bytes->len;
     return MP_OK;
 }
--- a/fuzz/MemoryDisk.h
+++ b/fuzz/MemoryDisk.h
@@ -20,6 +20,7 @@
     GHashTable *files; /* name -> struct memory_file */
     bool is_full;
     size_t room_bytes; /* of each append, while the disk is full */
+    bool has_bad_sync; /* each sync fails */
 };
 
 void MemoryDisk_Init(struct MemoryDisk *this);
--- a/src/state/Storage.c
+++ b/src/state/Storage.c
@@ -22,6 +22,13 @@
     g_bytes_unref(this->payload);
 }
 
+static void
+segment_name(const struct MpStorage *this, char *name)
+{
+    g_snprintf(name, SEGMENT_NAME_BYTES, SEGMENT_PREFIX "%" PRIu64,
+               this->segment);
+}
+
 /* ---- batches ---- */
 
 static GBytes *
@@ -105,11 +112,7 @@
               const char *name, size_t offset, size_t size)
 {
     out->cut_bytes += size - offset;
-    int code = this->disk->klass->truncate(this->disk, name, offset);
-    if (code == MP_OK) {
-        code = this->disk->klass->sync(this->disk, name);
-    }
-    return code;
+    return this->disk->klass->truncate(this->disk, name, offset);
 }
 
 static int
@@ -213,6 +216,18 @@
     return code;
 }
 
+/* An earlier process may have ended between a write and its sync.  What was
+ * read counts as durable, so it must not be lost with the power later. */
+static int
+sync_last_segment(struct MpStorage *this)
+{
+    char name[SEGMENT_NAME_BYTES];
+    segment_name(this, name);
+    return MP_FAULT(MP_FAULT_START_UNSYNCED)
+               ? MP_OK
+               : this->disk->klass->sync(this->disk, name);
+}
+
 int
 MpStorage_Open(struct MpStorage *this, struct MpDisk *disk,
                struct MpRecovered *recovered)
@@ -231,6 +246,9 @@
         code = recover_segment(this, recovered, this->segment,
                                i + 1 == segments->len);
     }
+    if (code == MP_OK && segments->len > 0) {
+        code = sync_last_segment(this);
+    }
     g_array_unref(segments);
     drop_replaced_entries(recovered);
     return code;
@@ -245,13 +263,6 @@
 
 /* ---- writing ---- */
 
-static void
-segment_name(const struct MpStorage *this, char *name)
-{
-    g_snprintf(name, SEGMENT_NAME_BYTES, SEGMENT_PREFIX "%" PRIu64,
-               this->segment);
-}
-
 int
 MpStorage_Append(struct MpStorage *this, const struct mp_hard_state *hard,
                  const struct MpLogEntry *entries, uint32_t count)
--- a/src/state/Storage.h
+++ b/src/state/Storage.h
@@ -48,7 +48,8 @@
     uint64_t syncs;          /* counter, for metrics */
 };
 
-/* Reads the state from disk into recovered.  Errors: MP_ERROR_CORRUPT,
+/* Reads the state from disk into recovered and makes durable what it has read.
+ * Errors: MP_ERROR_CORRUPT,
  * MP_ERROR_IO. */
 int MpStorage_Open(struct MpStorage *this, struct MpDisk *disk,
                    struct MpRecovered *recovered);
--- a/tests/TestStorage.c
+++ b/tests/TestStorage.c
@@ -227,6 +227,36 @@
     g_bytes_unref(data);
 }
 
+/* What a start has read survives a loss of power, though the process before
+ * was killed between its write and the sync. */
+static void
+test_unsynced_write(void)
+{
+    struct FuzzInput nothing_kept = {.size = 0};
+    struct MemoryDisk disk;
+    struct MpStorage storage;
+    struct MpRecovered recovered;
+    struct MpLogEntry two = make_entry(2, 1, "two");
+    struct mp_hard_state hard = {.replica_id = 1, .term = 1};
+    guint entry_count;
+    uint64_t cut_bytes;
+    MemoryDisk_Init(&disk);
+    MpStorage_Open(&storage, &disk.super, &recovered);
+    MpRecovered_Done(&recovered);
+    append(&storage, 1, 1, "one");
+    disk.has_bad_sync = true;
+    g_assert_cmpint(MpStorage_Append(&storage, &hard, &two, 1), ==,
+                    MP_ERROR_IO);
+    disk.has_bad_sync = false;
+    g_assert_cmpint(reopen(&disk, &entry_count, &cut_bytes), ==, MP_OK);
+    g_assert_cmpuint(entry_count, ==, 2);
+    MemoryDisk_Crash(&disk, &nothing_kept);
+    g_assert_cmpint(reopen(&disk, &entry_count, &cut_bytes), ==, MP_OK);
+    g_assert_cmpuint(entry_count, ==, 2);
+    MemoryDisk_Done(&disk);
+    g_bytes_unref(two.payload);
+}
+
 static int
 record(struct MpJournal *journal, const char *key)
 {
@@ -274,6 +304,8 @@
                     test_full_disk);
     g_test_add_func("/storage/a snapshot waits for room",
                     test_full_disk_snapshot);
+    g_test_add_func("/storage/a start makes durable what it reads",
+                    test_unsynced_write);
     g_test_add_func("/journal/a full disk leaves whole frames",
                     test_full_disk_journal);
     return g_test_run();
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -101,8 +101,9 @@
     66: ("paused target gets what no other takes", "FuzzRoster", 200),
     67: ("list takes back that a target leaves", "FuzzRoster", 200),
     68: ("refused trial counted", "FuzzSuspects", 50),
-    69: ("snapshot that failed to load acknowledged", "FuzzCluster", 50),
+    69: ("snapshot that failed to load acknowledged", "FuzzCluster", 200),
     70: ("part of a frame kept on a full disk", "FuzzCluster", 50),
+    71: ("start does not sync what it reads", "FuzzCluster", 50),
 }
 
 
