The load test counts how requests end, and fails where instances count otherwise

Until now a request that was sent whole and closed without a byte was one of the "lost", like one that timed out or could not be sent. Each attempt that was sent whole now counts under its end: answered, refused (a whole error of the instance), cut inside the response, left by the caller, or unanswered. Instances that do not count fail it only if a request was unanswered.

--- a/src/commands/CommandLoad.c
+++ b/src/commands/CommandLoad.c
@@ -1,6 +1,7 @@
 #include "commands/Command.h"
 
 #include "commands/LoadTest.h"
+#include "state/Error.h"
 #include "transport/Log.h"
 
 #include <signal.h>
@@ -21,11 +22,32 @@
     return NULL;
 }
 
+/* Returns whether the instances counted what callers saw. */
+static bool
+has_same_ends(const struct MpLoadTest *test, const struct MpLoadLedger *before)
+{
+    struct MpLoadLedger after;
+    int code = MpLoadLedger_Read(&after, test->options->metrics);
+    if (code != MP_OK) {
+        fprintf(stderr, "mimosapath load: cannot read the metrics: %s\n",
+                MpError_Name(code));
+        return false;
+    }
+    return MpLoadLedger_Matches(&test->seen, before, &after);
+}
+
 static int
 run(const struct MpLoadOptions *options)
 {
+    struct MpLoadLedger before;
     struct MpLoop loop;
     struct MpLoadTest test;
+    int code = MpLoadLedger_Read(&before, options->metrics);
+    if (code != MP_OK) {
+        fprintf(stderr, "mimosapath load: cannot read the metrics: %s\n",
+                MpError_Name(code));
+        return MP_EXIT_FAILED;
+    }
     signal(SIGPIPE, SIG_IGN);
     MpLoop_Init(&loop);
     MpLoadTest_Start(&test, &loop, options);
@@ -34,6 +56,9 @@
     struct json_object *report = MpLoadTest_Report(&test);
     puts(json_object_to_json_string_ext(report, JSON_C_TO_STRING_PLAIN));
     json_object_put(report);
+    if (options->metrics->len > 0 && !has_same_ends(&test, &before)) {
+        return MP_EXIT_FAILED;
+    }
     return MP_EXIT_OK;
 }
 
@@ -69,6 +94,10 @@
 {
     struct arg_str *instances = arg_strn("i", "instance", "ADDRESS", 1, 1000,
                                          "address for callers; repeatable");
+    struct arg_str *metrics =
+        arg_strn(NULL, "metrics", "ADDRESS", 0, 1000,
+                 "metrics address of an instance; repeatable.  Fails if the "
+                 "instances counted other ends of requests than callers saw");
     struct arg_str *mix =
         arg_str0("m", "mix", "NAME", "plumeau, zawadzki, recipes or bookings");
     struct arg_dbl *rate =
@@ -87,9 +116,9 @@
     struct arg_lit *direct =
         arg_lit0(NULL, "direct", "the addresses are targets, not instances");
     struct arg_lit *quiet = arg_lit0("q", "quiet", "no progress lines");
-    void *table[] = {instances,  mix,     rate,       seconds,
-                     workspaces, retries, tokens_max, seed,
-                     suffix,     direct,  quiet,      MP_COMMON_ARGS};
+    void *table[] = {instances,  metrics, mix,           rate, seconds,
+                     workspaces, retries, tokens_max,    seed, suffix,
+                     direct,     quiet,   MP_COMMON_ARGS};
     int status = MpCommand_Parse(
         argc, argv, table,
         "Sends requests as callers do and prints the results: a table on "
@@ -97,6 +126,7 @@
     if (status < 0) {
         struct MpLoadOptions options = {
             .addresses = g_ptr_array_new(),
+            .metrics = g_ptr_array_new(),
             .mix = find_mix(mix->count ? mix->sval[0] : "plumeau"),
             .workspaces = workspaces->count ? workspaces->ival[0] : 1,
             .rate_per_s = rate->count ? rate->dval[0] : 50,
@@ -111,11 +141,15 @@
         for (int i = 0; i < instances->count; i++) {
             g_ptr_array_add(options.addresses, (char *)instances->sval[i]);
         }
+        for (int i = 0; i < metrics->count; i++) {
+            g_ptr_array_add(options.metrics, (char *)metrics->sval[i]);
+        }
         status = check_options(&options);
         if (status == MP_EXIT_OK) {
             status = run(&options);
         }
         g_ptr_array_unref(options.addresses);
+        g_ptr_array_unref(options.metrics);
     }
     arg_freetable(table, G_N_ELEMENTS(table));
     return status;
--- a/src/commands/LoadCall.c
+++ b/src/commands/LoadCall.c
@@ -347,10 +347,30 @@
                     this);
 }
 
+/* Counts how an attempt ended that was sent whole.  One that was cut off
+ * before its response began may have been sent in part. */
+static void
+count_end(struct load_call *this, enum MpLoadResult result)
+{
+    enum MpLoadEnd end = MP_LOAD_END_CUT;
+    bool is_cut_off = result == MP_LOAD_INCOMPLETE && this->status == 0;
+    if (result == MP_LOAD_NOT_SENT || is_cut_off) {
+        return;
+    }
+    if (result == MP_LOAD_COMPLETE) {
+        end = this->run_claim[0] ? MP_LOAD_END_REFUSED : MP_LOAD_END_ANSWERED;
+    }
+    else if (result == MP_LOAD_UNANSWERED) {
+        end = MP_LOAD_END_UNANSWERED;
+    }
+    this->test->seen.ends[end]++;
+}
+
 static void
 on_end(void *owner, enum MpLoadResult result)
 {
     struct load_call *this = owner;
+    count_end(this, result);
     bool is_complete = result == MP_LOAD_COMPLETE && this->status == 200;
     if (result == MP_LOAD_COMPLETE && this->run_claim[0] &&
         !is_error_whole(this)) {
@@ -380,6 +400,8 @@
 on_timeout(struct MpTimer *timer)
 {
     struct load_call *this = timer->data;
+    this->test->seen.ends[MP_LOAD_END_LEFT] +=
+        MpLoadConn_IsWritten(this->conn);
     MpLoadConn_Cancel(this->conn);
     this->status = 0;
     this->is_not_run = false;
--- a/src/commands/LoadConn.c
+++ b/src/commands/LoadConn.c
@@ -21,6 +21,7 @@
     GString *value;     /* of the header being read */
     bool is_last_value; /* the last part parsed was a header value */
     bool is_written;
+    bool has_bytes; /* of the response */
     bool is_complete;
     bool is_in_callback; /* the owner may cancel */
     bool is_cancelled;
@@ -177,6 +178,7 @@
         return;
     }
     size_t size = (*input)->size;
+    this->has_bytes = this->has_bytes || size > 0;
     this->is_in_callback = true;
     size_t used = size > 0
                       ? http_parser_execute(&this->parser, &parser_settings,
@@ -194,7 +196,8 @@
         complete(this);
     }
     else if (error) {
-        fail(this, MP_LOAD_INCOMPLETE);
+        fail(this, this->is_written && !this->has_bytes ? MP_LOAD_UNANSWERED
+                                                        : MP_LOAD_INCOMPLETE);
     }
 }
 
@@ -217,6 +220,7 @@
     this->parser.data = this;
     this->is_complete = false;
     this->is_written = false;
+    this->has_bytes = false;
     h2o_socket_read_start(this->socket, on_read);
     h2o_socket_write(this->socket, &buffer, 1, on_written);
 }
@@ -292,6 +296,12 @@
     return conn;
 }
 
+bool
+MpLoadConn_IsWritten(const struct MpLoadConn *this)
+{
+    return this->is_written;
+}
+
 void
 MpLoadConn_Cancel(struct MpLoadConn *this)
 {
--- a/src/commands/LoadConn.h
+++ b/src/commands/LoadConn.h
@@ -18,8 +18,10 @@
 
 enum MpLoadResult {
     MP_LOAD_COMPLETE,
-    MP_LOAD_NOT_SENT,  /* connecting failed */
-    MP_LOAD_INCOMPLETE /* cut off or malformed; the request may have arrived */
+    MP_LOAD_NOT_SENT,   /* connecting failed */
+    MP_LOAD_INCOMPLETE, /* cut off or malformed; the request may have arrived
+                         */
+    MP_LOAD_UNANSWERED  /* sent whole, and closed without a byte */
 };
 
 struct MpLoadConnClass {
@@ -52,6 +54,9 @@
                                     void *owner, const char *address,
                                     GByteArray *request);
 
+/* Returns whether the request under way has been sent whole. */
+bool MpLoadConn_IsWritten(const struct MpLoadConn *this);
+
 /* Closes the connection of a request under way; no callbacks follow. */
 void MpLoadConn_Cancel(struct MpLoadConn *this);
 
--- a/src/commands/LoadTest.c
+++ b/src/commands/LoadTest.c
@@ -252,6 +252,18 @@
     return object;
 }
 
+static struct json_object *
+ends_json(const struct MpLoadLedger *seen)
+{
+    struct json_object *object = json_object_new_object();
+    for (int end = 0; end < MP_LOAD_ENDS; end++) {
+        json_object_object_add(
+            object, MpLoadEnd_Names[end],
+            json_object_new_int64((int64_t)seen->ends[end]));
+    }
+    return object;
+}
+
 struct json_object *
 MpLoadTest_Report(struct MpLoadTest *this)
 {
@@ -265,6 +277,7 @@
     json_object_object_add(root, "histograms", histograms_json(this));
     json_object_object_add(root, "connections",
                            connections_json(&this->conns));
+    json_object_object_add(root, "ends", ends_json(&this->seen));
     json_object_object_add(root, "keys", requests_json(this));
     return root;
 }
--- a/src/commands/LoadTest.h
+++ b/src/commands/LoadTest.h
@@ -2,6 +2,7 @@
 #define MP_COMMANDS_LOAD_TEST_H
 
 #include "commands/LoadConn.h"
+#include "commands/LoadLedger.h"
 #include "state/Metrics.h"
 #include "transport/Loop.h"
 
@@ -41,6 +42,7 @@
 
 struct MpLoadOptions {
     GPtrArray *addresses; /* for callers of instances, or of targets */
+    GPtrArray *metrics;   /* metrics addresses of instances, or empty */
     const struct MpLoadMix *mix;
     int64_t workspaces; /* number of workspaces, named w0, w1, ... */
     double rate_per_s;
@@ -88,7 +90,8 @@
     struct MpLoadConns conns;
     GRand *random;
     struct MpLoadCounts counts[MP_LOAD_KINDS];
-    GPtrArray *requests; /* of struct MpLoadRequest */
+    struct MpLoadLedger seen; /* by callers, for each attempt */
+    GPtrArray *requests;      /* of struct MpLoadRequest */
     struct MpMetrics metrics;
     int64_t start_ms;
     double next_arrival_ms; /* start of the next request, since start_ms */
