--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -57,6 +57,7 @@
     bool is_head_sent;     /* the head of the response was sent */
     bool is_output_closed; /* no more data follows unsent */
     bool is_aborted;       /* the response is not completed */
+    bool is_end_logged;    /* see MpExchange_NoteEnd */
     bool is_stopping;      /* the process is about to end */
     bool wants_usage;      /* stream_options.include_usage is set */
 
@@ -156,6 +157,12 @@
  * this. */
 void MpExchange_End(struct MpExchange *this);
 
+/* Records how the exchange ends for its caller, "answered", "refused", "cut"
+ * or "caller-gone", and writes its request-ended line.  Only the first call
+ * counts; each exchange has one. */
+void MpExchange_NoteEnd(struct MpExchange *this, const char *outcome,
+                        int code);
+
 /* -- request (ExchangeRequest.c) -- */
 /* Parses workspace, key, model or service, and upper price bound from req.
  * Returns MP_OK or the error to refuse the request with; *why is then set to
@@ -187,9 +194,27 @@
                           const char *request_id, int64_t retry_after_ms,
                           bool may_have_run);
 
+/* -- plain responses (ExchangeBuffer.c) -- */
+/* Largest plain response that is kept until its settlement, bytes; a larger
+ * one fails the attempt. */
+#define MP_PLAIN_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
+/* Largest sum of those of an instance, bytes.  Beyond it the attempt with the
+ * largest one fails; small ones do not count. */
+#define MP_PLAIN_RESPONSES_MAX_BYTES (64 * 1024 * 1024)
+#define MP_PLAIN_RESPONSE_SMALL_BYTES (64 * 1024)
+/* Keeps a part of a plain response.  Returns false if there is no room: the
+ * attempt of this exchange has to fail. */
+bool MpExchange_KeepResponse(struct MpExchange *this, const char *data,
+                             size_t size);
+/* Frees what was kept. */
+void MpExchange_DropResponse(struct MpExchange *this);
+
 /* -- target (ExchangeTarget.c) -- */
 /* Sends the request to this->target. */
 void MpExchange_StartAttempt(struct MpExchange *this);
+/* Cancels the attempt under way, which may have run, and looks into it: the
+ * target may have crashed. */
+void MpExchange_FailAttempt(struct MpExchange *this);
 /* Cancels the upstream request, if any, and releases the target. */
 void MpExchange_EndAttempt(struct MpExchange *this,
                            enum MpAttemptOutcome outcome);
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -4,12 +4,21 @@
 #include "transport/ErrorBody.h"
 #include "transport/Log.h"
 
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define ACCEPT_BATCH 64
+/* Idle timeout until the owner sets one, ms. */
+#define IDLE_TIMEOUT_MS 60000
+/* Interval of checks for idle connections, ms. */
+#define CHECK_MS 100
+/* h2o has one timeout for idle connections and for the reading of a request,
+ * and closes a connection in the middle of one.  HttpConn keeps these times
+ * instead. */
+#define H2O_TIMEOUT_MS (UINT64_C(365) * 24 * 3600 * 1000)
 /* h2o_req_t.version */
 #define HTTP_1_1 0x101
 
@@ -78,10 +87,29 @@
     g_free(text);
 }
 
+/* Drops a request that the client sent before it saw the close of its idle
+ * connection: nothing can be written to it any more. */
+static void
+drop_crossed(const struct MpHttpConn *conn, h2o_req_t *req)
+{
+    MpLog_Event(LOG_NOTICE, "request-crossed-close",
+                "reason=%s closed_ms=%" PRId64 " idle_ms=%" PRId64,
+                MpHttpClose_Name(conn->reason),
+                MpLoop_Now() - conn->closing_ms,
+                MpLoop_Now() - conn->idle_since_ms);
+    req->http1_is_persistent = 0;
+    h2o_send_inline(req, "", 0);
+}
+
 static int
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     struct MpHttpServer *this = ((struct server_handler *)handler)->server;
+    if (MpHttpConn_Of(req)->closing_ms > 0) {
+        drop_crossed(MpHttpConn_Of(req), req);
+        return 0;
+    }
+    MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
     if (has_folded_header(req) || has_ambiguous_length(req)) {
         reject_malformed(req);
         return 0;
@@ -123,6 +151,10 @@
 {
     (void)self;
     int code = status_to_error(req->res.status);
+    MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
+    MpHttp_NoteEnd(req, MP_HTTP_REFUSED);
+    /* The client may still be sending what h2o does not read. */
+    MpHttpConn_Of(req)->request->must_linger = true;
     h2o_iovec_t body = MpErrorBody_FormatInPool(&req->pool, code, NULL);
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", req->res.status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
@@ -136,20 +168,42 @@
 
 /* ---- listening ---- */
 
-static void
-on_accept(h2o_socket_t *listener, const char *error)
+/* Accepts up to ACCEPT_BATCH connections; returns whether there may be
+ * more. */
+static bool
+accept_batch(struct MpHttpServer *this)
 {
-    struct MpHttpServer *this = listener->data;
     int yes = 1;
-    for (int i = 0; !error && i < ACCEPT_BATCH; i++) {
-        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+    for (int i = 0; i < ACCEPT_BATCH; i++) {
+        h2o_socket_t *socket = h2o_evloop_socket_accept(this->listener);
         if (!socket) {
-            return;
+            return false;
         }
         setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &yes,
                    sizeof(yes));
+        MpHttpConn_New(this, socket);
         h2o_accept(&this->accept, socket);
     }
+    return true;
+}
+
+static void
+on_accept(h2o_socket_t *listener, const char *error)
+{
+    if (!error) {
+        accept_batch(listener->data);
+    }
+}
+
+static void
+on_check_timer(struct MpTimer *timer)
+{
+    struct MpHttpServer *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_Check(link->data, now_ms);
+    }
+    MpLoop_SetTimer(this->loop, timer, CHECK_MS, on_check_timer, this);
 }
 
 static void
@@ -171,25 +225,38 @@
 {
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
+    g_queue_init(&this->conns);
+    MpLingeringClose_Init(&this->lingering, loop);
+    this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = body_max_bytes;
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosapath"));
     this->config.http1.upgrade_to_http2 = 0;
+    this->config.http1.req_timeout = H2O_TIMEOUT_MS;
     h2o_hostconf_t *host = h2o_config_register_host(
         &this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     add_path(this, host);
     h2o_context_init(&this->context, loop->h2o, &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
+    MpLoop_SetTimer(loop, &this->check_timer, CHECK_MS, on_check_timer, this);
     this->listener =
         MpLoop_Listen(loop, address, on_accept, this, &this->port);
     return this->listener ? MP_OK : MP_ERROR_IO;
 }
 
+void
+MpHttpServer_SetIdleTimeout(struct MpHttpServer *this, int64_t timeout_ms)
+{
+    this->idle_timeout_ms = timeout_ms;
+}
+
 void
 MpHttpServer_StopListening(struct MpHttpServer *this)
 {
     if (this->listener) {
+        while (accept_batch(this)) {
+        }
         h2o_socket_read_stop(this->listener);
         h2o_socket_close(this->listener);
         this->listener = NULL;
@@ -197,8 +264,36 @@
     h2o_context_request_shutdown(&this->context);
 }
 
+void
+MpHttpServer_CloseIdle(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_CloseIdle(link->data, MP_HTTP_CLOSE_STOP);
+    }
+}
+
+bool
+MpHttpServer_IsClosed(const struct MpHttpServer *this)
+{
+    return this->conns.length == 0 && this->lingering.sockets.length == 0;
+}
+
+void
+MpHttpServer_Stop(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_Stop(link->data);
+    }
+}
+
 /* ---- requests and responses ---- */
 
+void
+MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end)
+{
+    MpHttpConn_NoteEnd(MpHttpConn_Of(req), end);
+}
+
 char *
 MpHttp_CopyHeader(const h2o_req_t *req, const char *name)
 {
@@ -236,6 +331,7 @@
 {
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
     int fd = h2o_socket_get_fd(socket);
+    MpHttp_NoteEnd(req, MP_HTTP_CUT);
     if (MpHttp_EndsWithConnection(req)) {
         struct linger reset = {.l_onoff = 1, .l_linger = 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -256,6 +352,7 @@
     req->res.status = status;
     req->res.reason = "Answer";
     req->res.content_length = size;
+    MpHttp_NoteEnd(req, status >= 400 ? MP_HTTP_REFUSED : MP_HTTP_ANSWERED);
     MpHttp_AddHeader(req, "content-type", content_type);
     h2o_send_inline(req, body, size);
 }
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_HTTP_SERVER_H
 #define MP_TRANSPORT_HTTP_SERVER_H
 
+#include "transport/HttpConn.h"
+#include "transport/LingeringClose.h"
 #include "transport/Loop.h"
 
 #include <h2o.h>
@@ -28,7 +30,11 @@
     void (*handle)(void *owner, h2o_req_t *req);
     void *owner;
     uint16_t port;
-    size_t connections;
+    GQueue conns; /* of struct MpHttpConn */
+    struct MpHttpCounts counts;
+    struct MpLingeringClose lingering;
+    struct MpTimer check_timer;
+    int64_t idle_timeout_ms;
 };
 
 /* Listens on address and passes each request to handle; rejects bodies over
@@ -38,10 +44,28 @@
                        void (*handle)(void *owner, h2o_req_t *req),
                        void *owner);
 
-/* Closes the listener; open connections are closed after their current
- * request. */
+/* Sets how long a connection may be idle, ms.  Connections that are idle
+ * already keep a longer timeout that held when they became idle. */
+void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
+                                 int64_t timeout_ms);
+
+/* Closes the listener once it has taken the connections that wait in its
+ * queue; open connections are closed after their next response. */
 void MpHttpServer_StopListening(struct MpHttpServer *this);
 
+/* Closes idle connections. */
+void MpHttpServer_CloseIdle(struct MpHttpServer *this);
+
+/* Returns whether all connections are closed. */
+bool MpHttpServer_IsClosed(const struct MpHttpServer *this);
+
+/* The process ends: counts requests in progress as unanswered, and writes a
+ * line for each connection with a request on it. */
+void MpHttpServer_Stop(struct MpHttpServer *this);
+
+/* Records how a request ends; the first call counts. */
+void MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end);
+
 /* Returns a copy of a request header's value, NULL if there is none; free it
  * with g_free. */
 char *MpHttp_CopyHeader(const h2o_req_t *req, const char *name);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -198,8 +198,7 @@
     struct MpRouter *this = owner;
     MpPicker_SetDocument(&this->picker, document);
     MpGateway_SetDocument(&this->gateway, document);
-    this->http.context.http1.req_timeout.timeout =
-        (uint64_t)document->limits.idle_timeout_ms;
+    MpHttpServer_SetIdleTimeout(&this->http, document->limits.idle_timeout_ms);
     MpRouter_ScheduleDispatch(this);
 }
 
@@ -286,6 +285,14 @@
     MpGateway_StopCalls(&this->gateway);
 }
 
+static bool
+is_idle(const struct MpRouter *this)
+{
+    return this->exchanges.length == 0 &&
+           MpLeaseManager_Pending(this->leases) == 0 &&
+           MpGateway_IsIdle(&this->gateway);
+}
+
 static void
 on_timer(struct MpTimer *timer)
 {
@@ -297,10 +304,11 @@
         if (now_ms >= this->drain_until_ms - STOP_ANSWER_MS) {
             stop_requests(this);
         }
-        bool is_idle = this->exchanges.length == 0 &&
-                       MpLeaseManager_Pending(this->leases) == 0 &&
-                       MpGateway_IsIdle(&this->gateway);
-        if (is_idle || now_ms >= this->drain_until_ms) {
+        if (is_idle(this)) {
+            MpHttpServer_CloseIdle(&this->http);
+        }
+        if ((is_idle(this) && MpHttpServer_IsClosed(&this->http)) ||
+            now_ms >= this->drain_until_ms) {
             MpLog_Event(LOG_NOTICE, "drained", "left=%u",
                         this->exchanges.length);
             this->on_drained(this->owner);
@@ -322,7 +330,8 @@
     this->on_drained = on_drained;
     this->owner = owner;
     this->refuse_from_ms = MpLoop_Now() + this->settings->drain_notice_ms;
-    this->drain_until_ms = this->refuse_from_ms + this->settings->drain_ms;
+    this->drain_until_ms =
+        this->refuse_from_ms + MAX(this->settings->drain_ms, STOP_ANSWER_MS);
     if (this->settings->stop_within_ms > 0) {
         this->drain_until_ms =
             MpLoop_Now() + this->settings->stop_within_ms - STOP_MARGIN_MS;
@@ -333,6 +342,13 @@
     MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
 }
 
+void
+MpRouter_Stop(struct MpRouter *this, GString *out)
+{
+    MpHttpServer_Stop(&this->http);
+    MpHttpCounts_Format(&this->http.counts, out);
+}
+
 /* ---- start ---- */
 
 int
@@ -403,6 +419,7 @@
     uint64_t received = 0;
     uint64_t busy_ns = 0;
     MpMetrics_Write(&this->metrics, out);
+    MpHttpCounts_Write(&this->http.counts, "caller", out);
     g_hash_table_iter_init(&iter, this->picker.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         write_target(out, value);
