A request whose caller has left is not sent again

A request that may run once outlived its caller: when the target that it was sent to rejected it, it was sent to the next one and ran there, over half a second after its caller had left. The attempt under way goes on so that a run is not lost; nothing limited that to the attempt.

An attempt needs a caller: before another one, directly, by way of a peer or after a wait, the call ends if its caller has left, and so does an attempt that no target has got yet. What a target has got goes on, as before. A caller that has closed its sending side only is told the truth (503, not run).

--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -58,7 +58,11 @@
 {
     enum MpForwardStep step = MpForward_EndAttempt(
         &this->forward, result, may_retry(this), MpLoop_Now());
-    if (step != MP_STEP_SEND && step != MP_STEP_RESUME) {
+    bool is_sent_again = step == MP_STEP_SEND || step == MP_STEP_RESUME;
+    if (is_sent_again && MpGatewayCall_EndWithoutCaller(this)) {
+        return;
+    }
+    if (!is_sent_again) {
         MpGatewayCall_GiveUp(this, step, code,
                              MpGatewayNotice_RetryAfter(
                                  this, MP_RETRY_AFTER_BUSY_MS, MpLoop_Now()));
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -377,12 +377,21 @@
 
 /* ---- the caller ---- */
 
+/* Returns whether the attempt under way goes on without a caller: a target
+ * has the request, and it may run only once. */
+static bool
+is_running_once(const struct MpGatewayCall *this)
+{
+    return this->stage == MP_CALL_RUNNING && this->conn &&
+           MpTargetConn_IsSent(this->conn) &&
+           MpForward_SurvivesDisconnect(&this->forward);
+}
+
 static void
 on_disconnected(void *owner)
 {
     struct MpGatewayCall *this = owner;
-    if (this->stage == MP_CALL_RUNNING &&
-        MpForward_SurvivesDisconnect(&this->forward)) {
+    if (is_running_once(this)) {
         return;
     }
     if (this->stage != MP_CALL_ENDED) {
@@ -417,6 +426,37 @@
 static const struct MpCallerResponseClass response_class = {
     .disconnected = on_disconnected, .writable = on_writable, .sent = on_sent};
 
+/* Ends a call whose caller has left.  It may have closed its sending side
+ * only, and read what it is told. */
+static void
+give_up_caller(struct MpGatewayCall *this, enum MpForwardStep step)
+{
+    if (this->stage == MP_CALL_BUDGET) {
+        this->reserved_mtok = 0;
+    }
+    MpHttp_NoteEnd(this->response.req, MP_HTTP_CALLER_LEFT);
+    MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
+    MpGatewayCall_GiveUp(
+        this, step,
+        step == MP_STEP_FAIL ? MP_ERROR_OUTCOME_UNKNOWN : MP_ERROR_CLOSED, 0);
+}
+
+bool
+MpGatewayCall_EndWithoutCaller(struct MpGatewayCall *this)
+{
+    if (!MpCallerResponse_IsDisconnected(&this->response)) {
+        return false;
+    }
+    if (this->response.req) {
+        give_up_caller(this, MpForward_NoTarget(&this->forward));
+    }
+    else {
+        MpGatewayCall_End(this, "caller-gone", MP_OK);
+        MpGatewayCall_Free(this);
+    }
+    return true;
+}
+
 bool
 MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms)
 {
@@ -425,24 +465,13 @@
         return false;
     }
     this->caller_checked_ms = now_ms;
-    if (!MpCallerResponse_IsDisconnected(&this->response)) {
+    if (!MpCallerResponse_IsDisconnected(&this->response) ||
+        is_running_once(this)) {
         return false;
     }
-    if (this->stage == MP_CALL_RUNNING &&
-        MpForward_SurvivesDisconnect(&this->forward)) {
-        return false;
-    }
-    if (this->stage == MP_CALL_BUDGET) {
-        this->reserved_mtok = 0;
-    }
-    /* It may have closed its sending side only, and read what it is told. */
     enum MpForwardStep step = MpForward_Expired(&this->forward);
     this->forward.may_have_run |= this->forward.sends > 0;
-    MpHttp_NoteEnd(this->response.req, MP_HTTP_CALLER_LEFT);
-    MpGatewayAttempt_Cancel(this, MP_OUTCOME_CANCELLED);
-    MpGatewayCall_GiveUp(
-        this, step,
-        step == MP_STEP_FAIL ? MP_ERROR_OUTCOME_UNKNOWN : MP_ERROR_CLOSED, 0);
+    give_up_caller(this, step);
     return true;
 }
 
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -122,6 +122,10 @@
  * or else of its path. */
 int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
 
+/* Ends a call whose caller has left, so that nothing more is sent for it.
+ * Returns whether it has. */
+bool MpGatewayCall_EndWithoutCaller(struct MpGatewayCall *this);
+
 /* Checks whether the caller has disconnected, unless it was checked recently.
  * Returns true if it has and the call was ended. */
 bool MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -500,6 +500,12 @@
     MpTargetConn_Free(this);
 }
 
+bool
+MpTargetConn_IsSent(const struct MpTargetConn *this)
+{
+    return this->socket != NULL;
+}
+
 bool
 MpTargetConn_IsKept(const struct MpTargetConn *this)
 {
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -129,6 +129,9 @@
 /* Cancels the request and closes its connection; no callbacks follow. */
 void MpTargetConn_Cancel(struct MpTargetConn *this);
 
+/* Returns whether the request was written to a connection. */
+bool MpTargetConn_IsSent(const struct MpTargetConn *this);
+
 /* Returns whether the connection carried another request before this one.
  * During the callback end, too. */
 bool MpTargetConn_IsKept(const struct MpTargetConn *this);
