Requests of our own API are not sent once their callers have left

Queued requests whose callers had left were sent when a slot came free, and failed attempts were made again.

Before a queued request or another attempt is sent, the caller's socket is looked at, as on paths (MpHttp_IsDisconnected).

--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -2,7 +2,6 @@
 
 #include "transport/HttpServer.h"
 
-#include <errno.h>
 #include <sys/socket.h>
 
 /* Passes the buffered data to h2o.  The owner may be freed afterwards. */
@@ -187,12 +186,5 @@
 bool
 MpCallerResponse_IsDisconnected(const struct MpCallerResponse *this)
 {
-    char byte;
-    if (!this->req) {
-        return true;
-    }
-    ssize_t got = recv(h2o_socket_get_fd(socket_of(this)), &byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
+    return !this->req || MpHttp_IsDisconnected(this->req);
 }
--- a/src/transport/CallerResponse.h
+++ b/src/transport/CallerResponse.h
@@ -81,8 +81,7 @@
  * Returns NULL when the caller has disconnected. */
 h2o_req_t *MpCallerResponse_Release(struct MpCallerResponse *this);
 
-/* Returns whether the caller has closed its end of the connection.  h2o does
- * not report this while it waits for the response. */
+/* Returns whether the caller has closed its end of the connection. */
 bool MpCallerResponse_IsDisconnected(const struct MpCallerResponse *this);
 
 #endif
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -481,6 +481,12 @@
 
 /* ---- disconnected caller ---- */
 
+bool
+MpExchange_HasCaller(const struct MpExchange *this)
+{
+    return this->req && !MpHttp_IsDisconnected(this->req);
+}
+
 void
 MpExchange_CallerDisconnected(struct MpExchange *this)
 {
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -146,6 +146,10 @@
  * requests whose record is still being read or written.  May free this. */
 void MpExchange_Stop(struct MpExchange *this);
 
+/* Returns whether the caller is still there; without it, nothing more is sent
+ * to a target. */
+bool MpExchange_HasCaller(const struct MpExchange *this);
+
 /* Handles a disconnected caller.  May free this. */
 void MpExchange_CallerDisconnected(struct MpExchange *this);
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -195,7 +195,8 @@
 {
     int code = MP_ERROR_NO_TARGET;
     bool may_run_again = !is_sent || !this->at_most_once;
-    if (may_run_again && this->req && !this->is_stopping && may_retry(this)) {
+    if (may_run_again && MpExchange_HasCaller(this) && !this->is_stopping &&
+        may_retry(this)) {
         this->target = MpRouter_Pick(this->router, this, &code);
     }
     if (!this->target) {
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -4,6 +4,7 @@
 #include "transport/ErrorBody.h"
 #include "transport/Log.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -288,6 +289,17 @@
 
 /* ---- requests and responses ---- */
 
+bool
+MpHttp_IsDisconnected(const h2o_req_t *req)
+{
+    char byte;
+    ssize_t got =
+        recv(h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn)),
+             &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
 void
 MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -63,6 +63,10 @@
  * line for each connection with a request on it. */
 void MpHttpServer_Stop(struct MpHttpServer *this);
 
+/* Returns whether the client has closed its end of the connection.  h2o does
+ * not report this while it waits for the response. */
+bool MpHttp_IsDisconnected(const h2o_req_t *req);
+
 /* Records how a request ends; the first call counts. */
 void MpHttp_NoteEnd(const h2o_req_t *req, enum MpHttpEnd end);
 
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -76,6 +76,11 @@
     while ((item = MpFairQueue_Peek(queue))) {
         struct MpExchange *exchange = item->data;
         int code;
+        if (!MpExchange_HasCaller(exchange)) {
+            MpFairQueue_Dequeue(queue, item);
+            MpExchange_Shed(exchange, MP_ERROR_CLOSED);
+            continue;
+        }
         struct MpTarget *target = MpRouter_Pick(this, exchange, &code);
         if (!target && code == MP_ERROR_LIMIT) {
             return;
