A target that joins a brittle pool is brittle from its first request

A brittle target that had crashed came back under a new id and fell over at once, each time: what a target bears was kept for each incarnation, and one that had said nothing yet got requests without a limit from every instance.

The targets of a pool are brittle at the same times. One without a word of its own, or with one that is older than the last of its pool by over 1 s, is treated as that says: each instance keeps to its share of the slots, and one whose share is none asks by a single request in its turn. Its own word counts as soon as it is heard.

/roster/a new target of a brittle pool: 16 instances send 8 requests at once to a new target of 8 slots; on the code before each of them sends without a bound.

--- a/src/coordination/PoolTarget.c
+++ b/src/coordination/PoolTarget.c
@@ -154,7 +154,8 @@
                         : -1,
         .rank = (uint32_t)((query->instance_rank + this->hash) % instances),
         .instances = instances,
-        .wall_ms = query->wall_ms};
+        .wall_ms = query->wall_ms,
+        .pool = query->room};
     return MpTargetRoom_MaySend(&this->room, &room);
 }
 
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -187,7 +187,9 @@
     int64_t heard_ms; /* with view: when the leader was last heard */
     int64_t boot_ms;  /* with view: now on the clock of view and heard_ms,
                        * which counts while the machine is suspended */
-    bool needs_no_announcement; /* set by MpRoster_Pick */
+    /* set by MpRoster_Pick and MpRoster_GetPoolStatus */
+    bool needs_no_announcement;
+    struct MpRoomWord room; /* the last word of a target of the pool */
 };
 
 /* Number of targets of a pool for each reason not to pick them; a target may
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -522,6 +522,20 @@
                              : pick_last_resort(pool, query, now_ms, picked);
 }
 
+/* Returns what the targets of a pool said last of the refusals they bear. */
+static struct MpRoomWord
+last_room_word(const GPtrArray *pool)
+{
+    struct MpRoomWord last = {.sent_ms = 0};
+    for (guint i = 0; i < pool->len; i++) {
+        const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
+        if (target->room.word.sent_ms > last.sent_ms) {
+            last = target->room.word;
+        }
+    }
+    return last;
+}
+
 int
 MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
               int64_t now_ms, struct MpPicked *picked)
@@ -532,6 +546,7 @@
     if (!pool) {
         return MP_ERROR_NO_TARGET;
     }
+    adjusted.room = last_room_word(pool);
     adjusted.needs_no_announcement =
         query->view && !query->version &&
         has_no_active_version(pool, query, now_ms);
@@ -561,10 +576,12 @@
                        struct MpPoolStatus *status)
 {
     const GPtrArray *pool = g_hash_table_lookup(this->pools, query->pool);
+    struct MpPoolQuery adjusted = *query;
     *status = (struct MpPoolStatus){.listed = 0};
     if (!pool) {
         return;
     }
+    adjusted.room = last_room_word(pool);
     status->listed = pool->len;
     status->pause_ms = INT64_MAX;
     for (guint i = 0; i < pool->len; i++) {
@@ -574,7 +591,7 @@
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
         status->full += is_full(target, now_ms) ||
-                        !MpPoolTarget_HasRoom(target, query, now_ms);
+                        !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
         if (is_withheld(target, query, now_ms)) {
             status->limited++;
--- a/src/coordination/TargetRoom.c
+++ b/src/coordination/TargetRoom.c
@@ -6,12 +6,12 @@
 MpTargetRoom_Note(struct MpTargetRoom *this, int64_t refusals_max,
                   int64_t sent_ms)
 {
-    if (sent_ms < this->sent_ms) {
+    if (sent_ms < this->word.sent_ms) {
         return false;
     }
-    bool has_changed = refusals_max != this->refusals_max;
-    this->sent_ms = sent_ms;
-    this->refusals_max = refusals_max;
+    bool has_changed = refusals_max != this->word.refusals_max;
+    this->word =
+        (struct MpRoomWord){.refusals_max = refusals_max, .sent_ms = sent_ms};
     return has_changed;
 }
 
@@ -28,12 +28,27 @@
     return query->slots / query->instances + (query->rank < rest ? 1 : 0);
 }
 
+/* Returns whether the target's own word counts, and not that of its pool. */
+static bool
+has_own_word(const struct MpTargetRoom *this, const struct MpRoomQuery *query)
+{
+    return this->word.sent_ms > 0 &&
+           query->pool.sent_ms - this->word.sent_ms <= MP_ROOM_OWN_MS;
+}
+
+static int64_t
+refusals_max(const struct MpTargetRoom *this, const struct MpRoomQuery *query)
+{
+    return has_own_word(this, query) ? this->word.refusals_max
+                                     : query->pool.refusals_max;
+}
+
 /* Returns whether this instance may go beyond its share now. */
 static bool
 has_turn(const struct MpTargetRoom *this, const struct MpRoomQuery *query)
 {
     int64_t turn = query->wall_ms / MP_ROOM_TURN_MS;
-    int64_t at_once = this->refusals_max / 2;
+    int64_t at_once = refusals_max(this, query) / 2;
     if (at_once == 0) {
         return false;
     }
@@ -46,7 +61,7 @@
 MpTargetRoom_MaySend(const struct MpTargetRoom *this,
                      const struct MpRoomQuery *query)
 {
-    if (this->refusals_max == 0 || query->slots == 0) {
+    if (refusals_max(this, query) == 0 || query->slots == 0) {
         return true;
     }
     /* A clock that was set back does not make the hold longer. */
@@ -58,8 +73,10 @@
     int64_t reserve = MIN((int64_t)query->instances, query->slots / 2);
     bool has_free = query->reported >= 0 &&
                     query->reported + MAX(reserve, 1) <= query->slots;
+    /* Without a word of its own a single request asks for one. */
+    bool may_exceed = has_own_word(this, query) ? has_free : share == 0;
     return query->running < share ||
-           (query->running == share && has_free && has_turn(this, query));
+           (query->running == share && may_exceed && has_turn(this, query));
 }
 
 bool
--- a/src/coordination/TargetRoom.h
+++ b/src/coordination/TargetRoom.h
@@ -17,6 +17,10 @@
  * costs a refusal, and the instance that was refused sends nothing for a
  * second. Between two turns nobody goes beyond the share for a second, so that
  * no second has the refusals of both.
+ *
+ * The targets of a pool are brittle at the same times.  One that has said
+ * nothing of its own yet, as it has just started, or not for a while, is
+ * treated as the last one of its pool that did.
  */
 
 /* Largest number that a target may name. */
@@ -26,12 +30,20 @@
 #define MP_ROOM_TURN_USED_MS 900
 /* Time for which nothing is sent after a refusal, ms. */
 #define MP_ROOM_HOLD_MS 1000
+/* A word of the target's pool goes before its own if it is newer by more than
+ * this, ms. */
+#define MP_ROOM_OWN_MS 1000
 /* A load report is not used to go beyond the share after this time, ms. */
 #define MP_ROOM_REPORT_MAX_MS 300
 
+/* What a target said of itself. */
+struct MpRoomWord {
+    int64_t refusals_max; /* in a second; 0: as many as there are */
+    int64_t sent_ms;      /* of the request whose answer said so; 0: none */
+};
+
 struct MpTargetRoom {
-    int64_t refusals_max;  /* in a second; 0: as many as there are */
-    int64_t sent_ms;       /* of the request whose answer said so */
+    struct MpRoomWord word;
     int64_t held_until_ms; /* after a refusal; on the clock of the query */
     bool is_invalid;       /* the last value that it named is no number */
 };
@@ -43,8 +55,9 @@
     int64_t reported; /* all requests there by its last report, with those sent
                        * since; -1: no report, or an old one */
     uint32_t rank;    /* of this instance at this target, below instances */
-    uint32_t instances; /* that share the target, at least 1 */
-    int64_t wall_ms;    /* clock that all instances have in common */
+    uint32_t instances;     /* that share the target, at least 1 */
+    int64_t wall_ms;        /* clock that all instances have in common */
+    struct MpRoomWord pool; /* the last word of a target of its pool */
 };
 
 /* Applies what an answer said, 0 if it named no number.  One to a request that
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -622,6 +622,53 @@
     MpRoster_Done(&roster);
 }
 
+/* A target that has just started falls over as it has not said yet that it is
+ * brittle, while all others of its pool have. */
+static void
+test_brittle_pool(void)
+{
+    struct MpRoster roster;
+    struct MpRequestMeta meta = {0};
+    struct MpPicked picked;
+    struct MpPoolQuery query = {
+        .pool = POOL, .meta = &meta, .instances = 16, .instance_rank = 0};
+    init_roster(&roster, 3);
+    for (int i = 0; i < 2; i++) {
+        char name[8];
+        g_snprintf(name, sizeof(name), "t%d", i);
+        struct MpPoolTarget *target = MpRoster_Find(&roster, name);
+        MpTargetRoom_Note(&target->room, 2, 5000);
+    }
+    /* Shares of 8 slots for 16 instances: half of these have none. */
+    int sent = 0;
+    for (uint32_t rank = 0; rank < 16; rank++) {
+        query.instance_rank = rank;
+        query.wall_ms = 1000000 + MP_ROOM_TURN_USED_MS;
+        int running = 0;
+        while (MpRoster_Pick(&roster, &query, 5100, &picked) == MP_OK) {
+            MpPoolTarget_StartAttempt(picked.target, &meta, 0, 5100);
+            running += strcmp(picked.target->incarnation, "t2") == 0;
+        }
+        sent += running;
+        g_assert_cmpint(running, <=, 1);
+        for (int i = 0; i < 3; i++) {
+            char name[8];
+            g_snprintf(name, sizeof(name), "t%d", i);
+            MpRoster_Find(&roster, name)->running = 0;
+        }
+    }
+    g_assert_cmpint(sent, ==, 8);
+    /* Its own word counts as soon as there is one. */
+    MpTargetRoom_Note(&MpRoster_Find(&roster, "t2")->room, 0, 5050);
+    int free_slots = 0;
+    while (MpRoster_Pick(&roster, &query, 5100, &picked) == MP_OK &&
+           free_slots < 8) {
+        MpPoolTarget_StartAttempt(picked.target, &meta, 0, 5100);
+        free_slots += strcmp(picked.target->incarnation, "t2") == 0;
+    }
+    g_assert_cmpint(free_slots, ==, 8);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -649,6 +696,8 @@
     g_test_add_func("/roster/names of pools grow", test_names_of_pools_grow);
     g_test_add_func("/roster/the list takes back no word of a target",
                     test_said_leaving);
+    g_test_add_func("/roster/a new target of a brittle pool",
+                    test_brittle_pool);
     g_test_add_func("/roster/a paused target gets nothing", test_paused);
     return g_test_run();
 }
--- a/tests/TestTargetRoom.c
+++ b/tests/TestTargetRoom.c
@@ -156,10 +156,10 @@
 static void
 test_old_answers_change_nothing(void)
 {
-    struct MpTargetRoom room = {.refusals_max = 0};
+    struct MpTargetRoom room = {.word = {.refusals_max = 0}};
     g_assert_true(MpTargetRoom_Note(&room, 2, 100));
     g_assert_false(MpTargetRoom_Note(&room, 0, 99));
-    g_assert_cmpint(room.refusals_max, ==, 2);
+    g_assert_cmpint(room.word.refusals_max, ==, 2);
     g_assert_false(MpTargetRoom_Note(&room, 2, 120));
     g_assert_true(MpTargetRoom_Note(&room, 0, 121));
 }
