The soak checks how each request ends, beside changes of the document in series

Its callers now note of each request that was sent whole how it ended. Closed without a byte is a violation, unless the instance was killed, or the close crossed the request at the end of a process; so is an idle connection that is closed within four fifths of its timeout. New: KINDS="change hup": documents in series (idle timeouts short and long in turn, timeouts, attempts, paths, keys, prepaid amounts), SIGHUP of all, callers that wait for up to four fifths of the idle timeout, and requests in pieces; BUSY=N keeps N processes running beside.

--- a/src/commands/LoadLedger.c
+++ b/src/commands/LoadLedger.c
@@ -10,6 +10,8 @@
 
 #define READ_METRIC "mimosapath_caller_requests_read_total"
 #define ENDED_METRIC "mimosapath_caller_requests_ended_total"
+#define LISTENER_LABEL "listener="
+#define CALLERS_LABEL "listener=\"callers\""
 
 const char *const MpLoadEnd_Names[] = {
     [MP_LOAD_END_ANSWERED] = "answered",
@@ -27,6 +29,9 @@
 {
     const char *space = strrchr(line, ' ');
     uint64_t value = space ? strtoull(space + 1, NULL, 10) : 0;
+    if (strstr(line, LISTENER_LABEL) && !strstr(line, CALLERS_LABEL)) {
+        return;
+    }
     if (g_str_has_prefix(line, READ_METRIC)) {
         this->read += value;
         this->is_told = true;
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -52,6 +52,12 @@
     return events, text[at:]
 
 
+# A connection whose close is seen within this time after the last byte of a
+# request was closed before the request arrived: the end of stream comes first
+# then, and a reset alone means that the bytes had arrived.
+CROSSED_S, RESET_CROSSED_S = 0.05, 0.003
+
+
 class Response:
     def __init__(self):
         self.status, self.fields, self.body = 0, {}, b""
@@ -69,21 +75,27 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
         self.sock.settimeout(timeout_s)
         self.data, self.pause_s, self.is_open = b"", 0, True
-        self.is_reset = False
+        self.is_reset = self.has_timed_out = False
+        self.idle_since = self.sent_at = time.monotonic()
         self.sock.connect(("127.0.0.1", port))
 
     def close(self):
         self.is_open = False
         self.sock.close()
 
-    def send(self, data):
-        self.sock.sendall(data)
+    def send(self, data, pieces=1):
+        size = len(data) // pieces + 1
+        for at in range(0, len(data), size):
+            time.sleep(0.15 if at else 0)
+            self.sock.sendall(data[at:at + size])
+        self.sent_at = time.monotonic()
 
     def fill(self):
         try:
             part = self.sock.recv(8192 if self.pause_s else 65536)
-        except OSError:
+        except OSError as error:
             self.is_reset = True
+            self.has_timed_out = isinstance(error, socket.timeout)
             part = b""
         if not part:
             raise EOFError
@@ -167,7 +179,25 @@
                 raise
             self.close()
 
+    def end_of(self, response):
+        """Names how the request ended that was sent whole."""
+        if response.is_whole:
+            is_own = number_of(response) is None and response.status >= 400
+            return "refused" if is_own else "answered"
+        if self.has_timed_out:
+            return "left"
+        if response.has_head or response.fault or self.data:
+            return "cut"
+        is_late = time.monotonic() - self.sent_at > (
+            RESET_CROSSED_S if self.is_reset else CROSSED_S)
+        return "unanswered" if is_late else "crossed"
+
     def read_response(self, method="POST"):
+        response = self.read_any(method)
+        self.idle_since = time.monotonic()
+        return response
+
+    def read_any(self, method):
         response = Response()
         try:
             while response.status < 200:
@@ -202,11 +232,18 @@
 class Caller:
     """A caller with one connection to each instance, kept after errors too.
     ports maps instances to ports; next_token(kind, name) returns a new token;
-    check(kind, token, response, method) checks a response."""
-
-    def __init__(self, answers, rng, ports, next_token, check):
+    check(kind, token, response, method) checks a response.  note_end(name,
+    token, end, conn) is told how each request that was sent whole ended, and
+    note_closed(name, conn) of connections that were closed while idle;
+    may_use(conn) returns whether an idle connection may be used again."""
+
+    def __init__(self, answers, rng, ports, next_token, check,
+                 note_end=lambda *_: None, note_closed=lambda *_: None,
+                 may_use=lambda _: True):
         self.answers, self.random, self.ports = answers, rng, ports
         self.next_token, self.check = next_token, check
+        self.note_end, self.note_closed = note_end, note_closed
+        self.may_use = may_use
         self.conns = {}
         self.earlier_ids = ["used-%d" % rng.getrandbits(20)]
 
@@ -214,25 +251,31 @@
         """Returns the connection; bytes that came while no answer was due are
         a violation."""
         conn = self.conns.get(name)
+        if conn and conn.is_open and not self.may_use(conn):
+            conn.close()
         if conn and conn.is_open:
             stray = conn.stray_bytes()
             if stray:
                 self.answers.report_violation(
                     "%r came while no answer was due" % stray[:60])
+            elif not conn.is_open:
+                self.note_closed(name, conn)
         if not conn or not conn.is_open:
             conn = CallerConn(self.ports[name], window=window)
             self.conns[name] = conn
         return conn
 
     def send(self, name, token, prefix, window=None, pause_s=0, method="POST",
-             **options):
+             pieces=1, **options):
         """Returns the response to a request that is sent alone."""
         try:
             conn = self.connect(name, window)
-            conn.send(format_request(token, prefix, method, **options))
+            conn.send(format_request(token, prefix, method, **options),
+                      pieces)
             conn.pause_s = pause_s
             response = conn.read_response(method)
             conn.pause_s = 0
+            self.note_end(name, token, conn.end_of(response), conn)
         except OSError:
             self.conns.pop(name, None)
             return Response()
@@ -284,7 +327,9 @@
                 t, "/%s/" % kind, fields={ID: t}) for t in tokens))
             for token in tokens:
                 if conn.is_open or conn.data:
-                    self.check(kind, token, conn.read_response(), "POST")
+                    response = conn.read_response()
+                    self.note_end(name, token, conn.end_of(response), conn)
+                    self.check(kind, token, response, "POST")
         except OSError:
             self.conns.pop(name, None)
 
@@ -294,6 +339,7 @@
         try:
             conn = CallerConn(self.ports[name])
             conn.send(format_request(token, "/%s/" % kind, fields={ID: token}))
+            self.note_end(name, token, "left", conn)
             time.sleep(self.random.uniform(0, 0.05))
             conn.close()
         except OSError:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,17 @@
 taken up.  Callers keep their connections after errors, pipeline, read slowly,
 leave, name no id, or one that they used before.
 
+With CHANGE_KINDS the document changes in series (idle timeouts that are short
+and long in turn, timeouts, attempts, paths, keys, prepaid amounts) and all
+instances get SIGHUP; callers then leave their connections idle for up to four
+fifths of the timeout, and send requests in pieces.  BUSY=N keeps N processes
+running beside.
+
 Checked, from what callers and targets see:
+- a request that was sent whole is answered, refused or visibly cut; one that is
+  closed without a byte was at an instance that was killed, or crossed the close
+  at the end of a process; an idle connection is not closed before;
+- what the instances count of that (mimosapath_caller_requests_*) is the same;
 - an at-most-once request runs once, and a refused request has not run;
 - each byte on a connection of a caller belongs to the answer to its request,
   as the target made it, or to an error of the instance;
@@ -37,6 +47,7 @@
 import random
 import re
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -44,10 +55,12 @@
 
 from answers import (GARBLES, Answers, Caller, GarbledWriter, number_of,
                      token_of)
+from callerends import CallerEnds
 from cutproxy import CutProxy
 from fleet import Fleet, in_background, wait_for
 from pathfleet import (LendingFleet, SimTarget, respond, path_conf, path_fleet,
                        send, start_event_stream, status_of, wait_targets)
+from soakchanges import CHANGE_KINDS, IDLE_LONG_MS, DocumentChanges
 
 PROPAGATION_S = 3
 RETRIES_MAX = 3
@@ -78,7 +91,7 @@
         return entry
 
 
-class Soak:
+class Soak(CallerEnds, DocumentChanges):
     def __init__(self, seed, seconds, kinds=ALL_KINDS):
         self.seed = seed
         self.random = random.Random(seed)
@@ -94,6 +107,8 @@
         self.delivered = 0         # tokens delivered to callers
         self.delivered_by_id = {}  # token of the request -> tokens
         self.counts = {}
+        self.start_changes()
+        self.start_ends()
         self.is_stopped = False
         self.fault_kinds = os.environ.get("KINDS", kinds).split()
         self.number = 0
@@ -174,7 +189,8 @@
 
     def new_caller(self, seed):
         return Caller(self.answers, random.Random(seed), self.fleet.callers,
-                      self.next_token, self.check_response)
+                      self.next_token, self.check_response, self.note_end,
+                      self.note_closed, self.may_use)
 
     def check_response(self, kind, token, response, method="POST"):
         status = response.status if response.is_whole else 0
@@ -291,6 +307,9 @@
     def restart(self, name, signal_number, pause_s):
         self.note_fault([name])
         process = self.fleet.processes[name]
+        self.restarts.append([name, signal_number, time.monotonic(),
+                              float("inf")])
+        entry = self.restarts[-1]
         process.send_signal(signal_number)
         try:
             process.wait(15)
@@ -301,6 +320,7 @@
         if signal_number == signal.SIGTERM and process.returncode != 0:
             self.report_violation("%s ended with %d" % (
                 name, process.returncode))
+        entry[3] = time.monotonic()
         time.sleep(pause_s)
         self.fleet.start(name)
         self.note_fault([name])
@@ -372,6 +392,8 @@
                                  else signal.SIGTERM, length_s / 4)
                 time.sleep(1)
                 faulty.discard(name)
+        elif kind in ("change", "hup"):
+            run = self.change_document if kind == "change" else self.reload_all
         elif kind == "cut":
             if "cut" in faulty:
                 return
@@ -498,7 +520,8 @@
             prepaid=self.prepaid, instances=5, control=3,
             behind_proxy=self.partitioned_names,
             fleet_class=LendingFleet if self.seed % 2 else Fleet,
-            extra_settings={"stop_within_s": 8})
+            extra_settings={"stop_within_s": 8},
+            extra_limits={"idle_timeout_ms": IDLE_LONG_MS})
         if has_proxies:
             listed.entries = [p.entry(t) for p, t in zip(self.proxies,
                                                          self.targets)]
@@ -506,12 +529,17 @@
             if not all(wait_targets(self.fleet, n) for n in self.fleet.names):
                 self.report_violation("not ready")
                 return
+            before = {n: self.read_ledger(n) for n in self.fleet.names}
             threads = [self.start_thread(lambda s=s: self.run_caller(s))
                        for s in range(self.seed * 10, self.seed * 10 + 6)]
             threads += [self.start_thread(lambda b=b: self.run_crasher(b, 0.3))
                         for b in ("#end0", "#end1")]
             threads.append(self.start_thread(
                 lambda: self.run_part_crasher(0.4)))
+            if "change" in self.fault_kinds:
+                threads += [self.start_thread(lambda s=s: self.run_idler(s))
+                            for s in range(self.seed * 10 + 6,
+                                           self.seed * 10 + 10)]
             end = time.monotonic() + self.seconds
             faulty, faults = set(), []
             while time.monotonic() < end:
@@ -524,6 +552,7 @@
             self.is_stopped = True
             for thread in threads:
                 thread.join(10)
+            self.check_ledgers(before)
             self.check_crashes()
             self.check_limits()
             self.check_billing()
@@ -541,12 +570,20 @@
 def main():
     seed = int(sys.argv[1])
     soak = Soak(seed, float(sys.argv[2]) if len(sys.argv) > 2 else 20)
-    soak.run_all()
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"])
+            for _ in range(int(os.environ.get("BUSY", "0")))]
+    try:
+        soak.run_all()
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
     for text in soak.violations[:20]:
         print("violation:", text)
     print("seed", seed, "violations", len(soak.violations))
     if os.environ.get("COUNTS"):
         print(dict(sorted(soak.counts.items())), "delivered", soak.delivered,
+              "ends", {"%s %s" % k: n for k, n in sorted(soak.ends.items())},
               "crashes", {b: len(e) for b, e in soak.crashes.items()})
     return 1 if soak.violations else 0
 
