The operators' interface is closed before the process waits for its disk

After the loop of a control instance has ended, the process waits until its writes are on the disk. Connections that operators kept stayed open meanwhile, and a call on one was not read: on a disk that stalled it had no answer until the process ended, and then none. The metrics address was as open.

The listeners and the idle connections of operators are now closed while the loop still runs, and the loop ends when all are closed.

--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -183,16 +183,25 @@
 /* ---- stopping ---- */
 
 static void
-on_lingered(struct MpTimer *timer)
+close_connections(struct MpTimer *timer)
 {
     struct instance *this = timer->data;
-    if (MpOperatorServer_IsIdle(&this->operator_server) ||
+    if (MpOperatorServer_Close(&this->operator_server) ||
         MpLoop_Now() >= this->stop_until_ms) {
         MpLoop_Stop(&this->loop);
         return;
     }
-    MpLoop_SetTimer(&this->loop, &this->stop_timer, STOP_CHECK_MS, on_lingered,
-                    this);
+    MpLoop_SetTimer(&this->loop, &this->stop_timer, STOP_CHECK_MS,
+                    close_connections, this);
+}
+
+static void
+on_lingered(struct MpTimer *timer)
+{
+    struct instance *this = timer->data;
+    MpOperatorServer_StopListening(&this->operator_server);
+    MpLoop_SetTimer(&this->loop, &this->stop_timer, STOP_CHECK_MS,
+                    close_connections, this);
 }
 
 static void
@@ -210,7 +219,6 @@
                         check_drained, this);
         return;
     }
-    MpOperatorServer_StopListening(&this->operator_server);
     MpLoop_SetTimer(&this->loop, &this->stop_timer,
                     this->settings->is_control ? CONTROL_LINGER_MS : LINGER_MS,
                     on_lingered, this);
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -57,9 +57,14 @@
  * for a change whose outcome is not known. */
 void MpOperatorServer_StopCalls(struct MpOperatorServer *this);
 
-/* Closes the listener; open connections can still be used. */
+/* Lets no new connection begin; those that were begun are still accepted for
+ * as long as the listener is open. */
 void MpOperatorServer_StopListening(struct MpOperatorServer *this);
 
+/* Closes all listeners and idle connections.  Returns whether all connections
+ * are closed. */
+bool MpOperatorServer_Close(struct MpOperatorServer *this);
+
 /* The process ends: records what the connections still hold. */
 void MpOperatorServer_Stop(struct MpOperatorServer *this);
 
--- a/tests/runs/stop_drops_operator_calls.py
+++ b/tests/runs/stop_drops_operator_calls.py
@@ -1,7 +1,8 @@
 """Instances of each role are stopped while operators' calls wait for the
-quorum, which is there, comes back or is lost for good, and while more calls
-come, on new and on kept connections.  Each whole call gets an answer;
-acknowledged changes are made, and those refused as not done are not."""
+quorum, which is there, comes back or is lost for good, or while the disk of the
+instance stalls, and while more calls come, on new and on kept connections.
+Each whole call gets an answer; acknowledged changes are made, and those
+refused as not done are not."""
 import json
 import os
 import signal
@@ -10,6 +11,7 @@
 import time
 import urllib.parse
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 from fleet import TOKEN, Fleet, in_background, request, wait_for
 from forms import fields
 
@@ -29,7 +31,8 @@
         self.role, self.platform = role, platform
         self.stopped = "i3" if role == "relay" else "i2"
         super().__init__(instances=4, control=3, engines=1, services=1,
-                         budget_tokens=0, wait=False)
+                         budget_tokens=0, wait=False,
+                         stallable=[self.stopped])
 
     def write_settings(self, name):
         super().write_settings(name)
@@ -139,6 +142,13 @@
             self.conn = None
         return True
 
+    def is_closed(self):
+        self.conn.settimeout(0)
+        try:
+            return self.conn.recv(1) == b""
+        except BlockingIOError:
+            return False
+
     def run(self):
         for call in self.calls:
             if not self.send(call):
@@ -173,7 +183,7 @@
     return wrong
 
 
-def play(role, platform, quorum):
+def play(role, platform, trouble):
     calls_of = platform_calls if platform else own_calls
     with RoleFleet(role, platform) as fleet:
         if platform:
@@ -201,18 +211,27 @@
         for caller in waiting + later:
             if caller.is_kept:
                 caller.connect()
-        if quorum != "kept":
+        idle = Caller(fleet, [], True)
+        idle.connect()
+        held = 0
+        if trouble.startswith("quorum"):
             fleet.freeze_others(signal.SIGSTOP)
         threads = [in_background(caller.run) for caller in waiting]
-        time.sleep(0 if quorum == "kept" else 0.1)
+        time.sleep(0.1 if trouble else 0)
+        if trouble == "disk stalls":
+            fleet.stall_disk(fleet.stopped)
         process = fleet.processes[fleet.stopped]
         process.send_signal(signal.SIGTERM)
         threads += [in_background(caller.run) for caller in later]
-        if quorum == "back":
+        if trouble == "quorum comes back":
             time.sleep(1)
             fleet.freeze_others(signal.SIGCONT)
+        if trouble == "disk stalls":
+            time.sleep(3)
+            held = not idle.is_closed()
+            fleet.stall_disk(fleet.stopped, False)
         status = process.wait(30)
-        if quorum == "lost":
+        if trouble == "quorum lost":
             fleet.freeze_others(signal.SIGCONT)
         for thread in threads:
             thread.join(30)
@@ -220,10 +239,6 @@
                  check_claims(fleet, waiting + later))
     lost = Counter(call[:2] for c in waiting for call in c.lost)
     lost_later = Counter(call[:2] for c in later for call in c.lost)
-    print(role, "platform" if platform else "own", "quorum", quorum, "exit",
-          status, "lost", sum(lost.values()), "of later calls",
-          sum(lost_later.values()), "changes lost", wrong["done"],
-          "made though refused", wrong["no"])
     if os.environ.get("VERBOSE"):
         print("  answers", Counter((call[0], call[1], answer[0],
                                     answer[1].get("x-mimosapath-run"))
@@ -231,8 +246,18 @@
                                    for call, answer in c.answers),
               "\n  lost", lost, lost_later, file=sys.stderr)
 
+    return ("%s %s %s: exit %s, lost %d, of later calls %d, changes lost %d, "
+            "made though refused %d, idle connections held %d" % (
+                role, "platform" if platform else "own", trouble or "calm",
+                status, sum(lost.values()), sum(lost_later.values()),
+                wrong["done"], wrong["no"], held))
+
 
-for role in os.environ.get("ONLY", "both control relay").split():
-    for platform in (False, True):
-        for quorum in ("kept", "back", "lost"):
-            play(role, platform, quorum)
+plays = [(role, platform, trouble)
+         for role in os.environ.get("ONLY", "both control relay").split()
+         for platform in (False, True)
+         for trouble in ("", "quorum comes back", "quorum lost") + (
+             ("disk stalls",) if role != "relay" else ())]
+with ThreadPoolExecutor(3) as pool:
+    for line in pool.map(lambda p: play(*p), plays):
+        print(line)
