--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -30,6 +30,8 @@
 
 /* Maximum size of a response head, bytes. */
 #define MP_RESPONSE_HEAD_MAX_BYTES 65536
+/* Maximum number of headers of a response. */
+#define MP_RESPONSE_HEADERS_MAX 256
 /* Maximum size of stray responses before the right one, bytes; several times
  * the longest complete response of the engines in use. */
 #define MP_TARGET_STRAY_MAX_BYTES 262144
--- a/src/state/Storage.c
+++ b/src/state/Storage.c
@@ -22,6 +22,13 @@
     g_bytes_unref(this->payload);
 }
 
+static void
+segment_name(const struct MpStorage *this, char *name)
+{
+    g_snprintf(name, SEGMENT_NAME_BYTES, SEGMENT_PREFIX "%" PRIu64,
+               this->segment);
+}
+
 /* ---- batches ---- */
 
 static GBytes *
@@ -105,11 +112,7 @@
               const char *name, size_t offset, size_t size)
 {
     out->cut_bytes += size - offset;
-    int code = this->disk->klass->truncate(this->disk, name, offset);
-    if (code == MP_OK) {
-        code = this->disk->klass->sync(this->disk, name);
-    }
-    return code;
+    return this->disk->klass->truncate(this->disk, name, offset);
 }
 
 static int
@@ -139,6 +142,7 @@
         this->frame = sequence;
         offset += length;
     }
+    this->file.end_bytes = offset;
     g_byte_array_unref(file);
     return code;
 }
@@ -212,6 +216,18 @@
     return code;
 }
 
+/* An earlier process may have ended between a write and its sync.  What was
+ * read counts as durable, so it must not be lost with the power later. */
+static int
+sync_last_segment(struct MpStorage *this)
+{
+    char name[SEGMENT_NAME_BYTES];
+    segment_name(this, name);
+    return MP_FAULT(MP_FAULT_START_UNSYNCED)
+               ? MP_OK
+               : this->disk->klass->sync(this->disk, name);
+}
+
 int
 MpStorage_Open(struct MpStorage *this, struct MpDisk *disk,
                struct MpRecovered *recovered)
@@ -230,6 +246,9 @@
         code = recover_segment(this, recovered, this->segment,
                                i + 1 == segments->len);
     }
+    if (code == MP_OK && segments->len > 0) {
+        code = sync_last_segment(this);
+    }
     g_array_unref(segments);
     drop_replaced_entries(recovered);
     return code;
@@ -244,13 +263,6 @@
 
 /* ---- writing ---- */
 
-static void
-segment_name(const struct MpStorage *this, char *name)
-{
-    g_snprintf(name, SEGMENT_NAME_BYTES, SEGMENT_PREFIX "%" PRIu64,
-               this->segment);
-}
-
 int
 MpStorage_Append(struct MpStorage *this, const struct mp_hard_state *hard,
                  const struct MpLogEntry *entries, uint32_t count)
@@ -262,14 +274,13 @@
         return MP_ERROR_TOO_LARGE;
     }
     GByteArray *frame = g_byte_array_new();
-    MpFrame_Append(frame, ++this->frame, payload);
-    int code =
-        this->disk->klass->append(this->disk, name, frame->data, frame->len);
-    if (code == MP_OK && !MP_FAULT(MP_FAULT_SYNC_SKIPPED)) {
-        code = this->disk->klass->sync(this->disk, name);
+    MpFrame_Append(frame, this->frame + 1, payload);
+    int code = MpFrameFile_Append(&this->file, this->disk, name, frame);
+    if (code == MP_OK) {
+        this->frame++;
+        this->synced_bytes += frame->len;
+        this->syncs++;
     }
-    this->synced_bytes += frame->len;
-    this->syncs++;
     g_byte_array_unref(frame);
     g_bytes_unref(payload);
     return code;
@@ -319,6 +330,31 @@
     return code;
 }
 
+/* Starts a new segment that begins with a frame of payload. */
+static int
+start_segment(struct MpStorage *this, GBytes *payload)
+{
+    char name[SEGMENT_NAME_BYTES];
+    segment_name(this, name);
+    int code = MpFrameFile_CutPartial(&this->file, this->disk, name);
+    if (code != MP_OK) {
+        return code;
+    }
+    g_snprintf(name, sizeof(name), SEGMENT_PREFIX "%" PRIu64,
+               this->segment + 1);
+    GByteArray *frame = g_byte_array_new();
+    MpFrame_Append(frame, this->frame + 1, payload);
+    code =
+        this->disk->klass->replace(this->disk, name, frame->data, frame->len);
+    if (code == MP_OK) {
+        this->segment++;
+        this->frame++;
+        this->file = (struct MpFrameFile){.end_bytes = frame->len};
+    }
+    g_byte_array_unref(frame);
+    return code;
+}
+
 int
 MpStorage_SaveSnapshot(struct MpStorage *this,
                        const struct mp_snapshot_head *head, GBytes *data,
@@ -326,21 +362,14 @@
                        const struct MpLogEntry *entries, uint32_t count)
 {
     int code = write_snapshot_file(this, head, data);
+    if (code != MP_OK) {
+        return code;
+    }
     GBytes *payload = encode_batch(hard, entries, count);
-    if (code != MP_OK || !payload) {
-        return code == MP_OK ? MP_ERROR_TOO_LARGE : code;
+    if (!payload) {
+        return MP_ERROR_TOO_LARGE;
     }
-    char name[SEGMENT_NAME_BYTES];
-    this->segment++;
-    segment_name(this, name);
-    GByteArray *frame = g_byte_array_new();
-    MpFrame_Append(frame, ++this->frame, payload);
-    code =
-        this->disk->klass->replace(this->disk, name, frame->data, frame->len);
-    g_byte_array_unref(frame);
+    code = start_segment(this, payload);
     g_bytes_unref(payload);
-    if (code == MP_OK) {
-        code = remove_old_segments(this);
-    }
-    return code;
+    return code == MP_OK ? remove_old_segments(this) : code;
 }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -330,7 +330,8 @@
     this->on_drained = on_drained;
     this->owner = owner;
     this->refuse_from_ms = MpLoop_Now() + this->settings->drain_notice_ms;
-    this->drain_until_ms = this->refuse_from_ms + this->settings->drain_ms;
+    this->drain_until_ms =
+        this->refuse_from_ms + MAX(this->settings->drain_ms, STOP_ANSWER_MS);
     if (this->settings->stop_within_ms > 0) {
         this->drain_until_ms =
             MpLoop_Now() + this->settings->stop_within_ms - STOP_MARGIN_MS;
--- a/tests/runs/failed_disk_cuts_requests.py
+++ b/tests/runs/failed_disk_cuts_requests.py
@@ -1,21 +1,21 @@
-"""An instance that serves callers and whose control replica has a full disk
+"""An instance that serves callers and whose control replica has a failing disk
 ends by itself.  Requests and operators' calls that are under way then are
 completed, and those that come later are refused."""
 import time
 from collections import Counter
 from fleet import Fleet, in_background, wait_for
 
-FULL = "i2"
+FAILING = "i2"
 outcomes = Counter()
 
 
 def send(kind, number):
     if kind == "service":
-        return fleet.call(FULL, "/services/s/lots", "id=x",
+        return fleet.call(FAILING, "/services/s/lots", "id=x",
                           key="%s-%d" % (kind, number), timeout=15)
     if kind == "operator":
-        return fleet.operator_request("GET", "/control/v1/status", name=FULL)
-    return fleet.chat(FULL, "id=%d #long" % number, tokens=20, stream=True,
+        return fleet.operator_request("GET", "/control/v1/status", name=FAILING)
+    return fleet.chat(FAILING, "id=%d #long" % number, tokens=20, stream=True,
                       timeout=15)
 
 
@@ -36,13 +36,15 @@
         time.sleep(0.02)
 
 
-with Fleet(instances=3, control=3, file_size_limits={FULL: 20000},
+with Fleet(instances=3, control=3, stallable=(FAILING,),
            engine_options=["--token-us", "60000"],
            service_options=["--call-us", "300000"],
            extra_settings={"drain_notice_ms": 300}) as fleet:
-    process = fleet.processes[FULL]
+    process = fleet.processes[FAILING]
     threads = [in_background(lambda k=kind: keep_sending(k))
                for kind in ("service", "operator", "stream") * 4]
+    time.sleep(2)
+    fleet.fail_disk(FAILING)
     print("ended", wait_for(lambda: process.poll() is not None, 40),
           process.poll())
     for thread in threads:
