SIGHUP does not end an instance that starts

An instance handled signals only once its disk was read and its addresses were bound. SIGHUP before that, as from a reload of all instances beside a restart, ended the process. Signals are handled first now, and acted on when the loop runs.

--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -328,7 +328,7 @@
 }
 
 static void
-handle_signals(struct instance *this)
+handle_signals(void)
 {
     struct sigaction action = {.sa_handler = on_signal};
     sigaction(SIGTERM, &action, NULL);
@@ -338,8 +338,6 @@
     /* With SIGXFSZ ignored, a write beyond the file size limit fails with
      * EFBIG, which is handled like a full disk. */
     signal(SIGXFSZ, SIG_IGN);
-    MpLoop_SetTimer(&this->loop, &this->signal_timer, SIGNAL_CHECK_MS,
-                    check_signal, this);
 }
 
 /* ---- start ---- */
@@ -425,6 +423,7 @@
 MpInstance_Run(const struct MpSettings *settings, const char *file)
 {
     struct instance *this = g_new0(struct instance, 1);
+    handle_signals();
     this->settings = settings;
     this->file = file;
     this->file_checked_ms = MpLoop_Now();
@@ -436,7 +435,8 @@
     if (code != MP_OK) {
         return code;
     }
-    handle_signals(this);
+    MpLoop_SetTimer(&this->loop, &this->signal_timer, SIGNAL_CHECK_MS,
+                    check_signal, this);
     MpLog_Event(LOG_NOTICE, "started", "zone=%s version=0.1.0",
                 settings->zone);
     MpLoop_Run(&this->loop);
