A document that only loses text is unpacked without a copy from nowhere

An instance that fetched a document which is the one before it without a part, as when models are removed, got a patch of no bytes and passed a null pointer to memcpy. It is harmless in the builds that are in use; the sanitizers end the process.

--- a/src/protocol/TextPack.c
+++ b/src/protocol/TextPack.c
@@ -68,7 +68,9 @@
     char *data = g_malloc(*size + 1);
     data[*size] = '\0';
     if (packed->raw_size == 0) {
-        memcpy(data, packed->bytes.bytes_val, *size);
+        if (*size > 0) {
+            memcpy(data, packed->bytes.bytes_val, *size);
+        }
         return data;
     }
     if (uncompress((Bytef *)data, &length,
