What waits unread of an answer by way of another instance has a bound

What callers saw: an instance that had lost its path to the targets, and reached them by way of another one, ran out of memory while targets sent without end. Eight requests took 300 to 540 MB of it in 3 s, and 26 to 76 MB more waited on its sockets; requests of other callers failed.

Cause: its direct connections to targets have a receive buffer of 64 KB, the tunnels had none of their own, so that the system let it grow to 32 MB; a read takes all of it, and what is read is there several times for a moment.

Now a tunnel has a receive buffer of 192 KB.

--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/Log.h"
+#include "transport/TargetSocket.h"
 #include "transport/TunnelClient.h"
 
 #include <inttypes.h>
@@ -9,9 +10,6 @@
 
 /* Interval at which checks that are due are started, ms. */
 #define TICK_MS 50
-/* Receive buffer of a connection to a target (SO_RCVBUF), bytes; with it a
- * connection within a region carries 30 MB/s. */
-#define WINDOW_BYTES 65536
 
 struct MpDial {
     struct MpLoop *loop;
@@ -207,9 +205,7 @@
                                  sizeof(addr), callback)
             : NULL;
     if (socket) {
-        int window = WINDOW_BYTES;
-        setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF, &window,
-                   sizeof(window));
+        MpTargetSocket_SetReceive(socket, MP_TARGET_RECEIVE_BYTES);
     }
     return socket;
 }
--- a/src/transport/TunnelClient.c
+++ b/src/transport/TunnelClient.c
@@ -3,6 +3,7 @@
 #include "protocol/Rpc.h"
 #include "state/Error.h"
 #include "transport/RpcConn.h"
+#include "transport/TargetSocket.h"
 
 #include <string.h>
 
@@ -155,6 +156,7 @@
     if (!socket) {
         return this;
     }
+    MpTargetSocket_SetReceive(socket, MP_TUNNEL_RECEIVE_BYTES);
     struct MpRpcConn *conn =
         MpRpcConn_New(&conn_class, this, loop, fleet_key, true);
     conn->received_bytes = &this->received_bytes;
