Runs: a fleet that does not start leaves no processes

A run that ended before its fleet was entered ("instance i0 is not ready", "the configuration is not accepted") left its instances and targets behind, which went on to poll addresses that later runs are given: targets of runs/sound_target_falls_silent got records of the RPC interface and requests for paths that no caller had sent. 53 such processes were found after 45 minutes of runs of several trees. They end with the run now.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,6 +4,7 @@
 prints only what is the same in every run.
 """
 
+import atexit
 import hashlib
 import http.client
 import json
@@ -151,6 +152,7 @@
                  extra_settings=None, wait=True, refusable=()):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
+        atexit.register(self.stop_all)  # where the fleet does not start
         self.callers, self.operators, self.rpc = {}, {}, {}
         self.targets = {}
         self.engine_options = list(engine_options)
