The replicated log keeps a number of bytes in memory

Control instances grew with each change of a large document until they were killed for their memory, again and again: the last 1,024 entries of the log stayed in memory, whatever their size, and so did eight versions of the document.

--- a/src/coordination/Raft.h
+++ b/src/coordination/Raft.h
@@ -39,14 +39,15 @@
 /* A snapshot is due after this many applied entries, or after entries of this
  * many bytes, whichever comes first. */
 #define MP_RAFT_SNAPSHOT_ENTRIES 16384
-#define MP_RAFT_SNAPSHOT_BYTES (16 * 1024 * 1024)
+#define MP_RAFT_SNAPSHOT_BYTES (8 * 1024 * 1024)
 /* A snapshot is postponed while the last one is more than this many times
  * larger than the entries applied since, which bounds the cost of writing
  * large snapshots. */
 #define MP_RAFT_SNAPSHOT_RATIO 8
-/* Applied entries kept in memory after a snapshot, so that a slightly lagging
- * replica can catch up without the snapshot. */
+/* Applied entries kept in memory after a snapshot, and their size, so that a
+ * slightly lagging replica can catch up without the snapshot. */
 #define MP_RAFT_TRAILING_ENTRIES 1024
+#define MP_RAFT_TRAILING_BYTES (2 * 1024 * 1024)
 
 enum MpRaftRole {
     MP_ROLE_FOLLOWER,
--- a/src/coordination/RaftSnapshot.c
+++ b/src/coordination/RaftSnapshot.c
@@ -153,14 +153,28 @@
 
 /* ---- compaction ---- */
 
+/* Returns the index of the first of the applied entries that are kept. */
+static uint64_t
+first_trailing(const struct MpRaft *this)
+{
+    uint64_t index = this->applied + 1;
+    size_t bytes = 0;
+    while (index > this->first_index &&
+           this->applied + 1 - index < MP_RAFT_TRAILING_ENTRIES) {
+        bytes += g_bytes_get_size(MpRaftLog_At(this, index - 1)->payload);
+        if (bytes > MP_RAFT_TRAILING_BYTES) {
+            break;
+        }
+        index--;
+    }
+    return index;
+}
+
 static void
 discard_log_prefix(struct MpRaft *this)
 {
-    if (this->applied <= MP_RAFT_TRAILING_ENTRIES) {
-        return;
-    }
-    uint64_t keep_from = this->applied - MP_RAFT_TRAILING_ENTRIES + 1;
-    if (keep_from <= this->first_index) {
+    uint64_t keep_from = first_trailing(this);
+    if (keep_from == this->first_index) {
         return;
     }
     this->prev_term = MpRaftLog_Term(this, keep_from - 1);
@@ -184,7 +198,7 @@
 {
     /* While a snapshot is being sent to a peer, the next one is postponed, so
      * that the transfer can complete. */
-    uint64_t factor = is_snapshot_in_transfer(this) ? 4 : 1;
+    uint64_t factor = is_snapshot_in_transfer(this) ? 2 : 1;
     uint64_t entries = this->applied - this->snapshot_index;
     bool is_log_large = entries >= factor * this->snapshot_entries ||
                         this->applied_bytes >= factor * MP_RAFT_SNAPSHOT_BYTES;
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -45,6 +45,7 @@
 };
 
 #define MP_DOCUMENTS_MAX 8
+#define MP_DOCUMENTS_MAX_BYTES (4 * 1024 * 1024)
 
 struct MpReplica {
     struct MpRaftPort port;
--- a/src/transport/ReplicaDocument.c
+++ b/src/transport/ReplicaDocument.c
@@ -35,6 +35,23 @@
     g_free(this);
 }
 
+/* Drops old versions beyond the limits; the newest two stay, for deltas. */
+static void
+drop_old_versions(struct MpReplica *replica)
+{
+    guint kept = 0;
+    size_t bytes = 0;
+    for (GList *at = replica->documents.tail; at; at = at->prev) {
+        const struct MpDocumentText *entry = at->data;
+        bytes += strlen(entry->text);
+        kept += kept < 2 || (kept < MP_DOCUMENTS_MAX &&
+                             bytes <= MP_DOCUMENTS_MAX_BYTES);
+    }
+    while (replica->documents.length > kept) {
+        document_delete(g_queue_pop_head(&replica->documents));
+    }
+}
+
 void
 MpReplicaDocument_AddVersion(struct MpReplica *replica)
 {
@@ -47,9 +64,7 @@
     entry->version = replica->machine.document_version;
     entry->text = g_strdup(replica->machine.document);
     g_queue_push_tail(&replica->documents, entry);
-    if (replica->documents.length > MP_DOCUMENTS_MAX) {
-        document_delete(g_queue_pop_head(&replica->documents));
-    }
+    drop_old_versions(replica);
 }
 
 const char *
--- a/tests/TestRaft.c
+++ b/tests/TestRaft.c
@@ -198,6 +198,52 @@
     MpRaft_Done(&fixture.raft);
 }
 
+#define LARGE_BYTES (1024 * 1024)
+
+/* A change of a large document is an entry of some MB: the log must keep a
+ * bounded number of bytes in memory, not of entries. */
+static void
+test_large_entries(void)
+{
+    struct fixture fixture = {.port = {.klass = &port_class}};
+    struct mp_member self = {
+        .id = 1, .instance = (char *)"a", .address = (char *)"1", .voter = 1};
+    struct mp_members members = {.list = {.list_val = &self, .list_len = 1}};
+    size_t most_bytes = 0;
+    g_assert_cmpint(MpRaft_Init(&fixture.raft, &fixture.port, 1, NULL, 7, 0),
+                    ==, MP_OK);
+    MpRaft_Bootstrap(&fixture.raft, &members);
+    MpRaft_Persisted(&fixture.raft, fixture.last_seq, 0);
+    int64_t now_ms = 0;
+    while (!MpRaft_IsLeader(&fixture.raft) && now_ms < 10000) {
+        MpRaft_Tick(&fixture.raft, now_ms += 10);
+        MpRaft_Persisted(&fixture.raft, fixture.last_seq, now_ms);
+    }
+    for (int i = 0; i < 100; i++) {
+        size_t bytes = 0;
+        GBytes *payload =
+            g_bytes_new_take(g_malloc0(LARGE_BYTES), LARGE_BYTES);
+        g_assert_cmpint(
+            MpRaft_Propose(&fixture.raft, MP_ENTRY_COMMAND, payload, NULL), ==,
+            MP_OK);
+        g_bytes_unref(payload);
+        MpRaft_Flush(&fixture.raft);
+        MpRaft_Persisted(&fixture.raft, fixture.last_seq, now_ms);
+        MpRaft_Tick(&fixture.raft, now_ms += 10);
+        MpRaft_Persisted(&fixture.raft, fixture.last_seq, now_ms);
+        for (guint j = 0; j < fixture.raft.log->len; j++) {
+            bytes += g_bytes_get_size(
+                g_array_index(fixture.raft.log, struct MpLogEntry, j).payload);
+        }
+        most_bytes = MAX(most_bytes, bytes);
+    }
+    g_assert_cmpuint(fixture.raft.applied, >, 90);
+    g_assert_cmpuint(most_bytes, <=,
+                     MP_RAFT_SNAPSHOT_BYTES + MP_RAFT_TRAILING_BYTES +
+                         2 * LARGE_BYTES);
+    MpRaft_Done(&fixture.raft);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -206,6 +252,8 @@
                     test_late_bootstrap);
     g_test_add_func("/raft/a snapshot that cannot be loaded is sent again",
                     test_bad_snapshot);
+    g_test_add_func("/raft/large entries do not stay in memory",
+                    test_large_entries);
     g_test_add_func("/raft/a full disk gives up the lead", test_full_disk);
     g_test_add_func("/raft/a long write collects few replies",
                     test_delayed_replies);
