--- a/src/transport/ReplicaDocument.c
+++ b/src/transport/ReplicaDocument.c
@@ -44,8 +44,8 @@
     for (GList *at = replica->documents.tail; at; at = at->prev) {
         const struct MpDocumentText *entry = at->data;
         bytes += strlen(entry->text);
-        kept += kept < 2 || (kept < MP_DOCUMENTS_MAX &&
-                             bytes <= MP_DOCUMENTS_MAX_BYTES);
+        kept += kept < 2 ||
+                (kept < MP_DOCUMENTS_MAX && bytes <= MP_DOCUMENTS_MAX_BYTES);
     }
     while (replica->documents.length > kept) {
         document_delete(g_queue_pop_head(&replica->documents));
