Fleets of scripts end with their script, also when they do not become ready

What was seen: runs/drain_cuts_late_requests red once among all runs, under load: targets of the script got bytes that are no HTTP (0x80 first, the mark of a record of an RPC), "UnicodeDecodeError"; its counts were as expected. Cause: a script whose fleet does not become ready (SystemExit within Fleet()) leaves its processes running for good, as nobody has the fleet yet; 11 such processes of three scripts were found. They go on to call the ports of replicas that are gone, and scripts that come later are given these ports. That the bytes came from one of them is inferred. Change: a fleet stops its processes at the end of the script (atexit) unless it has done so before. A script that is killed still leaves them. Test: runs/failed_start_leaves_processes, before: "started 4 left 4 folders 1", now "left 0 folders 0".

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,6 +4,7 @@
 prints only what is the same in every run.
 """
 
+import atexit
 import hashlib
 import http.client
 import json
@@ -153,6 +154,7 @@
                  stallable=()):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
+        atexit.register(self.stop_all)
         self.callers, self.operators, self.rpc = {}, {}, {}
         self.targets = {}
         self.engine_options = list(engine_options)
@@ -342,6 +344,7 @@
         return None
 
     def stop_all(self):
+        atexit.unregister(self.stop_all)
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
