--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -192,11 +192,7 @@
             self.write_settings(name)
             self.start(name)
         if wait:
-            try:
-                self.wait_ready()
-            except SystemExit:
-                self.stop_all()
-                raise
+            self.wait_ready()
         for workspace in self.workspaces if budget_tokens else []:
             self.topup(workspace, budget_tokens)
 
@@ -367,6 +363,7 @@
         return None
 
     def stop_all(self):
+        atexit.unregister(self.stop_all)
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
