A caller that reads a stream late keeps it

While more than 64 KB of a stream of our own API wait for their caller, the target is not read. The time between two tokens went on meanwhile: the attempt ended as if the target were silent, another target ran the prompt too, and after the last attempt the caller got stream_cut from sound targets.

That time is now counted only while the target is read. A caller that reads nothing for the idle timeout of connections is cut off (caller-stalled), so that it does not hold its place at the target.

--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -58,6 +58,7 @@
     bool is_output_closed; /* no more data follows unsent */
     bool is_aborted;       /* the response is not completed */
     bool is_end_logged;    /* see MpExchange_NoteEnd */
+    bool is_caller_slow;   /* the target is not read until the caller has */
     bool is_stopping;      /* the process is about to end */
     bool wants_usage;      /* stream_options.include_usage is set */
 
@@ -222,6 +223,8 @@
 /* Cancels the upstream request, if any, and releases the target. */
 void MpExchange_EndAttempt(struct MpExchange *this,
                            enum MpAttemptOutcome outcome);
+/* Expects the next token of the attempt within the time between two. */
+void MpExchange_ExpectToken(struct MpExchange *this);
 /* Cancels the attempt, if any, and ends the request: its outcome is unknown.
  * May free this. */
 void MpExchange_StopAttempt(struct MpExchange *this);
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -2,10 +2,12 @@
 
 #include "transport/ErrorBody.h"
 #include "transport/HopHeaders.h"
+#include "transport/Log.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* The caller's side of an exchange: sending responses and errors. */
 
@@ -16,11 +18,39 @@
 
 /* ---- sending ---- */
 
+/* The caller has read nothing for as long as a connection may be idle. */
+static void
+on_caller_stalled(struct MpTimer *timer)
+{
+    struct MpExchange *this = timer->data;
+    MpLog_Event(LOG_NOTICE, "caller-stalled", "id=%s unsent=%u",
+                this->request_id, this->unsent->len);
+    MpExchange_NoteEnd(this, "cut", MP_ERROR_STREAM_CUT);
+    /* h2o sees the end of the connection and stops the response. */
+    shutdown(h2o_socket_get_fd(
+                 this->req->conn->callbacks->get_socket(this->req->conn)),
+             SHUT_RDWR);
+}
+
+/* The target is not read for now, so that its silence means nothing. */
+static void
+pause_target(struct MpExchange *this)
+{
+    MpUpstream_Pause(this->upstream);
+    this->is_caller_slow = true;
+    MpLoop_SetTimer(this->router->loop, &this->timer,
+                    this->document->limits.idle_timeout_ms, on_caller_stalled,
+                    this);
+}
+
 static void
 resume_target(struct MpExchange *this)
 {
-    if (this->upstream && this->unsent->len <= UNSENT_LOW_BYTES) {
+    if (this->upstream && this->is_caller_slow &&
+        this->unsent->len <= UNSENT_LOW_BYTES) {
+        this->is_caller_slow = false;
         MpUpstream_Resume(this->upstream);
+        MpExchange_ExpectToken(this);
     }
 }
 
@@ -193,7 +223,7 @@
     g_byte_array_append(this->unsent, data, (guint)size);
     flush(this);
     if (this->upstream && this->unsent->len > UNSENT_HIGH_BYTES) {
-        MpUpstream_Pause(this->upstream);
+        pause_target(this);
     }
 }
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -37,6 +37,12 @@
                     on_silence_timeout, this);
 }
 
+void
+MpExchange_ExpectToken(struct MpExchange *this)
+{
+    arm_silence_timer(this, this->model->between_tokens_ms);
+}
+
 static int64_t
 first_wait_ms(const struct MpExchange *this)
 {
@@ -112,6 +118,7 @@
     this->stage = MP_STAGE_RUNNING;
     this->sent_ms = notice.received_ms;
     this->is_pause_answer = false;
+    this->is_caller_slow = false;
     MpTargetNotice_Sent(&notice, &this->target->pause);
     this->attempts++;
     this->is_stream = false;
@@ -414,7 +421,7 @@
                         (uint64_t)(now_ms - this->last_token_ms));
     }
     this->last_token_ms = now_ms;
-    arm_silence_timer(this, this->model->between_tokens_ms);
+    MpExchange_ExpectToken(this);
 }
 
 static void
