A refusal whose rest is malformed says still that nothing has run

The rest of a refusal that is read past may be malformed before it is too long, as an option of a chunk is from 80 KB on; the attempt then counted as one that may have run, and the next target did not get the request. Now such a rest ends it like one that is too long. A connection that closes or is reset there still counts as cut off.

--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -348,7 +348,10 @@
     else {
         h2o_buffer_consume(&socket->input, used);
     }
-    if (result == MP_READ_INVALID) {
+    if (result == MP_READ_INVALID && this->is_rest_skipped && !is_end) {
+        leave_rest(this);
+    }
+    else if (result == MP_READ_INVALID) {
         fail(this, MP_TARGET_INCOMPLETE, is_end ? "closed" : "malformed");
     }
     else if (result != MP_READ_MORE) {
