--- a/tests/runs/full_disk_serves_callers.py
+++ b/tests/runs/full_disk_serves_callers.py
@@ -29,8 +29,9 @@
             others = fleet.retry(lambda: fleet.chat(
                 name, "id=more", tokens=2), seconds=30)
             ends = [answer.result() for answer in answers]
-        print("full", bool(seen), "served there", bool(others), "answered or refused",
-              sum(ends), "of", len(ends), "runs", process.poll() is None)
+        print("full", bool(seen), "served there", bool(others),
+              "answered or refused", sum(ends), "of", len(ends),
+              "runs", process.poll() is None)
         fleet.empty_disk(name)
         print("room again", bool(wait_for(lambda: is_logged(
             name, "disk-has-room"), 30)), process.poll() is None)
