--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -6,6 +6,7 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -20,6 +21,8 @@
  * and closes a connection in the middle of one.  HttpConn keeps these times
  * instead. */
 #define H2O_TIMEOUT_MS (UINT64_C(365) * 24 * 3600 * 1000)
+/* Of the byte with the flags in a TCP header. */
+#define TCP_FLAGS_OFFSET 13
 /* h2o_req_t.version */
 #define HTTP_1_1 0x101
 
@@ -252,6 +255,24 @@
     this->idle_timeout_ms = timeout_ms;
 }
 
+void
+MpHttpServer_StopConnects(struct MpHttpServer *this)
+{
+    struct sock_filter drop_syn[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    struct sock_fprog program = {.len = G_N_ELEMENTS(drop_syn),
+                                 .filter = drop_syn};
+    if (this->listener && !this->has_stopped_connects) {
+        this->has_stopped_connects = true;
+        setsockopt(h2o_socket_get_fd(this->listener), SOL_SOCKET,
+                   SO_ATTACH_FILTER, &program, sizeof(program));
+    }
+}
+
 void
 MpHttpServer_StopListening(struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -35,6 +35,7 @@
     struct MpLingeringClose lingering;
     struct MpTimer check_timer;
     int64_t idle_timeout_ms;
+    bool has_stopped_connects;
 };
 
 /* Listens on address and passes each request to handle; rejects bodies over
@@ -49,6 +50,13 @@
 void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
                                  int64_t timeout_ms);
 
+/* Drops new connections from now on; clients try again about a second later,
+ * when the listener is closed.  Called some ms before
+ * MpHttpServer_StopListening: a listener that is closed resets the connections
+ * that were established since it accepted the last one, with the requests that
+ * they may have brought. */
+void MpHttpServer_StopConnects(struct MpHttpServer *this);
+
 /* Closes the listener once it has taken the connections that wait in its
  * queue; open connections are closed after their next response. */
 void MpHttpServer_StopListening(struct MpHttpServer *this);
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -9,16 +9,11 @@
 #include "transport/NumberedDocument.h"
 #include "transport/Secret.h"
 
-#include <linux/filter.h>
-#include <netinet/tcp.h>
 #include <openssl/crypto.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define BODY_MAX_BYTES (8 * 1024 * 1024)
 #define METRICS_BODY_MAX_BYTES 1024
-/* Of the flags in a TCP header. */
-#define TCP_FLAGS_OFFSET 13
 
 /* ---- calls ---- */
 
@@ -317,21 +312,7 @@
 void
 MpOperatorServer_StopListening(struct MpOperatorServer *this)
 {
-    /* Drops the SYN packets that the listener receives.  A listener that is
-     * closed resets the connections that were established since it accepted
-     * the last one, with the requests that they may have brought. */
-    struct sock_filter drop_syn[] = {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
-        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
-        BPF_STMT(BPF_RET | BPF_K, 0),
-        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
-    };
-    struct sock_fprog program = {.len = G_N_ELEMENTS(drop_syn),
-                                 .filter = drop_syn};
-    if (this->http.listener) {
-        setsockopt(h2o_socket_get_fd(this->http.listener), SOL_SOCKET,
-                   SO_ATTACH_FILTER, &program, sizeof(program));
-    }
+    MpHttpServer_StopConnects(&this->http);
 }
 
 bool
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -304,6 +304,9 @@
     struct MpRouter *this = timer->data;
     int64_t now_ms = MpLoop_Now();
     dispatch_queues(this);
+    if (this->is_draining && now_ms >= this->refuse_from_ms - TICK_MS) {
+        MpHttpServer_StopConnects(&this->http);
+    }
     if (this->is_draining && now_ms >= this->refuse_from_ms) {
         MpHttpServer_StopListening(&this->http);
         if (now_ms >= this->drain_until_ms - STOP_ANSWER_MS) {
