What a review of the connections' closes found

- h2o's bytes_read is the size of the last read: a body in equal pieces was refused as stalled, and the bound of a lingering close (8 MB) never acted (1,062 MB taken after one 413).
The size of the buffer, and a sum, are used now.
- The check ran before what had arrived while the process stood still was read: 20 of 20 whole requests were refused with 408.
It looks at the socket first.
- A line end after a body counted as a request and held a drain to its end (8.4 s instead of 0.8 s).
Line ends are skipped; a request that is still incomplete near the end of the drain is refused.
- Our own API did not announce the close in the notice: 18 of 18 callers at a round trip of 60 ms lost a request.
All answers from SIGTERM on announce it.
- Idle connections were not closed when the drain could not become idle (no quorum, a stalled disk): 12 of 976 and 20 of 20 requests were reset.
- Out of descriptors, accepting counted as an empty queue: 79 of 100 callers were reset, and the loop used a whole processor.
It pauses, says so (connections-not-accepted), and goes on.
- Unfinished bodies were held without a limit of time or memory (586 MB with 150 callers): a body may take 12 timeouts, and all together 64 MB.
- Operators' connections had no time to close after a router that took its whole drain.

--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -16,6 +16,8 @@
 #define STALL_MIN_MS 5000
 /* What the client sent before the timeout may arrive this much later, ms. */
 #define IDLE_MARGIN_MS 1000
+/* A body may take this many timeouts in all. */
+#define BODY_TIMEOUTS_MAX 12
 /* How long a new connection is kept open for its first request, ms. */
 #define FIRST_REQUEST_MS 1000
 /* How long a client may take to close its side after ours, ms; a request that
@@ -129,14 +131,34 @@
     return req->conn->callbacks->get_socket(req->conn)->on_close.data;
 }
 
-size_t
-MpHttpConn_UnreadBytes(const struct MpHttpConn *this)
+/* Line ends before a request are no part of it (RFC 9112, 2.2). */
+static size_t
+skip_line_ends(const char *data, size_t size)
+{
+    size_t skipped = 0;
+    while (skipped < size &&
+           (data[skipped] == '\r' || data[skipped] == '\n')) {
+        skipped++;
+    }
+    return size - skipped;
+}
+
+static size_t
+waiting_bytes(const struct MpHttpConn *this)
 {
     char data[PEEK_BYTES];
     ssize_t waiting = recv(h2o_socket_get_fd(this->socket), data, sizeof(data),
                            MSG_PEEK | MSG_DONTWAIT);
-    size_t buffered = this->request ? 0 : this->socket->input->size;
-    return buffered + (size_t)MAX(waiting, 0);
+    return skip_line_ends(data, (size_t)MAX(waiting, 0));
+}
+
+size_t
+MpHttpConn_UnreadBytes(const struct MpHttpConn *this)
+{
+    const h2o_buffer_t *input = this->socket->input;
+    size_t buffered =
+        this->request ? 0 : skip_line_ends(input->bytes, input->size);
+    return buffered + waiting_bytes(this);
 }
 
 /* ---- timeouts ---- */
@@ -190,6 +212,14 @@
     g_free(body);
 }
 
+static bool
+has_head(const h2o_buffer_t *input)
+{
+    gssize size = (gssize)input->size;
+    return g_strstr_len(input->bytes, size, "\n\r\n") ||
+           g_strstr_len(input->bytes, size, "\n\n");
+}
+
 /* The head of a request has to arrive within the timeout; its body may take
  * longer, but not pause for longer. */
 static void
@@ -198,19 +228,32 @@
     const h2o_buffer_t *input = this->socket->input;
     if (this->reading_since_ms == 0) {
         this->reading_since_ms = now_ms;
-        this->read_ms = now_ms;
+        this->read_bytes = 0;
     }
-    if (this->socket->bytes_read != this->read_bytes) {
-        this->read_bytes = this->socket->bytes_read;
+    /* After this process has stood still, what arrived meanwhile is not read
+     * yet. */
+    if (input->size != this->read_bytes || waiting_bytes(this) > 0) {
+        this->read_bytes = input->size;
         this->read_ms = now_ms;
     }
     timeout_ms = MAX(timeout_ms, STALL_MIN_MS);
-    if (now_ms - this->reading_since_ms < timeout_ms) {
+    int64_t taken_ms = now_ms - this->reading_since_ms;
+    if (taken_ms < timeout_ms || this->read_ms == now_ms) {
         return;
     }
-    bool has_head =
-        g_strstr_len(input->bytes, (gssize)input->size, "\r\n\r\n") != NULL;
-    if (!has_head || now_ms - this->read_ms >= timeout_ms) {
+    if (!has_head(input) || now_ms - this->read_ms >= timeout_ms ||
+        taken_ms >= timeout_ms * BODY_TIMEOUTS_MAX) {
+        refuse_stalled(this, now_ms);
+    }
+}
+
+void
+MpHttpConn_RefuseUnfinished(struct MpHttpConn *this)
+{
+    int64_t now_ms = MpLoop_Now();
+    if (!this->request && this->closing_ms == 0 &&
+        skip_line_ends(this->socket->input->bytes, this->socket->input->size) >
+            0) {
         refuse_stalled(this, now_ms);
     }
 }
@@ -231,7 +274,8 @@
     if (this->request) {
         return;
     }
-    if (this->socket->input->size > 0) {
+    const h2o_buffer_t *input = this->socket->input;
+    if (skip_line_ends(input->bytes, input->size) > 0) {
         check_reading(this, timeout_ms, now_ms);
     }
     else if (now_ms - this->idle_since_ms >= timeout_ms + IDLE_MARGIN_MS) {
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -65,7 +65,7 @@
     int64_t idle_timeout_ms;       /* in force at idle_since_ms */
     int64_t reading_since_ms;      /* first seen part of the next request, or
                                     * 0 */
-    size_t read_bytes;             /* by the last check, of all requests */
+    size_t read_bytes;             /* in the buffer, by the last check */
     int64_t read_ms;               /* when read_bytes last changed */
     int64_t closing_ms;            /* when our side was closed, 0: open */
 };
@@ -83,6 +83,10 @@
  * next request does not arrive in time; completes a close under way. */
 void MpHttpConn_Check(struct MpHttpConn *this, int64_t now_ms);
 
+/* Refuses a request of which only a part has arrived (408), and closes its
+ * connection. */
+void MpHttpConn_RefuseUnfinished(struct MpHttpConn *this);
+
 /* Closes an idle connection: our side at once, the rest when the client closes
  * or a moment later.  One with bytes of a request on it stays open, and so
  * does one that was opened just now. */
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -15,6 +15,8 @@
 #define ACCEPT_BATCH 64
 /* Idle timeout until the owner sets one, ms. */
 #define IDLE_TIMEOUT_MS 60000
+/* Bytes of all requests together that have arrived in part for a while. */
+#define UNFINISHED_MAX_BYTES (64 * 1024 * 1024)
 /* Interval of checks for idle connections, ms. */
 #define CHECK_MS 100
 /* h2o has one timeout for idle connections and for the reading of a request,
@@ -87,6 +89,7 @@
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
     req->http1_is_persistent = 0;
+    MpHttpConn_Of(req)->request->must_linger = true;
     MpHttp_Send(req, status, "application/json", text, strlen(text));
     g_free(text);
 }
@@ -172,13 +175,14 @@
 
 /* ---- listening ---- */
 
-/* Accepts up to ACCEPT_BATCH connections; returns whether there may be
- * more. */
+/* Accepts up to ACCEPT_BATCH connections; returns whether there may be more.
+ * errno is then EAGAIN if the queue is empty. */
 static bool
 accept_batch(struct MpHttpServer *this)
 {
     int yes = 1;
     for (int i = 0; i < ACCEPT_BATCH; i++) {
+        errno = 0;
         h2o_socket_t *socket = h2o_evloop_socket_accept(this->listener);
         if (!socket) {
             return false;
@@ -191,12 +195,49 @@
     return true;
 }
 
+static bool
+is_out_of_descriptors(void)
+{
+    return errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+           errno == ENOMEM;
+}
+
 static void
 on_accept(h2o_socket_t *listener, const char *error)
 {
     if (!error) {
         accept_batch(listener->data);
     }
+    if (!error && is_out_of_descriptors()) {
+        struct MpHttpServer *this = listener->data;
+        MpLog_Event(LOG_ERR, "connections-not-accepted", "error=%s",
+                    strerror(errno));
+        /* on_check_timer goes on. */
+        h2o_socket_read_stop(this->listener);
+    }
+}
+
+/* Refuses requests that arrive slowly while all such come to more than
+ * UNFINISHED_MAX_BYTES, the oldest first. */
+static void
+limit_unfinished(struct MpHttpServer *this)
+{
+    size_t bytes = 0;
+    struct MpHttpConn *oldest = NULL;
+    for (GList *link = this->conns.head; link; link = link->next) {
+        struct MpHttpConn *conn = link->data;
+        if (conn->request || conn->closing_ms > 0 ||
+            conn->reading_since_ms == 0) {
+            continue;
+        }
+        bytes += conn->socket->input->size;
+        if (!oldest || conn->reading_since_ms < oldest->reading_since_ms) {
+            oldest = conn;
+        }
+    }
+    if (bytes > UNFINISHED_MAX_BYTES) {
+        MpHttpConn_RefuseUnfinished(oldest);
+    }
 }
 
 static void
@@ -207,6 +248,10 @@
     for (GList *link = this->conns.head; link; link = link->next) {
         MpHttpConn_Check(link->data, now_ms);
     }
+    limit_unfinished(this);
+    if (this->listener && !h2o_socket_is_reading(this->listener)) {
+        h2o_socket_read_start(this->listener, on_accept);
+    }
     MpLoop_SetTimer(this->loop, timer, CHECK_MS, on_check_timer, this);
 }
 
@@ -279,6 +324,9 @@
     if (this->listener) {
         while (accept_batch(this)) {
         }
+        if (is_out_of_descriptors()) {
+            return; /* the next call tries again */
+        }
         h2o_socket_read_stop(this->listener);
         h2o_socket_close(this->listener);
         this->listener = NULL;
@@ -294,6 +342,25 @@
     }
 }
 
+void
+MpHttpServer_AnnounceClose(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        const struct MpHttpConn *conn = link->data;
+        if (conn->request && !conn->request->req->_generator) {
+            conn->request->req->http1_is_persistent = 0;
+        }
+    }
+}
+
+void
+MpHttpServer_RefuseUnfinished(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_RefuseUnfinished(link->data);
+    }
+}
+
 bool
 MpHttpServer_IsClosed(const struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -64,6 +64,13 @@
 /* Closes idle connections. */
 void MpHttpServer_CloseIdle(struct MpHttpServer *this);
 
+/* Lets the responses in progress that have not begun announce that their
+ * connections will be closed. */
+void MpHttpServer_AnnounceClose(struct MpHttpServer *this);
+
+/* Refuses requests of which only a part has arrived (408). */
+void MpHttpServer_RefuseUnfinished(struct MpHttpServer *this);
+
 /* Returns whether all connections are closed. */
 bool MpHttpServer_IsClosed(const struct MpHttpServer *this);
 
--- a/src/transport/Instance.c
+++ b/src/transport/Instance.c
@@ -239,7 +239,8 @@
     this->stop_until_ms =
         MpLoop_Now() + (settings->stop_within_ms > 0
                             ? settings->stop_within_ms - STOP_MARGIN_MS
-                            : settings->drain_ms);
+                            : settings->drain_notice_ms + settings->drain_ms +
+                                  STOP_MARGIN_MS);
     MpOperatorServer_Drain(&this->operator_server);
     if (settings->is_router) {
         MpRouter_Drain(&this->router, on_router_drained, this);
--- a/src/transport/LingeringClose.c
+++ b/src/transport/LingeringClose.c
@@ -13,6 +13,7 @@
     GList link;
     h2o_socket_t *socket;
     struct MpTimer timer;
+    size_t dropped_bytes;
 };
 
 static void
@@ -33,9 +34,11 @@
 static void
 on_read(h2o_socket_t *socket, const char *error)
 {
+    struct lingering *this = socket->data;
+    this->dropped_bytes += socket->input->size;
     h2o_buffer_consume(&socket->input, socket->input->size);
-    if (error || socket->bytes_read > MP_LINGER_MAX_BYTES) {
-        linger_free(socket->data);
+    if (error || this->dropped_bytes > MP_LINGER_MAX_BYTES) {
+        linger_free(this);
     }
 }
 
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -18,6 +18,9 @@
 /* Requests that still run this long before the end of the drain get their
  * final answer, which takes a moment to be sent, ms. */
 #define STOP_ANSWER_MS 200
+/* Connections that are idle this long before the end of the drain are closed,
+ * so that their clients can close them too, ms. */
+#define STOP_CLOSE_MS 500
 #define QUEUE_MAX 1024
 #define READY_BODY_MAX_BYTES 1024
 
@@ -160,6 +163,9 @@
 on_request(void *owner, h2o_req_t *req)
 {
     struct MpRouter *this = owner;
+    if (this->is_draining) {
+        req->http1_is_persistent = 0;
+    }
     if (MpGateway_Matches(&this->gateway, req)) {
         MpGateway_Serve(&this->gateway, req);
         return;
@@ -312,7 +318,11 @@
         if (now_ms >= this->drain_until_ms - STOP_ANSWER_MS) {
             stop_requests(this);
         }
-        if (is_idle(this)) {
+        bool is_near_end = now_ms >= this->drain_until_ms - STOP_CLOSE_MS;
+        if (is_near_end) {
+            MpHttpServer_RefuseUnfinished(&this->http);
+        }
+        if (is_idle(this) || is_near_end) {
             MpHttpServer_CloseIdle(&this->http);
         }
         if ((is_idle(this) && MpHttpServer_IsClosed(&this->http)) ||
@@ -346,6 +356,7 @@
     }
     MpGateway_Drain(&this->gateway, this->refuse_from_ms,
                     this->drain_until_ms);
+    MpHttpServer_AnnounceClose(&this->http);
     MpLeaseManager_ReturnAll(this->leases);
     MpLog_Event(LOG_NOTICE, "draining", "running=%u", this->exchanges.length);
 }
