--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -201,8 +201,10 @@
         MpError_Info(MP_ERROR_STALLED)->http_status, strlen(body), body);
     MpLog_Event(LOG_NOTICE, "request-stalled",
                 "received_bytes=%zu since_ms=%" PRId64 " silent_ms=%" PRId64,
-                this->socket->input->size, now_ms - this->reading_since_ms,
-                now_ms - this->read_ms);
+                this->socket->input->size,
+                this->reading_since_ms > 0 ? now_ms - this->reading_since_ms
+                                           : 0,
+                this->reading_since_ms > 0 ? now_ms - this->read_ms : 0);
     /* h2o writes nothing while it waits for a request.  A response of this
      * size fits into the empty send buffer. */
     send(h2o_socket_get_fd(this->socket), text, strlen(text),
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -348,7 +348,11 @@
     else {
         h2o_buffer_consume(&socket->input, used);
     }
-    if (result == MP_READ_INVALID && this->is_rest_skipped && !is_end) {
+    bool must_leave_rest = this->is_rest_skipped &&
+                           ((result == MP_READ_INVALID && !is_end) ||
+                            (result == MP_READ_MORE && !failure &&
+                             this->received_bytes > this->rest_max_bytes));
+    if (must_leave_rest) {
         leave_rest(this);
     }
     else if (result == MP_READ_INVALID) {
@@ -361,10 +365,6 @@
     else if (failure) {
         fail(this, MP_TARGET_INCOMPLETE, failure);
     }
-    else if (this->is_rest_skipped &&
-             this->received_bytes > this->rest_max_bytes) {
-        leave_rest(this);
-    }
 }
 
 /* ---- writing ---- */
