--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -54,13 +54,14 @@
     GByteArray *unsent;  /* data not yet passed to h2o */
     GByteArray *sending; /* data that h2o is sending */
     struct MpBodyLength length;
-    bool is_head_sent;     /* the head of the response was sent */
-    bool is_output_closed; /* no more data follows unsent */
-    bool is_aborted;       /* the response is not completed */
-    bool is_end_logged;    /* see MpExchange_NoteEnd */
-    bool is_caller_slow;   /* the target is not read until the caller has */
-    bool is_stopping;      /* the process is about to end */
-    bool wants_usage;      /* stream_options.include_usage is set */
+    bool is_head_sent;       /* the head of the response was sent */
+    bool is_output_closed;   /* no more data follows unsent */
+    bool is_aborted;         /* the response is not completed */
+    bool is_end_logged;      /* see MpExchange_NoteEnd */
+    bool is_caller_slow;     /* the target is not read until the caller has */
+    int64_t silence_left_ms; /* time that the target had left then */
+    bool is_stopping;        /* the process is about to end */
+    bool wants_usage;        /* stream_options.include_usage is set */
 
     /* the request */
     struct MpDocument *document;
@@ -223,8 +224,8 @@
 /* Cancels the upstream request, if any, and releases the target. */
 void MpExchange_EndAttempt(struct MpExchange *this,
                            enum MpAttemptOutcome outcome);
-/* Expects the next token of the attempt within the time between two. */
-void MpExchange_ExpectToken(struct MpExchange *this);
+/* Expects the next token of the attempt within wait_ms of reading. */
+void MpExchange_ExpectToken(struct MpExchange *this, int64_t wait_ms);
 /* Cancels the attempt, if any, and ends the request: its outcome is unknown.
  * May free this. */
 void MpExchange_StopAttempt(struct MpExchange *this);
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -36,8 +36,12 @@
 static void
 pause_target(struct MpExchange *this)
 {
+    if (this->is_caller_slow) {
+        return;
+    }
     MpUpstream_Pause(this->upstream);
     this->is_caller_slow = true;
+    this->silence_left_ms = this->timer.at_ms - MpLoop_Now();
     MpLoop_SetTimer(this->router->loop, &this->timer,
                     this->document->limits.idle_timeout_ms, on_caller_stalled,
                     this);
@@ -50,7 +54,7 @@
         this->unsent->len <= UNSENT_LOW_BYTES) {
         this->is_caller_slow = false;
         MpUpstream_Resume(this->upstream);
-        MpExchange_ExpectToken(this);
+        MpExchange_ExpectToken(this, MAX(this->silence_left_ms, 0));
     }
 }
 
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -38,9 +38,13 @@
 }
 
 void
-MpExchange_ExpectToken(struct MpExchange *this)
+MpExchange_ExpectToken(struct MpExchange *this, int64_t wait_ms)
 {
-    arm_silence_timer(this, this->model->between_tokens_ms);
+    if (this->is_caller_slow) {
+        this->silence_left_ms = wait_ms;
+        return;
+    }
+    arm_silence_timer(this, wait_ms);
 }
 
 static int64_t
@@ -421,7 +425,7 @@
                         (uint64_t)(now_ms - this->last_token_ms));
     }
     this->last_token_ms = now_ms;
-    MpExchange_ExpectToken(this);
+    MpExchange_ExpectToken(this, this->model->between_tokens_ms);
 }
 
 static void
