--- a/fuzz/CheckedApply.c
+++ b/fuzz/CheckedApply.c
@@ -11,19 +11,26 @@
 {
     struct mp_machine_image image;
     gsize size;
+    gsize used;
+    gsize state_size;
     GBytes *bytes = MpMachine_Save(machine);
-    const void *data = g_bytes_get_data(bytes, &size);
-    if (MpCodec_Decode(MP_XDR(mp_machine_image), &image, data, size,
-                       sizeof(image)) != MP_OK) {
+    const char *data = g_bytes_get_data(bytes, &size);
+    if (MpCodec_DecodePrefix(MP_XDR(mp_machine_image), &image, data, size,
+                             sizeof(image), &used) != MP_OK) {
         Fuzz_Fail("cannot decode a snapshot");
     }
     u_int submissions = image.submissions.submissions_len;
     image.submissions.submissions_len = 0;
-    GBytes *state = MpCodec_Encode(MP_XDR(mp_machine_image), &image);
+    GBytes *encoded = MpCodec_Encode(MP_XDR(mp_machine_image), &image);
     image.submissions.submissions_len = submissions;
     MpCodec_Free(MP_XDR(mp_machine_image), &image);
+    /* The parts behind the image stay as they are. */
+    guint8 *state = g_bytes_unref_to_data(encoded, &state_size);
+    GByteArray *all = g_byte_array_new_take(state, state_size);
+    g_byte_array_append(all, (const guint8 *)data + used,
+                        (guint)(size - used));
     g_bytes_unref(bytes);
-    return state;
+    return g_byte_array_free_to_bytes(all);
 }
 
 /* A report of a crash is counted, and its code tells whether the request may
--- a/src/commands/Command.h
+++ b/src/commands/Command.h
@@ -30,6 +30,7 @@
 int MpCommandStatus_Main(int argc, char **argv);
 int MpCommandWorkspace_Main(int argc, char **argv);
 int MpCommandTopup_Main(int argc, char **argv);
+int MpCommandZone_Main(int argc, char **argv);
 int MpCommandDocument_Main(int argc, char **argv);
 int MpCommandLedger_Main(int argc, char **argv);
 int MpCommandDrain_Main(int argc, char **argv);
--- a/src/commands/CommandOperator.c
+++ b/src/commands/CommandOperator.c
@@ -176,6 +176,51 @@
     return status;
 }
 
+/* ---- zones ---- */
+
+static int
+order_zone(const struct operator_args *args, const char *verb,
+           const char *zone, const char *id)
+{
+    if ((strcmp(verb, "drain") != 0 && strcmp(verb, "restore") != 0) ||
+        !MpSchema_IsName(zone)) {
+        fprintf(stderr, "mimosapath zone: VERB must be drain or restore, and "
+                        "ZONE a name\n");
+        return MP_EXIT_USAGE;
+    }
+    char *path = g_strdup_printf("/control/v1/zones/%s/%s", zone, verb);
+    char *new_id = id ? g_strdup(id) : g_uuid_string_random();
+    char *header = g_strdup_printf("idempotency-key: %s\r\n", new_id);
+    struct MpHttpCall call = {.method = "POST", .path = path, .body = ""};
+    int status = print_response(args, &call, header);
+    g_free(header);
+    g_free(new_id);
+    g_free(path);
+    return status;
+}
+
+int
+MpCommandZone_Main(int argc, char **argv)
+{
+    struct operator_args args = operator_args();
+    struct arg_str *id = arg_str0(
+        "i", "id", "ID",
+        "name of this order; the same id counts once (default: a new one)");
+    struct arg_str *verb = arg_str1(NULL, NULL, "VERB", "drain or restore");
+    struct arg_str *zone = arg_str1(NULL, NULL, "ZONE", "name of the zone");
+    void *table[] = {args.address, args.token, id, verb, zone, MP_COMMON_ARGS};
+    int status = MpCommand_Parse(
+        argc, argv, table,
+        "Takes a zone out of use: nothing more is sent to its targets. Or "
+        "takes it into use again.");
+    if (status < 0) {
+        status = order_zone(&args, verb->sval[0], zone->sval[0],
+                            id->count > 0 ? id->sval[0] : NULL);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
 /* ---- document ---- */
 
 static int
--- a/src/coordination/Picker.c
+++ b/src/coordination/Picker.c
@@ -16,9 +16,13 @@
 #define REPORT_MAX_AGE_MS 5000
 
 const char *const MpTargetHealth_Names[] = {
-    [MP_HEALTH_OK] = "in",           [MP_HEALTH_DRAINING] = "draining",
-    [MP_HEALTH_LEAVING] = "leaving", [MP_HEALTH_PAUSED] = "paused",
-    [MP_HEALTH_EJECTED] = "ejected", [MP_HEALTH_PROBING] = "probing",
+    [MP_HEALTH_OK] = "in",
+    [MP_HEALTH_DRAINING] = "draining",
+    [MP_HEALTH_LEAVING] = "leaving",
+    [MP_HEALTH_PAUSED] = "paused",
+    [MP_HEALTH_EJECTED] = "ejected",
+    [MP_HEALTH_PROBING] = "probing",
+    [MP_HEALTH_DRAINED] = "zone drained",
 };
 
 /* ---- targets ---- */
@@ -95,6 +99,9 @@
     if (this->is_draining || !this->is_listed) {
         return MP_HEALTH_DRAINING;
     }
+    if (this->is_zone_drained) {
+        return MP_HEALTH_DRAINED;
+    }
     if (MpTargetLeaving_IsLeaving(&this->leaving)) {
         return MP_HEALTH_LEAVING;
     }
@@ -296,6 +303,19 @@
     return g_hash_table_lookup(this->targets, name);
 }
 
+static void
+mark_drained(struct MpPicker *this)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct MpTarget *target = value;
+        target->is_zone_drained =
+            this->zones && MpDrainedZones_Contains(this->zones, target->zone);
+    }
+}
+
 void
 MpPicker_SetDocument(struct MpPicker *this, const struct MpDocument *document)
 {
@@ -315,6 +335,15 @@
         }
         target_configure(target, value);
     }
+    mark_drained(this);
+}
+
+void
+MpPicker_SetDrainedZones(struct MpPicker *this,
+                         const struct MpDrainedZones *zones)
+{
+    this->zones = zones;
+    mark_drained(this);
 }
 
 /* Targets that may be picked for one request; full counts those left out
@@ -368,20 +397,23 @@
     }
 }
 
-/* Adds the ejected targets if they are more than half of all: then the fault
+/* Adds the ejected targets if they are more than half of all that are not in
+ * drained zones: then the fault
  * may be local to this instance. */
 static void
 collect_ejected(struct MpPicker *this, const struct MpPickQuery *query,
                 int64_t now_ms, struct candidates *candidates)
 {
     guint ejected = 0;
+    guint drained = 0;
     for (guint i = 0; i < query->names->len; i++) {
         struct MpTarget *target =
             MpPicker_Find(this, g_ptr_array_index(query->names, i));
         ejected +=
             target && MpTarget_Health(target, now_ms) == MP_HEALTH_EJECTED;
+        drained += target && target->is_zone_drained;
     }
-    if (ejected * 2 <= query->names->len) {
+    if (ejected * 2 <= query->names->len - drained) {
         return;
     }
     for (guint i = 0; i < query->names->len; i++) {
@@ -547,7 +579,8 @@
         if (health == MP_HEALTH_PAUSED) {
             first_ms = MIN(first_ms, target->pause.until_ms);
         }
-        else if (health != MP_HEALTH_DRAINING && health != MP_HEALTH_LEAVING) {
+        else if (health != MP_HEALTH_DRAINING && health != MP_HEALTH_DRAINED &&
+                 health != MP_HEALTH_LEAVING) {
             return 0;
         }
     }
--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_PICKER_H
 #define MP_COORDINATION_PICKER_H
 
+#include "coordination/DrainedZones.h"
 #include "coordination/PickPolicy.h"
 #include "coordination/TargetLeaving.h"
 #include "coordination/TargetPause.h"
@@ -39,6 +40,7 @@
 enum MpTargetHealth {
     MP_HEALTH_OK,
     MP_HEALTH_DRAINING, /* by the document, or no longer in it */
+    MP_HEALTH_DRAINED,  /* its zone is out of use */
     MP_HEALTH_LEAVING,  /* by its own report or answer */
     MP_HEALTH_PAUSED,   /* by its own answer */
     MP_HEALTH_EJECTED,
@@ -68,6 +70,7 @@
     char *zone;
     int64_t capacity;
     bool is_draining;               /* by the document */
+    bool is_zone_drained;           /* its zone is out of use */
     struct MpTargetLeaving leaving; /* by its reports (as a list), or by an
                                      * answer */
     struct MpTargetPause pause;
@@ -92,8 +95,9 @@
     GHashTable *targets; /* name -> struct MpTarget */
     GRand *random;
     enum MpPickPolicy policy;
-    char *zone;         /* of this instance */
-    uint64_t ejections; /* counter */
+    char *zone;                         /* of this instance */
+    const struct MpDrainedZones *zones; /* NULL until they are set */
+    uint64_t ejections;                 /* counter */
 };
 
 /* The request that a target is picked for. */
@@ -113,6 +117,11 @@
 void MpPicker_SetDocument(struct MpPicker *this,
                           const struct MpDocument *document);
 
+/* Applies which zones are drained: no target there is picked.  The picker
+ * refers to zones; it is called again when they change. */
+void MpPicker_SetDrainedZones(struct MpPicker *this,
+                              const struct MpDrainedZones *zones);
+
 struct MpTarget *MpPicker_Find(const struct MpPicker *this, const char *name);
 
 /*
@@ -125,7 +134,7 @@
                                int *code);
 
 /* Returns when the first of the pauses of names ends if all targets that are
- * neither draining nor leaving are paused, else 0. */
+ * neither draining, drained nor leaving are paused, else 0. */
 int64_t MpPicker_FirstPauseEnd(const struct MpPicker *this,
                                const GPtrArray *names, int64_t now_ms);
 
--- a/src/coordination/PoolTarget.c
+++ b/src/coordination/PoolTarget.c
@@ -167,7 +167,7 @@
     return !MP_FAULT(MP_FAULT_NEVER_PROBED) && target->failures > 0 &&
            !target->is_under_test && !target->is_probing &&
            !target->is_listening && !target->is_leaving &&
-           !target->is_removed &&
+           !target->is_removed && !target->is_drained &&
            !MpTargetPause_IsActive(&target->pause, now_ms) &&
            now_ms - target->ejected_until_ms >= MP_PROBE_DELAY_MS;
 }
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -72,6 +72,8 @@
     target->version = g_strdup(entry->version ? entry->version : "");
     target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
     target->listed_ms = now_ms;
+    target->is_drained =
+        this->zones && MpDrainedZones_Contains(this->zones, target->zone);
     target->slowness = 1.0;
     target->limit = (struct MpTargetLimit)MP_TARGET_LIMIT_INIT;
     target->cached_parts =
@@ -100,6 +102,32 @@
     return g_hash_table_lookup(this->targets, incarnation);
 }
 
+/* ---- zones ---- */
+
+uint32_t
+MpRoster_SetDrainedZones(struct MpRoster *this,
+                         const struct MpDrainedZones *zones)
+{
+    GHashTableIter iter;
+    void *value;
+    uint32_t changes = 0;
+    this->zones = zones;
+    g_hash_table_iter_init(&iter, this->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct MpPoolTarget *target = value;
+        bool is_drained = MpDrainedZones_Contains(zones, target->zone);
+        changes += target->is_drained != is_drained;
+        target->is_drained = is_drained;
+    }
+    return changes;
+}
+
+int64_t
+MpRoster_ZoneRestoredMs(const struct MpRoster *this, const char *zone)
+{
+    return this->zones ? MpDrainedZones_RestoredMs(this->zones, zone) : -1;
+}
+
 /* ---- target list ---- */
 
 static void
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_ROSTER_H
 #define MP_COORDINATION_ROSTER_H
 
+#include "coordination/DrainedZones.h"
 #include "coordination/RequestMeta.h"
 #include "coordination/PickPolicy.h"
 #include "coordination/Permits.h"
@@ -83,6 +84,7 @@
     bool is_leaving; /* accepts no new requests */
     struct MpTargetLeaving leaving; /* who said so */
     struct MpTargetPause pause;
+    bool is_drained; /* its zone is out of use */
     bool is_removed; /* removed from the list; freed after its last attempt */
     int64_t cold_until_ms;
     int64_t listed_ms; /* when it came into the list */
@@ -125,8 +127,9 @@
     GHashTable *delays;       /* pool -> struct delay */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
-    uint64_t version;  /* counts the changes of the list */
-    int64_t listed_ms; /* when the list was last updated */
+    const struct MpDrainedZones *zones; /* NULL until they are set */
+    uint64_t version;                   /* counts the changes of the list */
+    int64_t listed_ms;                  /* when the list was last updated */
 };
 
 /* dropped is called with owner before a target is freed. */
@@ -137,6 +140,17 @@
 /* Frees all targets; no attempt may be in flight. */
 void MpRoster_Done(struct MpRoster *this);
 
+/* Applies which zones are drained: no target there is picked, tested or
+ * probed.  The roster refers to zones; it is called again when they change.
+ * Returns the number of targets whose zone was drained or restored. */
+uint32_t MpRoster_SetDrainedZones(struct MpRoster *this,
+                                  const struct MpDrainedZones *zones);
+
+/* Returns when the zone was last restored after a drain, on the clock of
+ * now_ms, or -1 if it never was.  Its targets may have started shortly
+ * before. */
+int64_t MpRoster_ZoneRestoredMs(const struct MpRoster *this, const char *zone);
+
 /* Replaces the list, of struct MpListedTarget.  Targets that are not in it
  * get no new requests.  Returns the number of targets that were added, were
  * removed or changed their state. */
@@ -197,6 +211,7 @@
 struct MpPoolStatus {
     uint32_t listed;
     uint32_t leaving; /* leaving or removed */
+    uint32_t drained; /* in drained zones */
     uint32_t ejected; /* ejected or half-open */
     uint32_t tried;   /* already tried by this request */
     uint32_t full;
@@ -205,7 +220,7 @@
                         * if there is none */
     uint32_t resting;  /* paused by their own word */
     int64_t pause_ms;  /* end of the first pause if all targets that do not
-                        * leave are paused, else 0 */
+                        * leave and are not drained are paused, else 0 */
 };
 
 /* A picked target and what was expected of it. */
@@ -222,8 +237,8 @@
 struct MpPoolTarget *MpRoster_Find(const struct MpRoster *this,
                                    const char *incarnation);
 
-/* Returns whether a target of the pool that is not leaving has the software
- * version. */
+/* Returns whether a target of the pool that is neither leaving nor in a
+ * drained zone has the software version. */
 bool MpRoster_HasVersion(const struct MpRoster *this, const char *pool,
                          const char *version);
 
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -92,7 +92,8 @@
     const GPtrArray *pool = g_hash_table_lookup(this->pools, pool_name);
     for (guint i = 0; pool && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (!target->is_leaving && strcmp(target->version, version) == 0) {
+        if (!target->is_leaving && !target->is_drained &&
+            strcmp(target->version, version) == 0) {
             return true;
         }
     }
@@ -127,15 +128,16 @@
            now_ms - target->listed_ms >= UNANNOUNCED_MS;
 }
 
-/* Whether no target of the pool that is not leaving has an active version:
- * the leader may be unable to read the target list. */
+/* Whether no target of the pool that is neither leaving nor in a drained zone
+ * has an active version: the leader may be unable to read the target list. */
 static bool
 has_no_active_version(const GPtrArray *pool, const struct MpPoolQuery *query,
                       int64_t now_ms)
 {
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (!target->is_leaving && is_version_active(target, query, now_ms)) {
+        if (!target->is_leaving && !target->is_drained &&
+            is_version_active(target, query, now_ms)) {
             return false;
         }
     }
@@ -148,7 +150,7 @@
 is_usable(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
           int64_t now_ms)
 {
-    if (target->is_leaving || target->is_removed ||
+    if (target->is_leaving || target->is_removed || target->is_drained ||
         target->ejected_until_ms > now_ms || is_tried(target, query) ||
         MpTargetPause_IsActive(&target->pause, now_ms) ||
         !has_right_version(target, query, now_ms)) {
@@ -168,6 +170,7 @@
                const struct MpPoolQuery *query, int64_t now_ms)
 {
     return !target->is_leaving && !target->is_removed &&
+           (!target->is_drained || MP_FAULT(MP_FAULT_DRAINED_LAST_RESORT)) &&
            (!MpTargetPause_IsActive(&target->pause, now_ms) ||
             MP_FAULT(MP_FAULT_PAUSED_LAST_RESORT)) &&
            !is_withheld(target, query, now_ms) &&
@@ -557,14 +560,14 @@
 }
 
 /* Notes a target's pause; pause_ms of the status is INT64_MAX until a target
- * that does not leave has been seen. */
+ * that may be used has been seen. */
 static void
 count_pause(const struct MpPoolTarget *target, int64_t now_ms,
             struct MpPoolStatus *status)
 {
     bool is_paused = MpTargetPause_IsActive(&target->pause, now_ms);
     status->resting += is_paused;
-    if (!target->is_leaving && !target->is_removed) {
+    if (!target->is_leaving && !target->is_removed && !target->is_drained) {
         status->pause_ms =
             is_paused ? MIN(status->pause_ms, target->pause.until_ms) : 0;
     }
@@ -587,6 +590,7 @@
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         status->leaving += target->is_leaving || target->is_removed;
+        status->drained += target->is_drained;
         status->ejected +=
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -32,6 +32,7 @@
 #define MP_POOLS_MAX 1024
 #define MP_POOL_VERSIONS_MAX 64
 #define MP_STREAMS_MAX 4096
+#define MP_ZONES_MAX 256
 
 struct mp_incarnation {
 	char *instance;
@@ -57,6 +58,7 @@
 	MP_CMD_VERSIONS = 14,
 	MP_CMD_STREAMS = 15,
 	MP_CMD_PART_TRIAL = 16,
+	MP_CMD_ZONE_DRAIN = 17,
 };
 typedef enum mp_command_kind mp_command_kind;
 
@@ -244,6 +246,15 @@
 };
 typedef struct mp_streams mp_streams;
 
+struct mp_zone_drain {
+	char *submission;
+	char *zone;
+	bool_t is_drain;
+	bool_t has_base;
+	u_quad_t base_version;
+};
+typedef struct mp_zone_drain mp_zone_drain;
+
 struct mp_command_body {
 	mp_command_kind kind;
 	union {
@@ -263,6 +274,7 @@
 		mp_pool_versions pool_versions;
 		mp_streams streams;
 		mp_part_trial part_trial;
+		mp_zone_drain zone_drain;
 	} mp_command_body_u;
 };
 typedef struct mp_command_body mp_command_body;
@@ -471,9 +483,19 @@
 		mp_limit *limits_val;
 	} limits;
 	char *peers;
+	u_quad_t zones_version;
 };
 typedef struct mp_sync mp_sync;
 
+struct mp_zone {
+	char *name;
+	bool_t is_drained;
+	u_quad_t ordered_version;
+	quad_t changed_age_ms;
+	quad_t restored_age_ms;
+};
+typedef struct mp_zone mp_zone;
+
 struct mp_lender {
 	char *address;
 	char *zone;
@@ -579,6 +601,11 @@
 		u_int limits_len;
 		mp_limit *limits_val;
 	} limits;
+	u_quad_t zones_version;
+	struct {
+		u_int zones_len;
+		mp_zone *zones_val;
+	} zones;
 };
 typedef struct mp_sync_reply mp_sync_reply;
 
@@ -657,6 +684,7 @@
 	MP_READ_DOCUMENT = 1,
 	MP_READ_RECORD = 2,
 	MP_READ_STREAM = 3,
+	MP_READ_ZONES = 4,
 };
 typedef enum mp_read_part mp_read_part;
 
@@ -718,6 +746,11 @@
 		u_int history_len;
 		mp_history *history_val;
 	} history;
+	u_quad_t zones_version;
+	struct {
+		u_int zones_len;
+		mp_zone *zones_val;
+	} zones;
 };
 typedef struct mp_read_reply mp_read_reply;
 
@@ -875,6 +908,47 @@
 };
 typedef struct mp_machine_image mp_machine_image;
 
+struct mp_zone_image {
+	char *name;
+	bool_t is_drained;
+	u_quad_t ordered_version;
+	quad_t changed_ms;
+	quad_t restored_ms;
+};
+typedef struct mp_zone_image mp_zone_image;
+
+struct mp_zones_image {
+	u_quad_t zones_version;
+	u_quad_t dropped_version;
+	struct {
+		u_int list_len;
+		mp_zone_image *list_val;
+	} list;
+};
+typedef struct mp_zones_image mp_zones_image;
+
+enum mp_part_kind {
+	MP_PART_ZONES = 1,
+};
+typedef enum mp_part_kind mp_part_kind;
+
+struct mp_image_part {
+	u_int kind;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct mp_image_part mp_image_part;
+
+struct mp_image_parts {
+	struct {
+		u_int list_len;
+		mp_image_part *list_val;
+	} list;
+};
+typedef struct mp_image_parts mp_image_parts;
+
 struct mp_journal_entry {
 	mp_offline request;
 	bool_t settled;
@@ -982,6 +1056,7 @@
 extern  bool_t xdr_mp_pool_versions (XDR *, mp_pool_versions*);
 extern  bool_t xdr_mp_stream_begun (XDR *, mp_stream_begun*);
 extern  bool_t xdr_mp_streams (XDR *, mp_streams*);
+extern  bool_t xdr_mp_zone_drain (XDR *, mp_zone_drain*);
 extern  bool_t xdr_mp_command_body (XDR *, mp_command_body*);
 extern  bool_t xdr_mp_command (XDR *, mp_command*);
 extern  bool_t xdr_mp_slice_status (XDR *, mp_slice_status*);
@@ -1004,6 +1079,7 @@
 extern  bool_t xdr_mp_target (XDR *, mp_target*);
 extern  bool_t xdr_mp_limit (XDR *, mp_limit*);
 extern  bool_t xdr_mp_sync (XDR *, mp_sync*);
+extern  bool_t xdr_mp_zone (XDR *, mp_zone*);
 extern  bool_t xdr_mp_lender (XDR *, mp_lender*);
 extern  bool_t xdr_mp_lenders (XDR *, mp_lenders*);
 extern  bool_t xdr_mp_targets (XDR *, mp_targets*);
@@ -1038,6 +1114,11 @@
 extern  bool_t xdr_mp_pool_image (XDR *, mp_pool_image*);
 extern  bool_t xdr_mp_stream_image (XDR *, mp_stream_image*);
 extern  bool_t xdr_mp_machine_image (XDR *, mp_machine_image*);
+extern  bool_t xdr_mp_zone_image (XDR *, mp_zone_image*);
+extern  bool_t xdr_mp_zones_image (XDR *, mp_zones_image*);
+extern  bool_t xdr_mp_part_kind (XDR *, mp_part_kind*);
+extern  bool_t xdr_mp_image_part (XDR *, mp_image_part*);
+extern  bool_t xdr_mp_image_parts (XDR *, mp_image_parts*);
 extern  bool_t xdr_mp_journal_entry (XDR *, mp_journal_entry*);
 
 #else /* K&R C */
@@ -1063,6 +1144,7 @@
 extern bool_t xdr_mp_pool_versions ();
 extern bool_t xdr_mp_stream_begun ();
 extern bool_t xdr_mp_streams ();
+extern bool_t xdr_mp_zone_drain ();
 extern bool_t xdr_mp_command_body ();
 extern bool_t xdr_mp_command ();
 extern bool_t xdr_mp_slice_status ();
@@ -1085,6 +1167,7 @@
 extern bool_t xdr_mp_target ();
 extern bool_t xdr_mp_limit ();
 extern bool_t xdr_mp_sync ();
+extern bool_t xdr_mp_zone ();
 extern bool_t xdr_mp_lender ();
 extern bool_t xdr_mp_lenders ();
 extern bool_t xdr_mp_targets ();
@@ -1119,6 +1202,11 @@
 extern bool_t xdr_mp_pool_image ();
 extern bool_t xdr_mp_stream_image ();
 extern bool_t xdr_mp_machine_image ();
+extern bool_t xdr_mp_zone_image ();
+extern bool_t xdr_mp_zones_image ();
+extern bool_t xdr_mp_part_kind ();
+extern bool_t xdr_mp_image_part ();
+extern bool_t xdr_mp_image_parts ();
 extern bool_t xdr_mp_journal_entry ();
 
 #endif /* K&R C */
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -29,6 +29,7 @@
 const MP_POOLS_MAX = 1024;
 const MP_POOL_VERSIONS_MAX = 64;
 const MP_STREAMS_MAX = 4096;
+const MP_ZONES_MAX = 256;
 
 /* One incarnation of an instance; each registration starts a new one. */
 struct mp_incarnation {
@@ -54,7 +55,8 @@
     MP_CMD_TRIAL = 13,       /* trial of a suspect request on a path */
     MP_CMD_VERSIONS = 14,    /* set the software versions of a pool */
     MP_CMD_STREAMS = 15,     /* record at which versions streams began */
-    MP_CMD_PART_TRIAL = 16   /* trial of a suspect part of a prompt */
+    MP_CMD_PART_TRIAL = 16,  /* trial of a suspect part of a prompt */
+    MP_CMD_ZONE_DRAIN = 17   /* take a zone out of use, or into use again */
 };
 
 /* State of the record of a native request. */
@@ -252,6 +254,16 @@
     mp_stream_begun list<MP_STREAMS_MAX>;
 };
 
+/* Takes a zone out of use, or into use again. */
+struct mp_zone_drain {
+    string submission<MP_KEY_MAX>; /* id; a repeat gets the same result */
+    string zone<MP_NAME_MAX>;
+    bool is_drain;  /* false: into use again */
+    bool has_base;  /* It has no effect if there was an order for the zone
+                     * after base_version: it was overtaken. */
+    unsigned hyper base_version;
+};
+
 union mp_command_body switch (mp_command_kind kind) {
 case MP_CMD_REGISTER:
     mp_register reg;
@@ -285,6 +297,8 @@
     mp_streams streams;
 case MP_CMD_PART_TRIAL:
     mp_part_trial part_trial;
+case MP_CMD_ZONE_DRAIN:
+    mp_zone_drain zone_drain;
 default:
     void;
 };
@@ -482,6 +496,17 @@
     mp_limit limits<MP_TARGETS_MAX>; /* seen since the last call */
     string peers<MP_ADDRESS_MAX>;    /* where it listens for other instances;
                                       * empty: nowhere */
+    unsigned hyper zones_version;    /* version of the zones it has */
+};
+
+/* A zone that is drained, or was. */
+struct mp_zone {
+    string name<MP_NAME_MAX>;
+    bool is_drained;
+    unsigned hyper ordered_version; /* version of the last order for it */
+    hyper changed_age_ms;           /* time since its last change */
+    hyper restored_age_ms;          /* time since it was last restored; -1:
+                                     * never */
 };
 
 /* An instance that listens for other instances. */
@@ -572,6 +597,9 @@
     mp_limit limits<MP_TARGETS_MAX>;           /* limits of targets, as all
                                                 * instances saw them; empty if
                                                 * the hash matches */
+    unsigned hyper zones_version;              /* counts orders for zones */
+    mp_zone zones<MP_ZONES_MAX>;               /* empty if the version
+                                                * matches */
 };
 
 /* Requests the document in this version or a newer one from any replica. */
@@ -651,7 +679,8 @@
     MP_READ_STATE = 0,    /* accounts, instances and document history */
     MP_READ_DOCUMENT = 1, /* text of the document */
     MP_READ_RECORD = 2,   /* state of the record of a native request */
-    MP_READ_STREAM = 3    /* software version at which a stream began */
+    MP_READ_STREAM = 3,   /* software version at which a stream began */
+    MP_READ_ZONES = 4     /* zones that are drained, or were */
 };
 
 struct mp_read {
@@ -703,6 +732,8 @@
     mp_account_status accounts<>;
     mp_instance_status instances<>;
     mp_history history<>;
+    unsigned hyper zones_version;
+    mp_zone zones<MP_ZONES_MAX>; /* also part of the state */
 };
 
 /* ---- snapshot of the replicated state ---- */
@@ -824,6 +855,37 @@
     mp_stream_image streams<>;
 };
 
+struct mp_zone_image {
+    string name<MP_NAME_MAX>;
+    bool is_drained;
+    unsigned hyper ordered_version;
+    hyper changed_ms;
+    hyper restored_ms; /* -1: never */
+};
+
+struct mp_zones_image {
+    unsigned hyper zones_version;
+    unsigned hyper dropped_version; /* of the last order for any zone that is
+                                     * no longer in the list */
+    mp_zone_image list<MP_ZONES_MAX>;
+};
+
+/* State that was added after mp_machine_image.  It follows the image in the
+ * snapshot, as earlier builds read no image with more fields.  Without any
+ * part nothing follows, and earlier builds can load the snapshot. */
+enum mp_part_kind {
+    MP_PART_ZONES = 1 /* mp_zones_image */
+};
+
+struct mp_image_part {
+    unsigned int kind;
+    opaque data<>;
+};
+
+struct mp_image_parts {
+    mp_image_part list<>;
+};
+
 /* ---- offline journal of an instance ---- */
 
 struct mp_journal_entry {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -346,6 +346,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_zone_drain (XDR *xdrs, mp_zone_drain *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->submission, MP_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_drain))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_command_body (XDR *xdrs, mp_command_body *objp)
 {
@@ -418,6 +436,10 @@
 		 if (!xdr_mp_part_trial (xdrs, &objp->mp_command_body_u.part_trial))
 			 return FALSE;
 		break;
+	case MP_CMD_ZONE_DRAIN:
+		 if (!xdr_mp_zone_drain (xdrs, &objp->mp_command_body_u.zone_drain))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
@@ -771,6 +793,26 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->peers, MP_ADDRESS_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_zone (XDR *xdrs, mp_zone *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_drained))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ordered_version))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->changed_age_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->restored_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -923,6 +965,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MP_TARGETS_MAX,
 		sizeof (mp_limit), (xdrproc_t) xdr_mp_limit))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, MP_ZONES_MAX,
+		sizeof (mp_zone), (xdrproc_t) xdr_mp_zone))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1181,6 +1228,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->history.history_val, (u_int *) &objp->history.history_len, ~0,
 		sizeof (mp_history), (xdrproc_t) xdr_mp_history))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, MP_ZONES_MAX,
+		sizeof (mp_zone), (xdrproc_t) xdr_mp_zone))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1429,6 +1481,72 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_zone_image (XDR *xdrs, mp_zone_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_drained))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ordered_version))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->changed_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->restored_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_zones_image (XDR *xdrs, mp_zones_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->zones_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->dropped_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MP_ZONES_MAX,
+		sizeof (mp_zone_image), (xdrproc_t) xdr_mp_zone_image))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_part_kind (XDR *xdrs, mp_part_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_image_part (XDR *xdrs, mp_image_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_image_parts (XDR *xdrs, mp_image_parts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, ~0,
+		sizeof (mp_image_part), (xdrproc_t) xdr_mp_image_part))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_journal_entry (XDR *xdrs, mp_journal_entry *objp)
 {
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -64,7 +64,11 @@
     bool has_numbered_documents;  /* operators set the version of a document */
     const char *put_document_path; /* path to submit a document; or NULL */
     const char *get_document_path; /* path to read the document; or NULL */
-    const char *target_list_path;  /* path of the target list */
+    const char *zone_path;         /* start of the paths to drain or restore a
+                                    * zone, up to its name; or NULL */
+    const char *zone_drain_verb;   /* what follows the name */
+    const char *zone_restore_verb;
+    const char *target_list_path; /* path of the target list */
     /* Parses a document.  Returns NULL and adds findings if it is invalid.
      * Sets its version if has_numbered_documents. */
     struct MpDocument *(*parse_document)(const char *text, size_t size,
--- a/src/state/Codec.c
+++ b/src/state/Codec.c
@@ -24,21 +24,36 @@
     return g_bytes_new_take(data, size);
 }
 
+static int
+reject(xdrproc_t proc, void *object, size_t object_size)
+{
+    xdr_free(proc, object);
+    memset(object, 0, object_size);
+    return MP_ERROR_CORRUPT;
+}
+
 int
-MpCodec_Decode(xdrproc_t proc, void *object, const void *data, size_t size,
-               size_t object_size)
+MpCodec_DecodePrefix(xdrproc_t proc, void *object, const void *data,
+                     size_t size, size_t object_size, size_t *used)
 {
     XDR xdr;
     memset(object, 0, object_size);
     xdrmem_create(&xdr, (char *)data, (u_int)size, XDR_DECODE);
-    bool ok = proc(&xdr, object) && xdr_getpos(&xdr) == size;
+    bool ok = proc(&xdr, object);
+    *used = xdr_getpos(&xdr);
     xdr_destroy(&xdr);
-    if (!ok) {
-        xdr_free(proc, object);
-        memset(object, 0, object_size);
-        return MP_ERROR_CORRUPT;
-    }
-    return MP_OK;
+    return ok ? MP_OK : reject(proc, object, object_size);
+}
+
+int
+MpCodec_Decode(xdrproc_t proc, void *object, const void *data, size_t size,
+               size_t object_size)
+{
+    size_t used;
+    int code =
+        MpCodec_DecodePrefix(proc, object, data, size, object_size, &used);
+    return code == MP_OK && used != size ? reject(proc, object, object_size)
+                                         : code;
 }
 
 void
--- a/src/state/Codec.h
+++ b/src/state/Codec.h
@@ -21,6 +21,11 @@
 int MpCodec_Decode(xdrproc_t proc, void *object, const void *data, size_t size,
                    size_t object_size);
 
+/* As MpCodec_Decode, but bytes may follow the object; *used is set to the size
+ * of the object. */
+int MpCodec_DecodePrefix(xdrproc_t proc, void *object, const void *data,
+                         size_t size, size_t object_size, size_t *used);
+
 /* Frees what decoding allocated for object, but not object itself. */
 void MpCodec_Free(xdrproc_t proc, void *object);
 
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -8,6 +8,8 @@
 
 /* From this HTTP status on an answer is a failure of the target. */
 #define SERVER_ERROR_STATUS 500
+/* Scope of the ids of zone drains among those of submissions. */
+#define ZONE_SCOPE "zone"
 
 /* ---- construction ---- */
 
@@ -68,6 +70,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, dedup_delete);
     MpQuarantine_Init(&this->quarantine);
     MpVersions_Init(&this->versions);
+    MpZoneDrains_Init(&this->zones);
     g_queue_init(&this->history);
     g_queue_init(&this->topup_order);
     g_queue_init(&this->submission_order);
@@ -81,6 +84,7 @@
     g_queue_clear(&this->submission_order);
     MpQuarantine_Done(&this->quarantine);
     MpVersions_Done(&this->versions);
+    MpZoneDrains_Done(&this->zones);
     g_hash_table_unref(this->submissions);
     g_hash_table_unref(this->topups);
     g_hash_table_unref(this->incarnations);
@@ -268,6 +272,28 @@
     return dedup_replay(dedup, result);
 }
 
+static int
+apply_zone_drain(struct MpMachine *this, const struct mp_zone_drain *order,
+                 struct mp_result *result)
+{
+    struct MpDedupEntry *dedup =
+        dedup_find(this->submissions, ZONE_SCOPE, order->submission);
+    if (dedup && !MP_FAULT(MP_FAULT_ZONE_DRAIN_TWICE)) {
+        return dedup_replay(dedup, result);
+    }
+    int code = MpZoneDrains_Apply(&this->zones, order, this->now_ms);
+    if (code != MP_OK) {
+        return code;
+    }
+    if (!dedup) {
+        dedup =
+            MpMachine_AddDedupEntry(this->submissions, &this->submission_order,
+                                    ZONE_SCOPE, order->submission);
+    }
+    dedup->number = this->zones.version;
+    return dedup_replay(dedup, result);
+}
+
 /* ---- apply ---- */
 
 static int
@@ -405,6 +431,9 @@
         MpVersions_AddStreams(&this->versions,
                               &body->mp_command_body_u.streams, this->now_ms);
         return MP_OK;
+    case MP_CMD_ZONE_DRAIN:
+        return apply_zone_drain(this, &body->mp_command_body_u.zone_drain,
+                                result);
     case MP_CMD_SLICES:
         return apply_slices(this, &body->mp_command_body_u.slices, result);
     default:
--- a/src/state/Machine.h
+++ b/src/state/Machine.h
@@ -4,6 +4,7 @@
 #include "state/Ledger.h"
 #include "state/Quarantine.h"
 #include "state/Versions.h"
+#include "state/ZoneDrains.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -11,13 +12,13 @@
 
 /*
  * Machine - the replicated state machine: ledger, quarantine, configuration
- * document, and the registered incarnations of instances.
+ * document, drained zones, and the registered incarnations of instances.
  *
  * Commands of the replicated log are applied in order.  A rejected command
  * changes no balance, record or document; it still advances the clock, which
  * lets old records expire.  Repeated commands are harmless: top-ups and
- * document submissions carry an id, requests an open_id, lease calls a
- * sequence number, registrations a nonce.
+ * submissions of documents and zone drains carry an id, requests an open_id,
+ * lease calls a sequence number, registrations a nonce.
  */
 
 /* Number of ids kept to detect repeats, of top-ups and of submissions
@@ -37,7 +38,7 @@
 /* Result of a command with an id, returned again for its repeats. */
 struct MpDedupEntry {
     char *id;
-    char *scope; /* workspace of a top-up, else empty */
+    char *scope; /* workspace of a top-up; empty for a document */
     int32_t code;
     uint64_t number;
     int64_t amount_mtok;
@@ -55,6 +56,7 @@
     GQueue submission_order; /* keys of submissions, oldest first */
     struct MpQuarantine quarantine;
     struct MpVersions versions;
+    struct MpZoneDrains zones;
     uint64_t document_version;
     char *document;
     char *document_author;
--- a/src/state/MachineImage.c
+++ b/src/state/MachineImage.c
@@ -60,6 +60,30 @@
     return list;
 }
 
+/* Returns image, followed by the parts that have a state. */
+static GBytes *
+encode(const struct MpMachine *this, const struct mp_machine_image *image)
+{
+    gsize data_size;
+    GBytes *bytes = MpCodec_Encode(MP_XDR(mp_machine_image), image);
+    GBytes *zones = MpZoneDrains_Save(&this->zones);
+    if (!bytes || !zones || MP_FAULT(MP_FAULT_SNAPSHOT_OMITS_ZONES)) {
+        g_clear_pointer(&zones, g_bytes_unref);
+        return bytes;
+    }
+    struct mp_image_part part = {.kind = MP_PART_ZONES};
+    struct mp_image_parts parts = {.list = {.list_len = 1, .list_val = &part}};
+    part.data.data_val = (char *)g_bytes_get_data(zones, &data_size);
+    part.data.data_len = (u_int)data_size;
+    GBytes *rest = MpCodec_Encode(MP_XDR(mp_image_parts), &parts);
+    const void *rest_data = g_bytes_get_data(rest, &data_size);
+    GByteArray *all = g_bytes_unref_to_array(bytes);
+    g_byte_array_append(all, rest_data, (guint)data_size);
+    g_bytes_unref(rest);
+    g_bytes_unref(zones);
+    return g_byte_array_free_to_bytes(all);
+}
+
 GBytes *
 MpMachine_Save(const struct MpMachine *this)
 {
@@ -85,7 +109,7 @@
         save_dedup(this->submissions, &this->submission_order);
     image.history.history_val = MpMachine_CopyHistory(this);
     image.history.history_len = this->history.length;
-    GBytes *bytes = MpCodec_Encode(MP_XDR(mp_machine_image), &image);
+    GBytes *bytes = encode(this, &image);
     g_free(image.history.history_val);
     MpLedger_FreeImage(&image);
     g_free(image.incarnations.incarnations_val);
@@ -154,18 +178,44 @@
     return MpLedger_Load(&this->ledger, image);
 }
 
+/* Loads the parts that follow the image in a snapshot.  A part of a later
+ * build is refused, as its state would be lost. */
+static int
+load_parts(struct MpMachine *this, const char *data, size_t size)
+{
+    struct mp_image_parts parts;
+    if (size == 0) {
+        return MP_OK;
+    }
+    int code = MpCodec_Decode(MP_XDR(mp_image_parts), &parts, data, size,
+                              sizeof(parts));
+    for (u_int i = 0; code == MP_OK && i < parts.list.list_len; i++) {
+        const struct mp_image_part *part = &parts.list.list_val[i];
+        code = part->kind == MP_PART_ZONES
+                   ? MpZoneDrains_Load(&this->zones, part->data.data_val,
+                                       part->data.data_len)
+                   : MP_ERROR_CORRUPT;
+    }
+    MpCodec_Free(MP_XDR(mp_image_parts), &parts);
+    return code;
+}
+
 int
 MpMachine_Load(struct MpMachine *this, const void *data, size_t size)
 {
     struct mp_machine_image image;
-    int code = MpCodec_Decode(MP_XDR(mp_machine_image), &image, data, size,
-                              sizeof(image));
+    size_t used;
+    int code = MpCodec_DecodePrefix(MP_XDR(mp_machine_image), &image, data,
+                                    size, sizeof(image), &used);
     if (code != MP_OK) {
         return code;
     }
     struct MpMachine fresh;
     MpMachine_Init(&fresh);
     code = load_image(&fresh, &image);
+    if (code == MP_OK) {
+        code = load_parts(&fresh, (const char *)data + used, size - used);
+    }
     MpCodec_Free(MP_XDR(mp_machine_image), &image);
     if (code != MP_OK) {
         MpMachine_Done(&fresh);
--- a/src/transport/Console.c
+++ b/src/transport/Console.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/ConsolePaths.h"
+#include "transport/ControlZones.h"
 #include "transport/FormData.h"
 #include "transport/Html.h"
 
@@ -254,6 +255,7 @@
     append_history(page, reply);
     append_instances(page, reply);
     append_control(page, reply);
+    MpControlZones_AppendPage(call, page, reply);
     if (call->server->router) {
         append_targets(page, call->server->router);
         MpConsolePaths_AppendTargets(page, &call->server->router->gateway);
--- a/src/transport/Console.h
+++ b/src/transport/Console.h
@@ -14,6 +14,7 @@
  *     POST /review              shows the diff of a changed document text
  *     POST /submit              submits a document that was reviewed
  *     POST /topup               adds to a workspace's budget
+ *     POST /zone                drains or restores a zone
  *
  * Each form contains a CSRF token, an HMAC made with the operator token, so
  * that pages of other sites cannot submit forms in the operator's name.
--- a/src/transport/ConsoleEdit.c
+++ b/src/transport/ConsoleEdit.c
@@ -1,6 +1,7 @@
 #include "transport/Console.h"
 #include "transport/ConsoleForm.h"
 #include "transport/ControlApi.h"
+#include "transport/ControlZones.h"
 #include "transport/FormData.h"
 #include "transport/Html.h"
 
@@ -382,6 +383,9 @@
     else if (strcmp(call->path, "/topup") == 0) {
         submit_topup(call, form);
     }
+    else if (strcmp(call->path, "/zone") == 0) {
+        MpControlZones_Submit(call, form);
+    }
     else {
         MpOperatorCall_Fail(call, MP_ERROR_NOT_FOUND, NULL);
     }
--- a/src/transport/ControlApi.c
+++ b/src/transport/ControlApi.c
@@ -1,6 +1,7 @@
 #include "transport/ControlApi.h"
 
 #include "state/Error.h"
+#include "transport/ControlZones.h"
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
 
@@ -405,6 +406,8 @@
     json_object_object_add(root, "instances", instances_json(reply));
     json_object_object_add(root, "workspaces", accounts_json(reply));
     json_object_object_add(root, "history", history_json(reply));
+    add_number(root, "zones_version", (int64_t)reply->zones_version);
+    json_object_object_add(root, "zones", MpControlZones_List(reply));
     send_json(call, 200, root);
 }
 
@@ -482,6 +485,9 @@
         MpOperatorCall_Send(call, 200, JSON_TYPE, "{\"draining\":true}");
         raise(SIGTERM);
     }
+    else if (g_str_has_prefix(rest, "zones/")) {
+        MpControlZones_Serve(call, rest + strlen("zones/"));
+    }
     else if (g_str_has_prefix(rest, "workspaces/")) {
         serve_workspace(call, rest + strlen("workspaces/"));
     }
--- a/src/transport/ControlApi.h
+++ b/src/transport/ControlApi.h
@@ -13,6 +13,8 @@
  *     GET  /control/v1/workspaces/NAME
  *     POST /control/v1/workspaces/NAME/topups   needs Idempotency-Key
  *     POST /control/v1/instances/NAME/writeoff
+ *     POST /control/v1/zones/NAME/drain     needs Idempotency-Key
+ *     POST /control/v1/zones/NAME/restore   needs Idempotency-Key
  *     POST /control/v1/drain                drains this instance
  */
 
--- a/src/transport/ControlClient.c
+++ b/src/transport/ControlClient.c
@@ -327,6 +327,15 @@
     send_read(this, &read, deadline_ms, done, data);
 }
 
+void
+MpControlClient_ReadZones(struct MpControlClient *this, int64_t deadline_ms,
+                          MpReadDone done, void *data)
+{
+    struct mp_read read = {
+        .part = MP_READ_ZONES, .workspace = (char *)"", .key = (char *)""};
+    send_read(this, &read, deadline_ms, done, data);
+}
+
 void
 MpControlClient_ReadState(struct MpControlClient *this, const char *workspace,
                           int64_t deadline_ms, MpReadDone done, void *data)
@@ -349,7 +358,7 @@
 bool
 MpControlClient_IsReady(const struct MpControlClient *this)
 {
-    return this->boot > 0 && this->document;
+    return this->boot > 0 && this->document && this->zones.is_known;
 }
 
 bool
@@ -438,6 +447,27 @@
     }
 }
 
+static void
+log_zone(const struct mp_zone *zone)
+{
+    MpLog_Event(LOG_NOTICE,
+                zone->is_drained ? "zone-drained" : "zone-restored",
+                "zone=%s version=%" PRIu64 " source=leader age_ms=%" PRId64,
+                zone->name, (uint64_t)zone->ordered_version,
+                (int64_t)zone->changed_age_ms);
+}
+
+static void
+apply_zones(struct MpControlClient *this, const struct mp_sync_reply *reply)
+{
+    bool is_changed = MpDrainedZones_Apply(
+        &this->zones, reply->zones_version, reply->zones.zones_val,
+        reply->zones.zones_len, MpLoop_Now(), log_zone);
+    if (is_changed && this->listener->zones) {
+        this->listener->zones(this->owner);
+    }
+}
+
 /* Unpacks and decodes a list.  Returns false when it is empty or invalid. */
 static bool
 unpack_list(const struct mp_packed *packed, xdrproc_t codec, void *list,
@@ -548,6 +578,8 @@
     }
     this->synced_ms = MpLoop_Now();
     this->heard_ms = this->sync_sent_ms;
+    /* Before the document, with which the instance begins to serve. */
+    apply_zones(this, reply);
     MpDocumentFetch_Start(this, reply->document_version);
     apply_suspects(this, reply);
     this->instances = reply->instance_count;
@@ -588,6 +620,7 @@
         .versions_hash = this->versions_hash,
         .limits_hash = this->limits_hash,
         .peers = this->peers_address ? this->peers_address : (char *)"",
+        .zones_version = this->zones.version,
     };
     if (this->is_syncing) {
         return;
@@ -647,6 +680,7 @@
                                  .nonce = random_number()};
     this->clients = g_ptr_array_new();
     MpSuspects_Init(&this->suspects);
+    MpDrainedZones_Init(&this->zones);
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     GPtrArray *replicas = MpSettings_ReplicaAddresses(settings);
     for (guint i = 0; i < replicas->len; i++) {
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_CONTROL_CLIENT_H
 #define MP_TRANSPORT_CONTROL_CLIENT_H
 
+#include "coordination/DrainedZones.h"
 #include "coordination/Suspects.h"
 #include "protocol/Dialect.h"
 #include "state/Document.h"
@@ -15,7 +16,8 @@
  * ControlClient - an instance's client of the control replicas.  It finds the
  * leader, proposes commands and retries them until they have a result,
  * registers this incarnation, and periodically fetches updates (sync): the
- * configuration document, target list, suspect requests and lease recalls.
+ * configuration document, drained zones, target list, suspect requests and
+ * lease recalls.
  *
  * Commands are idempotent, so a proposal whose reply is lost is sent again.
  * Documents are fetched from any replica, so that hundreds of instances do not
@@ -50,6 +52,8 @@
     /* The quorum's lists of suspects have changed.  This member may be NULL.
      */
     void (*suspects)(void *owner);
+    /* Zones were drained or restored.  This member may be NULL. */
+    void (*zones)(void *owner);
     /* All instances that may lend budget.  This member may be NULL. */
     void (*peers)(void *owner, const struct mp_lender *peers, uint32_t count);
     /* Returns the limits of targets seen since the last sync, to be freed with
@@ -84,6 +88,7 @@
     struct MpTimer fetch_timer; /* set while the replica is to catch up */
     uint32_t fetch_waits;       /* for the replica, since the last document */
     struct MpSuspects suspects;
+    struct MpDrainedZones zones;
     int64_t synced_ms;     /* time of the leader's last sync reply */
     int64_t heard_ms;      /* when the sync was sent that it replied to, on the
                             * clock that counts while the machine is suspended */
@@ -138,6 +143,11 @@
                                   uint64_t version, int64_t deadline_ms,
                                   MpReadDone done, void *data);
 
+/* Reads the zones that are drained, or were. */
+void MpControlClient_ReadZones(struct MpControlClient *this,
+                               int64_t deadline_ms, MpReadDone done,
+                               void *data);
+
 /* Reads the state of the record of one key into reply->record. */
 void MpControlClient_ReadRecord(struct MpControlClient *this,
                                 const char *workspace, const char *key,
@@ -156,8 +166,8 @@
 struct mp_incarnation
 MpControlClient_Holder(const struct MpControlClient *this);
 
-/* Returns whether the instance is registered and has a document, so that it
- * can serve callers. */
+/* Returns whether the instance is registered, has a document and knows the
+ * drained zones, so that it can serve callers. */
 bool MpControlClient_IsReady(const struct MpControlClient *this);
 
 /* Returns whether the leader has not replied for so long that requests are
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -287,6 +287,11 @@
         retry_at_other_target(this, false);
         return;
     }
+    /* As in GatewayAttempt.c. */
+    if (target->is_zone_drained) {
+        retry_at_other_target(this, true);
+        return;
+    }
     MpTargetPoller_Probe(this->router->poller, target->name, this->target_boot,
                          on_probed, this);
 }
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -369,6 +369,16 @@
     MpTargetList_Start(this->list_reader);
 }
 
+void
+MpGateway_SetDrainedZones(struct MpGateway *this)
+{
+    const struct MpDrainedZones *zones = &this->control->zones;
+    uint32_t targets = MpRoster_SetDrainedZones(&this->roster, zones);
+    MpLog_Event(LOG_NOTICE, "zones-applied",
+                "version=%" PRIu64 " targets=%u list=%" PRIu64, zones->version,
+                targets, this->roster.version);
+}
+
 void
 MpGateway_SetPeers(struct MpGateway *this, const struct mp_lender *peers,
                    uint32_t count)
@@ -477,6 +487,10 @@
                                  "target", target->incarnation,
                                  target->limit.rate_mrps);
         }
+        if (target->is_drained) {
+            MpMetrics_WriteValue(out, "mimosapath_pool_target_drained",
+                                 "target", target->incarnation, 1);
+        }
         if (target->is_leaving) {
             MpMetrics_WriteValue(out, "mimosapath_pool_target_leaving",
                                  "target", target->incarnation, 1);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -84,6 +84,9 @@
 void MpGateway_ApplyTargets(struct MpGateway *this,
                             const struct MpTargetUpdate *update);
 
+/* Applies the drained zones that the control client has. */
+void MpGateway_SetDrainedZones(struct MpGateway *this);
+
 void MpGateway_SetDocument(struct MpGateway *this,
                            const struct MpDocument *document);
 
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -259,7 +259,9 @@
         return;
     }
     MpGatewayResponse_DropHead(this);
-    if (result == MP_TARGET_INCOMPLETE) {
+    /* Nothing is sent to a drained zone, and a failure there is more likely
+     * that of the zone than of the request. */
+    if (result == MP_TARGET_INCOMPLETE && !this->target->is_drained) {
         MpGatewaySuspect_ProbeTarget(this);
     }
     /* Neither a lost path nor the instance between tell of the target. */
@@ -371,13 +373,13 @@
         this, MAX(retry_after_ms, RETRY_AFTER_MIN_MS), now_ms);
     MpLog_Event(
         LOG_WARNING, "target-none",
-        "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
+        "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u drained=%u "
         "paused=%u resting=%u tried=%u full=%u limited=%u queue_ms=%" PRId64
         " list=%" PRIu64 " list_age_ms=%" PRId64 " has_retry=%d",
         this->id ? this->id : "-", this->pool, MpError_Name(code),
-        this->forward.sends + 1, status.listed, status.leaving, status.ejected,
-        status.resting, status.tried, status.full, status.limited,
-        picked->queue_ms, roster->version,
+        this->forward.sends + 1, status.listed, status.leaving, status.drained,
+        status.ejected, status.resting, status.tried, status.full,
+        status.limited, picked->queue_ms, roster->version,
         roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
         this->forward.sends == 0 || may_retry(this));
     MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -8,6 +8,7 @@
 #include "transport/Log.h"
 #include "transport/NumberedDocument.h"
 #include "transport/Secret.h"
+#include "transport/ZoneOrder.h"
 
 #include <openssl/crypto.h>
 #include <string.h>
@@ -33,6 +34,7 @@
     struct MpOperatorCall *this = g_new0(struct MpOperatorCall, 1);
     this->server = server;
     this->req = req;
+    this->began_ms = MpLoop_Now();
     this->path = g_strndup(req->path.base, req->path.len);
     this->link = h2o_mem_alloc_shared(&req->pool, sizeof(*this->link),
                                       on_request_freed);
@@ -51,6 +53,7 @@
     g_queue_unlink(&this->server->calls, &this->link_in_server);
     g_free(this->path);
     g_free(this->workspace);
+    g_free(this->zone);
     g_free(this->document_text);
     g_free(this);
 }
@@ -207,9 +210,12 @@
 /* ---- requests ---- */
 
 static void
-serve_call(struct MpOperatorCall *call, bool is_numbered)
+serve_call(struct MpOperatorCall *call, bool is_numbered, bool is_zone_order)
 {
-    if (is_numbered) {
+    if (is_zone_order) {
+        MpZoneOrder_Serve(call);
+    }
+    else if (is_numbered) {
         MpNumberedDocument_Serve(call);
     }
     else if (call->is_console) {
@@ -236,7 +242,8 @@
         return;
     }
     bool is_numbered = MpNumberedDocument_Matches(this, req);
-    if (!is_numbered && !is_authorized(this, req)) {
+    bool is_zone_order = MpZoneOrder_Matches(this, req);
+    if (!is_numbered && !is_zone_order && !is_authorized(this, req)) {
         this->rejected++;
         MpHttp_AddHeader(req, "www-authenticate",
                          "Basic realm=\"mimosapath\"");
@@ -245,15 +252,15 @@
         return;
     }
     struct MpOperatorCall *call = MpOperatorCall_New(this, req);
-    call->is_console =
-        !is_numbered && !g_str_has_prefix(call->path, MP_CONTROL_API_PREFIX);
+    call->is_console = !is_numbered && !is_zone_order &&
+                       !g_str_has_prefix(call->path, MP_CONTROL_API_PREFIX);
     if (this->is_draining) {
         MpLog_Event(LOG_INFO, "operator-call-refused", "path=%.128s",
                     call->path);
         MpOperatorCall_Fail(call, MP_ERROR_DRAINING, NULL);
         return;
     }
-    serve_call(call, is_numbered);
+    serve_call(call, is_numbered, is_zone_order);
 }
 
 /* ---- drain ---- */
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -11,8 +11,8 @@
  * metrics.
  *
  * Requests need the operator token, as a bearer token or as the password of
- * basic authentication, except for /healthz, /metrics and the document
- * requests of a dialect (NumberedDocument.h).
+ * basic authentication, except for /healthz, /metrics and the requests of a
+ * dialect (NumberedDocument.h, ZoneOrder.h).
  *
  * While the instance stops, calls that were read before are completed and new
  * ones are refused; /healthz and /metrics are served until the end.
@@ -76,10 +76,13 @@
     struct MpOperatorLink *link;
     char *path;
     char *workspace;
+    char *zone;
     char *document_text;
     uint64_t document_version; /* assigned by the operator */
+    int64_t began_ms;
     bool is_console;
-    bool is_proposed; /* a change was proposed to the control replicas */
+    bool is_zone_drain; /* of zone; else it is restored */
+    bool is_proposed;   /* a change was proposed to the control replicas */
 };
 
 /* Allocated in the request's memory pool; its destructor clears call->req. */
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -246,6 +246,14 @@
     reply->instance_count = count_instances(this);
 }
 
+/* Returns the zones, to be freed by g_free. */
+static struct mp_zone *
+list_zones(const struct MpReplica *this, u_int *count)
+{
+    *count = this->machine.zones.zones->len;
+    return MpZoneDrains_List(&this->machine.zones, MpLoop_WallMs());
+}
+
 static void
 reply_sync(struct MpReplica *this, struct MpRpcCall *call)
 {
@@ -273,6 +281,10 @@
     MpReplicaLenders_Fill(this, sync, &reply);
     MpReplicaLimits_Fill(this, sync, &reply);
     MpReplicaVersions_Fill(this, sync, &reply);
+    reply.zones_version = this->machine.zones.version;
+    if (sync->zones_version != reply.zones_version) {
+        reply.zones.zones_val = list_zones(this, &reply.zones.zones_len);
+    }
     GByteArray *stopped = NULL;
     GByteArray *suspected = NULL;
     GByteArray *groups = NULL;
@@ -291,6 +303,7 @@
     MpRpcCall_Reply(call, &reply);
     g_free(reply.recalls.recalls_val);
     g_free(reply.limits.limits_val);
+    g_free(reply.zones.zones_val);
     MpReplicaVersions_Free(&reply);
     g_clear_pointer(&stopped, g_byte_array_unref);
     g_clear_pointer(&suspected, g_byte_array_unref);
@@ -409,6 +422,8 @@
     reply->history.history_len = this->machine.history.length;
     fill_accounts(this, read, reply);
     fill_instances(this, reply);
+    reply->zones_version = this->machine.zones.version;
+    reply->zones.zones_val = list_zones(this, &reply->zones.zones_len);
 }
 
 void
@@ -417,6 +432,7 @@
     g_free(reply->accounts.accounts_val);
     g_free(reply->instances.instances_val);
     g_free(reply->history.history_val);
+    g_free(reply->zones.zones_val);
 }
 
 static void
@@ -445,6 +461,19 @@
     MpRpcCall_Reply(call, &reply);
 }
 
+static void
+reply_zones(struct MpReplica *this, struct MpRpcCall *call)
+{
+    struct mp_read_reply reply = {.leader = (char *)"",
+                                  .author = (char *)"",
+                                  .document = (char *)"",
+                                  .zones_version =
+                                      this->machine.zones.version};
+    reply.zones.zones_val = list_zones(this, &reply.zones.zones_len);
+    MpRpcCall_Reply(call, &reply);
+    g_free(reply.zones.zones_val);
+}
+
 static void
 reply_read(struct MpReplica *this, struct MpRpcCall *call)
 {
@@ -462,6 +491,10 @@
         reply_stream(this, call);
         return;
     }
+    if (read->part == MP_READ_ZONES) {
+        reply_zones(this, call);
+        return;
+    }
     MpReplica_FillRead(this, call->argument, &reply);
     MpRpcCall_Reply(call, &reply);
     MpReplica_FreeRead(&reply);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -125,9 +125,10 @@
 static bool
 is_ready(const struct MpRouter *this)
 {
-    bool is_configured = this->gateway.dialect->is_paths_only
-                             ? this->control.document != NULL
-                             : MpControlClient_IsReady(&this->control);
+    bool is_configured =
+        this->gateway.dialect->is_paths_only
+            ? this->control.document != NULL && this->control.zones.is_known
+            : MpControlClient_IsReady(&this->control);
     return is_configured && MpGateway_HasTargets(&this->gateway) &&
            !this->is_draining;
 }
@@ -270,12 +271,22 @@
     MpGatewaySuspect_ApplyLists(&this->gateway);
 }
 
+static void
+on_zones(void *owner)
+{
+    struct MpRouter *this = owner;
+    MpPicker_SetDrainedZones(&this->picker, &this->control.zones);
+    MpGateway_SetDrainedZones(&this->gateway);
+    MpRouter_ScheduleDispatch(this);
+}
+
 static const struct MpControlListener control_listener = {
     .document = on_document,
     .registered = on_registered,
     .recall = on_recall,
     .targets = on_targets,
     .suspects = on_suspects,
+    .zones = on_zones,
     .peers = on_peers,
     .list_limits = list_limits,
     .limits = on_limits,
@@ -463,6 +474,10 @@
                          this->exchanges.length);
     MpMetrics_WriteValue(out, "mimosapath_lease_held_mtok", NULL, NULL,
                          MpLeaseManager_Held(this->leases));
+    MpMetrics_WriteValue(out, "mimosapath_zones_version", NULL, NULL,
+                         (int64_t)this->control.zones.version);
+    MpMetrics_WriteValue(out, "mimosapath_zones_drained", NULL, NULL,
+                         MpDrainedZones_Count(&this->control.zones));
     MpMetrics_WriteValue(
         out, "mimosapath_document_version", NULL, NULL,
         this->control.document ? (int64_t)this->control.document->version : 0);
--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -246,7 +246,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct MpTarget *target = value;
         struct target_state *state = get_state(this, target->name);
-        if (target->is_listed && !state->is_query_pending) {
+        if (target->is_listed && !target->is_zone_drained &&
+            !state->is_query_pending) {
             state->is_query_pending = true;
             send_query(query_new(this, target));
         }
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -375,23 +375,24 @@
     MpRpcCall_ReplyAndDetach(call, &reply, on_detached, this);
 }
 
-static bool
-is_known_address(const struct MpGateway *gateway, const char *address)
+/* Returns the document's target at address, or NULL. */
+static const struct MpTargetConf *
+find_native(const struct MpGateway *gateway, const char *address)
 {
     const struct MpDocument *document = gateway->control->document;
     GHashTableIter iter;
     void *value;
     if (!document) {
-        return false;
+        return NULL;
     }
     g_hash_table_iter_init(&iter, document->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct MpTargetConf *target = value;
         if (strcmp(target->address, address) == 0) {
-            return true;
+            return target;
         }
     }
-    return false;
+    return NULL;
 }
 
 static int
@@ -401,10 +402,16 @@
     if (gateway->is_draining) {
         return MP_ERROR_DRAINING;
     }
-    if (!target && !is_known_address(gateway, call->target)) {
+    const struct MpTargetConf *native =
+        target ? NULL : find_native(gateway, call->target);
+    if (!target && !native) {
         return MP_ERROR_NOT_FOUND;
     }
-    if (target && (target->is_leaving ||
+    if (native &&
+        MpDrainedZones_Contains(&gateway->control->zones, native->zone)) {
+        return MP_ERROR_NO_TARGET;
+    }
+    if (target && (target->is_leaving || target->is_drained ||
                    MpTargetPause_IsActive(&target->pause, MpLoop_Now()))) {
         return MP_ERROR_NO_TARGET;
     }
--- a/src/transport/Tunnel.h
+++ b/src/transport/Tunnel.h
@@ -11,7 +11,8 @@
  * The other instance remains the router of the request: it picks the target,
  * bills, retries and answers.  This one only connects, and keeps what the
  * target asks of each instance that sends: no connection is opened to a target
- * that leaves or wants a pause.  Tunnels are never chained.
+ * that leaves, wants a pause or is in a drained zone.  Tunnels are never
+ * chained.
  */
 
 /* Most tunnels at a time; two descriptors each. */
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -669,6 +669,120 @@
     g_assert_cmpint(free_slots, ==, 8);
 }
 
+/* No target in a drained zone may be picked: not as the last resort, not with
+ * a permit and not by its version; and none may be probed.  When the zone is
+ * restored, its targets are picked again. */
+static void
+test_drained_zone(void)
+{
+    struct MpRoster roster;
+    struct MpDrainedZones zones;
+    struct MpPicked picked;
+    const struct MpRequestMeta meta = {.prompt_tokens = 0};
+    struct mp_zone state[] = {{.name = (char *)"a", .restored_age_ms = -1},
+                              {.name = (char *)"b", .restored_age_ms = -1}};
+    GPtrArray *list = g_ptr_array_new();
+    GPtrArray *probes = g_ptr_array_new();
+    struct MpListedTarget entries[] = {{.incarnation = (char *)"a0",
+                                        .pool = (char *)POOL,
+                                        .address = (char *)"10.0.0.1:80",
+                                        .zone = (char *)"a",
+                                        .version = (char *)"v1",
+                                        .slots = 8},
+                                       {.incarnation = (char *)"b0",
+                                        .pool = (char *)POOL,
+                                        .address = (char *)"10.0.0.2:80",
+                                        .zone = (char *)"b",
+                                        .version = (char *)"v2",
+                                        .slots = 8}};
+    g_ptr_array_add(list, &entries[0]);
+    g_ptr_array_add(list, &entries[1]);
+    MpRoster_Init(&roster, "a", ignore_dropped, NULL);
+    MpDrainedZones_Init(&zones);
+    g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "a"), ==, -1);
+    MpRoster_SetList(&roster, list, 1000);
+    state[0].is_drained = true;
+    MpDrainedZones_Apply(&zones, 1, state, 2, 1000, NULL);
+    g_assert_cmpuint(MpRoster_SetDrainedZones(&roster, &zones), ==, 1);
+    g_assert_false(MpRoster_HasVersion(&roster, POOL, "v1"));
+    g_assert_true(MpRoster_HasVersion(&roster, POOL, "v2"));
+    for (int i = 0; i < 50; i++) {
+        g_assert_cmpint(pick(&roster, &meta, false, 1000 + i, &picked), ==,
+                        MP_OK);
+        g_assert_cmpstr(picked.target->incarnation, ==, "b0");
+    }
+    struct MpPoolQuery permitted = {
+        .pool = POOL, .meta = &meta, .permitted = "a0"};
+    g_assert_cmpint(MpRoster_Pick(&roster, &permitted, 1100, &picked), ==,
+                    MP_OK);
+    g_assert_cmpstr(picked.target->incarnation, ==, "b0");
+
+    /* With both zones drained nothing is picked, whether the targets are
+     * healthy, ejected or new in the list. */
+    state[1].is_drained = true;
+    MpDrainedZones_Apply(&zones, 2, state, 2, 1100, NULL);
+    MpRoster_SetDrainedZones(&roster, &zones);
+    g_assert_cmpint(pick(&roster, &meta, false, 1200, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    g_assert_cmpint(MpRoster_Pick(&roster, &permitted, 1200, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    struct MpPoolTarget *target = MpRoster_Find(&roster, "a0");
+    MpPoolTarget_StartAttempt(target, &meta, 0, 1200);
+    MpPoolTarget_EndAttempt(&roster, target, false, 0, MP_OUTCOME_FAILED,
+                            1210);
+    g_assert_cmpint(pick(&roster, &meta, false, 1220, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    MpRoster_ListProbeCandidates(&roster, 9000, probes);
+    g_assert_cmpuint(probes->len, ==, 0);
+    entries[0].incarnation = (char *)"a1";
+    MpRoster_SetList(&roster, list, 9000);
+    g_assert_cmpint(pick(&roster, &meta, false, 9001, &picked), ==,
+                    MP_ERROR_NO_TARGET);
+    struct MpPoolStatus status;
+    MpRoster_GetPoolStatus(&roster, &permitted, 9002, &status);
+    g_assert_cmpuint(status.listed, ==, 2);
+    g_assert_cmpuint(status.drained, ==, 2);
+
+    state[0].is_drained = false;
+    state[0].restored_age_ms = 20;
+    MpDrainedZones_Apply(&zones, 3, state, 2, 9100, NULL);
+    g_assert_cmpuint(MpRoster_SetDrainedZones(&roster, &zones), ==, 1);
+    g_assert_cmpint(pick(&roster, &meta, false, 9101, &picked), ==, MP_OK);
+    g_assert_cmpstr(picked.target->incarnation, ==, "a1");
+    g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "a"), ==, 9080);
+    g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "b"), ==, -1);
+    g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "c"), ==, -1);
+    MpRoster_Done(&roster);
+    MpDrainedZones_Done(&zones);
+    g_ptr_array_unref(list);
+    g_ptr_array_unref(probes);
+}
+
+/* A pause of all targets that may be used tells when to come back; targets in
+ * drained zones do not count. */
+static void
+test_drained_and_paused(void)
+{
+    struct MpRoster roster;
+    struct MpDrainedZones zones;
+    struct MpPoolStatus status;
+    const struct MpRequestMeta meta = {.prompt_tokens = 0};
+    const struct MpPoolQuery ask = {.pool = POOL, .meta = &meta};
+    const struct mp_zone drained = {
+        .name = (char *)"b", .is_drained = true, .restored_age_ms = -1};
+    init_roster(&roster, 2);
+    MpDrainedZones_Init(&zones);
+    MpDrainedZones_Apply(&zones, 1, &drained, 1, 1000, NULL);
+    MpRoster_Find(&roster, "t0")->pause.until_ms = 3000;
+    g_free(MpRoster_Find(&roster, "t1")->zone);
+    MpRoster_Find(&roster, "t1")->zone = g_strdup("b");
+    MpRoster_SetDrainedZones(&roster, &zones);
+    MpRoster_GetPoolStatus(&roster, &ask, 2000, &status);
+    g_assert_cmpint(status.pause_ms, ==, 3000);
+    MpRoster_Done(&roster);
+    MpDrainedZones_Done(&zones);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -699,5 +813,8 @@
     g_test_add_func("/roster/a new target of a brittle pool",
                     test_brittle_pool);
     g_test_add_func("/roster/a paused target gets nothing", test_paused);
+    g_test_add_func("/roster/a drained zone gets nothing", test_drained_zone);
+    g_test_add_func("/roster/pauses beside a drained zone",
+                    test_drained_and_paused);
     return g_test_run();
 }
