--- a/fuzz/FuzzRoster.c
+++ b/fuzz/FuzzRoster.c
@@ -4,20 +4,24 @@
 #include "state/Error.h"
 
 #include <glib.h>
+#include <string.h>
 
 /*
  * FuzzRoster - fuzzes the choice among a pool's targets: first targets fail,
  * say that they leave, ask for pauses and start again under their names in any
- * order, then all are healthy and get at-most-once requests only.
+ * order, and zones are drained and restored; then all are healthy and get
+ * at-most-once requests only.
  *
  * Oracle: a half-open target gets one attempt at a time; a target gets nothing
- * within a pause that it asked for, and nothing after its answer that it
- * leaves, until it has started again; once all targets are healthy, each
+ * within a pause that it asked for, nothing after its answer that it leaves,
+ * until it has started again, and nothing, not even a probe, while its zone is
+ * drained; once all targets are healthy, each
  * request gets one at once, and each target accepts requests again within
  * MP_EJECTION_MAX_MS + MP_PROBE_DELAY_MS.
  */
 
 #define TARGETS 5
+#define ZONES 2
 #define POOL "p"
 #define TICK_MS 100
 #define ATTEMPTS_MAX 12
@@ -48,6 +52,8 @@
 struct fixture {
     struct FuzzInput *input;
     struct MpRoster roster;
+    struct MpDrainedZones zones;
+    bool is_drained[ZONES];
     GArray *attempts;  /* of struct attempt */
     GPtrArray *probes; /* of struct MpPoolTarget */
     int64_t now_ms;
@@ -76,6 +82,28 @@
     words->refusal_count = 0;
 }
 
+static char *const zone_names[ZONES] = {"a", "b"};
+
+static uint32_t
+zone_of(uint32_t target)
+{
+    return target % ZONES;
+}
+
+static void
+set_zones(struct fixture *this)
+{
+    struct mp_zone list[ZONES];
+    for (uint32_t i = 0; i < ZONES; i++) {
+        list[i] = (struct mp_zone){.name = zone_names[i],
+                                   .is_drained = this->is_drained[i],
+                                   .restored_age_ms = -1};
+    }
+    MpDrainedZones_Apply(&this->zones, this->zones.version + 1, list, ZONES,
+                         this->now_ms, NULL);
+    MpRoster_SetDrainedZones(&this->roster, &this->zones);
+}
+
 /* Sets the pool's target list; target number leaving, if any, is leaving, and
  * number gone, if any, is not in it. */
 static void
@@ -93,7 +121,7 @@
         entries[i] = (struct MpListedTarget){.incarnation = names[i],
                                              .pool = (char *)POOL,
                                              .address = names[i],
-                                             .zone = (char *)"a",
+                                             .zone = zone_names[zone_of(i)],
                                              .slots = 4,
                                              .is_leaving = i == leaving,
                                              .started_ms = words->started_ms};
@@ -130,6 +158,10 @@
     if (words->is_leaving || words->is_listed_leaving) {
         Fuzz_Fail("%s leaves and gets a request", target->incarnation);
     }
+    if (this->is_drained[zone_of((uint32_t)(target->incarnation[1] - '0'))]) {
+        Fuzz_Fail("the zone of %s is drained and it gets a request",
+                  target->incarnation);
+    }
     if (is_paused(words, this->now_ms)) {
         Fuzz_Fail("%s is paused and gets a request", target->incarnation);
     }
@@ -164,14 +196,27 @@
                             this->now_ms);
 }
 
+static void
+check_probe(struct fixture *this, const struct MpPoolTarget *target)
+{
+    if (this->is_drained[zone_of((uint32_t)(target->incarnation[1] - '0'))]) {
+        Fuzz_Fail("the zone of %s is drained and it is probed",
+                  target->incarnation);
+    }
+}
+
 static void
 advance(struct fixture *this, int64_t ms)
 {
     this->now_ms += ms;
     if (this->now_ms - this->ticked_ms >= TICK_MS) {
         this->ticked_ms = this->now_ms;
+        guint known = this->probes->len;
         MpRoster_ListProbeCandidates(&this->roster, this->now_ms,
                                      this->probes);
+        for (guint i = known; i < this->probes->len; i++) {
+            check_probe(this, g_ptr_array_index(this->probes, i));
+        }
     }
 }
 
@@ -227,6 +272,11 @@
     }
     set_targets(this, FuzzInput_Below(this->input, TARGETS + 3),
                 FuzzInput_Below(this->input, 6 * TARGETS));
+    if (FuzzInput_Below(this->input, 4) == 0) {
+        uint32_t zone = FuzzInput_Below(this->input, ZONES);
+        this->is_drained[zone] = !this->is_drained[zone];
+        set_zones(this);
+    }
 }
 
 static void
@@ -310,6 +360,8 @@
         }
     }
     set_targets(this, TARGETS, TARGETS);
+    memset(this->is_drained, 0, sizeof(this->is_drained));
+    set_zones(this);
     while (this->attempts->len > 0) {
         end_attempt(this, take_attempt(this, 0).target, MP_OUTCOME_CANCELLED);
     }
@@ -349,6 +401,7 @@
     struct fixture fixture = {.input = &input, .now_ms = 1000};
     g_random_set_seed(1); /* MpRoster_Pick breaks ties with it */
     MpRoster_Init(&fixture.roster, "a", ignore_dropped, NULL);
+    MpDrainedZones_Init(&fixture.zones);
     fixture.attempts = g_array_new(false, false, sizeof(struct attempt));
     fixture.probes = g_ptr_array_new();
     for (uint32_t i = 0; i < TARGETS; i++) {
@@ -363,5 +416,6 @@
     g_array_unref(fixture.attempts);
     g_ptr_array_unref(fixture.probes);
     MpRoster_Done(&fixture.roster);
+    MpDrainedZones_Done(&fixture.zones);
     return 0;
 }
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -29,6 +29,7 @@
     "FuzzVersions": (1000, 2, 4000),
     "FuzzRelay": (1500, 2, 2000),
     "FuzzRetries": (200, 2, 1000),
+    "FuzzZones": (500, 2, 2000),
 }
 # fault number: description, fuzzer that finds it, seeds that it runs
 FAULTS = {
@@ -104,6 +105,10 @@
     69: ("snapshot that failed to load acknowledged", "FuzzCluster", 200),
     70: ("part of a frame kept on a full disk", "FuzzCluster", 50),
     71: ("start does not sync what it reads", "FuzzCluster", 50),
+    72: ("repeated zone order applied twice", "FuzzZones", 200),
+    73: ("overtaken zone order applied", "FuzzZones", 50),
+    74: ("snapshot drops the drained zones", "FuzzZones", 50),
+    75: ("drained target gets what no other takes", "FuzzRoster", 200),
 }
 
 
