Cold targets get no more requests than they bear, fleet-wide

Cause: a target that has just started is empty, so each instance sends it requests by its load alone; together they send more than it bears while it is slow, and it crashes. Change: coordination/ColdStart says until when a target counts as cold (list, header, restore of its zone) and how far apart its slots are. While it is cold it is used with permits only, by the lower of its cold rate and the limit that it names; the rate and the bound go with the question to the keeper, which may have another document, and a keeper of an older build counts as none. A request seeks a cold target as often as its share of all targets, at random, and after a denial goes to a warm one at once. The leader passes a target on again when its cold time begins anew. Without a rate nothing changes.

--- a/src/coordination/Permits.c
+++ b/src/coordination/Permits.c
@@ -89,22 +89,50 @@
     return own > 0 ? SPREAD_MS * US_PER_MS / own : 0;
 }
 
+/* Returns the distance between the slots of one keeper by the limit and by
+ * the rate of a cold target, us; 0: it has none. */
+static int64_t
+distance_between_slots(int64_t rate_mrps, const struct MpPermitQuery *query)
+{
+    const struct MpColdConf *cold = &query->cold;
+    int64_t by_limit_us =
+        rate_mrps != MP_LIMIT_NONE ? spacing_us(rate_mrps, query) : -1;
+    int64_t by_cold_us =
+        cold->is_set ? MpColdConf_SpacingUs(cold, query->shares, query->share)
+                     : -1;
+    return by_limit_us == 0 || by_cold_us == 0 ? 0
+                                               : MAX(by_limit_us, by_cold_us);
+}
+
 /* Returns the first slot of a keeper that knows of none: after the last one
- * that it can have given out before a restart, and out of step with the other
- * keepers. */
+ * that it or its predecessor can have given out before, and out of step with
+ * the other keepers. */
 static int64_t
-first_slot_us(const struct MpPermitQuery *query, int64_t now_us,
-              int64_t distance_us)
+first_slot_us(const struct MpPermits *this, const struct MpPermitQuery *query,
+              int64_t now_us, int64_t distance_us)
 {
     if (MP_FAULT(MP_FAULT_PERMITS_AFTER_RESTART)) {
         return now_us;
     }
+    if (MpTargetLimit_Rate(&query->limit) == MP_LIMIT_NONE) {
+        int64_t settled_us =
+            this->changed_ms * US_PER_MS +
+            MAX(MP_KEEPERS_SETTLE_MS * US_PER_MS,
+                MP_PERMIT_AHEAD_MAX_MS * US_PER_MS + distance_us);
+        return MAX(now_us, settled_us);
+    }
     int64_t phase_us =
         query->share > 0 ? distance_us * query->share / query->shares : 0;
     return now_us + MP_PERMIT_AHEAD_MAX_MS * US_PER_MS + distance_us +
            phase_us;
 }
 
+void
+MpPermits_NoteKeepers(struct MpPermits *this, int64_t now_ms)
+{
+    this->changed_ms = now_ms;
+}
+
 void
 MpPermits_Ask(struct MpPermits *this, const struct MpPermitQuery *query,
               int64_t now_ms, struct MpPermitAnswer *answer)
@@ -114,12 +142,12 @@
                        query->limit.sent_ms, query->limit.received_ms);
     *answer = (struct MpPermitAnswer){.limit = slots->limit};
     int64_t rate_mrps = MpTargetLimit_Rate(&slots->limit);
-    if (rate_mrps == MP_LIMIT_NONE) {
+    if (rate_mrps == MP_LIMIT_NONE && !query->cold.is_set) {
         answer->is_granted = true;
         return;
     }
     int64_t now_us = now_ms * US_PER_MS;
-    int64_t distance_us = spacing_us(rate_mrps, query);
+    int64_t distance_us = distance_between_slots(rate_mrps, query);
     int64_t ahead_us =
         CLAMP(query->ahead_ms, 0, MP_PERMIT_AHEAD_MAX_MS) * US_PER_MS;
     int64_t slot_us = MAX(slots->next_us, now_us);
@@ -129,7 +157,7 @@
         return;
     }
     if (slots->is_new) {
-        slot_us = first_slot_us(query, now_us, distance_us);
+        slot_us = first_slot_us(this, query, now_us, distance_us);
         slots->is_new = false;
         slots->next_us = slot_us;
     }
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -149,7 +149,7 @@
     target->is_leaving = is_leaving;
     target->is_listed = true;
     target->slots = entry->slots;
-    target->cold_until_ms = now_ms + entry->cold_ms;
+    MpColdStart_NoteList(&target->cold, entry->cold_ms, now_ms);
     return changes;
 }
 
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -2,6 +2,7 @@
 #define MP_COORDINATION_ROSTER_H
 
 #include "coordination/RequestMeta.h"
+#include "coordination/ColdStart.h"
 #include "coordination/PickPolicy.h"
 #include "coordination/Permits.h"
 #include "coordination/TargetLeaving.h"
@@ -54,7 +55,8 @@
     char *version; /* of its software; NULL or empty: not reported */
     int64_t slots; /* requests that it runs at once; 0: no limit known */
     bool is_leaving;
-    int64_t cold_ms;    /* remaining time that it is slow after its start */
+    int64_t cold_ms;    /* remaining time that it is slow after its start, -1:
+                         * not reported */
     int64_t started_ms; /* wall clock time of its start; 0: not reported */
 };
 
@@ -84,7 +86,7 @@
     struct MpTargetLeaving leaving; /* who said so */
     struct MpTargetPause pause;
     bool is_removed; /* removed from the list; freed after its last attempt */
-    int64_t cold_until_ms;
+    struct MpColdStart cold;
     int64_t listed_ms; /* when it came into the list */
     /* load */
     int32_t running;          /* attempts of this instance in flight */
@@ -173,9 +175,12 @@
     bool is_at_most_once;   /* the request must not run twice */
     bool is_engine;         /* the targets of the pool are engines */
     const GPtrArray *avoid; /* of struct MpPoolTarget, already tried */
-    const char *permitted;  /* incarnation of a target that names a limit,
-                             * for which there is a permit; or NULL */
-    bool has_no_permits;    /* targets that name a limit are left out */
+    const char *permitted;  /* incarnation of a target that names a limit or
+                             * is cold, for which there is a permit; or
+                             * NULL */
+    bool has_no_permits;    /* targets that need a permit are left out */
+    struct MpColdConf cold; /* how cold targets of the pool may be used */
+    bool prefers_warm;      /* cold targets are the last choice */
     uint32_t instance_rank; /* of this instance among all, from 0 */
     uint32_t instances;     /* number of all */
     int64_t wall_ms;        /* clock that all instances have in common */
@@ -188,6 +193,7 @@
     int64_t boot_ms;  /* with view: now on the clock of view and heard_ms,
                        * which counts while the machine is suspended */
     /* set by MpRoster_Pick and MpRoster_GetPoolStatus */
+    const struct MpRoster *roster;
     bool needs_no_announcement;
     struct MpRoomWord room; /* the last word of a target of the pool */
 };
@@ -200,6 +206,7 @@
     uint32_t ejected; /* ejected or half-open */
     uint32_t tried;   /* already tried by this request */
     uint32_t full;
+    uint32_t cold;
     uint32_t limited;  /* a permit is to be had later */
     int64_t permit_ms; /* when the first of these may be asked for again, 0
                         * if there is none */
@@ -215,7 +222,10 @@
     int64_t prefill_tokens; /* prompt tokens that are not cached there */
     int64_t queue_ms;       /* part of wait_ms spent behind others; also set
                              * when no target was picked because of it */
-    bool needs_permit;      /* the target names a limit */
+    bool needs_permit;      /* the target names a limit or is cold */
+    struct MpColdConf cold; /* is_set: the target is cold */
+    bool has_warm;          /* another target can take the request, which is
+                             * not cold */
 };
 
 /* Returns the listed target with this incarnation, or NULL. */
@@ -235,6 +245,12 @@
 int MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
                   int64_t now_ms, struct MpPicked *picked);
 
+/* Returns until when the target counts as cold by the rules of its pool; in
+ * the past or 0 if it does not. */
+int64_t MpRoster_ColdUntil(const struct MpRoster *this,
+                           const struct MpPoolTarget *target,
+                           const struct MpColdConf *conf);
+
 /* Returns how long a first attempt may wait behind others at an engine while
  * other targets of the pool take no more by the limits that they name, ms: a
  * part of its latency target, less for requests of a lower rank (0 is the
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -75,12 +75,22 @@
            strcmp(query->permitted, target->incarnation) == 0;
 }
 
-/* Whether the target names a limit and no permit can be had for it now. */
+/* Whether the target may be used only with a permit. */
+static bool
+is_paced(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
+         int64_t now_ms)
+{
+    return target->limit.rate_mrps != MP_LIMIT_NONE ||
+           MpPoolTarget_IsCold(target, query, now_ms);
+}
+
+/* Whether the target names a limit or is cold, and no permit can be had for it
+ * now. */
 static bool
 is_withheld(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
             int64_t now_ms)
 {
-    return target->limit.rate_mrps != MP_LIMIT_NONE &&
+    return is_paced(target, query, now_ms) &&
            (query->has_no_permits || now_ms < target->permit_ms) &&
            !is_permitted(target, query);
 }
@@ -311,7 +321,7 @@
 }
 
 /* Returns the usable target that all instances prefer for the affinity part
- * of the request, or NULL.  is_unlimited: only targets that name no limit
+ * of the request, or NULL.  is_unlimited: only targets that need no permit
  * count. */
 static const struct MpPoolTarget *
 preferred_of(const GPtrArray *pool, const struct MpPoolQuery *query,
@@ -323,7 +333,7 @@
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         uint64_t rank = rank_of(target, part);
-        bool counts = !is_unlimited || target->limit.rate_mrps < 0;
+        bool counts = !is_unlimited || !is_paced(target, query, now_ms);
         if (counts && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
@@ -380,14 +390,6 @@
     return true;
 }
 
-static bool
-needs_permit(const struct MpPoolTarget *target,
-             const struct MpPoolQuery *query)
-{
-    return target->limit.rate_mrps != MP_LIMIT_NONE &&
-           !is_permitted(target, query);
-}
-
 int64_t
 MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank)
 {
@@ -451,11 +453,30 @@
     bool has_withheld; /* without a permit */
 };
 
-/* Picks the target that costs least, if any can take the request. */
+static bool
+can_take(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
+         int64_t now_ms)
+{
+    return !is_withheld(target, query, now_ms) &&
+           MpTargetPause_MaySend(&target->pause, now_ms) &&
+           !(is_full(target, now_ms) && query->is_engine) &&
+           MpPoolTarget_HasRoom(target, query, now_ms);
+}
+
+bool
+MpPoolTarget_IsCandidate(const struct MpPoolTarget *this,
+                         const struct MpPoolQuery *query, int64_t now_ms)
+{
+    return is_usable(this, query, now_ms) && can_take(this, query, now_ms);
+}
+
+/* Picks the target of the group that costs least, if any can take the request.
+ * Cold targets are all empty, so one of them is picked at random. */
 static void
 pick_cheapest(struct MpRoster *this, const GPtrArray *pool,
-              const struct MpPoolQuery *query, int64_t now_ms,
-              struct MpPicked *picked, struct left_out *left_out)
+              const struct MpPoolQuery *query, enum MpTargetGroup group,
+              int64_t now_ms, struct MpPicked *picked,
+              struct left_out *left_out)
 {
     double best_cost = 0;
     const struct MpPoolTarget *preferred =
@@ -463,20 +484,19 @@
     /* What a target with a limit cannot take goes to one other target, not to
      * whichever is free, so that shared parts are cached there too. */
     const struct MpPoolTarget *second =
-        preferred && preferred->limit.rate_mrps != MP_LIMIT_NONE
+        preferred && is_paced(preferred, query, now_ms)
             ? preferred_of(pool, query, true, now_ms)
             : NULL;
     double max_error_rate = mean_error_rate(pool) + ERROR_MARGIN;
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (!is_usable(target, query, now_ms)) {
+        if (!is_usable(target, query, now_ms) ||
+            !MpPoolTarget_IsInGroup(target, query, group, now_ms)) {
             continue;
         }
-        bool is_held = is_withheld(target, query, now_ms);
-        left_out->has_withheld |= is_held;
-        if (is_held || !MpTargetPause_MaySend(&target->pause, now_ms) ||
-            (is_full(target, now_ms) && query->is_engine) ||
-            !MpPoolTarget_HasRoom(target, query, now_ms)) {
+        left_out->has_withheld |= target->limit.rate_mrps != MP_LIMIT_NONE &&
+                                  is_withheld(target, query, now_ms);
+        if (!can_take(target, query, now_ms)) {
             left_out->has_full = true;
             continue;
         }
@@ -485,7 +505,7 @@
                             target == preferred || target == second, now_ms);
         double wait_ms = wait_at(target, query, tokens, now_ms);
         double cost = g_random_double();
-        if (this->policy == MP_PICK_AFFINITY) {
+        if (this->policy == MP_PICK_AFFINITY && group != MP_GROUP_COLD) {
             cost += wait_ms +
                     cost_beyond_wait(this, target, tokens, max_error_rate);
         }
@@ -507,10 +527,18 @@
           struct MpPicked *picked)
 {
     struct left_out left_out = {.has_full = false};
+    bool has_warm = false;
     if (pick_permitted(this, query, now_ms, picked)) {
         return MP_OK;
     }
-    pick_cheapest(this, pool, query, now_ms, picked, &left_out);
+    enum MpTargetGroup group =
+        MpRoster_FirstGroup(pool, query, now_ms, &has_warm);
+    pick_cheapest(this, pool, query, group, now_ms, picked, &left_out);
+    if (!picked->target && group != MP_GROUP_ALL) {
+        group = group == MP_GROUP_COLD ? MP_GROUP_WARM : MP_GROUP_COLD;
+        pick_cheapest(this, pool, query, group, now_ms, picked, &left_out);
+    }
+    picked->has_warm = has_warm;
     if (left_out.has_withheld &&
         is_queue_too_long(this, query, now_ms, picked)) {
         return MP_ERROR_LIMIT;
@@ -546,13 +574,20 @@
     if (!pool) {
         return MP_ERROR_NO_TARGET;
     }
+    adjusted.roster = this;
     adjusted.room = last_room_word(pool);
     adjusted.needs_no_announcement =
         query->view && !query->version &&
         has_no_active_version(pool, query, now_ms);
     int code = pick_from(this, pool, &adjusted, now_ms, picked);
-    picked->needs_permit =
-        picked->target && needs_permit(picked->target, query);
+    if (!picked->target) {
+        return code;
+    }
+    picked->needs_permit = is_paced(picked->target, &adjusted, now_ms) &&
+                           !is_permitted(picked->target, &adjusted);
+    if (MpPoolTarget_IsCold(picked->target, &adjusted, now_ms)) {
+        picked->cold = query->cold;
+    }
     return code;
 }
 
@@ -581,6 +616,7 @@
     if (!pool) {
         return;
     }
+    adjusted.roster = this;
     adjusted.room = last_room_word(pool);
     status->listed = pool->len;
     status->pause_ms = INT64_MAX;
@@ -593,7 +629,8 @@
         status->full += is_full(target, now_ms) ||
                         !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
-        if (is_withheld(target, query, now_ms)) {
+        status->cold += MpPoolTarget_IsCold(target, &adjusted, now_ms);
+        if (is_withheld(target, &adjusted, now_ms)) {
             status->limited++;
             status->permit_ms =
                 status->permit_ms == 0
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -626,6 +626,9 @@
 struct mp_permit {
 	mp_limit limit;
 	u_int ahead_ms;
+	bool_t is_cold;
+	quad_t cold_rate_mrps;
+	quad_t cold_most;
 };
 typedef struct mp_permit mp_permit;
 
@@ -633,6 +636,7 @@
 	int code;
 	u_int wait_ms;
 	mp_limit limit;
+	bool_t spaces_cold;
 };
 typedef struct mp_permit_reply mp_permit_reply;
 
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -456,7 +456,8 @@
     string software<MP_NAME_MAX>; /* version of its software */
     hyper slots;   /* requests that it can run at the same time */
     bool leaving;  /* is shutting down; gets no new requests */
-    hyper cold_ms; /* remaining time of slow responses after its start */
+    hyper cold_ms; /* remaining time of slow responses after its start, -1:
+                    * not reported */
     hyper started_ms; /* wall clock time of its start; 0: not reported */
 };
 
@@ -621,6 +622,10 @@
 struct mp_permit {
     mp_limit limit;        /* as the caller knows it */
     unsigned int ahead_ms; /* how long the request can wait for its slot */
+    bool is_cold;          /* the target is cold; then: */
+    hyper cold_rate_mrps;  /* rate to keep to meanwhile, thousandths of
+                            * requests per second */
+    hyper cold_most;       /* requests in any second, of all instances */
 };
 
 struct mp_permit_reply {
@@ -628,6 +633,8 @@
                            * MP_ERROR_NOT_FOUND: the callee is no keeper */
     unsigned int wait_ms; /* until the slot, or until to ask again */
     mp_limit limit;       /* as the keeper knows it */
+    bool spaces_cold;     /* the callee keeps to the rates of cold targets; an
+                           * older build does not */
 };
 
 /* Sent by a replica to other seeds and replicas, to find or form a cluster. */
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -1017,6 +1017,12 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ahead_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_cold))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->cold_rate_mrps))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->cold_most))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1031,6 +1037,8 @@
 		 return FALSE;
 	 if (!xdr_mp_limit (xdrs, &objp->limit))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->spaces_cold))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -46,6 +46,8 @@
                            * away in a second before it falls over; it lets
                            * few or none wait */
     const char *leaving;  /* in a response: "1" when the target leaves */
+    const char *cold;     /* in a response: how long the target is still slow
+                           * after its start, ms */
     const char *pause;    /* in a response with status 503: seconds for which
                            * the target wants nothing from this instance */
     const char *const *reserved; /* headers that are not forwarded from the
--- a/src/protocol/TargetPage.c
+++ b/src/protocol/TargetPage.c
@@ -75,7 +75,8 @@
         return "bad_address";
     }
     if (target->slots < 0 || target->slots > SLOTS_MAX ||
-        !is_count(target->cold_ms) || !is_count(target->started_ms)) {
+        (target->cold_ms != -1 && !is_count(target->cold_ms)) ||
+        !is_count(target->started_ms)) {
         return "out_of_range";
     }
     return NULL;
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -113,6 +113,9 @@
 /* Pool of targets; the target list assigns targets to pools by name. */
 struct MpPoolConf {
     int64_t connections_max; /* to one target, from all instances */
+    int64_t cold_start_ms;   /* time that a target is slow after its start */
+    int64_t cold_rate;       /* to a target meanwhile, thousandths of requests
+                              * a second; -1: any */
     struct MpEngineConf engine;
 };
 
--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -409,6 +409,24 @@
      .description = "Connections that a target accepts, from all instances "
                     "together.  An instance keeps a connection "
                     "open after a response only within its share of them."},
+    {.name = "cold_start_ms",
+     .type = MP_FIELD_INTEGER,
+     .max = 600000,
+     .unit = "ms",
+     AT(MpPoolConf, cold_start_ms),
+     .description =
+         "Time after its start, or the restore of its zone, for which a "
+         "target is slow (cold), unless it or the target list names another."},
+    {.name = "cold_rate",
+     .type = MP_FIELD_INTEGER,
+     .min = -1,
+     .max = INT64_C(1000000000),
+     .default_value = -1,
+     .unit = "requests/1000 s",
+     AT(MpPoolConf, cold_rate),
+     .description =
+         "Rate of requests to a cold target, from all instances together, in "
+         "thousandths of a request per second; -1: no limit."},
     {.name = "engine",
      .type = MP_FIELD_OBJECT,
      .schema = &engine_schema,
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -132,6 +132,27 @@
                                                  sizeof(struct MpRetryConf),
                                              .fields = retry_fields};
 
+static const struct MpField cold_fields[] = {
+    {.name = "overshoot",
+     .type = MP_FIELD_MILLI,
+     .max = 1000000,
+     .default_value = 1000,
+     AT(MpColdBoundConf, overshoot_permille),
+     .description = "Factor of the cold rate of the pool."},
+    {.name = "tolerance",
+     .type = MP_FIELD_MILLI,
+     .max = 1000000000,
+     .default_value = 0,
+     .unit = "requests",
+     AT(MpColdBoundConf, tolerance_milli),
+     .description = "Requests that may come on top."},
+    {.name = NULL},
+};
+static const struct MpSchema cold_schema = {.name = "cold targets",
+                                            .size =
+                                                sizeof(struct MpColdBoundConf),
+                                            .fields = cold_fields};
+
 static const char *const routing_names[] = {"affinity", "random", "least_own",
                                             NULL};
 
@@ -215,6 +236,14 @@
      .schema = &retry_schema,
      AT(MpSettings, retries),
      .description = "Retry budget of requests on the paths of the document."},
+    {.name = "cold",
+     .type = MP_FIELD_OBJECT,
+     .schema = &cold_schema,
+     AT(MpSettings, cold),
+     .description =
+         "Bound of the requests that a cold target gets in any one second "
+         "from all instances: `cold_rate` of its pool x `overshoot` + "
+         "`tolerance`."},
     {.name = "data_folder",
      .type = MP_FIELD_STRING,
      .min = 1,
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -45,6 +45,13 @@
     int64_t window_ms;
 };
 
+/* Bound of the requests that a cold target gets in any one second: the rate of
+ * its pool times overshoot, plus tolerance. */
+struct MpColdBoundConf {
+    int64_t overshoot_permille;
+    int64_t tolerance_milli;
+};
+
 struct MpSettings {
     char *instance;
     char *zone;
@@ -58,6 +65,7 @@
     char *fleet_key;
     struct MpTargetListConf target_list;
     struct MpRetryConf retries;
+    struct MpColdBoundConf cold;
     char *data_folder;
     char *fleet_key_file;
     char *operator_token_file;
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -177,6 +177,47 @@
 static const struct MpTargetListClass list_class = {.apply = on_list_read,
                                                     .interval = list_interval};
 
+struct MpColdConf
+MpGateway_ColdConf(const struct MpGateway *this, const struct MpPoolConf *pool)
+{
+    const struct MpColdBoundConf *bound = &this->settings->cold;
+    return MpColdConf_Make(pool->cold_rate, pool->cold_start_ms,
+                           bound->overshoot_permille, bound->tolerance_milli);
+}
+
+/* Counts the cold targets and logs when their number has changed. */
+static void
+count_cold(struct MpGateway *this, int64_t now_ms)
+{
+    const struct MpDocument *document = this->control->document;
+    uint32_t cold = 0;
+    int64_t last_ms = now_ms;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, this->roster.targets);
+    while (document && g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct MpPoolTarget *target = value;
+        const struct MpPoolConf *pool =
+            g_hash_table_lookup(document->pools, target->pool);
+        if (!pool || pool->cold_rate < 0) {
+            continue;
+        }
+        struct MpColdConf conf = MpGateway_ColdConf(this, pool);
+        int64_t until_ms = MpRoster_ColdUntil(&this->roster, target, &conf);
+        cold += until_ms > now_ms;
+        last_ms = MAX(last_ms, until_ms);
+    }
+    if (cold != this->cold_targets) {
+        MpLog_Event(LOG_NOTICE, "targets-cold",
+                    "cold=%u before=%u targets=%u left_ms=%" PRId64
+                    " list_age_ms=%" PRId64,
+                    cold, this->cold_targets,
+                    g_hash_table_size(this->roster.targets), last_ms - now_ms,
+                    now_ms - this->list_confirmed_ms);
+    }
+    this->cold_targets = cold;
+}
+
 void
 MpGateway_ApplyTargets(struct MpGateway *this,
                        const struct MpTargetUpdate *update)
@@ -338,6 +379,7 @@
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
     probe_targets(this, now_ms);
+    count_cold(this, now_ms);
     MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
 }
 
@@ -374,6 +416,7 @@
                    uint32_t count)
 {
     MpGatewayLoans_SetPeers(this->loans, peers, count);
+    MpPermits_NoteKeepers(&this->permits, MpLoop_Now());
     MpTunnelPeers_SetList(&this->dialer.peers, peers, count);
     if (this->control->document) {
         update_slices(this, this->control->document);
@@ -441,6 +484,7 @@
     this->roster.policy = (enum MpPickPolicy)settings->routing;
     MpSlices_Init(&this->slices);
     MpPermits_Init(&this->permits);
+    MpPermits_NoteKeepers(&this->permits, MpLoop_Now());
     MpGatewayVersions_Init(this);
     this->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -503,6 +547,10 @@
                          (int64_t)this->permits.granted);
     MpMetrics_WriteValue(out, "mimosapath_permits_denied_total", NULL, NULL,
                          (int64_t)this->permits.denied);
+    MpMetrics_WriteValue(out, "mimosapath_cold_targets", NULL, NULL,
+                         this->cold_targets);
+    MpMetrics_WriteValue(out, "mimosapath_cold_attempts_total", NULL, NULL,
+                         (int64_t)this->cold_sent);
     MpMetrics_WriteValue(out, "mimosapath_target_pauses_total", NULL, NULL,
                          (int64_t)this->target_pauses);
     MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -54,6 +54,8 @@
     struct MpTimer timer;
     uint64_t retries_refused; /* counter */
     uint64_t target_pauses;   /* counter: those that targets asked for */
+    uint64_t cold_sent;       /* counter: attempts at cold targets */
+    uint32_t cold_targets;    /* by the last tick */
     uint32_t crash_reports;   /* not yet acknowledged by the quorum */
     bool is_draining;
     int64_t refuse_from_ms;   /* draining: new requests are refused */
@@ -114,6 +116,10 @@
  * this one has no share of it now. */
 uint32_t MpGateway_CountRetryFleet(struct MpGateway *this);
 
+/* Returns how cold targets of pool may be used. */
+struct MpColdConf MpGateway_ColdConf(const struct MpGateway *this,
+                                     const struct MpPoolConf *pool);
+
 /* Returns the connection pool of target. */
 struct MpConnPool *MpGateway_GetConnPool(struct MpGateway *this,
                                          struct MpPoolTarget *target);
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -97,7 +97,8 @@
 note_delay(struct MpGatewayCall *this, int64_t now_ms)
 {
     int64_t target_ms = this->path->latency_target_ms;
-    if (target_ms > 0) {
+    /* Answers of cold targets say nothing of the others. */
+    if (target_ms > 0 && !this->is_cold) {
         MpRoster_NoteDelay(
             &this->gateway->roster, this->target,
             (double)(now_ms - this->sent_ms) / (double)target_ms, now_ms);
@@ -126,9 +127,10 @@
     this->is_rejected = is_rejected(this, head);
     MpGatewayNotice_Read(this, head, now_ms);
     this->has_response = true;
-    MpPoolTarget_NoteFirstAnswer(this->target, this->prefill_tokens,
-                                 now_ms - this->sent_ms,
-                                 this->expected_wait_ms);
+    int64_t took_ms = now_ms - this->sent_ms;
+    MpPoolTarget_NoteFirstAnswer(this->target, this->prefill_tokens, took_ms,
+                                 this->is_cold ? took_ms
+                                               : this->expected_wait_ms);
     note_delay(this, now_ms);
     bool is_failure = head->status >= 500;
     if (this->is_rejected ||
@@ -310,6 +312,8 @@
     this->received_ms = now_ms;
     this->expected_wait_ms = picked->wait_ms;
     this->prefill_tokens = picked->prefill_tokens;
+    this->is_cold = picked->cold.is_set;
+    gateway->cold_sent += picked->cold.is_set;
     this->has_response = false;
     this->is_rejected = false;
     this->is_relayed = false;
@@ -339,13 +343,13 @@
         "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
         "wait_ms=%" PRId64 " tokens=%" PRId64
         " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
-        " limit_mrps=%" PRId64 " permit_ms=%" PRId64,
+        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64,
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, target->version, this->pool, this->forward.sends,
         picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
-        target->limit.rate_mrps, this->permit_wait_ms);
+        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms);
     g_clear_pointer(&this->permitted, g_free);
     this->permit_tries = 0;
     this->permit_wait_ms = 0;
@@ -369,17 +373,17 @@
     }
     retry_after_ms = MpGatewayNotice_RetryAfter(
         this, MAX(retry_after_ms, RETRY_AFTER_MIN_MS), now_ms);
-    MpLog_Event(
-        LOG_WARNING, "target-none",
-        "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
-        "paused=%u resting=%u tried=%u full=%u limited=%u queue_ms=%" PRId64
-        " list=%" PRIu64 " list_age_ms=%" PRId64 " has_retry=%d",
-        this->id ? this->id : "-", this->pool, MpError_Name(code),
-        this->forward.sends + 1, status.listed, status.leaving, status.ejected,
-        status.resting, status.tried, status.full, status.limited,
-        picked->queue_ms, roster->version,
-        roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
-        this->forward.sends == 0 || may_retry(this));
+    MpLog_Event(LOG_WARNING, "target-none",
+                "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
+                "paused=%u resting=%u tried=%u full=%u limited=%u cold=%u "
+                "queue_ms=%" PRId64 " list=%" PRIu64 " list_age_ms=%" PRId64
+                " has_retry=%d",
+                this->id ? this->id : "-", this->pool, MpError_Name(code),
+                this->forward.sends + 1, status.listed, status.leaving,
+                status.ejected, status.resting, status.tried, status.full,
+                status.limited, status.cold, picked->queue_ms, roster->version,
+                roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
+                this->forward.sends == 0 || may_retry(this));
     MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
                          retry_after_ms);
 }
@@ -418,7 +422,9 @@
         .instance_rank = gateway->dialer.peers.own_rank,
         .instances = gateway->dialer.peers.listed->len + 1,
         .wall_ms = MpLoop_WallMs(),
-        .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX};
+        .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX,
+        .cold = MpGateway_ColdConf(gateway, pool),
+        .prefers_warm = this->permit_tries > 0};
     if (this->forward.sends == 0) {
         query->rank = MpGatewayCall_Rank(this);
         query->queue_max_ms = MpRoster_QueueMax(this->path->latency_target_ms,
@@ -449,7 +455,7 @@
     }
     if (code == MP_OK && picked.needs_permit &&
         (!is_retry || may_retry(this))) {
-        MpGatewayPermits_Request(this, picked.target);
+        MpGatewayPermits_Request(this, &picked);
         return;
     }
     if (code == MP_OK && is_retry &&
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -74,6 +74,7 @@
     int64_t received_ms; /* last data from the target, at first sent_ms */
     int64_t expected_wait_ms;
     int64_t prefill_tokens;
+    bool is_cold;          /* the target was cold when it was picked */
     bool has_response;     /* the head of the target's response has arrived */
     bool is_rejected;      /* that response says that nothing has run */
     bool is_relayed;       /* the body of that response goes to the caller */
--- a/src/transport/GatewayNotice.c
+++ b/src/transport/GatewayNotice.c
@@ -133,6 +133,37 @@
     }
 }
 
+/* Applies how long the target stays cold. */
+static void
+update_cold(struct MpGatewayCall *this, const struct MpTargetHead *head,
+            int64_t now_ms)
+{
+    struct MpPoolTarget *target = this->target;
+    int64_t left_ms;
+    size_t size;
+    const char *value =
+        MpTargetHead_Find(head, this->gateway->dialect->target.cold, &size);
+    if (!value) {
+        return;
+    }
+    if (!MpColdStart_Parse(value, size, &left_ms)) {
+        if (!target->cold.is_invalid) {
+            log_unreadable(this, "target-cold-invalid", "value", value, size);
+        }
+        target->cold.is_invalid = true;
+        return;
+    }
+    target->cold.is_invalid = false;
+    if (MpColdStart_NoteHeader(&target->cold, left_ms, this->sent_ms,
+                               now_ms)) {
+        MpLog_Event(LOG_NOTICE, "target-cold",
+                    "id=%s target=%s pool=%s left_ms=%" PRId64
+                    " age_ms=%" PRId64 " from=answer",
+                    this->id ? this->id : "-", target->incarnation,
+                    target->pool, left_ms, now_ms - this->sent_ms);
+    }
+}
+
 /* ---- leaving and pauses ---- */
 
 void
@@ -152,6 +183,7 @@
     }
     update_limit(call, head, now_ms);
     update_room(call, head);
+    update_cold(call, head, now_ms);
     const char *value = MpTargetHead_Find(head, names->leaving, &size);
     MpTargetNotice_ReadLeaving(&notice, value, size, &target->leaving);
     target->is_leaving |= target->leaving.by_answer;
--- a/src/transport/GatewayPermits.c
+++ b/src/transport/GatewayPermits.c
@@ -28,6 +28,7 @@
     uint32_t keeper_count;
     uint32_t first; /* index of the keeper to ask first */
     uint32_t asked; /* keepers that have answered or were passed over */
+    struct MpColdConf cold; /* is_set: the target is cold */
     int64_t ahead_ms;
     int64_t began_ms;
     int64_t asked_ms;
@@ -173,11 +174,12 @@
     target->permit_ms = again_ms;
     MpLog_Event(LOG_INFO, "permit-denied",
                 "id=%s target=%s limit_mrps=%" PRId64 " limit_age_ms=%" PRId64
-                " keepers=%u again_ms=%" PRId64,
+                " cold_mrps=%" PRId64 " keepers=%u again_ms=%" PRId64,
                 request->call->id ? request->call->id : "-",
                 target->incarnation, target->limit.rate_mrps,
-                now_ms - target->limit.received_ms, request->keeper_count,
-                again_ms - now_ms);
+                now_ms - target->limit.received_ms,
+                request->cold.is_set ? request->cold.rate_mrps : -1,
+                request->keeper_count, again_ms - now_ms);
     finish(request, false);
 }
 
@@ -234,9 +236,11 @@
         is_valid(&reply->limit)) {
         note_limit(target, &reply->limit, request->asked_ms, "keeper");
     }
-    handle_answer(request, reply->code == MP_OK,
-                  reply->code == MP_ERROR_NOT_FOUND ? NOT_KEEPER_MS
-                                                    : reply->wait_ms);
+    /* An older build grants what a cold target must not get. */
+    bool is_kept = reply->code != MP_ERROR_NOT_FOUND &&
+                   (!request->cold.is_set || reply->spaces_cold);
+    handle_answer(request, is_kept && reply->code == MP_OK,
+                  is_kept ? reply->wait_ms : NOT_KEEPER_MS);
 }
 
 static void
@@ -245,6 +249,7 @@
 {
     struct MpPermitQuery query = {.incarnation = request->incarnation,
                                   .limit = target->limit,
+                                  .cold = request->cold,
                                   .shares = shares,
                                   .share = share,
                                   .ahead_ms = request->ahead_ms};
@@ -285,7 +290,10 @@
         struct mp_permit permit = {
             .limit =
                 limit_to_wire(request->incarnation, &target->limit, now_ms),
-            .ahead_ms = (u_int)request->ahead_ms};
+            .ahead_ms = (u_int)request->ahead_ms,
+            .is_cold = request->cold.is_set,
+            .cold_rate_mrps = request->cold.rate_mrps,
+            .cold_most = request->cold.most};
         request->is_asking = true;
         request->asked_ms = now_ms;
         MpRpcClient_Call(client, MP_PROC_PERMIT, &permit, ASK_TIMEOUT_MS,
@@ -297,8 +305,10 @@
 
 void
 MpGatewayPermits_Request(struct MpGatewayCall *call,
-                         struct MpPoolTarget *target)
+                         const struct MpPicked *picked)
 {
+    const struct MpPoolTarget *target = picked->target;
+    bool is_waited_for = !picked->cold.is_set || !picked->has_warm;
     struct MpGateway *gateway = call->gateway;
     struct MpPermitRequest *request = g_new0(struct MpPermitRequest, 1);
     GPtrArray *keepers = g_ptr_array_new();
@@ -310,8 +320,11 @@
         .incarnation = g_strdup(target->incarnation),
         .keeper_count = keepers->len,
         .first = near,
-        .ahead_ms = MpPermits_Ahead(call->path->latency_target_ms,
-                                    MpGatewayCall_Rank(call)),
+        .cold = picked->cold,
+        .ahead_ms = is_waited_for
+                        ? MpPermits_Ahead(call->path->latency_target_ms,
+                                          MpGatewayCall_Rank(call))
+                        : 0,
         .began_ms = MpLoop_Now()};
     for (guint i = 0; i < keepers->len; i++) {
         request->keepers[i] = g_strdup(g_ptr_array_index(keepers, i));
@@ -320,7 +333,7 @@
     call->permit = request;
     call->stage = MP_CALL_PERMIT;
     if (request->keeper_count == 0 && !gateway->settings->listen.peers) {
-        ask_locally(request, target, gateway->control->instances, -1);
+        ask_locally(request, picked->target, gateway->control->instances, -1);
         return;
     }
     ask_next(request);
@@ -362,6 +375,29 @@
     return share;
 }
 
+/* Returns the rules for a target by what the asking instance says and, if it
+ * is cold by what is known here, the document here. */
+static struct MpColdConf
+cold_conf(const struct MpGateway *gateway, const struct MpPoolTarget *target,
+          const struct mp_permit *permit, int64_t now_ms)
+{
+    const struct MpDocument *document = gateway->control->document;
+    const struct MpPoolConf *pool =
+        document && target ? g_hash_table_lookup(document->pools, target->pool)
+                           : NULL;
+    struct MpColdConf asked = {.is_set = permit->is_cold,
+                               .rate_mrps = permit->cold_rate_mrps,
+                               .most = permit->cold_most};
+    if (!pool) {
+        return asked;
+    }
+    struct MpColdConf known = MpGateway_ColdConf(gateway, pool);
+    bool is_cold =
+        permit->is_cold ||
+        MpRoster_ColdUntil(&gateway->roster, target, &known) > now_ms;
+    return is_cold ? MpColdConf_Merge(&asked, &known) : asked;
+}
+
 void
 MpGatewayPermits_Serve(struct MpGateway *gateway, struct MpRpcCall *call)
 {
@@ -370,7 +406,8 @@
     uint32_t shares;
     int32_t share = own_share(gateway, permit->limit.incarnation, &shares);
     struct mp_permit_reply reply = {.code = MP_ERROR_NOT_FOUND,
-                                    .limit = permit->limit};
+                                    .limit = permit->limit,
+                                    .spaces_cold = true};
     if (!is_valid(&permit->limit) || share < 0) {
         MpRpcCall_Reply(call, &reply);
         return;
@@ -382,6 +419,7 @@
         .limit = {.rate_mrps = permit->limit.rate_mrps,
                   .sent_ms = now_ms - permit->limit.sent_age_ms,
                   .received_ms = now_ms - permit->limit.received_age_ms},
+        .cold = cold_conf(gateway, target, permit, now_ms),
         .shares = shares,
         .share = share,
         .ahead_ms = permit->ahead_ms};
@@ -394,6 +432,7 @@
     reply = (struct mp_permit_reply){
         .code = answer.is_granted ? MP_OK : MP_ERROR_LIMIT,
         .wait_ms = (u_int)answer.wait_ms,
-        .limit = limit_to_wire(query.incarnation, &answer.limit, now_ms)};
+        .limit = limit_to_wire(query.incarnation, &answer.limit, now_ms),
+        .spaces_cold = true};
     MpRpcCall_Reply(call, &reply);
 }
--- a/src/transport/GatewayPermits.h
+++ b/src/transport/GatewayPermits.h
@@ -7,7 +7,8 @@
 
 /*
  * GatewayPermits - gets permits for requests to targets that name a rate
- * limit, and hands them out for the targets that this instance keeps.
+ * limit or are cold, and hands them out for the targets that this instance
+ * keeps.
  *
  * coordination/Permits spaces the slots, coordination/Lenders chooses the
  * keepers of a target.  A request asks the keepers one after the other until
@@ -16,20 +17,22 @@
  * refused.
  *
  * Without lenders there are no keepers; then each instance takes an equal
- * share of the limit.
+ * share of the limit, and sends nothing to cold targets.
  */
 
 /* Targets for which one attempt seeks a permit before it leaves out those that
- * name a limit. */
+ * need one. */
 #define MP_PERMIT_TRIES_MAX 3
 
 /* A call that waits for a permit. */
 struct MpPermitRequest;
 
-/* Seeks a permit for a request to target.  Then MpGatewayAttempt_Start is
- * called again, with call->permitted set if a permit was granted. */
+/* Seeks a permit for a request to the picked target.  Then
+ * MpGatewayAttempt_Start is called again, with call->permitted set if a permit
+ * was granted.  The request does not wait for the slot of a cold target while
+ * a warm one can take it. */
 void MpGatewayPermits_Request(struct MpGatewayCall *call,
-                              struct MpPoolTarget *target);
+                              const struct MpPicked *picked);
 
 /* Ends the wait of a call that ends. */
 void MpGatewayPermits_Cancel(struct MpGatewayCall *call);
--- a/src/transport/Replica.h
+++ b/src/transport/Replica.h
@@ -95,6 +95,8 @@
     uint64_t previous_targets_hash; /* 0: no list before */
     GArray *targets_changed;
     GArray *targets_removed;
+    GHashTable *cold_ends;   /* incarnation -> int64_t *, when the cold time of
+                              * a listed target ends */
     int64_t targets_read_ms; /* last read of the list; 0: never */
     /* For lists that are too long: the document parsed for them, or NULL, and
      * the version that it was parsed from, 0 while the list is short. */
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -37,10 +37,47 @@
     return target->version ? target->version : "";
 }
 
+/* Ends of cold times that differ by less than this are the same, ms: reads of
+ * the list take different times. */
+#define COLD_END_JITTER_MS 300
+
+/* Returns the end of a target's cold time, 0 if it is not cold.  It stays the
+ * same while the remaining time only counts down. */
+static int64_t
+cold_end(const GHashTable *ends, const struct MpListedTarget *target,
+         int64_t now_ms)
+{
+    const int64_t *known =
+        g_hash_table_lookup((GHashTable *)ends, target->incarnation);
+    int64_t end_ms = now_ms + MIN(target->cold_ms, MP_COLD_MAX_MS);
+    if (target->cold_ms <= 0) {
+        return 0;
+    }
+    return known && end_ms - *known < COLD_END_JITTER_MS ? *known : end_ms;
+}
+
+/* Returns the ends of the cold times of targets, by incarnation. */
+static GHashTable *
+list_cold_ends(const GHashTable *before, const GPtrArray *targets,
+               int64_t now_ms)
+{
+    GHashTable *ends =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (guint i = 0; i < targets->len; i++) {
+        const struct MpListedTarget *target = g_ptr_array_index(targets, i);
+        int64_t end_ms = cold_end(before, target, now_ms);
+        if (end_ms > 0) {
+            g_hash_table_replace(ends, g_strdup(target->incarnation),
+                                 g_memdup2(&end_ms, sizeof(end_ms)));
+        }
+    }
+    return ends;
+}
+
 /* Hashes a target without cold_ms, which counts down and so differs at each
- * read. */
+ * read, but with cold_end_ms, which changes when it becomes cold again. */
 static uint64_t
-hash_entry(const struct MpListedTarget *target)
+hash_entry(const struct MpListedTarget *target, const int64_t *cold_end_ms)
 {
     uint64_t hash = XXH64(target->incarnation, strlen(target->incarnation), 1);
     hash = XXH64(target->pool, strlen(target->pool), hash);
@@ -49,6 +86,9 @@
     hash = XXH64(version_of(target), strlen(version_of(target)), hash);
     hash = XXH64(&target->slots, sizeof(target->slots), hash);
     hash = XXH64(&target->started_ms, sizeof(target->started_ms), hash);
+    if (cold_end_ms) {
+        hash = XXH64(cold_end_ms, sizeof(*cold_end_ms), hash);
+    }
     return XXH64(&target->is_leaving, sizeof(target->is_leaving), hash);
 }
 
@@ -82,10 +122,21 @@
            strcmp(a->software, b->software) == 0;
 }
 
+/* Whether a target's cold time ends when it did before. */
+static bool
+has_same_end(const GHashTable *before, const GHashTable *after,
+             const char *incarnation)
+{
+    const int64_t *a = g_hash_table_lookup((GHashTable *)before, incarnation);
+    const int64_t *b = g_hash_table_lookup((GHashTable *)after, incarnation);
+    return a && b ? *a == *b : a == b;
+}
+
 /* Sets targets_changed and targets_removed to the differences between the
- * previous list and the new one. */
+ * previous list and the new one; ends_before are the cold ends of the
+ * former. */
 static void
-compare_lists(struct MpReplica *this)
+compare_lists(struct MpReplica *this, const GHashTable *ends_before)
 {
     GHashTable *before = g_hash_table_new(g_str_hash, g_str_equal);
     g_array_set_size(this->targets_changed, 0);
@@ -100,7 +151,8 @@
             &g_array_index(this->targets, struct mp_target, i);
         struct mp_target *old =
             g_hash_table_lookup(before, target->incarnation);
-        if (!old || !is_equal(old, target)) {
+        if (!old || !is_equal(old, target) ||
+            !has_same_end(ends_before, this->cold_ends, target->incarnation)) {
             g_array_append_val(this->targets_changed, *target);
         }
         g_hash_table_remove(before, target->incarnation);
@@ -128,14 +180,20 @@
 apply_list(struct MpReplica *this, const GPtrArray *targets)
 {
     uint64_t hash = 1;
+    GHashTable *ends = list_cold_ends(this->cold_ends, targets, MpLoop_Now());
     for (guint i = 0; i < targets->len; i++) {
         /* The hashes are added, as the order of a provider's list is
          * arbitrary. */
-        hash += hash_entry(g_ptr_array_index(targets, i));
+        const struct MpListedTarget *target = g_ptr_array_index(targets, i);
+        hash +=
+            hash_entry(target, g_hash_table_lookup(ends, target->incarnation));
     }
     if (hash == this->targets_hash) {
+        g_hash_table_unref(ends);
         return 0;
     }
+    GHashTable *ends_before = this->cold_ends;
+    this->cold_ends = ends;
     g_array_unref(this->previous_targets);
     this->previous_targets = this->targets;
     this->previous_targets_hash = this->targets_hash;
@@ -159,7 +217,8 @@
                                    .started_ms = from->started_ms};
         g_array_append_val(this->targets, target);
     }
-    compare_lists(this);
+    compare_lists(this, ends_before);
+    g_hash_table_unref(ends_before);
     pack_list(this);
     return 1;
 }
@@ -254,6 +313,8 @@
 {
     replica->targets = new_list();
     replica->previous_targets = new_list();
+    replica->cold_ends =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     replica->targets_changed =
         g_array_new(false, false, sizeof(struct mp_target));
     replica->targets_removed =
