--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -60,6 +60,16 @@
     return pool;
 }
 
+/* Returns whether the target's zone was drained or restored. */
+static bool
+mark_drained(const struct MpRoster *this, struct MpPoolTarget *target)
+{
+    bool was_drained = target->is_drained;
+    target->is_drained =
+        this->zones && MpDrainedZones_Contains(this->zones, target->zone);
+    return target->is_drained != was_drained;
+}
+
 static struct MpPoolTarget *
 target_new(struct MpRoster *this, const struct MpListedTarget *entry,
            int64_t now_ms)
@@ -72,8 +82,7 @@
     target->version = g_strdup(entry->version ? entry->version : "");
     target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
     target->listed_ms = now_ms;
-    target->is_drained =
-        this->zones && MpDrainedZones_Contains(this->zones, target->zone);
+    mark_drained(this, target);
     target->slowness = 1.0;
     target->limit = (struct MpTargetLimit)MP_TARGET_LIMIT_INIT;
     target->cached_parts =
@@ -114,10 +123,7 @@
     this->zones = zones;
     g_hash_table_iter_init(&iter, this->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct MpPoolTarget *target = value;
-        bool is_drained = MpDrainedZones_Contains(zones, target->zone);
-        changes += target->is_drained != is_drained;
-        target->is_drained = is_drained;
+        changes += mark_drained(this, value);
     }
     return changes;
 }
@@ -168,6 +174,11 @@
         target = target_new(this, entry, now_ms);
         changes = 1;
     }
+    if (strcmp(target->zone, entry->zone) != 0) {
+        g_free(target->zone);
+        target->zone = g_strdup(entry->zone);
+        changes += mark_drained(this, target);
+    }
     if (MpTargetLeaving_NoteEntry(&target->leaving, entry->is_leaving,
                                   entry->started_ms)) {
         target->pause = (struct MpTargetPause){.until_ms = 0};
--- a/src/coordination/TunnelPeers.h
+++ b/src/coordination/TunnelPeers.h
@@ -43,7 +43,8 @@
 /* What came of asking a peer. */
 enum MpPeerResult {
     MP_PEER_PASSED,  /* it passed data of the target on */
-    MP_PEER_REPLIED, /* it opened a connection, or found the target down */
+    MP_PEER_REPLIED, /* it opened a connection, found the target down, or
+                      * refuses the target */
     MP_PEER_BROKEN,  /* a request by way of it failed without any data: the
                       * target failed, or the peer is cut off unknowingly */
     MP_PEER_CUT_OFF, /* it replied that it has lost its own paths */
--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -249,7 +249,7 @@
 static enum MpPeerResult
 peer_result(int code)
 {
-    if (code == MP_OK || is_target_down(code)) {
+    if (code == MP_OK || code == MP_ERROR_NO_TARGET || is_target_down(code)) {
         return MP_PEER_REPLIED;
     }
     if (code == MP_ERROR_NOT_READY) {
@@ -279,6 +279,12 @@
         finish(this, &(struct MpDialed){.socket = socket, .peer = peer});
         return;
     }
+    if (code == MP_ERROR_NO_TARGET) {
+        /* Other peers refuse the target too: it leaves, wants a pause, or its
+         * zone is drained. */
+        fail(this, "peer-refuses");
+        return;
+    }
     if (is_target_down(code)) {
         this->witnesses++;
         this->is_refused |= code == MP_ERROR_CLOSED;
--- a/tests/TestRoster.c
+++ b/tests/TestRoster.c
@@ -752,6 +752,14 @@
     g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "a"), ==, 9080);
     g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "b"), ==, -1);
     g_assert_cmpint(MpRoster_ZoneRestoredMs(&roster, "c"), ==, -1);
+
+    /* The list corrects the zone of a target. */
+    entries[1].zone = (char *)"a";
+    MpRoster_SetList(&roster, list, 9200);
+    g_assert_false(MpRoster_Find(&roster, "b0")->is_drained);
+    entries[1].zone = (char *)"b";
+    MpRoster_SetList(&roster, list, 9300);
+    g_assert_true(MpRoster_Find(&roster, "b0")->is_drained);
     MpRoster_Done(&roster);
     MpDrainedZones_Done(&zones);
     g_ptr_array_unref(list);
--- a/tests/TestRpc.c
+++ b/tests/TestRpc.c
@@ -125,6 +125,11 @@
                     MP_ERROR_TOO_LARGE);
 }
 
+/* Sizes of the fields that were appended to messages, bytes. */
+#define SYNC_ZONES_BYTES 8   /* zones_version */
+#define SYNC_PEERS_BYTES 4   /* peers, empty */
+#define REPLY_ZONES_BYTES 12 /* zones_version, zones, empty */
+
 /* An instance of the build before sends messages without the fields that were
  * appended since; it was cut off when its messages did not decode. */
 static void
@@ -143,14 +148,73 @@
         MpRpc_AppendCall(&this->client, this->wire, 9, MP_PROC_SYNC, &sync),
         ==, MP_OK);
     g_assert_cmpint(verify_record(this, &body, &size), ==, MP_OK);
-    /* The last field, an empty string, takes 4 bytes. */
-    g_assert_cmpint(MpRpc_ReadCall(body, size - 4, &head, &argument), ==,
+    const size_t missing[] = {SYNC_ZONES_BYTES,
+                              SYNC_ZONES_BYTES + SYNC_PEERS_BYTES};
+    for (size_t i = 0; i < G_N_ELEMENTS(missing); i++) {
+        g_assert_cmpint(
+            MpRpc_ReadCall(body, size - missing[i], &head, &argument), ==,
+            MP_OK);
+        const struct mp_sync *decoded = argument;
+        g_assert_cmpstr(decoded->incarnation.instance, ==, "i0");
+        g_assert_cmpuint(decoded->document_version, ==, 7);
+        g_assert_cmpstr(decoded->peers, ==, "");
+        g_assert_cmpuint(decoded->zones_version, ==, 0);
+        MpRpc_FreeArgument(MP_PROC_SYNC, argument);
+    }
+}
+
+/* The same for the replies of a leader of the build before. */
+static void
+test_shorter_reply(struct fixture *this, const void *data)
+{
+    struct mp_zone zone = {.name = (char *)"a"};
+    struct mp_sync_reply sync = {.leader = (char *)"l", .document_version = 7};
+    struct mp_read_reply read = {
+        .leader = (char *)"l", .author = (char *)"", .document = (char *)""};
+    const uint32_t procedures[] = {MP_PROC_SYNC, MP_PROC_READ};
+    const void *replies[] = {&sync, &read};
+    (void)data;
+    for (size_t i = 0; i < G_N_ELEMENTS(procedures); i++) {
+        const uint8_t *body;
+        size_t size;
+        void *result;
+        g_byte_array_set_size(this->wire, 0);
+        g_assert_cmpint(MpRpc_AppendReply(&this->server, this->wire, 1,
+                                          procedures[i], replies[i]),
+                        ==, MP_OK);
+        g_assert_cmpint(MpRpc_Verify(&this->client, this->wire->data,
+                                     this->wire->len, &body, &size),
+                        ==, MP_OK);
+        g_assert_cmpint(MpRpc_ReadResult(body, size - REPLY_ZONES_BYTES,
+                                         procedures[i], &result),
+                        ==, MP_OK);
+        if (procedures[i] == MP_PROC_SYNC) {
+            const struct mp_sync_reply *decoded = result;
+            g_assert_cmpuint(decoded->document_version, ==, 7);
+            g_assert_cmpuint(decoded->zones_version, ==, 0);
+            g_assert_cmpuint(decoded->zones.zones_len, ==, 0);
+        }
+        MpRpc_FreeResult(procedures[i], result);
+    }
+    sync.zones_version = 9;
+    sync.zones.zones_len = 1;
+    sync.zones.zones_val = &zone;
+    g_byte_array_set_size(this->wire, 0);
+    g_assert_cmpint(
+        MpRpc_AppendReply(&this->server, this->wire, 1, MP_PROC_SYNC, &sync),
+        ==, MP_OK);
+    const uint8_t *body;
+    size_t size;
+    void *result;
+    g_assert_cmpint(MpRpc_Verify(&this->client, this->wire->data,
+                                 this->wire->len, &body, &size),
+                    ==, MP_OK);
+    g_assert_cmpint(MpRpc_ReadResult(body, size, MP_PROC_SYNC, &result), ==,
                     MP_OK);
-    const struct mp_sync *decoded = argument;
-    g_assert_cmpstr(decoded->incarnation.instance, ==, "i0");
-    g_assert_cmpuint(decoded->document_version, ==, 7);
-    g_assert_cmpstr(decoded->peers, ==, "");
-    MpRpc_FreeArgument(MP_PROC_SYNC, argument);
+    g_assert_cmpuint(((struct mp_sync_reply *)result)->zones_version, ==, 9);
+    g_assert_cmpstr(((struct mp_sync_reply *)result)->zones.zones_val[0].name,
+                    ==, "a");
+    MpRpc_FreeResult(MP_PROC_SYNC, result);
 }
 
 /* The state of 55,000 workspaces, the largest supported fleet, fits into one
@@ -208,6 +272,7 @@
     CASE("a wrong key is refused", test_wrong_key);
     CASE("a large state fits", test_large_state);
     CASE("a message without the last fields is decoded", test_shorter_message);
+    CASE("reply of the build before", test_shorter_reply);
     g_test_add_func("/rpc/sizes are bounded", test_sizes);
     g_test_add_func("/rpc/a slow link can be connected over",
                     test_connects_over_slow_link);
