--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -115,9 +115,17 @@
                                    .received_ms = MpLoop_Now()};
 }
 
+static void retry_at_other_target(struct MpExchange *this, bool is_sent);
+
 void
 MpExchange_StartAttempt(struct MpExchange *this)
 {
+    if (this->target->is_zone_drained) {
+        /* Since the target was picked, while the record was opened. */
+        MpExchange_EndAttempt(this, MP_ATTEMPT_CANCELLED);
+        retry_at_other_target(this, false);
+        return;
+    }
     const struct MpTargetNotice notice = notice_of(this, MpLoop_Now());
     this->stage = MP_STAGE_RUNNING;
     this->sent_ms = notice.received_ms;
--- a/src/transport/ZoneOrder.c
+++ b/src/transport/ZoneOrder.c
@@ -169,7 +169,7 @@
 void
 MpZoneOrder_Serve(struct MpOperatorCall *call)
 {
-    bool is_drain;
+    bool is_drain = false;
     struct MpControlClient *control = call->server->control;
     char *zone = parse_path(control->dialect, call->req->path, &is_drain);
     if (!MpSchema_IsName(zone)) {
--- a/tests/runs/zone_drain.py
+++ b/tests/runs/zone_drain.py
@@ -105,7 +105,7 @@
     print("pool of the drained zone:", status, "run:", may_have_run,
           "at once:", time.monotonic() - began_s < 2)
     print("begin again, at each instance:",
-          [order(fleet, "begin", names=[n]) for n in fleet.control])
+          [order(fleet, "begin", names=[n]) for n in fleet.names])
     print("other names:", order(fleet, "begin", zone="no%20zone"),
           order(fleet, "finish", zone="z" * 65),
           order(fleet, "finish", zone="never-drained"))
