--- a/src/coordination/ColdStart.h
+++ b/src/coordination/ColdStart.h
@@ -25,10 +25,10 @@
 /* Longest time from a read of the target list by the leader until an instance
  * applies it, ms: the leader sends no list that was read longer ago. */
 #define MP_COLD_LIST_AGE_MS 2500
-/* Time by which a request may reach its target after its slot, ms.  The reply
- * with the permit takes at most 80 ms, or it is ignored; the rest is for a new
- * connection, possibly by way of another instance. */
-#define MP_COLD_LATE_MS 250
+/* Time by which a request may reach its target after its slot, ms: the reply
+ * with the permit takes at most 80 ms, or it is ignored, and a connection is
+ * opened within 300 ms, or by way of another instance 400 ms later. */
+#define MP_COLD_LATE_MS 800
 
 /* How the targets of a pool may be used while they are cold. */
 struct MpColdConf {
--- a/tests/TestDocument.c
+++ b/tests/TestDocument.c
@@ -99,6 +99,35 @@
     }
 }
 
+/* Numbers with decimals must not lose them: 8.6 a second is not 8. */
+static void
+test_cold_rates(void)
+{
+    const char *text =
+        "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"a\","
+        "\"cold-start-s\":2.5,\"cold-per-s\":8.6},{\"name\":\"b\"},"
+        "{\"name\":\"c\",\"cold-per-s\":0},"
+        "{\"name\":\"d\",\"cold-per-s\":-1}],\"tenants\":[]}";
+    GPtrArray *findings = MpFindings_New();
+    struct MpDocument *document =
+        MpPlatform_ParseDocument(text, strlen(text), findings);
+    g_assert_nonnull(document);
+    static const int64_t rates[] = {8600, -1, 0, -1};
+    for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+        const char name[] = {(char)('a' + i), '\0'};
+        const struct MpPoolConf *pool =
+            g_hash_table_lookup(document->pools, name);
+        g_assert_cmpint(pool->cold_rate, ==, rates[i]);
+        g_assert_cmpint(pool->cold_start_ms, ==, i == 0 ? 2500 : 0);
+    }
+    MpDocument_Unref(document);
+    const char *wrong = "{\"version\":1,\"routes\":[],\"services\":[{"
+                        "\"name\":\"a\",\"cold-per-s\":\"8.6\"}],"
+                        "\"tenants\":[]}";
+    g_assert_null(MpPlatform_ParseDocument(wrong, strlen(wrong), findings));
+    g_ptr_array_unref(findings);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -110,5 +139,6 @@
     g_test_add_func("/document/stored document is not checked",
                     test_stored_document_is_not_checked);
     g_test_add_func("/document/empty key is let in", test_empty_key_is_let_in);
+    g_test_add_func("/document/cold rates", test_cold_rates);
     return g_test_run();
 }
--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -216,6 +216,7 @@
     document = {"paths": {p["prefix"].strip("/"): p for p in paths},
                 "pools": {"p": {"engine": {
         "slots": 8, "event_tokens": 3}}}}
+    document["pools"]["p"].update(options.pop("extra_pool", {}))
     if "extra_limits" in options:
         document["limits"] = options.pop("extra_limits")
     for pool in options.pop("extra_pools", []):
