Runs with crowds of clients that are not under control, red on this code

Guards against an instance that holds whatever its clients and targets send or leave unread. Five scripts start one instance with lowered limits (bodies of 1 MB, an account of 12 MB where the product knows the setting) and check that the process lives, that its peak memory and descriptors stay within bounds that the script states, and that an ordinary request is answered afterwards.

Bound of the memory: 12 MB for a process without callers (measured: 8 to 10) + 12 MB account + 10 MB margin = 34 MB. Descriptors: 3 for each client + 64. The scripts use the build without sanitizers, and runs.t plays them alone after the others.

--- /dev/null
+++ b/tests/clients.py
@@ -0,0 +1,201 @@
+"""Crowds of clients that are not under our control, for the scripts
+tests/runs/clients_*: an instance with lowered limits, and the bounds within
+which it has to stay.
+
+These scripts use the build without sanitizers, whose memory is that of the
+machines in service; PLAIN_MIMOSAPATH names another one.  With FIGURES=1 in the
+environment the figures are printed.
+"""
+
+import os
+import re
+import socket
+import sys
+import threading
+import time
+
+root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+os.environ["MIMOSAPATH"] = os.environ.get(
+    "PLAIN_MIMOSAPATH", os.path.join(root, "build", "mimosapath"))
+
+from fleet import KEY, PROGRAM  # noqa: E402
+from pathfleet import (ServiceFleet, SimTarget, path_conf,  # noqa: E402
+                       path_fleet, respond, send, serve_status, status_of,
+                       wait_for_service, wait_targets)
+
+MB = 1 << 20
+BODY_MAX = MB
+# The account of what is held for callers and targets.
+ACCOUNT_BYTES = 12 * MB
+# What an instance uses without callers (8 MB), rounded up; and what no account
+# counts: a buffer that is being copied to a larger one, the heads, unread
+# responses of up to 64 KB for each client.
+BASE_BYTES, MARGIN_BYTES = 12 * MB, 10 * MB
+MEMORY_MAX_KB = (BASE_BYTES + ACCOUNT_BYTES + MARGIN_BYTES) >> 10
+# A client, the connection to its target, a connection that is being closed,
+# and what the instance has open without callers.
+DESCRIPTORS_PER_CLIENT, DESCRIPTORS_BASE = 3, 64
+# How long a crowd stays after the last of it has connected.
+HOLD_S = 2
+
+
+def head(path, *headers):
+    fields = ["host: h.example", "authorization: Bearer " + KEY] + list(headers)
+    return ("POST %s HTTP/1.1\r\n%s\r\n\r\n" % (
+        path, "\r\n".join(fields))).encode()
+
+
+def with_length(path, size):
+    """Returns the head of a request that announces a body of this size."""
+    return head(path, "content-length: %d" % size)
+
+
+def in_chunks(path):
+    return head(path, "transfer-encoding: chunked")
+
+
+def chunk(size):
+    return b"%x\r\n%s\r\n" % (size, b"b" * size)
+
+
+def settings():
+    limits = {"body_most_bytes": BODY_MAX}
+    # Builds without the account do not know its setting.
+    with open(PROGRAM, "rb") as program:
+        if b"memory_max_bytes" in program.read():
+            limits["memory_max_bytes"] = ACCOUNT_BYTES
+    return limits
+
+
+def crowded_fleet(handle_request):
+    """Returns a fleet of one instance with lowered limits.  The path /x/ and
+    the service "raw" lead to targets that call handle_request, and /ready/
+    leads to another one."""
+    target = SimTarget("t0", handle_request)
+    target.slots = 256
+    other = SimTarget("t1", lambda t, r, c: respond(c, r), pool="q")
+
+    def handle_service(target, request, conn):
+        if "/ready/" in request["path"]:
+            return respond(conn, request)
+        return handle_request(target, request, conn)
+    ServiceFleet.service_target = SimTarget("raw-0",
+                                            serve_status(handle_service))
+    fleet, _ = path_fleet(
+        [target, other],
+        [path_conf("/x/", timeout_ms=30000),
+         path_conf("/ready/", pool="q")], extra_pools=["q"],
+        instances=1, control=1, fleet_class=ServiceFleet, concurrent_max=256,
+        extra_settings=settings())
+    return fleet
+
+
+def wait_ready(fleet):
+    return wait_targets(fleet, "i0") and wait_for_service(fleet, "i0")
+
+
+class Client:
+    """A client that sends without blocking its script: what the instance does
+    not take within the time is left unsent."""
+
+    def __init__(self, fleet, window=None):
+        self.conn = socket.socket()
+        if window:
+            self.conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        self.conn.settimeout(10)
+        self.conn.connect(("127.0.0.1", fleet.callers["i0"]))
+
+    def send(self, data):
+        """Returns whether the instance has taken all of it."""
+        try:
+            self.conn.sendall(data)
+            return True
+        except OSError:
+            return False
+
+    def close(self):
+        self.conn.close()
+
+
+class Crowd:
+    """Runs play(client, number) for several clients at once, and keeps their
+    connections open until all have played and HOLD_S more."""
+
+    def __init__(self, fleet, count, play, window=None):
+        self.fleet, self.process = fleet, fleet.processes["i0"]
+        self.count, self.descriptors = count, 0
+        clients = []
+
+        def run(number):
+            try:
+                client = Client(fleet, window)
+            except OSError:
+                return
+            clients.append(client)
+            play(client, number)
+        threads = [threading.Thread(target=run, args=(number,), daemon=True)
+                   for number in range(count)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):
+            self.count_descriptors()
+        end = time.monotonic() + HOLD_S
+        while time.monotonic() < end:
+            self.count_descriptors()
+        for client in clients:
+            client.close()
+
+    def count_descriptors(self):
+        try:
+            self.descriptors = max(self.descriptors, len(os.listdir(
+                "/proc/%d/fd" % self.process.pid)))
+        except OSError:
+            pass  # the process has ended
+        time.sleep(0.02)
+
+    def is_other_answered(self):
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            try:
+                if status_of(send(self.fleet, "i0", "/ready/")) == "200":
+                    return True
+            except OSError:
+                pass
+            time.sleep(0.1)
+        return False
+
+    def peak_kb(self):
+        try:
+            with open("/proc/%d/status" % self.process.pid) as status:
+                return int(re.search(r"VmHWM:\s+(\d+)",
+                                     status.read()).group(1))
+        except (OSError, AttributeError):
+            return 0
+
+    def report(self, name):
+        peak_kb = self.peak_kb()
+        if os.environ.get("FIGURES"):
+            print("%s: peak %d KB of %d, %d descriptors of %d" % (
+                name, peak_kb, MEMORY_MAX_KB, self.descriptors,
+                DESCRIPTORS_BASE + DESCRIPTORS_PER_CLIENT * self.count),
+                file=sys.stderr)
+        print(name, "lives", self.process.poll() is None,
+              "within memory", 0 < peak_kb <= MEMORY_MAX_KB,
+              "descriptors", self.descriptors <= DESCRIPTORS_BASE +
+              DESCRIPTORS_PER_CLIENT * self.count,
+              "answered afterwards", self.is_other_answered())
+
+
+def play_cases(handle_request, cases, after=None):
+    """Plays each case, a name and a function of the fleet that returns a crowd,
+    on a fleet of its own, so that a peak belongs to one case."""
+    for name, case in cases:
+        fleet = crowded_fleet(handle_request)
+        with fleet:
+            if not wait_ready(fleet):
+                print(name, "not ready")
+                continue
+            crowd = case(fleet)
+            if after:
+                after()
+            crowd.report(name)
--- a/tests/runs.t
+++ b/tests/runs.t
@@ -5,12 +5,15 @@
 
 RUNS lists the scripts to run (default: all), RUNS_AT_ONCE is the number of
 scripts to run in parallel, and ACCEPT=1 overwrites the .expected files.
+Scripts named clients_* bound the memory of an instance under a crowd of
+clients; they run after the others, one at a time.
 """
 import glob
 import os
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from itertools import chain
 
 import knownred
 
@@ -20,6 +23,14 @@
 if chosen:
     scripts = [s for s in scripts if os.path.basename(s)[:-3] in
                chosen.split()]
+
+
+def runs_alone(script):
+    return os.path.basename(script).startswith("clients_")
+
+
+alone = [s for s in scripts if runs_alone(s)]
+shared = [s for s in scripts if not runs_alone(s)]
 with open(os.path.join(here, "..", "KNOWN-RED.txt")) as red:
     known_red = knownred.read(red.read())
 environment = dict(os.environ, PYTHONPATH=here, PYTHONDONTWRITEBYTECODE="1")
@@ -58,7 +69,8 @@
 failed = 0
 with ThreadPoolExecutor(int(os.environ.get("RUNS_AT_ONCE", "3"))) as pool:
     for number, (script, (output, status)) in enumerate(
-            zip(scripts, pool.map(run, scripts)), 1):
+            zip(shared + alone,
+                chain(pool.map(run, shared), map(run, alone))), 1):
         report, is_known = compare(script, output, status)
         failed += bool(report) and not is_known
         name = os.path.basename(script)[:-3]
