--- a/src/commands/HttpCall.c
+++ b/src/commands/HttpCall.c
@@ -101,7 +101,7 @@
     MpLoop_SetTimer(&call_loop, &timer, TIMEOUT_MS, on_timeout, NULL);
     call_upstream =
         MpUpstream_Start(&call_loop, NULL, &call_class, this, this->address,
-                         this->method, build_request(this));
+                         this->method, build_request(this), NULL);
     MpLoop_Run(&call_loop);
     MpLoop_ClearTimer(&timer);
     return call_code;
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -85,6 +85,8 @@
         "known; start the stream anew."),
     ROW(MP_ERROR_STALLED, "request_stalled", 408, MP_RUN_NO,
         "The rest of the request did not arrive in time."),
+    ROW(MP_ERROR_MEMORY, "memory_full", 503, MP_RUN_NO,
+        "The instance holds as much as its memory allows; try again."),
 };
 
 const struct MpErrorInfo *
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -291,6 +291,28 @@
      AT(MpSettings, requests_max),
      .description =
          "Concurrent requests on this instance, including queued ones."},
+    {.name = "memory_max_bytes",
+     .type = MP_FIELD_INTEGER,
+     .min = 0,
+     .max = INT64_C(1) << 40,
+     .default_value = 0,
+     .unit = "bytes",
+     AT(MpSettings, memory_max_bytes),
+     .description =
+         "Most that is held for callers and targets in all: bodies, whole or "
+         "in part, and responses that were not taken.  0: three quarters of "
+         "`memory_mb` without 40 MB for the process itself, or 256 MB if "
+         "that is not set, but at least four of the largest bodies."},
+    {.name = "memory_mb",
+     .type = MP_FIELD_INTEGER,
+     .min = 0,
+     .max = 1 << 20,
+     .default_value = 0,
+     .unit = "MB",
+     AT(MpSettings, memory_mb),
+     .description =
+         "Memory that this process may use in all; 0: not known.  Each "
+         "process of a machine has its own."},
     {.name = "routing",
      .type = MP_FIELD_CHOICE,
      .choices = routing_names,
@@ -396,6 +418,11 @@
         require(this->operator_token_file, "operator_token_file",
                 "the address for operators needs a token", findings);
     }
+    if (this->memory_max_bytes > 0 &&
+        this->memory_max_bytes < 2 * this->body_max_bytes) {
+        MpFindings_Add(findings, MP_FINDING_VALUE, 0, "memory_max_bytes",
+                       "two bodies of `body_most_bytes` have to fit");
+    }
     if (this->fleet_key &&
         strspn(this->fleet_key, " \t\r\n") == strlen(this->fleet_key)) {
         MpFindings_Add(findings, MP_FINDING_MISSING, 0, "fleet_key",
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -67,7 +67,9 @@
     int64_t stop_within_ms;
     int64_t body_max_bytes;
     int64_t requests_max;
-    int32_t routing; /* enum MpPickPolicy */
+    int64_t memory_max_bytes; /* 0: from memory_mb */
+    int64_t memory_mb;        /* 0: not known */
+    int32_t routing;          /* enum MpPickPolicy */
     bool is_router;
     bool is_control;
     bool is_relay;
--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -1,9 +1,58 @@
 #include "transport/CallerResponse.h"
 
 #include "transport/HttpServer.h"
+#include "transport/Log.h"
+#include "transport/Loop.h"
 
+#include <inttypes.h>
 #include <sys/socket.h>
 
+/* A buffer of this size or more is freed when it is empty, bytes. */
+#define BUFFER_KEPT_BYTES 16384
+/* Bytes that may wait at the target's connection while it is not read. */
+#define UNREAD_BYTES 65536
+
+/* Counts what the caller has not taken. */
+static void
+count_memory(struct MpCallerResponse *this)
+{
+    int64_t bytes = (int64_t)this->pending->len + this->sending->len;
+    if (this->pending->len > MP_RESPONSE_HIGH_BYTES) {
+        bytes += UNREAD_BYTES;
+    }
+    if (bytes != this->memory.held_bytes) {
+        MpMemoryAccount_Set(this->account, &this->memory, bytes, MpLoop_Now());
+    }
+}
+
+/* Closes the connection of a caller for the room that its response takes. */
+static void
+close_for_memory(struct MpMemoryHolder *holder)
+{
+    struct MpCallerResponse *this = holder->owner;
+    MpLog_Event(LOG_NOTICE, "response-over-memory",
+                "id=%s bytes=%" PRId64 " silent_ms=%" PRId64
+                " held_bytes=%" PRId64 " limit_bytes=%" PRId64,
+                this->id ? this->id : "-", holder->held_bytes,
+                MpLoop_Now() - holder->progress_ms, this->account->held_bytes,
+                this->account->limit_bytes);
+    if (this->req) {
+        MpHttp_NoteEnd(this->req, MP_HTTP_CUT);
+        MpCallerResponse_Close(this);
+    }
+}
+
+static void
+empty(GByteArray **array)
+{
+    if ((*array)->len < BUFFER_KEPT_BYTES) {
+        g_byte_array_set_size(*array, 0);
+        return;
+    }
+    g_byte_array_unref(*array);
+    *array = g_byte_array_new();
+}
+
 /* Passes the buffered data to h2o.  The owner may be freed afterwards. */
 static void
 flush(struct MpCallerResponse *this)
@@ -41,7 +90,8 @@
     if (!this) {
         return;
     }
-    g_byte_array_set_size(this->sending, 0);
+    empty(&this->sending);
+    count_memory(this);
     if (this->pending->len <= MP_RESPONSE_LOW_BYTES) {
         this->klass->writable(this->owner);
     }
@@ -83,14 +133,20 @@
 void
 MpCallerResponse_Init(struct MpCallerResponse *this,
                       const struct MpCallerResponseClass *klass, void *owner,
-                      h2o_req_t *req)
+                      h2o_req_t *req, struct MpMemoryAccount *account)
 {
     struct MpResponseLink *link =
         h2o_mem_alloc_shared(&req->pool, sizeof(*link), on_request_freed);
     *link = (struct MpResponseLink){
         .super = {.proceed = on_proceed, .stop = on_stop}, .response = this};
-    *this = (struct MpCallerResponse){
-        .klass = klass, .owner = owner, .req = req, .link = link};
+    *this = (struct MpCallerResponse){.klass = klass,
+                                      .owner = owner,
+                                      .req = req,
+                                      .link = link,
+                                      .account = account,
+                                      .memory = {.use = MP_MEMORY_SENDING,
+                                                 .close = close_for_memory,
+                                                 .owner = this}};
     this->pending = g_byte_array_new();
     this->sending = g_byte_array_new();
 }
@@ -101,6 +157,7 @@
     if (this->link) {
         this->link->response = NULL;
     }
+    MpMemoryAccount_Set(this->account, &this->memory, 0, MpLoop_Now());
     g_byte_array_unref(this->pending);
     g_byte_array_unref(this->sending);
 }
@@ -129,6 +186,7 @@
         return;
     }
     g_byte_array_append(this->pending, data, (guint)size);
+    count_memory(this);
     flush(this);
 }
 
--- a/src/transport/CallerResponse.h
+++ b/src/transport/CallerResponse.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_CALLER_RESPONSE_H
 #define MP_TRANSPORT_CALLER_RESPONSE_H
 
+#include "coordination/MemoryAccount.h"
 #include "transport/BodyLength.h"
 
 #include <glib.h>
@@ -44,6 +45,8 @@
     struct MpResponseLink *link;
     GByteArray *pending; /* not yet passed to h2o */
     GByteArray *sending; /* being sent by h2o */
+    struct MpMemoryAccount *account;
+    struct MpMemoryHolder memory;
     struct MpBodyLength length;
     const char *id; /* for log lines, or NULL */
     bool is_started;
@@ -54,7 +57,8 @@
 
 void MpCallerResponse_Init(struct MpCallerResponse *this,
                            const struct MpCallerResponseClass *klass,
-                           void *owner, h2o_req_t *req);
+                           void *owner, h2o_req_t *req,
+                           struct MpMemoryAccount *account);
 void MpCallerResponse_Done(struct MpCallerResponse *this);
 
 /* Sends the head; the headers must already be in req.  size is the body's
--- a/src/transport/ConnPool.c
+++ b/src/transport/ConnPool.c
@@ -130,6 +130,7 @@
     conn->klass = klass;
     conn->owner = owner;
     conn->request = request->bytes;
+    conn->sent = request->body ? MpRequestBody_Ref(request->body) : NULL;
     conn->expected_ms = request->expected_ms;
     conn->requests++;
     if (request->id) {
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -1,12 +1,14 @@
 #include "transport/Exchange.h"
 
 #include "state/Ledger.h"
+#include "transport/HttpMemory.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
 #include <openssl/rand.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define QUEUE_TIMEOUT_MS 2000
 #define OPEN_TIMEOUT_MS 3000
@@ -28,6 +30,28 @@
                            number);
 }
 
+/* Closes the connection of a caller for the room that its response takes. */
+static void
+close_for_memory(struct MpMemoryHolder *holder)
+{
+    struct MpExchange *this = holder->owner;
+    MpLog_Event(LOG_NOTICE, "response-over-memory",
+                "id=%s bytes=%" PRId64 " silent_ms=%" PRId64
+                " held_bytes=%" PRId64 " limit_bytes=%" PRId64,
+                this->request_id, holder->held_bytes,
+                MpLoop_Now() - holder->progress_ms,
+                this->router->memory.held_bytes,
+                this->router->memory.limit_bytes);
+    MpExchange_NoteEnd(this, "cut", MP_ERROR_MEMORY);
+    if (this->req) {
+        MpHttp_NoteEnd(this->req, MP_HTTP_CUT);
+        /* h2o sees the end of the connection and stops the response. */
+        shutdown(h2o_socket_get_fd(
+                     this->req->conn->callbacks->get_socket(this->req->conn)),
+                 SHUT_RDWR);
+    }
+}
+
 static struct MpExchange *
 exchange_new(struct MpRouter *router, h2o_req_t *req)
 {
@@ -38,12 +62,10 @@
     this->request_id = make_request_id(router);
     this->method = g_strndup(req->method.base, req->method.len);
     this->path = g_strndup(req->path.base, req->path.len);
-    this->body = g_byte_array_new();
+    this->body = MpRequestBody_New(req, &router->memory);
     this->body_type = MpHttp_CopyHeader(req, "content-type");
-    if (req->entity.len > 0) {
-        g_byte_array_append(this->body, (const guint8 *)req->entity.base,
-                            (guint)req->entity.len);
-    }
+    this->memory =
+        (struct MpMemoryHolder){.close = close_for_memory, .owner = this};
     this->unsent = g_byte_array_new();
     this->sending = g_byte_array_new();
     this->response = g_byte_array_new();
@@ -67,7 +89,8 @@
     MpDocument_Unref(this->document);
     g_ptr_array_unref(this->tried);
     g_ptr_array_unref(this->headers);
-    g_byte_array_unref(this->body);
+    g_clear_pointer(&this->body, MpRequestBody_Unref);
+    MpMemoryAccount_Set(&this->router->memory, &this->memory, 0, MpLoop_Now());
     g_byte_array_unref(this->unsent);
     g_byte_array_unref(this->sending);
     g_byte_array_unref(this->response);
@@ -412,6 +435,9 @@
     if (code == MP_OK) {
         code = admit(this, &retry_after_ms);
     }
+    else if (code == MP_ERROR_MEMORY) {
+        retry_after_ms = MP_MEMORY_RETRY_AFTER_MS;
+    }
     if (code == MP_ERROR_LIMIT) {
         look_up_and_refuse(this, code, retry_after_ms);
         return;
@@ -492,6 +518,8 @@
 {
     this->req = NULL;
     this->caller = NULL;
+    /* Nothing is sent again without a caller. */
+    g_clear_pointer(&this->body, MpRequestBody_Leave);
     MpExchange_NoteEnd(this, "caller-gone", MP_OK);
     switch (this->stage) {
     case MP_STAGE_WAITING:
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -79,7 +79,9 @@
     const struct MpServiceConf *service;
     const GPtrArray *targets;
     const char *queue_name; /* name of the model or service */
-    GByteArray *body;
+    struct MpRequestBody *body;
+    struct MpMemoryHolder memory; /* see MpExchange_CountMemory */
+    int64_t parsed_bytes;         /* of memory, for a chat request */
     char *body_type;
     bool at_most_once;
     int64_t reserve_mtok;                  /* upper bound of the bill */
@@ -169,6 +171,10 @@
 void MpExchange_NoteEnd(struct MpExchange *this, const char *outcome,
                         int code);
 
+/* Counts what the request holds besides its body: the parsed request of a chat
+ * and its copy for the engine, and the response as far as it is here. */
+void MpExchange_CountMemory(struct MpExchange *this);
+
 /* -- request (ExchangeRequest.c) -- */
 /* Parses workspace, key, model or service, and upper price bound from req.
  * Returns MP_OK or the error to refuse the request with; *why is then set to
@@ -188,6 +194,8 @@
 void MpExchange_StartResponse(struct MpExchange *this, int32_t status,
                               const char *content_type, size_t size);
 void MpExchange_Write(struct MpExchange *this, const void *data, size_t size);
+/* Writes the response that was kept, without a copy. */
+void MpExchange_WriteKept(struct MpExchange *this);
 /* Marks the response as complete. */
 void MpExchange_FinishResponse(struct MpExchange *this);
 /* Ends the response with error code.  If no head was sent, an error response
--- a/src/transport/ExchangeBuffer.c
+++ b/src/transport/ExchangeBuffer.c
@@ -38,6 +38,28 @@
     /* An array keeps its memory when its size is set. */
     g_byte_array_unref(this->response);
     this->response = g_byte_array_new();
+    MpExchange_CountMemory(this);
+}
+
+void
+MpExchange_CountMemory(struct MpExchange *this)
+{
+    int64_t unsent_bytes = (int64_t)this->unsent->len + this->sending->len;
+    int64_t bytes = this->parsed_bytes + this->response->len + unsent_bytes;
+    if (bytes != this->memory.held_bytes) {
+        this->memory.use =
+            unsent_bytes > 0 ? MP_MEMORY_SENDING : MP_MEMORY_RUNNING;
+        MpMemoryAccount_Set(&this->router->memory, &this->memory, bytes,
+                            MpLoop_Now());
+    }
+}
+
+/* Returns whether the account has room for so much more of a response. */
+static bool
+has_room(const struct MpExchange *this, size_t size)
+{
+    return MpMemoryAccount_Fits(&this->router->memory, &this->memory,
+                                this->memory.held_bytes + (int64_t)size);
 }
 
 bool
@@ -50,9 +72,12 @@
     }
     while (length > MP_PLAIN_RESPONSE_SMALL_BYTES) {
         struct MpExchange *largest = find_largest(this, size, &sum);
-        if (sum <= MP_PLAIN_RESPONSES_MAX_BYTES) {
+        if (sum <= MP_PLAIN_RESPONSES_MAX_BYTES && has_room(this, size)) {
             break;
         }
+        if (!largest) {
+            return false;
+        }
         log_dropped(largest, sum);
         if (largest == this) {
             return false;
@@ -60,5 +85,6 @@
         MpExchange_FailAttempt(largest);
     }
     g_byte_array_append(this->response, (const guint8 *)data, (guint)size);
+    MpExchange_CountMemory(this);
     return true;
 }
--- a/src/transport/ExchangeCaller.c
+++ b/src/transport/ExchangeCaller.c
@@ -87,13 +87,26 @@
     h2o_send(req, &buffer, chunk->len > 0 ? 1 : 0, state);
 }
 
+/* Frees a large buffer; an array keeps its memory when its size is set. */
+static void
+empty_sending(struct MpExchange *this)
+{
+    if (this->sending->len < UNSENT_LOW_BYTES) {
+        g_byte_array_set_size(this->sending, 0);
+        return;
+    }
+    g_byte_array_unref(this->sending);
+    this->sending = g_byte_array_new();
+}
+
 static void
 on_proceed(h2o_generator_t *generator, h2o_req_t *req)
 {
     struct MpExchange *this = ((struct MpCallerLink *)generator)->exchange;
     (void)req;
     if (this) {
-        g_byte_array_set_size(this->sending, 0);
+        empty_sending(this);
+        MpExchange_CountMemory(this);
         resume_target(this);
         flush(this);
     }
@@ -210,21 +223,49 @@
                        size);
 }
 
-void
-MpExchange_Write(struct MpExchange *this, const void *data, size_t size)
+/* Returns whether so much more may be written; ends a response that would be
+ * longer than announced. */
+static bool
+may_write(struct MpExchange *this, size_t size)
 {
     if (!this->req || size == 0 || this->length.has_no_body ||
         this->is_output_closed) {
-        return;
+        return false;
     }
     if (!MpBodyLength_Add(&this->length, this->request_id, size)) {
         MpExchange_NoteEnd(this, "cut", MP_ERROR_TARGET_FAILED);
         this->is_output_closed = true;
         this->is_aborted = true;
         flush(this);
+        return false;
+    }
+    return true;
+}
+
+void
+MpExchange_WriteKept(struct MpExchange *this)
+{
+    if (this->unsent->len > 0) {
+        MpExchange_Write(this, this->response->data, this->response->len);
+    }
+    else if (may_write(this, this->response->len)) {
+        GByteArray *kept = this->response;
+        this->response = this->unsent;
+        this->unsent = kept;
+        MpExchange_CountMemory(this);
+        flush(this);
+    }
+    MpExchange_DropResponse(this);
+}
+
+void
+MpExchange_Write(struct MpExchange *this, const void *data, size_t size)
+{
+    if (!may_write(this, size)) {
         return;
     }
     g_byte_array_append(this->unsent, data, (guint)size);
+    MpExchange_CountMemory(this);
     flush(this);
     if (this->upstream && this->unsent->len > UNSENT_HIGH_BYTES) {
         pause_target(this);
--- a/src/transport/ExchangeRequest.c
+++ b/src/transport/ExchangeRequest.c
@@ -1,10 +1,16 @@
 #include "transport/Exchange.h"
 
+#include "transport/HttpMemory.h"
+
 #include <string.h>
 #include <xxhash.h>
 
 /* Parsing the request of an exchange: workspace, key, model or service. */
 
+/* What a chat request takes besides its body, in sizes of the body: the parsed
+ * messages, the prompt, and the body for the engine. */
+#define PARSED_FACTOR 3
+
 static bool
 is_safe_method(const char *method)
 {
@@ -78,8 +84,14 @@
     if (strcmp(this->method, "POST") != 0) {
         return MP_ERROR_METHOD;
     }
-    int code = MpChat_Parse(&this->chat, (const char *)this->body->data,
-                            this->body->len, why);
+    if (!MpHttpMemory_MakeRoom(&this->router->memory, &this->memory,
+                               PARSED_FACTOR * (int64_t)this->body->size)) {
+        return MP_ERROR_MEMORY;
+    }
+    this->memory.use = MP_MEMORY_RUNNING;
+    this->parsed_bytes = this->memory.held_bytes;
+    int code =
+        MpChat_Parse(&this->chat, this->body->data, this->body->size, why);
     if (code != MP_OK) {
         return code;
     }
@@ -148,7 +160,8 @@
     XXH3_128bits_reset(state);
     XXH3_128bits_update(state, this->method, strlen(this->method) + 1);
     XXH3_128bits_update(state, this->path, strlen(this->path) + 1);
-    XXH3_128bits_update(state, this->body->data, this->body->len);
+    XXH3_128bits_update(state, this->body->data ? this->body->data : "",
+                        this->body->size);
     XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
     memcpy(this->body_hash, canonical.digest, MP_HASH_BYTES);
     XXH3_freeState(state);
--- a/src/transport/ExchangeSettlement.c
+++ b/src/transport/ExchangeSettlement.c
@@ -66,8 +66,7 @@
                                      ? this->announced_bytes
                                      : this->response->len);
     }
-    MpExchange_Write(this, this->response->data, this->response->len);
-    MpExchange_DropResponse(this);
+    MpExchange_WriteKept(this);
     MpExchange_FinishResponse(this);
     MpExchange_End(this);
 }
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -75,6 +75,7 @@
     return rest[0] == '/' ? rest : "/";
 }
 
+/* Returns the request, for a service without its body. */
 static GByteArray *
 build_request(const struct MpExchange *this)
 {
@@ -84,8 +85,7 @@
                   &this->chat, this->model, this->sent_tokens,
                   MpPriorityClass_Names[this->workspace_conf->priority])
             : NULL;
-    const void *body = chat_body ? (void *)chat_body : this->body->data;
-    size_t size = chat_body ? strlen(chat_body) : this->body->len;
+    size_t size = chat_body ? strlen(chat_body) : this->body->size;
     char *head = g_strdup_printf(
         "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n"
         "content-type: %s\r\ncontent-length: %zu\r\n"
@@ -97,8 +97,8 @@
         size, this->request_id, this->workspace, this->key, this->workspace);
     GByteArray *request = g_byte_array_new();
     g_byte_array_append(request, (const guint8 *)head, (guint)strlen(head));
-    if (size > 0) {
-        g_byte_array_append(request, body, (guint)size);
+    if (chat_body) {
+        g_byte_array_append(request, (const guint8 *)chat_body, (guint)size);
     }
     g_free(head);
     g_free(chat_body);
@@ -128,7 +128,7 @@
     this->is_stream = false;
     this->has_done_event = false;
     this->status = 0;
-    g_byte_array_set_size(this->response, 0);
+    MpExchange_DropResponse(this);
     MpSse_Done(&this->sse);
     MpSse_Init(&this->sse);
     g_free(this->target_boot);
@@ -140,7 +140,8 @@
     arm_silence_timer(this, first_wait_ms(this));
     this->upstream = MpUpstream_Start(
         this->router->loop, &this->router->gateway.dialer, &attempt_class,
-        this, this->target->address, this->method, build_request(this));
+        this, this->target->address, this->method, build_request(this),
+        this->is_chat ? NULL : this->body);
 }
 
 void
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -428,13 +428,15 @@
 int
 MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
                 const struct MpSettings *settings,
-                struct MpControlClient *control, struct MpMetrics *metrics)
+                struct MpControlClient *control, struct MpMetrics *metrics,
+                struct MpMemoryAccount *memory)
 {
     *this = (struct MpGateway){.loop = loop,
                                .settings = settings,
                                .dialect = MpDialect_Find(settings->dialect),
                                .control = control,
-                               .metrics = metrics};
+                               .metrics = metrics,
+                               .memory = memory};
     g_queue_init(&this->calls);
     g_queue_init(&this->tunnels);
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_GATEWAY_H
 #define MP_TRANSPORT_GATEWAY_H
 
+#include "coordination/MemoryAccount.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/Permits.h"
 #include "coordination/Roster.h"
@@ -35,6 +36,7 @@
     const struct MpDialect *dialect;
     struct MpControlClient *control;
     struct MpMetrics *metrics;
+    struct MpMemoryAccount *memory;
     struct MpRoster roster;
     struct MpSlices slices;
     struct MpGatewayLoans *loans;
@@ -65,8 +67,8 @@
  * routers. */
 int MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
                     const struct MpSettings *settings,
-                    struct MpControlClient *control,
-                    struct MpMetrics *metrics);
+                    struct MpControlClient *control, struct MpMetrics *metrics,
+                    struct MpMemoryAccount *memory);
 
 /* Handles a caller's request; the response is sent asynchronously. */
 void MpGateway_Serve(struct MpGateway *this, h2o_req_t *req);
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -325,6 +325,7 @@
     struct MpTargetRequest request = {
         .bytes = MpGatewayRequest_Build(
             this, target, MpForward_TimeLeft(&this->forward, now_ms)),
+        .body = this->body,
         .id_header = gateway->dialect->target.request_id,
         .id = this->id,
         .is_head = this->is_head,
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -42,9 +42,7 @@
     if (this->head) {
         g_byte_array_unref(this->head);
     }
-    if (this->body) {
-        g_byte_array_unref(this->body);
-    }
+    g_clear_pointer(&this->body, MpRequestBody_Unref);
     g_byte_array_unref(this->partial);
     g_ptr_array_unref(this->tried);
     g_free(this);
@@ -392,6 +390,7 @@
 {
     struct MpGatewayCall *this = owner;
     if (is_running_once(this)) {
+        g_clear_pointer(&this->body, MpRequestBody_Leave);
         return;
     }
     if (this->stage != MP_CALL_ENDED) {
@@ -508,7 +507,8 @@
     this->run_id = (uint64_t)g_random_int() << 32 | g_random_int();
     this->forward.began_ms = now_ms;
     g_queue_push_tail_link(&gateway->calls, &this->link);
-    MpCallerResponse_Init(&this->response, &response_class, this, req);
+    MpCallerResponse_Init(&this->response, &response_class, this, req,
+                          gateway->memory);
     if (!gateway->control->document || !MpGateway_HasTargets(gateway)) {
         refuse(this, MP_ERROR_NOT_READY, RETRY_AFTER_NOT_READY_MS);
         return;
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -46,7 +46,7 @@
     struct MpTakeUpQuery *query; /* to the quorum, under way */
     char *resumes;    /* id of the request whose stream it takes up, or NULL */
     GByteArray *head; /* request line and headers sent in every attempt */
-    GByteArray *body;
+    struct MpRequestBody *body;         /* or NULL */
     uint8_t fingerprint[MP_HASH_BYTES]; /* equal for repeated requests */
     char fingerprint_hex[2 * MP_FINGERPRINT_LOG_BYTES + 1]; /* for the log */
     uint64_t run_id;              /* random; unique across instances */
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -247,8 +247,7 @@
     set_fingerprint(call, req);
     build_head(call, req);
     if (req->entity.base) {
-        call->body = g_byte_array_sized_new((guint)req->entity.len);
-        append(call->body, req->entity.base, req->entity.len);
+        call->body = MpRequestBody_New(req, call->gateway->memory);
     }
     return MP_OK;
 }
@@ -261,8 +260,7 @@
 {
     const struct MpTargetHeaders *names = &call->gateway->dialect->target;
     char number[24];
-    guint body = call->body ? call->body->len : 0;
-    GByteArray *out = g_byte_array_sized_new(call->head->len + body + 256);
+    GByteArray *out = g_byte_array_sized_new(call->head->len + 256);
     append(out, (const char *)call->head->data, call->head->len);
     g_snprintf(number, sizeof(number), "%" PRId64, left_ms);
     append_header(out, names->deadline, number);
@@ -276,13 +274,10 @@
         append_header(out, names->last_event_id, number);
     }
     if (call->body) {
-        g_snprintf(number, sizeof(number), "%u", body);
+        g_snprintf(number, sizeof(number), "%zu", call->body->size);
         append_header(out, "Content-Length", number);
     }
     append_text(out, "\r\n");
-    if (body > 0) {
-        append(out, (const char *)call->body->data, body);
-    }
     return out;
 }
 
--- a/src/transport/GatewayRequest.h
+++ b/src/transport/GatewayRequest.h
@@ -12,8 +12,8 @@
  * Returns MP_OK, or the error to refuse the request with. */
 int MpGatewayRequest_Read(struct MpGatewayCall *call, const h2o_req_t *req);
 
-/* Returns the request to send to target, head and body; left_ms is the time
- * until the deadline. */
+/* Returns the head of the request to send to target; left_ms is the time until
+ * the deadline. */
 GByteArray *MpGatewayRequest_Build(const struct MpGatewayCall *call,
                                    const struct MpPoolTarget *target,
                                    int64_t left_ms);
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "state/Metrics.h"
 #include "transport/ErrorBody.h"
+#include "transport/HttpMemory.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 
@@ -29,7 +30,7 @@
 static const char *const end_names[MP_HTTP_ENDS] = {
     "answered", "refused", "cut", "caller_left", "unanswered"};
 static const char *const close_names[MP_HTTP_CLOSES] = {
-    "client", "announced", "cut", "idle", "stalled", "stop"};
+    "client", "announced", "cut", "idle", "stalled", "memory", "stop"};
 
 const char *
 MpHttpClose_Name(enum MpHttpClose reason)
@@ -62,6 +63,7 @@
     conn->server->counts.ended[end]++;
     conn->request = NULL;
     become_idle(conn);
+    MpHttpMemory_NoteDone(conn);
     if (end == MP_HTTP_CUT) {
         conn->reason = MP_HTTP_CLOSE_CUT;
     }
@@ -87,6 +89,7 @@
     this->request = request;
     this->requests++;
     this->server->counts.read++;
+    MpHttpMemory_NoteRunning(this);
 }
 
 void
@@ -108,6 +111,16 @@
         this->request->conn = NULL;
     }
     g_queue_unlink(&this->server->conns, &this->link);
+    if (this->is_done) {
+        g_queue_unlink(&this->server->done, &this->done_link);
+    }
+    if (this->server->account) {
+        MpMemoryAccount_Set(this->server->account, &this->memory, 0,
+                            MpLoop_Now());
+    }
+    if (this->server->reading == this) {
+        this->server->reading = NULL;
+    }
     g_free(this);
 }
 
@@ -171,6 +184,13 @@
     shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
 }
 
+void
+MpHttpConn_CloseForMemory(struct MpHttpConn *this)
+{
+    close_our_side(this, MP_HTTP_CLOSE_MEMORY);
+    this->is_dropping = true;
+}
+
 /* Returns whether the client has connected just now: its first request is on
  * its way. */
 static bool
@@ -268,7 +288,8 @@
     int64_t timeout_ms =
         MAX(this->idle_timeout_ms, this->server->idle_timeout_ms);
     if (this->closing_ms > 0) {
-        if (now_ms - this->closing_ms >= CLOSING_MS) {
+        int64_t wait_ms = this->is_dropping ? MP_LINGER_MS : CLOSING_MS;
+        if (now_ms - this->closing_ms >= wait_ms) {
             shutdown(h2o_socket_get_fd(this->socket), SHUT_RDWR);
         }
         return;
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_HTTP_CONN_H
 #define MP_TRANSPORT_HTTP_CONN_H
 
+#include "coordination/MemoryAccount.h"
+
 #include <glib.h>
 #include <h2o.h>
 #include <stdbool.h>
@@ -34,6 +36,7 @@
     MP_HTTP_CLOSE_CUT,       /* to abort a response */
     MP_HTTP_CLOSE_IDLE,      /* idle for too long */
     MP_HTTP_CLOSE_STALLED,   /* its next request did not arrive in time */
+    MP_HTTP_CLOSE_MEMORY,    /* no room for its next request */
     MP_HTTP_CLOSE_STOP,      /* the process ends */
     MP_HTTP_CLOSES
 };
@@ -68,6 +71,15 @@
     size_t read_bytes;             /* in the buffer, by the last check */
     int64_t read_ms;               /* when read_bytes last changed */
     int64_t closing_ms;            /* when our side was closed, 0: open */
+    /* see HttpMemory.h */
+    struct MpMemoryHolder memory;
+    h2o_socket_cb read_by_h2o; /* the callback that is replaced */
+    size_t announced_bytes;    /* of the request being read, 0: not known */
+    bool has_head;             /* its head has arrived */
+    bool is_dropping;          /* what still arrives is dropped */
+    size_t dropped_bytes;
+    bool is_done;    /* its last request is; in MpHttpServer.done */
+    GList done_link; /* in MpHttpServer.done */
 };
 
 /* Returns the name of a reason for log lines and metrics. */
@@ -87,6 +99,10 @@
  * connection. */
 void MpHttpConn_RefuseUnfinished(struct MpHttpConn *this);
 
+/* Closes our side of a connection that was refused for want of memory, and
+ * drops what still arrives. */
+void MpHttpConn_CloseForMemory(struct MpHttpConn *this);
+
 /* Closes an idle connection: our side at once, the rest when the client closes
  * or a moment later.  One with bytes of a request on it stays open, and so
  * does one that was opened just now. */
--- /dev/null
+++ b/src/transport/HttpMemory.c
@@ -0,0 +1,304 @@
+#include "transport/HttpMemory.h"
+
+#include "state/Error.h"
+#include "state/Metrics.h"
+#include "transport/ErrorBody.h"
+#include "transport/HttpServer.h"
+#include "transport/Log.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* h2o doubles a buffer that is full and keeps it after the request.  One of
+ * this size or more is freed then. */
+#define BUFFER_KEPT_BYTES (32 * 1024)
+
+static const char *const use_names[MP_MEMORY_USES] = {"reading", "running",
+                                                      "sending"};
+
+/* ---- h2o's buffer ---- */
+
+static void
+free_input(struct MpHttpConn *conn)
+{
+    h2o_buffer_dispose(&conn->socket->input);
+    h2o_buffer_init(&conn->socket->input, &h2o_socket_buffer_prototype);
+}
+
+/* Frees the buffer of the last request.  What has arrived of the next one is
+ * copied; h2o keeps no pointers to it before it is complete. */
+static void
+shrink_input(struct MpHttpConn *conn)
+{
+    h2o_buffer_t *large = conn->socket->input;
+    h2o_buffer_t *small;
+    if (large->capacity < BUFFER_KEPT_BYTES ||
+        large->size > large->capacity / 4) {
+        return;
+    }
+    h2o_buffer_init(&small, &h2o_socket_buffer_prototype);
+    if (large->size > 0) {
+        h2o_iovec_t room = h2o_buffer_reserve(&small, large->size);
+        memcpy(room.base, large->bytes, large->size);
+        small->size = large->size;
+    }
+    h2o_buffer_dispose(&conn->socket->input);
+    conn->socket->input = small;
+}
+
+/* ---- what the request announces ---- */
+
+/* Returns the size of the head at the start of the buffer, 0 if it is not
+ * complete. */
+static size_t
+head_size(const h2o_buffer_t *input)
+{
+    const char *end = memmem(input->bytes, input->size, "\r\n\r\n", 4);
+    if (end) {
+        return (size_t)(end - input->bytes) + 4;
+    }
+    end = memmem(input->bytes, input->size, "\n\n", 2);
+    return end ? (size_t)(end - input->bytes) + 2 : 0;
+}
+
+/* Returns the value of the head's Content-Length, or 0. */
+static size_t
+announced_size(const char *head, size_t size)
+{
+    static const char name[] = "content-length:";
+    const char *end = head + size;
+    const char *line = memchr(head, '\n', size);
+    for (; line && line + sizeof(name) < end;
+         line = memchr(line + 1, '\n', (size_t)(end - line - 1))) {
+        if (g_ascii_strncasecmp(line + 1, name, sizeof(name) - 1) == 0) {
+            return (size_t)g_ascii_strtoull(line + sizeof(name), NULL, 10);
+        }
+    }
+    return 0;
+}
+
+/* Sets what the request will take, once its head has arrived. */
+static void
+read_announced(struct MpHttpConn *conn)
+{
+    const h2o_buffer_t *input = conn->socket->input;
+    size_t head = conn->has_head ? 0 : head_size(input);
+    if (head == 0) {
+        return;
+    }
+    size_t body = announced_size(input->bytes, head);
+    conn->has_head = true;
+    /* h2o refuses more than that itself. */
+    if (body <= conn->server->config.max_request_entity_size) {
+        conn->announced_bytes = head + body;
+    }
+}
+
+/* ---- refusals ---- */
+
+/* Refuses a request of which a part has arrived, and frees it.  What the
+ * client still sends is dropped until it closes its side. */
+static void
+refuse(struct MpHttpConn *conn, const char *why)
+{
+    struct MpMemoryAccount *account = conn->server->account;
+    char *body = MpErrorBody_Format(MP_ERROR_MEMORY, NULL, "no");
+    char *text = g_strdup_printf(
+        "HTTP/1.1 %d Answer\r\nConnection: close\r\nRetry-After: "
+        "%d\r\n" MP_RUN_HEADER ": no\r\nContent-Type: application/json\r\n"
+        "Content-Length: %zu\r\n\r\n%s",
+        MpError_Info(MP_ERROR_MEMORY)->http_status,
+        MP_MEMORY_RETRY_AFTER_MS / 1000, strlen(body), body);
+    MpLog_Event(LOG_NOTICE, "request-over-memory",
+                "why=%s received_bytes=%zu announced_bytes=%zu "
+                "silent_ms=%" PRId64 " held_bytes=%" PRId64
+                " limit_bytes=%" PRId64,
+                why, conn->socket->input->size, conn->announced_bytes,
+                MpLoop_Now() - conn->memory.progress_ms, account->held_bytes,
+                account->limit_bytes);
+    /* h2o writes nothing while it waits for a request. */
+    send(h2o_socket_get_fd(conn->socket), text, strlen(text),
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    MpHttpConn_CloseForMemory(conn);
+    MpMemoryAccount_Set(account, &conn->memory, 0, MpLoop_Now());
+    free_input(conn);
+    g_free(text);
+    g_free(body);
+}
+
+static void
+close_holder(struct MpMemoryHolder *holder)
+{
+    refuse(holder->owner, "silent");
+}
+
+static int64_t
+wanted_bytes(const struct MpHttpConn *conn)
+{
+    return (int64_t)MAX(conn->socket->input->size, conn->announced_bytes);
+}
+
+bool
+MpHttpMemory_MakeRoom(struct MpMemoryAccount *account,
+                      struct MpMemoryHolder *holder, int64_t bytes)
+{
+    int64_t now_ms = MpLoop_Now();
+    while (!MpMemoryAccount_Fits(account, holder, bytes)) {
+        struct MpMemoryHolder *silent =
+            MpMemoryAccount_PickSilent(account, holder, now_ms);
+        if (!silent) {
+            account->refused++;
+            return false;
+        }
+        MpMemoryAccount_NoteClosing(account, silent);
+        silent->close(silent);
+    }
+    MpMemoryAccount_Set(account, holder, bytes, now_ms);
+    return true;
+}
+
+/* Counts what has arrived and is announced; returns false if there is no room
+ * and the request was refused. */
+static bool
+take_room(struct MpHttpConn *conn)
+{
+    if (!MpHttpMemory_MakeRoom(conn->server->account, &conn->memory,
+                               wanted_bytes(conn))) {
+        refuse(conn, "no-room");
+        return false;
+    }
+    return true;
+}
+
+/* ---- reading ---- */
+
+static void on_read(h2o_socket_t *socket, const char *error);
+
+static void
+hook(struct MpHttpConn *conn)
+{
+    h2o_socket_cb read = conn->socket->_cb.read;
+    if (read && read != on_read) {
+        conn->read_by_h2o = read;
+        conn->socket->_cb.read = on_read;
+    }
+}
+
+static void
+on_read(h2o_socket_t *socket, const char *error)
+{
+    struct MpHttpConn *conn = socket->on_close.data;
+    struct MpHttpServer *server = conn->server;
+    if (conn->is_dropping && !error) {
+        conn->dropped_bytes += socket->input->size;
+        free_input(conn);
+        if (conn->dropped_bytes > MP_LINGER_MAX_BYTES) {
+            h2o_socket_read_stop(socket);
+        }
+        return;
+    }
+    if (!error && !conn->request && !take_room(conn)) {
+        return;
+    }
+    server->reading = conn;
+    conn->read_by_h2o(socket, error);
+    if (server->reading != conn) {
+        return; /* it was closed */
+    }
+    server->reading = NULL;
+    hook(conn);
+    if (!conn->request && conn->closing_ms == 0 && !conn->has_head &&
+        socket->input->size > 0) {
+        read_announced(conn);
+        if (conn->announced_bytes > 0) {
+            take_room(conn);
+        }
+    }
+}
+
+/* ---- interface ---- */
+
+void
+MpHttpMemory_Hook(struct MpHttpConn *conn)
+{
+    if (!conn->server->account) {
+        return;
+    }
+    conn->memory = (struct MpMemoryHolder){
+        .use = MP_MEMORY_READING, .close = close_holder, .owner = conn};
+    hook(conn);
+}
+
+void
+MpHttpMemory_NoteRunning(struct MpHttpConn *conn)
+{
+    if (conn->server->account) {
+        conn->memory.use = MP_MEMORY_RUNNING;
+        MpMemoryAccount_Set(conn->server->account, &conn->memory,
+                            (int64_t)conn->socket->input->size, MpLoop_Now());
+    }
+}
+
+void
+MpHttpMemory_NoteDone(struct MpHttpConn *conn)
+{
+    if (conn->server->account && !conn->is_done) {
+        conn->is_done = true;
+        conn->done_link.data = conn;
+        g_queue_push_tail_link(&conn->server->done, &conn->done_link);
+    }
+}
+
+/* The connection waits for its next request, or has one already that arrived
+ * with the last. */
+static void
+restart(struct MpHttpConn *conn)
+{
+    conn->is_done = false;
+    conn->has_head = false;
+    conn->announced_bytes = 0;
+    hook(conn);
+    if (conn->request) {
+        return;
+    }
+    conn->memory.use = MP_MEMORY_READING;
+    shrink_input(conn);
+    MpMemoryAccount_Set(conn->server->account, &conn->memory,
+                        (int64_t)conn->socket->input->size, MpLoop_Now());
+}
+
+void
+MpHttpMemory_AfterRound(void *data)
+{
+    struct MpHttpServer *server = data;
+    int64_t now_ms = MpLoop_Now();
+    GList *link;
+    while ((link = g_queue_pop_head_link(&server->done))) {
+        restart(link->data);
+    }
+    struct MpMemoryHolder *worst;
+    while ((worst = MpMemoryAccount_PickWorst(server->account, now_ms))) {
+        MpMemoryAccount_NoteClosing(server->account, worst);
+        worst->close(worst);
+    }
+}
+
+void
+MpHttpMemory_WriteMetrics(const struct MpMemoryAccount *account, GString *out)
+{
+    MpMetrics_WriteValue(out, "mimosapath_memory_held_bytes", NULL, NULL,
+                         account->held_bytes);
+    MpMetrics_WriteValue(out, "mimosapath_memory_peak_bytes", NULL, NULL,
+                         account->peak_bytes);
+    MpMetrics_WriteValue(out, "mimosapath_memory_limit_bytes", NULL, NULL,
+                         account->limit_bytes);
+    MpMetrics_WriteValue(out, "mimosapath_memory_refused_total", NULL, NULL,
+                         (int64_t)account->refused);
+    for (int i = 0; i < MP_MEMORY_USES; i++) {
+        if (i != MP_MEMORY_RUNNING) {
+            MpMetrics_WriteValue(out, "mimosapath_memory_closed_total", "use",
+                                 use_names[i], (int64_t)account->closed[i]);
+        }
+    }
+}
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
+#include "transport/HttpMemory.h"
 #include "transport/Log.h"
 
 #include <errno.h>
@@ -190,7 +191,9 @@
         setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &yes,
                    sizeof(yes));
         MpHttpConn_New(this, socket);
+        struct MpHttpConn *conn = socket->on_close.data;
         h2o_accept(&this->accept, socket);
+        MpHttpMemory_Hook(conn);
     }
     return true;
 }
@@ -275,6 +278,7 @@
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
     g_queue_init(&this->conns);
+    g_queue_init(&this->done);
     MpLingeringClose_Init(&this->lingering, loop);
     this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
@@ -294,6 +298,14 @@
     return this->listener ? MP_OK : MP_ERROR_IO;
 }
 
+void
+MpHttpServer_SetAccount(struct MpHttpServer *this,
+                        struct MpMemoryAccount *account)
+{
+    this->account = account;
+    MpLoop_AddHook(this->loop, MpHttpMemory_AfterRound, this);
+}
+
 void
 MpHttpServer_SetIdleTimeout(struct MpHttpServer *this, int64_t timeout_ms)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -30,7 +30,10 @@
     void (*handle)(void *owner, h2o_req_t *req);
     void *owner;
     uint16_t port;
-    GQueue conns; /* of struct MpHttpConn */
+    GQueue conns;                    /* of struct MpHttpConn */
+    struct MpMemoryAccount *account; /* or NULL */
+    GQueue done; /* of struct MpHttpConn, see MpHttpMemory_NoteDone */
+    struct MpHttpConn *reading; /* whose read callback is running, or NULL */
     struct MpHttpCounts counts;
     struct MpLingeringClose lingering;
     struct MpTimer check_timer;
@@ -45,6 +48,11 @@
                        void (*handle)(void *owner, h2o_req_t *req),
                        void *owner);
 
+/* Counts what clients send in account from now on, and refuses or closes them
+ * where there is no room. */
+void MpHttpServer_SetAccount(struct MpHttpServer *this,
+                             struct MpMemoryAccount *account);
+
 /* Sets how long a connection may be idle, ms.  Connections that are idle
  * already keep a longer timeout that held when they became idle. */
 void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -5,6 +5,7 @@
 #include "transport/GatewayPermits.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
+#include "transport/HttpMemory.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
 #include "transport/TargetPoller.h"
@@ -12,6 +13,7 @@
 #include <string.h>
 
 #define TICK_MS 50
+#define BYTES_PER_MB (INT64_C(1) << 20)
 /* With stop_within_s set, the process is killed from outside after that time;
  * the drain ends this much earlier, ms. */
 #define STOP_MARGIN_MS 400
@@ -379,6 +381,12 @@
     g_queue_init(&this->exchanges);
     this->queues = g_hash_table_new(g_str_hash, g_str_equal);
     MpMetrics_Init(&this->metrics);
+    MpMemoryAccount_Init(
+        &this->memory,
+        settings->memory_max_bytes > 0
+            ? settings->memory_max_bytes
+            : MpMemoryAccount_LimitOf(settings->memory_mb * BYTES_PER_MB,
+                                      settings->body_max_bytes));
     MpLimits_Init(&this->limits);
     MpPicker_Init(&this->picker, settings->zone, g_random_int());
     this->picker.policy = (enum MpPickPolicy)settings->routing;
@@ -390,7 +398,7 @@
     MpControlClient_Start(&this->control, loop, settings, fleet_key,
                           &control_listener, this);
     code = MpGateway_Start(&this->gateway, loop, settings, &this->control,
-                           &this->metrics);
+                           &this->metrics, &this->memory);
     if (code != MP_OK) {
         return code;
     }
@@ -399,6 +407,9 @@
     code =
         MpHttpServer_Start(&this->http, loop, settings->listen.callers,
                            (size_t)settings->body_max_bytes, on_request, this);
+    if (code == MP_OK) {
+        MpHttpServer_SetAccount(&this->http, &this->memory);
+    }
     if (code == MP_OK && settings->listen.ready) {
         code =
             MpHttpServer_Start(&this->ready_http, loop, settings->listen.ready,
@@ -439,6 +450,7 @@
     uint64_t busy_ns = 0;
     MpMetrics_Write(&this->metrics, out);
     MpHttpCounts_Write(&this->http.counts, "caller", out);
+    MpHttpMemory_WriteMetrics(&this->memory, out);
     g_hash_table_iter_init(&iter, this->picker.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         write_target(out, value);
--- a/src/transport/Router.h
+++ b/src/transport/Router.h
@@ -36,6 +36,7 @@
     struct MpHttpServer http;
     struct MpHttpServer ready_http; /* /readyz on an address of its own */
     struct MpGateway gateway;
+    struct MpMemoryAccount memory;
     GQueue exchanges; /* of struct MpExchange */
     uint64_t last_open_id;
     bool is_draining;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -21,6 +21,7 @@
     MpLoop_ClearTimer(&this->timer);
     this->is_rest_skipped = false;
     g_clear_pointer(&this->request, g_byte_array_unref);
+    g_clear_pointer(&this->sent, MpRequestBody_Unref);
     this->klass = NULL;
     this->owner = NULL;
 }
@@ -374,6 +375,7 @@
 {
     struct MpTargetConn *this = socket->data;
     this->is_written = true;
+    g_clear_pointer(&this->sent, MpRequestBody_Unref);
     if (error) {
         fail(this, MP_TARGET_INCOMPLETE, "reset");
     }
@@ -397,9 +399,12 @@
 void
 MpTargetConn_Write(struct MpTargetConn *this)
 {
-    h2o_iovec_t buffer =
-        h2o_iovec_init(this->request->data, this->request->len);
-    bool is_large = this->request->len > MP_WINDOW_MIN_BYTES;
+    h2o_iovec_t buffers[] = {
+        h2o_iovec_init(this->request->data, this->request->len),
+        this->sent ? h2o_iovec_init(this->sent->data, this->sent->size)
+                   : h2o_iovec_init(NULL, 0)};
+    size_t count = buffers[1].len > 0 ? 2 : 1;
+    bool is_large = buffers[0].len + buffers[1].len > MP_WINDOW_MIN_BYTES;
     if (is_large != this->is_large) {
         this->is_large = is_large;
         MpTargetSocket_SetUnacked(this->socket, is_large ? MP_UNACKED_LARGE_MS
@@ -413,7 +418,7 @@
                                 this->expected_ms, MpLoop_Now());
     }
     h2o_socket_read_start(this->socket, on_read);
-    h2o_socket_write(this->socket, &buffer, 1, on_written);
+    h2o_socket_write(this->socket, buffers, count, on_written);
 }
 
 /* Ends a probe; an established connection becomes idle. */
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -5,6 +5,7 @@
 #include "state/Metrics.h"
 #include "transport/Dialer.h"
 #include "transport/Loop.h"
+#include "transport/RequestBody.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -93,14 +94,15 @@
     uint64_t reused;          /* counter */
 };
 
-/* One request.  MpConnPool_Send takes ownership of bytes and copies the
- * strings. */
+/* One request.  MpConnPool_Send takes ownership of bytes, shares body and
+ * copies the strings. */
 struct MpTargetRequest {
-    GByteArray *bytes;
-    const char *id_header; /* echoed in the response, or NULL */
-    const char *id;        /* or NULL */
-    bool is_head;          /* method HEAD */
-    int64_t expected_ms;   /* usual time to the first data; 0: not known */
+    GByteArray *bytes;          /* the head, or all */
+    struct MpRequestBody *body; /* sent after bytes, or NULL */
+    const char *id_header;      /* echoed in the response, or NULL */
+    const char *id;             /* or NULL */
+    bool is_head;               /* method HEAD */
+    int64_t expected_ms; /* usual time to the first data; 0: not known */
 };
 
 /* metrics may be NULL. */
--- a/src/transport/TargetConnInternal.h
+++ b/src/transport/TargetConnInternal.h
@@ -26,11 +26,12 @@
     int64_t expected_ms;
     struct MpTimer timer;
     struct MpResponseReader reader;
-    struct MpBodyJoin body; /* what reader passes on of the body */
-    GByteArray *request;
-    GArray *id_hashes; /* of the ids that it carried */
-    uint32_t requests; /* sent on it, with the current one */
-    bool is_large;     /* the last request was larger than a window */
+    struct MpBodyJoin body;     /* what reader passes on of the body */
+    GByteArray *request;        /* the head, or all */
+    struct MpRequestBody *sent; /* the body that follows it, or NULL */
+    GArray *id_hashes;          /* of the ids that it carried */
+    uint32_t requests;          /* sent on it, with the current one */
+    bool is_large;              /* the last request was larger than a window */
     bool is_written;
     bool is_paused;
     bool is_in_callback;  /* a callback of the owner is running */
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -45,9 +45,22 @@
     const char *how;
     int64_t began_ms;
     int64_t active_ms; /* last data */
+    struct MpMemoryHolder memory;
     struct MpTimer timer;
 };
 
+/* Counts what was read from one side and not yet written to the other. */
+static void
+count_memory(struct MpTunnel *this)
+{
+    int64_t bytes = (int64_t)this->peer.out->len + this->peer.writing->len +
+                    this->target.out->len + this->target.writing->len;
+    if (bytes != this->memory.held_bytes) {
+        MpMemoryAccount_Set(this->gateway->memory, &this->memory, bytes,
+                            MpLoop_Now());
+    }
+}
+
 static void
 free_end(struct tunnel_end *end)
 {
@@ -70,6 +83,7 @@
     g_queue_unlink(&this->gateway->tunnels, &this->link);
     MpPathWait_End(&this->wait);
     MpLoop_ClearTimer(&this->timer);
+    MpMemoryAccount_Set(this->gateway->memory, &this->memory, 0, MpLoop_Now());
     free_end(&this->peer);
     free_end(&this->target);
     g_free(this->address);
@@ -162,6 +176,7 @@
     struct MpTunnel *this = end->tunnel;
     struct tunnel_end *source = other_end(end);
     g_byte_array_set_size(end->writing, 0);
+    count_memory(this);
     if (error) {
         this->how = end == &this->peer ? "peer-gone" : "target-reset";
         if (end == &this->target && !this->has_ended) {
@@ -283,6 +298,7 @@
             pass_request(this, socket->input->bytes, size);
         }
         h2o_buffer_consume(&socket->input, size);
+        count_memory(this);
     }
     if (error && is_target) {
         end_target(this, error != h2o_socket_error_closed);
@@ -412,7 +428,12 @@
         MpTargetPaths_IsObstructed(&gateway->dialer.paths, call->target)) {
         return MP_ERROR_NOT_READY;
     }
-    return gateway->tunnels.length >= MP_TUNNELS_MAX ? MP_ERROR_LIMIT : MP_OK;
+    const struct MpMemoryHolder tunnel = {.use = MP_MEMORY_RUNNING};
+    return gateway->tunnels.length >= MP_TUNNELS_MAX ||
+                   !MpMemoryAccount_Fits(gateway->memory, &tunnel,
+                                         OUT_HIGH_BYTES)
+               ? MP_ERROR_LIMIT
+               : MP_OK;
 }
 
 static void
@@ -447,6 +468,7 @@
     this->active_ms = this->began_ms;
     init_end(&this->peer, this);
     init_end(&this->target, this);
+    this->memory.use = MP_MEMORY_RUNNING;
     this->link.data = this;
     g_queue_push_tail_link(&gateway->tunnels, &this->link);
     MpLog_Event(LOG_INFO, "tunnel-began", "id=%s from=%s target=%s tunnels=%u",
--- a/src/transport/Upstream.h
+++ b/src/transport/Upstream.h
@@ -3,6 +3,7 @@
 
 #include "protocol/ResponseReader.h"
 #include "transport/Loop.h"
+#include "transport/RequestBody.h"
 
 #include <glib.h>
 #include <stddef.h>
@@ -32,14 +33,16 @@
     void (*end)(void *owner, enum MpUpstreamResult result);
 };
 
-/* Connects to address and sends request, of which it takes ownership.  dialer
- * is NULL for direct connections only.  method is the HTTP method in request.
- * The callbacks of klass are never called from within this function. */
+/* Connects to address and sends request, of which it takes ownership, and
+ * body, which may be NULL.  dialer is NULL for direct connections only. method
+ * is the HTTP method in request. The callbacks of klass are never called from
+ * within this function. */
 struct MpUpstream *MpUpstream_Start(struct MpLoop *loop,
                                     struct MpDialer *dialer,
                                     const struct MpUpstreamClass *klass,
                                     void *owner, const char *address,
-                                    const char *method, GByteArray *request);
+                                    const char *method, GByteArray *request,
+                                    struct MpRequestBody *body);
 
 /* Cancels the request and closes its connection; no callbacks follow. */
 void MpUpstream_Cancel(struct MpUpstream *this);
