A part of a response is no whole one when the upload broke off; statuses are 100 to 599

Cause (a): a target answers a long upload at once with 200 and without a length, sends a part of the body and resets the connection while the upload is still being written. The write that fails takes the error of the reset from the socket, and the read that follows returns an end in good order, which completes a response without a length. The same in the instance between, which passed the end on as one in good order. The native API takes no response without a length for whole, so it was not affected.

Cause (b): a status below 100 was refused already (000, 99, 20); above 599, and of more than three digits (0200, which the parser reads as 200), it was passed on.

Change: a response that ends with its connection before the request is written has been cut off, in TargetConn and in Tunnel. ResponseReader takes codes of three digits from 100 to 599 only; all others are malformed (504).

--- a/src/protocol/ResponseReader.c
+++ b/src/protocol/ResponseReader.c
@@ -4,6 +4,11 @@
 
 #include <string.h>
 
+/* RFC 9110, 15: others are invalid. */
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 /* Offsets and sizes of a header in the text of the head. */
 struct header_span {
     guint name;
@@ -136,7 +141,8 @@
 is_readable(const struct MpResponseReader *this,
             const struct MpTargetHead *head)
 {
-    if (head->status < 100 || is_joined(this, head)) {
+    if (this->status_digits != STATUS_DIGITS || head->status < STATUS_MIN ||
+        head->status > STATUS_MAX || is_joined(this, head)) {
         return false;
     }
     for (size_t i = 0; i < head->count; i++) {
@@ -329,6 +335,24 @@
     g_free(this->id);
 }
 
+/* Counts the digits of the status code, which the parser takes for a number of
+ * any length: 0200 for 200. */
+static void
+scan_status(struct MpResponseReader *this, const char *data, size_t size)
+{
+    for (size_t i = 0; i < size && !this->has_status; i++) {
+        if (!this->has_version) {
+            this->has_version = data[i] == ' ';
+        }
+        else if (g_ascii_isdigit(data[i])) {
+            this->status_digits = MIN(this->status_digits + 1, UINT8_MAX);
+        }
+        else {
+            this->has_status = data[i] != ' ' || this->status_digits > 0;
+        }
+    }
+}
+
 static void
 start_response(struct MpResponseReader *this)
 {
@@ -336,6 +360,9 @@
     this->parser.data = this;
     g_string_truncate(this->text, 0);
     this->reason_size = 0;
+    this->has_version = false;
+    this->has_status = false;
+    this->status_digits = 0;
     g_array_set_size(this->spans, 0);
     this->is_last_value = false;
     this->is_stray = false;
@@ -372,6 +399,7 @@
     while (*used < size || is_end) {
         /* Without data the parser is told the end of the connection. */
         size_t left = size - *used;
+        scan_status(this, data + *used, left);
         size_t step = http_parser_execute(&this->parser, &parser_settings,
                                           left > 0 ? data + *used : "", left);
         enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
--- a/src/protocol/ResponseReader.h
+++ b/src/protocol/ResponseReader.h
@@ -96,10 +96,13 @@
     const struct MpResponseReaderClass *klass;
     void *owner;
     http_parser parser;
-    GString *text;      /* of the head: the reason, then the headers */
-    size_t reason_size; /* of the reason in text */
-    GArray *spans;      /* of the headers in text */
-    bool is_last_value; /* the last part parsed was a header value */
+    bool has_version;      /* of the status line being read */
+    bool has_status;       /* the code is read, too */
+    uint8_t status_digits; /* of the code */
+    GString *text;         /* of the head: the reason, then the headers */
+    size_t reason_size;    /* of the reason in text */
+    GArray *spans;         /* of the headers in text */
+    bool is_last_value;    /* the last part parsed was a header value */
     char *id_header;
     char *id;
     bool is_head_request;
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -359,6 +359,11 @@
     else if (result == MP_READ_INVALID) {
         fail(this, MP_TARGET_INCOMPLETE, is_end ? "closed" : "malformed");
     }
+    else if (result == MP_READ_CLOSED && !this->is_written) {
+        /* A write that failed takes the error of a reset, and the read that
+         * follows it returns an end in good order. */
+        fail(this, MP_TARGET_INCOMPLETE, "reset");
+    }
     else if (result != MP_READ_MORE) {
         complete(this, result == MP_READ_CLOSED ? MP_TARGET_CLOSED
                                                 : MP_TARGET_COMPLETE);
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -27,6 +27,7 @@
     GByteArray *out;     /* to be written next */
     GByteArray *writing; /* is being written */
     bool is_stopped;     /* reading from it */
+    bool has_write_failed;
     uint64_t received_bytes;
 };
 
@@ -178,6 +179,7 @@
     g_byte_array_set_size(end->writing, 0);
     count_memory(this);
     if (error) {
+        end->has_write_failed = true;
         this->how = end == &this->peer ? "peer-gone" : "target-reset";
         if (end == &this->target && !this->has_ended) {
             /* The end of the target's answers tells the rest. */
@@ -301,7 +303,12 @@
         count_memory(this);
     }
     if (error && is_target) {
-        end_target(this, error != h2o_socket_error_closed);
+        /* A write that failed takes the error of a reset, and the read that
+         * follows it returns an end in good order. */
+        bool is_unwritten = this->target.has_write_failed ||
+                            this->target.writing->len > 0 ||
+                            this->target.out->len > 0;
+        end_target(this, error != h2o_socket_error_closed || is_unwritten);
         return;
     }
     if (error) {
