A router that stood still proposes no zone order of long ago

Cause: a stopped router finds an order in its socket when it goes on, reads the newest version and proposes the order on that base; a begin followed an acknowledged finish.

Change: the order is dropped when the operator has closed the connection, which is looked at before the proposal.

Conclusion: a late begin does not follow a finish, also over a stop.

--- a/src/transport/ZoneOrder.c
+++ b/src/transport/ZoneOrder.c
@@ -148,9 +148,15 @@
 {
     struct MpOperatorCall *call = data;
     bool is_late = MpLoop_Now() - call->began_ms >= READ_TIMEOUT_MS;
-    if (code != MP_OK || is_late || !call->req) {
-        /* Another instance may have got the order by now, and a later one. */
-        log_order(call, code != MP_OK ? code : MP_ERROR_TIMEOUT, 0);
+    bool is_gone = !call->req || MpHttp_IsDisconnected(call->req);
+    if (code != MP_OK || is_late || is_gone) {
+        /* Another instance may have got the order by now, and a later one.  An
+         * instance that stood still may find an order of long ago. */
+        log_order(call,
+                  code != MP_OK ? code
+                  : is_gone     ? MP_ERROR_CLOSED
+                                : MP_ERROR_TIMEOUT,
+                  0);
         MpOperatorCall_Fail(call, MP_ERROR_NO_QUORUM, NULL);
         return;
     }
--- a/tests/runs/zone_drain.py
+++ b/tests/runs/zone_drain.py
@@ -4,6 +4,7 @@
 was acknowledged survives the end of all control processes; instances without
 a quorum keep what they know."""
 import json
+import signal
 import time
 
 from fleet import request, wait_for
@@ -130,3 +131,16 @@
     print("finish again:", order(fleet, "finish"))
     print("pool of one zone:", wait_for(
         lambda: all(call(fleet, n, "/q/")[0] == "200" for n in fleet.names)))
+
+    # A stopped router finds a drain of long ago when it goes on.
+    fleet.kill(ROUTER, signal.SIGSTOP)
+    late = request(fleet.operators[ROUTER], "POST", "/evacuations/a/begin",
+                   timeout=1).status
+    print("begin at a stopped router:", late, "elsewhere:",
+          order(fleet, "begin", names=["i0"]), "finish:",
+          order(fleet, "finish", names=["i1"]))
+    fleet.kill(ROUTER, signal.SIGCONT)
+    time.sleep(2)
+    zones = fleet.operator_request("GET", "/control/v1/status").json()["zones"]
+    print("after the late begin:", [(z["zone"], z["drained"]) for z in zones])
+    print("back in use:", settle(fleet, ZONE_A, is_used))
