Requests stay in the regions that their path and workspace allow

Cause: a request whose path or workspace is bound to certain regions could reach any target, and pass through any instance that opened a connection for it. Settings may hold tables of texts. Conclusion: no other message between instances carries a body; an empty list allows all regions.

--- a/src/commands/HttpCall.c
+++ b/src/commands/HttpCall.c
@@ -100,8 +100,8 @@
     call_loop.is_stopped = false;
     MpLoop_SetTimer(&call_loop, &timer, TIMEOUT_MS, on_timeout, NULL);
     call_upstream =
-        MpUpstream_Start(&call_loop, NULL, &call_class, this, this->address,
-                         this->method, build_request(this));
+        MpUpstream_Start(&call_loop, NULL, NULL, &call_class, this,
+                         this->address, this->method, build_request(this));
     MpLoop_Run(&call_loop);
     MpLoop_ClearTimer(&timer);
     return call_code;
--- a/src/coordination/Picker.c
+++ b/src/coordination/Picker.c
@@ -325,10 +325,14 @@
     guint full;
 };
 
+/* Whether the target was tried already or is outside of the allowed regions.
+ */
 static bool
-is_avoided(const struct MpPickQuery *query, const char *name)
+is_avoided(const struct MpPickQuery *query, const struct MpTarget *target)
 {
-    return query->avoid && MpDocument_ListContains(query->avoid, name);
+    return (query->avoid &&
+            MpDocument_ListContains(query->avoid, target->name)) ||
+           !MpRegionRule_Allows(query->regions, target->zone);
 }
 
 static bool
@@ -357,7 +361,8 @@
     for (guint i = 0; i < query->names->len; i++) {
         const char *name = g_ptr_array_index(query->names, i);
         struct MpTarget *target = MpPicker_Find(this, name);
-        if (!target || is_avoided(query, name) || !is_usable(target, now_ms)) {
+        if (!target || is_avoided(query, target) ||
+            !is_usable(target, now_ms)) {
             continue;
         }
         /* An at-most-once request is never a probe. */
@@ -387,7 +392,7 @@
     for (guint i = 0; i < query->names->len; i++) {
         const char *name = g_ptr_array_index(query->names, i);
         struct MpTarget *target = MpPicker_Find(this, name);
-        if (target && !is_avoided(query, name) &&
+        if (target && !is_avoided(query, target) &&
             MpTarget_Health(target, now_ms) == MP_HEALTH_EJECTED) {
             add_candidate(candidates, target, now_ms);
         }
--- a/src/coordination/Picker.h
+++ b/src/coordination/Picker.h
@@ -2,6 +2,7 @@
 #define MP_COORDINATION_PICKER_H
 
 #include "coordination/PickPolicy.h"
+#include "coordination/Regions.h"
 #include "coordination/TargetLeaving.h"
 #include "coordination/TargetPause.h"
 #include "state/Document.h"
@@ -103,6 +104,7 @@
     uint32_t block_count;
     bool is_at_most_once;
     const GPtrArray *avoid; /* of char *, targets already tried, or NULL */
+    const struct MpRegionRule *regions; /* where it may be served; or NULL */
 };
 
 void MpPicker_Init(struct MpPicker *this, const char *zone, uint32_t seed);
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_ROSTER_H
 #define MP_COORDINATION_ROSTER_H
 
+#include "coordination/Regions.h"
 #include "coordination/RequestMeta.h"
 #include "coordination/ColdStart.h"
 #include "coordination/PickPolicy.h"
@@ -186,6 +187,7 @@
     int64_t wall_ms;        /* clock that all instances have in common */
     int64_t queue_max_ms;   /* see MpRoster_QueueMax */
     int64_t rank;           /* 0 is the highest */
+    const struct MpRegionRule *regions; /* where it may be served; or NULL */
     const char *version; /* only targets with this software version; or NULL */
     const struct MpVersionView *view; /* without version: only targets whose
                                        * version is active there; or NULL */
@@ -207,6 +209,7 @@
     uint32_t tried;   /* already tried by this request */
     uint32_t full;
     uint32_t cold;
+    uint32_t outside;  /* of the regions that are allowed */
     uint32_t limited;  /* a permit is to be had later */
     int64_t permit_ms; /* when the first of these may be asked for again, 0
                         * if there is none */
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -109,6 +109,12 @@
     return false;
 }
 
+static bool
+is_outside(const struct MpPoolTarget *target, const struct MpPoolQuery *query)
+{
+    return !MpRegionRule_Allows(query->regions, target->zone);
+}
+
 /* Whether streams may begin at the target's software version. */
 static bool
 is_version_active(const struct MpPoolTarget *target,
@@ -137,7 +143,7 @@
            now_ms - target->listed_ms >= UNANNOUNCED_MS;
 }
 
-/* Whether no target of the pool that is not leaving has an active version:
+/* Whether no allowed target of the pool that stays has an active version:
  * the leader may be unable to read the target list. */
 static bool
 has_no_active_version(const GPtrArray *pool, const struct MpPoolQuery *query,
@@ -145,7 +151,8 @@
 {
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        if (!target->is_leaving && is_version_active(target, query, now_ms)) {
+        if (!target->is_leaving && !is_outside(target, query) &&
+            is_version_active(target, query, now_ms)) {
             return false;
         }
     }
@@ -161,6 +168,7 @@
     if (target->is_leaving || target->is_removed ||
         target->ejected_until_ms > now_ms || is_tried(target, query) ||
         MpTargetPause_IsActive(&target->pause, now_ms) ||
+        is_outside(target, query) ||
         !has_right_version(target, query, now_ms)) {
         return false;
     }
@@ -178,6 +186,7 @@
                const struct MpPoolQuery *query, int64_t now_ms)
 {
     return !target->is_leaving && !target->is_removed &&
+           !is_outside(target, query) &&
            (!MpTargetPause_IsActive(&target->pause, now_ms) ||
             MP_FAULT(MP_FAULT_PAUSED_LAST_RESORT)) &&
            !is_withheld(target, query, now_ms) &&
@@ -626,6 +635,7 @@
         status->ejected +=
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
+        status->outside += is_outside(target, query);
         status->full += is_full(target, now_ms) ||
                         !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
--- a/src/coordination/TunnelPeers.c
+++ b/src/coordination/TunnelPeers.c
@@ -7,6 +7,7 @@
 {
     struct MpTunnelPeer *peer = data;
     g_free(peer->address);
+    g_free(peer->zone);
     g_free(peer);
 }
 
@@ -60,6 +61,10 @@
             peer->address = g_strdup(address);
             g_hash_table_insert(this->peers, peer->address, peer);
         }
+        if (g_strcmp0(peer->zone, peers[i].zone) != 0) {
+            g_free(peer->zone);
+            peer->zone = g_strdup(peers[i].zone);
+        }
         if (!peer->is_listed) {
             peer->is_listed = true;
             g_ptr_array_add(this->listed, peer);
@@ -106,12 +111,14 @@
 }
 
 static void
-list_candidates(const struct MpTunnelPeers *this, const GPtrArray *avoid,
+list_candidates(const struct MpTunnelPeers *this,
+                const struct MpRegionRule *regions, const GPtrArray *avoid,
                 enum peer_choice choice, int64_t now_ms, GPtrArray *out)
 {
     for (guint i = 0; i < this->listed->len; i++) {
         struct MpTunnelPeer *peer = g_ptr_array_index(this->listed, i);
-        if (is_choice(peer, choice, now_ms) && !is_avoided(peer, avoid)) {
+        if (is_choice(peer, choice, now_ms) && !is_avoided(peer, avoid) &&
+            MpRegionRule_Allows(regions, peer->zone)) {
             g_ptr_array_add(out, peer);
         }
     }
@@ -119,21 +126,24 @@
 
 const char *
 MpTunnelPeers_Pick(const struct MpTunnelPeers *this,
-                   enum MpConnPurpose purpose, const GPtrArray *avoid,
+                   enum MpConnPurpose purpose,
+                   const struct MpRegionRule *regions, const GPtrArray *avoid,
                    const uint32_t random[2], int64_t now_ms)
 {
     bool explores = avoid->len == 0 && random[0] % MP_PEER_EXPLORE_ONE_IN == 0;
     uint32_t first = random[0] / MP_PEER_EXPLORE_ONE_IN;
     GPtrArray *candidates = g_ptr_array_new();
     if (!explores) {
-        list_candidates(this, avoid, CHOICE_PROVEN, now_ms, candidates);
+        list_candidates(this, regions, avoid, CHOICE_PROVEN, now_ms,
+                        candidates);
     }
     if (candidates->len == 0) {
-        list_candidates(this, avoid, CHOICE_ANY, now_ms, candidates);
+        list_candidates(this, regions, avoid, CHOICE_ANY, now_ms, candidates);
     }
     if (candidates->len == 0 && purpose == MP_CONN_FOR_PROBE &&
         avoid->len < MP_PEER_WITNESSES) {
-        list_candidates(this, avoid, CHOICE_WITNESS, now_ms, candidates);
+        list_candidates(this, regions, avoid, CHOICE_WITNESS, now_ms,
+                        candidates);
     }
     const char *address = NULL;
     if (candidates->len > 0) {
--- a/src/coordination/TunnelPeers.h
+++ b/src/coordination/TunnelPeers.h
@@ -1,6 +1,7 @@
 #ifndef MP_COORDINATION_TUNNEL_PEERS_H
 #define MP_COORDINATION_TUNNEL_PEERS_H
 
+#include "coordination/Regions.h"
 #include "gen/wire.h"
 
 #include <glib.h>
@@ -53,6 +54,7 @@
 
 struct MpTunnelPeer {
     char *address;
+    char *zone;
     bool is_listed;
     uint32_t open; /* connections by way of it */
     int64_t passed_ms;
@@ -82,9 +84,11 @@
  * some have been tried, those that passed data on come before all others.
  * For a probe, a few that are cut off or broken are asked if no other is left:
  * without any witness nothing is known of a target, and no request is lost.
+ * Only peers in the zones that regions, which may be NULL, allows are asked.
  * random: two random numbers. */
 const char *MpTunnelPeers_Pick(const struct MpTunnelPeers *this,
                                enum MpConnPurpose purpose,
+                               const struct MpRegionRule *regions,
                                const GPtrArray *avoid,
                                const uint32_t random[2], int64_t now_ms);
 
--- a/src/state/Document.h
+++ b/src/state/Document.h
@@ -101,7 +101,8 @@
     int64_t event_gap_ms;      /* target between two events; 0: none */
     int64_t priority;          /* 0 is the most urgent */
     int64_t attempts_max;
-    GPtrArray *shares; /* of struct MpShareConf */
+    GPtrArray *shares;          /* of struct MpShareConf */
+    GPtrArray *allowed_regions; /* empty: all */
 };
 
 /* Capabilities of each engine of a pool. */
@@ -132,10 +133,11 @@
     GPtrArray *services;
     int64_t concurrent_max;
     int64_t rate_per_s;
-    int32_t priority;       /* enum MpPriorityClass */
-    int32_t partition;      /* enum MpPartitionPolicy */
-    int64_t path_priority;  /* overrides MpPathConf.priority; -1: none */
-    int64_t prepaid_tokens; /* in total, besides top-ups; -1: none */
+    int32_t priority;           /* enum MpPriorityClass */
+    int32_t partition;          /* enum MpPartitionPolicy */
+    int64_t path_priority;      /* overrides MpPathConf.priority; -1: none */
+    int64_t prepaid_tokens;     /* in total, besides top-ups; -1: none */
+    GPtrArray *allowed_regions; /* empty: all */
 };
 
 struct MpDocument {
--- a/src/state/DocumentSchema.c
+++ b/src/state/DocumentSchema.c
@@ -257,6 +257,13 @@
      .description =
          "Prepaid tokens of the workspace in total, besides top-ups; -1: "
          "none, and requests on paths need no budget."},
+    {.name = "allowed_regions",
+     .type = MP_FIELD_NAMES,
+     .max = 256,
+     AT(MpWorkspaceConf, allowed_regions),
+     .description =
+         "Regions in which requests of the workspace may be served, and "
+         "their bodies passed on; none: all."},
     {.name = NULL},
 };
 const struct MpSchema MpDocument_WorkspaceSchema = {
@@ -370,6 +377,12 @@
      .schema = &MpDocument_ShareSchema,
      AT(MpPathConf, shares),
      .description = "Pools that serve the path, with their weights."},
+    {.name = "allowed_regions",
+     .type = MP_FIELD_NAMES,
+     .max = 256,
+     AT(MpPathConf, allowed_regions),
+     .description = "Regions in which requests of the path may be served, and "
+                    "their bodies passed on; none: all."},
     {.name = NULL},
 };
 const struct MpSchema MpDocument_PathSchema = {
--- a/src/state/Schema.c
+++ b/src/state/Schema.c
@@ -283,6 +283,33 @@
     }
 }
 
+static void
+decode_table(const struct context *context)
+{
+    GHashTable *table = *(GHashTable **)field_address(context);
+    if (!json_object_is_type(context->value, json_type_object)) {
+        add_type_finding(context, "an object");
+        return;
+    }
+    if (!check_count(context,
+                     (size_t)json_object_object_length(context->value))) {
+        return;
+    }
+    json_object_object_foreach(context->value, key, child)
+    {
+        const char *text = json_object_is_type(child, json_type_string)
+                               ? json_object_get_string(child)
+                               : "";
+        if (!key[0] || !text[0]) {
+            MpFindings_Add(context->findings, MP_FINDING_VALUE, 0,
+                           context->path, "entry \"%s\" must be a string",
+                           key);
+            continue;
+        }
+        g_hash_table_replace(table, g_strdup(key), g_strdup(text));
+    }
+}
+
 static void
 decode_field(const struct context *context)
 {
@@ -313,6 +340,9 @@
     case MP_FIELD_MAP:
         decode_map(context);
         break;
+    case MP_FIELD_TABLE:
+        decode_table(context);
+        break;
     default:
         decode_string(context);
         break;
@@ -347,6 +377,10 @@
         *(GHashTable **)member =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         break;
+    case MP_FIELD_TABLE:
+        *(GHashTable **)member =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        break;
     case MP_FIELD_OBJECT:
         MpSchema_Decode(field->schema, NULL, NULL, member, NULL);
         break;
@@ -488,6 +522,9 @@
         case MP_FIELD_MAP:
             free_map(field, *(GHashTable **)member);
             break;
+        case MP_FIELD_TABLE:
+            g_clear_pointer((GHashTable **)member, g_hash_table_unref);
+            break;
         case MP_FIELD_OBJECT:
             MpSchema_Free(field->schema, member);
             break;
@@ -507,7 +544,7 @@
     [MP_FIELD_HASH] = "SHA-256",        [MP_FIELD_CHOICE] = "choice",
     [MP_FIELD_NAMES] = "list of names", [MP_FIELD_HASHES] = "list of SHA-256",
     [MP_FIELD_OBJECT] = "object",       [MP_FIELD_LIST] = "list of objects",
-    [MP_FIELD_MAP] = "objects by name",
+    [MP_FIELD_MAP] = "objects by name", [MP_FIELD_TABLE] = "texts by name",
 };
 
 static void
@@ -532,6 +569,7 @@
     case MP_FIELD_HASHES:
     case MP_FIELD_LIST:
     case MP_FIELD_MAP:
+    case MP_FIELD_TABLE:
         g_string_append_printf(out, "%" PRId64 " to %" PRId64 "%s%s",
                                field->min, field->max, field->unit ? " " : "",
                                field->unit ? field->unit : "");
--- a/src/state/Schema.h
+++ b/src/state/Schema.h
@@ -30,7 +30,8 @@
     MP_FIELD_HASHES,  /* GPtrArray of char * */
     MP_FIELD_OBJECT,  /* embedded struct that schema describes */
     MP_FIELD_LIST,    /* GPtrArray of structs that schema describes */
-    MP_FIELD_MAP      /* GHashTable: name -> struct that schema describes */
+    MP_FIELD_MAP,     /* GHashTable: name -> struct that schema describes */
+    MP_FIELD_TABLE    /* GHashTable: text -> text, neither of them empty */
 };
 
 struct MpSchema;
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -55,6 +55,8 @@
 struct MpSettings {
     char *instance;
     char *zone;
+    char *region;
+    GHashTable *zones; /* zone -> region */
     struct MpListenConf listen;
     GPtrArray *roles;
     GPtrArray *control; /* all replicas; of struct MpReplicaConf */
--- a/src/transport/ConnPool.c
+++ b/src/transport/ConnPool.c
@@ -122,7 +122,8 @@
     struct MpTargetConn *conn = take_idle(this, request);
     bool is_new = !conn;
     if (is_new) {
-        conn = MpTargetConn_New(this, MP_CONN_FOR_REQUEST, request->id);
+        conn = MpTargetConn_New(this, MP_CONN_FOR_REQUEST, request->regions,
+                                request->id);
     }
     else {
         this->reused++;
@@ -153,7 +154,7 @@
 MpConnPool_Probe(struct MpConnPool *this, MpProbeDone probe_done, void *owner)
 {
     struct MpTargetConn *conn =
-        MpTargetConn_New(this, MP_CONN_FOR_PROBE, NULL);
+        MpTargetConn_New(this, MP_CONN_FOR_PROBE, NULL, NULL);
     int64_t wait_ms =
         MP_TARGET_PROBE_MS + (this->dialer ? MP_TUNNEL_SEARCH_MS : 0);
     conn->probe_done = probe_done;
--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -16,6 +16,7 @@
     struct MpDialer *dialer; /* or NULL */
     char *address;
     enum MpConnPurpose purpose;
+    const struct MpRegionRule *regions; /* where peers may be; or NULL */
     char *id;
     MpDialDone done;
     void *data;
@@ -319,10 +320,11 @@
     struct MpDialer *dialer = this->dialer;
     int64_t now_ms = MpLoop_Now();
     uint32_t random[2] = {g_random_int(), g_random_int()};
-    const char *peer = now_ms < this->until_ms && may_ask_peers(this)
-                           ? MpTunnelPeers_Pick(&dialer->peers, this->purpose,
-                                                this->tried, random, now_ms)
-                           : NULL;
+    const char *peer =
+        now_ms < this->until_ms && may_ask_peers(this)
+            ? MpTunnelPeers_Pick(&dialer->peers, this->purpose, this->regions,
+                                 this->tried, random, now_ms)
+            : NULL;
     MpLoop_ClearTimer(&this->timer);
     if (!peer) {
         end_search(this);
@@ -348,8 +350,8 @@
 
 struct MpDial *
 MpDial_Start(struct MpLoop *loop, struct MpDialer *dialer, const char *address,
-             enum MpConnPurpose purpose, const char *id, int64_t connect_ms,
-             MpDialDone done, void *data)
+             enum MpConnPurpose purpose, const struct MpRegionRule *regions,
+             const char *id, int64_t connect_ms, MpDialDone done, void *data)
 {
     struct MpDial *this = g_new0(struct MpDial, 1);
     int64_t now_ms = MpLoop_Now();
@@ -357,6 +359,7 @@
     this->dialer = dialer;
     this->address = g_strdup(address);
     this->purpose = purpose;
+    this->regions = regions;
     this->id = g_strdup(id);
     this->connect_ms = connect_ms;
     this->began_ms = now_ms;
--- a/src/transport/Dialer.h
+++ b/src/transport/Dialer.h
@@ -81,11 +81,13 @@
 /* Starts opening a connection to the target at address.  A NULL dialer opens
  * direct connections only.  id is that of the request, for the log, or NULL.
  * purpose: whether a request follows, or the connection is only a probe.
+ * regions: where the request may be passed on, or NULL; it must outlive the
+ * dial.
  * done is called once, never from within this function. */
 struct MpDial *MpDial_Start(struct MpLoop *loop, struct MpDialer *dialer,
                             const char *address, enum MpConnPurpose purpose,
-                            const char *id, int64_t connect_ms,
-                            MpDialDone done, void *data);
+                            const struct MpRegionRule *regions, const char *id,
+                            int64_t connect_ms, MpDialDone done, void *data);
 
 /* Gives up; done is not called. */
 void MpDial_Cancel(struct MpDial *this);
--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -391,6 +391,9 @@
 static int
 admit(struct MpExchange *this, int64_t *retry_after_ms)
 {
+    this->regions = (struct MpRegionRule){
+        .regions = &this->router->gateway.regions,
+        .by_workspace = this->workspace_conf->allowed_regions};
     if (MpControlClient_IsPoison(&this->router->control, this->body_hash)) {
         return MP_ERROR_POISON;
     }
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -104,7 +104,8 @@
     struct MpTarget *target;
     struct MpUpstream *upstream;
     struct MpSse sse;
-    GPtrArray *tried; /* names of targets with a failed attempt */
+    GPtrArray *tried;            /* names of targets with a failed attempt */
+    struct MpRegionRule regions; /* where it may be served */
     uint32_t attempts;
     int64_t sent_ms;
     bool is_pause_answer; /* the target has asked for a pause */
--- a/src/transport/ExchangeTarget.c
+++ b/src/transport/ExchangeTarget.c
@@ -139,8 +139,9 @@
     }
     arm_silence_timer(this, first_wait_ms(this));
     this->upstream = MpUpstream_Start(
-        this->router->loop, &this->router->gateway.dialer, &attempt_class,
-        this, this->target->address, this->method, build_request(this));
+        this->router->loop, &this->router->gateway.dialer, &this->regions,
+        &attempt_class, this, this->target->address, this->method,
+        build_request(this));
 }
 
 void
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -483,6 +483,8 @@
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
     this->roster.policy = (enum MpPickPolicy)settings->routing;
     MpSlices_Init(&this->slices);
+    MpRegions_Init(&this->regions, settings->zones, settings->zone,
+                   settings->region);
     MpPermits_Init(&this->permits);
     MpPermits_NoteKeepers(&this->permits, MpLoop_Now());
     MpGatewayVersions_Init(this);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -39,6 +39,7 @@
     struct MpSlices slices;
     struct MpGatewayLoans *loans;
     struct MpPermits permits;
+    struct MpRegions regions;
     struct MpVersionView versions;
     GQueue recent_streams;     /* of struct MpRecentStream, not recorded */
     GArray *begun_streams;     /* of struct mp_stream_begun, to be recorded */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -333,6 +333,7 @@
         .id = this->id,
         .is_head = this->is_head,
         .expected_ms = picked->wait_ms,
+        .regions = &this->regions,
     };
     this->conn = MpConnPool_Send(MpGateway_GetConnPool(gateway, target),
                                  &attempt_class, this, &request);
@@ -376,12 +377,13 @@
     MpLog_Event(LOG_WARNING, "target-none",
                 "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u "
                 "paused=%u resting=%u tried=%u full=%u limited=%u cold=%u "
-                "queue_ms=%" PRId64 " list=%" PRIu64 " list_age_ms=%" PRId64
-                " has_retry=%d",
+                "outside=%u queue_ms=%" PRId64 " list=%" PRIu64
+                " list_age_ms=%" PRId64 " has_retry=%d",
                 this->id ? this->id : "-", this->pool, MpError_Name(code),
                 this->forward.sends + 1, status.listed, status.leaving,
                 status.ejected, status.resting, status.tried, status.full,
-                status.limited, status.cold, picked->queue_ms, roster->version,
+                status.limited, status.cold, status.outside, picked->queue_ms,
+                roster->version,
                 roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
                 this->forward.sends == 0 || may_retry(this));
     MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
@@ -415,6 +417,7 @@
         .is_engine = pool->engine.slots > 0,
         .avoid = this->tried,
         .permitted = this->permitted,
+        .regions = &this->regions,
         .version = this->version,
         .view = MpGatewayCall_IsResumable(this) ? &gateway->versions : NULL,
         .heard_ms = gateway->control->heard_ms,
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -38,6 +38,7 @@
     const struct MpPathConf *path;
     const char *workspace; /* owned by document; NULL for anonymous paths */
     const char *pool;
+    struct MpRegionRule regions; /* where it may be served */
     char *id;      /* of the request, chosen by the caller or else here; may be
                     * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
--- a/src/transport/GatewayRequest.c
+++ b/src/transport/GatewayRequest.c
@@ -223,6 +223,20 @@
     }
 }
 
+/* Sets where the request may be served, by its path and its workspace. */
+static void
+set_regions(struct MpGatewayCall *call)
+{
+    const struct MpWorkspaceConf *workspace =
+        call->workspace
+            ? g_hash_table_lookup(call->document->workspaces, call->workspace)
+            : NULL;
+    call->regions = (struct MpRegionRule){
+        .regions = &call->gateway->regions,
+        .by_path = call->path->allowed_regions,
+        .by_workspace = workspace ? workspace->allowed_regions : NULL};
+}
+
 int
 MpGatewayRequest_Read(struct MpGatewayCall *call, const h2o_req_t *req)
 {
@@ -243,6 +257,7 @@
     if ((int64_t)req->entity.len > call->document->limits.body_max_bytes) {
         return MP_ERROR_TOO_LARGE;
     }
+    set_regions(call);
     call->is_head = MpHttp_Equals(req->input.method, "HEAD");
     set_fingerprint(call, req);
     build_head(call, req);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -34,7 +34,8 @@
                                 .blocks = exchange->blocks,
                                 .block_count = exchange->block_count,
                                 .is_at_most_once = exchange->at_most_once,
-                                .avoid = exchange->tried};
+                                .avoid = exchange->tried,
+                                .regions = &exchange->regions};
     return MpPicker_Pick(&this->picker, &query, MpLoop_Now(), code);
 }
 
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -480,7 +480,7 @@
 
 struct MpTargetConn *
 MpTargetConn_New(struct MpConnPool *conn_pool, enum MpConnPurpose purpose,
-                 const char *id)
+                 const struct MpRegionRule *regions, const char *id)
 {
     struct MpTargetConn *conn = g_new0(struct MpTargetConn, 1);
     conn->conn_pool = conn_pool;
@@ -490,9 +490,9 @@
     conn->idle_timeout_ms = MP_TARGET_IDLE_MS;
     conn_pool->open++;
     conn_pool->opened++;
-    conn->dial =
-        MpDial_Start(conn_pool->loop, conn_pool->dialer, conn_pool->address,
-                     purpose, id, conn_pool->connect_ms, on_dialed, conn);
+    conn->dial = MpDial_Start(conn_pool->loop, conn_pool->dialer,
+                              conn_pool->address, purpose, regions, id,
+                              conn_pool->connect_ms, on_dialed, conn);
     return conn;
 }
 
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -101,6 +101,8 @@
     const char *id;        /* or NULL */
     bool is_head;          /* method HEAD */
     int64_t expected_ms;   /* usual time to the first data; 0: not known */
+    const struct MpRegionRule *regions; /* where it may be passed on, or NULL;
+                                         * outlives the request */
 };
 
 /* metrics may be NULL. */
--- a/src/transport/TargetConnInternal.h
+++ b/src/transport/TargetConnInternal.h
@@ -44,9 +44,10 @@
 };
 
 /* Creates a connection of the pool, which is being opened; id is that of the
- * request, or NULL.  See MpDial_Start for purpose. */
+ * request, or NULL.  See MpDial_Start for purpose and regions. */
 struct MpTargetConn *MpTargetConn_New(struct MpConnPool *conn_pool,
                                       enum MpConnPurpose purpose,
+                                      const struct MpRegionRule *regions,
                                       const char *id);
 
 /* Frees a connection that is not in conn_pool->idle, after the callback that
--- a/src/transport/TargetPoller.c
+++ b/src/transport/TargetPoller.c
@@ -217,7 +217,7 @@
                     RESPONSE_TIMEOUT_MS, on_timeout, this);
     this->upstream = MpUpstream_Start(
         this->poller->router->loop, &this->poller->router->gateway.dialer,
-        &query_class, this, this->target->address, "GET", request);
+        NULL, &query_class, this, this->target->address, "GET", request);
 }
 
 void
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -453,7 +453,8 @@
                 this->id, this->instance, this->address,
                 gateway->tunnels.length);
     this->dial = MpDial_Start(
-        gateway->loop, NULL, this->address, MP_CONN_FOR_REQUEST, this->id,
+        gateway->loop, NULL, this->address, MP_CONN_FOR_REQUEST, NULL,
+        this->id,
         CLAMP((int64_t)argument->timeout_ms, 1, MP_TUNNEL_CONNECT_MS),
         on_dialed, this);
 }
--- a/src/transport/Upstream.c
+++ b/src/transport/Upstream.c
@@ -43,13 +43,16 @@
 
 struct MpUpstream *
 MpUpstream_Start(struct MpLoop *loop, struct MpDialer *dialer,
+                 const struct MpRegionRule *regions,
                  const struct MpUpstreamClass *klass, void *owner,
                  const char *address, const char *method, GByteArray *request)
 {
     struct MpUpstream *this = g_new(struct MpUpstream, 1);
     struct MpConnPool *conn_pool = MpConnPool_New(loop, NULL, address);
-    struct MpTargetRequest target_request = {
-        .bytes = request, .is_head = strcmp(method, "HEAD") == 0};
+    struct MpTargetRequest target_request = {.bytes = request,
+                                             .is_head =
+                                                 strcmp(method, "HEAD") == 0,
+                                             .regions = regions};
     conn_pool->dialer = dialer;
     conn_pool->connect_ms = CONNECT_TIMEOUT_MS;
     *this =
--- a/src/transport/Upstream.h
+++ b/src/transport/Upstream.h
@@ -23,6 +23,7 @@
 };
 
 struct MpDialer;
+struct MpRegionRule;
 struct MpUpstream;
 
 struct MpUpstreamClass {
@@ -33,10 +34,12 @@
 };
 
 /* Connects to address and sends request, of which it takes ownership.  dialer
- * is NULL for direct connections only.  method is the HTTP method in request.
+ * is NULL for direct connections only.  regions: where the request may be
+ * passed on, or NULL.  method is the HTTP method in request.
  * The callbacks of klass are never called from within this function. */
 struct MpUpstream *MpUpstream_Start(struct MpLoop *loop,
                                     struct MpDialer *dialer,
+                                    const struct MpRegionRule *regions,
                                     const struct MpUpstreamClass *klass,
                                     void *owner, const char *address,
                                     const char *method, GByteArray *request);
--- a/tests/TestTargetPaths.c
+++ b/tests/TestTargetPaths.c
@@ -290,14 +290,16 @@
 pick_for_request(const struct MpTunnelPeers *peers, const GPtrArray *avoid)
 {
     const uint32_t random[2] = {1, 1};
-    return MpTunnelPeers_Pick(peers, MP_CONN_FOR_REQUEST, avoid, random, 1000);
+    return MpTunnelPeers_Pick(peers, MP_CONN_FOR_REQUEST, NULL, avoid, random,
+                              1000);
 }
 
 static const char *
 pick_for_probe(const struct MpTunnelPeers *peers, const GPtrArray *avoid)
 {
     const uint32_t random[2] = {1, 1};
-    return MpTunnelPeers_Pick(peers, MP_CONN_FOR_PROBE, avoid, random, 1000);
+    return MpTunnelPeers_Pick(peers, MP_CONN_FOR_PROBE, NULL, avoid, random,
+                              1000);
 }
 
 static void
@@ -308,19 +310,20 @@
     for (uint32_t i = 0; i < 100; i++) {
         const uint32_t random[2] = {i, i / 2};
         const char *peer = MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST,
-                                              avoid, random, 1000);
+                                              NULL, avoid, random, 1000);
         g_assert_cmpstr(peer, !=, "p0");
     }
     const uint32_t random[2] = {0, 1};
     MpTunnelPeers_NoteResult(&peers, "p1", MP_PEER_FAILED, 1000);
-    g_assert_cmpstr(
-        MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid, random, 1001),
-        ==, "p2");
+    g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                       avoid, random, 1001),
+                    ==, "p2");
     g_ptr_array_add(avoid, (char *)"p2");
-    g_assert_null(
-        MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid, random, 1001));
-    g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid,
-                                       random, 1000 + MP_PEER_BACKOFF_MIN_MS),
+    g_assert_null(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL, avoid,
+                                     random, 1001));
+    g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                       avoid, random,
+                                       1000 + MP_PEER_BACKOFF_MIN_MS),
                     ==, "p1");
     done_peers(&peers, avoid);
 }
@@ -338,7 +341,7 @@
     for (uint32_t i = 0; i < 10 * MP_PEER_EXPLORE_ONE_IN; i++) {
         const uint32_t numbers[2] = {i, i / MP_PEER_EXPLORE_ONE_IN};
         const char *peer = MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST,
-                                              avoid, numbers, now_ms);
+                                              NULL, avoid, numbers, now_ms);
         others += strcmp(peer, "p1") == 0;
         g_assert_true(i % MP_PEER_EXPLORE_ONE_IN == 0 ||
                       strcmp(peer, "p2") == 0);
@@ -349,8 +352,8 @@
     g_ptr_array_add(avoid, (char *)"p3");
     for (uint32_t i = 0; i < 10; i++) {
         const uint32_t numbers[2] = {i, i / 2};
-        g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid,
-                                           numbers, now_ms),
+        g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                           avoid, numbers, now_ms),
                         ==, "p2");
     }
     g_ptr_array_set_size(avoid, 0);
@@ -358,9 +361,9 @@
     const uint32_t random[2] = {0, 1};
     MpTunnelPeers_NoteResult(&peers, "p1", MP_PEER_PASSED, now_ms);
     MpTunnelPeers_Count(&peers, "p2", 1);
-    g_assert_cmpstr(
-        MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid, random, now_ms),
-        ==, "p1");
+    g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                       avoid, random, now_ms),
+                    ==, "p1");
     /* One that left the list keeps its count until its connections end. */
     MpTunnelPeers_SetList(&peers, listed_peers, 2);
     MpTunnelPeers_Count(&peers, "p2", -1);
@@ -403,11 +406,11 @@
     int64_t now_ms = 1000;
     for (int i = 0; i < 5; i++) {
         MpTunnelPeers_NoteResult(&peers, "p1", MP_PEER_CUT_OFF, now_ms);
-        g_assert_null(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid,
-                                         random, now_ms));
+        g_assert_null(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                         avoid, random, now_ms));
         now_ms += MP_PEER_BACKOFF_MIN_MS;
-        g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, avoid,
-                                           random, now_ms),
+        g_assert_cmpstr(MpTunnelPeers_Pick(&peers, MP_CONN_FOR_REQUEST, NULL,
+                                           avoid, random, now_ms),
                         ==, "p1");
         MpTunnelPeers_NoteResult(&peers, "p1", MP_PEER_REPLIED, now_ms);
     }
