--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -110,6 +110,12 @@
     return false;
 }
 
+static bool
+is_outside(const struct MpPoolTarget *target, const struct MpPoolQuery *query)
+{
+    return !MpRegionRule_Allows(query->regions, target->zone);
+}
+
 /* Whether streams may begin at the target's software version. */
 static bool
 is_version_active(const struct MpPoolTarget *target,
@@ -138,8 +144,9 @@
            now_ms - target->listed_ms >= UNANNOUNCED_MS;
 }
 
-/* Whether no target of the pool that is neither leaving nor in a drained zone
- * has an active version: the leader may be unable to read the target list. */
+/* Whether no allowed target of the pool that is neither leaving nor in a
+ * drained zone has an active version: the leader may be unable to read the
+ * list. */
 static bool
 has_no_active_version(const GPtrArray *pool, const struct MpPoolQuery *query,
                       int64_t now_ms)
@@ -147,6 +154,7 @@
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         if (!target->is_leaving && !target->is_drained &&
+            !is_outside(target, query) &&
             is_version_active(target, query, now_ms)) {
             return false;
         }
@@ -163,6 +171,7 @@
     if (target->is_leaving || target->is_removed || target->is_drained ||
         target->ejected_until_ms > now_ms || is_tried(target, query) ||
         MpTargetPause_IsActive(&target->pause, now_ms) ||
+        is_outside(target, query) ||
         !has_right_version(target, query, now_ms)) {
         return false;
     }
@@ -181,6 +190,7 @@
 {
     return !target->is_leaving && !target->is_removed &&
            (!target->is_drained || MP_FAULT(MP_FAULT_DRAINED_LAST_RESORT)) &&
+           !is_outside(target, query) &&
            (!MpTargetPause_IsActive(&target->pause, now_ms) ||
             MP_FAULT(MP_FAULT_PAUSED_LAST_RESORT)) &&
            !is_withheld(target, query, now_ms) &&
@@ -630,6 +640,7 @@
         status->ejected +=
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
+        status->outside += is_outside(target, query);
         status->full += is_full(target, now_ms) ||
                         !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
--- a/src/transport/Upstream.c
+++ b/src/transport/Upstream.c
@@ -43,6 +43,7 @@
 
 struct MpUpstream *
 MpUpstream_Start(struct MpLoop *loop, struct MpDialer *dialer,
+                 const struct MpRegionRule *regions,
                  const struct MpUpstreamClass *klass, void *owner,
                  const char *address, const char *method, GByteArray *request,
                  struct MpRequestBody *body)
@@ -52,7 +53,8 @@
     struct MpTargetRequest target_request = {.bytes = request,
                                              .body = body,
                                              .is_head =
-                                                 strcmp(method, "HEAD") == 0};
+                                                 strcmp(method, "HEAD") == 0,
+                                             .regions = regions};
     conn_pool->dialer = dialer;
     conn_pool->connect_ms = CONNECT_TIMEOUT_MS;
     *this =
