--- a/src/coordination/MemoryAccount.h
+++ b/src/coordination/MemoryAccount.h
@@ -40,6 +40,14 @@
     MP_MEMORY_USES
 };
 
+/* What did not fit. */
+enum MpMemoryRefusal {
+    MP_MEMORY_ANNOUNCED, /* a body, by the length in its head */
+    MP_MEMORY_ARRIVED,   /* bytes that nothing announced */
+    MP_MEMORY_PARSED,    /* what parsing a body takes */
+    MP_MEMORY_REFUSALS
+};
+
 struct MpMemoryAccount;
 
 /* Embedded in what holds the bytes; set use, close and owner. */
@@ -61,8 +69,8 @@
     int64_t held_bytes;
     int64_t closing_bytes; /* of it, of holders that are closing */
     int64_t peak_bytes;
-    GQueue holders;                  /* of struct MpMemoryHolder */
-    uint64_t refused;                /* counter: requests that did not fit */
+    GQueue holders;                       /* of struct MpMemoryHolder */
+    uint64_t refused[MP_MEMORY_REFUSALS]; /* counter: requests */
     uint64_t closed[MP_MEMORY_USES]; /* counter: holders closed for room */
 };
 
--- a/src/transport/ExchangeRequest.c
+++ b/src/transport/ExchangeRequest.c
@@ -85,7 +85,8 @@
         return MP_ERROR_METHOD;
     }
     if (!MpHttpMemory_MakeRoom(&this->router->memory, &this->memory,
-                               PARSED_FACTOR * (int64_t)this->body->size)) {
+                               PARSED_FACTOR * (int64_t)this->body->size,
+                               MP_MEMORY_PARSED)) {
         return MP_ERROR_MEMORY;
     }
     this->memory.use = MP_MEMORY_RUNNING;
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -111,8 +111,8 @@
         this->request->conn = NULL;
     }
     g_queue_unlink(&this->server->conns, &this->link);
-    if (this->is_done) {
-        g_queue_unlink(&this->server->done, &this->done_link);
+    if (this->is_watched) {
+        g_queue_unlink(&this->server->watched, &this->watched_link);
     }
     if (this->server->account) {
         MpMemoryAccount_Set(this->server->account, &this->memory, 0,
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -78,8 +78,9 @@
     bool has_head;             /* its head has arrived */
     bool is_dropping;          /* what still arrives is dropped */
     size_t dropped_bytes;
-    bool is_done;    /* its last request is; in MpHttpServer.done */
-    GList done_link; /* in MpHttpServer.done */
+    bool is_request_done; /* the last one; see MpHttpMemory_NoteDone */
+    bool is_watched;      /* h2o may set its own callback in this round */
+    GList watched_link;   /* in MpHttpServer.watched */
 };
 
 /* Returns the name of a reason for log lines and metrics. */
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -17,6 +17,9 @@
 static const char *const use_names[MP_MEMORY_USES] = {"reading", "running",
                                                       "sending"};
 
+static const char *const refusal_names[MP_MEMORY_REFUSALS] = {
+    "announced", "arrived", "parsed"};
+
 /* ---- h2o's buffer ---- */
 
 static void
@@ -141,14 +144,15 @@
 
 bool
 MpHttpMemory_MakeRoom(struct MpMemoryAccount *account,
-                      struct MpMemoryHolder *holder, int64_t bytes)
+                      struct MpMemoryHolder *holder, int64_t bytes,
+                      enum MpMemoryRefusal cause)
 {
     int64_t now_ms = MpLoop_Now();
     while (!MpMemoryAccount_Fits(account, holder, bytes)) {
         struct MpMemoryHolder *silent =
             MpMemoryAccount_PickSilent(account, holder, now_ms);
         if (!silent) {
-            account->refused++;
+            account->refused[cause]++;
             return false;
         }
         MpMemoryAccount_NoteClosing(account, silent);
@@ -163,8 +167,10 @@
 static bool
 take_room(struct MpHttpConn *conn)
 {
-    if (!MpHttpMemory_MakeRoom(conn->server->account, &conn->memory,
-                               wanted_bytes(conn))) {
+    bool is_announced = conn->announced_bytes > conn->socket->input->size;
+    if (!MpHttpMemory_MakeRoom(
+            conn->server->account, &conn->memory, wanted_bytes(conn),
+            is_announced ? MP_MEMORY_ANNOUNCED : MP_MEMORY_ARRIVED)) {
         refuse(conn, "no-room");
         return false;
     }
@@ -185,6 +191,17 @@
     }
 }
 
+/* Looks after the connection when this round of the event loop ends. */
+static void
+watch(struct MpHttpConn *conn)
+{
+    if (!conn->is_watched) {
+        conn->is_watched = true;
+        conn->watched_link.data = conn;
+        g_queue_push_tail_link(&conn->server->watched, &conn->watched_link);
+    }
+}
+
 static void
 on_read(h2o_socket_t *socket, const char *error)
 {
@@ -194,7 +211,7 @@
         conn->dropped_bytes += socket->input->size;
         free_input(conn);
         if (conn->dropped_bytes > MP_LINGER_MAX_BYTES) {
-            h2o_socket_read_stop(socket);
+            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
         }
         return;
     }
@@ -208,6 +225,9 @@
     }
     server->reading = NULL;
     hook(conn);
+    if (!conn->request && h2o_socket_is_writing(socket)) {
+        watch(conn); /* 100 (Continue) */
+    }
     if (!conn->request && conn->closing_ms == 0 && !conn->has_head &&
         socket->input->size > 0) {
         read_announced(conn);
@@ -243,10 +263,9 @@
 void
 MpHttpMemory_NoteDone(struct MpHttpConn *conn)
 {
-    if (conn->server->account && !conn->is_done) {
-        conn->is_done = true;
-        conn->done_link.data = conn;
-        g_queue_push_tail_link(&conn->server->done, &conn->done_link);
+    if (conn->server->account) {
+        conn->is_request_done = true;
+        watch(conn);
     }
 }
 
@@ -255,10 +274,9 @@
 static void
 restart(struct MpHttpConn *conn)
 {
-    conn->is_done = false;
+    conn->is_request_done = false;
     conn->has_head = false;
     conn->announced_bytes = 0;
-    hook(conn);
     if (conn->request) {
         return;
     }
@@ -274,8 +292,20 @@
     struct MpHttpServer *server = data;
     int64_t now_ms = MpLoop_Now();
     GList *link;
-    while ((link = g_queue_pop_head_link(&server->done))) {
-        restart(link->data);
+    GQueue writing = G_QUEUE_INIT;
+    while ((link = g_queue_pop_head_link(&server->watched))) {
+        struct MpHttpConn *conn = link->data;
+        conn->is_watched = false;
+        hook(conn);
+        if (conn->is_request_done) {
+            restart(conn);
+        }
+        else if (!conn->request && h2o_socket_is_writing(conn->socket)) {
+            g_queue_push_tail_link(&writing, link);
+        }
+    }
+    while ((link = g_queue_pop_head_link(&writing))) {
+        watch(link->data);
     }
     struct MpMemoryHolder *worst;
     while ((worst = MpMemoryAccount_PickWorst(server->account, now_ms))) {
@@ -293,8 +323,10 @@
                          account->peak_bytes);
     MpMetrics_WriteValue(out, "mimosapath_memory_limit_bytes", NULL, NULL,
                          account->limit_bytes);
-    MpMetrics_WriteValue(out, "mimosapath_memory_refused_total", NULL, NULL,
-                         (int64_t)account->refused);
+    for (int i = 0; i < MP_MEMORY_REFUSALS; i++) {
+        MpMetrics_WriteValue(out, "mimosapath_memory_refused_total", "cause",
+                             refusal_names[i], (int64_t)account->refused[i]);
+    }
     for (int i = 0; i < MP_MEMORY_USES; i++) {
         if (i != MP_MEMORY_RUNNING) {
             MpMetrics_WriteValue(out, "mimosapath_memory_closed_total", "use",
--- a/src/transport/HttpMemory.h
+++ b/src/transport/HttpMemory.h
@@ -12,7 +12,8 @@
  * h2o passes a request on when it is complete and has no hook before, so the
  * read callback of each connection's socket is replaced by one that looks at
  * the buffer before and after h2o's.  h2o sets its own again after each
- * request; MpHttpMemory_AfterRound replaces it before the next read.
+ * request and after a 100 (Continue); MpHttpMemory_AfterRound replaces it
+ * before the next read.
  */
 
 /* Retry-After of a refusal for want of room, ms: a holder without progress has
@@ -20,9 +21,11 @@
 #define MP_MEMORY_RETRY_AFTER_MS 1000
 
 /* Lets a holder hold bytes in all, where there is room for them or holders
- * without progress can be closed for it.  Returns whether it may. */
+ * without progress can be closed for it.  Returns whether it may; counts a
+ * refusal with its cause if not. */
 bool MpHttpMemory_MakeRoom(struct MpMemoryAccount *account,
-                           struct MpMemoryHolder *holder, int64_t bytes);
+                           struct MpMemoryHolder *holder, int64_t bytes,
+                           enum MpMemoryRefusal cause);
 
 /* Replaces the read callback, once h2o has accepted the connection. */
 void MpHttpMemory_Hook(struct MpHttpConn *conn);
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -278,7 +278,7 @@
     *this =
         (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
     g_queue_init(&this->conns);
-    g_queue_init(&this->done);
+    g_queue_init(&this->watched);
     MpLingeringClose_Init(&this->lingering, loop);
     this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -32,7 +32,7 @@
     uint16_t port;
     GQueue conns;                    /* of struct MpHttpConn */
     struct MpMemoryAccount *account; /* or NULL */
-    GQueue done; /* of struct MpHttpConn, see MpHttpMemory_NoteDone */
+    GQueue watched;             /* of struct MpHttpConn, see HttpMemory.h */
     struct MpHttpConn *reading; /* whose read callback is running, or NULL */
     struct MpHttpCounts counts;
     struct MpLingeringClose lingering;
--- a/src/transport/LingeringClose.c
+++ b/src/transport/LingeringClose.c
@@ -36,7 +36,9 @@
 {
     struct lingering *this = socket->data;
     this->dropped_bytes += socket->input->size;
-    h2o_buffer_consume(&socket->input, socket->input->size);
+    /* A buffer that is consumed keeps its size. */
+    h2o_buffer_dispose(&socket->input);
+    h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
     if (error || this->dropped_bytes > MP_LINGER_MAX_BYTES) {
         linger_free(this);
     }
