An instance at the limit of its machine refuses early and moves callers

Cause: the link of an instance with 7.5 Mbit/s got the callers of one workspace and filled: a request was read 1.4 s after it was sent, connections to targets timed out, paths were taken for lost and tunnels opened over the same link. While saturated, a connect timeout is no evidence against paths or targets, and opens no tunnel. Not yet measured on a deployment. Conclusion: without machine nothing changes.

--- a/src/coordination/TargetPaths.c
+++ b/src/coordination/TargetPaths.c
@@ -414,3 +414,14 @@
     path->next_check_ms = now_ms + path->backoff_ms;
     return is_all || (!was_lost && path->failed_ms > 0);
 }
+
+void
+MpTargetPaths_DropCheck(struct MpTargetPaths *this, const char *address,
+                        int64_t now_ms)
+{
+    struct MpTargetPath *path = get_path(this, address, now_ms);
+    path->is_checking = false;
+    path->backoff_ms =
+        CLAMP(path->backoff_ms, MP_PATH_CHECK_MIN_MS, MP_PATH_CHECK_MAX_MS);
+    path->next_check_ms = now_ms + path->backoff_ms;
+}
--- a/src/coordination/TargetPaths.h
+++ b/src/coordination/TargetPaths.h
@@ -192,4 +192,9 @@
                             bool is_answered, enum MpPathFailure failure,
                             int64_t now_ms);
 
+/* Forgets about a check that brought no evidence; the next one is made after
+ * the usual time. */
+void MpTargetPaths_DropCheck(struct MpTargetPaths *this, const char *address,
+                             int64_t now_ms);
+
 #endif
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -85,6 +85,8 @@
         "known; start the stream anew."),
     ROW(MP_ERROR_STALLED, "request_stalled", 408, MP_RUN_NO,
         "The rest of the request did not arrive in time."),
+    ROW(MP_ERROR_OVERLOADED, "instance_overloaded", 503, MP_RUN_NO,
+        "This instance is at the limit of its machine; another has room."),
 };
 
 const struct MpErrorInfo *
--- a/src/state/Error.h
+++ b/src/state/Error.h
@@ -48,7 +48,8 @@
     MP_ERROR_HEAD_TOO_LARGE = -35,
     MP_ERROR_STREAM_VERSION = -36,
     MP_ERROR_STALLED = -37,
-    MP_ERROR_LAST = -38
+    MP_ERROR_OVERLOADED = -38,
+    MP_ERROR_LAST = -39
 };
 
 /* Whether a target may have received the request. */
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -132,6 +132,43 @@
                                                  sizeof(struct MpRetryConf),
                                              .fields = retry_fields};
 
+static const struct MpField machine_fields[] = {
+    {.name = "link_mbps",
+     .type = MP_FIELD_MILLI,
+     .max = 1000000000,
+     .unit = "Mbit/s",
+     AT(MpMachineConf, link_kbps),
+     .description = "Speed of the network link, each way."},
+    {.name = "cpu_share",
+     .type = MP_FIELD_MILLI,
+     .max = 1000000,
+     .unit = "cores",
+     AT(MpMachineConf, cpu_share_permille),
+     .description = "Part of each core that the process gets."},
+    {.name = "cores",
+     .type = MP_FIELD_MILLI,
+     .max = 1024000,
+     .default_value = 1000,
+     AT(MpMachineConf, cores_milli),
+     .description = "Cores of the machine."},
+    {.name = "memory_mb",
+     .type = MP_FIELD_INTEGER,
+     .max = 100000000,
+     .unit = "MB",
+     AT(MpMachineConf, memory_mb),
+     .description = "Memory of the machine."},
+    {.name = "descriptors_max",
+     .type = MP_FIELD_INTEGER,
+     .max = 100000000,
+     AT(MpMachineConf, descriptors_max),
+     .description = "Most descriptors that the process may open."},
+    {.name = NULL},
+};
+static const struct MpSchema machine_schema = {
+    .name = "machine",
+    .size = sizeof(struct MpMachineConf),
+    .fields = machine_fields};
+
 static const char *const routing_names[] = {"affinity", "random", "least_own",
                                             NULL};
 
@@ -215,6 +252,13 @@
      .schema = &retry_schema,
      AT(MpSettings, retries),
      .description = "Retry budget of requests on the paths of the document."},
+    {.name = "machine",
+     .type = MP_FIELD_OBJECT,
+     .schema = &machine_schema,
+     AT(MpSettings, machine),
+     .description =
+         "Limits of the machine, by which a router hands requests over "
+         "before it is overloaded; 0 or absent: none."},
     {.name = "data_folder",
      .type = MP_FIELD_STRING,
      .min = 1,
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -45,6 +45,15 @@
     int64_t window_ms;
 };
 
+/* Limits of the machine; 0: none. */
+struct MpMachineConf {
+    int64_t link_kbps;          /* each way */
+    int64_t cpu_share_permille; /* of each core */
+    int64_t cores_milli;
+    int64_t memory_mb;
+    int64_t descriptors_max;
+};
+
 struct MpSettings {
     char *instance;
     char *zone;
@@ -58,6 +67,7 @@
     char *fleet_key;
     struct MpTargetListConf target_list;
     struct MpRetryConf retries;
+    struct MpMachineConf machine;
     char *data_folder;
     char *fleet_key_file;
     char *operator_token_file;
--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -24,6 +24,7 @@
     int64_t direct_ms; /* start of the direct attempt */
     int64_t until_ms;
     h2o_socket_t *socket;          /* direct attempt under way */
+    bool is_connecting;            /* it is counted */
     struct MpTunnelClient *tunnel; /* attempt by way of a peer */
     char *peer;                    /* of that attempt */
     GPtrArray *tried;              /* of char *, peers */
@@ -96,10 +97,29 @@
 
 /* ---- direct connections ---- */
 
+static bool
+is_overloaded(const struct MpDialer *dialer)
+{
+    return dialer && dialer->klass->is_overloaded(dialer->owner);
+}
+
+/* Counts the end of the direct attempt under way, if there is one. */
+static void
+end_connect(struct MpDial *this, bool is_cancelled)
+{
+    struct MpDialer *dialer = this->dialer;
+    if (this->is_connecting) {
+        this->is_connecting = false;
+        dialer->klass->connect_ended(
+            dialer->owner, is_cancelled ? -1 : MpLoop_Now() - this->direct_ms);
+    }
+}
+
 static void
 dial_free(struct MpDial *this)
 {
     MpLoop_ClearTimer(&this->timer);
+    end_connect(this, true);
     if (this->socket) {
         h2o_socket_close(this->socket);
     }
@@ -148,6 +168,7 @@
 fail_direct(struct MpDial *this, enum MpPathFailure failure, const char *why)
 {
     struct MpDialer *dialer = this->dialer;
+    end_connect(this, false);
     if (this->socket) {
         h2o_socket_close(this->socket);
         this->socket = NULL;
@@ -158,6 +179,10 @@
         fail(this, why);
         return;
     }
+    if (failure == MP_PATH_SILENT && is_overloaded(dialer)) {
+        fail(this, MP_DIAL_OVERLOADED);
+        return;
+    }
     MpDialer_NoteFailure(dialer, this->address, failure, this->direct_ms, why);
     if (may_ask_peers(this) &&
         MpTargetPaths_NeedsTunnel(&dialer->paths, this->address,
@@ -191,6 +216,7 @@
         fail_direct(this, MP_PATH_REFUSED, "refused");
         return;
     }
+    end_connect(this, false);
     finish(this, &(struct MpDialed){.socket = socket});
 }
 
@@ -223,6 +249,10 @@
     this->socket = connect_socket(this->loop, this->address, on_connect);
     if (this->socket) {
         this->socket->data = this;
+        this->is_connecting = this->dialer != NULL;
+        if (this->is_connecting) {
+            this->dialer->klass->connect_started(this->dialer->owner);
+        }
         MpLoop_SetTimer(this->loop, &this->timer, this->connect_ms, on_timeout,
                         this);
     }
@@ -396,12 +426,19 @@
           enum MpPathFailure failure, const char *why)
 {
     struct MpDialer *dialer = check->dialer;
+    bool is_evidence =
+        is_answered || failure != MP_PATH_SILENT || !is_overloaded(dialer);
     MpLoop_ClearTimer(&check->timer);
     if (check->socket) {
         h2o_socket_close(check->socket);
     }
-    bool has_changed = MpTargetPaths_EndCheck(
-        &dialer->paths, check->address, is_answered, failure, MpLoop_Now());
+    if (!is_evidence) {
+        MpTargetPaths_DropCheck(&dialer->paths, check->address, MpLoop_Now());
+        why = MP_DIAL_OVERLOADED;
+    }
+    bool has_changed = is_evidence && MpTargetPaths_EndCheck(
+                                          &dialer->paths, check->address,
+                                          is_answered, failure, MpLoop_Now());
     MpMetrics_Count(dialer->metrics, "mimosapath_path_checks_total", "result",
                     why, 1);
     if (has_changed && is_answered) {
--- a/src/transport/Dialer.h
+++ b/src/transport/Dialer.h
@@ -25,10 +25,23 @@
 /* Time to look for a peer after a direct connection has failed, ms. */
 #define MP_TUNNEL_SEARCH_MS 150
 
+/* Reason of a connection that timed out while this instance was overloaded. */
+#define MP_DIAL_OVERLOADED "own-overload"
+
 struct MpDialerClass {
     /* Called when a check found that connections to the target are accepted
      * and then reset: failures there were the path's, not the target's. */
     void (*path_lost)(void *owner, const char *address);
+
+    /* Returns whether this instance is overloaded itself, so that a timeout is
+     * no evidence of a lost path, and a tunnel would cost the same link
+     * again. */
+    bool (*is_overloaded)(void *owner);
+
+    /* A direct connection is being opened; its attempt has ended after
+     * took_ms, -1: it was cancelled. */
+    void (*connect_started)(void *owner);
+    void (*connect_ended)(void *owner, int64_t took_ms);
 };
 
 struct MpDialer {
@@ -41,6 +54,8 @@
     struct MpTargetPaths paths;
     struct MpTunnelPeers peers;
     struct MpTimer timer;
+    uint64_t received_bytes; /* from targets and by tunnels */
+    uint64_t sent_bytes;
 };
 
 /* A connection to a target, or why there is none. */
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayLoans.h"
 #include "transport/GatewayVersions.h"
 #include "transport/HttpServer.h"
@@ -262,6 +263,7 @@
     if (this->is_draining) {
         req->http1_is_persistent = 0;
     }
+    MpGatewayLoad_Move(this, req);
     MpGatewayCall_Begin(this, req);
 }
 
@@ -337,7 +339,9 @@
     MpGatewayLoans_Tick(this->loans, now_ms);
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
-    probe_targets(this, now_ms);
+    if (!MpGatewayLoad_IsSaturated(this)) {
+        probe_targets(this, now_ms);
+    }
     MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
 }
 
@@ -423,7 +427,31 @@
     MpRoster_ForgiveFailures(&this->roster, address);
 }
 
-static const struct MpDialerClass dialer_class = {.path_lost = on_path_lost};
+static bool
+is_overloaded(void *owner)
+{
+    return MpGatewayLoad_IsSaturated(owner);
+}
+
+static void
+on_connect_started(void *owner)
+{
+    struct MpGateway *this = owner;
+    MpInstanceLoad_StartConnect(&this->load);
+}
+
+static void
+on_connect_ended(void *owner, int64_t took_ms)
+{
+    struct MpGateway *this = owner;
+    MpInstanceLoad_EndConnect(&this->load, took_ms, MpLoop_Now());
+}
+
+static const struct MpDialerClass dialer_class = {
+    .path_lost = on_path_lost,
+    .is_overloaded = is_overloaded,
+    .connect_started = on_connect_started,
+    .connect_ended = on_connect_ended};
 
 int
 MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
@@ -510,6 +538,7 @@
     MpMetrics_WriteValue(out, "mimosapath_tunnels_running", NULL, NULL,
                          this->tunnels.length);
     MpDialer_WriteMetrics(&this->dialer, out);
+    MpGatewayLoad_WriteMetrics(this, out);
     MpGatewayLoans_WriteMetrics(this->loans, out);
     MpTargetList_WriteMetrics(this->list_reader, out);
 }
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_GATEWAY_H
 #define MP_TRANSPORT_GATEWAY_H
 
+#include "coordination/InstanceLoad.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/Permits.h"
 #include "coordination/Roster.h"
@@ -28,6 +29,7 @@
 struct MpTargetList;
 struct MpGatewayLoans;
 struct MpConnPool;
+struct MpHttpServer;
 
 struct MpGateway {
     struct MpLoop *loop;
@@ -49,6 +51,11 @@
     GQueue tunnels; /* of struct MpTunnel */
     GQueue calls;   /* of struct MpGatewayCall */
     struct MpTargetList *list_reader;
+    struct MpInstanceLoad load;
+    struct MpHttpServer *http; /* of the callers */
+    struct MpTimer load_timer;
+    int64_t load_logged_ms;
+    uint64_t load_refusals;    /* counter */
     int64_t list_confirmed_ms; /* when the leader last confirmed the list */
     int64_t read_from_ms;      /* this instance reads no list before then */
     struct MpTimer timer;
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -1,6 +1,7 @@
 #include "transport/GatewayAttempt.h"
 
 #include "state/Error.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayNotice.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
@@ -231,6 +232,19 @@
                   is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_TARGET_FAILED);
 }
 
+/* Ends a call whose connection timed out as this instance is overloaded: a
+ * further attempt would wait in the same queue, and the caller's own retry
+ * goes to another instance. */
+static void
+give_up_overloaded(struct MpGatewayCall *this)
+{
+    MpForward_EndAttempt(&this->forward, MP_RESULT_NOT_RUN, false,
+                         MpLoop_Now());
+    MpGatewayCall_GiveUp(
+        this, MpForward_NoTarget(&this->forward), MP_ERROR_OVERLOADED,
+        g_random_int_range(MP_LOAD_RETRY_MIN_MS, MP_LOAD_RETRY_MAX_MS));
+}
+
 static void
 on_end(void *owner, enum MpTargetResult result)
 {
@@ -263,11 +277,18 @@
         MpGatewaySuspect_ProbeTarget(this);
     }
     /* Neither a lost path nor the instance between tell of the target. */
+    bool is_overloaded =
+        result == MP_TARGET_NOT_SENT &&
+        strcmp(MpTargetConn_FailureReason(conn), MP_DIAL_OVERLOADED) == 0;
     bool is_target_at_fault =
-        !is_peer_gone &&
+        !is_peer_gone && !is_overloaded &&
         !MpTargetPaths_IsInDoubt(&this->gateway->dialer.paths);
     release_target(this, is_target_at_fault ? MP_OUTCOME_FAILED
                                             : MP_OUTCOME_CANCELLED);
+    if (is_overloaded) {
+        give_up_overloaded(this);
+        return;
+    }
     if (result == MP_TARGET_NOT_SENT) {
         run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_NO_TARGET);
         return;
@@ -506,7 +527,8 @@
 {
     int64_t silent_ms = now_ms - this->received_ms;
     if (this->stage != MP_CALL_RUNNING || !this->conn || !this->response.req ||
-        this->response.pending->len > 0) {
+        this->response.pending->len > 0 ||
+        MpGatewayLoad_IsSaturated(this->gateway)) {
         return;
     }
     bool is_path_lost = MpTargetConn_IsStuck(this->conn, now_ms);
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/ErrorBody.h"
 #include "transport/GatewayAttempt.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayLoans.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
@@ -275,8 +276,10 @@
                 this->forward.sends, this->forward.events,
                 this->forward.deadline_ms - this->forward.began_ms,
                 this->target ? now_ms - this->received_ms : -1);
-    MpGatewayAttempt_Cancel(this, this->has_response ? MP_OUTCOME_CANCELLED
-                                                     : MP_OUTCOME_FAILED);
+    bool is_target_late =
+        !this->has_response && !MpGatewayLoad_IsSaturated(this->gateway);
+    MpGatewayAttempt_Cancel(this, is_target_late ? MP_OUTCOME_FAILED
+                                                 : MP_OUTCOME_CANCELLED);
     MpGatewayCall_GiveUp(this, step, MP_ERROR_TIMEOUT, 0);
 }
 
@@ -530,6 +533,11 @@
         refuse(this, MP_ERROR_DRAINING, RETRY_AFTER_DRAINING_MS);
         return;
     }
+    int64_t retry_after_ms;
+    if (!MpGatewayLoad_Admit(this, &retry_after_ms)) {
+        refuse(this, MP_ERROR_OVERLOADED, retry_after_ms);
+        return;
+    }
     this->pool = choose_pool(this->path);
     MpRetryBudget_CountRequest(MpGateway_GetRetryBudget(gateway, this->pool),
                                now_ms);
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -75,6 +75,22 @@
     }
 }
 
+/* The buffer of the socket still has the request when it begins; a socket that
+ * is being closed has no buffer. */
+void
+MpHttpConn_CountBytes(struct MpHttpConn *this)
+{
+    struct MpHttpCounts *counts = &this->server->counts;
+    size_t arrived = this->socket->input ? this->socket->input->size : 0;
+    size_t written = this->socket->bytes_written;
+    if (!this->request && arrived > this->counted_in_bytes) {
+        counts->received_bytes += arrived - this->counted_in_bytes;
+        this->counted_in_bytes = arrived;
+    }
+    counts->sent_bytes += written - this->counted_out_bytes;
+    this->counted_out_bytes = written;
+}
+
 void
 MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req)
 {
@@ -84,6 +100,8 @@
                                       .req = req,
                                       .end = MP_HTTP_ENDS,
                                       .must_linger = req->http1_is_persistent};
+    MpHttpConn_CountBytes(this);
+    this->counted_in_bytes = 0;
     this->request = request;
     this->requests++;
     this->server->counts.read++;
@@ -103,6 +121,7 @@
 on_socket_closed(void *data)
 {
     struct MpHttpConn *this = data;
+    MpHttpConn_CountBytes(this);
     this->server->counts.closed[this->reason]++;
     if (this->request) {
         this->request->conn = NULL;
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -44,6 +44,8 @@
     uint64_t ended[MP_HTTP_ENDS];
     uint64_t opened; /* connections */
     uint64_t closed[MP_HTTP_CLOSES];
+    uint64_t received_bytes; /* as far as MpHttpConn_CountBytes has counted */
+    uint64_t sent_bytes;
 };
 
 /* Allocated in the memory of h2o's request. */
@@ -68,6 +70,8 @@
     size_t read_bytes;             /* in the buffer, by the last check */
     int64_t read_ms;               /* when read_bytes last changed */
     int64_t closing_ms;            /* when our side was closed, 0: open */
+    size_t counted_in_bytes;       /* of the request that is arriving */
+    size_t counted_out_bytes;      /* of all that was written */
 };
 
 /* Returns the name of a reason for log lines and metrics. */
@@ -95,6 +99,10 @@
 /* Records that a request was read. */
 void MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req);
 
+/* Adds the bytes received and sent since the last call to the counts of the
+ * server. */
+void MpHttpConn_CountBytes(struct MpHttpConn *this);
+
 /* Records how the request in progress ends; the first call counts. */
 void MpHttpConn_NoteEnd(struct MpHttpConn *this, enum MpHttpEnd end);
 
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -361,6 +361,14 @@
     }
 }
 
+void
+MpHttpServer_CountBytes(struct MpHttpServer *this)
+{
+    for (GList *link = this->conns.head; link; link = link->next) {
+        MpHttpConn_CountBytes(link->data);
+    }
+}
+
 bool
 MpHttpServer_IsClosed(const struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -71,6 +71,9 @@
 /* Refuses requests of which only a part has arrived (408). */
 void MpHttpServer_RefuseUnfinished(struct MpHttpServer *this);
 
+/* Brings the counts of bytes up to date. */
+void MpHttpServer_CountBytes(struct MpHttpServer *this);
+
 /* Returns whether all connections are closed. */
 bool MpHttpServer_IsClosed(const struct MpHttpServer *this);
 
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -2,6 +2,7 @@
 
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
@@ -129,7 +130,7 @@
                              ? this->control.document != NULL
                              : MpControlClient_IsReady(&this->control);
     return is_configured && MpGateway_HasTargets(&this->gateway) &&
-           !this->is_draining;
+           MpGatewayLoad_IsInRotation(&this->gateway) && !this->is_draining;
 }
 
 static void
@@ -394,6 +395,7 @@
     if (code != MP_OK) {
         return code;
     }
+    MpGatewayLoad_Start(&this->gateway, &this->http);
     MpLoop_AddHook(loop, after_round, this);
     MpLoop_SetTimer(loop, &this->timer, TICK_MS, on_timer, this);
     code =
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -283,6 +283,9 @@
     if (size == 0) {
         return;
     }
+    if (dialer) {
+        dialer->received_bytes += size;
+    }
     if (this->peer && this->received_bytes == 0) {
         MpDialer_NoteReached(dialer, this->conn_pool->address, this->peer);
     }
@@ -407,6 +410,9 @@
     }
     this->is_written = false;
     this->received_bytes = 0;
+    if (this->conn_pool->dialer) {
+        this->conn_pool->dialer->sent_bytes += this->request->len;
+    }
     if (this->conn_pool->dialer && !this->peer) {
         MpTargetPaths_StartWait(&this->conn_pool->dialer->paths, &this->wait,
                                 this->conn_pool->address, this->requests == 1,
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -275,6 +275,8 @@
     bool is_target = end == &this->target;
     size_t size = socket->input->size;
     this->active_ms = MpLoop_Now();
+    this->gateway->dialer.received_bytes += size;
+    this->gateway->dialer.sent_bytes += size;
     if (size > 0) {
         if (is_target) {
             pass_answer(this, socket->input->bytes, size);
