--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -252,6 +252,7 @@
         document = {"version": 1, "routes": routes, "services": [
             {"name": p["shares"][0]["pool"]} for p in paths[:1]],
             "tenants": [tenant]}
+        self.configuration = document
         if not wait_for(lambda: self.operator_request(
                 "POST", "/config/replace",
                 json.dumps(document)).status == 200):
@@ -272,7 +273,7 @@
             "slots": target.slots, "state": "ready"}
 
 
-def platform_fleet(targets, paths, **options):
+def platform_fleet(targets, paths, fleet_class=PlatformFleet, **options):
     """Returns a fleet with the platform's dialect whose routes lead to the
     targets, and its target list."""
     listed = TargetList([], list_handler=lambda target, request, conn: respond(
@@ -282,7 +283,7 @@
     settings = {"target_list": {"address": listed.address,
                                 "interval_ms": 200}}
     settings.update(options.pop("extra_settings", {}))
-    fleet = PlatformFleet(paths=paths, extra_settings=settings, **options)
+    fleet = fleet_class(paths=paths, extra_settings=settings, **options)
     return fleet, listed
 
 
