A loaded instance serves what has arrived, and spreads its callers

Change: a request is refused only for what it still needs (link out, processor, descriptors, connects) or when it has waited past its deadline. The instance leaves the rotation at 0.6 of the link, or earlier if that is near; while one workspace dominates in a fleet of 8 or more it stays out, keeps the connections that it bears and closes the others slowly, at most a fifth a second. While saturated a connection may take three times as long.

--- a/src/coordination/InstanceLoad.c
+++ b/src/coordination/InstanceLoad.c
@@ -10,13 +10,9 @@
  * acknowledgements. */
 #define OVERHEAD_PERMILLE 1060
 /* Pressure at which requests of each rank begin to be refused, and the width
- * of the band in which all of them come to be.  The last band ends below 1:
- * the rest is the reserve for control traffic and refusals. */
-static const double band_begin[MP_LOAD_RANKS] = {0.78, 0.73, 0.68};
+ * of the band in which all of them come to be. */
+static const double band_begin[MP_LOAD_RANKS] = {0.88, 0.84, 0.80};
 #define BAND_WIDTH 0.15
-/* The bands of the link into the machine begin later: a refusal keeps only the
- * answer off it, as the body has arrived. */
-#define LINK_IN_STEP 0.05
 /* By how much the band of a workspace above its fair share begins earlier, and
  * by which factor it has to be above. */
 #define GREEDY_STEP 0.08
@@ -35,40 +31,53 @@
  * few ms. */
 #define QUEUED_CONNECT_MS 100.0
 #define QUEUE_MEMORY_MS 2000
-/* Pressure while that queue lasts. */
-#define QUEUED_PRESSURE 0.9
 /* Weight of one connection in the average time to connect, and age at which
  * the average is no longer used, ms. */
 #define CONNECT_WEIGHT 0.2
 #define CONNECT_AGE_MS 500
-/* Connections under way beyond which none is begun while saturated: they are
- * what times out, and each costs the link again.  A healthy one takes a few ms
- * of 1,000. */
-#define CONNECTS_MIN 16
-#define CONNECT_BYTES_PER_S 32000
+/* Connections under way beyond which no request is taken while saturated: each
+ * costs the link again.  A healthy one takes a few ms of 1,000. */
+#define CONNECTS_MIN 64
+#define CONNECT_BYTES_PER_S 16000
 /* Processor time counts only when the loop is late by this much on average,
  * ms: short bursts that nobody waits for are harmless. */
 #define LATE_LOOP_MS 20.0
 /* Part of the descriptors that stay free for control connections. */
 #define DESCRIPTORS_RESERVE 0.05
-/* Pressure from which the instance leaves the rotation, below which it comes
- * back, how long the pressure has to last, and the random delay, ms. */
-#define AWAY_BEGIN 0.72
-#define AWAY_END 0.45
-#define AWAY_AFTER_MS 300
-#define AWAY_SPREAD_MS 700
+/* Pressure from which the instance leaves the rotation, how long it has to
+ * last, and the random delay, ms. */
+#define AWAY_BEGIN 0.6
+#define AWAY_AFTER_MS 200
+#define AWAY_SPREAD_MS 200
+/* Where its time away is not bounded, it leaves earlier when the pressure,
+ * which is above the one, would reach the other within the time, in seconds,
+ * in which load balancers notice. */
+#define STEEP_BEGIN 0.35
+#define STEEP_END 0.9
+#define STEEP_S 1.5
+/* Pressure below which it comes back, and how long that has to last, ms. */
+#define AWAY_END 0.35
+#define AWAY_END_AFTER_MS 3000
 /* It leaves only with this much time saved up, as shorter absences go
  * unnoticed, ms. */
 #define AWAY_MIN_MS 3500
-/* Largest part of the responses that close their connections. */
-#define MOVE_MAX 0.5
+/* A workspace that has more than this part of all is why the instance is
+ * loaded, and the others are not. */
+#define DOMINANT 0.5
+/* Instances of a fleet of which one may stay out of rotation for long. */
+#define INSTANCES_MIN 8
+/* Pressure down to which callers are moved, the part of the connections that
+ * goes at most in a second, and that may be saved up. */
+#define MOVE_END 0.6
+#define MOVE_MAX_PER_S 0.2
+#define MOVE_SAVED 0.05
 
 struct share {
     double bytes;
 };
 
 static const char *const cause_names[MP_LOAD_CAUSES] = {
-    "link-in", "link-out", "processor", "descriptors", "connects"};
+    "link-in", "link-out", "processor", "descriptors", "connects", "deadline"};
 
 const char *
 MpLoadCause_Name(enum MpLoadCause cause)
@@ -100,6 +109,38 @@
            this->limits.cpu_permille > 0 || this->limits.descriptors_max > 0;
 }
 
+/* ---- shares of workspaces ---- */
+
+static gboolean
+decay_share(void *key, void *value, void *factor)
+{
+    (void)key;
+    struct share *share = value;
+    share->bytes *= *(double *)factor;
+    return share->bytes < SHARE_MIN_BYTES;
+}
+
+/* Lets the shares decay.  Returns the largest. */
+static double
+decay_shares(struct MpInstanceLoad *this, int64_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    double largest = 0;
+    double factor =
+        pow(0.5, (double)(now_ms - this->shares_ms) / SHARE_HALF_MS);
+    g_hash_table_foreach_remove(this->shares, decay_share, &factor);
+    this->shares_sum = 0;
+    this->shares_ms = now_ms;
+    g_hash_table_iter_init(&iter, this->shares);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct share *share = value;
+        this->shares_sum += share->bytes;
+        largest = MAX(largest, share->bytes);
+    }
+    return this->shares_sum > 0 ? largest / this->shares_sum : 0;
+}
+
 /* ---- measurement ---- */
 
 static void
@@ -145,24 +186,68 @@
     }
 }
 
-/* Counts the time away and in rotation, and leaves or comes back. */
+/* Lets a part of the connections be closed, as many as are too many. */
 static void
-update_rotation(struct MpInstanceLoad *this, double pressure, double random,
-                int64_t elapsed_ms, int64_t now_ms)
+update_moves(struct MpInstanceLoad *this, const struct MpLoadSample *sample,
+             double pressure, int64_t elapsed_ms, int64_t now_ms)
 {
-    if (this->is_away) {
+    if (!this->is_away || pressure <= MOVE_END ||
+        now_ms - this->away_since_ms < MP_LOAD_NOTICED_MS) {
+        this->move_budget = 0;
+        return;
+    }
+    double callers = (double)sample->callers;
+    double part = MIN(1.0 - MOVE_END / pressure, MOVE_MAX_PER_S);
+    this->move_budget =
+        MIN(this->move_budget + callers * part * (double)elapsed_ms / 1000,
+            MAX(callers * MOVE_SAVED, 1.0));
+}
+
+/* Comes back when the load has fallen for some time, or, if others are no
+ * better off, when the time out of rotation is used up. */
+static void
+update_absence(struct MpInstanceLoad *this, bool is_bounded, double pressure,
+               int64_t elapsed_ms, int64_t now_ms)
+{
+    if (pressure >= AWAY_END) {
+        this->low_since_ms = 0;
+    }
+    else if (this->low_since_ms == 0) {
+        this->low_since_ms = now_ms;
+    }
+    bool is_relieved = this->low_since_ms > 0 &&
+                       now_ms - this->low_since_ms >= AWAY_END_AFTER_MS;
+    if (is_bounded) {
         this->away_credit_ms -= elapsed_ms;
-        bool is_relieved = pressure < AWAY_END &&
-                           now_ms - this->away_since_ms > MP_LOAD_NOTICED_MS;
-        this->is_away = this->away_credit_ms > 0 && !is_relieved;
+    }
+    this->is_away = !is_relieved && (!is_bounded || this->away_credit_ms > 0);
+}
+
+static bool
+is_pressed(const struct MpInstanceLoad *this, bool is_bounded, double pressure)
+{
+    return pressure >= AWAY_BEGIN ||
+           (!is_bounded && pressure >= STEEP_BEGIN &&
+            pressure + STEEP_S * this->slope >= STEEP_END);
+}
+
+/* Counts the time out of rotation, and leaves or comes back. */
+static void
+update_rotation(struct MpInstanceLoad *this, const struct MpLoadSample *sample,
+                double pressure, double random, int64_t elapsed_ms,
+                int64_t now_ms)
+{
+    bool is_bounded =
+        this->dominance < DOMINANT || sample->instances < INSTANCES_MIN;
+    if (this->is_away) {
+        update_absence(this, is_bounded, pressure, elapsed_ms, now_ms);
         return;
     }
-    /* In ninths of a ms, so that no part is lost. */
     this->away_credit_ms = MIN(
         this->away_credit_ms + (now_ms / MP_LOAD_AWAY_ONE_IN -
                                 (now_ms - elapsed_ms) / MP_LOAD_AWAY_ONE_IN),
         MP_LOAD_AWAY_MAX_MS);
-    if (pressure < AWAY_BEGIN) {
+    if (!is_pressed(this, is_bounded, pressure)) {
         this->pressed_since_ms = 0;
         return;
     }
@@ -172,9 +257,11 @@
             AWAY_AFTER_MS + (int64_t)(random * AWAY_SPREAD_MS);
     }
     if (now_ms - this->pressed_since_ms >= this->away_delay_ms &&
-        this->away_credit_ms >= AWAY_MIN_MS) {
+        (!is_bounded || this->away_credit_ms >= AWAY_MIN_MS)) {
         this->is_away = true;
         this->away_since_ms = now_ms;
+        this->low_since_ms = 0;
+        this->pressed_since_ms = 0;
         this->times_away++;
     }
 }
@@ -187,8 +274,7 @@
 {
     return this->saturated_ms > 0 &&
            now_ms - this->saturated_ms < QUEUE_MEMORY_MS &&
-           now_ms - this->connect_noted_ms < CONNECT_AGE_MS &&
-           this->connect_ms >= QUEUED_CONNECT_MS;
+           MpInstanceLoad_ConnectDelay(this, now_ms) >= QUEUED_CONNECT_MS;
 }
 
 void
@@ -210,18 +296,21 @@
             ((double)this->limits.descriptors_max *
              (1.0 - DESCRIPTORS_RESERVE));
     }
-    this->used[MP_LOAD_CONNECTS] =
-        has_queue(this, now_ms) ? QUEUED_PRESSURE : 0;
     this->promised_bytes = 0;
     enum MpLoadCause cause;
     double pressure = MpInstanceLoad_Pressure(this, &cause);
-    if (pressure >= MP_LOAD_SATURATED && cause != MP_LOAD_CONNECTS &&
-        cause != MP_LOAD_DESCRIPTORS) {
+    if (pressure >= MP_LOAD_SATURATED && cause != MP_LOAD_DESCRIPTORS) {
         this->saturated_ms = now_ms;
     }
     if (this->sampled_ms > 0) {
-        update_rotation(this, pressure, random, elapsed_ms, now_ms);
+        follow(&this->slope,
+               (pressure - this->last_pressure) * 1000 / (double)elapsed_ms,
+               elapsed_ms);
+        this->dominance = decay_shares(this, now_ms);
+        update_rotation(this, sample, pressure, random, elapsed_ms, now_ms);
+        update_moves(this, sample, pressure, elapsed_ms, now_ms);
     }
+    this->last_pressure = pressure;
     this->last = *sample;
     this->sampled_ms = now_ms;
 }
@@ -250,8 +339,16 @@
 /* ---- decisions ---- */
 
 double
-MpInstanceLoad_Pressure(const struct MpInstanceLoad *this,
-                        enum MpLoadCause *cause)
+MpInstanceLoad_ConnectDelay(const struct MpInstanceLoad *this, int64_t now_ms)
+{
+    return now_ms - this->connect_noted_ms < CONNECT_AGE_MS ? this->connect_ms
+                                                            : 0;
+}
+
+/* Returns the largest fraction of a limit from the first cause on. */
+static double
+largest_use(const struct MpInstanceLoad *this, enum MpLoadCause first,
+            enum MpLoadCause *cause)
 {
     double values[MP_LOAD_CAUSES];
     memcpy(values, this->used, sizeof(values));
@@ -263,8 +360,8 @@
     if (this->loop_delay_ms < LATE_LOOP_MS) {
         values[MP_LOAD_PROCESSOR] = 0;
     }
-    *cause = MP_LOAD_LINK_IN;
-    for (int i = 1; i < MP_LOAD_CAUSES; i++) {
+    *cause = first;
+    for (int i = (int)first + 1; i < MP_LOAD_CAUSES; i++) {
         if (values[i] > values[*cause]) {
             *cause = (enum MpLoadCause)i;
         }
@@ -272,37 +369,17 @@
     return values[*cause];
 }
 
-static gboolean
-decay_share(void *key, void *value, void *factor)
-{
-    (void)key;
-    struct share *share = value;
-    share->bytes *= *(double *)factor;
-    return share->bytes < SHARE_MIN_BYTES;
-}
-
-static gboolean
-add_share(void *key, void *value, void *sum)
+double
+MpInstanceLoad_Pressure(const struct MpInstanceLoad *this,
+                        enum MpLoadCause *cause)
 {
-    (void)key;
-    *(double *)sum += ((struct share *)value)->bytes;
-    return false;
+    return largest_use(this, MP_LOAD_LINK_IN, cause);
 }
 
 /* Counts what the workspace asks for.  Returns its part of all. */
 static double
-count_share(struct MpInstanceLoad *this, const char *workspace, double bytes,
-            int64_t now_ms)
+count_share(struct MpInstanceLoad *this, const char *workspace, double bytes)
 {
-    /* The table is swept a few times a second, not for each request. */
-    if (now_ms - this->shares_ms >= SHARE_HALF_MS / 10) {
-        double factor =
-            pow(0.5, (double)(now_ms - this->shares_ms) / SHARE_HALF_MS);
-        g_hash_table_foreach_remove(this->shares, decay_share, &factor);
-        this->shares_sum = 0;
-        g_hash_table_find(this->shares, add_share, &this->shares_sum);
-        this->shares_ms = now_ms;
-    }
     struct share *share = g_hash_table_lookup(this->shares, workspace);
     if (!share) {
         share = g_new0(struct share, 1);
@@ -344,22 +421,24 @@
     int64_t rank = CLAMP(request->rank, 0, MP_LOAD_RANKS - 1);
     double bytes = (double)request->body_bytes + REQUEST_BYTES;
     const char *workspace = request->workspace ? request->workspace : "";
-    verdict->share = count_share(this, workspace, bytes, now_ms);
+    verdict->share = count_share(this, workspace, bytes);
     verdict->workspaces = g_hash_table_size(this->shares);
-    verdict->pressure = MpInstanceLoad_Pressure(this, &verdict->cause);
+    verdict->pressure = largest_use(this, MP_LOAD_LINK_OUT, &verdict->cause);
     double begin = band_begin[rank];
-    if (verdict->cause == MP_LOAD_LINK_IN) {
-        begin += LINK_IN_STEP;
-    }
     if (verdict->share * verdict->workspaces > GREEDY_FACTOR) {
         begin -= GREEDY_STEP;
     }
     bool is_refused = random[0] * BAND_WIDTH < verdict->pressure - begin;
-    if (!is_refused && this->connects >= connects_max(this) &&
-        MpInstanceLoad_IsSaturated(this, now_ms)) {
+    bool is_saturated = MpInstanceLoad_IsSaturated(this, now_ms);
+    if (!is_refused && is_saturated && this->connects >= connects_max(this)) {
         verdict->cause = MP_LOAD_CONNECTS;
         is_refused = true;
     }
+    if (!is_refused && is_saturated &&
+        request->left_ms <= MpInstanceLoad_ConnectDelay(this, now_ms)) {
+        verdict->cause = MP_LOAD_DEADLINE;
+        is_refused = true;
+    }
     if (!is_refused) {
         this->promised_bytes += bytes;
         this->admitted++;
@@ -385,16 +464,14 @@
 }
 
 bool
-MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random,
-                          int64_t now_ms)
+MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random)
 {
-    enum MpLoadCause cause;
-    if (!this->is_away || now_ms - this->away_since_ms < MP_LOAD_NOTICED_MS) {
+    /* Every other response, so that neither the busiest connections nor those
+     * that answer first are all that go. */
+    if (this->move_budget < 1.0 || random < 0.5) {
         return false;
     }
-    double pressure = MpInstanceLoad_Pressure(this, &cause);
-    bool should_move = pressure > AWAY_END &&
-                       random < MIN(1.0 - AWAY_END / pressure, MOVE_MAX);
-    this->moved += should_move;
-    return should_move;
+    this->move_budget -= 1.0;
+    this->moved++;
+    return true;
 }
--- a/src/coordination/InstanceLoad.h
+++ b/src/coordination/InstanceLoad.h
@@ -15,17 +15,26 @@
  * to targets time out, syncs are lost, and callers' requests arrive after
  * their deadlines.
  *
- * Each request is refused with a probability that rises from 0 to 1 over a
- * narrow band of pressure, the fraction of the most used resource.  The band
- * begins lower for less urgent ranks and for workspaces far above their fair
- * share here.  What lies above the last band is the reserve for control
- * traffic and refusals.  A probability instead of a threshold keeps the
- * pressure steady, since its measure lags by INTERVAL_MS.
+ * A request that has arrived has used the link into the machine already, and
+ * its caller's retry often comes back here, as a load balancer sends all
+ * callers of a workspace to one instance.  So it is refused only for what it
+ * still needs: the link out of the machine, the processor, descriptors, or
+ * connections to targets; or if it has waited on the full link until its
+ * deadline.  The probability of a refusal rises from 0 to 1 over a narrow band
+ * of pressure, the fraction of the most used of these.  The band begins lower
+ * for less urgent ranks and for workspaces far above their fair share here.
+ * What lies above the last band is the reserve for control traffic and
+ * refusals.  A probability instead of a threshold keeps the pressure steady,
+ * since its measure lags.
  *
- * Refusals do not keep request bodies off the link into the machine, so the
- * instance also leaves the rotation of the load balancer for a short time, and
- * then closes a part of its callers' connections.  How long it may do so is
- * bounded.
+ * What relieves the link into the machine is that callers go elsewhere.  At a
+ * mark well below the limit the instance leaves the rotation of the load
+ * balancer, since that takes 2 s to notice; then it closes as many of its
+ * callers' connections as are too many, slowly, so that the instance to which
+ * they go notices in turn.  While one workspace dominates it stays out with
+ * the connections that it keeps: once back, it would get all new ones of that
+ * workspace again.  Otherwise, and in small fleets, its time out of rotation
+ * is bounded, as others are no better off.
  *
  * Without limits nothing is ever refused.  It does no I/O; now_ms is a
  * monotonic clock, and random a number from 0 to 1.
@@ -38,7 +47,7 @@
 #define MP_LOAD_RETRY_MIN_MS 10
 #define MP_LOAD_RETRY_MAX_MS 60
 /* Time out of rotation that may be saved up, ms, and the part of all time that
- * is.  Load balancers bear an eighth. */
+ * is, where no workspace dominates.  Load balancers bear an eighth. */
 #define MP_LOAD_AWAY_MAX_MS 5000
 #define MP_LOAD_AWAY_ONE_IN 9
 /* Time after which a load balancer that asks every second has noticed, by two
@@ -59,6 +68,8 @@
     int64_t cpu_us;
     int64_t loop_delay_ms; /* by which the last timer was late */
     int64_t descriptors;   /* open now */
+    int64_t callers;       /* connections of callers */
+    int64_t instances;     /* of the fleet, as far as known */
 };
 
 enum MpLoadCause {
@@ -67,6 +78,7 @@
     MP_LOAD_PROCESSOR,
     MP_LOAD_DESCRIPTORS,
     MP_LOAD_CONNECTS,
+    MP_LOAD_DEADLINE,
     MP_LOAD_CAUSES
 };
 
@@ -85,10 +97,15 @@
     uint32_t connects;        /* under way */
     int64_t saturated_ms;     /* last time of pressure, 0: never */
     int64_t pressed_since_ms; /* start of the present pressure, 0: none */
-    GHashTable *shares;       /* workspace -> struct share */
-    double shares_sum;        /* of their bytes */
-    int64_t shares_ms;        /* when they were last decayed */
-    bool is_away;             /* out of rotation */
+    int64_t low_since_ms;     /* since when pressure is low, 0: it is not */
+    double last_pressure;
+    double slope;       /* of the pressure, per second; decaying average */
+    double move_budget; /* connections that may be closed now */
+    GHashTable *shares; /* workspace -> struct share */
+    double shares_sum;  /* of their bytes */
+    double dominance;   /* the largest part of one workspace */
+    int64_t shares_ms;  /* when they were last decayed */
+    bool is_away;       /* out of rotation */
     int64_t away_since_ms;
     int64_t away_delay_ms; /* random time before it leaves */
     int64_t away_credit_ms;
@@ -153,9 +170,13 @@
 bool MpInstanceLoad_IsInRotation(const struct MpInstanceLoad *this);
 
 /* Returns whether a response should close its connection, so that the client
- * connects to another instance. */
-bool MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random,
-                               int64_t now_ms);
+ * connects to another instance; counts it. */
+bool MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random);
+
+/* Returns the average time to connect of late, ms, 0 if there is none: the
+ * delay by the queues of the own link while that is saturated. */
+double MpInstanceLoad_ConnectDelay(const struct MpInstanceLoad *this,
+                                   int64_t now_ms);
 
 const char *MpLoadCause_Name(enum MpLoadCause cause);
 
--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -10,6 +10,9 @@
 
 /* Interval at which checks that are due are started, ms. */
 #define TICK_MS 50
+/* How many times longer a connection may take while this instance is
+ * overloaded: it waits in the queues of the own link. */
+#define OVERLOADED_FACTOR 3
 
 struct MpDial {
     struct MpLoop *loop;
@@ -388,7 +391,8 @@
     this->address = g_strdup(address);
     this->purpose = purpose;
     this->id = g_strdup(id);
-    this->connect_ms = connect_ms;
+    this->connect_ms =
+        is_overloaded(dialer) ? connect_ms * OVERLOADED_FACTOR : connect_ms;
     this->began_ms = now_ms;
     this->until_ms = now_ms + connect_ms + MP_TUNNEL_SEARCH_MS;
     this->done = done;
--- a/src/transport/GatewayLoad.c
+++ b/src/transport/GatewayLoad.c
@@ -58,9 +58,11 @@
     MpLog_Event(LOG_NOTICE,
                 load->is_away ? "rotation-left" : "rotation-joined",
                 "cause=%s pressure=%.3f link_in=%.3f link_out=%.3f "
-                "away_ms=%" PRId64 " credit_ms=%" PRId64 " moved=%" PRIu64,
+                "slope=%.3f dominance=%.3f callers=%u away_ms=%" PRId64
+                " credit_ms=%" PRId64 " moved=%" PRIu64,
                 MpLoadCause_Name(cause), pressure, load->used[MP_LOAD_LINK_IN],
-                load->used[MP_LOAD_LINK_OUT], now_ms - load->away_since_ms,
+                load->used[MP_LOAD_LINK_OUT], load->slope, load->dominance,
+                gateway->http->conns.length, now_ms - load->away_since_ms,
                 load->away_credit_ms, load->moved);
 }
 
@@ -79,7 +81,9 @@
             gateway->http->counts.sent_bytes + gateway->dialer.sent_bytes,
         .cpu_us = processor_us(),
         .loop_delay_ms = MAX(now_ms - timer->at_ms, 0),
-        .descriptors = count_connections(gateway)};
+        .descriptors = count_connections(gateway),
+        .callers = gateway->http->conns.length,
+        .instances = gateway->control->instances};
     add_control(gateway->control, &sample);
     MpInstanceLoad_Sample(load, &sample, g_random_double(), now_ms);
     if (load->is_away != was_away) {
@@ -130,9 +134,10 @@
         request->rank, MpLoadCause_Name(verdict->cause), verdict->pressure,
         load->used[MP_LOAD_LINK_IN], load->used[MP_LOAD_LINK_OUT],
         load->used[MP_LOAD_PROCESSOR], load->loop_delay_ms, load->connects,
-        load->connect_ms, verdict->share, verdict->workspaces,
-        request->body_bytes, request->left_ms, verdict->retry_after_ms,
-        load->is_away, now_ms - load->sampled_ms, gateway->load_refusals);
+        MpInstanceLoad_ConnectDelay(load, now_ms), verdict->share,
+        verdict->workspaces, request->body_bytes, request->left_ms,
+        verdict->retry_after_ms, load->is_away, now_ms - load->sampled_ms,
+        gateway->load_refusals);
 }
 
 bool
@@ -158,8 +163,7 @@
 void
 MpGatewayLoad_Move(struct MpGateway *gateway, h2o_req_t *req)
 {
-    if (MpInstanceLoad_ShouldMove(&gateway->load, g_random_double(),
-                                  MpLoop_Now())) {
+    if (MpInstanceLoad_ShouldMove(&gateway->load, g_random_double())) {
         req->http1_is_persistent = 0;
     }
 }
