A loaded instance moves its callers at once when a queue has formed

Change: while connections wait in a queue of the own link, up to 1.5 times the connections are closed in a second instead of a fifth, idle ones too; refusals close theirs once the balancer has noticed. The instance comes back after 1.5 s below 0.35 instead of 3 s, as it was idle that long. memory_mb leaves the object machine.

--- a/src/coordination/InstanceLoad.c
+++ b/src/coordination/InstanceLoad.c
@@ -57,7 +57,7 @@
 #define STEEP_S 1.5
 /* Pressure below which it comes back, and how long that has to last, ms. */
 #define AWAY_END 0.35
-#define AWAY_END_AFTER_MS 3000
+#define AWAY_END_AFTER_MS 1500
 /* It leaves only with this much time saved up, as shorter absences go
  * unnoticed, ms. */
 #define AWAY_MIN_MS 3500
@@ -71,6 +71,10 @@
 #define MOVE_END 0.6
 #define MOVE_MAX_PER_S 0.2
 #define MOVE_SAVED 0.05
+/* The same while connections wait in a queue of the own link: how much more is
+ * offered than the link bears is not known, and what waits is lost. */
+#define MOVE_QUEUED_PER_S 1.5
+#define MOVE_QUEUED_SAVED 0.3
 
 struct share {
     double bytes;
@@ -186,21 +190,35 @@
     }
 }
 
+/* Returns whether connections wait in a queue of the own link: it was full
+ * just now, and they take long.  What its callers gave up meanwhile is in that
+ * queue but never read, so the bytes read alone do not show it. */
+static bool
+has_queue(const struct MpInstanceLoad *this, int64_t now_ms)
+{
+    return this->saturated_ms > 0 &&
+           now_ms - this->saturated_ms < QUEUE_MEMORY_MS &&
+           MpInstanceLoad_ConnectDelay(this, now_ms) >= QUEUED_CONNECT_MS;
+}
+
 /* Lets a part of the connections be closed, as many as are too many. */
 static void
 update_moves(struct MpInstanceLoad *this, const struct MpLoadSample *sample,
              double pressure, int64_t elapsed_ms, int64_t now_ms)
 {
-    if (!this->is_away || pressure <= MOVE_END ||
-        now_ms - this->away_since_ms < MP_LOAD_NOTICED_MS) {
+    bool is_relieved = pressure <= MOVE_END && !has_queue(this, now_ms);
+    if (is_relieved || !MpInstanceLoad_IsNoticed(this, now_ms)) {
         this->move_budget = 0;
         return;
     }
     double callers = (double)sample->callers;
-    double part = MIN(1.0 - MOVE_END / pressure, MOVE_MAX_PER_S);
+    bool is_queued = has_queue(this, now_ms);
+    double part = is_queued ? MOVE_QUEUED_PER_S
+                            : MIN(1.0 - MOVE_END / pressure, MOVE_MAX_PER_S);
+    double saved = is_queued ? MOVE_QUEUED_SAVED : MOVE_SAVED;
     this->move_budget =
         MIN(this->move_budget + callers * part * (double)elapsed_ms / 1000,
-            MAX(callers * MOVE_SAVED, 1.0));
+            MAX(callers * saved, 1.0));
 }
 
 /* Comes back when the load has fallen for some time, or, if others are no
@@ -266,17 +284,6 @@
     }
 }
 
-/* Returns whether connections wait in a queue of the own link: it was full
- * just now, and they take long.  What its callers gave up meanwhile is in that
- * queue but never read, so the bytes read alone do not show it. */
-static bool
-has_queue(const struct MpInstanceLoad *this, int64_t now_ms)
-{
-    return this->saturated_ms > 0 &&
-           now_ms - this->saturated_ms < QUEUE_MEMORY_MS &&
-           MpInstanceLoad_ConnectDelay(this, now_ms) >= QUEUED_CONNECT_MS;
-}
-
 void
 MpInstanceLoad_Sample(struct MpInstanceLoad *this,
                       const struct MpLoadSample *sample, double random,
@@ -457,12 +464,28 @@
             has_queue(this, now_ms));
 }
 
+bool
+MpInstanceLoad_IsNoticed(const struct MpInstanceLoad *this, int64_t now_ms)
+{
+    return this->is_away && now_ms - this->away_since_ms >= MP_LOAD_NOTICED_MS;
+}
+
 bool
 MpInstanceLoad_IsInRotation(const struct MpInstanceLoad *this)
 {
     return !this->is_away;
 }
 
+uint32_t
+MpInstanceLoad_TakeIdleMoves(struct MpInstanceLoad *this, uint32_t most)
+{
+    /* The rest is for responses. */
+    uint32_t moves = MIN((uint32_t)(this->move_budget / 2), most);
+    this->move_budget -= moves;
+    this->moved += moves;
+    return moves;
+}
+
 bool
 MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random)
 {
--- a/src/coordination/InstanceLoad.h
+++ b/src/coordination/InstanceLoad.h
@@ -166,6 +166,11 @@
 bool MpInstanceLoad_IsSaturated(const struct MpInstanceLoad *this,
                                 int64_t now_ms);
 
+/* Returns whether this instance is out of rotation and the load balancer has
+ * noticed, so that a client that connects anew gets to another one. */
+bool MpInstanceLoad_IsNoticed(const struct MpInstanceLoad *this,
+                              int64_t now_ms);
+
 /* Returns whether the load balancer should send callers here. */
 bool MpInstanceLoad_IsInRotation(const struct MpInstanceLoad *this);
 
@@ -173,6 +178,11 @@
  * connects to another instance; counts it. */
 bool MpInstanceLoad_ShouldMove(struct MpInstanceLoad *this, double random);
 
+/* Returns how many idle connections, of most, should be closed for the same
+ * reason now; counts them. */
+uint32_t MpInstanceLoad_TakeIdleMoves(struct MpInstanceLoad *this,
+                                      uint32_t most);
+
 /* Returns the average time to connect of late, ms, 0 if there is none: the
  * delay by the queues of the own link while that is saturated. */
 double MpInstanceLoad_ConnectDelay(const struct MpInstanceLoad *this,
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -50,7 +50,6 @@
     int64_t link_kbps;          /* each way */
     int64_t cpu_share_permille; /* of each core */
     int64_t cores_milli;
-    int64_t memory_mb;
     int64_t descriptors_max;
 };
 
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -190,6 +190,9 @@
         if (code == MP_ERROR_INVALID) {
             req->http1_is_persistent = 0;
         }
+        if (code == MP_ERROR_OVERLOADED) {
+            MpGatewayLoad_MoveRefused(this->gateway, req);
+        }
         MpHttp_Send(req, MpError_Info(code)->http_status, "application/json",
                     text, strlen(text));
         g_free(text);
--- a/src/transport/GatewayLoad.c
+++ b/src/transport/GatewayLoad.c
@@ -10,6 +10,9 @@
 #define TICK_MS 50
 /* At least this long between two log lines of one kind, ms. */
 #define LOG_MS 250
+/* A connection that has been idle for this long is closed to move its client,
+ * ms: on one that was used just now the next request may be on its way. */
+#define MOVE_IDLE_MS 500
 #define BITS_PER_BYTE 8
 #define PERMILLE 1000.0
 
@@ -89,6 +92,11 @@
     if (load->is_away != was_away) {
         log_rotation(gateway, now_ms);
     }
+    if (load->move_budget >= 2.0) {
+        uint32_t idle = MpHttpServer_CountIdle(gateway->http, MOVE_IDLE_MS);
+        MpHttpServer_MoveIdle(gateway->http, MOVE_IDLE_MS,
+                              MpInstanceLoad_TakeIdleMoves(load, idle));
+    }
     MpLoop_SetTimer(gateway->loop, timer, TICK_MS, on_timer, gateway);
 }
 
@@ -168,6 +176,16 @@
     }
 }
 
+void
+MpGatewayLoad_MoveRefused(struct MpGateway *gateway, h2o_req_t *req)
+{
+    if (req->http1_is_persistent &&
+        MpInstanceLoad_IsNoticed(&gateway->load, MpLoop_Now())) {
+        req->http1_is_persistent = 0;
+        gateway->load.moved++;
+    }
+}
+
 bool
 MpGatewayLoad_IsSaturated(const struct MpGateway *gateway)
 {
--- a/src/transport/GatewayLoad.h
+++ b/src/transport/GatewayLoad.h
@@ -22,6 +22,10 @@
  * client goes elsewhere. */
 void MpGatewayLoad_Move(struct MpGateway *gateway, h2o_req_t *req);
 
+/* Lets the refusal of a request close its connection if the client's retry
+ * then reaches another instance. */
+void MpGatewayLoad_MoveRefused(struct MpGateway *gateway, h2o_req_t *req);
+
 /* Returns whether this instance is overloaded itself, so that timeouts tell
  * nothing about targets, and further attempts make it worse. */
 bool MpGatewayLoad_IsSaturated(const struct MpGateway *gateway);
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -29,7 +29,7 @@
 static const char *const end_names[MP_HTTP_ENDS] = {
     "answered", "refused", "cut", "caller_left", "unanswered"};
 static const char *const close_names[MP_HTTP_CLOSES] = {
-    "client", "announced", "cut", "idle", "stalled", "stop"};
+    "client", "announced", "cut", "idle", "stalled", "stop", "moved"};
 
 const char *
 MpHttpClose_Name(enum MpHttpClose reason)
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -35,6 +35,7 @@
     MP_HTTP_CLOSE_IDLE,      /* idle for too long */
     MP_HTTP_CLOSE_STALLED,   /* its next request did not arrive in time */
     MP_HTTP_CLOSE_STOP,      /* the process ends */
+    MP_HTTP_CLOSE_MOVED,     /* so that the client goes to another instance */
     MP_HTTP_CLOSES
 };
 
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -361,6 +361,39 @@
     }
 }
 
+static bool
+is_idle_for(const struct MpHttpConn *conn, int64_t idle_ms, int64_t now_ms)
+{
+    return !conn->request && conn->closing_ms == 0 && conn->requests > 0 &&
+           conn->reading_since_ms == 0 &&
+           now_ms - conn->idle_since_ms >= idle_ms;
+}
+
+uint32_t
+MpHttpServer_CountIdle(const struct MpHttpServer *this, int64_t idle_ms)
+{
+    uint32_t count = 0;
+    int64_t now_ms = MpLoop_Now();
+    for (GList *link = this->conns.head; link; link = link->next) {
+        count += is_idle_for(link->data, idle_ms, now_ms);
+    }
+    return count;
+}
+
+void
+MpHttpServer_MoveIdle(struct MpHttpServer *this, int64_t idle_ms,
+                      uint32_t count)
+{
+    int64_t now_ms = MpLoop_Now();
+    GList *link = this->conns.head;
+    for (uint32_t i = 0; link && i < count; link = link->next) {
+        if (is_idle_for(link->data, idle_ms, now_ms)) {
+            MpHttpConn_CloseIdle(link->data, MP_HTTP_CLOSE_MOVED);
+            i++;
+        }
+    }
+}
+
 void
 MpHttpServer_CountBytes(struct MpHttpServer *this)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -71,6 +71,15 @@
 /* Refuses requests of which only a part has arrived (408). */
 void MpHttpServer_RefuseUnfinished(struct MpHttpServer *this);
 
+/* Counts the connections that have been idle for idle_ms. */
+uint32_t MpHttpServer_CountIdle(const struct MpHttpServer *this,
+                                int64_t idle_ms);
+
+/* Closes so many of them, the oldest connections first, so that their clients
+ * connect anew. */
+void MpHttpServer_MoveIdle(struct MpHttpServer *this, int64_t idle_ms,
+                           uint32_t count);
+
 /* Brings the counts of bytes up to date. */
 void MpHttpServer_CountBytes(struct MpHttpServer *this);
 
--- a/tests/TestInstanceLoad.c
+++ b/tests/TestInstanceLoad.c
@@ -285,6 +285,32 @@
     replay_done(&replay);
 }
 
+/* Guards against requests that wait on a full link while their callers go
+ * slowly: with a queue most connections are closed within a second. */
+static void
+test_callers_move_fast_from_a_queue(void)
+{
+    struct replay replay;
+    uint32_t moved = 0;
+    replay_init(&replay, &small);
+    while (!MpInstanceLoad_IsNoticed(&replay.load, replay.now_ms)) {
+        step(&replay, 400, greedy);
+    }
+    for (int i = 0; i < 20; i++) {
+        MpInstanceLoad_StartConnect(&replay.load);
+        MpInstanceLoad_EndConnect(&replay.load, 900, replay.now_ms);
+        step(&replay, 400, greedy);
+        moved += MpInstanceLoad_TakeIdleMoves(&replay.load, 2);
+        for (int j = 0; j < 20; j++) {
+            moved += MpInstanceLoad_ShouldMove(&replay.load,
+                                               g_rand_double(replay.random));
+        }
+    }
+    g_assert_cmpuint(moved, >, 60);
+    g_assert_cmpuint(moved, ==, replay.load.moved);
+    replay_done(&replay);
+}
+
 #define HERD 8
 #define HERD_CALLERS 100
 #define HERD_REQUESTS_PER_S 4
@@ -447,6 +473,8 @@
     g_test_add_func("/load/absence is bounded", test_absence_is_bounded);
     g_test_add_func("/load/callers move only when noticed",
                     test_callers_move_only_when_noticed);
+    g_test_add_func("/load/callers move fast from a queue",
+                    test_callers_move_fast_from_a_queue);
     g_test_add_func("/load/herd spreads", test_herd_spreads);
     g_test_add_func("/load/timeouts are own only when saturated",
                     test_timeouts_are_own_only_when_saturated);
