--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -52,6 +52,14 @@
     int64_t tolerance_milli;
 };
 
+/* Limits of the machine; 0: none. */
+struct MpMachineConf {
+    int64_t link_kbps;          /* each way */
+    int64_t cpu_share_permille; /* of each core */
+    int64_t cores_milli;
+    int64_t descriptors_max;
+};
+
 struct MpSettings {
     char *instance;
     char *zone;
@@ -68,6 +76,7 @@
     struct MpTargetListConf target_list;
     struct MpRetryConf retries;
     struct MpColdBoundConf cold;
+    struct MpMachineConf machine;
     char *data_folder;
     char *fleet_key_file;
     char *operator_token_file;
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -38,6 +38,7 @@
     MP_HTTP_CLOSE_STALLED,   /* its next request did not arrive in time */
     MP_HTTP_CLOSE_MEMORY,    /* no room for its next request */
     MP_HTTP_CLOSE_STOP,      /* the process ends */
+    MP_HTTP_CLOSE_MOVED,     /* so that the client goes to another instance */
     MP_HTTP_CLOSES
 };
 
@@ -47,6 +48,8 @@
     uint64_t ended[MP_HTTP_ENDS];
     uint64_t opened; /* connections */
     uint64_t closed[MP_HTTP_CLOSES];
+    uint64_t received_bytes; /* as far as MpHttpConn_CountBytes has counted */
+    uint64_t sent_bytes;
 };
 
 /* Allocated in the memory of h2o's request. */
@@ -78,9 +81,11 @@
     bool has_head;             /* its head has arrived */
     bool is_dropping;          /* what still arrives is dropped */
     size_t dropped_bytes;
-    bool is_request_done; /* the last one; see MpHttpMemory_NoteDone */
-    bool is_watched;      /* h2o may set its own callback in this round */
-    GList watched_link;   /* in MpHttpServer.watched */
+    bool is_request_done;     /* the last one; see MpHttpMemory_NoteDone */
+    bool is_watched;          /* h2o may set its own callback in this round */
+    GList watched_link;       /* in MpHttpServer.watched */
+    size_t counted_in_bytes;  /* of the request that is arriving */
+    size_t counted_out_bytes; /* of all that was written */
 };
 
 /* Returns the name of a reason for log lines and metrics. */
@@ -112,6 +117,10 @@
 /* Records that a request was read. */
 void MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req);
 
+/* Adds the bytes received and sent since the last call to the counts of the
+ * server. */
+void MpHttpConn_CountBytes(struct MpHttpConn *this);
+
 /* Records how the request in progress ends; the first call counts. */
 void MpHttpConn_NoteEnd(struct MpHttpConn *this, enum MpHttpEnd end);
 
