Choice of a target by its speed, and two preferred targets

Cause: a load report with a fourth number was discarded as a whole. All instances sent a shared prompt part to one target, so a part that many requests share made that target busy, and there was no second target with the part when the first one was slow.

Change: reports with three or more numbers are used; the fourth is how long work takes (100 is usual). TargetSpeed keeps the last figure, which counts for 200 ms, and a lasting estimate from figures and from the time between events, both relative to the pool. Waits are counted at the target's speed, and shared parts are divided by weighted rendezvous hashing. Each part has two preferred targets, and half of the instances use them in reverse order. Moved out of RosterPick: PickCost.

Reports that arrive with responses are too old for the momentary figure to help: an instance sees a target every 14 s.

--- a/src/coordination/PoolTarget.c
+++ b/src/coordination/PoolTarget.c
@@ -76,6 +76,40 @@
     this->slowness += AVERAGE_WEIGHT * (ratio - this->slowness);
 }
 
+/* Returns NULL for a target that was removed, maybe with its pool. */
+static struct MpPoolSpeed *
+speed_of_pool(struct MpRoster *this, const struct MpPoolTarget *target)
+{
+    struct MpPoolSpeed *speed =
+        g_hash_table_lookup(this->speeds, target->pool);
+    if (!speed && !target->is_removed) {
+        speed = g_new(struct MpPoolSpeed, 1);
+        *speed = (struct MpPoolSpeed)MP_POOL_SPEED_INIT;
+        g_hash_table_insert(this->speeds, g_strdup(target->pool), speed);
+    }
+    return speed;
+}
+
+void
+MpRoster_NoteFigure(struct MpRoster *this, struct MpPoolTarget *target,
+                    int64_t percent, int64_t now_ms)
+{
+    struct MpPoolSpeed *pool = speed_of_pool(this, target);
+    if (pool) {
+        MpTargetSpeed_NoteFigure(&target->speed, pool, percent, now_ms);
+    }
+}
+
+void
+MpRoster_NoteEvents(struct MpRoster *this, struct MpPoolTarget *target,
+                    int64_t events, int64_t span_ms)
+{
+    struct MpPoolSpeed *pool = speed_of_pool(this, target);
+    if (pool) {
+        MpTargetSpeed_NoteEvents(&target->speed, pool, events, span_ms);
+    }
+}
+
 static void
 note_failure(struct MpPoolTarget *this, int64_t now_ms)
 {
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -47,6 +47,8 @@
                                         (GDestroyNotify)g_ptr_array_unref);
     this->delays =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->speeds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static GPtrArray *
@@ -73,6 +75,7 @@
     target->hash = XXH64(target->incarnation, strlen(target->incarnation), 0);
     target->listed_ms = now_ms;
     target->slowness = 1.0;
+    target->speed = (struct MpTargetSpeed)MP_TARGET_SPEED_INIT;
     target->limit = (struct MpTargetLimit)MP_TARGET_LIMIT_INIT;
     target->cached_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -91,6 +94,7 @@
     g_hash_table_unref(this->targets);
     g_hash_table_unref(this->pools);
     g_hash_table_unref(this->delays);
+    g_hash_table_unref(this->speeds);
     g_free(this->zone);
 }
 
@@ -110,6 +114,7 @@
     g_ptr_array_remove(pool, target);
     if (pool->len == 0) {
         g_hash_table_remove(this->pools, target->pool);
+        g_hash_table_remove(this->speeds, target->pool);
     }
     g_hash_table_remove(this->targets, target->incarnation);
     MpPoolTarget_Unref(this, target);
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -7,6 +7,7 @@
 #include "coordination/TargetLeaving.h"
 #include "coordination/TargetPause.h"
 #include "coordination/TargetRoom.h"
+#include "coordination/TargetSpeed.h"
 #include "coordination/VersionView.h"
 
 #include <glib.h>
@@ -111,7 +112,8 @@
     double error_rate;  /* decaying average, 0 to 1 */
     double slowness;    /* decaying average of the time to the first answer as
                          * a multiple of the expected time, 1 to 8 */
-    uint64_t picked;    /* counter: attempts */
+    struct MpTargetSpeed speed;
+    uint64_t picked;          /* counter: attempts */
     GHashTable *cached_parts; /* part id -> time of last use, ms */
     void *connections;        /* owned by the transport */
     uint32_t references;
@@ -123,6 +125,7 @@
     GHashTable *targets;      /* incarnation -> struct MpPoolTarget */
     GHashTable *pools;        /* name -> GPtrArray of struct MpPoolTarget */
     GHashTable *delays;       /* pool -> struct delay */
+    GHashTable *speeds;       /* pool -> struct MpPoolSpeed */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
     uint64_t version;  /* counts the changes of the list */
@@ -190,6 +193,9 @@
     /* set by MpRoster_Pick and MpRoster_GetPoolStatus */
     bool needs_no_announcement;
     struct MpRoomWord room; /* the last word of a target of the pool */
+    double usual;           /* see MpPoolSpeed */
+    double mean_running;    /* at the targets of the pool */
+    double mean_waiting;
 };
 
 /* Number of targets of a pool for each reason not to pick them; a target may
@@ -281,6 +287,14 @@
                                   int64_t prefill_tokens, int64_t took_ms,
                                   int64_t expected_ms);
 
+/* Notes the figure of a report; see MpTargetSpeed_NoteFigure. */
+void MpRoster_NoteFigure(struct MpRoster *this, struct MpPoolTarget *target,
+                         int64_t percent, int64_t now_ms);
+
+/* Notes that events came within span_ms, the first of them at its start. */
+void MpRoster_NoteEvents(struct MpRoster *this, struct MpPoolTarget *target,
+                         int64_t events, int64_t span_ms);
+
 /* Counts the end of an attempt.  has_answered: MpPoolTarget_NoteFirstAnswer
  * was called for it. */
 void MpPoolTarget_EndAttempt(struct MpRoster *roster,
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -1,37 +1,17 @@
 #include "coordination/Roster.h"
 
+#include "coordination/PickCost.h"
 #include "coordination/RosterInternal.h"
 #include "state/Error.h"
 #include "state/Fault.h"
 
-#include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* The choice of a target for a request; see Roster.h. */
 
 /* A target whose error rate exceeds the pool's mean by more than this is used
  * less. */
 #define ERROR_MARGIN 0.2
-/* Cost, as waiting time, of an error rate that exceeds the pool's mean plus
- * ERROR_MARGIN by 1. */
-#define ERROR_COST_MS 2000
-/* Cost of a target in another zone, as waiting time: twice the network delay
- * between zones. */
-#define OTHER_ZONE_MS 2
-/* Time that each request waiting at a target adds to the wait of a new one:
- * prefill of a mean prompt. */
-#define WAITING_MS 60
-/* Time that each running request adds to the decoding steps and prefills of
- * others. */
-#define RUNNING_MS 1
-/* Cost of a prefill to the requests that run on the same target, as a
- * fraction of its duration: they all wait for it. */
-#define PREFILL_DELAY_RATIO 1.0
-/* Fraction of a prompt part assumed to be cached at its preferred target even
- * if this instance has not sent it there: all other instances may have. */
-#define SHARED_CACHED_RATIO 0.7
-
 /* Longest time behind others at an engine, in thousandths of the latency
  * target, by rank; the last one is for all lower ranks. */
 #define RANKS 3
@@ -178,87 +158,6 @@
            !is_tried(target, query);
 }
 
-/* Returns value, a number of requests in the last load report, with a weight
- * that falls linearly with the age of the report. */
-static double
-weighted_load(const struct MpPoolTarget *target, int32_t value, int64_t now_ms)
-{
-    int64_t age_ms = now_ms - target->reported_ms;
-    if (target->reported_ms == 0 || age_ms >= MP_LOAD_REPORT_DECAY_MS) {
-        return 0.0;
-    }
-    return value * (1.0 - (double)age_ms / MP_LOAD_REPORT_DECAY_MS);
-}
-
-static double
-running_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    /* Attempts sent since the report lose weight with it: some of them have
-     * ended, and a target may never report its load. */
-    double reported = weighted_load(
-        target, target->reported_running + target->sent_since_report, now_ms);
-    return MAX(reported, (double)target->running);
-}
-
-static double
-waiting_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return weighted_load(target, target->reported_waiting, now_ms);
-}
-
-static bool
-is_full(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return target->slots > 0 &&
-           running_at(target, now_ms) >= (double)target->slots;
-}
-
-/* Returns the id of the part by which similar requests are sent to the same
- * target: the last but one, as the last is seldom shared, or the only one. */
-static uint64_t
-affinity_part(const struct MpRequestMeta *meta)
-{
-    if (meta->part_count == 0) {
-        return 0;
-    }
-    return meta->parts[meta->part_count >= 2 ? meta->part_count - 2 : 0].id;
-}
-
-/* Rendezvous hash of a target and a part, the same on all instances. */
-static uint64_t
-rank_of(const struct MpPoolTarget *target, uint64_t part)
-{
-    uint64_t pair[2] = {target->hash, part};
-    return XXH64(pair, sizeof(pair), 0);
-}
-
-/* Returns the tokens of the prompt that are not expected in the target's
- * cache. */
-static int64_t
-uncached_tokens(const struct MpPoolTarget *target,
-                const struct MpRequestMeta *meta, bool is_preferred,
-                int64_t now_ms)
-{
-    int64_t cached = 0;
-    double shared = 0;
-    for (uint32_t i = 0; i < meta->part_count; i++) {
-        const struct MpPromptPart *part = &meta->parts[i];
-        const int64_t *used_ms =
-            g_hash_table_lookup(target->cached_parts, &part->id);
-        if (used_ms && now_ms - *used_ms < MP_CACHE_RETENTION_MS) {
-            cached += part->tokens + (int64_t)shared;
-            shared = 0;
-            continue;
-        }
-        if (!is_preferred || i + 1 >= meta->part_count) {
-            break;
-        }
-        shared += SHARED_CACHED_RATIO * (double)part->tokens;
-    }
-    cached += (int64_t)shared;
-    return MAX(meta->prompt_tokens - cached, 0);
-}
-
 static double
 mean_error_rate(const GPtrArray *pool)
 {
@@ -269,61 +168,22 @@
     return pool->len > 0 ? sum / pool->len : 0;
 }
 
-/* Returns the expected wait behind the requests that wait or run at an engine
- * already. */
-static double
-queue_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return (waiting_at(target, now_ms) * WAITING_MS +
-            (double)target->prefill_tokens / MP_PREFILL_TOKENS_PER_MS) *
-           target->slowness;
-}
-
-static double
-wait_at(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
-        int64_t tokens, int64_t now_ms)
-{
-    double wait_ms = waiting_at(target, now_ms) * WAITING_MS +
-                     running_at(target, now_ms) * RUNNING_MS;
-    if (query->is_engine) {
-        wait_ms += (double)(target->prefill_tokens + tokens) /
-                   MP_PREFILL_TOKENS_PER_MS;
-    }
-    else {
-        double load = running_at(target, now_ms) / MAX(target->slots, 1);
-        wait_ms += load * WAITING_MS;
-    }
-    return wait_ms * target->slowness;
-}
-
-/* Returns what picking the target costs besides the request's own wait, as
- * waiting time: the zone, the error rate above max_error_rate, and delay of
- * others. */
-static double
-cost_beyond_wait(const struct MpRoster *this,
-                 const struct MpPoolTarget *target, int64_t tokens,
-                 double max_error_rate)
-{
-    double cost = strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0;
-    cost += MAX(target->error_rate - max_error_rate, 0) * ERROR_COST_MS;
-    return cost +
-           (double)tokens / MP_PREFILL_TOKENS_PER_MS * PREFILL_DELAY_RATIO;
-}
-
-/* Returns the usable target that all instances prefer for the affinity part
- * of the request, or NULL.  is_unlimited: only targets that name no limit
- * count. */
+/* Returns the usable target with the highest rank for the affinity part of the
+ * request, or NULL.  is_unlimited: only targets that name no limit count;
+ * other: does not count. */
 static const struct MpPoolTarget *
 preferred_of(const GPtrArray *pool, const struct MpPoolQuery *query,
-             bool is_unlimited, int64_t now_ms)
+             bool is_unlimited, const struct MpPoolTarget *other,
+             int64_t now_ms)
 {
-    uint64_t part = affinity_part(query->meta);
+    uint64_t part = MpPickCost_AffinityPart(query->meta);
     const struct MpPoolTarget *preferred = NULL;
-    uint64_t preferred_rank = 0;
+    double preferred_rank = 0;
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        uint64_t rank = rank_of(target, part);
-        bool counts = !is_unlimited || target->limit.rate_mrps < 0;
+        double rank = MpPickCost_Rank(target, part);
+        bool counts =
+            target != other && (!is_unlimited || target->limit.rate_mrps < 0);
         if (counts && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
@@ -333,6 +193,45 @@
     return preferred;
 }
 
+/* The targets at which the shared parts of a request are cached, or NULL. */
+struct preferred {
+    const struct MpPoolTarget *first;
+    const struct MpPoolTarget *second;
+};
+
+/* Finds the two targets that all instances prefer for the affinity part of the
+ * request.  With two of them, a part that many requests share does not make
+ * one target busy, and there is a choice when one is slow for a moment. */
+static struct preferred
+find_preferred(const GPtrArray *pool, const struct MpPoolQuery *query,
+               int64_t now_ms)
+{
+    struct preferred found = {
+        .first = preferred_of(pool, query, false, NULL, now_ms)};
+    bool is_limited =
+        found.first && found.first->limit.rate_mrps != MP_LIMIT_NONE;
+    if (!found.first || (!is_limited && !query->is_engine)) {
+        return found;
+    }
+    /* What a target with a limit cannot take goes to one other target, not to
+     * whichever is free, so that shared parts are cached there too. */
+    found.second = preferred_of(pool, query, is_limited, found.first, now_ms);
+    if (found.second && !is_limited && MpPickCost_IsSwapped(query)) {
+        return (struct preferred){.first = found.second,
+                                  .second = found.first};
+    }
+    return found;
+}
+
+static enum MpPreference
+preference_of(const struct preferred *preferred,
+              const struct MpPoolTarget *target)
+{
+    return target == preferred->first    ? MP_PREFERENCE_FIRST
+           : target == preferred->second ? MP_PREFERENCE_SECOND
+                                         : MP_PREFERENCE_NONE;
+}
+
 /* Picks the failed target whose ejection ends first. */
 static int
 pick_last_resort(const GPtrArray *pool, const struct MpPoolQuery *query,
@@ -352,10 +251,11 @@
     if (!best) {
         return MP_ERROR_NO_TARGET;
     }
-    int64_t tokens = uncached_tokens(best, query->meta, false, now_ms);
+    int64_t tokens = MpPickCost_UncachedTokens(best, query->meta,
+                                               MP_PREFERENCE_NONE, now_ms);
     *picked = (struct MpPicked){
         .target = best,
-        .wait_ms = (int64_t)wait_at(best, query, tokens, now_ms),
+        .wait_ms = (int64_t)MpPickCost_Wait(best, query, tokens, now_ms),
         .prefill_tokens = tokens};
     return MP_OK;
 }
@@ -372,10 +272,11 @@
         !MpTargetPause_MaySend(&target->pause, now_ms)) {
         return false;
     }
-    int64_t tokens = uncached_tokens(target, query->meta, false, now_ms);
+    int64_t tokens = MpPickCost_UncachedTokens(target, query->meta,
+                                               MP_PREFERENCE_NONE, now_ms);
     *picked = (struct MpPicked){
         .target = target,
-        .wait_ms = (int64_t)wait_at(target, query, tokens, now_ms),
+        .wait_ms = (int64_t)MpPickCost_Wait(target, query, tokens, now_ms),
         .prefill_tokens = tokens};
     return true;
 }
@@ -434,7 +335,8 @@
     if (!picked->target || !query->is_engine || query->queue_max_ms == 0) {
         return false;
     }
-    picked->queue_ms = (int64_t)queue_at(picked->target, now_ms);
+    picked->queue_ms =
+        (int64_t)MpPickCost_Queue(picked->target, query, now_ms);
     double delay = delay_at(this, query->pool, now_ms);
     if (picked->queue_ms <= query->queue_max_ms &&
         delay <= delay_max[CLAMP(query->rank, 0, RANKS - 1)]) {
@@ -458,14 +360,7 @@
               struct MpPicked *picked, struct left_out *left_out)
 {
     double best_cost = 0;
-    const struct MpPoolTarget *preferred =
-        preferred_of(pool, query, false, now_ms);
-    /* What a target with a limit cannot take goes to one other target, not to
-     * whichever is free, so that shared parts are cached there too. */
-    const struct MpPoolTarget *second =
-        preferred && preferred->limit.rate_mrps != MP_LIMIT_NONE
-            ? preferred_of(pool, query, true, now_ms)
-            : NULL;
+    const struct preferred preferred = find_preferred(pool, query, now_ms);
     double max_error_rate = mean_error_rate(pool) + ERROR_MARGIN;
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
@@ -475,19 +370,18 @@
         bool is_held = is_withheld(target, query, now_ms);
         left_out->has_withheld |= is_held;
         if (is_held || !MpTargetPause_MaySend(&target->pause, now_ms) ||
-            (is_full(target, now_ms) && query->is_engine) ||
+            (MpPickCost_IsFull(target, now_ms) && query->is_engine) ||
             !MpPoolTarget_HasRoom(target, query, now_ms)) {
             left_out->has_full = true;
             continue;
         }
-        int64_t tokens =
-            uncached_tokens(target, query->meta,
-                            target == preferred || target == second, now_ms);
-        double wait_ms = wait_at(target, query, tokens, now_ms);
+        int64_t tokens = MpPickCost_UncachedTokens(
+            target, query->meta, preference_of(&preferred, target), now_ms);
+        double wait_ms = MpPickCost_Wait(target, query, tokens, now_ms);
         double cost = g_random_double();
         if (this->policy == MP_PICK_AFFINITY) {
-            cost += wait_ms +
-                    cost_beyond_wait(this, target, tokens, max_error_rate);
+            cost += wait_ms + MpPickCost_Beyond(this, query, target, tokens,
+                                                max_error_rate, now_ms);
         }
         else if (this->policy == MP_PICK_LEAST_OUTSTANDING) {
             cost += target->running;
@@ -536,6 +430,13 @@
     return last;
 }
 
+static double
+usual_speed(const struct MpRoster *this, const char *pool)
+{
+    const struct MpPoolSpeed *speed = g_hash_table_lookup(this->speeds, pool);
+    return speed ? speed->usual : 1.0;
+}
+
 int
 MpRoster_Pick(struct MpRoster *this, const struct MpPoolQuery *query,
               int64_t now_ms, struct MpPicked *picked)
@@ -547,6 +448,7 @@
         return MP_ERROR_NO_TARGET;
     }
     adjusted.room = last_room_word(pool);
+    adjusted.usual = usual_speed(this, query->pool);
     adjusted.needs_no_announcement =
         query->view && !query->version &&
         has_no_active_version(pool, query, now_ms);
@@ -590,7 +492,7 @@
         status->ejected +=
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
-        status->full += is_full(target, now_ms) ||
+        status->full += MpPickCost_IsFull(target, now_ms) ||
                         !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
         if (is_withheld(target, query, now_ms)) {
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -25,6 +25,18 @@
         MpGateway_CountRetryFleet(this->gateway), MpLoop_Now());
 }
 
+/* Notes the time between the events, unless the caller has slowed them. */
+static void
+note_speed(struct MpGatewayCall *this)
+{
+    if (this->events_began_ms > 0 && !this->is_reading_held) {
+        MpRoster_NoteEvents(&this->gateway->roster, this->target,
+                            this->forward.attempt_events -
+                                this->events_at_begin + 1,
+                            this->events_ms - this->events_began_ms);
+    }
+}
+
 /* Ends the attempt's use of its target. */
 static void
 release_target(struct MpGatewayCall *this, enum MpTargetOutcome outcome)
@@ -32,6 +44,7 @@
     if (!this->target) {
         return;
     }
+    note_speed(this);
     MpPoolTarget_EndAttempt(&this->gateway->roster, this->target,
                             this->has_response, this->prefill_tokens, outcome,
                             MpLoop_Now());
@@ -184,6 +197,7 @@
         MpGatewayResponse_Write(this, data, size);
     }
     if (this->response.pending->len > MP_RESPONSE_HIGH_BYTES && this->conn) {
+        this->is_reading_held = true;
         MpTargetConn_Pause(this->conn);
     }
 }
@@ -317,6 +331,8 @@
     this->is_event_stream = false;
     this->is_silence_borne = false;
     this->status = 0;
+    this->events_began_ms = 0;
+    this->is_reading_held = false;
     MpForward_StartAttempt(&this->forward);
     MpGatewayNotice_Sent(this, target, now_ms);
     MpPoolTarget_StartAttempt(target, &this->meta, picked->prefill_tokens,
--- a/src/transport/GatewayNotice.c
+++ b/src/transport/GatewayNotice.c
@@ -8,8 +8,10 @@
 
 /* Bytes of an unreadable header that a log line shows. */
 #define VALUE_LOG_BYTES 32
-/* Numbers in a load report. */
+/* Numbers that a load report must have, and those that are known. */
 #define LOAD_NUMBERS 3
+#define LOAD_NUMBERS_KNOWN 4
+
 static struct MpTargetNotice
 notice_of(const struct MpGatewayCall *call, const struct MpPoolTarget *target,
           int64_t sent_ms, int64_t received_ms)
@@ -38,29 +40,36 @@
 }
 
 /* Reads the numbers of running and waiting requests and of slots, separated by
- * commas. */
-static bool
-parse_load(const char *text, int64_t numbers[static LOAD_NUMBERS])
+ * commas, and how long work takes, if the report has it; further ones are
+ * ignored.  Returns how many were read; 0 if one of the first three cannot be
+ * read, -1 if only the fourth cannot. */
+static int
+parse_load(const char *text, int64_t numbers[static LOAD_NUMBERS_KNOWN])
 {
     char **fields = g_strsplit(text, ",", -1);
-    bool is_valid = g_strv_length(fields) == LOAD_NUMBERS;
-    for (int i = 0; is_valid && i < LOAD_NUMBERS; i++) {
-        const char *field = g_strstrip(fields[i]);
-        is_valid =
-            MpRequestMeta_ParseNumber(field, strlen(field), &numbers[i]);
+    int count = 0;
+    while (count < LOAD_NUMBERS_KNOWN && fields[count]) {
+        const char *field = g_strstrip(fields[count]);
+        if (!MpRequestMeta_ParseNumber(field, strlen(field),
+                                       &numbers[count])) {
+            break;
+        }
+        count++;
     }
+    bool is_fourth_invalid = count == LOAD_NUMBERS && fields[count];
     g_strfreev(fields);
-    return is_valid;
+    return count < LOAD_NUMBERS ? 0 : is_fourth_invalid ? -1 : count;
 }
 
-/* Applies the load that the target reports.  A report that cannot be read is
- * ignored as a whole: a part of it could make a busy target look idle. */
+/* Applies the load that the target reports.  A report without the first three
+ * numbers is ignored as a whole: a part of it could make a busy target look
+ * idle. */
 static void
 update_load(struct MpGatewayCall *this, const struct MpTargetHead *head,
             int64_t now_ms)
 {
     struct MpPoolTarget *target = this->target;
-    int64_t numbers[LOAD_NUMBERS];
+    int64_t numbers[LOAD_NUMBERS_KNOWN];
     size_t size;
     const char *value =
         MpTargetHead_Find(head, this->gateway->dialect->target.load, &size);
@@ -68,11 +77,16 @@
         return;
     }
     char *text = g_strndup(value, size);
-    if (strlen(text) == size && parse_load(text, numbers)) {
+    int count = strlen(text) == size ? parse_load(text, numbers) : 0;
+    if (count != 0) {
         MpPoolTarget_ApplyReport(target, numbers[0], numbers[1], numbers[2],
                                  now_ms);
     }
-    else if (!target->is_load_invalid) {
+    if (count == LOAD_NUMBERS_KNOWN) {
+        MpRoster_NoteFigure(&this->gateway->roster, target,
+                            numbers[LOAD_NUMBERS], now_ms);
+    }
+    if (count <= 0 && !target->is_load_invalid) {
         target->is_load_invalid = true;
         log_unreadable(this, "target-load-invalid", "load", value, size);
     }
--- a/src/transport/GatewayStream.c
+++ b/src/transport/GatewayStream.c
@@ -75,6 +75,19 @@
     return forward->is_resuming && forward->attempt_events == 0;
 }
 
+static void
+note_events(struct MpGatewayCall *this, int64_t events_before)
+{
+    int64_t events = this->forward.attempt_events;
+    if (events > events_before) {
+        this->events_ms = this->received_ms;
+    }
+    if (events > 0 && this->events_began_ms == 0) {
+        this->events_began_ms = this->received_ms;
+        this->events_at_begin = events;
+    }
+}
+
 int
 MpGatewayStream_Forward(struct MpGatewayCall *this, const char *data,
                         size_t size)
@@ -84,7 +97,7 @@
     int code = MP_OK;
     size_t start = 0;
     size_t offset = 0;
-    bool had_events = forward->attempt_events > 0;
+    int64_t events_before = forward->attempt_events;
     size_t seen = this->is_stream_start ? 0 : this->partial->len;
     g_byte_array_append(this->partial, (const guint8 *)data, (guint)size);
     if (!take_mark(this)) {
@@ -108,7 +121,8 @@
             start = is_preamble(forward) ? offset : start;
         }
     }
-    if (!had_events && forward->attempt_events > 0) {
+    note_events(this, events_before);
+    if (events_before == 0 && forward->attempt_events > 0) {
         MpGatewaySuspect_NoteContent(this);
     }
     MpGatewayResponse_Write(this, text + start, offset - start);
