When traffic leaves the zone; long prompts beside streams; logs and metrics

Cause: 2 ms stood for all that a target in another zone costs. A prompt that is read for longer than 200 ms makes the streams beside it late, which counted no more than a short one. The log did not say how fast a target was taken to be.

Change: ZoneSpill holds which part of a pool's requests may leave, from the smoothed wait that leaving saves less the cost of the bytes (new setting zone_cost_us_per_kb; 0, the default, changes nothing). A long read costs 30 ms for each of up to four requests known to run there. request-sent, metrics, the simulated target (--slow-percent) and docs. RosterPick is split: PickZone, RosterDelay.

--- a/src/commands/CommandTarget.c
+++ b/src/commands/CommandTarget.c
@@ -83,13 +83,16 @@
         NULL, "lag-ms", "MS", "delay of load reports and cache events (300)");
     struct arg_int *gap = arg_int0(NULL, "gap-percent", "N",
                                    "percentage of cache events lost (1)");
+    struct arg_int *slow =
+        arg_int0(NULL, "slow-percent", "N",
+                 "how long work takes, named in each response; 100 is usual");
     struct arg_lit *fencing = arg_lit0(
         NULL, "checks-fencing", "refuse orders with an old fencing number");
     struct arg_file *log = arg_file0(NULL, "run-log", "FILE",
                                      "append the key of each run to FILE");
-    void *table[] = {listen, name,    service, slots,         token,
-                     batch,  prefill, call,    cache,         lag,
-                     gap,    fencing, log,     MP_COMMON_ARGS};
+    void *table[] = {listen, name,    service, slots, token,
+                     batch,  prefill, call,    cache, lag,
+                     gap,    slow,    fencing, log,   MP_COMMON_ARGS};
     int status = MpCommand_Parse(argc, argv, table,
                                  "Runs a simulated model engine or service.");
     if (status < 0) {
@@ -105,6 +108,7 @@
             .cache_blocks = int_value(cache, 2048),
             .lag_ms = int_value(lag, 300),
             .gap_percent = int_value(gap, 1),
+            .slow_percent = int_value(slow, 0),
             .checks_fencing = fencing->count > 0,
             .run_log = log->count > 0 ? log->filename[0] : NULL,
         };
--- a/src/commands/SimTarget.h
+++ b/src/commands/SimTarget.h
@@ -45,6 +45,8 @@
     int64_t cache_blocks; /* capacity of the prefix cache */
     int64_t lag_ms;       /* delay of load reports and cache events */
     int64_t gap_percent;  /* percentage of cache events lost */
+    int64_t slow_percent; /* how long work takes; 100 is usual.  0: usual, and
+                           * responses have no load report */
     bool checks_fencing;  /* refuses orders with an old fencing number */
     const char *run_log;  /* file to append the key of each run to, or NULL */
 };
--- a/src/commands/SimTargetJob.c
+++ b/src/commands/SimTargetJob.c
@@ -103,10 +103,26 @@
     }
 }
 
+static void
+add_load(struct MpSimTargetJob *this)
+{
+    const struct MpSimTarget *target = this->target;
+    char report[96];
+    g_snprintf(report, sizeof(report), "%" PRId64 ",%u,%" PRId64 ",%" PRId64,
+               target->running,
+               target->waiting[0].length + target->waiting[1].length +
+                   target->waiting[2].length,
+               target->options.slots, target->options.slow_percent);
+    MpHttp_AddHeader(this->req, MpDialect_Native.target.load, report);
+}
+
 /* Each answer of a target that leaves says so. */
 static void
 add_notices(struct MpSimTargetJob *this, int status)
 {
+    if (this->target->options.slow_percent > 0) {
+        add_load(this);
+    }
     if (this->target->is_leaving) {
         MpHttp_AddHeader(this->req, MpDialect_Native.target.leaving, "1");
     }
@@ -145,6 +161,9 @@
 {
     int64_t time_us = target->options.token_us +
                       target->options.batch_us * (target->running - 1);
+    if (target->options.slow_percent > 0) {
+        time_us = time_us * target->options.slow_percent / 100;
+    }
     return MAX(time_us / 1000, 1);
 }
 
--- a/src/coordination/PickCost.c
+++ b/src/coordination/PickCost.c
@@ -7,9 +7,6 @@
 /* Cost, as waiting time, of an error rate that exceeds the pool's mean plus
  * ERROR_MARGIN by 1. */
 #define ERROR_COST_MS 2000
-/* Cost of a target in another zone, as waiting time: twice the network delay
- * between zones. */
-#define OTHER_ZONE_MS 2
 /* Time that each request waiting at a target adds to the wait of a new one:
  * prefill of a mean prompt. */
 #define WAITING_MS 60
@@ -19,8 +16,13 @@
 /* Cost of a prefill to the requests that run on the same target, as a
  * fraction of its duration: they all wait for it. */
 #define PREFILL_DELAY_RATIO 1.0
+/* A pause between events that makes a response late, ms. */
 #define PAUSE_MAX_MS 200
-#define MEAN_REPORT_MS 30000
+/* Cost of such a pause for each request that runs at the target, as far as
+ * that is known, and how many of them count: more would weigh known targets
+ * too much against those of which nothing is known. */
+#define STALL_MS 30
+#define STALLED_MAX 4
 /* Fraction of a prompt part assumed to be cached at its preferred targets even
  * if this instance has not sent it there: other instances have, half of them
  * to the other one first. */
@@ -149,15 +151,26 @@
     return wait_ms * slowness_at(target, query, now_ms);
 }
 
+/* Returns what it costs the requests that run at an engine that a prompt is
+ * read for read_ms. */
+static double
+stall_cost(const struct MpPoolTarget *target, double read_ms, int64_t now_ms)
+{
+    return read_ms > PAUSE_MAX_MS
+               ? MIN(running_at(target, now_ms), STALLED_MAX) * STALL_MS
+               : 0;
+}
+
 double
-MpPickCost_Beyond(const struct MpRoster *roster,
-                  const struct MpPoolQuery *query,
+MpPickCost_Beyond(const struct MpPoolQuery *query,
                   const struct MpPoolTarget *target, int64_t tokens,
                   double max_error_rate, int64_t now_ms)
 {
-    double cost = strcmp(target->zone, roster->zone) != 0 ? OTHER_ZONE_MS : 0;
     double read_ms = (double)tokens / MP_PREFILL_TOKENS_PER_MS *
                      MpTargetSpeed_Now(&target->speed, query->usual, now_ms);
-    cost += MAX(target->error_rate - max_error_rate, 0) * ERROR_COST_MS;
+    double cost = MAX(target->error_rate - max_error_rate, 0) * ERROR_COST_MS;
+    if (query->is_engine) {
+        cost += stall_cost(target, read_ms, now_ms);
+    }
     return cost + read_ms * PREFILL_DELAY_RATIO;
 }
--- a/src/coordination/PickCost.h
+++ b/src/coordination/PickCost.h
@@ -52,9 +52,8 @@
                        int64_t now_ms);
 
 /* Returns what picking the target costs besides the request's own wait: the
- * zone, the error rate above max_error_rate, and the delay of others. */
-double MpPickCost_Beyond(const struct MpRoster *roster,
-                         const struct MpPoolQuery *query,
+ * error rate above max_error_rate and the delay of others. */
+double MpPickCost_Beyond(const struct MpPoolQuery *query,
                          const struct MpPoolTarget *target, int64_t tokens,
                          double max_error_rate, int64_t now_ms);
 
--- a/src/coordination/Roster.c
+++ b/src/coordination/Roster.c
@@ -49,6 +49,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->spills =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static GPtrArray *
@@ -95,6 +97,7 @@
     g_hash_table_unref(this->pools);
     g_hash_table_unref(this->delays);
     g_hash_table_unref(this->speeds);
+    g_hash_table_unref(this->spills);
     g_free(this->zone);
 }
 
@@ -115,6 +118,7 @@
     if (pool->len == 0) {
         g_hash_table_remove(this->pools, target->pool);
         g_hash_table_remove(this->speeds, target->pool);
+        g_hash_table_remove(this->spills, target->pool);
     }
     g_hash_table_remove(this->targets, target->incarnation);
     MpPoolTarget_Unref(this, target);
--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -9,6 +9,7 @@
 #include "coordination/TargetRoom.h"
 #include "coordination/TargetSpeed.h"
 #include "coordination/VersionView.h"
+#include "coordination/ZoneSpill.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -120,12 +121,14 @@
 };
 
 struct MpRoster {
-    char *zone;               /* of this instance */
-    enum MpPickPolicy policy; /* MP_PICK_AFFINITY unless it is set */
-    GHashTable *targets;      /* incarnation -> struct MpPoolTarget */
-    GHashTable *pools;        /* name -> GPtrArray of struct MpPoolTarget */
-    GHashTable *delays;       /* pool -> struct delay */
-    GHashTable *speeds;       /* pool -> struct MpPoolSpeed */
+    char *zone;                  /* of this instance */
+    enum MpPickPolicy policy;    /* MP_PICK_AFFINITY unless it is set */
+    GHashTable *targets;         /* incarnation -> struct MpPoolTarget */
+    GHashTable *pools;           /* name -> GPtrArray of struct MpPoolTarget */
+    GHashTable *delays;          /* pool -> struct delay */
+    GHashTable *speeds;          /* pool -> struct MpPoolSpeed */
+    GHashTable *spills;          /* pool -> struct MpZoneSpill */
+    int64_t zone_cost_us_per_kb; /* of bytes between zones; 0: not weighed */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
     uint64_t version;  /* counts the changes of the list */
@@ -184,6 +187,7 @@
     int64_t wall_ms;        /* clock that all instances have in common */
     int64_t queue_max_ms;   /* see MpRoster_QueueMax */
     int64_t rank;           /* 0 is the highest */
+    int64_t bytes;          /* of the request */
     const char *version; /* only targets with this software version; or NULL */
     const struct MpVersionView *view; /* without version: only targets whose
                                        * version is active there; or NULL */
@@ -222,6 +226,7 @@
     int64_t queue_ms;       /* part of wait_ms spent behind others; also set
                              * when no target was picked because of it */
     bool needs_permit;      /* the target names a limit */
+    enum MpZoneChoice zone_choice; /* whether and why the zone was left */
 };
 
 /* Returns the listed target with this incarnation, or NULL. */
--- a/src/coordination/RosterInternal.h
+++ b/src/coordination/RosterInternal.h
@@ -4,8 +4,8 @@
 #include "coordination/Roster.h"
 
 /*
- * RosterInternal - functions shared by Roster.c, RosterPick.c and PoolTarget.c
- * only.
+ * RosterInternal - functions shared by Roster.c, RosterPick.c,
+ * RosterDelay.c and PoolTarget.c only.
  */
 
 /* Drops a reference to a target and frees the target with the last one. */
@@ -17,4 +17,9 @@
 bool MpPoolTarget_HasRoom(const struct MpPoolTarget *this,
                           const struct MpPoolQuery *query, int64_t now_ms);
 
+/* Returns whether the answers of all targets without a limit come too late for
+ * a request of the query's rank. */
+bool MpRoster_IsDelayTooLong(const struct MpRoster *this,
+                             const struct MpPoolQuery *query, int64_t now_ms);
+
 #endif
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -1,6 +1,7 @@
 #include "coordination/Roster.h"
 
 #include "coordination/PickCost.h"
+#include "coordination/PickZone.h"
 #include "coordination/RosterInternal.h"
 #include "state/Error.h"
 #include "state/Fault.h"
@@ -12,27 +13,6 @@
 /* A target whose error rate exceeds the pool's mean by more than this is used
  * less. */
 #define ERROR_MARGIN 0.2
-/* Longest time behind others at an engine, in thousandths of the latency
- * target, by rank; the last one is for all lower ranks. */
-#define RANKS 3
-static const int64_t queue_permille[RANKS] = {300, 200, 100};
-
-/* Largest decaying average of the time to the first answer at targets without
- * a limit, as a part of the latency target, at which requests of each rank are
- * still sent there. */
-static const double delay_max[RANKS] = {1.0, 0.7, 0.4};
-/* Weight of one answer in that average, and time over which the average falls
- * linearly to 0 without answers, ms. */
-#define DELAY_WEIGHT 0.1
-#define DELAY_DECAY_MS 2000
-/* Longest time to the first answer that counts, in latency targets. */
-#define DELAY_PART_MAX 3.0
-
-struct delay {
-    double average;
-    int64_t noted_ms;
-};
-
 /* Time in the list after which streams begin at a target whose version was not
  * announced, if the pool has no other, ms.  By then no router takes streams up
  * at versions of a list in which it was missing. */
@@ -168,13 +148,28 @@
     return pool->len > 0 ? sum / pool->len : 0;
 }
 
+/* Which targets count for a preference. */
+struct filter {
+    bool is_unlimited;                /* only those that name no limit */
+    const struct MpPoolTarget *other; /* not this one, or NULL */
+    const struct MpRoster *roster;    /* with it only those in place */
+    enum MpPlace place;
+};
+
+static bool
+passes(const struct filter *filter, const struct MpPoolTarget *target)
+{
+    return target != filter->other &&
+           (!filter->is_unlimited || target->limit.rate_mrps < 0) &&
+           (!filter->roster ||
+            MpPickZone_PlaceOf(filter->roster, target) == filter->place);
+}
+
 /* Returns the usable target with the highest rank for the affinity part of the
- * request, or NULL.  is_unlimited: only targets that name no limit count;
- * other: does not count. */
+ * request, or NULL. */
 static const struct MpPoolTarget *
 preferred_of(const GPtrArray *pool, const struct MpPoolQuery *query,
-             bool is_unlimited, const struct MpPoolTarget *other,
-             int64_t now_ms)
+             const struct filter *filter, int64_t now_ms)
 {
     uint64_t part = MpPickCost_AffinityPart(query->meta);
     const struct MpPoolTarget *preferred = NULL;
@@ -182,9 +177,7 @@
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         double rank = MpPickCost_Rank(target, part);
-        bool counts =
-            target != other && (!is_unlimited || target->limit.rate_mrps < 0);
-        if (counts && is_usable(target, query, now_ms) &&
+        if (passes(filter, target) && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
             preferred_rank = rank;
@@ -204,18 +197,21 @@
  * one target busy, and there is a choice when one is slow for a moment. */
 static struct preferred
 find_preferred(const GPtrArray *pool, const struct MpPoolQuery *query,
-               int64_t now_ms)
+               struct filter filter, int64_t now_ms)
 {
-    struct preferred found = {
-        .first = preferred_of(pool, query, false, NULL, now_ms)};
+    struct preferred found = {.first =
+                                  preferred_of(pool, query, &filter, now_ms)};
     bool is_limited =
         found.first && found.first->limit.rate_mrps != MP_LIMIT_NONE;
-    if (!found.first || (!is_limited && !query->is_engine)) {
+    if (!found.first ||
+        (!is_limited && (!query->is_engine || filter.roster))) {
         return found;
     }
     /* What a target with a limit cannot take goes to one other target, not to
      * whichever is free, so that shared parts are cached there too. */
-    found.second = preferred_of(pool, query, is_limited, found.first, now_ms);
+    filter.is_unlimited = is_limited;
+    filter.other = found.first;
+    found.second = preferred_of(pool, query, &filter, now_ms);
     if (found.second && !is_limited && MpPickCost_IsSwapped(query)) {
         return (struct preferred){.first = found.second,
                                   .second = found.first};
@@ -223,6 +219,21 @@
     return found;
 }
 
+/* Finds them for each place. */
+static void
+find_all_preferred(const struct MpRoster *this, const GPtrArray *pool,
+                   const struct MpPoolQuery *query, int64_t now_ms,
+                   struct preferred preferred[static MP_PLACES])
+{
+    struct filter filter = {.roster = MpPickZone_IsOn(this) ? this : NULL};
+    for (int place = 0; place < MP_PLACES; place++) {
+        filter.place = (enum MpPlace)place;
+        preferred[place] = place > 0 && !filter.roster
+                               ? preferred[0]
+                               : find_preferred(pool, query, filter, now_ms);
+    }
+}
+
 static enum MpPreference
 preference_of(const struct preferred *preferred,
               const struct MpPoolTarget *target)
@@ -289,42 +300,6 @@
            !is_permitted(target, query);
 }
 
-int64_t
-MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank)
-{
-    int64_t permille = queue_permille[CLAMP(rank, 0, RANKS - 1)];
-    return latency_target_ms > 0 ? MAX(latency_target_ms * permille / 1000, 1)
-                                 : 0;
-}
-
-static double
-delay_at(const struct MpRoster *this, const char *pool, int64_t now_ms)
-{
-    const struct delay *delay = g_hash_table_lookup(this->delays, pool);
-    int64_t age_ms = delay ? now_ms - delay->noted_ms : DELAY_DECAY_MS;
-    return age_ms >= DELAY_DECAY_MS
-               ? 0.0
-               : delay->average * (1.0 - (double)age_ms / DELAY_DECAY_MS);
-}
-
-void
-MpRoster_NoteDelay(struct MpRoster *this, const struct MpPoolTarget *target,
-                   double part, int64_t now_ms)
-{
-    struct delay *delay = g_hash_table_lookup(this->delays, target->pool);
-    if (target->limit.rate_mrps != MP_LIMIT_NONE) {
-        return;
-    }
-    if (!delay) {
-        delay = g_new0(struct delay, 1);
-        g_hash_table_insert(this->delays, g_strdup(target->pool), delay);
-    }
-    delay->average = delay_at(this, target->pool, now_ms);
-    delay->average +=
-        DELAY_WEIGHT * (MIN(part, DELAY_PART_MAX) - delay->average);
-    delay->noted_ms = now_ms;
-}
-
 /* Drops the picked target if the request would wait too long behind others:
  * by the queue that this instance knows of, or as the answers of all such
  * targets come late. */
@@ -337,9 +312,8 @@
     }
     picked->queue_ms =
         (int64_t)MpPickCost_Queue(picked->target, query, now_ms);
-    double delay = delay_at(this, query->pool, now_ms);
     if (picked->queue_ms <= query->queue_max_ms &&
-        delay <= delay_max[CLAMP(query->rank, 0, RANKS - 1)]) {
+        !MpRoster_IsDelayTooLong(this, query, now_ms)) {
         return false;
     }
     picked->queue_ms = MAX(picked->queue_ms, query->queue_max_ms + 1);
@@ -353,15 +327,39 @@
     bool has_withheld; /* without a permit */
 };
 
+/* Returns what a request costs at a target, as far as the policy minds, and
+ * fills picked. */
+static double
+weigh(const struct MpRoster *this, const struct MpPoolQuery *query,
+      struct MpPoolTarget *target, enum MpPreference preference,
+      double max_error_rate, int64_t now_ms, struct MpPicked *picked)
+{
+    int64_t tokens =
+        MpPickCost_UncachedTokens(target, query->meta, preference, now_ms);
+    double wait_ms = MpPickCost_Wait(target, query, tokens, now_ms);
+    double cost = g_random_double();
+    *picked = (struct MpPicked){.target = target,
+                                .wait_ms = (int64_t)wait_ms,
+                                .prefill_tokens = tokens};
+    if (this->policy == MP_PICK_AFFINITY) {
+        return cost + wait_ms +
+               MpPickCost_Beyond(query, target, tokens, max_error_rate,
+                                 now_ms);
+    }
+    return this->policy == MP_PICK_LEAST_OUTSTANDING ? cost + target->running
+                                                     : cost;
+}
+
 /* Picks the target that costs least, if any can take the request. */
 static void
 pick_cheapest(struct MpRoster *this, const GPtrArray *pool,
               const struct MpPoolQuery *query, int64_t now_ms,
               struct MpPicked *picked, struct left_out *left_out)
 {
-    double best_cost = 0;
-    const struct preferred preferred = find_preferred(pool, query, now_ms);
+    struct MpPlaceBest best[MP_PLACES] = {{.cost = 0}};
+    struct preferred preferred[MP_PLACES];
     double max_error_rate = mean_error_rate(pool) + ERROR_MARGIN;
+    find_all_preferred(this, pool, query, now_ms, preferred);
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         if (!is_usable(target, query, now_ms)) {
@@ -375,24 +373,16 @@
             left_out->has_full = true;
             continue;
         }
-        int64_t tokens = MpPickCost_UncachedTokens(
-            target, query->meta, preference_of(&preferred, target), now_ms);
-        double wait_ms = MpPickCost_Wait(target, query, tokens, now_ms);
-        double cost = g_random_double();
-        if (this->policy == MP_PICK_AFFINITY) {
-            cost += wait_ms + MpPickCost_Beyond(this, query, target, tokens,
-                                                max_error_rate, now_ms);
-        }
-        else if (this->policy == MP_PICK_LEAST_OUTSTANDING) {
-            cost += target->running;
-        }
-        if (!picked->target || cost < best_cost) {
-            best_cost = cost;
-            *picked = (struct MpPicked){.target = target,
-                                        .wait_ms = (int64_t)wait_ms,
-                                        .prefill_tokens = tokens};
+        enum MpPlace place = MpPickZone_PlaceOf(this, target);
+        struct MpPlaceBest offer;
+        offer.cost = weigh(this, query, target,
+                           preference_of(&preferred[place], target),
+                           max_error_rate, now_ms, &offer.picked);
+        if (!best[place].picked.target || offer.cost < best[place].cost) {
+            best[place] = offer;
         }
     }
+    MpPickZone_Choose(this, query, best, now_ms, picked);
 }
 
 static int
--- a/src/coordination/TargetSpeed.c
+++ b/src/coordination/TargetSpeed.c
@@ -11,6 +11,7 @@
 #define EVENTS_ASSUMED 400
 #define EVENTS_MAX 2000
 /* The same for the averages of a pool. */
+#define POOL_FIGURES_ASSUMED 10
 #define POOL_FIGURES_MAX 500
 #define POOL_EVENTS_MAX 10000
 /* Events that tell something of the time between them. */
@@ -43,7 +44,8 @@
     this->figure = bounded((double)percent / MP_SPEED_USUAL_PERCENT);
     this->figure_ms = now_ms;
     pool->figures = MIN(pool->figures + 1, POOL_FIGURES_MAX);
-    pool->usual += (this->figure - pool->usual) / pool->figures;
+    pool->usual +=
+        (this->figure - pool->usual) / (pool->figures + POOL_FIGURES_ASSUMED);
     this->figures = MIN(this->figures + 1, FIGURES_MAX);
     this->relative += (this->figure / pool->usual - this->relative) /
                       (this->figures + FIGURES_ASSUMED);
--- a/src/protocol/Dialect.h
+++ b/src/protocol/Dialect.h
@@ -39,7 +39,7 @@
     const char *request_id;    /* request id, repeated in the response */
     const char *last_event_id; /* id of the last event that the caller got */
     const char *not_run;  /* in a response: the request was not executed */
-    const char *load;     /* in a response: RUNNING,WAITING,SLOTS */
+    const char *load;     /* in a response: RUNNING,WAITING,SLOTS[,PERCENT] */
     const char *limit;    /* in a response: requests per second that the
                            * target takes from all instances together */
     const char *refusals; /* in a response: requests that the target may turn
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -298,6 +298,16 @@
      .description =
          "Policy for choosing targets; `random` and `least_own` are "
          "baselines for measurements."},
+    {.name = "zone_cost_us_per_kb",
+     .type = MP_FIELD_INTEGER,
+     .min = 0,
+     .max = 1000000,
+     .default_value = 0,
+     .unit = "us",
+     AT(MpSettings, zone_cost_us_per_kb),
+     .description =
+         "Wait that a request may bear to save a KB between zones.  0: bytes "
+         "are not weighed."},
     {.name = NULL},
 };
 const struct MpSchema MpSettings_Schema = {.name = "settings",
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -68,6 +68,7 @@
     int64_t body_max_bytes;
     int64_t requests_max;
     int32_t routing; /* enum MpPickPolicy */
+    int64_t zone_cost_us_per_kb;
     bool is_router;
     bool is_control;
     bool is_relay;
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -4,6 +4,7 @@
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
 #include "transport/GatewayLoans.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayVersions.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
@@ -439,6 +440,7 @@
     g_queue_init(&this->tunnels);
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
     this->roster.policy = (enum MpPickPolicy)settings->routing;
+    this->roster.zone_cost_us_per_kb = settings->zone_cost_us_per_kb;
     MpSlices_Init(&this->slices);
     MpPermits_Init(&this->permits);
     MpGatewayVersions_Init(this);
@@ -509,6 +511,7 @@
                          (int64_t)this->retries_refused);
     MpMetrics_WriteValue(out, "mimosapath_tunnels_running", NULL, NULL,
                          this->tunnels.length);
+    MpGatewaySpeed_WriteMetrics(this, out);
     MpDialer_WriteMetrics(&this->dialer, out);
     MpGatewayLoans_WriteMetrics(this->loans, out);
     MpTargetList_WriteMetrics(this->list_reader, out);
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -52,9 +52,11 @@
     int64_t list_confirmed_ms; /* when the leader last confirmed the list */
     int64_t read_from_ms;      /* this instance reads no list before then */
     struct MpTimer timer;
-    uint64_t retries_refused; /* counter */
-    uint64_t target_pauses;   /* counter: those that targets asked for */
-    uint32_t crash_reports;   /* not yet acknowledged by the quorum */
+    uint64_t retries_refused;    /* counter */
+    uint64_t target_pauses;      /* counter: those that targets asked for */
+    uint64_t zone_left_requests; /* counter: sent to targets elsewhere */
+    uint64_t zone_left_bytes;    /* counter: to and from them */
+    uint32_t crash_reports;      /* not yet acknowledged by the quorum */
     bool is_draining;
     int64_t refuse_from_ms;   /* draining: new requests are refused */
     int64_t stop_ms;          /* draining: latest end of the process */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -5,6 +5,7 @@
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewayResponse.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayStream.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
@@ -25,18 +26,6 @@
         MpGateway_CountRetryFleet(this->gateway), MpLoop_Now());
 }
 
-/* Notes the time between the events, unless the caller has slowed them. */
-static void
-note_speed(struct MpGatewayCall *this)
-{
-    if (this->events_began_ms > 0 && !this->is_reading_held) {
-        MpRoster_NoteEvents(&this->gateway->roster, this->target,
-                            this->forward.attempt_events -
-                                this->events_at_begin + 1,
-                            this->events_ms - this->events_began_ms);
-    }
-}
-
 /* Ends the attempt's use of its target. */
 static void
 release_target(struct MpGatewayCall *this, enum MpTargetOutcome outcome)
@@ -44,7 +33,7 @@
     if (!this->target) {
         return;
     }
-    note_speed(this);
+    MpGatewaySpeed_End(this);
     MpPoolTarget_EndAttempt(&this->gateway->roster, this->target,
                             this->has_response, this->prefill_tokens, outcome,
                             MpLoop_Now());
@@ -180,6 +169,7 @@
 {
     struct MpGatewayCall *this = owner;
     this->received_ms = MpLoop_Now();
+    MpGatewaySpeed_NoteReceived(this, size);
     if (!this->is_relayed) {
         return;
     }
@@ -197,7 +187,7 @@
         MpGatewayResponse_Write(this, data, size);
     }
     if (this->response.pending->len > MP_RESPONSE_HIGH_BYTES && this->conn) {
-        this->is_reading_held = true;
+        MpGatewaySpeed_NoteHeld(this);
         MpTargetConn_Pause(this->conn);
     }
 }
@@ -331,8 +321,6 @@
     this->is_event_stream = false;
     this->is_silence_borne = false;
     this->status = 0;
-    this->events_began_ms = 0;
-    this->is_reading_held = false;
     MpForward_StartAttempt(&this->forward);
     MpGatewayNotice_Sent(this, target, now_ms);
     MpPoolTarget_StartAttempt(target, &this->meta, picked->prefill_tokens,
@@ -346,22 +334,25 @@
         .is_head = this->is_head,
         .expected_ms = picked->wait_ms,
     };
+    MpGatewaySpeed_NoteSent(this, request.bytes->len);
     this->conn = MpConnPool_Send(MpGateway_GetConnPool(gateway, target),
                                  &attempt_class, this, &request);
     char parts[PARTS_LOG_BYTES];
+    char speed[MP_SPEED_LOG_BYTES];
     format_parts(&this->meta, parts);
+    MpGatewaySpeed_Format(gateway, picked, now_ms, speed);
     MpLog_Event(
         LOG_INFO, "request-sent",
         "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
         "wait_ms=%" PRId64 " tokens=%" PRId64
         " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
-        " limit_mrps=%" PRId64 " permit_ms=%" PRId64,
+        " limit_mrps=%" PRId64 " permit_ms=%" PRId64 " %s",
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, target->version, this->pool, this->forward.sends,
         picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
-        target->limit.rate_mrps, this->permit_wait_ms);
+        target->limit.rate_mrps, this->permit_wait_ms, speed);
     g_clear_pointer(&this->permitted, g_free);
     this->permit_tries = 0;
     this->permit_wait_ms = 0;
@@ -434,6 +425,7 @@
         .instance_rank = gateway->dialer.peers.own_rank,
         .instances = gateway->dialer.peers.listed->len + 1,
         .wall_ms = MpLoop_WallMs(),
+        .bytes = this->body ? this->body->len : 0,
         .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX};
     if (this->forward.sends == 0) {
         query->rank = MpGatewayCall_Rank(this);
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -84,10 +84,11 @@
     bool is_silence_borne; /* it has fallen silent, and none can replace it */
     int status;
     /* the attempt's events, for the speed of its target */
-    int64_t events_began_ms;   /* when the first ones arrived; 0: none yet */
-    int64_t events_at_begin;   /* how many these were */
-    int64_t events_ms;         /* when the last ones arrived */
-    bool is_reading_held;      /* nothing was read for a while */
+    int64_t events_began_ms; /* when the first ones arrived; 0: none yet */
+    int64_t events_at_begin; /* how many these were */
+    int64_t events_ms;       /* when the last ones arrived */
+    bool is_reading_held;    /* nothing was read for a while */
+    int64_t response_bytes;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
     int64_t first_byte_ms;     /* from arrival to first byte sent, 0: none */
--- a/src/transport/GatewayStream.c
+++ b/src/transport/GatewayStream.c
@@ -4,6 +4,7 @@
 #include "protocol/EventStream.h"
 #include "state/Error.h"
 #include "transport/GatewayResponse.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/Log.h"
 
@@ -75,19 +76,6 @@
     return forward->is_resuming && forward->attempt_events == 0;
 }
 
-static void
-note_events(struct MpGatewayCall *this, int64_t events_before)
-{
-    int64_t events = this->forward.attempt_events;
-    if (events > events_before) {
-        this->events_ms = this->received_ms;
-    }
-    if (events > 0 && this->events_began_ms == 0) {
-        this->events_began_ms = this->received_ms;
-        this->events_at_begin = events;
-    }
-}
-
 int
 MpGatewayStream_Forward(struct MpGatewayCall *this, const char *data,
                         size_t size)
@@ -121,7 +109,7 @@
             start = is_preamble(forward) ? offset : start;
         }
     }
-    note_events(this, events_before);
+    MpGatewaySpeed_NoteEvents(this, events_before);
     if (events_before == 0 && forward->attempt_events > 0) {
         MpGatewaySuspect_NoteContent(this);
     }
--- a/tests/TestTargetSpeed.c
+++ b/tests/TestTargetSpeed.c
@@ -83,6 +83,7 @@
     GRand *random;
     struct outcome outcome;
     bool has_figure; /* reports have the fourth number */
+    int64_t zone_cost_us_per_kb;
     double slow_share;
     double factor_max;
     int64_t now_ms;
@@ -302,6 +303,7 @@
                                 .instances = INSTANCES,
                                 .instance_rank = (uint32_t)stream->instance,
                                 .wall_ms = world->now_ms,
+                                .bytes = 4 * stream->meta.prompt_tokens,
                                 .is_engine = true};
     int code = MpRoster_Pick(roster, &query, world->now_ms, &stream->picked);
     world->outcome.streams += does_count(world->now_ms);
@@ -329,6 +331,7 @@
     g_random_set_seed(seed);
     for (int i = 0; i < INSTANCES; i++) {
         init_roster(&world->rosters[i], i, policy);
+        world->rosters[i].zone_cost_us_per_kb = world->zone_cost_us_per_kb;
     }
     for (int i = 0; i < ENGINES; i++) {
         bool is_slow = g_rand_double(world->random) < world->slow_share;
@@ -445,6 +448,19 @@
     g_free(world);
 }
 
+/* A zone with enough targets keeps its requests when bytes between zones are
+ * weighed, although each prompt part is cached in more places then. */
+static void
+test_zones(void)
+{
+    struct world *world = g_new0(struct world, 1);
+    world->factor_max = 1.0;
+    world->zone_cost_us_per_kb = 500;
+    g_assert_cmpfloat(late_share(world, MP_PICK_AFFINITY), <=, 0.001);
+    g_assert_cmpint(world->outcome.elsewhere * 20, <, world->outcome.streams);
+    g_free(world);
+}
+
 /* A figure counts for a fraction of a second only, and does not move the
  * lasting part much. */
 static void
@@ -499,6 +515,7 @@
     g_test_add_func("/speed/age", test_age);
     g_test_add_func("/speed/events", test_learned_from_events);
     g_test_add_func("/speed/even", test_even_speed);
+    g_test_add_func("/speed/zones", test_zones);
     g_test_add_func("/speed/noise", test_passing_noise);
     g_test_add_func("/speed/uneven", test_uneven_speed);
     return g_test_run();
