--- a/src/coordination/Roster.h
+++ b/src/coordination/Roster.h
@@ -10,7 +10,9 @@
 #include "coordination/TargetLeaving.h"
 #include "coordination/TargetPause.h"
 #include "coordination/TargetRoom.h"
+#include "coordination/TargetSpeed.h"
 #include "coordination/VersionView.h"
+#include "coordination/ZoneSpill.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -116,18 +118,22 @@
     double error_rate;  /* decaying average, 0 to 1 */
     double slowness;    /* decaying average of the time to the first answer as
                          * a multiple of the expected time, 1 to 8 */
-    uint64_t picked;    /* counter: attempts */
+    struct MpTargetSpeed speed;
+    uint64_t picked;          /* counter: attempts */
     GHashTable *cached_parts; /* part id -> time of last use, ms */
     void *connections;        /* owned by the transport */
     uint32_t references;
 };
 
 struct MpRoster {
-    char *zone;               /* of this instance */
-    enum MpPickPolicy policy; /* MP_PICK_AFFINITY unless it is set */
-    GHashTable *targets;      /* incarnation -> struct MpPoolTarget */
-    GHashTable *pools;        /* name -> GPtrArray of struct MpPoolTarget */
-    GHashTable *delays;       /* pool -> struct delay */
+    char *zone;                  /* of this instance */
+    enum MpPickPolicy policy;    /* MP_PICK_AFFINITY unless it is set */
+    GHashTable *targets;         /* incarnation -> struct MpPoolTarget */
+    GHashTable *pools;           /* name -> GPtrArray of struct MpPoolTarget */
+    GHashTable *delays;          /* pool -> struct delay */
+    GHashTable *speeds;          /* pool -> struct MpPoolSpeed */
+    GHashTable *spills;          /* pool -> struct MpZoneSpill */
+    int64_t zone_cost_us_per_kb; /* of bytes between zones; 0: not weighed */
     void (*dropped)(void *owner, struct MpPoolTarget *target);
     void *owner;
     const struct MpDrainedZones *zones; /* NULL until they are set */
@@ -202,6 +208,7 @@
     int64_t queue_max_ms;   /* see MpRoster_QueueMax */
     int64_t rank;           /* 0 is the highest */
     const struct MpRegionRule *regions; /* where it may be served; or NULL */
+    int64_t bytes;                      /* of the request */
     const char *version; /* only targets with this software version; or NULL */
     const struct MpVersionView *view; /* without version: only targets whose
                                        * version is active there; or NULL */
@@ -212,6 +219,10 @@
     const struct MpRoster *roster;
     bool needs_no_announcement;
     struct MpRoomWord room; /* the last word of a target of the pool */
+    bool has_speeds;     /* targets of the pool report how long work takes */
+    double usual;        /* see MpPoolSpeed */
+    double mean_running; /* at the targets of the pool */
+    double mean_waiting;
 };
 
 /* Number of targets of a pool for each reason not to pick them; a target may
@@ -244,6 +255,7 @@
     struct MpColdConf cold; /* is_set: the target is cold */
     bool has_warm;          /* another target can take the request, which is
                              * not cold */
+    enum MpZoneChoice zone_choice; /* whether and why the zone was left */
 };
 
 /* Returns the listed target with this incarnation, or NULL. */
@@ -315,6 +327,14 @@
                                   int64_t prefill_tokens, int64_t took_ms,
                                   int64_t expected_ms);
 
+/* Notes the figure of a report; see MpTargetSpeed_NoteFigure. */
+void MpRoster_NoteFigure(struct MpRoster *this, struct MpPoolTarget *target,
+                         int64_t percent, int64_t now_ms);
+
+/* Notes that events came within span_ms, the first of them at its start. */
+void MpRoster_NoteEvents(struct MpRoster *this, struct MpPoolTarget *target,
+                         int64_t events, int64_t span_ms);
+
 /* Counts the end of an attempt.  has_answered: MpPoolTarget_NoteFirstAnswer
  * was called for it. */
 void MpPoolTarget_EndAttempt(struct MpRoster *roster,
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -89,6 +89,7 @@
     int64_t memory_max_bytes; /* 0: from memory_mb */
     int64_t memory_mb;        /* 0: not known */
     int32_t routing;          /* enum MpPickPolicy */
+    int64_t zone_cost_us_per_kb;
     bool is_router;
     bool is_control;
     bool is_relay;
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -5,6 +5,7 @@
 #include "transport/GatewayCall.h"
 #include "transport/GatewayLoad.h"
 #include "transport/GatewayLoans.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayVersions.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
@@ -522,6 +523,7 @@
     g_queue_init(&this->tunnels);
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
     this->roster.policy = (enum MpPickPolicy)settings->routing;
+    this->roster.zone_cost_us_per_kb = settings->zone_cost_us_per_kb;
     MpSlices_Init(&this->slices);
     MpRegions_Init(&this->regions, settings->zones, settings->zone,
                    settings->region);
@@ -603,6 +605,7 @@
                          (int64_t)this->retries_refused);
     MpMetrics_WriteValue(out, "mimosapath_tunnels_running", NULL, NULL,
                          this->tunnels.length);
+    MpGatewaySpeed_WriteMetrics(this, out);
     MpDialer_WriteMetrics(&this->dialer, out);
     MpGatewayLoad_WriteMetrics(this, out);
     MpGatewayLoans_WriteMetrics(this->loans, out);
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -6,6 +6,7 @@
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewayResponse.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayStream.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
@@ -33,6 +34,7 @@
     if (!this->target) {
         return;
     }
+    MpGatewaySpeed_End(this);
     MpPoolTarget_EndAttempt(&this->gateway->roster, this->target,
                             this->has_response, this->prefill_tokens, outcome,
                             MpLoop_Now());
@@ -170,6 +172,7 @@
 {
     struct MpGatewayCall *this = owner;
     this->received_ms = MpLoop_Now();
+    MpGatewaySpeed_NoteReceived(this, size);
     if (!this->is_relayed) {
         return;
     }
@@ -187,6 +190,7 @@
         MpGatewayResponse_Write(this, data, size);
     }
     if (this->response.pending->len > MP_RESPONSE_HIGH_BYTES && this->conn) {
+        MpGatewaySpeed_NoteHeld(this);
         MpTargetConn_Pause(this->conn);
     }
 }
@@ -359,22 +363,26 @@
         .expected_ms = picked->wait_ms,
         .regions = &this->regions,
     };
+    MpGatewaySpeed_NoteSent(this, request.bytes->len +
+                                      (this->body ? this->body->size : 0));
     this->conn = MpConnPool_Send(MpGateway_GetConnPool(gateway, target),
                                  &attempt_class, this, &request);
     char parts[PARTS_LOG_BYTES];
+    char speed[MP_SPEED_LOG_BYTES];
     format_parts(&this->meta, parts);
+    MpGatewaySpeed_Format(gateway, picked, now_ms, speed);
     MpLog_Event(
         LOG_INFO, "request-sent",
         "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
         "wait_ms=%" PRId64 " tokens=%" PRId64
         " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
-        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64,
+        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64 " %s",
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, target->version, this->pool, this->forward.sends,
         picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
-        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms);
+        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms, speed);
     g_clear_pointer(&this->permitted, g_free);
     this->permit_tries = 0;
     this->permit_wait_ms = 0;
@@ -450,6 +458,7 @@
         .instance_rank = gateway->dialer.peers.own_rank,
         .instances = gateway->dialer.peers.listed->len + 1,
         .wall_ms = MpLoop_WallMs(),
+        .bytes = this->body ? (int64_t)this->body->size : 0,
         .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX,
         .cold = MpGateway_ColdConf(gateway, pool),
         .prefers_warm = this->permit_tries > 0};
--- a/src/transport/GatewayStream.c
+++ b/src/transport/GatewayStream.c
@@ -4,6 +4,7 @@
 #include "protocol/EventStream.h"
 #include "state/Error.h"
 #include "transport/GatewayResponse.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/Log.h"
 
@@ -84,7 +85,7 @@
     int code = MP_OK;
     size_t start = 0;
     size_t offset = 0;
-    bool had_events = forward->attempt_events > 0;
+    int64_t events_before = forward->attempt_events;
     size_t seen = this->is_stream_start ? 0 : this->partial->len;
     g_byte_array_append(this->partial, (const guint8 *)data, (guint)size);
     if (!take_mark(this)) {
@@ -108,7 +109,8 @@
             start = is_preamble(forward) ? offset : start;
         }
     }
-    if (!had_events && forward->attempt_events > 0) {
+    MpGatewaySpeed_NoteEvents(this, events_before);
+    if (events_before == 0 && forward->attempt_events > 0) {
         MpGatewaySuspect_NoteContent(this);
     }
     MpGatewayResponse_Write(this, text + start, offset - start);
