Admission by rank and fair share when a pool of engines is too small

Cause: requests were sent to overloaded engines and came late, as only pools whose targets name a limit refused what waits too long. Change: Admission aims at three quarters of the latency target: a workspace above twice its usual rate yields first, then ranks are refused from the last one on, with a Retry-After in which the excess is worked off.

--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -1,6 +1,7 @@
 #include "transport/Gateway.h"
 
 #include "state/Error.h"
+#include "transport/GatewayAdmission.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
 #include "transport/GatewayLoad.h"
@@ -469,6 +470,7 @@
     this->roster.policy = (enum MpPickPolicy)settings->routing;
     MpSlices_Init(&this->slices);
     MpPermits_Init(&this->permits);
+    MpAdmission_Init(&this->admission);
     MpGatewayVersions_Init(this);
     this->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -539,6 +541,7 @@
                          this->tunnels.length);
     MpDialer_WriteMetrics(&this->dialer, out);
     MpGatewayLoad_WriteMetrics(this, out);
+    MpGatewayAdmission_WriteMetrics(this, out);
     MpGatewayLoans_WriteMetrics(this->loans, out);
     MpTargetList_WriteMetrics(this->list_reader, out);
 }
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -1,6 +1,7 @@
 #ifndef MP_TRANSPORT_GATEWAY_H
 #define MP_TRANSPORT_GATEWAY_H
 
+#include "coordination/Admission.h"
 #include "coordination/InstanceLoad.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/Permits.h"
@@ -51,6 +52,8 @@
     GQueue tunnels; /* of struct MpTunnel */
     GQueue calls;   /* of struct MpGatewayCall */
     struct MpTargetList *list_reader;
+    struct MpAdmission admission;
+    int64_t admission_logged_ms;
     struct MpInstanceLoad load;
     struct MpHttpServer *http; /* of the callers */
     struct MpTimer load_timer;
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -1,6 +1,7 @@
 #include "transport/GatewayAttempt.h"
 
 #include "state/Error.h"
+#include "transport/GatewayAdmission.h"
 #include "transport/GatewayLoad.h"
 #include "transport/GatewayNotice.h"
 #include "transport/GatewayPermits.h"
@@ -99,6 +100,7 @@
 {
     int64_t target_ms = this->path->latency_target_ms;
     if (target_ms > 0) {
+        MpGatewayAdmission_NoteDelay(this, now_ms);
         MpRoster_NoteDelay(
             &this->gateway->roster, this->target,
             (double)(now_ms - this->sent_ms) / (double)target_ms, now_ms);
@@ -483,6 +485,13 @@
         give_up_pick(this, &query, &picked, code, now_ms);
         return;
     }
+    int64_t retry_after_ms;
+    if (!is_retry && query.is_engine &&
+        !MpGatewayAdmission_Admit(this, &picked, &retry_after_ms)) {
+        MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward),
+                             MP_ERROR_NO_TARGET, retry_after_ms);
+        return;
+    }
     send_attempt(this, &picked);
 }
 
--- a/src/transport/GatewayNotice.c
+++ b/src/transport/GatewayNotice.c
@@ -1,5 +1,6 @@
 #include "transport/GatewayNotice.h"
 
+#include "transport/GatewayAdmission.h"
 #include "transport/Log.h"
 #include "transport/TargetNotice.h"
 
@@ -53,6 +54,22 @@
     return is_valid;
 }
 
+/* A fourth number tells how long work takes at the target, which switches
+ * admission on for its pool. */
+static void
+note_speed_report(struct MpGatewayCall *this, const char *text)
+{
+    const char *at = text;
+    int commas = 0;
+    while ((at = strchr(at, ',')) != NULL) {
+        commas++;
+        at++;
+    }
+    if (commas >= LOAD_NUMBERS) {
+        MpGatewayAdmission_Activate(this);
+    }
+}
+
 /* Applies the load that the target reports.  A report that cannot be read is
  * ignored as a whole: a part of it could make a busy target look idle. */
 static void
@@ -68,6 +85,7 @@
         return;
     }
     char *text = g_strndup(value, size);
+    note_speed_report(this, text);
     if (strlen(text) == size && parse_load(text, numbers)) {
         MpPoolTarget_ApplyReport(target, numbers[0], numbers[1], numbers[2],
                                  now_ms);
