--- a/src/coordination/InstanceLoad.c
+++ b/src/coordination/InstanceLoad.c
@@ -6,9 +6,8 @@
 /* Time constant of the measured utilisation, ms: some round trips, and a
  * quarter of the shortest latency target. */
 #define INTERVAL_MS 250
-/* Bytes on the link per byte of payload, in thousandths: headers and
- * acknowledgements. */
-#define OVERHEAD_PERMILLE 1060
+/* Bytes on the link per byte of payload: headers and acknowledgements. */
+#define OVERHEAD 1.06
 /* Pressure at which requests of each rank begin to be refused, and the width
  * of the band in which all of them come to be. */
 static const double band_begin[MP_LOAD_RANKS] = {0.88, 0.84, 0.80};
@@ -159,11 +158,10 @@
             int64_t elapsed_ms)
 {
     double limit = (double)this->limits.link_bytes_per_s;
-    double received =
-        (double)(sample->received_bytes - this->last.received_bytes) *
-        OVERHEAD_PERMILLE / 1000;
-    double sent = (double)(sample->sent_bytes - this->last.sent_bytes) *
-                  OVERHEAD_PERMILLE / 1000;
+    double received = OVERHEAD * (double)(sample->received_bytes -
+                                          this->last.received_bytes);
+    double sent =
+        OVERHEAD * (double)(sample->sent_bytes - this->last.sent_bytes);
     double seconds = (double)elapsed_ms / 1000;
     if (limit <= 0) {
         return;
