--- a/src/transport/GatewayNotice.c
+++ b/src/transport/GatewayNotice.c
@@ -1,5 +1,6 @@
 #include "transport/GatewayNotice.h"
 
+#include "transport/GatewayAdmission.h"
 #include "transport/Log.h"
 #include "transport/TargetNotice.h"
 
@@ -85,6 +86,7 @@
     if (count == LOAD_NUMBERS_KNOWN) {
         MpRoster_NoteFigure(&this->gateway->roster, target,
                             numbers[LOAD_NUMBERS], now_ms);
+        MpGatewayAdmission_Activate(this);
     }
     if (count <= 0 && !target->is_load_invalid) {
         target->is_load_invalid = true;
