Merge: speed, regions, an instance at its limit, admission

Load reports with a figure of speed are used, requests stay in their regions, an instance at the limit of its machine moves its callers, and pools of engines that are too small are shared by rank and workspace.

--- a/src/coordination/RosterInternal.h
+++ b/src/coordination/RosterInternal.h
@@ -4,8 +4,8 @@
 #include "coordination/Roster.h"
 
 /*
- * RosterInternal - functions shared by Roster.c, RosterPick.c and PoolTarget.c
- * only.
+ * RosterInternal - functions shared by Roster.c, RosterPick.c,
+ * RosterDelay.c and PoolTarget.c only.
  */
 
 /* Drops a reference to a target and frees the target with the last one. */
@@ -41,4 +41,9 @@
                             const struct MpPoolQuery *query,
                             enum MpTargetGroup group, int64_t now_ms);
 
+/* Returns whether the answers of all targets without a limit come too late for
+ * a request of the query's rank. */
+bool MpRoster_IsDelayTooLong(const struct MpRoster *this,
+                             const struct MpPoolQuery *query, int64_t now_ms);
+
 #endif
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -1,58 +1,18 @@
 #include "coordination/Roster.h"
 
+#include "coordination/PickCost.h"
+#include "coordination/PickZone.h"
 #include "coordination/RosterInternal.h"
 #include "state/Error.h"
 #include "state/Fault.h"
 
-#include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* The choice of a target for a request; see Roster.h. */
 
 /* A target whose error rate exceeds the pool's mean by more than this is used
  * less. */
 #define ERROR_MARGIN 0.2
-/* Cost, as waiting time, of an error rate that exceeds the pool's mean plus
- * ERROR_MARGIN by 1. */
-#define ERROR_COST_MS 2000
-/* Cost of a target in another zone, as waiting time: twice the network delay
- * between zones. */
-#define OTHER_ZONE_MS 2
-/* Time that each request waiting at a target adds to the wait of a new one:
- * prefill of a mean prompt. */
-#define WAITING_MS 60
-/* Time that each running request adds to the decoding steps and prefills of
- * others. */
-#define RUNNING_MS 1
-/* Cost of a prefill to the requests that run on the same target, as a
- * fraction of its duration: they all wait for it. */
-#define PREFILL_DELAY_RATIO 1.0
-/* Fraction of a prompt part assumed to be cached at its preferred target even
- * if this instance has not sent it there: all other instances may have. */
-#define SHARED_CACHED_RATIO 0.7
-
-/* Longest time behind others at an engine, in thousandths of the latency
- * target, by rank; the last one is for all lower ranks. */
-#define RANKS 3
-static const int64_t queue_permille[RANKS] = {300, 200, 100};
-
-/* Largest decaying average of the time to the first answer at targets without
- * a limit, as a part of the latency target, at which requests of each rank are
- * still sent there. */
-static const double delay_max[RANKS] = {1.0, 0.7, 0.4};
-/* Weight of one answer in that average, and time over which the average falls
- * linearly to 0 without answers, ms. */
-#define DELAY_WEIGHT 0.1
-#define DELAY_DECAY_MS 2000
-/* Longest time to the first answer that counts, in latency targets. */
-#define DELAY_PART_MAX 3.0
-
-struct delay {
-    double average;
-    int64_t noted_ms;
-};
-
 /* Time in the list after which streams begin at a target whose version was not
  * announced, if the pool has no other, ms.  By then no router takes streams up
  * at versions of a list in which it was missing. */
@@ -110,6 +70,12 @@
     return false;
 }
 
+static bool
+is_outside(const struct MpPoolTarget *target, const struct MpPoolQuery *query)
+{
+    return !MpRegionRule_Allows(query->regions, target->zone);
+}
+
 /* Whether streams may begin at the target's software version. */
 static bool
 is_version_active(const struct MpPoolTarget *target,
@@ -138,8 +104,9 @@
            now_ms - target->listed_ms >= UNANNOUNCED_MS;
 }
 
-/* Whether no target of the pool that is neither leaving nor in a drained zone
- * has an active version: the leader may be unable to read the target list. */
+/* Whether no allowed target of the pool that is neither leaving nor in a
+ * drained zone has an active version: the leader may be unable to read the
+ * list. */
 static bool
 has_no_active_version(const GPtrArray *pool, const struct MpPoolQuery *query,
                       int64_t now_ms)
@@ -147,6 +114,7 @@
     for (guint i = 0; i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         if (!target->is_leaving && !target->is_drained &&
+            !is_outside(target, query) &&
             is_version_active(target, query, now_ms)) {
             return false;
         }
@@ -163,6 +131,7 @@
     if (target->is_leaving || target->is_removed || target->is_drained ||
         target->ejected_until_ms > now_ms || is_tried(target, query) ||
         MpTargetPause_IsActive(&target->pause, now_ms) ||
+        is_outside(target, query) ||
         !has_right_version(target, query, now_ms)) {
         return false;
     }
@@ -181,6 +150,7 @@
 {
     return !target->is_leaving && !target->is_removed &&
            (!target->is_drained || MP_FAULT(MP_FAULT_DRAINED_LAST_RESORT)) &&
+           !is_outside(target, query) &&
            (!MpTargetPause_IsActive(&target->pause, now_ms) ||
             MP_FAULT(MP_FAULT_PAUSED_LAST_RESORT)) &&
            !is_withheld(target, query, now_ms) &&
@@ -191,87 +161,6 @@
            !is_tried(target, query);
 }
 
-/* Returns value, a number of requests in the last load report, with a weight
- * that falls linearly with the age of the report. */
-static double
-weighted_load(const struct MpPoolTarget *target, int32_t value, int64_t now_ms)
-{
-    int64_t age_ms = now_ms - target->reported_ms;
-    if (target->reported_ms == 0 || age_ms >= MP_LOAD_REPORT_DECAY_MS) {
-        return 0.0;
-    }
-    return value * (1.0 - (double)age_ms / MP_LOAD_REPORT_DECAY_MS);
-}
-
-static double
-running_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    /* Attempts sent since the report lose weight with it: some of them have
-     * ended, and a target may never report its load. */
-    double reported = weighted_load(
-        target, target->reported_running + target->sent_since_report, now_ms);
-    return MAX(reported, (double)target->running);
-}
-
-static double
-waiting_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return weighted_load(target, target->reported_waiting, now_ms);
-}
-
-static bool
-is_full(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return target->slots > 0 &&
-           running_at(target, now_ms) >= (double)target->slots;
-}
-
-/* Returns the id of the part by which similar requests are sent to the same
- * target: the last but one, as the last is seldom shared, or the only one. */
-static uint64_t
-affinity_part(const struct MpRequestMeta *meta)
-{
-    if (meta->part_count == 0) {
-        return 0;
-    }
-    return meta->parts[meta->part_count >= 2 ? meta->part_count - 2 : 0].id;
-}
-
-/* Rendezvous hash of a target and a part, the same on all instances. */
-static uint64_t
-rank_of(const struct MpPoolTarget *target, uint64_t part)
-{
-    uint64_t pair[2] = {target->hash, part};
-    return XXH64(pair, sizeof(pair), 0);
-}
-
-/* Returns the tokens of the prompt that are not expected in the target's
- * cache. */
-static int64_t
-uncached_tokens(const struct MpPoolTarget *target,
-                const struct MpRequestMeta *meta, bool is_preferred,
-                int64_t now_ms)
-{
-    int64_t cached = 0;
-    double shared = 0;
-    for (uint32_t i = 0; i < meta->part_count; i++) {
-        const struct MpPromptPart *part = &meta->parts[i];
-        const int64_t *used_ms =
-            g_hash_table_lookup(target->cached_parts, &part->id);
-        if (used_ms && now_ms - *used_ms < MP_CACHE_RETENTION_MS) {
-            cached += part->tokens + (int64_t)shared;
-            shared = 0;
-            continue;
-        }
-        if (!is_preferred || i + 1 >= meta->part_count) {
-            break;
-        }
-        shared += SHARED_CACHED_RATIO * (double)part->tokens;
-    }
-    cached += (int64_t)shared;
-    return MAX(meta->prompt_tokens - cached, 0);
-}
-
 static double
 mean_error_rate(const GPtrArray *pool)
 {
@@ -282,62 +171,39 @@
     return pool->len > 0 ? sum / pool->len : 0;
 }
 
-/* Returns the expected wait behind the requests that wait or run at an engine
- * already. */
-static double
-queue_at(const struct MpPoolTarget *target, int64_t now_ms)
-{
-    return (waiting_at(target, now_ms) * WAITING_MS +
-            (double)target->prefill_tokens / MP_PREFILL_TOKENS_PER_MS) *
-           target->slowness;
-}
-
-static double
-wait_at(const struct MpPoolTarget *target, const struct MpPoolQuery *query,
-        int64_t tokens, int64_t now_ms)
-{
-    double wait_ms = waiting_at(target, now_ms) * WAITING_MS +
-                     running_at(target, now_ms) * RUNNING_MS;
-    if (query->is_engine) {
-        wait_ms += (double)(target->prefill_tokens + tokens) /
-                   MP_PREFILL_TOKENS_PER_MS;
-    }
-    else {
-        double load = running_at(target, now_ms) / MAX(target->slots, 1);
-        wait_ms += load * WAITING_MS;
-    }
-    return wait_ms * target->slowness;
-}
+/* Which targets count for a preference. */
+struct filter {
+    const struct MpPoolQuery *query;
+    int64_t now_ms;
+    bool is_unlimited;                /* only those that need no permit */
+    const struct MpPoolTarget *other; /* not this one, or NULL */
+    const struct MpRoster *roster;    /* with it only those in place */
+    enum MpPlace place;
+};
 
-/* Returns what picking the target costs besides the request's own wait, as
- * waiting time: the zone, the error rate above max_error_rate, and delay of
- * others. */
-static double
-cost_beyond_wait(const struct MpRoster *this,
-                 const struct MpPoolTarget *target, int64_t tokens,
-                 double max_error_rate)
+static bool
+passes(const struct filter *filter, const struct MpPoolTarget *target)
 {
-    double cost = strcmp(target->zone, this->zone) != 0 ? OTHER_ZONE_MS : 0;
-    cost += MAX(target->error_rate - max_error_rate, 0) * ERROR_COST_MS;
-    return cost +
-           (double)tokens / MP_PREFILL_TOKENS_PER_MS * PREFILL_DELAY_RATIO;
+    return target != filter->other &&
+           (!filter->is_unlimited ||
+            !is_paced(target, filter->query, filter->now_ms)) &&
+           (!filter->roster ||
+            MpPickZone_PlaceOf(filter->roster, target) == filter->place);
 }
 
-/* Returns the usable target that all instances prefer for the affinity part
- * of the request, or NULL.  is_unlimited: only targets that need no permit
- * count. */
+/* Returns the usable target with the highest rank for the affinity part of the
+ * request, or NULL. */
 static const struct MpPoolTarget *
 preferred_of(const GPtrArray *pool, const struct MpPoolQuery *query,
-             bool is_unlimited, int64_t now_ms)
+             const struct filter *filter, int64_t now_ms)
 {
-    uint64_t part = affinity_part(query->meta);
+    uint64_t part = MpPickCost_AffinityPart(query->meta);
     const struct MpPoolTarget *preferred = NULL;
-    uint64_t preferred_rank = 0;
+    double preferred_rank = 0;
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        uint64_t rank = rank_of(target, part);
-        bool counts = !is_unlimited || !is_paced(target, query, now_ms);
-        if (counts && is_usable(target, query, now_ms) &&
+        double rank = MpPickCost_Rank(target, part);
+        if (passes(filter, target) && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
             preferred_rank = rank;
@@ -346,6 +212,71 @@
     return preferred;
 }
 
+/* The targets at which the shared parts of a request are cached, or NULL. */
+struct preferred {
+    const struct MpPoolTarget *first;
+    const struct MpPoolTarget *second;
+};
+
+/* Finds the targets that all instances prefer for the affinity part of the
+ * request: two in a pool of uneven speed, so that a part that many requests
+ * share does not make one target busy, and there is a choice when one is slow
+ * for a moment.  Elsewhere a second one costs more reads than it saves. */
+static struct preferred
+find_preferred(const GPtrArray *pool, const struct MpPoolQuery *query,
+               struct filter filter, int64_t now_ms)
+{
+    struct preferred found = {.first =
+                                  preferred_of(pool, query, &filter, now_ms)};
+    bool is_limited = found.first && is_paced(found.first, query, now_ms);
+    bool has_two = query->is_engine && query->has_speeds && !filter.roster;
+    if (!found.first || (!is_limited && !has_two)) {
+        return found;
+    }
+    /* What a target with a limit cannot take goes to one other target, not to
+     * whichever is free, so that shared parts are cached there too. */
+    filter.is_unlimited = is_limited;
+    filter.other = found.first;
+    found.second = preferred_of(pool, query, &filter, now_ms);
+    if (found.second && !is_limited && MpPickCost_IsSwapped(query)) {
+        return (struct preferred){.first = found.second,
+                                  .second = found.first};
+    }
+    return found;
+}
+
+/* Finds them for each place. */
+static void
+find_all_preferred(const struct MpRoster *this, const GPtrArray *pool,
+                   const struct MpPoolQuery *query, int64_t now_ms,
+                   struct preferred preferred[static MP_PLACES])
+{
+    struct filter filter = {.query = query,
+                            .now_ms = now_ms,
+                            .roster = MpPickZone_IsOn(this) ? this : NULL};
+    for (int place = 0; place < MP_PLACES; place++) {
+        filter.place = (enum MpPlace)place;
+        preferred[place] = place > 0 && !filter.roster
+                               ? preferred[0]
+                               : find_preferred(pool, query, filter, now_ms);
+    }
+}
+
+static enum MpPreference
+preference_of(const struct preferred *preferred,
+              const struct MpPoolQuery *query,
+              const struct MpPoolTarget *target)
+{
+    if (!query->has_speeds) {
+        return target == preferred->first || target == preferred->second
+                   ? MP_PREFERENCE_ONLY
+                   : MP_PREFERENCE_NONE;
+    }
+    return target == preferred->first    ? MP_PREFERENCE_FIRST
+           : target == preferred->second ? MP_PREFERENCE_SECOND
+                                         : MP_PREFERENCE_NONE;
+}
+
 /* Picks the failed target whose ejection ends first. */
 static int
 pick_last_resort(const GPtrArray *pool, const struct MpPoolQuery *query,
@@ -365,10 +296,11 @@
     if (!best) {
         return MP_ERROR_NO_TARGET;
     }
-    int64_t tokens = uncached_tokens(best, query->meta, false, now_ms);
+    int64_t tokens = MpPickCost_UncachedTokens(best, query->meta,
+                                               MP_PREFERENCE_NONE, now_ms);
     *picked = (struct MpPicked){
         .target = best,
-        .wait_ms = (int64_t)wait_at(best, query, tokens, now_ms),
+        .wait_ms = (int64_t)MpPickCost_Wait(best, query, tokens, now_ms),
         .prefill_tokens = tokens};
     return MP_OK;
 }
@@ -385,50 +317,15 @@
         !MpTargetPause_MaySend(&target->pause, now_ms)) {
         return false;
     }
-    int64_t tokens = uncached_tokens(target, query->meta, false, now_ms);
+    int64_t tokens = MpPickCost_UncachedTokens(target, query->meta,
+                                               MP_PREFERENCE_NONE, now_ms);
     *picked = (struct MpPicked){
         .target = target,
-        .wait_ms = (int64_t)wait_at(target, query, tokens, now_ms),
+        .wait_ms = (int64_t)MpPickCost_Wait(target, query, tokens, now_ms),
         .prefill_tokens = tokens};
     return true;
 }
 
-int64_t
-MpRoster_QueueMax(int64_t latency_target_ms, int64_t rank)
-{
-    int64_t permille = queue_permille[CLAMP(rank, 0, RANKS - 1)];
-    return latency_target_ms > 0 ? MAX(latency_target_ms * permille / 1000, 1)
-                                 : 0;
-}
-
-static double
-delay_at(const struct MpRoster *this, const char *pool, int64_t now_ms)
-{
-    const struct delay *delay = g_hash_table_lookup(this->delays, pool);
-    int64_t age_ms = delay ? now_ms - delay->noted_ms : DELAY_DECAY_MS;
-    return age_ms >= DELAY_DECAY_MS
-               ? 0.0
-               : delay->average * (1.0 - (double)age_ms / DELAY_DECAY_MS);
-}
-
-void
-MpRoster_NoteDelay(struct MpRoster *this, const struct MpPoolTarget *target,
-                   double part, int64_t now_ms)
-{
-    struct delay *delay = g_hash_table_lookup(this->delays, target->pool);
-    if (target->limit.rate_mrps != MP_LIMIT_NONE) {
-        return;
-    }
-    if (!delay) {
-        delay = g_new0(struct delay, 1);
-        g_hash_table_insert(this->delays, g_strdup(target->pool), delay);
-    }
-    delay->average = delay_at(this, target->pool, now_ms);
-    delay->average +=
-        DELAY_WEIGHT * (MIN(part, DELAY_PART_MAX) - delay->average);
-    delay->noted_ms = now_ms;
-}
-
 /* Drops the picked target if the request would wait too long behind others:
  * by the queue that this instance knows of, or as the answers of all such
  * targets come late. */
@@ -439,10 +336,10 @@
     if (!picked->target || !query->is_engine || query->queue_max_ms == 0) {
         return false;
     }
-    picked->queue_ms = (int64_t)queue_at(picked->target, now_ms);
-    double delay = delay_at(this, query->pool, now_ms);
+    picked->queue_ms =
+        (int64_t)MpPickCost_Queue(picked->target, query, now_ms);
     if (picked->queue_ms <= query->queue_max_ms &&
-        delay <= delay_max[CLAMP(query->rank, 0, RANKS - 1)]) {
+        !MpRoster_IsDelayTooLong(this, query, now_ms)) {
         return false;
     }
     picked->queue_ms = MAX(picked->queue_ms, query->queue_max_ms + 1);
@@ -462,7 +359,7 @@
 {
     return !is_withheld(target, query, now_ms) &&
            MpTargetPause_MaySend(&target->pause, now_ms) &&
-           !(is_full(target, now_ms) && query->is_engine) &&
+           !(MpPickCost_IsFull(target, now_ms) && query->is_engine) &&
            MpPoolTarget_HasRoom(target, query, now_ms);
 }
 
@@ -473,24 +370,49 @@
     return is_usable(this, query, now_ms) && can_take(this, query, now_ms);
 }
 
+/* How a target is weighed in a choice. */
+struct weighing {
+    enum MpPreference preference;
+    enum MpTargetGroup group; /* that the target is picked from */
+    double max_error_rate;    /* see MpPickCost_Beyond */
+};
+
+/* Returns what a request costs at a target, as far as the policy minds, and
+ * fills picked.  Cold targets are all empty: one of them is picked at random.
+ */
+static double
+weigh(const struct MpRoster *this, const struct MpPoolQuery *query,
+      struct MpPoolTarget *target, const struct weighing *weighing,
+      int64_t now_ms, struct MpPicked *picked)
+{
+    int64_t tokens = MpPickCost_UncachedTokens(target, query->meta,
+                                               weighing->preference, now_ms);
+    double wait_ms = MpPickCost_Wait(target, query, tokens, now_ms);
+    double cost = g_random_double();
+    *picked = (struct MpPicked){.target = target,
+                                .wait_ms = (int64_t)wait_ms,
+                                .prefill_tokens = tokens};
+    if (this->policy == MP_PICK_AFFINITY && weighing->group != MP_GROUP_COLD) {
+        return cost + wait_ms +
+               MpPickCost_Beyond(query, target, tokens,
+                                 weighing->max_error_rate, now_ms);
+    }
+    return this->policy == MP_PICK_LEAST_OUTSTANDING ? cost + target->running
+                                                     : cost;
+}
+
 /* Picks the target of the group that costs least, if any can take the request.
- * Cold targets are all empty, so one of them is picked at random. */
+ */
 static void
 pick_cheapest(struct MpRoster *this, const GPtrArray *pool,
               const struct MpPoolQuery *query, enum MpTargetGroup group,
               int64_t now_ms, struct MpPicked *picked,
               struct left_out *left_out)
 {
-    double best_cost = 0;
-    const struct MpPoolTarget *preferred =
-        preferred_of(pool, query, false, now_ms);
-    /* What a target with a limit cannot take goes to one other target, not to
-     * whichever is free, so that shared parts are cached there too. */
-    const struct MpPoolTarget *second =
-        preferred && is_paced(preferred, query, now_ms)
-            ? preferred_of(pool, query, true, now_ms)
-            : NULL;
+    struct MpPlaceBest best[MP_PLACES] = {{.cost = 0}};
+    struct preferred preferred[MP_PLACES];
     double max_error_rate = mean_error_rate(pool) + ERROR_MARGIN;
+    find_all_preferred(this, pool, query, now_ms, preferred);
     for (guint i = 0; i < pool->len; i++) {
         struct MpPoolTarget *target = g_ptr_array_index(pool, i);
         if (!is_usable(target, query, now_ms) ||
@@ -503,25 +425,19 @@
             left_out->has_full = true;
             continue;
         }
-        int64_t tokens =
-            uncached_tokens(target, query->meta,
-                            target == preferred || target == second, now_ms);
-        double wait_ms = wait_at(target, query, tokens, now_ms);
-        double cost = g_random_double();
-        if (this->policy == MP_PICK_AFFINITY && group != MP_GROUP_COLD) {
-            cost += wait_ms +
-                    cost_beyond_wait(this, target, tokens, max_error_rate);
-        }
-        else if (this->policy == MP_PICK_LEAST_OUTSTANDING) {
-            cost += target->running;
-        }
-        if (!picked->target || cost < best_cost) {
-            best_cost = cost;
-            *picked = (struct MpPicked){.target = target,
-                                        .wait_ms = (int64_t)wait_ms,
-                                        .prefill_tokens = tokens};
+        enum MpPlace place = MpPickZone_PlaceOf(this, target);
+        const struct weighing weighing = {
+            .preference = preference_of(&preferred[place], query, target),
+            .group = group,
+            .max_error_rate = max_error_rate};
+        struct MpPlaceBest offer;
+        offer.cost =
+            weigh(this, query, target, &weighing, now_ms, &offer.picked);
+        if (!best[place].picked.target || offer.cost < best[place].cost) {
+            best[place] = offer;
         }
     }
+    MpPickZone_Choose(this, query, best, now_ms, picked);
 }
 
 static int
@@ -579,6 +495,10 @@
     }
     adjusted.roster = this;
     adjusted.room = last_room_word(pool);
+    const struct MpPoolSpeed *speed =
+        g_hash_table_lookup(this->speeds, query->pool);
+    adjusted.has_speeds = speed && speed->figures > 0;
+    adjusted.usual = adjusted.has_speeds ? speed->usual : 1.0;
     adjusted.needs_no_announcement =
         query->view && !query->version &&
         has_no_active_version(pool, query, now_ms);
@@ -630,7 +550,8 @@
         status->ejected +=
             target->ejected_until_ms > now_ms || target->failures > 0;
         status->tried += is_tried(target, query);
-        status->full += is_full(target, now_ms) ||
+        status->outside += is_outside(target, query);
+        status->full += MpPickCost_IsFull(target, now_ms) ||
                         !MpPoolTarget_HasRoom(target, &adjusted, now_ms);
         count_pause(target, now_ms, status);
         status->cold += MpPoolTarget_IsCold(target, &adjusted, now_ms);
--- a/src/state/Error.c
+++ b/src/state/Error.c
@@ -87,6 +87,8 @@
         "The rest of the request did not arrive in time."),
     ROW(MP_ERROR_MEMORY, "memory_full", 503, MP_RUN_NO,
         "The instance holds as much as its memory allows; try again."),
+    ROW(MP_ERROR_OVERLOADED, "instance_overloaded", 503, MP_RUN_NO,
+        "This instance is at the limit of its machine; another has room."),
 };
 
 const struct MpErrorInfo *
--- a/src/state/Error.h
+++ b/src/state/Error.h
@@ -49,7 +49,8 @@
     MP_ERROR_STREAM_VERSION = -36,
     MP_ERROR_STALLED = -37,
     MP_ERROR_MEMORY = -38,
-    MP_ERROR_LAST = -39
+    MP_ERROR_OVERLOADED = -39,
+    MP_ERROR_LAST = -40
 };
 
 /* Whether a target may have received the request. */
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -52,9 +52,19 @@
     int64_t tolerance_milli;
 };
 
+/* Limits of the machine; 0: none. */
+struct MpMachineConf {
+    int64_t link_kbps;          /* each way */
+    int64_t cpu_share_permille; /* of each core */
+    int64_t cores_milli;
+    int64_t descriptors_max;
+};
+
 struct MpSettings {
     char *instance;
     char *zone;
+    char *region;
+    GHashTable *zones; /* zone -> region */
     struct MpListenConf listen;
     GPtrArray *roles;
     GPtrArray *control; /* all replicas; of struct MpReplicaConf */
@@ -66,6 +76,7 @@
     struct MpTargetListConf target_list;
     struct MpRetryConf retries;
     struct MpColdBoundConf cold;
+    struct MpMachineConf machine;
     char *data_folder;
     char *fleet_key_file;
     char *operator_token_file;
@@ -78,6 +89,7 @@
     int64_t memory_max_bytes; /* 0: from memory_mb */
     int64_t memory_mb;        /* 0: not known */
     int32_t routing;          /* enum MpPickPolicy */
+    int64_t zone_cost_us_per_kb;
     bool is_router;
     bool is_control;
     bool is_relay;
--- a/src/transport/Dialer.c
+++ b/src/transport/Dialer.c
@@ -10,12 +10,16 @@
 
 /* Interval at which checks that are due are started, ms. */
 #define TICK_MS 50
+/* How many times longer a connection may take while this instance is
+ * overloaded: it waits in the queues of the own link. */
+#define OVERLOADED_FACTOR 3
 
 struct MpDial {
     struct MpLoop *loop;
     struct MpDialer *dialer; /* or NULL */
     char *address;
     enum MpConnPurpose purpose;
+    const struct MpRegionRule *regions; /* where peers may be; or NULL */
     char *id;
     MpDialDone done;
     void *data;
@@ -24,6 +28,7 @@
     int64_t direct_ms; /* start of the direct attempt */
     int64_t until_ms;
     h2o_socket_t *socket;          /* direct attempt under way */
+    bool is_connecting;            /* it is counted */
     struct MpTunnelClient *tunnel; /* attempt by way of a peer */
     char *peer;                    /* of that attempt */
     GPtrArray *tried;              /* of char *, peers */
@@ -96,10 +101,29 @@
 
 /* ---- direct connections ---- */
 
+static bool
+is_overloaded(const struct MpDialer *dialer)
+{
+    return dialer && dialer->klass->is_overloaded(dialer->owner);
+}
+
+/* Counts the end of the direct attempt under way, if there is one. */
+static void
+end_connect(struct MpDial *this, bool is_cancelled)
+{
+    struct MpDialer *dialer = this->dialer;
+    if (this->is_connecting) {
+        this->is_connecting = false;
+        dialer->klass->connect_ended(
+            dialer->owner, is_cancelled ? -1 : MpLoop_Now() - this->direct_ms);
+    }
+}
+
 static void
 dial_free(struct MpDial *this)
 {
     MpLoop_ClearTimer(&this->timer);
+    end_connect(this, true);
     if (this->socket) {
         h2o_socket_close(this->socket);
     }
@@ -148,6 +172,7 @@
 fail_direct(struct MpDial *this, enum MpPathFailure failure, const char *why)
 {
     struct MpDialer *dialer = this->dialer;
+    end_connect(this, false);
     if (this->socket) {
         h2o_socket_close(this->socket);
         this->socket = NULL;
@@ -158,6 +183,10 @@
         fail(this, why);
         return;
     }
+    if (failure == MP_PATH_SILENT && is_overloaded(dialer)) {
+        fail(this, MP_DIAL_OVERLOADED);
+        return;
+    }
     MpDialer_NoteFailure(dialer, this->address, failure, this->direct_ms, why);
     if (may_ask_peers(this) &&
         MpTargetPaths_NeedsTunnel(&dialer->paths, this->address,
@@ -191,6 +220,7 @@
         fail_direct(this, MP_PATH_REFUSED, "refused");
         return;
     }
+    end_connect(this, false);
     finish(this, &(struct MpDialed){.socket = socket});
 }
 
@@ -223,6 +253,10 @@
     this->socket = connect_socket(this->loop, this->address, on_connect);
     if (this->socket) {
         this->socket->data = this;
+        this->is_connecting = this->dialer != NULL;
+        if (this->is_connecting) {
+            this->dialer->klass->connect_started(this->dialer->owner);
+        }
         MpLoop_SetTimer(this->loop, &this->timer, this->connect_ms, on_timeout,
                         this);
     }
@@ -325,10 +359,11 @@
     struct MpDialer *dialer = this->dialer;
     int64_t now_ms = MpLoop_Now();
     uint32_t random[2] = {g_random_int(), g_random_int()};
-    const char *peer = now_ms < this->until_ms && may_ask_peers(this)
-                           ? MpTunnelPeers_Pick(&dialer->peers, this->purpose,
-                                                this->tried, random, now_ms)
-                           : NULL;
+    const char *peer =
+        now_ms < this->until_ms && may_ask_peers(this)
+            ? MpTunnelPeers_Pick(&dialer->peers, this->purpose, this->regions,
+                                 this->tried, random, now_ms)
+            : NULL;
     MpLoop_ClearTimer(&this->timer);
     if (!peer) {
         end_search(this);
@@ -354,8 +389,8 @@
 
 struct MpDial *
 MpDial_Start(struct MpLoop *loop, struct MpDialer *dialer, const char *address,
-             enum MpConnPurpose purpose, const char *id, int64_t connect_ms,
-             MpDialDone done, void *data)
+             enum MpConnPurpose purpose, const struct MpRegionRule *regions,
+             const char *id, int64_t connect_ms, MpDialDone done, void *data)
 {
     struct MpDial *this = g_new0(struct MpDial, 1);
     int64_t now_ms = MpLoop_Now();
@@ -363,8 +398,10 @@
     this->dialer = dialer;
     this->address = g_strdup(address);
     this->purpose = purpose;
+    this->regions = regions;
     this->id = g_strdup(id);
-    this->connect_ms = connect_ms;
+    this->connect_ms =
+        is_overloaded(dialer) ? connect_ms * OVERLOADED_FACTOR : connect_ms;
     this->began_ms = now_ms;
     this->until_ms = now_ms + connect_ms + MP_TUNNEL_SEARCH_MS;
     this->done = done;
@@ -402,12 +439,19 @@
           enum MpPathFailure failure, const char *why)
 {
     struct MpDialer *dialer = check->dialer;
+    bool is_evidence =
+        is_answered || failure != MP_PATH_SILENT || !is_overloaded(dialer);
     MpLoop_ClearTimer(&check->timer);
     if (check->socket) {
         h2o_socket_close(check->socket);
     }
-    bool has_changed = MpTargetPaths_EndCheck(
-        &dialer->paths, check->address, is_answered, failure, MpLoop_Now());
+    if (!is_evidence) {
+        MpTargetPaths_DropCheck(&dialer->paths, check->address, MpLoop_Now());
+        why = MP_DIAL_OVERLOADED;
+    }
+    bool has_changed = is_evidence && MpTargetPaths_EndCheck(
+                                          &dialer->paths, check->address,
+                                          is_answered, failure, MpLoop_Now());
     MpMetrics_Count(dialer->metrics, "mimosapath_path_checks_total", "result",
                     why, 1);
     if (has_changed && is_answered) {
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -1,9 +1,12 @@
 #include "transport/Gateway.h"
 
 #include "state/Error.h"
+#include "transport/GatewayAdmission.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayLoans.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayVersions.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
@@ -303,6 +306,7 @@
     if (this->is_draining) {
         req->http1_is_persistent = 0;
     }
+    MpGatewayLoad_Move(this, req);
     MpGatewayCall_Begin(this, req);
 }
 
@@ -378,7 +382,9 @@
     MpGatewayLoans_Tick(this->loans, now_ms);
     MpGateway_ReportSlices(this);
     sweep_connections(this, now_ms);
-    probe_targets(this, now_ms);
+    if (!MpGatewayLoad_IsSaturated(this)) {
+        probe_targets(this, now_ms);
+    }
     count_cold(this, now_ms);
     MpLoop_SetTimer(this->loop, &this->timer, TICK_MS, on_timer, this);
 }
@@ -476,7 +482,31 @@
     MpRoster_ForgiveFailures(&this->roster, address);
 }
 
-static const struct MpDialerClass dialer_class = {.path_lost = on_path_lost};
+static bool
+is_overloaded(void *owner)
+{
+    return MpGatewayLoad_IsSaturated(owner);
+}
+
+static void
+on_connect_started(void *owner)
+{
+    struct MpGateway *this = owner;
+    MpInstanceLoad_StartConnect(&this->load);
+}
+
+static void
+on_connect_ended(void *owner, int64_t took_ms)
+{
+    struct MpGateway *this = owner;
+    MpInstanceLoad_EndConnect(&this->load, took_ms, MpLoop_Now());
+}
+
+static const struct MpDialerClass dialer_class = {
+    .path_lost = on_path_lost,
+    .is_overloaded = is_overloaded,
+    .connect_started = on_connect_started,
+    .connect_ended = on_connect_ended};
 
 int
 MpGateway_Start(struct MpGateway *this, struct MpLoop *loop,
@@ -494,9 +524,13 @@
     g_queue_init(&this->tunnels);
     MpRoster_Init(&this->roster, settings->zone, on_target_dropped, this);
     this->roster.policy = (enum MpPickPolicy)settings->routing;
+    this->roster.zone_cost_us_per_kb = settings->zone_cost_us_per_kb;
     MpSlices_Init(&this->slices);
+    MpRegions_Init(&this->regions, settings->zones, settings->zone,
+                   settings->region);
     MpPermits_Init(&this->permits);
     MpPermits_NoteKeepers(&this->permits, MpLoop_Now());
+    MpAdmission_Init(&this->admission);
     MpGatewayVersions_Init(this);
     this->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -573,7 +607,10 @@
                          (int64_t)this->retries_refused);
     MpMetrics_WriteValue(out, "mimosapath_tunnels_running", NULL, NULL,
                          this->tunnels.length);
+    MpGatewaySpeed_WriteMetrics(this, out);
     MpDialer_WriteMetrics(&this->dialer, out);
+    MpGatewayLoad_WriteMetrics(this, out);
+    MpGatewayAdmission_WriteMetrics(this, out);
     MpGatewayLoans_WriteMetrics(this->loans, out);
     MpTargetList_WriteMetrics(this->list_reader, out);
 }
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_GATEWAY_H
 #define MP_TRANSPORT_GATEWAY_H
 
+#include "coordination/Admission.h"
+#include "coordination/InstanceLoad.h"
 #include "coordination/MemoryAccount.h"
 #include "coordination/RetryBudget.h"
 #include "coordination/Permits.h"
@@ -29,6 +31,7 @@
 struct MpTargetList;
 struct MpGatewayLoans;
 struct MpConnPool;
+struct MpHttpServer;
 
 struct MpGateway {
     struct MpLoop *loop;
@@ -41,6 +44,7 @@
     struct MpSlices slices;
     struct MpGatewayLoans *loans;
     struct MpPermits permits;
+    struct MpRegions regions;
     struct MpVersionView versions;
     GQueue recent_streams;     /* of struct MpRecentStream, not recorded */
     GArray *begun_streams;     /* of struct mp_stream_begun, to be recorded */
@@ -51,14 +55,23 @@
     GQueue tunnels; /* of struct MpTunnel */
     GQueue calls;   /* of struct MpGatewayCall */
     struct MpTargetList *list_reader;
+    struct MpAdmission admission;
+    int64_t admission_logged_ms;
+    struct MpInstanceLoad load;
+    struct MpHttpServer *http; /* of the callers */
+    struct MpTimer load_timer;
+    int64_t load_logged_ms;
+    uint64_t load_refusals;    /* counter */
     int64_t list_confirmed_ms; /* when the leader last confirmed the list */
     int64_t read_from_ms;      /* this instance reads no list before then */
     struct MpTimer timer;
-    uint64_t retries_refused; /* counter */
-    uint64_t target_pauses;   /* counter: those that targets asked for */
-    uint64_t cold_sent;       /* counter: attempts at cold targets */
-    uint32_t cold_targets;    /* by the last tick */
-    uint32_t crash_reports;   /* not yet acknowledged by the quorum */
+    uint64_t retries_refused;    /* counter */
+    uint64_t target_pauses;      /* counter: those that targets asked for */
+    uint64_t cold_sent;          /* counter: attempts at cold targets */
+    uint32_t cold_targets;       /* by the last tick */
+    uint64_t zone_left_requests; /* counter: sent to targets elsewhere */
+    uint64_t zone_left_bytes;    /* counter: to and from them */
+    uint32_t crash_reports;      /* not yet acknowledged by the quorum */
     bool is_draining;
     int64_t refuse_from_ms;   /* draining: new requests are refused */
     int64_t stop_ms;          /* draining: latest end of the process */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -1,10 +1,13 @@
 #include "transport/GatewayAttempt.h"
 
 #include "state/Error.h"
+#include "transport/GatewayAdmission.h"
+#include "transport/GatewayLoad.h"
 #include "transport/GatewayNotice.h"
 #include "transport/GatewayPermits.h"
 #include "transport/GatewayRequest.h"
 #include "transport/GatewayResponse.h"
+#include "transport/GatewaySpeed.h"
 #include "transport/GatewayStream.h"
 #include "transport/GatewaySuspect.h"
 #include "transport/GatewayVersions.h"
@@ -32,6 +35,7 @@
     if (!this->target) {
         return;
     }
+    MpGatewaySpeed_End(this);
     MpPoolTarget_EndAttempt(&this->gateway->roster, this->target,
                             this->has_response, this->prefill_tokens, outcome,
                             MpLoop_Now());
@@ -99,6 +103,7 @@
     int64_t target_ms = this->path->latency_target_ms;
     /* Answers of cold targets say nothing of the others. */
     if (target_ms > 0 && !this->is_cold) {
+        MpGatewayAdmission_NoteDelay(this, now_ms);
         MpRoster_NoteDelay(
             &this->gateway->roster, this->target,
             (double)(now_ms - this->sent_ms) / (double)target_ms, now_ms);
@@ -169,6 +174,7 @@
 {
     struct MpGatewayCall *this = owner;
     this->received_ms = MpLoop_Now();
+    MpGatewaySpeed_NoteReceived(this, size);
     if (!this->is_relayed) {
         return;
     }
@@ -186,6 +192,7 @@
         MpGatewayResponse_Write(this, data, size);
     }
     if (this->response.pending->len > MP_RESPONSE_HIGH_BYTES && this->conn) {
+        MpGatewaySpeed_NoteHeld(this);
         MpTargetConn_Pause(this->conn);
     }
 }
@@ -233,6 +240,19 @@
                   is_resuming ? MP_ERROR_STREAM_CUT : MP_ERROR_TARGET_FAILED);
 }
 
+/* Ends a call whose connection timed out as this instance is overloaded: a
+ * further attempt would wait in the same queue, and the caller's own retry
+ * goes to another instance. */
+static void
+give_up_overloaded(struct MpGatewayCall *this)
+{
+    MpForward_EndAttempt(&this->forward, MP_RESULT_NOT_RUN, false,
+                         MpLoop_Now());
+    MpGatewayCall_GiveUp(
+        this, MpForward_NoTarget(&this->forward), MP_ERROR_OVERLOADED,
+        g_random_int_range(MP_LOAD_RETRY_MIN_MS, MP_LOAD_RETRY_MAX_MS));
+}
+
 static void
 on_end(void *owner, enum MpTargetResult result)
 {
@@ -267,11 +287,18 @@
         MpGatewaySuspect_ProbeTarget(this);
     }
     /* Neither a lost path nor the instance between tell of the target. */
+    bool is_overloaded =
+        result == MP_TARGET_NOT_SENT &&
+        strcmp(MpTargetConn_FailureReason(conn), MP_DIAL_OVERLOADED) == 0;
     bool is_target_at_fault =
-        !is_peer_gone &&
+        !is_peer_gone && !is_overloaded &&
         !MpTargetPaths_IsInDoubt(&this->gateway->dialer.paths);
     release_target(this, is_target_at_fault ? MP_OUTCOME_FAILED
                                             : MP_OUTCOME_CANCELLED);
+    if (is_overloaded) {
+        give_up_overloaded(this);
+        return;
+    }
     if (result == MP_TARGET_NOT_SENT) {
         run_next_step(this, MP_RESULT_NOT_RUN, MP_ERROR_NO_TARGET);
         return;
@@ -336,23 +363,28 @@
         .id = this->id,
         .is_head = this->is_head,
         .expected_ms = picked->wait_ms,
+        .regions = &this->regions,
     };
+    MpGatewaySpeed_NoteSent(this, request.bytes->len +
+                                      (this->body ? this->body->size : 0));
     this->conn = MpConnPool_Send(MpGateway_GetConnPool(gateway, target),
                                  &attempt_class, this, &request);
     char parts[PARTS_LOG_BYTES];
+    char speed[MP_SPEED_LOG_BYTES];
     format_parts(&this->meta, parts);
+    MpGatewaySpeed_Format(gateway, picked, now_ms, speed);
     MpLog_Event(
         LOG_INFO, "request-sent",
         "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
         "wait_ms=%" PRId64 " tokens=%" PRId64
         " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
-        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64,
+        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64 " %s",
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, target->version, this->pool, this->forward.sends,
         picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
-        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms);
+        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms, speed);
     g_clear_pointer(&this->permitted, g_free);
     this->permit_tries = 0;
     this->permit_wait_ms = 0;
@@ -380,12 +412,13 @@
         LOG_WARNING, "target-none",
         "id=%s pool=%s error=%s attempt=%u listed=%u leaving=%u drained=%u "
         "paused=%u resting=%u tried=%u full=%u limited=%u cold=%u "
-        "queue_ms=%" PRId64 " list=%" PRIu64 " list_age_ms=%" PRId64
+        "outside=%u queue_ms=%" PRId64 " list=%" PRIu64 " list_age_ms=%" PRId64
         " has_retry=%d",
         this->id ? this->id : "-", this->pool, MpError_Name(code),
         this->forward.sends + 1, status.listed, status.leaving, status.drained,
         status.ejected, status.resting, status.tried, status.full,
-        status.limited, status.cold, picked->queue_ms, roster->version,
+        status.limited, status.cold, status.outside, picked->queue_ms,
+        roster->version,
         roster->listed_ms > 0 ? now_ms - roster->listed_ms : -1,
         this->forward.sends == 0 || may_retry(this));
     MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward), code,
@@ -419,6 +452,7 @@
         .is_engine = pool->engine.slots > 0,
         .avoid = this->tried,
         .permitted = this->permitted,
+        .regions = &this->regions,
         .version = this->version,
         .view = MpGatewayCall_IsResumable(this) ? &gateway->versions : NULL,
         .heard_ms = gateway->control->heard_ms,
@@ -426,6 +460,7 @@
         .instance_rank = gateway->dialer.peers.own_rank,
         .instances = gateway->dialer.peers.listed->len + 1,
         .wall_ms = MpLoop_WallMs(),
+        .bytes = this->body ? (int64_t)this->body->size : 0,
         .has_no_permits = this->permit_tries >= MP_PERMIT_TRIES_MAX,
         .cold = MpGateway_ColdConf(gateway, pool),
         .prefers_warm = this->permit_tries > 0};
@@ -472,6 +507,13 @@
         give_up_pick(this, &query, &picked, code, now_ms);
         return;
     }
+    int64_t retry_after_ms;
+    if (!is_retry && query.is_engine &&
+        !MpGatewayAdmission_Admit(this, &picked, &retry_after_ms)) {
+        MpGatewayCall_GiveUp(this, MpForward_NoTarget(&this->forward),
+                             MP_ERROR_NO_TARGET, retry_after_ms);
+        return;
+    }
     send_attempt(this, &picked);
 }
 
@@ -516,7 +558,8 @@
 {
     int64_t silent_ms = now_ms - this->received_ms;
     if (this->stage != MP_CALL_RUNNING || !this->conn || !this->response.req ||
-        this->response.pending->len > 0) {
+        this->response.pending->len > 0 ||
+        MpGatewayLoad_IsSaturated(this->gateway)) {
         return;
     }
     bool is_path_lost = MpTargetConn_IsStuck(this->conn, now_ms);
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -38,6 +38,7 @@
     const struct MpPathConf *path;
     const char *workspace; /* owned by document; NULL for anonymous paths */
     const char *pool;
+    struct MpRegionRule regions; /* where it may be served */
     char *id;      /* of the request, chosen by the caller or else here; may be
                     * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
@@ -84,6 +85,12 @@
     bool is_stream_start;  /* no byte of it has been looked at */
     bool is_silence_borne; /* it has fallen silent, and none can replace it */
     int status;
+    /* the attempt's events, for the speed of its target */
+    int64_t events_began_ms; /* when the first ones arrived; 0: none yet */
+    int64_t events_at_begin; /* how many these were */
+    int64_t events_ms;       /* when the last ones arrived */
+    bool is_reading_held;    /* nothing was read for a while */
+    int64_t response_bytes;
     GByteArray *partial;       /* event that is not complete yet */
     int caller_status;         /* status sent to the caller */
     int64_t first_byte_ms;     /* from arrival to first byte sent, 0: none */
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -30,7 +30,8 @@
 static const char *const end_names[MP_HTTP_ENDS] = {
     "answered", "refused", "cut", "caller_left", "unanswered"};
 static const char *const close_names[MP_HTTP_CLOSES] = {
-    "client", "announced", "cut", "idle", "stalled", "memory", "stop"};
+    "client",  "announced", "cut",  "idle",
+    "stalled", "memory",    "stop", "moved"};
 
 const char *
 MpHttpClose_Name(enum MpHttpClose reason)
@@ -77,6 +78,22 @@
     }
 }
 
+/* The buffer of the socket still has the request when it begins; a socket that
+ * is being closed has no buffer. */
+void
+MpHttpConn_CountBytes(struct MpHttpConn *this)
+{
+    struct MpHttpCounts *counts = &this->server->counts;
+    size_t arrived = this->socket->input ? this->socket->input->size : 0;
+    size_t written = this->socket->bytes_written;
+    if (!this->request && arrived > this->counted_in_bytes) {
+        counts->received_bytes += arrived - this->counted_in_bytes;
+        this->counted_in_bytes = arrived;
+    }
+    counts->sent_bytes += written - this->counted_out_bytes;
+    this->counted_out_bytes = written;
+}
+
 void
 MpHttpConn_BeginRequest(struct MpHttpConn *this, h2o_req_t *req)
 {
@@ -86,6 +103,8 @@
                                       .req = req,
                                       .end = MP_HTTP_ENDS,
                                       .must_linger = req->http1_is_persistent};
+    MpHttpConn_CountBytes(this);
+    this->counted_in_bytes = 0;
     this->request = request;
     this->requests++;
     this->server->counts.read++;
@@ -106,13 +125,14 @@
 on_socket_closed(void *data)
 {
     struct MpHttpConn *this = data;
+    MpHttpConn_CountBytes(this);
     this->server->counts.closed[this->reason]++;
     if (this->request) {
         this->request->conn = NULL;
     }
     g_queue_unlink(&this->server->conns, &this->link);
-    if (this->is_done) {
-        g_queue_unlink(&this->server->done, &this->done_link);
+    if (this->is_watched) {
+        g_queue_unlink(&this->server->watched, &this->watched_link);
     }
     if (this->server->account) {
         MpMemoryAccount_Set(this->server->account, &this->memory, 0,
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -284,6 +284,9 @@
     if (size == 0) {
         return;
     }
+    if (dialer) {
+        dialer->received_bytes += size;
+    }
     if (this->peer && this->received_bytes == 0) {
         MpDialer_NoteReached(dialer, this->conn_pool->address, this->peer);
     }
@@ -417,6 +420,9 @@
     }
     this->is_written = false;
     this->received_bytes = 0;
+    if (this->conn_pool->dialer) {
+        this->conn_pool->dialer->sent_bytes += this->request->len;
+    }
     if (this->conn_pool->dialer && !this->peer) {
         MpTargetPaths_StartWait(&this->conn_pool->dialer->paths, &this->wait,
                                 this->conn_pool->address, this->requests == 1,
@@ -490,7 +496,7 @@
 
 struct MpTargetConn *
 MpTargetConn_New(struct MpConnPool *conn_pool, enum MpConnPurpose purpose,
-                 const char *id)
+                 const struct MpRegionRule *regions, const char *id)
 {
     struct MpTargetConn *conn = g_new0(struct MpTargetConn, 1);
     conn->conn_pool = conn_pool;
@@ -500,9 +506,9 @@
     conn->idle_timeout_ms = MP_TARGET_IDLE_MS;
     conn_pool->open++;
     conn_pool->opened++;
-    conn->dial =
-        MpDial_Start(conn_pool->loop, conn_pool->dialer, conn_pool->address,
-                     purpose, id, conn_pool->connect_ms, on_dialed, conn);
+    conn->dial = MpDial_Start(conn_pool->loop, conn_pool->dialer,
+                              conn_pool->address, purpose, regions, id,
+                              conn_pool->connect_ms, on_dialed, conn);
     return conn;
 }
 
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -292,6 +292,8 @@
     bool is_target = end == &this->target;
     size_t size = socket->input->size;
     this->active_ms = MpLoop_Now();
+    this->gateway->dialer.received_bytes += size;
+    this->gateway->dialer.sent_bytes += size;
     if (size > 0) {
         if (is_target) {
             pass_answer(this, socket->input->bytes, size);
@@ -489,7 +491,8 @@
                 this->id, this->instance, this->address,
                 gateway->tunnels.length);
     this->dial = MpDial_Start(
-        gateway->loop, NULL, this->address, MP_CONN_FOR_REQUEST, this->id,
+        gateway->loop, NULL, this->address, MP_CONN_FOR_REQUEST, NULL,
+        this->id,
         CLAMP((int64_t)argument->timeout_ms, 1, MP_TUNNEL_CONNECT_MS),
         on_dialed, this);
 }
