Processor time that no machine gives is ignored; ranks without logarithms

Cause: where the process's clock counts all time, 11 times the processor share was measured, so that an instance whose loop was late after a pause refused all requests for about a second. The rank of each target of a pool took a logarithm, also in pools that report no speed. Change: a processor figure above 1.5 of the limit does not count; ranks of pools without speeds are the hashes themselves, in the same order.

--- a/src/coordination/InstanceLoad.c
+++ b/src/coordination/InstanceLoad.c
@@ -41,6 +41,10 @@
 /* Processor time counts only when the loop is late by this much on average,
  * ms: short bursts that nobody waits for are harmless. */
 #define LATE_LOOP_MS 20.0
+/* Processor time above this part of the limit is not that of this process: the
+ * clock counts something else, as under some schedulers, and would refuse all
+ * requests whenever the loop is late after a pause. */
+#define PROCESSOR_MAX 1.5
 /* Part of the descriptors that stay free for control connections. */
 #define DESCRIPTORS_RESERVE 0.05
 /* Pressure from which the instance leaves the rotation, how long it has to
@@ -362,7 +366,8 @@
             (this->out_queue_bytes + this->promised_bytes) /
             ((double)this->limits.link_bytes_per_s * INTERVAL_MS / 1000);
     }
-    if (this->loop_delay_ms < LATE_LOOP_MS) {
+    if (this->loop_delay_ms < LATE_LOOP_MS ||
+        values[MP_LOAD_PROCESSOR] > PROCESSOR_MAX) {
         values[MP_LOAD_PROCESSOR] = 0;
     }
     *cause = first;
--- a/src/coordination/PickCost.c
+++ b/src/coordination/PickCost.c
@@ -74,13 +74,16 @@
 }
 
 double
-MpPickCost_Rank(const struct MpPoolTarget *target, uint64_t part)
+MpPickCost_Rank(const struct MpPoolTarget *target,
+                const struct MpPoolQuery *query, uint64_t part)
 {
     uint64_t pair[2] = {target->hash, part};
-    /* Uniform in (0, 1); with equal weights the order is that of the hash. */
-    double uniform =
-        ((double)(XXH64(pair, sizeof(pair), 0) >> 11) + 0.5) * 0x1p-53;
-    return -MpTargetSpeed_Share(&target->speed) / log(uniform);
+    double hash = (double)(XXH64(pair, sizeof(pair), 0) >> 11);
+    /* Equal weights leave the order of the hashes, and a logarithm for each
+     * target of a pool is dear where there are hundreds. */
+    return query->has_speeds ? -MpTargetSpeed_Share(&target->speed) /
+                                   log((hash + 0.5) * 0x1p-53)
+                             : hash;
 }
 
 bool
--- a/src/coordination/PickCost.h
+++ b/src/coordination/PickCost.h
@@ -27,8 +27,10 @@
 
 /* Returns the rank of a target among those of its pool for a prompt part; the
  * highest gets its requests.  It is a rendezvous hash, weighted by the lasting
- * speed and the same on all instances that know the same speeds. */
-double MpPickCost_Rank(const struct MpPoolTarget *target, uint64_t part);
+ * speed where the pool reports it, and the same on all instances that know
+ * the same speeds. */
+double MpPickCost_Rank(const struct MpPoolTarget *target,
+                       const struct MpPoolQuery *query, uint64_t part);
 
 /* Returns whether this instance uses the two preferred targets of the request
  * in reverse order, as half of the instances do. */
--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -202,7 +202,7 @@
     double preferred_rank = 0;
     for (guint i = 0; part && i < pool->len; i++) {
         const struct MpPoolTarget *target = g_ptr_array_index(pool, i);
-        double rank = MpPickCost_Rank(target, part);
+        double rank = MpPickCost_Rank(target, query, part);
         if (passes(filter, target) && is_usable(target, query, now_ms) &&
             (!preferred || rank > preferred_rank)) {
             preferred = target;
--- a/tests/TestInstanceLoad.c
+++ b/tests/TestInstanceLoad.c
@@ -457,6 +457,27 @@
     replay_done(&replay);
 }
 
+/* Guards against refusals of all requests for a second after a pause of the
+ * process where the clock of its processor time counts all time: the loop is
+ * late then, and 11 times as much is measured as the machine can give. */
+static void
+test_implausible_processor_time_is_ignored(void)
+{
+    const struct MpMachineLimits limits = {.cpu_permille = 90};
+    struct replay replay;
+    enum MpLoadCause cause;
+    replay_init(&replay, &limits);
+    replay.totals.loop_delay_ms = 3500;
+    for (int i = 0; i < 20; i++) {
+        replay.now_ms += STEP_MS;
+        replay.totals.cpu_us += STEP_MS * 1000;
+        MpInstanceLoad_Sample(&replay.load, &replay.totals, 0.5,
+                              replay.now_ms);
+    }
+    g_assert_cmpfloat(MpInstanceLoad_Pressure(&replay.load, &cause), <, 0.1);
+    replay_done(&replay);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -482,5 +503,7 @@
                     test_connects_under_way_are_bounded);
     g_test_add_func("/load/processor counts when the loop is late",
                     test_processor_counts_when_the_loop_is_late);
+    g_test_add_func("/load/implausible processor time is ignored",
+                    test_implausible_processor_time_is_ignored);
     return g_test_run();
 }
