Bodies count as sent over the link of an instance

Cause: since the body of a request is sent from the caller's buffer, the bytes that an instance counts as sent to targets had the heads only, so that its use of the link out read too low. Conclusion: the use of the link out is that of the whole request.

--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -421,7 +421,7 @@
     this->is_written = false;
     this->received_bytes = 0;
     if (this->conn_pool->dialer) {
-        this->conn_pool->dialer->sent_bytes += this->request->len;
+        this->conn_pool->dialer->sent_bytes += buffers[0].len + buffers[1].len;
     }
     if (this->conn_pool->dialer && !this->peer) {
         MpTargetPaths_StartWait(&this->conn_pool->dialer->paths, &this->wait,
