--- a/review/6/streams.py
+++ b/review/6/streams.py
@@ -7,23 +7,22 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "lib-2"))
-from small import (HOST, KEY, TROUBLE, Deployment, Stream, in_background,
-                   wait_for)
+from small import (HOST, KEY, TROUBLE, Stream, in_background, judge, wait_for)
 
 SERVICE = "plume"
 PATH = "/lohu930/2f"
 STREAMS = 30
 EVENTS, GAP_S = 90, 0.1
-PAUSE_MS = 250      # itl-target-ms; a client waits 2 s for an event
+PAUSE_MS = 200      # itl-target-ms; a client waits 2 s for an event
 GAP_MAX_S = 2.0
 FREEZE_S = 3.5      # for_s of node_freeze in the site file
-FROZEN = "edge-c-2"  # no machine of the core
+FROZEN = "edge-c-3"  # one of ten, no machine of the core
 
 CONFIG = {
     "version": 7,
     "routes": [{"name": "r-1", "host": HOST, "path-prefix": "/lohu930/",
                 "route-type": "streaming", "timeout-ms": 15000,
-                "target-latency-ms": 500, "priority": 1, "service": SERVICE,
+                "target-latency-ms": 250, "priority": 1, "service": SERVICE,
                 "max-attempts": 2, "anonymous": False,
                 "session-affinity": True, "stream-resume": True,
                 "itl-target-ms": PAUSE_MS}],
@@ -48,7 +47,7 @@
     if first.is_whole or not first.ids:
         return
     again = stream(deployment, machine, after=first.ids[-1],
-                   resumes=first.id)
+                   resumes=first.id, first=first)
     taken.append(again)
     again.run()
 
@@ -75,7 +74,6 @@
     frozen_s = time.monotonic()
     if TROUBLE:
         deployment.signal(FROZEN, "router", signal.SIGSTOP)
-        deployment.signal(FROZEN, "control", signal.SIGSTOP)
     else:
         # The clients' connections end when they would have been given up.
         time.sleep(GAP_MAX_S)
@@ -88,7 +86,6 @@
     time.sleep(max(0, frozen_s + FREEZE_S - time.monotonic()))
     if TROUBLE:
         deployment.signal(FROZEN, "router", signal.SIGCONT)
-        deployment.signal(FROZEN, "control", signal.SIGCONT)
     for thread in threads:
         thread.join(20)
     began = sum(bool(s.ids) for s in fresh)
@@ -102,13 +99,5 @@
     return int(went_on / len(taken) < began / len(fresh) / 2)
 
 
-def main():
-    folder = os.path.dirname(os.path.realpath(__file__))
-    deployment = Deployment(os.path.join(folder, "record.txt"))
-    try:
-        return play(deployment)
-    finally:
-        deployment.stop()
-
-
-sys.exit(main())
+judge(play, os.path.join(os.path.dirname(os.path.realpath(__file__)),
+                         "record.txt"), (4, 3, 3))
--- a/review/lib-2/small.py
+++ b/review/lib-2/small.py
@@ -179,7 +179,7 @@
     def __init__(self, deployment, service, version, events, gap_s):
         self.deployment, self.service, self.version = (deployment, service,
                                                        version)
-        self.events, self.gap_s = events, gap_s
+        self.events, self.gap_s, self.active = events, gap_s, 0
         self.id = "i-%08x" % random.getrandbits(32)
         self.zone = random.choice(ZONES)
         self.http = HttpStandIn(deployment.address(200), self.serve)
@@ -191,6 +191,16 @@
 
     def serve(self, request, conn):
         named = [("X-Attempt-Id", request["id"])] if request["id"] else []
+        if request["path"] == "/healthz":
+            return respond(conn, 200, "", [
+                ("X-Instance-Id", self.id),
+                ("X-Server-Load", "0,%d,0" % self.active)])
+        if request["path"] == "/report":
+            return respond(conn, 200, json.dumps({
+                "stage": "unified", "busy": False, "sequence": 0, "queued": 0,
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "active": self.active, "kv-used": 0, "kv-total": 246644,
+                "handles": 0}), [("Content-Type", "application/json")])
         if not request["id"]:
             return respond(conn, 400, "no id", [("X-Not-Executed", "id")])
         if request["headers"].get("x-expect-instance", self.id) != self.id:
@@ -199,6 +209,16 @@
         first = int(request["headers"].get("last-event-id", -1)) + 1
         self.deployment.note("run id=%s server=%s version=%s from_event=%d" % (
             request["id"], self.id, self.version, first))
+        with self.deployment.lock:
+            self.active += 1
+        try:
+            self.stream(request, conn, first)
+        finally:
+            with self.deployment.lock:
+                self.active -= 1
+        return None
+
+    def stream(self, request, conn, first):
         conn.sendall(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
                       "X-Server-Signature: %s.%s\r\n"
                       "Content-Type: text/event-stream\r\n"
@@ -210,15 +230,15 @@
             if event + 1 < self.events:
                 time.sleep(self.gap_s)
         conn.sendall(b"0\r\n\r\n")
-        return None
 
 
 # -- the deployment --
 
 class Deployment:
-    """Two machines in each of three zones; the first of a zone has a disk."""
+    """Machines in three zones; the first of a zone has a disk, and the first
+    two have the role control."""
 
-    def __init__(self, record):
+    def __init__(self, record, counts=(2, 2, 2)):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-review-")
         self.record = open(record, "w")
         self.lock = threading.Lock()
@@ -229,7 +249,9 @@
         self.ports = self.free_ports()
         self.list = HttpStandIn(self.address(201), self.serve_list)
         self.machines = ["edge-%s-%d" % (zone, number)
-                         for number in (1, 2) for zone in ZONES]
+                         for number in range(1, max(counts) + 1)
+                         for zone, count in zip(ZONES, counts)
+                         if number <= count]
         self.bootstrap = True
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as text:
             self.roles = tomllib.load(text)["roles"]
@@ -246,14 +268,20 @@
     def ip(self, machine):
         return self.address(10 + self.machines.index(machine))
 
+    def roles_of(self, machine):
+        return (["control", "router"] if int(machine.split("-")[2]) <= 2
+                else ["router"])
+
     def free_ports(self):
-        """Returns 20 ports in a row that are free on the first address."""
+        """Returns 22 ports in a row that are free on the first address."""
         while True:
             first = random.randint(20000, 30000)
             try:
-                for port in range(first, first + 20):
-                    socket.create_server((self.address(10), port)).close()
-                return list(range(first, first + 20))
+                for port in range(first, first + 22):
+                    for number in range(10, 20):
+                        socket.create_server((self.address(number),
+                                              port)).close()
+                return list(range(first, first + 22))
             except OSError:
                 continue
 
@@ -286,6 +314,11 @@
     def start(self, machine, role):
         with open(os.path.join(ROOT, self.roles[role]["template"])) as text:
             settings = render(text.read(), [self.fields(machine, role)])
+        # The template has fixed ports for metrics; others may hold them here.
+        for number, port in ((20, 9100), (21, 9101)):
+            settings = settings.replace(
+                "%s:%d" % (self.ip(machine), port),
+                "%s:%d" % (self.ip(machine), self.ports[number]))
         name = "%s.%s" % (machine, role)
         path = os.path.join(self.folder, name + ".yaml")
         with open(path, "w") as out:
@@ -299,7 +332,7 @@
 
     def start_all(self):
         for machine in self.machines:
-            for role in ("control", "router"):
+            for role in self.roles_of(machine):
                 self.start(machine, role)
 
     def signal(self, machine, role, number):
@@ -324,7 +357,7 @@
 
     def replace_config(self, config):
         """Sends a configuration until it is acknowledged, as the operator."""
-        machines = list(self.machines)
+        machines = [m for m in self.machines if "control" in self.roles_of(m)]
         for attempt in range(60):
             machine = machines[attempt % len(machines)]
             try:
@@ -368,11 +401,15 @@
     """A client's try of a stream at a machine."""
 
     def __init__(self, deployment, machine, path, gap_max_s, tokens,
-                 after=None, resumes=None):
+                 after=None, resumes=None, first=None):
         self.deployment, self.machine, self.path = deployment, machine, path
         self.gap_max_s, self.after, self.resumes = gap_max_s, after, resumes
         self.tokens = tokens
         self.id = "%016x" % random.getrandbits(64)
+        # A take-up repeats the body and the prompt of the first try.
+        self.body = first.body if first else '{"prompt": "%s"}' % self.id
+        self.prefix = first.prefix if first else "%08x" % random.getrandbits(
+            32)
         self.status, self.ids, self.is_whole = 0, [], False
         self.versions, self.how, self.conn = set(), "", None
 
@@ -380,9 +417,8 @@
         headers = [("Host", HOST), ("X-Attempt-Id", self.id),
                    ("X-Api-Key", KEY), ("X-Deadline-Ms", "15000"),
                    ("X-Model", "m"), ("X-Token-Usage", "%d,%d" % self.tokens),
-                   ("X-Prefix-Hash", "%08x:%d" % (random.getrandbits(32),
-                                                  self.tokens[0])),
-                   ("Content-Length", "2")]
+                   ("X-Prefix-Hash", "%s:%d" % (self.prefix, self.tokens[0])),
+                   ("Content-Length", str(len(self.body)))]
         if self.after is not None:
             headers.append(("Last-Event-Id", str(self.after)))
             headers.append(("Resumes", self.resumes))
@@ -395,9 +431,9 @@
                 (self.deployment.ip(self.machine), self.deployment.ports[0]),
                 1)
             self.conn.settimeout(self.gap_max_s)
-            self.conn.sendall(("POST %s HTTP/1.1\r\n%s\r\n{}" % (
-                self.path, "".join("%s: %s\r\n" % h for h in headers))
-                ).encode())
+            self.conn.sendall(("POST %s HTTP/1.1\r\n%s\r\n%s" % (
+                self.path, "".join("%s: %s\r\n" % h for h in headers),
+                self.body)).encode())
             while True:
                 part = self.conn.recv(65536)
                 if not part:
@@ -439,3 +475,24 @@
             self.conn.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
+
+
+def judge(play, record, counts=(2, 2, 2)):
+    """Plays a case and exits: 10 if the rule was broken, 0 if it held, 2 if
+    the case couldn't run or took too long."""
+    def give_up(*_):
+        raise SystemExit(2)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP,
+                   signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(105)
+    status, deployment = 2, None
+    try:
+        deployment = Deployment(record, counts)
+        status = {0: 0, 1: 10}.get(play(deployment), 2)
+    except Exception as error:  # no fault of the system
+        print("%s: %s" % (type(error).__name__, error), file=sys.stderr)
+    finally:
+        if deployment:
+            deployment.stop()
+    sys.exit(status)
