Buffers of requests count by what they take

What callers saw: clients that sent bodies in chunks of a few bytes and left them open made an instance use several times the memory that its account allows; with 160 MB the machine was exceeded (179 MB, measured from outside).

Cause: h2o reads into a buffer that it doubles and decodes chunks in place. The account counted the bytes that are left, a sixth of what was written for chunks of one byte, and the buffer was never made smaller.

Change: a buffer counts by what it takes: its capacity below the size from which blocks are mapped, above it the most that it has held. After a read a buffer that is at most half full is replaced by one of the right size, and an empty one is freed, so that idle connections hold nothing.

Evidence: runs/clients_send_small_chunks, crowd and bound fixed before the change.

Conclusion: what the account holds is what the process holds for requests.

--- a/src/commands/CommandRun.c
+++ b/src/commands/CommandRun.c
@@ -1,5 +1,6 @@
 #include "commands/Command.h"
 
+#include "coordination/MemoryAccount.h"
 #include "protocol/Dialect.h"
 #include "state/Error.h"
 #include "transport/Instance.h"
@@ -8,11 +9,6 @@
 #include <malloc.h>
 #include <stdio.h>
 
-/* Larger blocks are mapped one by one, bytes, so that the system has them back
- * when they are freed.  Unless it is set, glibc raises this to the size of the
- * largest block that was freed, and keeps bodies of 4 MB in its heap. */
-#define MAPPED_MIN_BYTES (128 * 1024)
-
 static int
 run(const char *name)
 {
@@ -30,7 +26,7 @@
         return MP_EXIT_FAILED;
     }
     g_ptr_array_unref(findings);
-    mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+    mallopt(M_MMAP_THRESHOLD, MP_MAPPED_MIN_BYTES);
     MpLog_Init(settings->instance);
     int code = MpInstance_Run(settings, name);
     if (code != MP_OK) {
--- a/src/coordination/MemoryAccount.h
+++ b/src/coordination/MemoryAccount.h
@@ -33,6 +33,11 @@
 /* Account of a process whose memory is not known, bytes. */
 #define MP_MEMORY_DEFAULT_BYTES (INT64_C(256) << 20)
 
+/* Larger blocks are mapped one by one, bytes, so that the system has them back
+ * when they are freed.  Unless it is set, glibc raises this to the size of the
+ * largest block that was freed, and keeps bodies of 4 MB in its heap. */
+#define MP_MAPPED_MIN_BYTES (128 * 1024)
+
 enum MpMemoryUse {
     MP_MEMORY_READING, /* part of a request: nothing has run */
     MP_MEMORY_RUNNING, /* a whole request, which a target may run */
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -78,6 +78,8 @@
     struct MpMemoryHolder memory;
     h2o_socket_cb read_by_h2o; /* the callback that is replaced */
     size_t announced_bytes;    /* of the request being read, 0: not known */
+    size_t buffer_capacity;    /* of the input buffer at the last read */
+    size_t buffer_used_bytes;  /* most that this buffer has held */
     bool has_head;             /* its head has arrived */
     bool is_dropping;          /* what still arrives is dropped */
     size_t dropped_bytes;
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -10,9 +10,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* h2o doubles a buffer that is full and keeps it after the request.  One of
- * this size or more is freed then. */
-#define BUFFER_KEPT_BYTES (32 * 1024)
+/* h2o doubles a buffer that is full.  One of this size or more that is mostly
+ * empty is replaced by a smaller one. */
+#define BUFFER_KEPT_BYTES (8 * 1024)
 
 static const char *const use_names[MP_MEMORY_USES] = {"reading", "running",
                                                       "sending"};
@@ -29,27 +29,50 @@
     h2o_buffer_init(&conn->socket->input, &h2o_socket_buffer_prototype);
 }
 
-/* Frees the buffer of the last request.  What has arrived of the next one is
- * copied; h2o keeps no pointers to it before it is complete. */
+/* Replaces a buffer that is mostly empty: one whose request is done, or one in
+ * which h2o has decoded chunks in place.  h2o keeps no pointers to it before
+ * the request is complete. */
 static void
 shrink_input(struct MpHttpConn *conn)
 {
     h2o_buffer_t *large = conn->socket->input;
     h2o_buffer_t *small;
+    if (large->size == 0) {
+        free_input(conn);
+        return;
+    }
     if (large->capacity < BUFFER_KEPT_BYTES ||
-        large->size > large->capacity / 4) {
+        large->size > large->capacity / 2) {
         return;
     }
     h2o_buffer_init(&small, &h2o_socket_buffer_prototype);
-    if (large->size > 0) {
-        h2o_iovec_t room = h2o_buffer_reserve(&small, large->size);
-        memcpy(room.base, large->bytes, large->size);
-        small->size = large->size;
-    }
+    h2o_iovec_t room = h2o_buffer_reserve(&small, large->size);
+    memcpy(room.base, large->bytes, large->size);
+    small->size = large->size;
     h2o_buffer_dispose(&conn->socket->input);
     conn->socket->input = small;
 }
 
+/* Returns the memory that the buffer takes.  A small one comes from the heap
+ * with all of its capacity; of one that is mapped the system provides the
+ * pages that were written, and decoding in place gives none of them back. */
+static size_t
+allocated_bytes(struct MpHttpConn *conn)
+{
+    const h2o_buffer_t *input = conn->socket->input;
+    if (!input->bytes) {
+        conn->buffer_used_bytes = 0;
+        return 0;
+    }
+    if (input->capacity != conn->buffer_capacity) {
+        conn->buffer_capacity = input->capacity;
+        conn->buffer_used_bytes = 0;
+    }
+    conn->buffer_used_bytes = MAX(conn->buffer_used_bytes, input->size);
+    return input->capacity < MP_MAPPED_MIN_BYTES ? input->capacity
+                                                 : conn->buffer_used_bytes;
+}
+
 /* ---- what the request announces ---- */
 
 /* Returns the size of the head at the start of the buffer, 0 if it is not
@@ -86,7 +109,7 @@
 read_announced(struct MpHttpConn *conn)
 {
     const h2o_buffer_t *input = conn->socket->input;
-    size_t head = conn->has_head ? 0 : head_size(input);
+    size_t head = conn->has_head || input->size == 0 ? 0 : head_size(input);
     if (head == 0) {
         return;
     }
@@ -137,9 +160,9 @@
 }
 
 static int64_t
-wanted_bytes(const struct MpHttpConn *conn)
+wanted_bytes(struct MpHttpConn *conn)
 {
-    return (int64_t)MAX(conn->socket->input->size, conn->announced_bytes);
+    return (int64_t)MAX(allocated_bytes(conn), conn->announced_bytes);
 }
 
 bool
@@ -228,12 +251,10 @@
     if (!conn->request && h2o_socket_is_writing(socket)) {
         watch(conn); /* 100 (Continue) */
     }
-    if (!conn->request && conn->closing_ms == 0 && !conn->has_head &&
-        socket->input->size > 0) {
+    if (!conn->request && conn->closing_ms == 0 && !conn->is_request_done) {
         read_announced(conn);
-        if (conn->announced_bytes > 0) {
-            take_room(conn);
-        }
+        shrink_input(conn);
+        take_room(conn);
     }
 }
 
@@ -256,7 +277,7 @@
     if (conn->server->account) {
         conn->memory.use = MP_MEMORY_RUNNING;
         MpMemoryAccount_Set(conn->server->account, &conn->memory,
-                            (int64_t)conn->socket->input->size, MpLoop_Now());
+                            (int64_t)allocated_bytes(conn), MpLoop_Now());
     }
 }
 
@@ -283,7 +304,7 @@
     conn->memory.use = MP_MEMORY_READING;
     shrink_input(conn);
     MpMemoryAccount_Set(conn->server->account, &conn->memory,
-                        (int64_t)conn->socket->input->size, MpLoop_Now());
+                        (int64_t)allocated_bytes(conn), MpLoop_Now());
 }
 
 void
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -58,16 +58,17 @@
     return b"%x\r\n%s\r\n" % (size, b"b" * size)
 
 
-def settings():
+def settings(**other):
     limits = {"body_most_bytes": BODY_MAX}
     # Builds without the account do not know its setting.
     with open(PROGRAM, "rb") as program:
         if b"memory_max_bytes" in program.read():
             limits["memory_max_bytes"] = ACCOUNT_BYTES
+    limits.update(other)
     return limits
 
 
-def crowded_fleet(handle_request):
+def crowded_fleet(handle_request, **other_settings):
     """Returns a fleet of one instance with lowered limits.  The path /x/ and
     the service "raw" lead to targets that call handle_request, and /ready/
     leads to another one."""
@@ -86,7 +87,7 @@
         [path_conf("/x/", timeout_ms=30000),
          path_conf("/ready/", pool="q")], extra_pools=["q"],
         instances=1, control=1, fleet_class=ServiceFleet, concurrent_max=256,
-        extra_settings=settings())
+        extra_settings=settings(**other_settings))
     return fleet
 
 
@@ -113,17 +114,25 @@
         except OSError:
             return False
 
+    def receive(self):
+        """Waits for the start of a response, or the end of the connection."""
+        try:
+            return self.conn.recv(1000)
+        except OSError:
+            return b""
+
     def close(self):
         self.conn.close()
 
 
 class Crowd:
-    """Runs play(client, number) for several clients at once, and keeps their
-    connections open until all have played and HOLD_S more."""
+    """Runs play(client, number) for several clients, all or so many at once,
+    and keeps their connections open until all have played and HOLD_S more."""
 
-    def __init__(self, fleet, count, play, window=None):
+    def __init__(self, fleet, count, play, window=None, at_once=None):
         self.fleet, self.process = fleet, fleet.processes["i0"]
         self.count, self.descriptors = count, 0
+        at_once = at_once or count
         clients = []
 
         def run(number):
@@ -133,8 +142,13 @@
                 return
             clients.append(client)
             play(client, number)
-        threads = [threading.Thread(target=run, args=(number,), daemon=True)
-                   for number in range(count)]
+
+        def run_in_turn(first):
+            for number in range(first, count, at_once):
+                run(number)
+        threads = [threading.Thread(target=run_in_turn, args=(number,),
+                                    daemon=True)
+                   for number in range(at_once)]
         for thread in threads:
             thread.start()
         while any(thread.is_alive() for thread in threads):
