A parsed chat counts by its JSON values

Cause: the account counted three sizes of the text for a parsed chat. json-c takes some hundred bytes for a value of two characters, and the body for the engine was made from a second, deep copy of the tree.

Change: MpJson_TreeBytes estimates from the text what its values take, before it is parsed; strings and comments are skipped as the parser skips them. The body for the engine shares the values. A chat that would not fit into an empty account is refused with 413, not run: to come back would not help.

Conclusion: what parsing takes is bounded by the account. Open: a single chat of legal size with more values than the account has room for is refused although the instance is calm; before, it used that memory.

--- a/src/coordination/MemoryAccount.c
+++ b/src/coordination/MemoryAccount.c
@@ -53,16 +53,21 @@
     }
 }
 
+int64_t
+MpMemoryAccount_LargestFit(const struct MpMemoryAccount *this)
+{
+    return this->limit_bytes / 1000 * MP_MEMORY_LARGE_PERMILLE;
+}
+
 bool
 MpMemoryAccount_Fits(const struct MpMemoryAccount *this,
                      const struct MpMemoryHolder *holder, int64_t bytes)
 {
     int64_t others_bytes = this->held_bytes - this->closing_bytes -
                            (holder->is_closing ? 0 : holder->held_bytes);
-    int64_t limit_bytes =
-        bytes <= MP_MEMORY_SMALL_BYTES
-            ? this->limit_bytes
-            : this->limit_bytes / 1000 * MP_MEMORY_LARGE_PERMILLE;
+    int64_t limit_bytes = bytes <= MP_MEMORY_SMALL_BYTES
+                              ? this->limit_bytes
+                              : MpMemoryAccount_LargestFit(this);
     return bytes <= holder->held_bytes || others_bytes + bytes <= limit_bytes;
 }
 
--- a/src/coordination/MemoryAccount.h
+++ b/src/coordination/MemoryAccount.h
@@ -91,6 +91,10 @@
                          struct MpMemoryHolder *holder, int64_t bytes,
                          int64_t now_ms);
 
+/* Returns the size of the largest holder, over MP_MEMORY_SMALL_BYTES, that
+ * fits into an empty account. */
+int64_t MpMemoryAccount_LargestFit(const struct MpMemoryAccount *this);
+
 /* Returns whether the holder may hold bytes in all. */
 bool MpMemoryAccount_Fits(const struct MpMemoryAccount *this,
                           const struct MpMemoryHolder *holder, int64_t bytes);
--- a/src/protocol/Chat.c
+++ b/src/protocol/Chat.c
@@ -134,8 +134,11 @@
 MpChat_EngineBody(const struct MpChat *this, const struct MpModelConf *model,
                   int64_t resume_from, const char *priority)
 {
-    struct json_object *root = NULL;
-    json_object_deep_copy(this->root, &root, NULL);
+    struct json_object *root = json_object_new_object();
+    json_object_object_foreach(this->root, key, value)
+    {
+        json_object_object_add(root, key, json_object_get(value));
+    }
     json_object_object_add(
         root, "max_tokens",
         json_object_new_int64(MpChat_TokenLimit(this, model)));
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -82,6 +82,15 @@
     return g_string_free(out, FALSE);
 }
 
+/* What json-c 0.16 allocates for the parts of a value, bytes: an object with
+ * its table of 16 slots, an array with its first 32 slots, a member with its
+ * key and its slot in a table that doubles, and a number or short string with
+ * its slot in an array that doubles. */
+#define OBJECT_BYTES 832
+#define ARRAY_BYTES 400
+#define MEMBER_BYTES 240
+#define VALUE_BYTES 112
+
 /* ---- removal of comments ---- */
 
 /* A text and the current position in it. */
@@ -126,25 +135,35 @@
            memcmp(reader->text + reader->position, mark, length) == 0;
 }
 
+/* Returns the size of the comment at the position, 0 if there is none.  One
+ * that is not closed goes on to the end. */
+static size_t
+comment_size(const struct reader *reader)
+{
+    const char *start = reader->text + reader->position;
+    size_t left = reader->size - reader->position;
+    if (is_at(reader, "//")) {
+        const char *end = memchr(start, '\n', left);
+        return end ? (size_t)(end - start) : left;
+    }
+    if (is_at(reader, "/*")) {
+        const char *end = memmem(start + 2, left - 2, "*/", 2);
+        return end ? (size_t)(end - start) + 2 : left;
+    }
+    return 0;
+}
+
 /* Replaces comments with blanks; positions and line numbers stay the same. */
 static void
 blank_comments(struct reader *reader)
 {
     while (reader->position < reader->size) {
+        size_t size = comment_size(reader);
         if (reader->text[reader->position] == '"') {
             skip_string(reader);
         }
-        else if (is_at(reader, "//")) {
-            while (reader->position < reader->size && !is_at(reader, "\n")) {
-                blank_out(reader, 1);
-            }
-        }
-        else if (is_at(reader, "/*")) {
-            blank_out(reader, 2);
-            while (reader->position < reader->size && !is_at(reader, "*/")) {
-                blank_out(reader, 1);
-            }
-            blank_out(reader, 2);
+        else if (size > 0) {
+            blank_out(reader, size);
         }
         else {
             reader->position++;
@@ -302,6 +321,39 @@
     return value;
 }
 
+size_t
+MpJson_TreeBytes(const char *text, size_t size)
+{
+    struct reader reader = {.text = (char *)text, .size = size};
+    size_t bytes = 0;
+    while (reader.position < size) {
+        switch (text[reader.position]) {
+        case '"':
+            skip_string(&reader);
+            continue;
+        case '/':
+            reader.position += MAX(comment_size(&reader), 1);
+            continue;
+        case '{':
+            bytes += OBJECT_BYTES;
+            break;
+        case '[':
+            bytes += ARRAY_BYTES;
+            break;
+        case ':':
+            bytes += MEMBER_BYTES;
+            break;
+        case ',':
+            bytes += VALUE_BYTES;
+            break;
+        default:
+            break;
+        }
+        reader.position++;
+    }
+    return bytes;
+}
+
 struct json_object *
 MpJson_Parse(const char *text, size_t size, GPtrArray *findings)
 {
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -61,6 +61,11 @@
 struct json_object *MpJson_Parse(const char *text, size_t size,
                                  GPtrArray *findings);
 
+/* Returns an upper estimate of what parsing text takes, bytes, besides its
+ * strings: a value of two characters can take some hundred bytes.  The text
+ * need not be valid. */
+size_t MpJson_TreeBytes(const char *text, size_t size);
+
 /* Returns the integer member name of object, or 0 if there is none. */
 int64_t MpJson_GetInteger(struct json_object *object, const char *name);
 
--- a/src/transport/ExchangeRequest.c
+++ b/src/transport/ExchangeRequest.c
@@ -1,5 +1,6 @@
 #include "transport/Exchange.h"
 
+#include "state/Json.h"
 #include "transport/HttpMemory.h"
 
 #include <string.h>
@@ -7,8 +8,9 @@
 
 /* Parsing the request of an exchange: workspace, key, model or service. */
 
-/* What a chat request takes besides its body, in sizes of the body: the parsed
- * messages, the prompt, and the body for the engine. */
+/* What a chat request takes besides its body and the JSON values in it, in
+ * sizes of the body: the text of the messages, the prompt, and the body for
+ * the engine. */
 #define PARSED_FACTOR 3
 
 static bool
@@ -77,6 +79,28 @@
     return MP_OK;
 }
 
+/* Takes room for the parsed request.  Errors: MP_ERROR_MEMORY;
+ * MP_ERROR_TOO_LARGE if it does not fit into an account that is empty. */
+static int
+take_parse_room(struct MpExchange *this, const char **why)
+{
+    struct MpMemoryAccount *account = &this->router->memory;
+    int64_t size = (int64_t)this->body->size;
+    int64_t bytes =
+        PARSED_FACTOR * size +
+        (int64_t)MpJson_TreeBytes(this->body->data, this->body->size);
+    if (bytes + size > MpMemoryAccount_LargestFit(account)) {
+        account->refused[MP_MEMORY_PARSED]++;
+        *why = "The body has more JSON values than this instance has memory "
+               "for.";
+        return MP_ERROR_TOO_LARGE;
+    }
+    return MpHttpMemory_MakeRoom(account, &this->memory, bytes,
+                                 MP_MEMORY_PARSED)
+               ? MP_OK
+               : MP_ERROR_MEMORY;
+}
+
 static int
 parse_chat(struct MpExchange *this, const char **why)
 {
@@ -84,15 +108,13 @@
     if (strcmp(this->method, "POST") != 0) {
         return MP_ERROR_METHOD;
     }
-    if (!MpHttpMemory_MakeRoom(&this->router->memory, &this->memory,
-                               PARSED_FACTOR * (int64_t)this->body->size,
-                               MP_MEMORY_PARSED)) {
-        return MP_ERROR_MEMORY;
+    int code = take_parse_room(this, why);
+    if (code != MP_OK) {
+        return code;
     }
     this->memory.use = MP_MEMORY_RUNNING;
     this->parsed_bytes = this->memory.held_bytes;
-    int code =
-        MpChat_Parse(&this->chat, this->body->data, this->body->size, why);
+    code = MpChat_Parse(&this->chat, this->body->data, this->body->size, why);
     if (code != MP_OK) {
         return code;
     }
--- a/tests/runs/clients_nest_chats.py
+++ b/tests/runs/clients_nest_chats.py
@@ -6,25 +6,30 @@
 from clients import BODY_MAX, Crowd, play_cases, with_length
 from pathfleet import respond
 
-CLIENTS = 24
 CHAT = json.dumps({"model": "m", "max_tokens": 5, "messages": [
     {"role": "user", "content": "word"}], "extra": []})
-# name: the value that is repeated
-SHAPES = {"numbers": "1,", "lists": "[],", "objects": '{"a":{}},'}
+# name: the value that is repeated, clients, bytes of a body
+CASES = {
+    "numbers": ("1,", 24, BODY_MAX),
+    "lists": ("[],", 24, BODY_MAX),
+    "objects": ('{"a":{}},', 24, BODY_MAX),
+    "numbers, small bodies": ("1,", 200, 32768),
+    "lists, small bodies": ("[],", 200, 32768),
+    "objects, small bodies": ('{"a":{}},', 200, 32768),
+    "objects behind a quote in a comment": ('{"a":{}},', 200, 32768),
+}
 
 
-def nested(value):
-    count = (BODY_MAX - len(CHAT) - 1) // len(value)
-    body = CHAT.replace("[]", "[%s1]" % (value * count), 1).encode()
+def nested(name, value, clients, size):
+    opening = '/*"*/[' if "comment" in name else "["
+    count = (size - len(CHAT) - len(opening)) // len(value)
+    body = CHAT.replace("[]", "%s%s1]" % (opening, value * count), 1).encode()
 
     def play(client, number):
         client.send(with_length("/v1/chat/completions", len(body)) + body)
-        try:
-            client.conn.recv(1000)
-        except OSError:
-            pass
-    return lambda fleet: Crowd(fleet, CLIENTS, play)
+        client.receive()
+    return lambda fleet: Crowd(fleet, clients, play)
 
 
 play_cases(lambda t, r, c: respond(c, r),
-           [(name, nested(value)) for name, value in SHAPES.items()])
+           [(name, nested(name, *case)) for name, case in CASES.items()])
