Duplicate keys are reported in linear time, up to the first 100

What callers saw: eight chats of 0.8 MB, each with one key over and over, kept an instance busy; an ordinary request was not answered within 20 s.

Cause: each duplicate key became a finding with its line, for which the lines were counted from the start of the text: 140,000 times 0.8 MB at most. All of these findings were kept, though a chat is refused for the first.

Change: lines are counted on from the last finding, and the scan ends after 100 duplicate keys, which is as many as an operator reads of a document.

--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -91,6 +91,9 @@
 #define MEMBER_BYTES 240
 #define VALUE_BYTES 112
 
+/* Duplicate keys that are reported of one text. */
+#define DUPLICATES_MAX 100
+
 /* ---- removal of comments ---- */
 
 /* A text and the current position in it. */
@@ -98,6 +101,10 @@
     char *text;
     size_t size;
     size_t position;
+    /* Where line_at has counted to. */
+    size_t line_position;
+    int line;
+    guint findings_max; /* the scan ends when there are so many */
 };
 
 static void
@@ -171,14 +178,14 @@
     }
 }
 
+/* Returns the line of a position that is not before that of the last call. */
 static int
-line_number(const char *text, size_t position)
+line_at(struct reader *reader, size_t position)
 {
-    int line = 1;
-    for (size_t i = 0; i < position; i++) {
-        line += text[i] == '\n';
+    for (; reader->line_position < position; reader->line_position++) {
+        reader->line += reader->text[reader->line_position] == '\n';
     }
-    return line;
+    return reader->line + 1;
 }
 
 /* ---- duplicate keys ---- */
@@ -227,9 +234,11 @@
     }
     g_string_append(path, key);
     if (!g_hash_table_add(seen, key)) {
-        MpFindings_Add(findings, MP_FINDING_DUPLICATE,
-                       line_number(reader->text, start), path->str,
-                       "the key stands twice in one object");
+        MpFindings_Add(findings, MP_FINDING_DUPLICATE, line_at(reader, start),
+                       path->str, "the key stands twice in one object");
+        if (findings->len >= reader->findings_max) {
+            reader->position = reader->size;
+        }
     }
     skip_separators(reader);
     scan_value(reader, path, findings);
@@ -297,7 +306,7 @@
 /* ---- parsing ---- */
 
 static struct json_object *
-parse_strict(const char *text, size_t size, GPtrArray *findings)
+parse_strict(struct reader *reader, GPtrArray *findings)
 {
     struct json_tokener *tokener = json_tokener_new_ex(MP_JSON_DEPTH_MAX);
     json_tokener_set_flags(tokener,
@@ -305,7 +314,7 @@
     /* The final NUL byte is passed too: without it the parser does not know
      * that a number at the end of the text is complete. */
     struct json_object *value =
-        json_tokener_parse_ex(tokener, text, (int)size + 1);
+        json_tokener_parse_ex(tokener, reader->text, (int)reader->size + 1);
     enum json_tokener_error error = json_tokener_get_error(tokener);
     size_t end = json_tokener_get_parse_end(tokener);
     if (error != json_tokener_success) {
@@ -313,7 +322,8 @@
                                  ? "the text ends too early"
                                  : json_tokener_error_desc(error);
         MpFindings_Add(findings, MP_FINDING_SYNTAX,
-                       line_number(text, MIN(end, size)), "", "%s", reason);
+                       line_at(reader, MIN(end, reader->size)), "", "%s",
+                       reason);
         json_object_put(value);
         value = NULL;
     }
@@ -367,8 +377,7 @@
     struct reader reader = {.text = g_strndup(size > 0 ? text : "", size),
                             .size = size};
     blank_comments(&reader);
-    struct json_object *value =
-        parse_strict(reader.text, reader.size, findings);
+    struct json_object *value = parse_strict(&reader, findings);
     if (!value && findings->len == before) {
         MpFindings_Add(findings, MP_FINDING_SYNTAX, 1, "",
                        "the text holds no value");
@@ -377,6 +386,7 @@
         reader.position = 0;
         GString *path = g_string_new(NULL);
         skip_separators(&reader);
+        reader.findings_max = before + DUPLICATES_MAX;
         scan_value(&reader, path, findings);
         g_string_free(path, TRUE);
     }
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -57,7 +57,7 @@
 
 /* Parses text.  Returns the value, to be released by json_object_put, or NULL
  * and adds at least one finding.  Adds a finding for each duplicate key too,
- * and returns the value nevertheless. */
+ * up to the first 100, and returns the value nevertheless. */
 struct json_object *MpJson_Parse(const char *text, size_t size,
                                  GPtrArray *findings);
 
