The table that finds duplicate keys has a seeded hash

What callers saw: two chats of 3 MB, whose 80,000 keys all have the same hash, kept an instance busy; an ordinary request was not answered within 20 s. A single such chat took 26 s, one with as many other keys 0.04 s.

Cause: g_str_hash has no seed, so that keys of one hash are easily made; each is then compared with all before it.

Change: XXH3 with a seed that each process draws.

Other tables with g_str_hash and keys that callers choose hold a key for each request that has a workspace's key (records of idempotency keys); not tried.

--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdbool.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* ---- findings ---- */
 
@@ -217,6 +218,17 @@
     return key;
 }
 
+/* Seeded, so that nobody can send many keys with one hash. */
+static guint
+hash_key(gconstpointer key)
+{
+    static gsize seed;
+    if (g_once_init_enter(&seed)) {
+        g_once_init_leave(&seed, (gsize)g_random_int() + 1);
+    }
+    return (guint)XXH3_64bits_withSeed(key, strlen(key), seed);
+}
+
 static void scan_value(struct reader *reader, GString *path,
                        GPtrArray *findings);
 
@@ -249,7 +261,7 @@
 scan_object(struct reader *reader, GString *path, GPtrArray *findings)
 {
     GHashTable *seen =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(hash_key, g_str_equal, g_free, NULL);
     reader->position++;
     skip_separators(reader);
     while (reader->position < reader->size &&
--- a/tests/runs/clients_repeat_keys.py
+++ b/tests/runs/clients_repeat_keys.py
@@ -1,6 +1,8 @@
-"""Clients send chats of legal size with one key over and over.
-Guards against an instance that stands still while it reports duplicate keys."""
+"""Clients send chats of legal size whose keys are repeated, or all have
+one hash in a table without a seed.  Guards against an instance that stands still
+while it looks for duplicate keys."""
 import json
+from itertools import islice, product
 
 from clients import MB, Crowd, play_cases, with_length
 from pathfleet import respond
@@ -8,9 +10,13 @@
 BODY_MAX, ACCOUNT_BYTES = 4 * MB, 64 * MB
 CHAT = json.dumps({"model": "m", "max_tokens": 5, "messages": [
     {"role": "user", "content": "word"}], "extra": {}})
+# "Ez" and "FY" have the same value in a hash that multiplies by 33.
+ALIKE = ["".join(pairs) for pairs in
+         islice(product(("Ez", "FY"), repeat=17), 80000)]
 # name: clients, members of an object
 CASES = {
     "repeated": (8, ['"a":1'] * 140000),
+    "of one hash": (2, ['"%s":1' % key for key in ALIKE]),
 }
 
 
