Callers' connections are limited, those of least use are closed first

What callers saw: clients that connected and left their connections without a request, with a part of one, or with one that was answered, took all descriptors of an instance. It could accept nobody else; with a byte now and then such connections stay for minutes.

Cause: nothing bounded the connections. Out of descriptors the listener stopped until the next check, and nothing was closed; the timeouts are made for clients that are slow.

Change: setting connections_most, by default half of the descriptors without 64 (2,018 of the 4,100 of the users' machines). Close to it connections without a request in progress are closed, first those that never brought one, then idle ones, the ones without progress for longest first; those that may wait for a response get 503, not run. The same when accept() finds no descriptor. Refusals before a request is read have one function. Log line connections-over-limit, reason crowded in the counter of closed connections.

Conclusion: clients that only connect cannot lock others out. Clients that fill the limit with whole requests at slow targets still get others refused, as before with requests_most.

--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -371,6 +371,17 @@
      AT(MpSettings, requests_max),
      .description =
          "Concurrent requests on this instance, including queued ones."},
+    {.name = "connections_most",
+     .type = MP_FIELD_INTEGER,
+     .min = 0,
+     .max = 1000000,
+     .default_value = 0,
+     .unit = "connections",
+     AT(MpSettings, connections_max),
+     .description =
+         "Open connections of callers; close to it those of least use are "
+         "closed.  0: half of the descriptors that the process may open, "
+         "without 64."},
     {.name = "memory_max_bytes",
      .type = MP_FIELD_INTEGER,
      .min = 0,
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -86,6 +86,7 @@
     int64_t stop_within_ms;
     int64_t body_max_bytes;
     int64_t requests_max;
+    int64_t connections_max;  /* 0: from the descriptors */
     int64_t memory_max_bytes; /* 0: from memory_mb */
     int64_t memory_mb;        /* 0: not known */
     int32_t routing;          /* enum MpPickPolicy */
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -24,14 +24,16 @@
 /* How long a client may take to close its side after ours, ms; a request that
  * crosses the close arrives within a round trip. */
 #define CLOSING_MS 300
+/* Retry-After of a refusal for want of connections, ms. */
+#define CROWDED_RETRY_AFTER_MS 1000
 /* Longest name of a metric. */
 #define NAME_BYTES 64
 
 static const char *const end_names[MP_HTTP_ENDS] = {
     "answered", "refused", "cut", "caller_left", "unanswered"};
 static const char *const close_names[MP_HTTP_CLOSES] = {
-    "client",  "announced", "cut",  "idle",
-    "stalled", "memory",    "stop", "moved"};
+    "client", "announced", "cut",     "idle", "stalled",
+    "memory", "stop",      "crowded", "moved"};
 
 const char *
 MpHttpClose_Name(enum MpHttpClose reason)
@@ -131,6 +133,7 @@
         this->request->conn = NULL;
     }
     g_queue_unlink(&this->server->conns, &this->link);
+    this->server->conns_closing -= this->closing_ms > 0;
     if (this->is_watched) {
         g_queue_unlink(&this->server->watched, &this->watched_link);
     }
@@ -200,15 +203,54 @@
 close_our_side(struct MpHttpConn *this, enum MpHttpClose reason)
 {
     this->reason = reason;
+    this->server->conns_closing += this->closing_ms == 0;
     this->closing_ms = MpLoop_Now();
     shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
 }
 
+bool
+MpHttpConn_IsReading(const struct MpHttpConn *this)
+{
+    const h2o_buffer_t *input = this->socket->input;
+    return !this->request && skip_line_ends(input->bytes, input->size) > 0;
+}
+
 void
-MpHttpConn_CloseForMemory(struct MpHttpConn *this)
+MpHttpConn_Refuse(struct MpHttpConn *this, int code, int64_t retry_after_ms,
+                  enum MpHttpClose reason)
 {
-    close_our_side(this, MP_HTTP_CLOSE_MEMORY);
-    this->is_dropping = true;
+    char *body = MpErrorBody_Format(code, NULL, "no");
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text, "HTTP/1.1 %d Answer\r\nConnection: close\r\n",
+                           MpError_Info(code)->http_status);
+    if (retry_after_ms > 0) {
+        g_string_append_printf(text, "Retry-After: %" PRId64 "\r\n",
+                               retry_after_ms / 1000);
+    }
+    g_string_append_printf(text,
+                           MP_RUN_HEADER ": no\r\nContent-Type: "
+                                         "application/json\r\n"
+                                         "Content-Length: %zu\r\n\r\n%s",
+                           strlen(body), body);
+    /* h2o writes nothing while it waits for a request.  A response of this
+     * size fits into the empty send buffer. */
+    send(h2o_socket_get_fd(this->socket), text->str, text->len,
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    close_our_side(this, reason);
+    g_string_free(text, TRUE);
+    g_free(body);
+}
+
+void
+MpHttpConn_CloseForRoom(struct MpHttpConn *this)
+{
+    if (this->requests > 0 && MpHttpConn_UnreadBytes(this) == 0) {
+        close_our_side(this, MP_HTTP_CLOSE_CROWDED);
+        return;
+    }
+    MpHttpConn_Refuse(this, MP_ERROR_OVERLOADED, CROWDED_RETRY_AFTER_MS,
+                      MP_HTTP_CLOSE_CROWDED);
+    MpHttpMemory_Drop(this);
 }
 
 /* Returns whether the client has connected just now: its first request is on
@@ -233,25 +275,13 @@
 static void
 refuse_stalled(struct MpHttpConn *this, int64_t now_ms)
 {
-    char *body = MpErrorBody_Format(MP_ERROR_STALLED, NULL, "no");
-    char *text = g_strdup_printf(
-        "HTTP/1.1 %d Answer\r\nConnection: close\r\n" MP_RUN_HEADER
-        ": no\r\nContent-Type: application/json\r\n"
-        "Content-Length: %zu\r\n\r\n%s",
-        MpError_Info(MP_ERROR_STALLED)->http_status, strlen(body), body);
     MpLog_Event(LOG_NOTICE, "request-stalled",
                 "received_bytes=%zu since_ms=%" PRId64 " silent_ms=%" PRId64,
                 this->socket->input->size,
                 this->reading_since_ms > 0 ? now_ms - this->reading_since_ms
                                            : 0,
                 this->reading_since_ms > 0 ? now_ms - this->read_ms : 0);
-    /* h2o writes nothing while it waits for a request.  A response of this
-     * size fits into the empty send buffer. */
-    send(h2o_socket_get_fd(this->socket), text, strlen(text),
-         MSG_DONTWAIT | MSG_NOSIGNAL);
-    close_our_side(this, MP_HTTP_CLOSE_STALLED);
-    g_free(text);
-    g_free(body);
+    MpHttpConn_Refuse(this, MP_ERROR_STALLED, 0, MP_HTTP_CLOSE_STALLED);
 }
 
 static bool
@@ -293,9 +323,7 @@
 MpHttpConn_RefuseUnfinished(struct MpHttpConn *this)
 {
     int64_t now_ms = MpLoop_Now();
-    if (!this->request && this->closing_ms == 0 &&
-        skip_line_ends(this->socket->input->bytes, this->socket->input->size) >
-            0) {
+    if (this->closing_ms == 0 && MpHttpConn_IsReading(this)) {
         refuse_stalled(this, now_ms);
     }
 }
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -38,6 +38,7 @@
     MP_HTTP_CLOSE_STALLED,   /* its next request did not arrive in time */
     MP_HTTP_CLOSE_MEMORY,    /* no room for its next request */
     MP_HTTP_CLOSE_STOP,      /* the process ends */
+    MP_HTTP_CLOSE_CROWDED,   /* too many connections */
     MP_HTTP_CLOSE_MOVED,     /* so that the client goes to another instance */
     MP_HTTP_CLOSES
 };
@@ -107,9 +108,18 @@
  * connection. */
 void MpHttpConn_RefuseUnfinished(struct MpHttpConn *this);
 
-/* Closes our side of a connection that was refused for want of memory, and
- * drops what still arrives. */
-void MpHttpConn_CloseForMemory(struct MpHttpConn *this);
+/* Returns whether a part of a request has arrived. */
+bool MpHttpConn_IsReading(const struct MpHttpConn *this);
+
+/* Refuses the request that is arriving: sends an error response, and closes
+ * our side of the connection for reason.  retry_after_ms of 0 promises
+ * nothing. */
+void MpHttpConn_Refuse(struct MpHttpConn *this, int code,
+                       int64_t retry_after_ms, enum MpHttpClose reason);
+
+/* Closes a connection without a request in progress, so that others can be
+ * opened. */
+void MpHttpConn_CloseForRoom(struct MpHttpConn *this);
 
 /* Closes an idle connection: our side at once, the rest when the client closes
  * or a moment later.  One with bytes of a request on it stays open, and so
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -2,7 +2,6 @@
 
 #include "state/Error.h"
 #include "state/Metrics.h"
-#include "transport/ErrorBody.h"
 #include "transport/HttpServer.h"
 #include "transport/Log.h"
 
@@ -129,13 +128,6 @@
 refuse(struct MpHttpConn *conn, const char *why)
 {
     struct MpMemoryAccount *account = conn->server->account;
-    char *body = MpErrorBody_Format(MP_ERROR_MEMORY, NULL, "no");
-    char *text = g_strdup_printf(
-        "HTTP/1.1 %d Answer\r\nConnection: close\r\nRetry-After: "
-        "%d\r\n" MP_RUN_HEADER ": no\r\nContent-Type: application/json\r\n"
-        "Content-Length: %zu\r\n\r\n%s",
-        MpError_Info(MP_ERROR_MEMORY)->http_status,
-        MP_MEMORY_RETRY_AFTER_MS / 1000, strlen(body), body);
     MpLog_Event(LOG_NOTICE, "request-over-memory",
                 "why=%s received_bytes=%zu announced_bytes=%zu "
                 "silent_ms=%" PRId64 " held_bytes=%" PRId64
@@ -143,14 +135,9 @@
                 why, conn->socket->input->size, conn->announced_bytes,
                 MpLoop_Now() - conn->memory.progress_ms, account->held_bytes,
                 account->limit_bytes);
-    /* h2o writes nothing while it waits for a request. */
-    send(h2o_socket_get_fd(conn->socket), text, strlen(text),
-         MSG_DONTWAIT | MSG_NOSIGNAL);
-    MpHttpConn_CloseForMemory(conn);
-    MpMemoryAccount_Set(account, &conn->memory, 0, MpLoop_Now());
-    free_input(conn);
-    g_free(text);
-    g_free(body);
+    MpHttpConn_Refuse(conn, MP_ERROR_MEMORY, MP_MEMORY_RETRY_AFTER_MS,
+                      MP_HTTP_CLOSE_MEMORY);
+    MpHttpMemory_Drop(conn);
 }
 
 static void
@@ -159,6 +146,17 @@
     refuse(holder->owner, "silent");
 }
 
+void
+MpHttpMemory_Drop(struct MpHttpConn *conn)
+{
+    if (conn->server->account) {
+        conn->is_dropping = true;
+        MpMemoryAccount_Set(conn->server->account, &conn->memory, 0,
+                            MpLoop_Now());
+        free_input(conn);
+    }
+}
+
 static int64_t
 wanted_bytes(struct MpHttpConn *conn)
 {
--- a/src/transport/HttpMemory.h
+++ b/src/transport/HttpMemory.h
@@ -30,6 +30,10 @@
 /* Replaces the read callback, once h2o has accepted the connection. */
 void MpHttpMemory_Hook(struct MpHttpConn *conn);
 
+/* Frees the part of a request that has arrived, and drops what still arrives:
+ * our side of the connection was closed. */
+void MpHttpMemory_Drop(struct MpHttpConn *conn);
+
 /* The request of a connection was read whole, or is done. */
 void MpHttpMemory_NoteRunning(struct MpHttpConn *conn);
 void MpHttpMemory_NoteDone(struct MpHttpConn *conn);
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -1,6 +1,7 @@
 #include "transport/HttpServer.h"
 
 #include "state/Error.h"
+#include "transport/ConnLimit.h"
 #include "transport/ErrorBody.h"
 #include "transport/HttpMemory.h"
 #include "transport/Log.h"
@@ -20,6 +21,8 @@
 #define UNFINISHED_MAX_BYTES (64 * 1024 * 1024)
 /* Interval of checks for idle connections, ms. */
 #define CHECK_MS 100
+/* Part of the most connections that may be closed in stages at a time. */
+#define LINGERING_PARTS 8
 /* h2o has one timeout for idle connections and for the reading of a request,
  * and closes a connection in the middle of one.  HttpConn keeps these times
  * instead. */
@@ -176,8 +179,8 @@
 
 /* ---- listening ---- */
 
-/* Accepts up to ACCEPT_BATCH connections; returns whether there may be more.
- * errno is then EAGAIN if the queue is empty. */
+/* Accepts up to ACCEPT_BATCH connections; returns whether more are to be
+ * accepted.  errno is then EAGAIN if the queue is empty. */
 static bool
 accept_batch(struct MpHttpServer *this)
 {
@@ -194,6 +197,9 @@
         struct MpHttpConn *conn = socket->on_close.data;
         h2o_accept(&this->accept, socket);
         MpHttpMemory_Hook(conn);
+        if (!MpConnLimit_MakeRoom(this)) {
+            return false;
+        }
     }
     return true;
 }
@@ -215,6 +221,7 @@
         struct MpHttpServer *this = listener->data;
         MpLog_Event(LOG_ERR, "connections-not-accepted", "error=%s",
                     strerror(errno));
+        MpConnLimit_CloseSome(this);
         /* on_check_timer goes on. */
         h2o_socket_read_stop(this->listener);
     }
@@ -306,6 +313,13 @@
     MpLoop_AddHook(this->loop, MpHttpMemory_AfterRound, this);
 }
 
+void
+MpHttpServer_SetConnLimit(struct MpHttpServer *this, uint32_t max)
+{
+    this->conns_max = max;
+    this->lingering.max = MIN(this->lingering.max, max / LINGERING_PARTS);
+}
+
 void
 MpHttpServer_SetIdleTimeout(struct MpHttpServer *this, int64_t timeout_ms)
 {
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -31,6 +31,8 @@
     void *owner;
     uint16_t port;
     GQueue conns;                    /* of struct MpHttpConn */
+    uint32_t conns_closing;          /* of them, closed on our side */
+    uint32_t conns_max;              /* see ConnLimit.h; 0: no limit */
     struct MpMemoryAccount *account; /* or NULL */
     GQueue watched;             /* of struct MpHttpConn, see HttpMemory.h */
     struct MpHttpConn *reading; /* whose read callback is running, or NULL */
@@ -53,6 +55,9 @@
 void MpHttpServer_SetAccount(struct MpHttpServer *this,
                              struct MpMemoryAccount *account);
 
+/* Sets the most connections that clients may keep open. */
+void MpHttpServer_SetConnLimit(struct MpHttpServer *this, uint32_t max);
+
 /* Sets how long a connection may be idle, ms.  Connections that are idle
  * already keep a longer timeout that held when they became idle. */
 void MpHttpServer_SetIdleTimeout(struct MpHttpServer *this,
--- a/src/transport/LingeringClose.c
+++ b/src/transport/LingeringClose.c
@@ -48,14 +48,14 @@
 MpLingeringClose_Init(struct MpLingeringClose *this, struct MpLoop *loop)
 {
     this->loop = loop;
+    this->max = MP_LINGER_MAX_CONNS;
     g_queue_init(&this->sockets);
 }
 
 void
 MpLingeringClose_Start(struct MpLingeringClose *this, int fd)
 {
-    if (this->sockets.length >= MP_LINGER_MAX_CONNS ||
-        shutdown(fd, SHUT_WR) != 0) {
+    if (this->sockets.length >= this->max || shutdown(fd, SHUT_WR) != 0) {
         return;
     }
     int copy = fcntl(fd, F_DUPFD_CLOEXEC, 0);
--- a/src/transport/LingeringClose.h
+++ b/src/transport/LingeringClose.h
@@ -17,12 +17,14 @@
 /* Longest time and most bytes of one connection after its last response. */
 #define MP_LINGER_MS 1000
 #define MP_LINGER_MAX_BYTES (8 * 1024 * 1024)
-/* Connections at once; more are closed at once. */
+/* Connections at a time, unless the owner sets max; more are closed at once.
+ */
 #define MP_LINGER_MAX_CONNS 256
 
 struct MpLingeringClose {
     struct MpLoop *loop;
     GQueue sockets; /* of struct lingering */
+    uint32_t max;
 };
 
 void MpLingeringClose_Init(struct MpLingeringClose *this, struct MpLoop *loop);
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -1,5 +1,6 @@
 #include "transport/Router.h"
 
+#include "transport/ConnLimit.h"
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
 #include "transport/GatewayLoad.h"
@@ -423,6 +424,11 @@
                            (size_t)settings->body_max_bytes, on_request, this);
     if (code == MP_OK) {
         MpHttpServer_SetAccount(&this->http, &this->memory);
+        MpHttpServer_SetConnLimit(
+            &this->http,
+            settings->connections_max > 0
+                ? (uint32_t)settings->connections_max
+                : MpConnLimit_Default(settings->machine.descriptors_max));
     }
     if (code == MP_OK && settings->listen.ready) {
         code =
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -36,6 +36,7 @@
 DESCRIPTORS_PER_CLIENT, DESCRIPTORS_BASE = 3, 64
 # How long a crowd stays after the last of it has connected.
 HOLD_S = 2
+TRICKLE_S = 0.5
 
 
 def head(path, *headers):
@@ -67,10 +68,10 @@
     return limits
 
 
-def crowded_fleet(handle_request, **other_settings):
-    """Returns a fleet of one instance with lowered limits.  The path /x/ and
-    the service "raw" lead to targets that call handle_request, and /ready/
-    leads to another one."""
+def crowded_fleet(handle_request, descriptors=None, **other_settings):
+    """Returns a fleet of one instance with lowered limits, that of its
+    descriptors too if they are given.  The path /x/ and the service "raw" lead
+    to targets that call handle_request, and /ready/ leads to another one."""
     target = SimTarget("t0", handle_request)
     target.slots = 256
     other = SimTarget("t1", lambda t, r, c: respond(c, r), pool="q")
@@ -86,6 +87,7 @@
         [path_conf("/x/", timeout_ms=30000),
          path_conf("/ready/", pool="q")], extra_pools=["q"],
         instances=1, control=1, fleet_class=ServiceFleet, concurrent_max=256,
+        descriptor_limits={"i0": descriptors} if descriptors else None,
         extra_settings=settings(**other_settings))
     fleet.memory_max_kb = (BASE_BYTES + MARGIN_BYTES + other_settings.get(
         "memory_max_bytes", ACCOUNT_BYTES)) >> 10
@@ -128,20 +130,25 @@
 
 class Crowd:
     """Runs play(client, number) for several clients, all or so many at once,
-    and keeps their connections open until all have played and HOLD_S more."""
+    and keeps their connections open until all have played and HOLD_S more; if
+    it stays, until the report.  Meanwhile each of them sends trickle, if given,
+    every TRICKLE_S."""
 
-    def __init__(self, fleet, count, play, window=None, at_once=None):
+    def __init__(self, fleet, count, play, window=None, at_once=None,
+                 stays=False, trickle=None, descriptors_max=None):
         self.fleet, self.process = fleet, fleet.processes["i0"]
         self.count, self.descriptors = count, 0
+        self.descriptors_max = descriptors_max or (
+            DESCRIPTORS_BASE + DESCRIPTORS_PER_CLIENT * count)
+        self.clients, self.has_left = [], threading.Event()
         at_once = at_once or count
-        clients = []
 
         def run(number):
             try:
                 client = Client(fleet, window)
             except OSError:
                 return
-            clients.append(client)
+            self.clients.append(client)
             play(client, number)
 
         def run_in_turn(first):
@@ -150,6 +157,9 @@
         threads = [threading.Thread(target=run_in_turn, args=(number,),
                                     daemon=True)
                    for number in range(at_once)]
+        if trickle:
+            threading.Thread(target=self.send_in_turn, args=(trickle,),
+                             daemon=True).start()
         for thread in threads:
             thread.start()
         while any(thread.is_alive() for thread in threads):
@@ -157,7 +167,17 @@
         end = time.monotonic() + HOLD_S
         while time.monotonic() < end:
             self.count_descriptors()
-        for client in clients:
+        if not stays:
+            self.leave()
+
+    def send_in_turn(self, data):
+        while not self.has_left.wait(TRICKLE_S):
+            for client in list(self.clients):
+                client.send(data)
+
+    def leave(self):
+        self.has_left.set()
+        for client in self.clients:
             client.close()
 
     def count_descriptors(self):
@@ -188,17 +208,18 @@
             return 0
 
     def report(self, name):
+        is_answered = self.is_other_answered()
+        self.count_descriptors()
         peak_kb = self.peak_kb()
         if os.environ.get("FIGURES"):
             print("%s: peak %d KB of %d, %d descriptors of %d" % (
                 name, peak_kb, self.fleet.memory_max_kb, self.descriptors,
-                DESCRIPTORS_BASE + DESCRIPTORS_PER_CLIENT * self.count),
-                file=sys.stderr)
+                self.descriptors_max), file=sys.stderr)
         print(name, "lives", self.process.poll() is None,
               "within memory", 0 < peak_kb <= self.fleet.memory_max_kb,
-              "descriptors", self.descriptors <= DESCRIPTORS_BASE +
-              DESCRIPTORS_PER_CLIENT * self.count,
-              "answered afterwards", self.is_other_answered())
+              "descriptors", self.descriptors <= self.descriptors_max,
+              "answered afterwards", is_answered)
+        self.leave()
 
 
 def play_cases(handle_request, cases, after=None, **other_settings):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -141,7 +141,8 @@
 # folder (default: the control instances).  behind_proxy lists the instances
 # that reach the control instances through proxies, which set_partitioned()
 # blocks.  file_size_limits maps instances to the maximum size of the files
-# they write, in bytes.  refusable lists the instances whose connections
+# they write, in bytes, descriptor_limits to the number of their descriptors.
+# refusable lists the instances whose connections
 # refuse_connections() may refuse, fillable and stallable those whose disk
 # fill_disk() may fill and stall_disk() stall.
 class Fleet:
@@ -151,7 +152,7 @@
                  behind_proxy=(), file_size_limits=None, workspaces=None,
                  capacity=64, routing=None, extra_document=None,
                  extra_settings=None, wait=True, refusable=(), fillable=(),
-                 stallable=()):
+                 stallable=(), descriptor_limits=None):
         self.folder = tempfile.mkdtemp(prefix="mimosapath-")
         self.processes = {}
         atexit.register(self.stop_all)  # where the fleet does not start
@@ -167,6 +168,7 @@
         self.behind_proxy = behind_proxy
         self.proxies = []
         self.file_size_limits = file_size_limits or {}
+        self.descriptor_limits = descriptor_limits or {}
         self.refusable = refusable
         self.fillable = fillable
         self.stallable = stallable
@@ -275,12 +277,18 @@
 
     def spawn(self, name, arguments):
         log = open(self.path(name + ".log"), "a")
-        size = self.file_size_limits.get(name)
+        limits = [(kind, sizes[name]) for kind, sizes in (
+            (resource.RLIMIT_FSIZE, self.file_size_limits),
+            (resource.RLIMIT_NOFILE, self.descriptor_limits))
+            if name in sizes]
+
+        def set_limits():
+            for kind, size in limits:
+                resource.setrlimit(kind, (size, size))
         self.processes[name] = subprocess.Popen(
             [PROGRAM] + arguments, stderr=log, stdout=log,
             env=self.preload_environment(name),
-            preexec_fn=(lambda: resource.setrlimit(
-                resource.RLIMIT_FSIZE, (size, size))) if size else None)
+            preexec_fn=set_limits if limits else None)
         log.close()
 
     def preload_environment(self, name):
