The operators' listener has an account of memory

What callers saw: clients without a token sent bodies to the operators' address and left them open; the process used 402 MB, on machines that have 110 or 260 MB.

Cause: only the callers' listener had an account. For operators slow bodies were bounded to 64 MB, one closed each 100 ms, and the token is looked at when a request is whole. The listeners for metrics and readiness checks had no bound for heads, of up to 300 KB each.

Change: setting operator_memory_max_bytes, by default a quarter of the memory without 40 MB, 64 MB where that is not known, always two bodies of 8 MB; a process that serves callers too takes it off theirs. The listeners that take no bodies have 4 MB each. Metrics mimosapath_operator_memory_*.

Conclusion: what arrives at any HTTP listener is bounded. What a call makes of a whole body (its text, the parsed document) is not counted.

--- a/src/coordination/MemoryAccount.c
+++ b/src/coordination/MemoryAccount.c
@@ -6,15 +6,23 @@
 /* Of the rest, the part that is counted exactly; buffers grow by doubling, so
  * that a body may be held twice for a moment, and small ones leave gaps. */
 #define COUNTED_PERMILLE 750
+/* The same for operators. */
+#define OPERATORS_PERMILLE 250
 /* Bodies of the largest size that always fit. */
 #define BODIES_MIN 4
+#define OPERATOR_BODIES_MIN 2
+
+static int64_t
+limit_for_bodies(int64_t count, int64_t body_max_bytes)
+{
+    return count * (body_max_bytes + MP_MEMORY_SMALL_BYTES) * 1000 /
+           MP_MEMORY_LARGE_PERMILLE;
+}
 
 int64_t
 MpMemoryAccount_LimitOf(int64_t memory_bytes, int64_t body_max_bytes)
 {
-    int64_t least_bytes = BODIES_MIN *
-                          (body_max_bytes + MP_MEMORY_SMALL_BYTES) * 1000 /
-                          MP_MEMORY_LARGE_PERMILLE;
+    int64_t least_bytes = limit_for_bodies(BODIES_MIN, body_max_bytes);
     if (memory_bytes == 0) {
         return MAX(MP_MEMORY_DEFAULT_BYTES, least_bytes);
     }
@@ -22,6 +30,18 @@
                least_bytes);
 }
 
+int64_t
+MpMemoryAccount_OperatorLimitOf(int64_t memory_bytes, int64_t body_max_bytes)
+{
+    int64_t least_bytes =
+        limit_for_bodies(OPERATOR_BODIES_MIN, body_max_bytes);
+    if (memory_bytes == 0) {
+        return MAX(MP_MEMORY_OPERATORS_BYTES, least_bytes);
+    }
+    return MAX((memory_bytes - PROCESS_BYTES) * OPERATORS_PERMILLE / 1000,
+               least_bytes);
+}
+
 void
 MpMemoryAccount_Init(struct MpMemoryAccount *this, int64_t limit_bytes)
 {
--- a/src/coordination/MemoryAccount.h
+++ b/src/coordination/MemoryAccount.h
@@ -21,6 +21,8 @@
  * 0.  Requests that a target may run are never closed for memory.
  */
 
+#define MP_BYTES_PER_MB (INT64_C(1) << 20)
+
 /* A holder without progress for this long, ms, makes room for new requests.  A
  * client that sends or reads at all is faster, but for lost packets. */
 #define MP_MEMORY_SILENT_MS 1000
@@ -30,8 +32,11 @@
 #define MP_MEMORY_SMALL_BYTES (64 * 1024)
 #define MP_MEMORY_LARGE_PERMILLE 875
 
-/* Account of a process whose memory is not known, bytes. */
+/* Accounts of a process whose memory is not known, bytes. */
 #define MP_MEMORY_DEFAULT_BYTES (INT64_C(256) << 20)
+#define MP_MEMORY_OPERATORS_BYTES (INT64_C(64) << 20)
+/* Account of a listener that takes no bodies, bytes. */
+#define MP_MEMORY_PROBES_BYTES (INT64_C(4) << 20)
 
 /* Larger blocks are mapped one by one, bytes, so that the system has them back
  * when they are freed.  Unless it is set, glibc raises this to the size of the
@@ -83,6 +88,11 @@
  * is not known. */
 int64_t MpMemoryAccount_LimitOf(int64_t memory_bytes, int64_t body_max_bytes);
 
+/* The same of the account for operators; the process has that for callers
+ * besides it. */
+int64_t MpMemoryAccount_OperatorLimitOf(int64_t memory_bytes,
+                                        int64_t body_max_bytes);
+
 void MpMemoryAccount_Init(struct MpMemoryAccount *this, int64_t limit_bytes);
 
 /* Sets what a holder holds; each call is a sign of progress.  With 0 bytes it
--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -394,6 +394,20 @@
          "in part, and responses that were not taken.  0: three quarters of "
          "`memory_mb` without 40 MB for the process itself, or 256 MB if "
          "that is not set, but at least four of the largest bodies."},
+    {.name = "operator_memory_max_bytes",
+     .type = MP_FIELD_INTEGER,
+     .min = 0,
+     .max = INT64_C(1) << 40,
+     .default_value = 0,
+     .unit = "bytes",
+     AT(MpSettings, operator_memory_max_bytes),
+     .description =
+         "Most that is held of operators' requests, whole or in part; with "
+         "`memory_mb` the default of `memory_max_bytes` is less by so much.  "
+         "0: a quarter of `memory_mb` without 40 MB for the process itself, "
+         "or 64 MB if that is not set, but at least two bodies of 8 MB.  "
+         "Without `listen.operators` 4 MB; `listen.ready` has 4 MB of its "
+         "own."},
     {.name = "memory_mb",
      .type = MP_FIELD_INTEGER,
      .min = 0,
@@ -524,6 +538,12 @@
         MpFindings_Add(findings, MP_FINDING_VALUE, 0, "memory_max_bytes",
                        "two bodies of `body_most_bytes` have to fit");
     }
+    if (this->operator_memory_max_bytes > 0 &&
+        this->operator_memory_max_bytes < MP_OPERATOR_MEMORY_MIN_BYTES) {
+        MpFindings_Add(findings, MP_FINDING_VALUE, 0,
+                       "operator_memory_max_bytes",
+                       "two bodies of 8 MB have to fit");
+    }
     if (this->fleet_key &&
         strspn(this->fleet_key, " \t\r\n") == strlen(this->fleet_key)) {
         MpFindings_Add(findings, MP_FINDING_MISSING, 0, "fleet_key",
--- a/src/state/Settings.h
+++ b/src/state/Settings.h
@@ -11,6 +11,9 @@
  * fields.
  */
 
+/* Least operator_memory_max_bytes: two of the largest bodies, with heads. */
+#define MP_OPERATOR_MEMORY_MIN_BYTES (INT64_C(20) << 20)
+
 /* Listening addresses of the instance; NULL where it does not listen. */
 struct MpListenConf {
     char *callers;
@@ -86,10 +89,11 @@
     int64_t stop_within_ms;
     int64_t body_max_bytes;
     int64_t requests_max;
-    int64_t connections_max;  /* 0: from the descriptors */
-    int64_t memory_max_bytes; /* 0: from memory_mb */
-    int64_t memory_mb;        /* 0: not known */
-    int32_t routing;          /* enum MpPickPolicy */
+    int64_t connections_max;           /* 0: from the descriptors */
+    int64_t memory_max_bytes;          /* 0: from memory_mb */
+    int64_t operator_memory_max_bytes; /* 0: from memory_mb */
+    int64_t memory_mb;                 /* 0: not known */
+    int32_t routing;                   /* enum MpPickPolicy */
     int64_t zone_cost_us_per_kb;
     bool is_router;
     bool is_control;
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -13,6 +13,9 @@
  * empty is replaced by a smaller one. */
 #define BUFFER_KEPT_BYTES (8 * 1024)
 
+/* Longest name of a metric. */
+#define NAME_BYTES 64
+
 static const char *const use_names[MP_MEMORY_USES] = {"reading", "running",
                                                       "sending"};
 
@@ -333,23 +336,31 @@
     }
 }
 
+static void
+write_metric(GString *out, const char *account_name, const char *name,
+             const char *label, const char *label_value, int64_t value)
+{
+    char full_name[NAME_BYTES];
+    g_snprintf(full_name, sizeof(full_name), "mimosapath_%s_%s", account_name,
+               name);
+    MpMetrics_WriteValue(out, full_name, label, label_value, value);
+}
+
 void
-MpHttpMemory_WriteMetrics(const struct MpMemoryAccount *account, GString *out)
+MpHttpMemory_WriteMetrics(const struct MpMemoryAccount *account,
+                          const char *name, GString *out)
 {
-    MpMetrics_WriteValue(out, "mimosapath_memory_held_bytes", NULL, NULL,
-                         account->held_bytes);
-    MpMetrics_WriteValue(out, "mimosapath_memory_peak_bytes", NULL, NULL,
-                         account->peak_bytes);
-    MpMetrics_WriteValue(out, "mimosapath_memory_limit_bytes", NULL, NULL,
-                         account->limit_bytes);
+    write_metric(out, name, "held_bytes", NULL, NULL, account->held_bytes);
+    write_metric(out, name, "peak_bytes", NULL, NULL, account->peak_bytes);
+    write_metric(out, name, "limit_bytes", NULL, NULL, account->limit_bytes);
     for (int i = 0; i < MP_MEMORY_REFUSALS; i++) {
-        MpMetrics_WriteValue(out, "mimosapath_memory_refused_total", "cause",
-                             refusal_names[i], (int64_t)account->refused[i]);
+        write_metric(out, name, "refused_total", "cause", refusal_names[i],
+                     (int64_t)account->refused[i]);
     }
     for (int i = 0; i < MP_MEMORY_USES; i++) {
         if (i != MP_MEMORY_RUNNING) {
-            MpMetrics_WriteValue(out, "mimosapath_memory_closed_total", "use",
-                                 use_names[i], (int64_t)account->closed[i]);
+            write_metric(out, name, "closed_total", "use", use_names[i],
+                         (int64_t)account->closed[i]);
         }
     }
 }
--- a/src/transport/HttpMemory.h
+++ b/src/transport/HttpMemory.h
@@ -42,8 +42,8 @@
  * request is done, and closes holders while the account is exceeded. */
 void MpHttpMemory_AfterRound(void *server);
 
-/* Appends the account as metrics. */
+/* Appends the account as metrics; name as in mimosapath_NAME_held_bytes. */
 void MpHttpMemory_WriteMetrics(const struct MpMemoryAccount *account,
-                               GString *out);
+                               const char *name, GString *out);
 
 #endif
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -5,6 +5,7 @@
 #include "transport/ControlApi.h"
 #include "transport/ErrorBody.h"
 #include "transport/Exchange.h"
+#include "transport/HttpMemory.h"
 #include "transport/Log.h"
 #include "transport/NumberedDocument.h"
 #include "transport/Secret.h"
@@ -196,6 +197,7 @@
     MpMetrics_WriteValue(out, "mimosapath_operator_rejected_total", NULL, NULL,
                          (int64_t)this->rejected);
     MpHttpCounts_Write(&this->http.counts, "operator", out);
+    MpHttpMemory_WriteMetrics(&this->memory, "operator_memory", out);
     MpLog_WriteMetrics(out);
     MpHttp_Send(req, 200, "text/plain; version=0.0.4", out->str, out->len);
     g_string_free(out, TRUE);
@@ -367,6 +369,31 @@
     return code;
 }
 
+int64_t
+MpOperatorServer_MemoryLimit(const struct MpSettings *settings)
+{
+    if (!settings->listen.operators) {
+        return MP_MEMORY_PROBES_BYTES;
+    }
+    return settings->operator_memory_max_bytes > 0
+               ? settings->operator_memory_max_bytes
+               : MpMemoryAccount_OperatorLimitOf(
+                     settings->memory_mb * MP_BYTES_PER_MB, BODY_MAX_BYTES);
+}
+
+static int
+start_listener(struct MpOperatorServer *this, struct MpHttpServer *http,
+               const char *address, size_t body_max_bytes,
+               void (*handle)(void *owner, h2o_req_t *req))
+{
+    int code = MpHttpServer_Start(http, this->loop, address, body_max_bytes,
+                                  handle, this);
+    if (code == MP_OK) {
+        MpHttpServer_SetAccount(http, &this->memory);
+    }
+    return code;
+}
+
 int
 MpOperatorServer_Start(struct MpOperatorServer *this, struct MpLoop *loop,
                        const struct MpSettings *settings,
@@ -379,6 +406,8 @@
                                       .router = router,
                                       .replica = replica};
     g_queue_init(&this->calls);
+    MpMemoryAccount_Init(&this->memory,
+                         MpOperatorServer_MemoryLimit(settings));
     int code = read_token(settings, &this->token);
     /* Without a token only the dialect's document requests, /healthz and
      * /metrics can be used. */
@@ -387,13 +416,13 @@
         code = MP_ERROR_AUTHENTICATION;
     }
     if (code == MP_OK && settings->listen.metrics) {
-        code = MpHttpServer_Start(
-            &this->metrics_http, loop, settings->listen.metrics,
-            METRICS_BODY_MAX_BYTES, on_metrics_request, this);
+        code =
+            start_listener(this, &this->metrics_http, settings->listen.metrics,
+                           METRICS_BODY_MAX_BYTES, on_metrics_request);
     }
     if (code != MP_OK || !settings->listen.operators) {
         return code;
     }
-    return MpHttpServer_Start(&this->http, loop, settings->listen.operators,
-                              BODY_MAX_BYTES, on_request, this);
+    return start_listener(this, &this->http, settings->listen.operators,
+                          BODY_MAX_BYTES, on_request);
 }
--- a/src/transport/OperatorServer.h
+++ b/src/transport/OperatorServer.h
@@ -27,7 +27,8 @@
     struct MpRouter *router;   /* NULL unless the instance is a router */
     struct MpReplica *replica; /* NULL unless it is a control replica */
     char *token;
-    GQueue calls; /* of struct MpOperatorCall */
+    struct MpMemoryAccount memory; /* of requests on both listeners */
+    GQueue calls;                  /* of struct MpOperatorCall */
     bool is_draining;
     uint64_t rejected; /* requests with a wrong token */
 };
@@ -36,6 +37,9 @@
  * MP_ERROR_AUTHENTICATION. */
 int MpOperatorServer_CheckToken(const struct MpSettings *settings);
 
+/* Returns the limit of the account of memory for operators, bytes. */
+int64_t MpOperatorServer_MemoryLimit(const struct MpSettings *settings);
+
 /* Starts the listeners that settings name.  Errors: MP_ERROR_IO;
  * MP_ERROR_AUTHENTICATION if the token file is unreadable or blank, or if none
  * is named and the dialect has no document requests without it. */
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -10,12 +10,12 @@
 #include "transport/HttpMemory.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
+#include "transport/OperatorServer.h"
 #include "transport/TargetPoller.h"
 
 #include <string.h>
 
 #define TICK_MS 50
-#define BYTES_PER_MB (INT64_C(1) << 20)
 /* With stop_within_s set, the process is killed from outside after that time;
  * the drain ends this much earlier, ms. */
 #define STOP_MARGIN_MS 400
@@ -386,6 +386,21 @@
 
 /* ---- start ---- */
 
+/* Returns the limit of the account for callers and targets, bytes. */
+static int64_t
+memory_limit(const struct MpSettings *settings)
+{
+    int64_t memory_bytes = settings->memory_mb * MP_BYTES_PER_MB;
+    if (settings->memory_max_bytes > 0) {
+        return settings->memory_max_bytes;
+    }
+    if (memory_bytes > 0 && settings->listen.operators) {
+        memory_bytes -= MpOperatorServer_MemoryLimit(settings);
+        memory_bytes = MAX(memory_bytes, 1);
+    }
+    return MpMemoryAccount_LimitOf(memory_bytes, settings->body_max_bytes);
+}
+
 int
 MpRouter_Start(struct MpRouter *this, struct MpLoop *loop,
                const struct MpSettings *settings, const uint8_t *fleet_key)
@@ -395,12 +410,8 @@
     g_queue_init(&this->exchanges);
     this->queues = g_hash_table_new(g_str_hash, g_str_equal);
     MpMetrics_Init(&this->metrics);
-    MpMemoryAccount_Init(
-        &this->memory,
-        settings->memory_max_bytes > 0
-            ? settings->memory_max_bytes
-            : MpMemoryAccount_LimitOf(settings->memory_mb * BYTES_PER_MB,
-                                      settings->body_max_bytes));
+    MpMemoryAccount_Init(&this->memory, memory_limit(settings));
+    MpMemoryAccount_Init(&this->ready_memory, MP_MEMORY_PROBES_BYTES);
     MpLimits_Init(&this->limits);
     MpPicker_Init(&this->picker, settings->zone, g_random_int());
     this->picker.policy = (enum MpPickPolicy)settings->routing;
@@ -434,6 +445,9 @@
         code =
             MpHttpServer_Start(&this->ready_http, loop, settings->listen.ready,
                                READY_BODY_MAX_BYTES, on_ready_request, this);
+        if (code == MP_OK) {
+            MpHttpServer_SetAccount(&this->ready_http, &this->ready_memory);
+        }
     }
     return code;
 }
@@ -470,7 +484,7 @@
     uint64_t busy_ns = 0;
     MpMetrics_Write(&this->metrics, out);
     MpHttpCounts_Write(&this->http.counts, "caller", out);
-    MpHttpMemory_WriteMetrics(&this->memory, out);
+    MpHttpMemory_WriteMetrics(&this->memory, "memory", out);
     g_hash_table_iter_init(&iter, this->picker.targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         write_target(out, value);
--- a/src/transport/Router.h
+++ b/src/transport/Router.h
@@ -37,7 +37,8 @@
     struct MpHttpServer ready_http; /* /readyz on an address of its own */
     struct MpGateway gateway;
     struct MpMemoryAccount memory;
-    GQueue exchanges; /* of struct MpExchange */
+    struct MpMemoryAccount ready_memory; /* of requests to ready_http */
+    GQueue exchanges;                    /* of struct MpExchange */
     uint64_t last_open_id;
     bool is_draining;
     int64_t drain_until_ms; /* draining: latest end */
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -59,13 +59,13 @@
 
 
 def settings(**other):
-    limits = {"body_most_bytes": BODY_MAX}
-    # Builds without the account do not know its setting.
-    with open(PROGRAM, "rb") as program:
-        if b"memory_max_bytes" in program.read():
-            limits["memory_max_bytes"] = ACCOUNT_BYTES
+    limits = {"body_most_bytes": BODY_MAX, "memory_max_bytes": ACCOUNT_BYTES}
     limits.update(other)
-    return limits
+    # Earlier builds do not know all of these settings.
+    with open(PROGRAM, "rb") as program:
+        text = program.read()
+    return {name: value for name, value in limits.items()
+            if name.encode() + b"\0" in text}
 
 
 def crowded_fleet(handle_request, descriptors=None, **other_settings):
@@ -89,8 +89,10 @@
         instances=1, control=1, fleet_class=ServiceFleet, concurrent_max=256,
         descriptor_limits={"i0": descriptors} if descriptors else None,
         extra_settings=settings(**other_settings))
-    fleet.memory_max_kb = (BASE_BYTES + MARGIN_BYTES + other_settings.get(
-        "memory_max_bytes", ACCOUNT_BYTES)) >> 10
+    fleet.memory_max_kb = (
+        BASE_BYTES + MARGIN_BYTES +
+        other_settings.get("memory_max_bytes", ACCOUNT_BYTES) +
+        other_settings.get("operator_memory_max_bytes", 0)) >> 10
     return fleet
 
 
@@ -102,12 +104,12 @@
     """A client that sends without blocking its script: what the instance does
     not take within the time is left unsent."""
 
-    def __init__(self, fleet, window=None):
+    def __init__(self, fleet, window=None, address=None):
         self.conn = socket.socket()
         if window:
             self.conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
         self.conn.settimeout(10)
-        self.conn.connect(("127.0.0.1", fleet.callers["i0"]))
+        self.conn.connect(("127.0.0.1", (address or fleet.callers)["i0"]))
 
     def send(self, data):
         """Returns whether the instance has taken all of it."""
@@ -132,10 +134,12 @@
     """Runs play(client, number) for several clients, all or so many at once,
     and keeps their connections open until all have played and HOLD_S more; if
     it stays, until the report.  Meanwhile each of them sends trickle, if given,
-    every TRICKLE_S."""
+    every TRICKLE_S.  They connect to the ports of address, by default those for
+    callers."""
 
     def __init__(self, fleet, count, play, window=None, at_once=None,
-                 stays=False, trickle=None, descriptors_max=None):
+                 stays=False, trickle=None, descriptors_max=None,
+                 address=None):
         self.fleet, self.process = fleet, fleet.processes["i0"]
         self.count, self.descriptors = count, 0
         self.descriptors_max = descriptors_max or (
@@ -145,7 +149,7 @@
 
         def run(number):
             try:
-                client = Client(fleet, window)
+                client = Client(fleet, window, address)
             except OSError:
                 return
             self.clients.append(client)
