--- a/src/transport/RequestBody.c
+++ b/src/transport/RequestBody.c
@@ -1,5 +1,6 @@
 #include "transport/RequestBody.h"
 
+#include "transport/HttpConn.h"
 #include "transport/Loop.h"
 
 struct MpRequestBody *
@@ -41,7 +42,10 @@
         this->buffer = this->socket->input;
         h2o_buffer_init(&this->socket->input, &h2o_socket_buffer_prototype);
         this->memory.use = MP_MEMORY_RUNNING;
-        MpMemoryAccount_Set(this->account, &this->memory, (int64_t)this->size,
+        /* The buffer may take more than the body in it. */
+        const struct MpHttpConn *conn = this->socket->on_close.data;
+        MpMemoryAccount_Set(this->account, &this->memory,
+                            MAX(conn->memory.held_bytes, (int64_t)this->size),
                             MpLoop_Now());
     }
     this->socket = NULL;
