A response whose caller has left is read to its end and dropped

What callers saw: callers that read little of large responses and then left locked an instance that carries other instances' requests: it refused everybody with 503 memory_full for up to the path's timeout (30 s here).

Cause: reading from a target stops while a caller is slow. If that caller left and the request may run only once, the attempt went on, but reading was never taken up again: the buffers of both instances and the tunnel between them stayed full until the deadline.

Change: when the caller leaves, what it has not taken is freed, and the target is read on; the rest is dropped.

--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -110,6 +110,10 @@
     link->response = NULL;
     this->req = NULL;
     this->link = NULL;
+    /* Nobody gets the rest. */
+    empty(&this->pending);
+    empty(&this->sending);
+    count_memory(this);
     if (this->is_output_closed) {
         this->klass->sent(this->owner);
         return;
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -397,6 +397,8 @@
     struct MpGatewayCall *this = owner;
     if (is_running_once(this)) {
         g_clear_pointer(&this->body, MpRequestBody_Leave);
+        /* The rest of the response is dropped. */
+        MpTargetConn_Resume(this->conn);
         return;
     }
     if (this->stage != MP_CALL_ENDED) {
