Buffers to targets and tunnels are freed when they are empty

Cause: h2o doubles the input buffer of a connection for what has arrived at once and keeps it so, and arrays that are emptied keep their memory; per tunnel up to 1 MB was held and not counted. A read takes all that the system holds, which was up to 384 KB on connections by way of another instance.

Change: such buffers are freed when they are empty, from 16 KB on. The receive buffer of connections by way of another instance is 64 KB, as it is for targets.

Conclusion: what an instance passes on is bounded like what it serves itself.

--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -12,6 +12,8 @@
  * one grow to tens of MB while much arrives, and a read takes all of it. */
 #define RECEIVE_BYTES (192 * 1024)
 #define WAIT_MAX_MS 1000
+/* Buffers of this size or more are freed when they are empty, bytes. */
+#define KEPT_BYTES (16 * 1024)
 
 int64_t
 MpLoop_Now(void)
@@ -165,6 +167,27 @@
 
 /* ---- sockets ---- */
 
+void
+MpLoop_FreeInput(h2o_socket_t *socket)
+{
+    h2o_buffer_t *input = socket->input;
+    if (input->size == 0 && input->bytes && input->capacity >= KEPT_BYTES) {
+        h2o_buffer_dispose(&socket->input);
+        h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
+    }
+}
+
+void
+MpLoop_ConsumeArray(GByteArray **array, size_t size)
+{
+    if (size < (*array)->len || size < KEPT_BYTES) {
+        g_byte_array_remove_range(*array, 0, (guint)size);
+        return;
+    }
+    g_byte_array_unref(*array);
+    *array = g_byte_array_new();
+}
+
 bool
 MpLoop_ParseAddress(const char *address, struct sockaddr_in *out)
 {
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -66,6 +66,14 @@
 /* Moves all messages of a receiver to out, in order. */
 void MpLoop_PopMessages(h2o_linklist_t *messages, GPtrArray *out);
 
+/* Frees the input buffer of a socket if it is empty and large: h2o doubles it
+ * for what has arrived at once, and keeps it so. */
+void MpLoop_FreeInput(h2o_socket_t *socket);
+
+/* Removes the first size bytes of array; frees its memory if it is empty and
+ * large. */
+void MpLoop_ConsumeArray(GByteArray **array, size_t size);
+
 /* Opens a listening socket on an IPv4 address such as 127.0.0.1:8080; with
  * port 0 the system chooses one.  Returns the socket, or NULL on error.  If
  * port is not NULL, *port is set to the port in use.  What may wait unread on
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -347,11 +347,12 @@
         return;
     }
     if (this->peer) {
-        g_byte_array_remove_range(this->unframed, 0, (guint)used);
+        MpLoop_ConsumeArray(&this->unframed, used);
     }
     else {
         h2o_buffer_consume(&socket->input, used);
     }
+    MpLoop_FreeInput(socket);
     bool must_leave_rest = this->is_rest_skipped &&
                            ((result == MP_READ_INVALID && !is_end) ||
                             (result == MP_READ_MORE && !failure &&
--- a/src/transport/TargetSocket.h
+++ b/src/transport/TargetSocket.h
@@ -25,10 +25,9 @@
 /* Receive buffer of a connection to a target, bytes; with it a connection
  * within a region carries 30 MB/s. */
 #define MP_TARGET_RECEIVE_BYTES 65536
-/* The same by way of another instance, which may be further away, bytes.
- * Without it the system lets the buffer grow to tens of MB, and a read takes
- * all of it. */
-#define MP_TUNNEL_RECEIVE_BYTES (192 * 1024)
+/* The same by way of another instance, bytes.  Without it the system lets the
+ * buffer grow to tens of MB, and a read takes all of it. */
+#define MP_TUNNEL_RECEIVE_BYTES 65536
 
 /* Switches off the delay of small segments. */
 void MpTargetSocket_SetNoDelay(h2o_socket_t *socket);
--- a/src/transport/Tunnel.c
+++ b/src/transport/Tunnel.c
@@ -176,7 +176,7 @@
     struct tunnel_end *end = socket->data;
     struct MpTunnel *this = end->tunnel;
     struct tunnel_end *source = other_end(end);
-    g_byte_array_set_size(end->writing, 0);
+    MpLoop_ConsumeArray(&end->writing, end->writing->len);
     count_memory(this);
     if (error) {
         end->has_write_failed = true;
@@ -302,6 +302,7 @@
             pass_request(this, socket->input->bytes, size);
         }
         h2o_buffer_consume(&socket->input, size);
+        MpLoop_FreeInput(socket);
         count_memory(this);
     }
     if (error && is_target) {
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -104,12 +104,12 @@
     """A client that sends without blocking its script: what the instance does
     not take within the time is left unsent."""
 
-    def __init__(self, fleet, window=None, address=None):
+    def __init__(self, fleet, window=None, address=None, at="i0"):
         self.conn = socket.socket()
         if window:
             self.conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
         self.conn.settimeout(10)
-        self.conn.connect(("127.0.0.1", (address or fleet.callers)["i0"]))
+        self.conn.connect(("127.0.0.1", (address or fleet.callers)[at]))
 
     def send(self, data):
         """Returns whether the instance has taken all of it."""
@@ -134,13 +134,13 @@
     """Runs play(client, number) for several clients, all or so many at once,
     and keeps their connections open until all have played and HOLD_S more; if
     it stays, until the report.  Meanwhile each of them sends trickle, if given,
-    every TRICKLE_S.  They connect to the ports of address, by default those for
-    callers."""
+    every TRICKLE_S.  They connect to the instance at, and there to the ports of
+    address, by default those for callers."""
 
     def __init__(self, fleet, count, play, window=None, at_once=None,
                  stays=False, trickle=None, descriptors_max=None,
-                 address=None):
-        self.fleet, self.process = fleet, fleet.processes["i0"]
+                 address=None, at="i0"):
+        self.fleet, self.at = fleet, at
         self.count, self.descriptors = count, 0
         self.descriptors_max = descriptors_max or (
             DESCRIPTORS_BASE + DESCRIPTORS_PER_CLIENT * count)
@@ -149,7 +149,7 @@
 
         def run(number):
             try:
-                client = Client(fleet, window, address)
+                client = Client(fleet, window, address, at)
             except OSError:
                 return
             self.clients.append(client)
@@ -187,39 +187,40 @@
     def count_descriptors(self):
         try:
             self.descriptors = max(self.descriptors, len(os.listdir(
-                "/proc/%d/fd" % self.process.pid)))
+                "/proc/%d/fd" % self.fleet.processes[self.at].pid)))
         except OSError:
             pass  # the process has ended
         time.sleep(0.02)
 
-    def is_other_answered(self):
+    def is_other_answered(self, instance):
         end = time.monotonic() + 20
         while time.monotonic() < end:
             try:
-                if status_of(send(self.fleet, "i0", "/ready/")) == "200":
+                if status_of(send(self.fleet, instance, "/ready/")) == "200":
                     return True
             except OSError:
                 pass
             time.sleep(0.1)
         return False
 
-    def peak_kb(self):
+    def peak_kb(self, instance):
         try:
-            with open("/proc/%d/status" % self.process.pid) as status:
+            with open("/proc/%d/status" % self.fleet.processes[instance].pid
+                      ) as status:
                 return int(re.search(r"VmHWM:\s+(\d+)",
                                      status.read()).group(1))
         except (OSError, AttributeError):
             return 0
 
-    def report(self, name):
-        is_answered = self.is_other_answered()
+    def report(self, name, instance="i0"):
+        is_answered = self.is_other_answered(instance)
         self.count_descriptors()
-        peak_kb = self.peak_kb()
+        peak_kb = self.peak_kb(instance)
         if os.environ.get("FIGURES"):
             print("%s: peak %d KB of %d, %d descriptors of %d" % (
                 name, peak_kb, self.fleet.memory_max_kb, self.descriptors,
                 self.descriptors_max), file=sys.stderr)
-        print(name, "lives", self.process.poll() is None,
+        print(name, "lives", self.fleet.processes[instance].poll() is None,
               "within memory", 0 < peak_kb <= self.fleet.memory_max_kb,
               "descriptors", self.descriptors <= self.descriptors_max,
               "answered afterwards", is_answered)
