Connections at the other listeners are limited too

What callers saw: clients that connected to the operators' address and stayed took all descriptors of the process, the ones for targets and callers with them.

Cause: connections_most held for the callers' listener only.

Change: the listeners for operators, metrics and readiness checks have a quarter of it each, with the same order of closing.

Conclusion: all HTTP listeners leave descriptors for the rest. The listeners of other instances (listen.rpc, listen.peers), which callers do not reach, have no limit.

--- a/src/transport/ConnLimit.c
+++ b/src/transport/ConnLimit.c
@@ -10,21 +10,40 @@
 /* Descriptors for listeners, files and control connections. */
 #define OWN_DESCRIPTORS 64
 #define LIMIT_MIN 16
+/* Part of the limit for callers that each other listener has. */
+#define OTHER_PARTS 4
 /* Connections are closed above the limit less this part of it... */
 #define HEADROOM_PARTS 8
 /* ... and this part of them at once, since each time all are looked at. */
 #define BATCH_PARTS 16
 
-uint32_t
-MpConnLimit_Default(int64_t descriptors_max)
+/* Returns the number of descriptors that the process may open. */
+static int64_t
+count_descriptors(const struct MpSettings *settings)
 {
+    int64_t known = settings->machine.descriptors_max;
     struct rlimit limit;
-    int64_t descriptors = descriptors_max > 0 ? descriptors_max : INT32_MAX;
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
-        limit.rlim_cur < (rlim_t)descriptors) {
-        descriptors = (int64_t)limit.rlim_cur;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return known;
+    }
+    int64_t most = (int64_t)MIN(limit.rlim_cur, (rlim_t)INT32_MAX);
+    return known > 0 ? MIN(known, most) : most;
+}
+
+uint32_t
+MpConnLimit_ForCallers(const struct MpSettings *settings)
+{
+    if (settings->connections_max > 0) {
+        return (uint32_t)settings->connections_max;
     }
-    return (uint32_t)MAX((descriptors - OWN_DESCRIPTORS) / 2, LIMIT_MIN);
+    return (uint32_t)MAX((count_descriptors(settings) - OWN_DESCRIPTORS) / 2,
+                         LIMIT_MIN);
+}
+
+uint32_t
+MpConnLimit_ForOthers(const struct MpSettings *settings)
+{
+    return MAX(MpConnLimit_ForCallers(settings) / OTHER_PARTS, LIMIT_MIN);
 }
 
 /* A connection that may be closed. */
--- a/src/transport/ConnLimit.h
+++ b/src/transport/ConnLimit.h
@@ -1,6 +1,8 @@
 #ifndef MP_TRANSPORT_CONN_LIMIT_H
 #define MP_TRANSPORT_CONN_LIMIT_H
 
+#include "state/Settings.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,10 +22,13 @@
  * dropped for a moment, unless the limit is reached.
  */
 
-/* Returns the limit for callers: half of the descriptors that the process may
- * open, descriptors_max (0: not known) or its resource limit, without those
- * that it needs itself. */
-uint32_t MpConnLimit_Default(int64_t descriptors_max);
+/* Returns the limit for callers: that of the settings, or half of the
+ * descriptors that the process may open (descriptors_max of the settings, or
+ * its resource limit) without those that it needs itself. */
+uint32_t MpConnLimit_ForCallers(const struct MpSettings *settings);
+
+/* Returns the limit for each other listener: a quarter of that. */
+uint32_t MpConnLimit_ForOthers(const struct MpSettings *settings);
 
 /* Makes room for a connection that was just accepted.  Returns false if no
  * more are to be accepted in this round of the event loop. */
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -1,6 +1,7 @@
 #include "transport/OperatorServer.h"
 
 #include "state/Error.h"
+#include "transport/ConnLimit.h"
 #include "transport/Console.h"
 #include "transport/ControlApi.h"
 #include "transport/ErrorBody.h"
@@ -390,6 +391,7 @@
                                   handle, this);
     if (code == MP_OK) {
         MpHttpServer_SetAccount(http, &this->memory);
+        MpHttpServer_SetConnLimit(http, MpConnLimit_ForOthers(this->settings));
     }
     return code;
 }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -435,11 +435,8 @@
                            (size_t)settings->body_max_bytes, on_request, this);
     if (code == MP_OK) {
         MpHttpServer_SetAccount(&this->http, &this->memory);
-        MpHttpServer_SetConnLimit(
-            &this->http,
-            settings->connections_max > 0
-                ? (uint32_t)settings->connections_max
-                : MpConnLimit_Default(settings->machine.descriptors_max));
+        MpHttpServer_SetConnLimit(&this->http,
+                                  MpConnLimit_ForCallers(settings));
     }
     if (code == MP_OK && settings->listen.ready) {
         code =
@@ -447,6 +444,8 @@
                                READY_BODY_MAX_BYTES, on_ready_request, this);
         if (code == MP_OK) {
             MpHttpServer_SetAccount(&this->ready_http, &this->ready_memory);
+            MpHttpServer_SetConnLimit(&this->ready_http,
+                                      MpConnLimit_ForOthers(settings));
         }
     }
     return code;
