What h2o makes of a head counts, from before it is parsed

What callers saw: 1,000 clients with heads of 12 KB and the start of a body in chunks made an instance use 51 MB where 34 are allowed.

Cause: h2o copies a head whose body is still to come, with an entry for each header; the account knew only the buffer. The copy stays until the connection is closed, so that also clients that were refused held it for a second.

Change: copy, entries and fixed parts count when the head is complete, before h2o sees it: a head without room is refused unparsed. They count until the connection is closed. A client that was refused since it was silent is closed on both sides at once; nothing of it is unread, so that the refusal arrives.

Conclusion: each part of a request that is kept while it arrives is counted.

--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -81,6 +81,7 @@
     size_t announced_bytes;    /* of the request being read, 0: not known */
     size_t buffer_capacity;    /* of the input buffer at the last read */
     size_t buffer_used_bytes;  /* most that this buffer has held */
+    size_t parsed_bytes;       /* what h2o made of its head */
     bool has_head;             /* its head has arrived */
     bool is_dropping;          /* what still arrives is dropped */
     size_t dropped_bytes;
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -13,6 +13,10 @@
  * empty is replaced by a smaller one. */
 #define BUFFER_KEPT_BYTES (8 * 1024)
 
+/* What h2o and this process keep of a request besides its buffer, bytes: fixed
+ * parts, and an entry for each header. */
+#define REQUEST_BYTES (6 * 1024)
+#define HEADER_BYTES 100
 /* Longest name of a metric. */
 #define NAME_BYTES 64
 
@@ -106,6 +110,20 @@
     return 0;
 }
 
+/* Returns what h2o keeps of a head of this size while the body arrives: it
+ * copies it, as the buffer may move. */
+static size_t
+parsed_size(const char *head, size_t size)
+{
+    const char *end = head + size;
+    size_t bytes = REQUEST_BYTES + size;
+    for (const char *line = head; (line = memchr(line, '\n', end - line));
+         line++) {
+        bytes += HEADER_BYTES;
+    }
+    return bytes;
+}
+
 /* Sets what the request will take, once its head has arrived. */
 static void
 read_announced(struct MpHttpConn *conn)
@@ -117,6 +135,7 @@
     }
     size_t body = announced_size(input->bytes, head);
     conn->has_head = true;
+    conn->parsed_bytes = parsed_size(input->bytes, head);
     /* h2o refuses more than that itself. */
     if (body <= conn->server->config.max_request_entity_size) {
         conn->announced_bytes = head + body;
@@ -146,7 +165,12 @@
 static void
 close_holder(struct MpMemoryHolder *holder)
 {
-    refuse(holder->owner, "silent");
+    struct MpHttpConn *conn = holder->owner;
+    if (conn->closing_ms == 0) {
+        refuse(conn, "silent");
+    }
+    /* Nothing of a silent client is unread, so that the refusal arrives. */
+    shutdown(h2o_socket_get_fd(conn->socket), SHUT_RDWR);
 }
 
 void
@@ -154,8 +178,9 @@
 {
     if (conn->server->account) {
         conn->is_dropping = true;
-        MpMemoryAccount_Set(conn->server->account, &conn->memory, 0,
-                            MpLoop_Now());
+        /* h2o keeps the head until the connection is closed. */
+        MpMemoryAccount_Set(conn->server->account, &conn->memory,
+                            (int64_t)conn->parsed_bytes, MpLoop_Now());
         free_input(conn);
     }
 }
@@ -163,7 +188,8 @@
 static int64_t
 wanted_bytes(struct MpHttpConn *conn)
 {
-    return (int64_t)MAX(allocated_bytes(conn), conn->announced_bytes);
+    return (int64_t)(MAX(allocated_bytes(conn), conn->announced_bytes) +
+                     conn->parsed_bytes);
 }
 
 bool
@@ -186,19 +212,14 @@
     return true;
 }
 
-/* Counts what has arrived and is announced; returns false if there is no room
- * and the request was refused. */
+/* Counts what has arrived and is announced; returns whether there is room. */
 static bool
 take_room(struct MpHttpConn *conn)
 {
     bool is_announced = conn->announced_bytes > conn->socket->input->size;
-    if (!MpHttpMemory_MakeRoom(
-            conn->server->account, &conn->memory, wanted_bytes(conn),
-            is_announced ? MP_MEMORY_ANNOUNCED : MP_MEMORY_ARRIVED)) {
-        refuse(conn, "no-room");
-        return false;
-    }
-    return true;
+    return MpHttpMemory_MakeRoom(
+        conn->server->account, &conn->memory, wanted_bytes(conn),
+        is_announced ? MP_MEMORY_ANNOUNCED : MP_MEMORY_ARRIVED);
 }
 
 /* ---- reading ---- */
@@ -239,8 +260,16 @@
         }
         return;
     }
-    if (!error && !conn->request && !take_room(conn)) {
-        return;
+    if (!error && !conn->request) {
+        bool is_parsed = conn->has_head;
+        read_announced(conn);
+        if (!take_room(conn)) {
+            if (!is_parsed) {
+                conn->parsed_bytes = 0; /* h2o has not seen the head */
+            }
+            refuse(conn, "no-room");
+            return;
+        }
     }
     server->reading = conn;
     conn->read_by_h2o(socket, error);
@@ -253,9 +282,10 @@
         watch(conn); /* 100 (Continue) */
     }
     if (!conn->request && conn->closing_ms == 0 && !conn->is_request_done) {
-        read_announced(conn);
         shrink_input(conn);
-        take_room(conn);
+        if (!take_room(conn)) {
+            refuse(conn, "no-room");
+        }
     }
 }
 
@@ -277,8 +307,10 @@
 {
     if (conn->server->account) {
         conn->memory.use = MP_MEMORY_RUNNING;
-        MpMemoryAccount_Set(conn->server->account, &conn->memory,
-                            (int64_t)allocated_bytes(conn), MpLoop_Now());
+        MpMemoryAccount_Set(
+            conn->server->account, &conn->memory,
+            (int64_t)(allocated_bytes(conn) + conn->parsed_bytes),
+            MpLoop_Now());
     }
 }
 
@@ -299,6 +331,7 @@
     conn->is_request_done = false;
     conn->has_head = false;
     conn->announced_bytes = 0;
+    conn->parsed_bytes = 0;
     if (conn->request) {
         return;
     }
