--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -180,7 +180,8 @@
 /* ---- listening ---- */
 
 /* Accepts up to ACCEPT_BATCH connections; returns whether more are to be
- * accepted.  errno is then EAGAIN if the queue is empty. */
+ * accepted.  If not, errno is EAGAIN when the queue is empty, and 0 at the
+ * limit of connections. */
 static bool
 accept_batch(struct MpHttpServer *this)
 {
@@ -198,6 +199,7 @@
         h2o_accept(&this->accept, socket);
         MpHttpMemory_Hook(conn);
         if (!MpConnLimit_MakeRoom(this)) {
+            errno = 0;
             return false;
         }
     }
