An instance that reads a long target list itself uses 4,096 entries

What callers saw: an instance that read the list without the leader answered nobody for seconds if the list had very many entries, and took 140 MB and more.

Cause: the leader passes on at most 4,096 entries, those of pools that the document names first, but an instance used all that it had read, up to 65,536. It reads the list itself also beside its own leader when the pages take longer than the list is valid (1.2 s).

Change: both choose the entries with MpTargetList_Choose(). The instance logs target-list-too-long too.

--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -131,6 +131,18 @@
     }
 }
 
+/* Logs that the list has more entries than are used, when that changes. */
+static void
+log_long_list(struct MpGateway *this, uint32_t listed, uint32_t used)
+{
+    bool was_too_long = this->is_list_too_long;
+    this->is_list_too_long = listed > used;
+    if (this->is_list_too_long && !was_too_long) {
+        MpLog_Event(LOG_WARNING, "target-list-too-long",
+                    "targets=%u used=%u from=own", listed, used);
+    }
+}
+
 /* The leader sends changes relative to the list that this instance got from it
  * last.  This read replaces that list, so the hash is cleared to make the
  * leader send its whole list. */
@@ -139,7 +151,10 @@
 {
     struct MpGateway *this = owner;
     int64_t now_ms = MpLoop_Now();
-    uint32_t changes = MpRoster_SetList(&this->roster, targets, now_ms);
+    GPtrArray *chosen = MpTargetList_Choose(targets, this->control->document);
+    log_long_list(this, targets->len, chosen->len);
+    uint32_t changes = MpRoster_SetList(&this->roster, chosen, now_ms);
+    g_ptr_array_unref(chosen);
     int64_t boot_ms = MpLoop_BootMs();
     MpVersionView_BeginList(&this->versions, this->control->heard_ms, boot_ms);
     for (guint i = 0; i < targets->len; i++) {
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -64,6 +64,7 @@
     uint64_t load_refusals;    /* counter */
     int64_t list_confirmed_ms; /* when the leader last confirmed the list */
     int64_t read_from_ms;      /* this instance reads no list before then */
+    bool is_list_too_long;     /* the one that this instance read last */
     struct MpTimer timer;
     uint64_t retries_refused;    /* counter */
     uint64_t target_pauses;      /* counter: those that targets asked for */
--- a/src/transport/ReplicaTargets.c
+++ b/src/transport/ReplicaTargets.c
@@ -244,27 +244,10 @@
     g_ptr_array_unref(findings);
 }
 
-static void
-append_entries(struct MpReplica *this, const GPtrArray *targets, bool is_named,
-               GPtrArray *chosen)
-{
-    const struct MpDocument *document = this->list_document;
-    for (guint i = 0; i < targets->len && chosen->len < MP_TARGETS_MAX; i++) {
-        struct MpListedTarget *target = g_ptr_array_index(targets, i);
-        bool has_pool =
-            document && g_hash_table_contains(document->pools, target->pool);
-        if (has_pool == is_named) {
-            g_ptr_array_add(chosen, target);
-        }
-    }
-}
-
-/* Returns the entries to pass on: of a list that is too long, first those of
- * pools that the document names.  The result does not own them. */
+/* Returns the entries to pass on.  The result does not own them. */
 static GPtrArray *
 choose_entries(struct MpReplica *this, const GPtrArray *targets)
 {
-    GPtrArray *chosen = g_ptr_array_new();
     bool is_too_long = targets->len > MP_TARGETS_MAX;
     bool was_too_long = this->list_document_version != 0;
     if (is_too_long) {
@@ -274,8 +257,7 @@
         g_clear_pointer(&this->list_document, MpDocument_Unref);
         this->list_document_version = 0;
     }
-    append_entries(this, targets, true, chosen);
-    append_entries(this, targets, false, chosen);
+    GPtrArray *chosen = MpTargetList_Choose(targets, this->list_document);
     if (is_too_long && !was_too_long) {
         MpLog_Event(LOG_WARNING, "target-list-too-long",
                     "targets=%u passed_on=%u", targets->len, chosen->len);
--- a/src/transport/TargetList.c
+++ b/src/transport/TargetList.c
@@ -346,6 +346,30 @@
     }
 }
 
+static void
+append_entries(GPtrArray *chosen, const GPtrArray *targets,
+               const struct MpDocument *document, bool is_named)
+{
+    for (guint i = 0; i < targets->len && chosen->len < MP_TARGETS_MAX; i++) {
+        struct MpListedTarget *target = g_ptr_array_index(targets, i);
+        bool has_pool =
+            document && g_hash_table_contains(document->pools, target->pool);
+        if (has_pool == is_named) {
+            g_ptr_array_add(chosen, target);
+        }
+    }
+}
+
+GPtrArray *
+MpTargetList_Choose(const GPtrArray *targets,
+                    const struct MpDocument *document)
+{
+    GPtrArray *chosen = g_ptr_array_new();
+    append_entries(chosen, targets, document, true);
+    append_entries(chosen, targets, document, false);
+    return chosen;
+}
+
 void
 MpTargetList_WriteMetrics(const struct MpTargetList *this, GString *out)
 {
--- a/src/transport/TargetList.h
+++ b/src/transport/TargetList.h
@@ -34,6 +34,12 @@
 /* Starts reading; does nothing when it is started already. */
 void MpTargetList_Start(struct MpTargetList *this);
 
+/* Returns the entries of a list (struct MpListedTarget) that are used, at most
+ * MP_TARGETS_MAX: first those of pools that the document names.  document may
+ * be NULL.  The result does not own the entries. */
+GPtrArray *MpTargetList_Choose(const GPtrArray *targets,
+                               const struct MpDocument *document);
+
 void MpTargetList_WriteMetrics(const struct MpTargetList *this, GString *out);
 
 #endif
--- a/tests/runs/endless_target_list.py
+++ b/tests/runs/endless_target_list.py
@@ -1,9 +1,11 @@
 """The target list has pages without end, with new entries or the same ones, a
 page without end, or a name of the next page that is very long.  The memory of
 the instance that reads it stays bounded, requests are served meanwhile, and
-sound lists are followed again."""
+sound lists are followed again.  The same for an instance that reads the list
+itself as the leader is frozen."""
 import json
 import os
+import signal
 import time
 
 # Memory in the quarantine of ASan would count as used.
@@ -57,23 +59,31 @@
         own, further, "n" * (4 << 20) if kind == "next" else "n"))
 
 
-def serve_other():
-    return status_of(send(fleet, "i0", "/x/")) == "200"
+def play(fleet, name, kind, of_what=""):
+    state["kind"] = kind
+    cost = Cost(kind, fleet.processes[name].pid, 1,
+                lambda number: time.sleep(PLAY_S),
+                lambda: status_of(send(fleet, name, "/x/")) == "200")
+    state["kind"] = None
+    state["listed"] = targets[1:] if state["listed"] == targets[:1] \
+        else targets[:1]
+    print(kind + of_what, "within memory", cost.memory_kb <= MEMORY_MAX_KB,
+          "others served", cost.are_others_served and
+          cost.other_s < OTHER_MAX_S, "followed again", wait_for(
+              lambda: send(fleet, name, "/x/").endswith(
+                  state["listed"][0].name.encode()), 20))
 
 
-fleet, _ = path_fleet(targets, [path_conf("/x/")], instances=1, control=1,
-                      list_handler=list_handler)
-with fleet:
-    print("ready", wait_targets(fleet, "i0", "/x/"))
-    for kind in ("pages", "same-pages", "same-entries", "page", "next"):
-        state["kind"] = kind
-        cost = Cost(kind, fleet.processes["i0"].pid, 1,
-                    lambda number: time.sleep(PLAY_S), serve_other)
-        state["kind"] = None
-        state["listed"] = targets[1:] if state["listed"] == targets[:1] \
-            else targets[:1]
-        print(kind, "within memory", cost.memory_kb <= MEMORY_MAX_KB,
-              "others served", cost.are_others_served and
-              cost.other_s < OTHER_MAX_S, "followed again", wait_for(
-                  lambda: send(fleet, "i0", "/x/").endswith(
-                      state["listed"][0].name.encode()), 20))
+def start(instances):
+    return path_fleet(targets, [path_conf("/x/")], instances=instances,
+                      control=1, list_handler=list_handler)[0]
+
+
+with start(1) as alone:
+    print("ready", wait_targets(alone, "i0", "/x/"))
+    for shape in ("pages", "same-pages", "same-entries", "page", "next"):
+        play(alone, "i0", shape)
+with start(2) as led:
+    print("ready", wait_targets(led, "i1", "/x/"))
+    led.processes["i0"].send_signal(signal.SIGSTOP)
+    play(led, "i1", "pages", ", without the leader")
