A chat is passed on as text, not as a tree of its values

What callers saw: a chat of legal size with very many JSON values was refused with 413 in calm; before these values were counted it was served and made the instance hold 86 to 378 MB, of 34.8 allowed.

Cause: the body was parsed into a tree, whose values take up to 100 times their text, only to be written out again for the engine with some fields set.

Change: JsonCheck goes over the text once, with the scan that reads target lists, and builds nothing but a table of the keys of the open objects. Chat finds the members that it reads by their positions. For the engine the members that are set here are replaced with blanks in a copy of the text, and added at its end. So a chat takes three sizes of its body whatever its values, as was counted before, and the estimate of a tree and the refusal with 413 are gone. The body must be standard JSON, comments apart: what json-c accepts beyond that (control characters in strings, NaN, -.5, 1., -01) would now reach the engine as it stands, and is refused with 400.

--- a/fuzz/FuzzParsers.c
+++ b/fuzz/FuzzParsers.c
@@ -67,6 +67,36 @@
     "\"key_hashes\":[]",
 };
 
+/* Members of a chat, by key. */
+static const char *const chat_members[][2] = {
+    {"\"model\":\"m\"", "\"mode\\u006c\":\"m\""},
+    {"\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]",
+     "\"messages\":[{\"content\":\"\\n\",\"x\":[{}],\"role\":\"\"}]"},
+    {"\"stream\":true", "\"stream\":false"},
+    {"\"max_tokens\":5", "\"m\\u0061x_tokens\" : 500 "},
+    {"\"priority\":\"urgent\"", "\"priority\":{\"priority\":1}"},
+    {"\"resume_from\":7", "\"resume_from\":null"},
+    {"\"stream_options\":{\"include_usage\":true}", "\"stream_options\":[]"},
+    {"\"x\":[1,{\"y\":[]},-1.5e3,null]", "\"max_tokens2\":{}//,\"\n"},
+    {"\n/*,\"*/\"y\"\t:\"}\\\"{,\\u00e9\"", "\"\":[[\"priority\"]]"},
+};
+
+/* Makes a chat with the first member or more. */
+static GString *
+make_chat(struct FuzzInput *input)
+{
+    GString *text = g_string_new("{");
+    for (size_t i = 0; i < G_N_ELEMENTS(chat_members); i++) {
+        uint8_t byte = FuzzInput_Byte(input);
+        if (byte & 6) {
+            g_string_append(text, text->len > 1 ? "," : "");
+            g_string_append(text, chat_members[i][byte & 1]);
+        }
+    }
+    g_string_append_c(text, '}');
+    return text;
+}
+
 static GString *
 make_text(struct FuzzInput *input, int is_raw)
 {
@@ -101,6 +131,40 @@
     g_ptr_array_unref(findings);
 }
 
+/* What the engine gets must be JSON with the members that the caller sent, but
+ * for those that are set here. */
+static void
+check_engine_body(const GString *text, const char *body)
+{
+    GPtrArray *findings = MpFindings_New();
+    struct json_object *sent = MpJson_Parse(text->str, text->len, findings);
+    struct json_object *engine = MpJson_Parse(body, strlen(body), findings);
+    if (findings->len > 0) {
+        Fuzz_Fail("chat is accepted that does not parse");
+    }
+    json_object_object_foreach(sent, key, value)
+    {
+        struct json_object *other = NULL;
+        json_object_object_get_ex(engine, key, &other);
+        if (strcmp(key, "max_tokens") != 0 && strcmp(key, "priority") != 0 &&
+            strcmp(key, "stream_options") != 0 &&
+            strcmp(key, "resume_from") != 0 &&
+            !json_object_equal(value, other)) {
+            Fuzz_Fail("engine gets another value");
+        }
+    }
+    if (strcmp(
+            json_object_get_string(json_object_object_get(engine, "priority")),
+            "batch") != 0 ||
+        MpJson_GetInteger(engine, "resume_from") != 3 ||
+        MpJson_GetInteger(engine, "max_tokens") < 1) {
+        Fuzz_Fail("engine does not get the fields that are set");
+    }
+    json_object_put(sent);
+    json_object_put(engine);
+    g_ptr_array_unref(findings);
+}
+
 static void
 parse_chat(const GString *text)
 {
@@ -114,6 +178,7 @@
         if (MpChat_TokenLimit(&chat, &model) > model.output_tokens_max) {
             Fuzz_Fail("token limit is above the model's maximum");
         }
+        check_engine_body(text, body);
         g_free(body);
     }
     else if (!reason) {
@@ -442,6 +507,7 @@
         Fuzz_Steps++;
         return 0;
     }
+    struct FuzzInput again = input;
     GString *text = make_text(&input, choice >= 5);
     if (first >= FIRST_FORM_BYTE) {
         parse_form(text);
@@ -456,7 +522,11 @@
     case 5:
         parse_document(text);
         break;
-    case 1:
+    case 1: {
+        GString *chat = make_chat(&again);
+        parse_chat(chat);
+        g_string_free(chat, TRUE);
+    } /* fall through */
     case 6:
         parse_chat(text);
         break;
--- a/src/commands/SimTargetJob.c
+++ b/src/commands/SimTargetJob.c
@@ -426,24 +426,22 @@
 static int
 get_priority(const struct MpChat *chat)
 {
-    struct json_object *value;
-    const char *text = "standard";
-    if (json_object_object_get_ex(chat->root, "priority", &value)) {
-        text = json_object_get_string(value);
-    }
+    struct json_object *value = MpChat_ReadMember(chat, MP_CHAT_PRIORITY);
+    const char *text = json_object_get_string(value);
+    int class = MP_CLASS_STANDARD;
     for (int i = 0; i < MP_CLASS_COUNT; i++) {
         if (g_strcmp0(text, MpPriorityClass_Names[i]) == 0) {
-            return i;
+            class = i;
         }
     }
-    return MP_CLASS_STANDARD;
+    json_object_put(value);
+    return class;
 }
 
 static int
 parse_chat(struct MpSimTargetJob *this)
 {
     const char *reason;
-    struct json_object *value;
     h2o_iovec_t body = this->req->entity;
     int code = MpChat_Parse(&this->chat, body.base, body.len, &reason);
     if (code != MP_OK) {
@@ -461,9 +459,12 @@
     if (this->chat.output_tokens > 0) {
         this->token_count = MIN(this->token_count, this->chat.output_tokens);
     }
-    if (json_object_object_get_ex(this->chat.root, "resume_from", &value)) {
+    struct json_object *value =
+        MpChat_ReadMember(&this->chat, MP_CHAT_RESUME_FROM);
+    if (value) {
         this->next_token = json_object_get_int64(value);
     }
+    json_object_put(value);
     return MP_OK;
 }
 
--- a/src/protocol/Chat.h
+++ b/src/protocol/Chat.h
@@ -2,6 +2,7 @@
 #define MP_PROTOCOL_CHAT_H
 
 #include "state/Document.h"
+#include "state/JsonScan.h"
 
 #include <glib.h>
 #include <json.h>
@@ -13,12 +14,30 @@
  * Chat - parses the body of a chat completion request (OpenAI-style JSON) and
  * generates the body that is sent to the engine, with the token limit that
  * was reserved.
+ *
+ * The body is kept as text, whatever values it has: a chat holds up to twice
+ * the size of its body, and parsing it takes up to 4 times the size more.
  */
 
+/* Members of the body that are read or replaced. */
+enum MpChatMember {
+    MP_CHAT_MODEL,
+    MP_CHAT_MESSAGES,
+    MP_CHAT_STREAM,
+    MP_CHAT_MAX_TOKENS,
+    MP_CHAT_N,
+    MP_CHAT_STREAM_OPTIONS,
+    MP_CHAT_PRIORITY,
+    MP_CHAT_RESUME_FROM,
+    MP_CHAT_MEMBER_COUNT
+};
+
 struct MpChat {
-    struct json_object *root;
+    struct MpJsonScan text; /* the body without comments; NULL: not valid */
+    struct MpJsonMember members[MP_CHAT_MEMBER_COUNT];
     char *model;
     bool is_stream;
+    bool wants_usage;      /* by its stream options */
     int64_t output_tokens; /* requested max_tokens, or -1 */
     GString *prompt;       /* roles and contents of all messages */
 };
@@ -29,6 +48,11 @@
                  const char **reason);
 void MpChat_Done(struct MpChat *this);
 
+/* Returns a member that is a string, a number or a boolean, to be released by
+ * json_object_put; otherwise NULL. */
+struct json_object *MpChat_ReadMember(const struct MpChat *this,
+                                      enum MpChatMember member);
+
 /* Returns the limit of output tokens for the engine: the requested one, at
  * most that of the model. */
 int64_t MpChat_TokenLimit(const struct MpChat *this,
--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -83,15 +83,6 @@
     return g_string_free(out, FALSE);
 }
 
-/* What json-c 0.16 allocates for the parts of a value, bytes: an object with
- * its table of 16 slots, an array with its first 32 slots, a member with its
- * key and its slot in a table that doubles, and a number or short string with
- * its slot in an array that doubles. */
-#define OBJECT_BYTES 832
-#define ARRAY_BYTES 400
-#define MEMBER_BYTES 240
-#define VALUE_BYTES 112
-
 /* Duplicate keys that are reported of one text. */
 #define DUPLICATES_MAX 100
 
@@ -161,20 +152,20 @@
     return 0;
 }
 
-/* Replaces comments with blanks; positions and line numbers stay the same. */
-static void
-blank_comments(struct reader *reader)
+void
+MpJson_BlankComments(char *text, size_t size)
 {
-    while (reader->position < reader->size) {
-        size_t size = comment_size(reader);
-        if (reader->text[reader->position] == '"') {
-            skip_string(reader);
+    struct reader reader = {.text = text, .size = size};
+    while (reader.position < size) {
+        size_t blanks = comment_size(&reader);
+        if (text[reader.position] == '"') {
+            skip_string(&reader);
         }
-        else if (size > 0) {
-            blank_out(reader, size);
+        else if (blanks > 0) {
+            blank_out(&reader, blanks);
         }
         else {
-            reader->position++;
+            reader.position++;
         }
     }
 }
@@ -218,15 +209,20 @@
     return key;
 }
 
-/* Seeded, so that nobody can send many keys with one hash. */
-static guint
-hash_key(gconstpointer key)
+guint
+MpJson_HashKey(const char *key, size_t size)
 {
     static gsize seed;
     if (g_once_init_enter(&seed)) {
         g_once_init_leave(&seed, (gsize)g_random_int() + 1);
     }
-    return (guint)XXH3_64bits_withSeed(key, strlen(key), seed);
+    return (guint)XXH3_64bits_withSeed(key, size, seed);
+}
+
+static guint
+hash_key(gconstpointer key)
+{
+    return MpJson_HashKey(key, strlen(key));
 }
 
 static void scan_value(struct reader *reader, GString *path,
@@ -343,39 +339,6 @@
     return value;
 }
 
-size_t
-MpJson_TreeBytes(const char *text, size_t size)
-{
-    struct reader reader = {.text = (char *)text, .size = size};
-    size_t bytes = 0;
-    while (reader.position < size) {
-        switch (text[reader.position]) {
-        case '"':
-            skip_string(&reader);
-            continue;
-        case '/':
-            reader.position += MAX(comment_size(&reader), 1);
-            continue;
-        case '{':
-            bytes += OBJECT_BYTES;
-            break;
-        case '[':
-            bytes += ARRAY_BYTES;
-            break;
-        case ':':
-            bytes += MEMBER_BYTES;
-            break;
-        case ',':
-            bytes += VALUE_BYTES;
-            break;
-        default:
-            break;
-        }
-        reader.position++;
-    }
-    return bytes;
-}
-
 struct json_object *
 MpJson_Parse(const char *text, size_t size, GPtrArray *findings)
 {
@@ -388,14 +351,13 @@
     /* An empty text may have no address. */
     struct reader reader = {.text = g_strndup(size > 0 ? text : "", size),
                             .size = size};
-    blank_comments(&reader);
+    MpJson_BlankComments(reader.text, size);
     struct json_object *value = parse_strict(&reader, findings);
     if (!value && findings->len == before) {
         MpFindings_Add(findings, MP_FINDING_SYNTAX, 1, "",
                        "the text holds no value");
     }
     if (value) {
-        reader.position = 0;
         GString *path = g_string_new(NULL);
         skip_separators(&reader);
         reader.findings_max = before + DUPLICATES_MAX;
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -61,10 +61,13 @@
 struct json_object *MpJson_Parse(const char *text, size_t size,
                                  GPtrArray *findings);
 
-/* Returns an upper estimate of what parsing text takes, bytes, besides its
- * strings: a value of two characters can take some hundred bytes.  The text
- * need not be valid. */
-size_t MpJson_TreeBytes(const char *text, size_t size);
+/* Replaces comments with blanks; all positions stay the same.  The text need
+ * not be valid. */
+void MpJson_BlankComments(char *text, size_t size);
+
+/* Returns a hash of a key, with a seed of this process, so that nobody can
+ * send many keys with one hash. */
+guint MpJson_HashKey(const char *key, size_t size);
 
 /* Returns the integer member name of object, or 0 if there is none. */
 int64_t MpJson_GetInteger(struct json_object *object, const char *name);
--- a/src/state/JsonScan.c
+++ b/src/state/JsonScan.c
@@ -117,6 +117,7 @@
     enum expected expected;
     uint32_t depth;
     bool is_object[MP_JSON_DEPTH_MAX]; /* by level */
+    struct MpJsonVisitor *visitor;     /* or NULL */
 };
 
 static bool
@@ -149,6 +150,9 @@
     }
     this->is_object[this->depth++] = is_object;
     this->at++;
+    if (this->visitor && !this->visitor->klass->open(this->visitor)) {
+        return EXPECTED_OTHER;
+    }
     return is_object ? EXPECTED_FIRST_KEY : EXPECTED_FIRST_VALUE;
 }
 
@@ -157,7 +161,19 @@
 {
     this->depth--;
     this->at++;
-    return after_value(this);
+    return this->visitor && !this->visitor->klass->close(this->visitor)
+               ? EXPECTED_OTHER
+               : after_value(this);
+}
+
+/* Ends a string, a number or a name that began at a position. */
+static enum expected
+end_scalar(struct cursor *this, size_t start)
+{
+    return this->visitor && !this->visitor->klass->scalar(this->visitor, start,
+                                                          this->at)
+               ? EXPECTED_OTHER
+               : after_value(this);
 }
 
 static enum expected
@@ -168,22 +184,25 @@
         MpJsonScan_IsAt(&this->text, this->at, '[')) {
         return read_opening(this, text[this->at] == '{');
     }
+    size_t start = this->at;
     if (MpJsonScan_IsAt(&this->text, this->at, '"')) {
-        return read_string(this) ? after_value(this) : EXPECTED_OTHER;
+        return read_string(this) ? end_scalar(this, start) : EXPECTED_OTHER;
     }
-    size_t start = this->at;
     while (this->at < this->text.size &&
            (g_ascii_isalnum(text[this->at]) || text[this->at] == '+' ||
             text[this->at] == '-' || text[this->at] == '.')) {
         this->at++;
     }
-    return this->at > start ? after_value(this) : EXPECTED_OTHER;
+    return this->at > start ? end_scalar(this, start) : EXPECTED_OTHER;
 }
 
 static enum expected
 read_key(struct cursor *this)
 {
-    if (!read_string(this)) {
+    size_t start = this->at;
+    if (!read_string(this) ||
+        (this->visitor &&
+         !this->visitor->klass->key(this->visitor, start, this->at))) {
         return EXPECTED_OTHER;
     }
     this->at = MpJsonScan_SkipSpace(&this->text, this->at);
@@ -230,8 +249,8 @@
 }
 
 bool
-MpJsonScan_Value(const struct MpJsonScan *this, size_t at, size_t bytes_max,
-                 size_t *end)
+MpJsonScan_Visit(const struct MpJsonScan *this, size_t at, size_t bytes_max,
+                 struct MpJsonVisitor *visitor, size_t *end)
 {
     struct cursor cursor = {
         .text = {.text = this->text,
@@ -239,6 +258,7 @@
                          MIN(at, this->size)},
         .at = at,
         .expected = EXPECTED_VALUE,
+        .visitor = visitor,
     };
     while (cursor.expected != EXPECTED_NOTHING &&
            cursor.expected != EXPECTED_OTHER) {
@@ -248,3 +268,46 @@
     *end = cursor.at;
     return cursor.expected == EXPECTED_NOTHING;
 }
+
+bool
+MpJsonScan_Value(const struct MpJsonScan *this, size_t at, size_t bytes_max,
+                 size_t *end)
+{
+    return MpJsonScan_Visit(this, at, bytes_max, NULL, end);
+}
+
+/* ---- parts of valid JSON ---- */
+
+bool
+MpJsonScan_NextMember(const struct MpJsonScan *this, size_t *at,
+                      struct MpJsonMember *member)
+{
+    size_t end;
+    member->key = MpJsonScan_SkipSpace(this, *at);
+    if (!MpJsonScan_IsAt(this, member->key, '"') ||
+        !MpJsonScan_String(this, member->key, &end)) {
+        return false;
+    }
+    end = MpJsonScan_SkipSpace(this, end);
+    member->value = MpJsonScan_SkipSpace(this, end + 1);
+    if (!MpJsonScan_Element(this, member->value, '}', &member->value_end)) {
+        return false;
+    }
+    member->end =
+        member->value_end + MpJsonScan_IsAt(this, member->value_end, ',');
+    *at = member->end;
+    return true;
+}
+
+bool
+MpJsonScan_NextElement(const struct MpJsonScan *this, size_t *at,
+                       size_t *start, size_t *end)
+{
+    *start = MpJsonScan_SkipSpace(this, *at);
+    if (MpJsonScan_IsAt(this, *start, ']') ||
+        !MpJsonScan_Element(this, *start, ']', end)) {
+        return false;
+    }
+    *at = *end + MpJsonScan_IsAt(this, *end, ',');
+    return true;
+}
--- a/src/transport/ExchangeRequest.c
+++ b/src/transport/ExchangeRequest.c
@@ -1,6 +1,5 @@
 #include "transport/Exchange.h"
 
-#include "state/Json.h"
 #include "transport/HttpMemory.h"
 
 #include <string.h>
@@ -8,9 +7,8 @@
 
 /* Parsing the request of an exchange: workspace, key, model or service. */
 
-/* What a chat request takes besides its body and the JSON values in it, in
- * sizes of the body: the text of the messages, the prompt, and the body for
- * the engine. */
+/* What a chat request takes besides its body, in sizes of the body: the text
+ * without comments, the prompt, and the body for the engine. */
 #define PARSED_FACTOR 3
 
 static bool
@@ -79,28 +77,6 @@
     return MP_OK;
 }
 
-/* Takes room for the parsed request.  Errors: MP_ERROR_MEMORY;
- * MP_ERROR_TOO_LARGE if it does not fit into an account that is empty. */
-static int
-take_parse_room(struct MpExchange *this, const char **why)
-{
-    struct MpMemoryAccount *account = &this->router->memory;
-    int64_t size = (int64_t)this->body->size;
-    int64_t bytes =
-        PARSED_FACTOR * size +
-        (int64_t)MpJson_TreeBytes(this->body->data, this->body->size);
-    if (bytes + size > MpMemoryAccount_LargestFit(account)) {
-        account->refused[MP_MEMORY_PARSED]++;
-        *why = "The body has more JSON values than this instance has memory "
-               "for.";
-        return MP_ERROR_TOO_LARGE;
-    }
-    return MpHttpMemory_MakeRoom(account, &this->memory, bytes,
-                                 MP_MEMORY_PARSED)
-               ? MP_OK
-               : MP_ERROR_MEMORY;
-}
-
 static int
 parse_chat(struct MpExchange *this, const char **why)
 {
@@ -108,13 +84,15 @@
     if (strcmp(this->method, "POST") != 0) {
         return MP_ERROR_METHOD;
     }
-    int code = take_parse_room(this, why);
-    if (code != MP_OK) {
-        return code;
+    if (!MpHttpMemory_MakeRoom(&this->router->memory, &this->memory,
+                               PARSED_FACTOR * (int64_t)this->body->size,
+                               MP_MEMORY_PARSED)) {
+        return MP_ERROR_MEMORY;
     }
     this->memory.use = MP_MEMORY_RUNNING;
     this->parsed_bytes = this->memory.held_bytes;
-    code = MpChat_Parse(&this->chat, this->body->data, this->body->size, why);
+    int code =
+        MpChat_Parse(&this->chat, this->body->data, this->body->size, why);
     if (code != MP_OK) {
         return code;
     }
@@ -129,13 +107,7 @@
     this->reserve_mtok = MpChat_WorstCaseCost(&this->chat, this->model);
     this->block_count = MpPicker_HashBlocks(
         this->chat.prompt->str, this->chat.prompt->len, this->blocks);
-    struct json_object *options;
-    struct json_object *usage;
-    this->wants_usage =
-        json_object_object_get_ex(this->chat.root, "stream_options",
-                                  &options) &&
-        json_object_object_get_ex(options, "include_usage", &usage) &&
-        json_object_get_boolean(usage);
+    this->wants_usage = this->chat.wants_usage;
     return MP_OK;
 }
 
--- a/tests/red/chats_of_many_values.py
+++ b/tests/runs/clients_nest_one_chat.py
@@ -10,9 +10,19 @@
 SHAPES = {"numbers": "1,", "lists": "[],", "objects": '{"a":{}},'}
 
 
-def nested(name, value):
+def body_of(value):
     count = (BODY_MAX - len(CHAT) - 1) // len(value)
-    body = CHAT.replace("[]", "[%s1]" % (value * count), 1).encode()
+    return CHAT.replace("[]", "[%s1]" % (value * count), 1).encode()
+
+
+def body_of_members():
+    """Returns a body with an object whose many keys all differ."""
+    count = (BODY_MAX - len(CHAT)) // len('"00000":1,')
+    members = ",".join('"%05x":1' % n for n in range(count))
+    return CHAT.replace("[]", "{%s}" % members, 1).encode()
+
+
+def nested(name, body):
 
     def play(client, number):
         client.send(with_length("/v1/chat/completions", len(body)) + body)
@@ -21,4 +31,6 @@
 
 
 play_cases(lambda t, r, c: respond(c, r),
-           [(name, nested(name, value)) for name, value in SHAPES.items()])
+           [(name, nested(name, body_of(value)))
+            for name, value in SHAPES.items()] +
+           [("members", nested("members", body_of_members()))])
