The receive buffer of a caller is small until a large body is counted

What callers saw: 300 clients that sent on behind their requests had 27 MB waiting unread at an instance, which count as memory of its machine: 38,763 to 39,377 KB in all, of 34,816 allowed.

Cause: nothing is read while a request runs, and each connection could hold its receive buffer of 64 KB, up to 113 KB on loopback, whatever the size of its request.

Change: the buffer of an accepted connection is 16 KB, which is at most 24 KB on loopback. A request of more than 64 KB enlarges it to 64 KB, as far as the account has room for as much; it counts during each request of that connection.

What waits behind small requests is bounded for each connection, not in the account.

--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -83,7 +83,8 @@
     size_t buffer_used_bytes;  /* most that this buffer has held */
     size_t parsed_bytes;       /* what h2o made of its head */
     bool has_head;             /* its head has arrived */
-    bool is_dropping;          /* what still arrives is dropped */
+    bool has_large_receive_buffer;
+    bool is_dropping; /* what still arrives is dropped */
     size_t dropped_bytes;
     bool is_request_done;     /* the last one; see MpHttpMemory_NoteDone */
     bool is_watched;          /* h2o may set its own callback in this round */
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -17,6 +17,9 @@
  * parts, and an entry for each header. */
 #define REQUEST_BYTES (6 * 1024)
 #define HEADER_BYTES 100
+/* Receive buffer of a connection whose request is small, bytes.  What arrives
+ * behind a running request waits there and is not counted. */
+#define RECEIVE_SMALL_BYTES (16 * 1024)
 /* Longest name of a metric. */
 #define NAME_BYTES 64
 
@@ -185,13 +188,30 @@
     }
 }
 
-static int64_t
-wanted_bytes(struct MpHttpConn *conn)
+/* ---- the receive buffer ---- */
+
+/* Large bodies are received with a large buffer.  The connection keeps it: the
+ * client may send as much at once from then on, and what a smaller one does
+ * not hold would be lost and sent again late. */
+static void
+enlarge_receive_buffer(struct MpHttpConn *conn)
+{
+    if (!conn->has_large_receive_buffer) {
+        conn->has_large_receive_buffer = true;
+        MpLoop_SetReceiveBuffer(conn->socket, MP_RECEIVE_BYTES);
+    }
+}
+
+/* Returns what counts of the receive buffer during a request.  Without one it
+ * is empty. */
+static size_t
+receive_bytes(const struct MpHttpConn *conn)
 {
-    return (int64_t)(MAX(allocated_bytes(conn), conn->announced_bytes) +
-                     conn->parsed_bytes);
+    return conn->has_large_receive_buffer ? MP_RECEIVE_BYTES : 0;
 }
 
+/* ---- room ---- */
+
 bool
 MpHttpMemory_MakeRoom(struct MpMemoryAccount *account,
                       struct MpMemoryHolder *holder, int64_t bytes,
@@ -217,9 +237,19 @@
 take_room(struct MpHttpConn *conn)
 {
     bool is_announced = conn->announced_bytes > conn->socket->input->size;
-    return MpHttpMemory_MakeRoom(
-        conn->server->account, &conn->memory, wanted_bytes(conn),
-        is_announced ? MP_MEMORY_ANNOUNCED : MP_MEMORY_ARRIVED);
+    size_t body_bytes = MAX(allocated_bytes(conn), conn->announced_bytes);
+    bool is_large = body_bytes > MP_MEMORY_SMALL_BYTES;
+    size_t bytes = body_bytes + conn->parsed_bytes +
+                   (is_large ? MP_RECEIVE_BYTES : receive_bytes(conn));
+    if (!MpHttpMemory_MakeRoom(
+            conn->server->account, &conn->memory, (int64_t)bytes,
+            is_announced ? MP_MEMORY_ANNOUNCED : MP_MEMORY_ARRIVED)) {
+        return false;
+    }
+    if (is_large) {
+        enlarge_receive_buffer(conn);
+    }
+    return true;
 }
 
 /* ---- reading ---- */
@@ -291,6 +321,12 @@
 
 /* ---- interface ---- */
 
+void
+MpHttpMemory_Listen(h2o_socket_t *listener)
+{
+    MpLoop_SetReceiveBuffer(listener, RECEIVE_SMALL_BYTES);
+}
+
 void
 MpHttpMemory_Hook(struct MpHttpConn *conn)
 {
@@ -307,10 +343,11 @@
 {
     if (conn->server->account) {
         conn->memory.use = MP_MEMORY_RUNNING;
-        MpMemoryAccount_Set(
-            conn->server->account, &conn->memory,
-            (int64_t)(allocated_bytes(conn) + conn->parsed_bytes),
-            MpLoop_Now());
+        MpMemoryAccount_Set(conn->server->account, &conn->memory,
+                            (int64_t)(allocated_bytes(conn) +
+                                      conn->parsed_bytes +
+                                      receive_bytes(conn)),
+                            MpLoop_Now());
     }
 }
 
--- a/src/transport/HttpMemory.h
+++ b/src/transport/HttpMemory.h
@@ -27,6 +27,10 @@
                            struct MpMemoryHolder *holder, int64_t bytes,
                            enum MpMemoryRefusal cause);
 
+/* Prepares the listening socket of a server with an account, before it accepts
+ * connections. */
+void MpHttpMemory_Listen(h2o_socket_t *listener);
+
 /* Replaces the read callback, once h2o has accepted the connection. */
 void MpHttpMemory_Hook(struct MpHttpConn *conn);
 
--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -312,6 +312,7 @@
                         struct MpMemoryAccount *account)
 {
     this->account = account;
+    MpHttpMemory_Listen(this->listener);
     MpLoop_AddHook(this->loop, MpHttpMemory_AfterRound, this);
 }
 
--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -8,9 +8,6 @@
 #include <unistd.h>
 
 #define LISTEN_BACKLOG 4096
-/* Receive buffer of accepted connections, bytes.  Without it the system lets
- * one grow to tens of MB while much arrives, and a read takes all of it. */
-#define RECEIVE_BYTES (64 * 1024)
 #define WAIT_MAX_MS 1000
 /* Buffers of this size or more are freed when they are empty, bytes. */
 #define KEPT_BYTES (16 * 1024)
@@ -204,6 +201,18 @@
     return inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
+static void
+set_receive_buffer(int fd, int bytes)
+{
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+void
+MpLoop_SetReceiveBuffer(h2o_socket_t *socket, int bytes)
+{
+    set_receive_buffer(h2o_socket_get_fd(socket), bytes);
+}
+
 /* Listens; receive_bytes is the receive buffer of accepted connections, 0: the
  * system chooses. */
 static h2o_socket_t *
@@ -223,8 +232,7 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
     if (receive_bytes > 0) {
         /* Accepted sockets inherit it. */
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                   sizeof(receive_bytes));
+        set_receive_buffer(fd, receive_bytes);
     }
     if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
         listen(fd, LISTEN_BACKLOG) != 0 ||
@@ -246,7 +254,7 @@
 MpLoop_Listen(struct MpLoop *this, const char *address,
               h2o_socket_cb on_accept, void *data, uint16_t *port)
 {
-    return listen_on(this, address, RECEIVE_BYTES, on_accept, data, port);
+    return listen_on(this, address, MP_RECEIVE_BYTES, on_accept, data, port);
 }
 
 h2o_socket_t *
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -74,6 +74,15 @@
  * large. */
 void MpLoop_ConsumeArray(GByteArray **array, size_t size);
 
+/* Receive buffer of accepted connections, bytes; the system adds as much for
+ * its own needs.  Without it the system lets one grow to tens of MB while much
+ * arrives, and a read takes all of it. */
+#define MP_RECEIVE_BYTES (64 * 1024)
+
+/* Sets the receive buffer of a connection, or of those that a listening socket
+ * accepts from now on. */
+void MpLoop_SetReceiveBuffer(h2o_socket_t *socket, int bytes);
+
 /* Opens a listening socket on an IPv4 address such as 127.0.0.1:8080; with
  * port 0 the system chooses one.  Returns the socket, or NULL on error.  If
  * port is not NULL, *port is set to the port in use.  What may wait unread on
