Connections of strangers at the addresses for other instances are limited

What callers saw: clients without the fleet's key that connected to listen.rpc or listen.peers and stayed took all descriptors of the instance; nobody was answered at any of its addresses.

Cause: the server of RPCs kept a connection without a hello for ever, in any number.

Change: a connection has 5 s for its hello, and beyond a quarter of connections_most the oldest without one are closed, a sixteenth of them at a time. Log line rpc-connections-without-hello, metrics mimosapath_rpc_without_hello_total and mimosapath_peers_without_hello_total.

--- a/src/state/Settings.c
+++ b/src/state/Settings.c
@@ -382,7 +382,8 @@
          "Open connections of callers; close to it those of least use are "
          "closed.  0: half of the descriptors that the process may open, "
          "without 64.  Operators, metrics and readiness checks may have a "
-         "quarter of it each."},
+         "quarter of it each, and so may strangers at `listen.rpc` and "
+         "`listen.peers`."},
     {.name = "memory_max_bytes",
      .type = MP_FIELD_INTEGER,
      .min = 0,
--- a/src/transport/ConnLimit.h
+++ b/src/transport/ConnLimit.h
@@ -27,7 +27,8 @@
  * its resource limit) without those that it needs itself. */
 uint32_t MpConnLimit_ForCallers(const struct MpSettings *settings);
 
-/* Returns the limit for each other listener: a quarter of that. */
+/* Returns the limit for each other listener, of those for RPCs for connections
+ * that have not proved to be of the fleet: a quarter of that. */
 uint32_t MpConnLimit_ForOthers(const struct MpSettings *settings);
 
 /* Makes room for a connection that was just accepted.  Returns false if no
--- a/src/transport/GatewayLender.c
+++ b/src/transport/GatewayLender.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "state/Ledger.h"
+#include "transport/ConnLimit.h"
 #include "transport/GatewayPermits.h"
 #include "transport/Log.h"
 #include "transport/Tunnel.h"
@@ -120,5 +121,6 @@
     this->gateway = gateway;
     g_queue_init(&this->pending);
     return MpRpcServer_Init(&this->server, &server_class, this, gateway->loop,
-                            address, gateway->control->fleet_key);
+                            address, gateway->control->fleet_key,
+                            MpConnLimit_ForOthers(gateway->settings));
 }
--- a/src/transport/GatewayLoans.c
+++ b/src/transport/GatewayLoans.c
@@ -553,6 +553,8 @@
                          (int64_t)this->borrowed);
     MpMetrics_WriteValue(out, "mimosapath_loans_repaid_total", NULL, NULL,
                          (int64_t)this->repaid);
+    MpMetrics_WriteValue(out, "mimosapath_peers_without_hello_total", NULL,
+                         NULL, (int64_t)this->lender.server.ungreeted);
     MpMetrics_WriteValue(out, "mimosapath_purses_mtok", NULL, NULL,
                          MpSlices_Balances(&this->gateway->slices));
 }
--- a/src/transport/OperatorServer.c
+++ b/src/transport/OperatorServer.c
@@ -181,6 +181,8 @@
                          (int64_t)replica->storage.synced_bytes);
     MpMetrics_WriteValue(out, "mimosapath_rpc_rejected_total", NULL, NULL,
                          (int64_t)replica->server.rejected);
+    MpMetrics_WriteValue(out, "mimosapath_rpc_without_hello_total", NULL, NULL,
+                         (int64_t)replica->server.ungreeted);
     MpMetrics_WriteValue(out, "mimosapath_ledger_records", NULL, NULL,
                          g_hash_table_size(replica->machine.ledger.records));
 }
--- a/src/transport/ReferralServer.c
+++ b/src/transport/ReferralServer.c
@@ -1,6 +1,7 @@
 #include "transport/ReferralServer.h"
 
 #include "state/Error.h"
+#include "transport/ConnLimit.h"
 
 /* Returns the address of the leader.  Before the first sync reply, it returns
  * that of the replica that last called, which may know the leader, or "". */
@@ -111,5 +112,6 @@
 {
     this->control = control;
     return MpRpcServer_Init(&this->server, &server_class, this, loop, address,
-                            control->fleet_key);
+                            control->fleet_key,
+                            MpConnLimit_ForOthers(control->settings));
 }
--- a/src/transport/Replica.c
+++ b/src/transport/Replica.c
@@ -2,6 +2,7 @@
 
 #include "state/Codec.h"
 #include "state/Error.h"
+#include "transport/ConnLimit.h"
 #include "transport/Log.h"
 #include "transport/ReplicaCalls.h"
 #include "transport/ReplicaDisk.h"
@@ -522,7 +523,8 @@
     MpRecovered_Done(&recovered);
     if (code == MP_OK) {
         code = MpRpcServer_Init(&this->server, &MpReplica_ServerClass, this,
-                                loop, settings->listen.rpc, fleet_key);
+                                loop, settings->listen.rpc, fleet_key,
+                                MpConnLimit_ForOthers(settings));
     }
     if (code == MP_OK) {
         log_recovered(this);
--- a/src/transport/RpcConn.h
+++ b/src/transport/RpcConn.h
@@ -39,6 +39,8 @@
     GByteArray *out;     /* to be written next */
     GByteArray *writing; /* is being written */
     GPtrArray *calls;    /* server: struct MpRpcCall that await a reply */
+    GList greeting_link; /* server: in MpRpcServer.greeting until is_ready */
+    int64_t accepted_ms; /* server */
     int64_t last_received_ms;
 
     /* Counters of the owner; busy_ns (CPU time) and rejected may be NULL. */
--- a/src/transport/RpcLink.h
+++ b/src/transport/RpcLink.h
@@ -41,17 +41,23 @@
     struct MpLoop *loop;
     uint8_t fleet_key[MP_RPC_KEY_BYTES];
     GPtrArray *conns;
-    uint64_t rejected; /* records with a wrong MAC */
+    GQueue greeting; /* connections before the hello, the oldest first */
+    uint32_t greeting_max;
+    struct MpTimer greeting_timer;
+    uint64_t rejected;  /* records with a wrong MAC */
+    uint64_t ungreeted; /* connections closed before the hello */
     uint64_t received_bytes;
     uint64_t sent_bytes;
     uint16_t port;
 };
 
-/* Listens on address; fleet_key has MP_RPC_KEY_BYTES.  Errors: MP_ERROR_IO. */
+/* Listens on address; fleet_key has MP_RPC_KEY_BYTES.  A connection has 5 s
+ * for its hello; beyond greeting_max connections without one the oldest of
+ * them are closed.  Errors: MP_ERROR_IO. */
 int MpRpcServer_Init(struct MpRpcServer *this,
                      const struct MpRpcServerClass *klass, void *owner,
                      struct MpLoop *loop, const char *address,
-                     const uint8_t *fleet_key);
+                     const uint8_t *fleet_key, uint32_t greeting_max);
 
 /* Sends the reply to a call, unless its connection was closed, and frees the
  * call with its argument.  With a NULL result the reply is the RPC error
--- a/src/transport/RpcServer.c
+++ b/src/transport/RpcServer.c
@@ -1,12 +1,84 @@
 #include "transport/RpcLink.h"
 
 #include "state/Error.h"
+#include "transport/Log.h"
 #include "transport/RpcConn.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* The server side of RpcLink; see RpcLink.h. */
 
+/* Longest time from a connection to its hello, ms. */
+#define GREETING_MS 5000
+/* Part of the connections without a hello that is closed at once. */
+#define BATCH_PARTS 16
+
+/* ---- connections before the hello ---- */
+
+static void
+end_greeting(struct MpRpcServer *this, struct MpRpcConn *conn)
+{
+    if (conn->greeting_link.data) {
+        g_queue_unlink(&this->greeting, &conn->greeting_link);
+        conn->greeting_link.data = NULL;
+    }
+}
+
+/* Closes connections without a hello, the oldest first, while there are more
+ * than max or they were accepted before a time. */
+static void
+close_ungreeted(struct MpRpcServer *this, uint32_t max, int64_t before_ms)
+{
+    uint32_t waiting = this->greeting.length;
+    const struct MpRpcConn *oldest = g_queue_peek_head(&this->greeting);
+    int64_t oldest_ms = oldest ? MpLoop_Now() - oldest->accepted_ms : 0;
+    struct MpRpcConn *conn;
+    while ((conn = g_queue_peek_head(&this->greeting)) &&
+           (this->greeting.length > max || conn->accepted_ms < before_ms)) {
+        MpRpcConn_Close(conn);
+    }
+    uint32_t closed = waiting - this->greeting.length;
+    this->ungreeted += closed;
+    if (closed > 0) {
+        MpLog_Event(LOG_NOTICE, "rpc-connections-without-hello",
+                    "waiting=%u limit=%u closed=%u oldest_ms=%" PRId64,
+                    waiting, this->greeting_max, closed, oldest_ms);
+    }
+}
+
+static void
+on_greeting_timer(struct MpTimer *timer)
+{
+    struct MpRpcServer *this = timer->data;
+    int64_t now_ms = MpLoop_Now();
+    close_ungreeted(this, UINT32_MAX, now_ms - GREETING_MS + 1);
+    const struct MpRpcConn *oldest = g_queue_peek_head(&this->greeting);
+    if (oldest) {
+        MpLoop_SetTimer(this->loop, timer,
+                        oldest->accepted_ms + GREETING_MS - now_ms,
+                        on_greeting_timer, this);
+    }
+}
+
+static void
+begin_greeting(struct MpRpcServer *this, struct MpRpcConn *conn)
+{
+    conn->accepted_ms = MpLoop_Now();
+    conn->greeting_link.data = conn;
+    g_queue_push_tail_link(&this->greeting, &conn->greeting_link);
+    if (!this->greeting_timer.position) {
+        MpLoop_SetTimer(this->loop, &this->greeting_timer, GREETING_MS,
+                        on_greeting_timer, this);
+    }
+    if (this->greeting.length > this->greeting_max) {
+        close_ungreeted(
+            this, this->greeting_max - this->greeting_max / BATCH_PARTS, 0);
+    }
+}
+
+/* ---- calls ---- */
+
 static int
 reply_hello(struct MpRpcConn *conn, struct MpRpcCall *call)
 {
@@ -18,6 +90,7 @@
                       &reply);
     MpRpcSession_SetKey(&conn->session, hello->nonce, reply.nonce);
     conn->is_ready = true;
+    end_greeting(conn->owner, conn);
     return MP_OK;
 }
 
@@ -103,6 +176,7 @@
         struct MpRpcCall *call = g_ptr_array_index(conn->calls, i);
         call->conn = NULL;
     }
+    end_greeting(server, conn);
     g_ptr_array_remove_fast(server->conns, conn);
 }
 
@@ -124,15 +198,19 @@
     conn->rejected = &this->rejected;
     g_ptr_array_add(this->conns, conn);
     MpRpcConn_Start(conn, socket);
+    begin_greeting(this, conn);
 }
 
 int
 MpRpcServer_Init(struct MpRpcServer *this,
                  const struct MpRpcServerClass *klass, void *owner,
                  struct MpLoop *loop, const char *address,
-                 const uint8_t *fleet_key)
+                 const uint8_t *fleet_key, uint32_t greeting_max)
 {
-    *this = (struct MpRpcServer){.klass = klass, .owner = owner, .loop = loop};
+    *this = (struct MpRpcServer){.klass = klass,
+                                 .owner = owner,
+                                 .loop = loop,
+                                 .greeting_max = greeting_max};
     memcpy(this->fleet_key, fleet_key, MP_RPC_KEY_BYTES);
     this->conns = g_ptr_array_new();
     h2o_socket_t *listener =
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -104,7 +104,8 @@
     slots = 512
 
 
-def fleet_of_three(handle_request, refusable=(), **other_settings):
+def fleet_of_three(handle_request, refusable=(), descriptors=None,
+                   **other_settings):
     """Returns a fleet of three instances with lowered limits, and the target of
     the path /x/, which calls handle_request; /ready/ leads to another one."""
     target = WideTarget("t0", handle_request)
@@ -114,6 +115,8 @@
                           path_conf("/ready/", "any", attempts=3, pool="q")],
         extra_pools=["q"], instances=3, control=1, fleet_class=LendingFleet,
         refusable=refusable, concurrent_max=512,
+        descriptor_limits={"i%d" % n: descriptors for n in range(3)
+                           } if descriptors else None,
         extra_settings=settings(**other_settings))
     fleet.memory_max_kb = memory_max_kb(other_settings)
     return fleet, target
