Idempotency keys are hashed with a seed of the process

What callers saw: a client that chooses idempotency keys of one hash makes each further request of the fleet dearer, as the control instances look up every key in a table that has become a list: with 32,768 such records one look-up takes a millisecond.

Cause: the table of records used g_str_hash(), for which such keys are easily made ("ab" and "bA" are alike, so any row of these).

Change: TextHash, a seeded hash for texts that clients choose, used for records and for the keys of JSON.

Conclusion: fixed.

--- a/src/state/Json.c
+++ b/src/state/Json.c
@@ -1,9 +1,10 @@
 #include "state/Json.h"
 
+#include "state/TextHash.h"
+
 #include <stdarg.h>
 #include <stdbool.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* ---- findings ---- */
 
@@ -209,22 +210,6 @@
     return key;
 }
 
-guint
-MpJson_HashKey(const char *key, size_t size)
-{
-    static gsize seed;
-    if (g_once_init_enter(&seed)) {
-        g_once_init_leave(&seed, (gsize)g_random_int() + 1);
-    }
-    return (guint)XXH3_64bits_withSeed(key, size, seed);
-}
-
-static guint
-hash_key(gconstpointer key)
-{
-    return MpJson_HashKey(key, strlen(key));
-}
-
 static void scan_value(struct reader *reader, GString *path,
                        GPtrArray *findings);
 
@@ -257,7 +242,7 @@
 scan_object(struct reader *reader, GString *path, GPtrArray *findings)
 {
     GHashTable *seen =
-        g_hash_table_new_full(hash_key, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(MpTextHash_OfString, g_str_equal, g_free, NULL);
     reader->position++;
     skip_separators(reader);
     while (reader->position < reader->size &&
--- a/src/state/Json.h
+++ b/src/state/Json.h
@@ -65,10 +65,6 @@
  * not be valid. */
 void MpJson_BlankComments(char *text, size_t size);
 
-/* Returns a hash of a key, with a seed of this process, so that nobody can
- * send many keys with one hash. */
-guint MpJson_HashKey(const char *key, size_t size);
-
 /* Returns the integer member name of object, or 0 if there is none. */
 int64_t MpJson_GetInteger(struct json_object *object, const char *name);
 
--- a/src/state/JsonCheck.c
+++ b/src/state/JsonCheck.c
@@ -1,6 +1,7 @@
 #include "state/JsonCheck.h"
 
 #include "state/Json.h"
+#include "state/TextHash.h"
 
 #include <string.h>
 
@@ -60,7 +61,7 @@
 hash_key(gconstpointer quote)
 {
     struct key key = read_key(quote);
-    guint hash = MpJson_HashKey(key.text, key.size);
+    guint hash = MpTextHash_Of(key.text, key.size);
     json_object_put(key.value);
     return hash;
 }
--- a/src/state/Ledger.c
+++ b/src/state/Ledger.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "state/Fault.h"
 #include "state/LedgerInternal.h"
+#include "state/TextHash.h"
 
 #include <string.h>
 
@@ -41,8 +42,8 @@
     *this = (struct MpLedger){.retention_ms = MP_RETENTION_MS};
     this->accounts =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_delete);
-    this->records =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_delete);
+    this->records = g_hash_table_new_full(MpTextHash_OfString, g_str_equal,
+                                          NULL, record_delete);
     this->bodies = MpLedger_NewBodies();
     g_queue_init(&this->closed);
     g_queue_init(&this->brief);
