A body in chunks may have exactly the largest size

What callers saw: a body of body_most_bytes was served with a length, and refused with 413 in chunks.

Cause: h2o refuses a body in chunks when it reaches the limit that it is given, not when it exceeds it.

Change: h2o's limit is a byte higher, and the server refuses what exceeds its own.

--- a/src/transport/HttpServer.c
+++ b/src/transport/HttpServer.c
@@ -83,13 +83,23 @@
     return false;
 }
 
-/* RFC 9112, 5.2 and 6.3: a server may reject folded headers and ambiguous
- * lengths. */
+/* Returns the error of a request that h2o accepts but that is rejected, or
+ * MP_OK.  RFC 9112, 5.2 and 6.3: a server may reject folded headers and
+ * ambiguous lengths. */
+static int
+check_request(const struct MpHttpServer *this, const h2o_req_t *req)
+{
+    if (has_folded_header(req) || has_ambiguous_length(req)) {
+        return MP_ERROR_INVALID;
+    }
+    return req->entity.len > this->body_max_bytes ? MP_ERROR_TOO_LARGE : MP_OK;
+}
+
 static void
-reject_malformed(h2o_req_t *req)
+reject(h2o_req_t *req, int code)
 {
-    char *text = MpErrorBody_Format(MP_ERROR_INVALID, NULL, "no");
-    int status = MpError_Info(MP_ERROR_INVALID)->http_status;
+    char *text = MpErrorBody_Format(code, NULL, "no");
+    int status = MpError_Info(code)->http_status;
     MpLog_Event(LOG_NOTICE, "request-rejected", "status=%d", status);
     MpHttp_AddHeader(req, MP_RUN_HEADER, "no");
     req->http1_is_persistent = 0;
@@ -121,8 +131,9 @@
         return 0;
     }
     MpHttpConn_BeginRequest(MpHttpConn_Of(req), req);
-    if (has_folded_header(req) || has_ambiguous_length(req)) {
-        reject_malformed(req);
+    int code = check_request(this, req);
+    if (code != MP_OK) {
+        reject(req, code);
         return 0;
     }
     this->handle(this->owner, req);
@@ -284,14 +295,17 @@
                    const char *address, size_t body_max_bytes,
                    void (*handle)(void *owner, h2o_req_t *req), void *owner)
 {
-    *this =
-        (struct MpHttpServer){.loop = loop, .handle = handle, .owner = owner};
+    *this = (struct MpHttpServer){.loop = loop,
+                                  .body_max_bytes = body_max_bytes,
+                                  .handle = handle,
+                                  .owner = owner};
     g_queue_init(&this->conns);
     g_queue_init(&this->watched);
     MpLingeringClose_Init(&this->lingering, loop);
     this->idle_timeout_ms = IDLE_TIMEOUT_MS;
     h2o_config_init(&this->config);
-    this->config.max_request_entity_size = body_max_bytes;
+    /* h2o refuses a body in chunks that reaches its limit. */
+    this->config.max_request_entity_size = body_max_bytes + 1;
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("mimosapath"));
     this->config.http1.upgrade_to_http2 = 0;
     this->config.http1.req_timeout = H2O_TIMEOUT_MS;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -22,6 +22,7 @@
 #define MP_REPLAYED_HEADER "x-mimosapath-replayed"
 
 struct MpHttpServer {
+    size_t body_max_bytes;
     h2o_globalconf_t config;
     h2o_context_t context;
     h2o_accept_ctx_t accept;
--- a/tests/runs/clients_alone_in_calm.py
+++ b/tests/runs/clients_alone_in_calm.py
@@ -1,34 +1,54 @@
 """One client sends a body of the largest size, announced or in chunks of any
-size, to an instance with the least memory that its settings allow.  Guards
-against limits that refuse a single request within the documented ones."""
-from clients import BODY_MAX, Client, chunk, crowded_fleet, in_chunks, \
-    wait_ready, with_length
-from pathfleet import read_all, respond, status_of
+size, to an instance with the least memory that its settings allow, or by way of
+it to another one.  Guards against limits that refuse a single request within the
+documented ones."""
+from clients import BODY_MAX, Client, crowded_fleet, fleet_of_three, \
+    in_chunks, wait_ready, with_length
+from pathfleet import read_all, respond, status_of, wait_targets
 
-PATHS = {"path": "/x/", "native": "/services/raw/x/"}
+REFUSED = "i1"  # has no path to the target of /x/
+PATHS = {
+    "path": ("/x/", b"b" * BODY_MAX),
+    "native": ("/services/raw/x/", b"b" * BODY_MAX),
+}
 
 
 def in_chunks_of(size):
-    return lambda path: in_chunks(path) + chunk(size) * (
-        (BODY_MAX - 1) // size) + b"0\r\n\r\n"
+    def request(path, body):
+        parts = [body[at:at + size] for at in range(0, len(body), size)]
+        return in_chunks(path) + b"".join(
+            b"%x\r\n%s\r\n" % (len(part), part)
+            for part in parts) + b"0\r\n\r\n"
+    return request
 
 
-BODIES = {
-    "with a length": lambda path: with_length(path, BODY_MAX) +
-    b"b" * BODY_MAX,
-    "in one chunk": in_chunks_of(BODY_MAX - 1),
+SHAPES = {
+    "with a length": lambda path, body: with_length(path, len(body)) + body,
+    "in one chunk": in_chunks_of(BODY_MAX),
     "in chunks of 4096 bytes": in_chunks_of(4096),
     "in chunks of 16 bytes": in_chunks_of(16),
     "in chunks of one byte": in_chunks_of(1),
 }
 
-fleet = crowded_fleet(lambda t, r, c: respond(c, r),
-                      memory_max_bytes=2 * BODY_MAX)
-with fleet:
-    print("ready", wait_ready(fleet))
-    for name, path in PATHS.items():
-        for shape, request in BODIES.items():
-            client = Client(fleet)
-            client.send(request(path).replace(
-                b"\r\n", b"\r\nconnection: close\r\n", 1))
-            print(name, shape, status_of(read_all(client.conn)))
+
+def play(fleet, name, path, body, at="i0"):
+    for shape, request in SHAPES.items():
+        client = Client(fleet, at=at)
+        client.send(request(path, body).replace(
+            b"\r\n", b"\r\nconnection: close\r\n", 1))
+        print(name, shape, status_of(read_all(client.conn)))
+
+
+single = crowded_fleet(lambda t, r, c: respond(c, r),
+                       memory_max_bytes=2 * BODY_MAX)
+with single:
+    print("ready", wait_ready(single))
+    for kind, (where, what) in PATHS.items():
+        play(single, kind, where, what)
+three, target = fleet_of_three(lambda t, r, c: respond(c, r), [REFUSED],
+                               memory_max_bytes=2 * BODY_MAX)
+with three:
+    print("ready", all(wait_targets(three, n) for n in three.names))
+    three.refuse_connections(REFUSED, [target.port])
+    print("reached", wait_targets(three, REFUSED, "/x/"))
+    play(three, "by another instance", *PATHS["path"], at=REFUSED)
