One chat alone is served whatever the limit of memory

What callers saw: an instance with a memory_max_bytes of two bodies, the least that its settings allow, refused a chat of the largest size with 503 and Retry-After, each time; before the last changes with 413.

Cause: a chat counts four sizes of its body, which such an account never has.

Change: what the parsed chat counts is at most what a single one finds. With the default, four of the largest bodies and more, nothing changes.

Conclusion: fixed. Such an account may be exceeded by up to three sizes of one body.

--- a/src/transport/ExchangeRequest.c
+++ b/src/transport/ExchangeRequest.c
@@ -10,6 +10,9 @@
 /* What a chat request takes besides its body, in sizes of the body: the text
  * without comments, the prompt, and the body for the engine. */
 #define PARSED_FACTOR 3
+/* Left for heads and receive buffers where a chat takes the whole account,
+ * bytes. */
+#define PARSE_SPARE_BYTES (256 * 1024)
 
 static bool
 is_safe_method(const char *method)
@@ -77,6 +80,17 @@
     return MP_OK;
 }
 
+/* Returns what the parsed chat counts, so that one chat alone fits also where
+ * the limit of the account is less than it takes. */
+static int64_t
+parsed_bytes(const struct MpExchange *this)
+{
+    int64_t size = (int64_t)this->body->size;
+    int64_t room = MpMemoryAccount_LargestFit(&this->router->memory) - size -
+                   PARSE_SPARE_BYTES;
+    return MIN(PARSED_FACTOR * size, MAX(room, 0));
+}
+
 static int
 parse_chat(struct MpExchange *this, const char **why)
 {
@@ -85,8 +99,7 @@
         return MP_ERROR_METHOD;
     }
     if (!MpHttpMemory_MakeRoom(&this->router->memory, &this->memory,
-                               PARSED_FACTOR * (int64_t)this->body->size,
-                               MP_MEMORY_PARSED)) {
+                               parsed_bytes(this), MP_MEMORY_PARSED)) {
         return MP_ERROR_MEMORY;
     }
     this->memory.use = MP_MEMORY_RUNNING;
--- a/tests/runs/clients_alone_in_calm.py
+++ b/tests/runs/clients_alone_in_calm.py
@@ -2,14 +2,21 @@
 size, to an instance with the least memory that its settings allow, or by way of
 it to another one.  Guards against limits that refuse a single request within the
 documented ones."""
+import json
+
 from clients import BODY_MAX, Client, crowded_fleet, fleet_of_three, \
     in_chunks, wait_ready, with_length
 from pathfleet import read_all, respond, status_of, wait_targets
 
 REFUSED = "i1"  # has no path to the target of /x/
+CHAT = json.dumps({"model": "m", "max_tokens": 5, "messages": [
+    {"role": "user", "content": "word"}], "x": "b"}).encode()
 PATHS = {
     "path": ("/x/", b"b" * BODY_MAX),
     "native": ("/services/raw/x/", b"b" * BODY_MAX),
+    "chat": ("/v1/chat/completions",
+             CHAT.replace(b'"b"', b'"%s"' % (b"b" * (
+                 BODY_MAX - len(CHAT) + 1)))),
 }
 
 
