What waits behind running requests counts in the account

What callers saw: 1,400 clients that send on behind small requests at slow targets, each little, had 15 MB waiting unread while the account of 16 MB was full of their requests: 39,405 and 41,823 KB in all, of 38,912 allowed.

Cause: the receive buffer bounds what waits on a connection, and nothing bounded the sum.

It makes no room for others; while the account is exceeded the connections with most of it are closed, before responses that are not taken. Log line connection-too-far-ahead, counter mimosapath_memory_closed_total {use="ahead"}.

TestMemoryAccount: the order of closing.

--- a/src/coordination/MemoryAccount.c
+++ b/src/coordination/MemoryAccount.c
@@ -97,6 +97,14 @@
     return now_ms - holder->progress_ms >= MP_MEMORY_SILENT_MS;
 }
 
+/* Bytes behind a running request are taken away with its response, so they
+ * make no room for others. */
+static bool
+may_be_closed_for_others(const struct MpMemoryHolder *holder, int64_t now_ms)
+{
+    return holder->use != MP_MEMORY_AHEAD && is_silent(holder, now_ms);
+}
+
 /* Returns whether x is to be closed before y: a silent one before others, a
  * request before a response, which has run, and then the one that holds
  * most. */
@@ -122,7 +130,7 @@
         struct MpMemoryHolder *holder = link->data;
         if (holder == asking || !holder->close || holder->is_closing ||
             holder->use == MP_MEMORY_RUNNING ||
-            (must_be_silent && !is_silent(holder, now_ms))) {
+            (must_be_silent && !may_be_closed_for_others(holder, now_ms))) {
             continue;
         }
         if (!worst || is_worse(holder, worst, now_ms)) {
--- a/src/coordination/MemoryAccount.h
+++ b/src/coordination/MemoryAccount.h
@@ -45,6 +45,7 @@
 
 enum MpMemoryUse {
     MP_MEMORY_READING, /* part of a request: nothing has run */
+    MP_MEMORY_AHEAD,   /* bytes that wait unread behind a running request */
     MP_MEMORY_RUNNING, /* a whole request, which a target may run */
     MP_MEMORY_SENDING, /* a response that its caller has not taken */
     MP_MEMORY_USES
--- a/src/transport/HttpConn.c
+++ b/src/transport/HttpConn.c
@@ -140,6 +140,8 @@
     if (this->server->account) {
         MpMemoryAccount_Set(this->server->account, &this->memory, 0,
                             MpLoop_Now());
+        MpMemoryAccount_Set(this->server->account, &this->ahead, 0,
+                            MpLoop_Now());
     }
     if (this->server->reading == this) {
         this->server->reading = NULL;
@@ -343,6 +345,7 @@
         return;
     }
     if (this->request) {
+        MpHttpMemory_CountAhead(this);
         return;
     }
     const h2o_buffer_t *input = this->socket->input;
--- a/src/transport/HttpConn.h
+++ b/src/transport/HttpConn.h
@@ -77,12 +77,13 @@
     int64_t closing_ms;            /* when our side was closed, 0: open */
     /* see HttpMemory.h */
     struct MpMemoryHolder memory;
-    h2o_socket_cb read_by_h2o; /* the callback that is replaced */
-    size_t announced_bytes;    /* of the request being read, 0: not known */
-    size_t buffer_capacity;    /* of the input buffer at the last read */
-    size_t buffer_used_bytes;  /* most that this buffer has held */
-    size_t parsed_bytes;       /* what h2o made of its head */
-    bool has_head;             /* its head has arrived */
+    struct MpMemoryHolder ahead; /* what waits unread behind its request */
+    h2o_socket_cb read_by_h2o;   /* the callback that is replaced */
+    size_t announced_bytes;      /* of the request being read, 0: not known */
+    size_t buffer_capacity;      /* of the input buffer at the last read */
+    size_t buffer_used_bytes;    /* most that this buffer has held */
+    size_t parsed_bytes;         /* what h2o made of its head */
+    bool has_head;               /* its head has arrived */
     bool has_large_receive_buffer;
     bool is_dropping; /* what still arrives is dropped */
     size_t dropped_bytes;
--- a/src/transport/HttpMemory.c
+++ b/src/transport/HttpMemory.c
@@ -7,6 +7,7 @@
 
 #include <inttypes.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* h2o doubles a buffer that is full.  One of this size or more that is mostly
@@ -18,13 +19,15 @@
 #define REQUEST_BYTES (6 * 1024)
 #define HEADER_BYTES 100
 /* Receive buffer of a connection whose request is small, bytes.  What arrives
- * behind a running request waits there and is not counted. */
+ * behind a running request waits there and is counted from time to time. */
 #define RECEIVE_SMALL_BYTES (16 * 1024)
+/* Bytes that are dropped at a time. */
+#define DROP_BYTES (16 * 1024)
 /* Longest name of a metric. */
 #define NAME_BYTES 64
 
-static const char *const use_names[MP_MEMORY_USES] = {"reading", "running",
-                                                      "sending"};
+static const char *const use_names[MP_MEMORY_USES] = {"reading", "ahead",
+                                                      "running", "sending"};
 
 static const char *const refusal_names[MP_MEMORY_REFUSALS] = {
     "announced", "arrived", "parsed"};
@@ -319,6 +322,47 @@
     }
 }
 
+/* ---- what waits behind a running request ---- */
+
+static size_t
+unread_bytes(const struct MpHttpConn *conn)
+{
+    int unread = 0;
+    ioctl(h2o_socket_get_fd(conn->socket), FIONREAD, &unread);
+    return (size_t)MAX(unread, 0);
+}
+
+/* Closes a connection with a request in progress.  What waits on it is
+ * dropped, so that its system memory is free, and the end of the connection is
+ * seen by those who look for it. */
+static void
+close_ahead(struct MpMemoryHolder *holder)
+{
+    struct MpHttpConn *conn = holder->owner;
+    char dropped[DROP_BYTES];
+    int fd = h2o_socket_get_fd(conn->socket);
+    MpLog_Event(LOG_NOTICE, "connection-too-far-ahead",
+                "unread_bytes=%zu held_bytes=%" PRId64 " limit_bytes=%" PRId64,
+                unread_bytes(conn), conn->server->account->held_bytes,
+                conn->server->account->limit_bytes);
+    conn->reason = MP_HTTP_CLOSE_MEMORY;
+    shutdown(fd, SHUT_RDWR);
+    while (recv(fd, dropped, sizeof(dropped), MSG_DONTWAIT) > 0) {
+    }
+}
+
+void
+MpHttpMemory_CountAhead(struct MpHttpConn *conn)
+{
+    size_t counted = receive_bytes(conn);
+    size_t unread = conn->server->account ? unread_bytes(conn) : 0;
+    int64_t bytes = unread > counted ? (int64_t)(unread - counted) : 0;
+    if (bytes != conn->ahead.held_bytes) {
+        MpMemoryAccount_Set(conn->server->account, &conn->ahead, bytes,
+                            MpLoop_Now());
+    }
+}
+
 /* ---- interface ---- */
 
 void
@@ -335,6 +379,8 @@
     }
     conn->memory = (struct MpMemoryHolder){
         .use = MP_MEMORY_READING, .close = close_holder, .owner = conn};
+    conn->ahead = (struct MpMemoryHolder){
+        .use = MP_MEMORY_AHEAD, .close = close_ahead, .owner = conn};
     hook(conn);
 }
 
@@ -355,6 +401,8 @@
 MpHttpMemory_NoteDone(struct MpHttpConn *conn)
 {
     if (conn->server->account) {
+        MpMemoryAccount_Set(conn->server->account, &conn->ahead, 0,
+                            MpLoop_Now());
         conn->is_request_done = true;
         watch(conn);
     }
--- a/src/transport/HttpMemory.h
+++ b/src/transport/HttpMemory.h
@@ -38,6 +38,9 @@
  * our side of the connection was closed. */
 void MpHttpMemory_Drop(struct MpHttpConn *conn);
 
+/* Counts what waits unread on a connection with a request in progress. */
+void MpHttpMemory_CountAhead(struct MpHttpConn *conn);
+
 /* The request of a connection was read whole, or is done. */
 void MpHttpMemory_NoteRunning(struct MpHttpConn *conn);
 void MpHttpMemory_NoteDone(struct MpHttpConn *conn);
--- a/tests/TestMemoryAccount.c
+++ b/tests/TestMemoryAccount.c
@@ -193,6 +193,28 @@
     g_free(this);
 }
 
+/* What waits behind running requests makes no room for others, and is closed
+ * while the account is exceeded, before responses. */
+static void
+test_ahead(void)
+{
+    struct play *this = play_new(MP_MEMORY_READING);
+    this->clients[0].memory.use = MP_MEMORY_SENDING;
+    this->clients[1].memory.use = MP_MEMORY_AHEAD;
+    MpMemoryAccount_Set(&this->account, &this->clients[0].memory, 9 * MB,
+                        MP_MEMORY_SILENT_MS);
+    MpMemoryAccount_Set(&this->account, &this->clients[1].memory, 2 * MB, 0);
+    this->now_ms = MP_MEMORY_SILENT_MS;
+    g_assert_false(hold(this, &this->clients[2], MB));
+    g_assert_false(this->clients[1].is_closed);
+    g_assert_null(MpMemoryAccount_PickWorst(&this->account, this->now_ms));
+    MpMemoryAccount_Set(&this->account, &this->clients[1].memory, 4 * MB,
+                        this->now_ms);
+    g_assert_true(MpMemoryAccount_PickWorst(&this->account, this->now_ms) ==
+                  &this->clients[1].memory);
+    g_free(this);
+}
+
 /* Several bodies of the largest size always fit. */
 static void
 test_limits(void)
@@ -227,6 +249,7 @@
     g_test_add_func("/memory/slow-targets", test_slow_targets);
     g_test_add_func("/memory/unread-responses", test_unread_responses);
     g_test_add_func("/memory/order", test_order);
+    g_test_add_func("/memory/bytes behind a running request", test_ahead);
     g_test_add_func("/memory/limits", test_limits);
     return g_test_run();
 }
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -100,21 +100,18 @@
     return fleet
 
 
-class WideTarget(SimTarget):
-    slots = 512
-
-
-def fleet_of_three(handle_request, refusable=(), descriptors=None,
+def fleet_of_three(handle_request, refusable=(), descriptors=None, slots=512,
                    **other_settings):
     """Returns a fleet of three instances with lowered limits, and the target of
     the path /x/, which calls handle_request; /ready/ leads to another one."""
-    target = WideTarget("t0", handle_request)
+    target = SimTarget("t0", handle_request)
+    target.slots = slots
     other = SimTarget("t1", lambda t, r, c: respond(c, r), pool="q")
     fleet, _ = path_fleet(
         [target, other], [path_conf("/x/", timeout_ms=30000),
                           path_conf("/ready/", "any", attempts=3, pool="q")],
         extra_pools=["q"], instances=3, control=1, fleet_class=LendingFleet,
-        refusable=refusable, concurrent_max=512,
+        refusable=refusable, concurrent_max=slots,
         descriptor_limits={"i%d" % n: descriptors for n in range(3)
                            } if descriptors else None,
         extra_settings=settings(**other_settings))
