Reading from a target in three functions

on_read() had grown to 65 lines with what frees its buffers: the end of an idle connection and what follows a read are functions now. A comment in ConnLimit that went on from one to the next is two.

--- a/src/transport/ConnLimit.c
+++ b/src/transport/ConnLimit.c
@@ -12,9 +12,11 @@
 #define LIMIT_MIN 16
 /* Part of the limit for callers that each other listener has. */
 #define OTHER_PARTS 4
-/* Connections are closed above the limit less this part of it... */
+/* Part of the limit that is kept free: above the rest of it connections are
+ * closed. */
 #define HEADROOM_PARTS 8
-/* ... and this part of them at once, since each time all are looked at. */
+/* Part of the connections that is closed at once, since each time all are
+ * looked at. */
 #define BATCH_PARTS 16
 
 /* Returns the number of descriptors that the process may open. */
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -308,19 +308,55 @@
                                        input->size, is_end, used);
 }
 
+/* The target closed an idle connection or sent unrequested data. */
+static void
+end_idle(struct MpTargetConn *this)
+{
+    if (this->socket->input->size > 0) {
+        report_stray(this, MP_STRAY_UNREQUESTED, 0,
+                     (int64_t)this->socket->input->size);
+    }
+    g_queue_unlink(&this->conn_pool->idle, &this->link);
+    MpTargetConn_Free(this);
+}
+
+/* Goes on after a read of the response; failure is why nothing follows, or
+ * NULL. */
+static void
+finish_read(struct MpTargetConn *this, enum MpReadResult result, bool is_end,
+            const char *failure)
+{
+    bool must_leave_rest = this->is_rest_skipped &&
+                           ((result == MP_READ_INVALID && !is_end) ||
+                            (result == MP_READ_MORE && !failure &&
+                             this->received_bytes > this->rest_max_bytes));
+    if (must_leave_rest) {
+        leave_rest(this);
+    }
+    else if (result == MP_READ_INVALID) {
+        fail(this, MP_TARGET_INCOMPLETE, is_end ? "closed" : "malformed");
+    }
+    else if (result == MP_READ_CLOSED && !this->is_written) {
+        /* A write that failed takes the error of a reset, and the read that
+         * follows it returns an end in good order. */
+        fail(this, MP_TARGET_INCOMPLETE, "reset");
+    }
+    else if (result != MP_READ_MORE) {
+        complete(this, result == MP_READ_CLOSED ? MP_TARGET_CLOSED
+                                                : MP_TARGET_COMPLETE);
+    }
+    else if (failure) {
+        fail(this, MP_TARGET_INCOMPLETE, failure);
+    }
+}
+
 static void
 on_read(h2o_socket_t *socket, const char *error)
 {
     struct MpTargetConn *this = socket->data;
     size_t used;
     if (!this->klass) {
-        /* Idle: the target closed the connection or sent unrequested data. */
-        if (socket->input->size > 0) {
-            report_stray(this, MP_STRAY_UNREQUESTED, 0,
-                         (int64_t)socket->input->size);
-        }
-        g_queue_unlink(&this->conn_pool->idle, &this->link);
-        MpTargetConn_Free(this);
+        end_idle(this);
         return;
     }
     bool is_end = error && error == h2o_socket_error_closed;
@@ -353,28 +389,7 @@
         h2o_buffer_consume(&socket->input, used);
     }
     MpLoop_FreeInput(socket);
-    bool must_leave_rest = this->is_rest_skipped &&
-                           ((result == MP_READ_INVALID && !is_end) ||
-                            (result == MP_READ_MORE && !failure &&
-                             this->received_bytes > this->rest_max_bytes));
-    if (must_leave_rest) {
-        leave_rest(this);
-    }
-    else if (result == MP_READ_INVALID) {
-        fail(this, MP_TARGET_INCOMPLETE, is_end ? "closed" : "malformed");
-    }
-    else if (result == MP_READ_CLOSED && !this->is_written) {
-        /* A write that failed takes the error of a reset, and the read that
-         * follows it returns an end in good order. */
-        fail(this, MP_TARGET_INCOMPLETE, "reset");
-    }
-    else if (result != MP_READ_MORE) {
-        complete(this, result == MP_READ_CLOSED ? MP_TARGET_CLOSED
-                                                : MP_TARGET_COMPLETE);
-    }
-    else if (failure) {
-        fail(this, MP_TARGET_INCOMPLETE, failure);
-    }
+    finish_read(this, result, is_end, failure);
 }
 
 /* ---- writing ---- */
