Test: sockets that are being connected have no bytes that wait

Cause: /proc/net/tcp is read without locks, and in the moment in which a connection is established it shows the difference of a new and an unset sequence number as what waits. A trial that reads the table while others connect saw 1,003,470,909 bytes on a socket in SYN_SENT, once in 1,132 reads.

Change: waiting_kb() leaves out sockets in SYN_SENT. They have received no data, so that the check is as strict as before.

--- a/tests/instancecost.py
+++ b/tests/instancecost.py
@@ -9,6 +9,9 @@
 import time
 
 WAITING_STEP_S = 0.02
+# State of a socket that is being connected.  It has received no data, and the
+# table may show any number for it.
+SYN_SENT = "02"
 
 
 def peak_memory_kb(pid, is_reset=False):
@@ -33,7 +36,8 @@
     with open("/proc/net/tcp") as table:
         for line in list(table)[1:]:
             fields = line.split()
-            if "socket:[%s]" % fields[9] in inodes:
+            if ("socket:[%s]" % fields[9] in inodes and
+                    fields[3] != SYN_SENT):
                 total += int(fields[4].split(":")[1], 16)
     return total // 1024
 
