--- a/src/coordination/RosterPick.c
+++ b/src/coordination/RosterPick.c
@@ -101,7 +101,9 @@
         return true;
     }
     return query->needs_no_announcement &&
-           now_ms - target->listed_ms >= UNANNOUNCED_MS;
+           now_ms - target->listed_ms >= UNANNOUNCED_MS &&
+           !MpVersionView_IsAnnounced(query->view, target->pool,
+                                      target->version);
 }
 
 /* Whether no allowed target of the pool that is neither leaving nor in a
--- a/src/coordination/VersionView.c
+++ b/src/coordination/VersionView.c
@@ -18,6 +18,8 @@
     char *pool;
     GPtrArray *versions;     /* of struct version_view */
     int64_t changed_ms;      /* last change, -1 if there was none */
+    char *base;              /* NULL: none */
+    int64_t base_ms;         /* since when; -1: from the start */
     int64_t other_listed_ms; /* last time the list had an unknown version, or
                               * one beside the sole version */
 };
@@ -35,6 +37,7 @@
 {
     struct pool_view *this = data;
     g_free(this->pool);
+    g_free(this->base);
     g_ptr_array_unref(this->versions);
     g_free(this);
 }
@@ -67,13 +70,19 @@
 }
 
 static struct pool_view *
-make_pool(const struct pool_view *before, const struct mp_pool_versions *from,
+make_pool(const struct pool_view *before, const struct mp_pool_state *state,
           int64_t now_ms)
 {
-    struct pool_view *pool = g_new0(struct pool_view, 1);
+    const struct mp_pool_versions *from = &state->versions;
+    struct pool_view *pool = g_new(struct pool_view, 1);
     bool is_settled = from->age_ms < 0 || from->age_ms > SETTLED_MS;
-    pool->pool = g_strdup(from->pool);
-    pool->versions = g_ptr_array_new_with_free_func(version_delete);
+    *pool = (struct pool_view){
+        .pool = g_strdup(from->pool),
+        .versions = g_ptr_array_new_with_free_func(version_delete),
+        .changed_ms = from->age_ms < 0 ? -1 : now_ms - from->age_ms,
+        .base = state->has_base ? g_strdup(state->base) : NULL,
+        .base_ms = state->base_age_ms < 0 ? -1 : now_ms - state->base_age_ms,
+        .other_listed_ms = before ? before->other_listed_ms : 0};
     for (u_int i = 0; i < from->list.list_len; i++) {
         const char *name = from->list.list_val[i].name;
         const struct version_view *known =
@@ -87,24 +96,39 @@
         }
         g_ptr_array_add(pool->versions, version);
     }
-    pool->other_listed_ms = before ? before->other_listed_ms : 0;
-    pool->changed_ms = from->age_ms < 0 ? -1 : now_ms - from->age_ms;
     return pool;
 }
 
 void
 MpVersionView_Apply(struct MpVersionView *this,
-                    const struct mp_pool_versions *pools, u_int count,
+                    const struct mp_pool_state *pools, u_int count,
                     int64_t now_ms)
 {
     for (u_int i = 0; i < count; i++) {
         struct pool_view *pool =
-            make_pool(g_hash_table_lookup(this->pools, pools[i].pool),
+            make_pool(g_hash_table_lookup(this->pools, pools[i].versions.pool),
                       &pools[i], now_ms);
         g_hash_table_replace(this->pools, pool->pool, pool);
     }
 }
 
+static bool
+is_base(const struct pool_view *pool, const char *version)
+{
+    return pool->base && strcmp(pool->base, version) == 0;
+}
+
+/* Returns whether streams at a version that the quorum has announced need a
+ * record, which a router that does not hear from it cannot get. */
+static bool
+is_unrecordable(const struct pool_view *pool, const char *version,
+                int64_t heard_ms, int64_t now_ms)
+{
+    return pool->base && !is_base(pool, version) &&
+           now_ms - heard_ms >= MP_VERSION_LEASE_MS &&
+           !MP_FAULT(MP_FAULT_UNRECORDABLE_BEGUN);
+}
+
 bool
 MpVersionView_IsActive(const struct MpVersionView *this,
                        const struct MpVersionCandidate *target,
@@ -121,7 +145,8 @@
         now_ms - target->listed_ms < MP_VERSION_UNHEARD_MS) {
         return false;
     }
-    return version && version->active_ms <= now_ms;
+    return version && version->active_ms <= now_ms &&
+           !is_unrecordable(pool, target->version, heard_ms, now_ms);
 }
 
 /* Returns whether streams that can still be taken up may have begun at several
@@ -135,12 +160,35 @@
 }
 
 bool
-MpVersionView_MustRecord(const struct MpVersionView *this,
-                         const char *pool_name, int64_t stream_ms,
-                         int64_t now_ms)
+MpVersionView_IsAnnounced(const struct MpVersionView *this,
+                          const char *pool_name, const char *version)
 {
     const struct pool_view *pool = g_hash_table_lookup(this->pools, pool_name);
-    return pool && is_mixed(pool, stream_ms, now_ms);
+    return pool && find_version(pool, version);
+}
+
+enum MpRecording
+MpVersionView_GetRecording(const struct MpVersionView *this,
+                           const char *pool_name, const char *version,
+                           int64_t stream_ms, int64_t heard_ms, int64_t now_ms)
+{
+    const struct pool_view *pool = g_hash_table_lookup(this->pools, pool_name);
+    if (!pool) {
+        return MP_RECORDING_NONE;
+    }
+    if (is_base(pool, version)) {
+        bool is_settled =
+            pool->base_ms < 0 ||
+            now_ms - pool->base_ms > MP_TAKE_UP_MAX_MS + stream_ms;
+        return is_settled ? MP_RECORDING_NONE : MP_RECORDING_LATER;
+    }
+    /* A version that the quorum does not know of is used only where nothing
+     * else serves. */
+    bool can_wait =
+        find_version(pool, version) || now_ms - heard_ms < MP_VERSION_LEASE_MS;
+    return pool->base && can_wait && !MP_FAULT(MP_FAULT_SENT_BEFORE_RECORD)
+               ? MP_RECORDING_FIRST
+               : MP_RECORDING_LATER;
 }
 
 void
@@ -186,7 +234,7 @@
     if (!pool) {
         return MP_TAKE_UP_ANY;
     }
-    if (is_mixed(pool, stream_ms, now_ms) ||
+    if (is_mixed(pool, stream_ms, now_ms) || !pool->base ||
         !is_fresh(this, pool, heard_ms, now_ms)) {
         return MP_TAKE_UP_ASK;
     }
--- a/src/coordination/VersionView.h
+++ b/src/coordination/VersionView.h
@@ -9,12 +9,16 @@
 
 /*
  * MpVersionView - what one router knows of the software versions of each pool
- * (see state/Versions.h), and what it may decide by itself.
+ * and of its base (see state/Versions.h), and what it may decide by itself.
  *
  * A version is used for streams that can be taken up only MP_VERSION_LEASE_MS
  * after the quorum has announced it.  A router whose knowledge is newer than
  * that therefore knows all versions at which a stream can have begun, and
  * needs no other instance as long as there is one.
+ *
+ * Streams at another version than the base are recorded before their callers
+ * get the first event.  A router that does not hear from the quorum cannot
+ * record, and begins none there.
  */
 
 /* Time for which what a router has heard stays valid, ms; two syncs. */
@@ -32,6 +36,12 @@
     MP_TAKE_UP_ASK   /* the quorum must say where the stream began */
 };
 
+enum MpRecording {
+    MP_RECORDING_NONE,  /* a stream without a record is known to begin there */
+    MP_RECORDING_LATER, /* without a record it cannot be taken up */
+    MP_RECORDING_FIRST  /* without one it would go on at another version */
+};
+
 /* All times are of a clock that counts while the machine is suspended. */
 struct MpVersionView {
     GHashTable *pools; /* name -> struct pool_view */
@@ -44,7 +54,7 @@
 
 /* Applies the versions of all pools as the leader told them at now_ms. */
 void MpVersionView_Apply(struct MpVersionView *this,
-                         const struct mp_pool_versions *pools, u_int count,
+                         const struct mp_pool_state *pools, u_int count,
                          int64_t now_ms);
 
 /* A target at which a stream may begin. */
@@ -60,11 +70,16 @@
                             const struct MpVersionCandidate *target,
                             int64_t heard_ms, int64_t now_ms);
 
-/* Returns whether streams that begin now and can last stream_ms must be
- * recorded. */
-bool MpVersionView_MustRecord(const struct MpVersionView *this,
-                              const char *pool, int64_t stream_ms,
-                              int64_t now_ms);
+/* Returns whether the quorum has announced a version of the pool. */
+bool MpVersionView_IsAnnounced(const struct MpVersionView *this,
+                               const char *pool, const char *version);
+
+/* Returns how a stream is recorded that begins now and can last stream_ms. */
+enum MpRecording MpVersionView_GetRecording(const struct MpVersionView *this,
+                                            const char *pool,
+                                            const char *version,
+                                            int64_t stream_ms,
+                                            int64_t heard_ms, int64_t now_ms);
 
 /* Notes that this router has read the list itself, before
  * MpVersionView_NoteListed for each entry.  heard_ms: when it last heard from
--- a/src/gen/wire.h
+++ b/src/gen/wire.h
@@ -31,6 +31,7 @@
 #define MP_LENDERS_MAX 4096
 #define MP_POOLS_MAX 1024
 #define MP_POOL_VERSIONS_MAX 64
+#define MP_FORMER_VERSIONS_MAX 64
 #define MP_STREAMS_MAX 4096
 #define MP_ZONES_MAX 256
 
@@ -59,6 +60,7 @@
 	MP_CMD_STREAMS = 15,
 	MP_CMD_PART_TRIAL = 16,
 	MP_CMD_ZONE_DRAIN = 17,
+	MP_CMD_STREAMS_KEPT = 18,
 };
 typedef enum mp_command_kind mp_command_kind;
 
@@ -232,6 +234,14 @@
 };
 typedef struct mp_pool_versions mp_pool_versions;
 
+struct mp_pool_state {
+	mp_pool_versions versions;
+	char *base;
+	bool_t has_base;
+	quad_t base_age_ms;
+};
+typedef struct mp_pool_state mp_pool_state;
+
 struct mp_stream_begun {
 	char id[MP_HASH_BYTES];
 	char *software;
@@ -246,6 +256,12 @@
 };
 typedef struct mp_streams mp_streams;
 
+struct mp_kept_streams {
+	mp_streams streams;
+	quad_t lasts_ms;
+};
+typedef struct mp_kept_streams mp_kept_streams;
+
 struct mp_zone_drain {
 	char *submission;
 	char *zone;
@@ -275,6 +291,7 @@
 		mp_streams streams;
 		mp_part_trial part_trial;
 		mp_zone_drain zone_drain;
+		mp_kept_streams kept_streams;
 	} mp_command_body_u;
 };
 typedef struct mp_command_body mp_command_body;
@@ -594,7 +611,7 @@
 	u_quad_t versions_hash;
 	struct {
 		u_int versions_len;
-		mp_pool_versions *versions_val;
+		mp_pool_state *versions_val;
 	} versions;
 	u_quad_t limits_hash;
 	struct {
@@ -738,6 +755,7 @@
 	u_quad_t term;
 	mp_record_state record;
 	mp_version_name *software;
+	bool_t is_recorded;
 	struct {
 		u_int accounts_len;
 		mp_account_status *accounts_val;
@@ -931,8 +949,31 @@
 };
 typedef struct mp_zones_image mp_zones_image;
 
+struct mp_base_image {
+	char *pool;
+	char *base;
+	bool_t has_base;
+	quad_t base_ms;
+	quad_t absent_ms;
+	struct {
+		u_int former_len;
+		mp_version_name *former_val;
+	} former;
+};
+typedef struct mp_base_image mp_base_image;
+
+struct mp_bases_image {
+	quad_t dropped_ms;
+	struct {
+		u_int list_len;
+		mp_base_image *list_val;
+	} list;
+};
+typedef struct mp_bases_image mp_bases_image;
+
 enum mp_part_kind {
 	MP_PART_ZONES = 1,
+	MP_PART_BASES = 2,
 };
 typedef enum mp_part_kind mp_part_kind;
 
@@ -1058,8 +1099,10 @@
 extern  bool_t xdr_mp_part_trial (XDR *, mp_part_trial*);
 extern  bool_t xdr_mp_version_name (XDR *, mp_version_name*);
 extern  bool_t xdr_mp_pool_versions (XDR *, mp_pool_versions*);
+extern  bool_t xdr_mp_pool_state (XDR *, mp_pool_state*);
 extern  bool_t xdr_mp_stream_begun (XDR *, mp_stream_begun*);
 extern  bool_t xdr_mp_streams (XDR *, mp_streams*);
+extern  bool_t xdr_mp_kept_streams (XDR *, mp_kept_streams*);
 extern  bool_t xdr_mp_zone_drain (XDR *, mp_zone_drain*);
 extern  bool_t xdr_mp_command_body (XDR *, mp_command_body*);
 extern  bool_t xdr_mp_command (XDR *, mp_command*);
@@ -1120,6 +1163,8 @@
 extern  bool_t xdr_mp_machine_image (XDR *, mp_machine_image*);
 extern  bool_t xdr_mp_zone_image (XDR *, mp_zone_image*);
 extern  bool_t xdr_mp_zones_image (XDR *, mp_zones_image*);
+extern  bool_t xdr_mp_base_image (XDR *, mp_base_image*);
+extern  bool_t xdr_mp_bases_image (XDR *, mp_bases_image*);
 extern  bool_t xdr_mp_part_kind (XDR *, mp_part_kind*);
 extern  bool_t xdr_mp_image_part (XDR *, mp_image_part*);
 extern  bool_t xdr_mp_image_parts (XDR *, mp_image_parts*);
@@ -1146,8 +1191,10 @@
 extern bool_t xdr_mp_part_trial ();
 extern bool_t xdr_mp_version_name ();
 extern bool_t xdr_mp_pool_versions ();
+extern bool_t xdr_mp_pool_state ();
 extern bool_t xdr_mp_stream_begun ();
 extern bool_t xdr_mp_streams ();
+extern bool_t xdr_mp_kept_streams ();
 extern bool_t xdr_mp_zone_drain ();
 extern bool_t xdr_mp_command_body ();
 extern bool_t xdr_mp_command ();
@@ -1208,6 +1255,8 @@
 extern bool_t xdr_mp_machine_image ();
 extern bool_t xdr_mp_zone_image ();
 extern bool_t xdr_mp_zones_image ();
+extern bool_t xdr_mp_base_image ();
+extern bool_t xdr_mp_bases_image ();
 extern bool_t xdr_mp_part_kind ();
 extern bool_t xdr_mp_image_part ();
 extern bool_t xdr_mp_image_parts ();
--- a/src/gen/wire.x
+++ b/src/gen/wire.x
@@ -28,6 +28,7 @@
 const MP_LENDERS_MAX = 4096;
 const MP_POOLS_MAX = 1024;
 const MP_POOL_VERSIONS_MAX = 64;
+const MP_FORMER_VERSIONS_MAX = 64;
 const MP_STREAMS_MAX = 4096;
 const MP_ZONES_MAX = 256;
 
@@ -56,7 +57,8 @@
     MP_CMD_VERSIONS = 14,    /* set the software versions of a pool */
     MP_CMD_STREAMS = 15,     /* record at which versions streams began */
     MP_CMD_PART_TRIAL = 16,  /* trial of a suspect part of a prompt */
-    MP_CMD_ZONE_DRAIN = 17   /* take a zone out of use, or into use again */
+    MP_CMD_ZONE_DRAIN = 17,  /* take a zone out of use, or into use again */
+    MP_CMD_STREAMS_KEPT = 18 /* MP_CMD_STREAMS with how long they can last */
 };
 
 /* State of the record of a native request. */
@@ -244,6 +246,15 @@
                    * was none */
 };
 
+/* What a router is told of the software versions of a pool. */
+struct mp_pool_state {
+    mp_pool_versions versions;
+    string base<MP_NAME_MAX>; /* version at which streams without a record
+                               * began */
+    bool has_base;
+    hyper base_age_ms; /* since when that holds; -1: from the start */
+};
+
 /* A stream that has begun at a software version. */
 struct mp_stream_begun {
     opaque id[MP_HASH_BYTES];
@@ -254,6 +265,11 @@
     mp_stream_begun list<MP_STREAMS_MAX>;
 };
 
+struct mp_kept_streams {
+    mp_streams streams;
+    hyper lasts_ms; /* longest time that one of them can last */
+};
+
 /* Takes a zone out of use, or into use again. */
 struct mp_zone_drain {
     string submission<MP_KEY_MAX>; /* id; a repeat gets the same result */
@@ -299,6 +315,8 @@
     mp_part_trial part_trial;
 case MP_CMD_ZONE_DRAIN:
     mp_zone_drain zone_drain;
+case MP_CMD_STREAMS_KEPT:
+    mp_kept_streams kept_streams;
 default:
     void;
 };
@@ -591,7 +609,7 @@
     mp_target targets<MP_TARGETS_MAX>;   /* new and changed targets */
     mp_target targets_removed<MP_TARGETS_MAX>; /* removed targets */
     unsigned hyper versions_hash;              /* hash of versions */
-    mp_pool_versions versions<MP_POOLS_MAX>;   /* software versions of all
+    mp_pool_state versions<MP_POOLS_MAX>;      /* software versions of all
                                                 * pools; empty if the hash
                                                 * matches */
     unsigned hyper limits_hash;                /* hash of limits */
@@ -736,6 +754,7 @@
     unsigned hyper term;
     mp_record_state record;
     mp_version_name *software; /* at which the stream began; NULL: not known */
+    bool is_recorded;          /* by its record, not by the base of its pool */
     mp_account_status accounts<>;
     mp_instance_status instances<>;
     mp_history history<>;
@@ -877,11 +896,27 @@
     mp_zone_image list<MP_ZONES_MAX>;
 };
 
+/* The base of a pool, where mp_pool_image does not tell. */
+struct mp_base_image {
+    string pool<MP_NAME_MAX>;
+    string base<MP_NAME_MAX>;
+    bool has_base;
+    hyper base_ms;
+    hyper absent_ms; /* since when the base is not in the list; -1: it is */
+    mp_version_name former<MP_FORMER_VERSIONS_MAX>;
+};
+
+struct mp_bases_image {
+    hyper dropped_ms; /* when a record was dropped before its time; -1: never */
+    mp_base_image list<>;
+};
+
 /* State that was added after mp_machine_image.  It follows the image in the
  * snapshot, as earlier builds read no image with more fields.  Without any
  * part nothing follows, and earlier builds can load the snapshot. */
 enum mp_part_kind {
-    MP_PART_ZONES = 1 /* mp_zones_image */
+    MP_PART_ZONES = 1, /* mp_zones_image */
+    MP_PART_BASES = 2  /* mp_bases_image */
 };
 
 struct mp_image_part {
--- a/src/gen/wire_xdr.c
+++ b/src/gen/wire_xdr.c
@@ -322,6 +322,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_pool_state (XDR *xdrs, mp_pool_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_mp_pool_versions (xdrs, &objp->versions))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->base, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_base))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->base_age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_stream_begun (XDR *xdrs, mp_stream_begun *objp)
 {
@@ -346,6 +362,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_kept_streams (XDR *xdrs, mp_kept_streams *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_mp_streams (xdrs, &objp->streams))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lasts_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_zone_drain (XDR *xdrs, mp_zone_drain *objp)
 {
@@ -440,6 +468,10 @@
 		 if (!xdr_mp_zone_drain (xdrs, &objp->mp_command_body_u.zone_drain))
 			 return FALSE;
 		break;
+	case MP_CMD_STREAMS_KEPT:
+		 if (!xdr_mp_kept_streams (xdrs, &objp->mp_command_body_u.kept_streams))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
@@ -958,7 +990,7 @@
 	 if (!xdr_u_quad_t (xdrs, &objp->versions_hash))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->versions.versions_val, (u_int *) &objp->versions.versions_len, MP_POOLS_MAX,
-		sizeof (mp_pool_versions), (xdrproc_t) xdr_mp_pool_versions))
+		sizeof (mp_pool_state), (xdrproc_t) xdr_mp_pool_state))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->limits_hash))
 		 return FALSE;
@@ -1227,6 +1259,8 @@
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->software, sizeof (mp_version_name), (xdrproc_t) xdr_mp_version_name))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_recorded))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, ~0,
 		sizeof (mp_account_status), (xdrproc_t) xdr_mp_account_status))
 		 return FALSE;
@@ -1522,6 +1556,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mp_base_image (XDR *xdrs, mp_base_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->pool, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->base, MP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_base))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->base_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->absent_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->former.former_val, (u_int *) &objp->former.former_len, MP_FORMER_VERSIONS_MAX,
+		sizeof (mp_version_name), (xdrproc_t) xdr_mp_version_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mp_bases_image (XDR *xdrs, mp_bases_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->dropped_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, ~0,
+		sizeof (mp_base_image), (xdrproc_t) xdr_mp_base_image))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mp_part_kind (XDR *xdrs, mp_part_kind *objp)
 {
--- a/src/state/Machine.c
+++ b/src/state/Machine.c
@@ -429,7 +429,15 @@
         return MP_OK;
     case MP_CMD_STREAMS:
         MpVersions_AddStreams(&this->versions,
-                              &body->mp_command_body_u.streams, this->now_ms);
+                              &body->mp_command_body_u.streams, 0,
+                              this->now_ms);
+        return MP_OK;
+    case MP_CMD_STREAMS_KEPT:
+        MpVersions_AddStreams(
+            &this->versions, &body->mp_command_body_u.kept_streams.streams,
+            CLAMP(body->mp_command_body_u.kept_streams.lasts_ms, 0,
+                  MP_STREAM_LASTS_MAX_MS),
+            this->now_ms);
         return MP_OK;
     case MP_CMD_ZONE_DRAIN:
         return apply_zone_drain(this, &body->mp_command_body_u.zone_drain,
--- a/src/state/MachineImage.c
+++ b/src/state/MachineImage.c
@@ -8,6 +8,9 @@
 
 /* Saving and loading of snapshots of the machine; see Machine.h. */
 
+/* Kinds of parts that may follow the image. */
+#define PARTS_MAX 2
+
 static void
 save_incarnations(const struct MpMachine *this, struct mp_machine_image *image)
 {
@@ -60,27 +63,49 @@
     return list;
 }
 
+/* Appends a part, if it has a state, and takes its bytes. */
+static void
+add_part(struct mp_image_parts *parts, enum mp_part_kind kind, GBytes *bytes)
+{
+    gsize size;
+    if (!bytes) {
+        return;
+    }
+    const void *data = g_bytes_get_data(bytes, &size);
+    struct mp_image_part part = {.kind = kind};
+    part.data.data_val = g_memdup2(data, size);
+    part.data.data_len = (u_int)size;
+    parts->list.list_val[parts->list.list_len++] = part;
+    g_bytes_unref(bytes);
+}
+
 /* Returns image, followed by the parts that have a state. */
 static GBytes *
 encode(const struct MpMachine *this, const struct mp_machine_image *image)
 {
-    gsize data_size;
+    gsize size;
+    struct mp_image_part list[PARTS_MAX];
+    struct mp_image_parts parts = {.list = {.list_val = list}};
     GBytes *bytes = MpCodec_Encode(MP_XDR(mp_machine_image), image);
-    GBytes *zones = MpZoneDrains_Save(&this->zones);
-    if (!bytes || !zones || MP_FAULT(MP_FAULT_SNAPSHOT_OMITS_ZONES)) {
-        g_clear_pointer(&zones, g_bytes_unref);
+    if (!bytes) {
+        return NULL;
+    }
+    add_part(&parts, MP_PART_ZONES,
+             MP_FAULT(MP_FAULT_SNAPSHOT_OMITS_ZONES)
+                 ? NULL
+                 : MpZoneDrains_Save(&this->zones));
+    add_part(&parts, MP_PART_BASES, MpVersions_SaveBases(&this->versions));
+    if (parts.list.list_len == 0) {
         return bytes;
     }
-    struct mp_image_part part = {.kind = MP_PART_ZONES};
-    struct mp_image_parts parts = {.list = {.list_len = 1, .list_val = &part}};
-    part.data.data_val = (char *)g_bytes_get_data(zones, &data_size);
-    part.data.data_len = (u_int)data_size;
     GBytes *rest = MpCodec_Encode(MP_XDR(mp_image_parts), &parts);
-    const void *rest_data = g_bytes_get_data(rest, &data_size);
+    const void *data = g_bytes_get_data(rest, &size);
     GByteArray *all = g_bytes_unref_to_array(bytes);
-    g_byte_array_append(all, rest_data, (guint)data_size);
+    g_byte_array_append(all, data, (guint)size);
     g_bytes_unref(rest);
-    g_bytes_unref(zones);
+    for (u_int i = 0; i < parts.list.list_len; i++) {
+        g_free(list[i].data.data_val);
+    }
     return g_byte_array_free_to_bytes(all);
 }
 
@@ -178,8 +203,24 @@
     return MpLedger_Load(&this->ledger, image);
 }
 
-/* Loads the parts that follow the image in a snapshot.  A part of a later
- * build is refused, as its state would be lost. */
+/* Loads a part.  One of a later build is refused, as its state would be
+ * lost. */
+static int
+load_part(struct MpMachine *this, const struct mp_image_part *part)
+{
+    switch (part->kind) {
+    case MP_PART_ZONES:
+        return MpZoneDrains_Load(&this->zones, part->data.data_val,
+                                 part->data.data_len);
+    case MP_PART_BASES:
+        return MpVersions_LoadBases(&this->versions, part->data.data_val,
+                                    part->data.data_len);
+    default:
+        return MP_ERROR_CORRUPT;
+    }
+}
+
+/* Loads the parts that follow the image in a snapshot. */
 static int
 load_parts(struct MpMachine *this, const char *data, size_t size)
 {
@@ -190,11 +231,7 @@
     int code = MpCodec_Decode(MP_XDR(mp_image_parts), &parts, data, size,
                               sizeof(parts));
     for (u_int i = 0; code == MP_OK && i < parts.list.list_len; i++) {
-        const struct mp_image_part *part = &parts.list.list_val[i];
-        code = part->kind == MP_PART_ZONES
-                   ? MpZoneDrains_Load(&this->zones, part->data.data_val,
-                                       part->data.data_len)
-                   : MP_ERROR_CORRUPT;
+        code = load_part(this, &parts.list.list_val[i]);
     }
     MpCodec_Free(MP_XDR(mp_image_parts), &parts);
     return code;
--- a/src/transport/CallerResponse.c
+++ b/src/transport/CallerResponse.c
@@ -57,8 +57,8 @@
 static void
 flush(struct MpCallerResponse *this)
 {
-    if (!this->req || !this->is_started || this->is_handed_over ||
-        this->sending->len > 0 ||
+    if (!this->req || !this->is_started || this->is_held ||
+        this->is_handed_over || this->sending->len > 0 ||
         (this->pending->len == 0 && !this->is_output_closed)) {
         return;
     }
@@ -170,11 +170,44 @@
 MpCallerResponse_Start(struct MpCallerResponse *this, int status, size_t size)
 {
     this->is_started = true;
-    if (!this->req) {
-        return;
+    this->status = status;
+    this->length = (struct MpBodyLength){.announced = size};
+    if (this->req && !this->is_held) {
+        MpBodyLength_Start(&this->length, this->req, &this->link->super,
+                           status, size);
+    }
+}
+
+void
+MpCallerResponse_Hold(struct MpCallerResponse *this)
+{
+    this->is_held = true;
+}
+
+void
+MpCallerResponse_LetGo(struct MpCallerResponse *this)
+{
+    bool was_held = this->is_held;
+    this->is_held = false;
+    if (was_held && this->is_started) {
+        MpCallerResponse_Start(this, this->status, this->length.announced);
+        flush(this);
     }
-    MpBodyLength_Start(&this->length, this->req, &this->link->super, status,
-                       size);
+}
+
+bool
+MpCallerResponse_IsHeld(const struct MpCallerResponse *this)
+{
+    return this->is_held;
+}
+
+void
+MpCallerResponse_DropHeld(struct MpCallerResponse *this)
+{
+    this->is_held = false;
+    this->is_started = false;
+    empty(&this->pending);
+    count_memory(this);
 }
 
 void
--- a/src/transport/CallerResponse.h
+++ b/src/transport/CallerResponse.h
@@ -49,7 +49,9 @@
     struct MpMemoryHolder memory;
     struct MpBodyLength length;
     const char *id; /* for log lines, or NULL */
+    int status;
     bool is_started;
+    bool is_held;          /* nothing is passed to h2o yet */
     bool is_output_closed; /* no more data follows */
     bool is_aborted;
     bool is_handed_over; /* h2o has the last part */
@@ -66,6 +68,14 @@
 void MpCallerResponse_Start(struct MpCallerResponse *this, int status,
                             size_t size);
 
+/* Keeps back the response, which has not been started, until it is let go. */
+void MpCallerResponse_Hold(struct MpCallerResponse *this);
+void MpCallerResponse_LetGo(struct MpCallerResponse *this);
+bool MpCallerResponse_IsHeld(const struct MpCallerResponse *this);
+
+/* Drops a response that is kept back, as if it had not been started. */
+void MpCallerResponse_DropHeld(struct MpCallerResponse *this);
+
 /* Writes a part of the body, if the response has one.  Aborts the response if
  * its body would be longer than announced. */
 void MpCallerResponse_Write(struct MpCallerResponse *this, const void *data,
--- a/src/transport/ControlClient.h
+++ b/src/transport/ControlClient.h
@@ -63,7 +63,7 @@
      * wanted again.  This member may be NULL. */
     bool (*limits)(void *owner, const struct mp_limit *limits, u_int count);
     /* The software versions of all pools.  This member may be NULL. */
-    void (*versions)(void *owner, const struct mp_pool_versions *pools,
+    void (*versions)(void *owner, const struct mp_pool_state *pools,
                      u_int count);
 };
 
--- a/src/transport/Gateway.h
+++ b/src/transport/Gateway.h
@@ -46,9 +46,10 @@
     struct MpPermits permits;
     struct MpRegions regions;
     struct MpVersionView versions;
-    GQueue recent_streams;     /* of struct MpRecentStream, not recorded */
-    GArray *begun_streams;     /* of struct mp_stream_begun, to be recorded */
-    bool is_recording;         /* a record is under way to the quorum */
+    GQueue records;   /* of struct MpStreamRecord, to be sent */
+    GQueue recording; /* those under way to the quorum */
+    struct MpTimer record_timer;
+    uint64_t records_dropped;  /* counter */
     GHashTable *retry_budgets; /* pool -> struct MpRetryBudget */
     struct MpRetryFleet retry_fleet;
     struct MpDialer dialer;
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -208,12 +208,12 @@
     release_target(this, is_ok                   ? MP_OUTCOME_OK
                          : this->is_pause_answer ? MP_OUTCOME_REFUSED
                                                  : MP_OUTCOME_ERROR);
-    MpGatewayCall_End(this, is_ok ? "answered" : "target-error", MP_OK);
-    if (!this->response.req) {
-        MpGatewayCall_Free(this);
+    if (MpCallerResponse_IsHeld(&this->response)) {
+        this->is_finish_held = true;
+        MpGatewaySuspect_End(this);
         return;
     }
-    MpCallerResponse_Finish(&this->response);
+    MpGatewayCall_Finish(this);
 }
 
 static void
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -35,6 +35,7 @@
 {
     g_queue_unlink(&this->gateway->calls, &this->link);
     MpLoop_ClearTimer(&this->timer);
+    MpGatewayVersions_CancelRecord(this);
     MpCallerResponse_Done(&this->response);
     MpDocument_Unref(this->document);
     g_free(this->id);
@@ -120,7 +121,8 @@
         "id=%s same=%s path=%s workspace=%s outcome=%s error=%s "
         "status=%d attempts=%u events=%" PRId64 " billed=%" PRId64
         " prompt=%" PRId64 " most=%" PRId64 " after=%" PRId64 " resumes=%s"
-        " first_ms=%" PRId64 " took_ms=%" PRId64 " document=%" PRIu64,
+        " first_ms=%" PRId64 " record_ms=%" PRId64 " took_ms=%" PRId64
+        " document=%" PRIu64,
         this->id ? this->id : "-",
         this->fingerprint_hex[0] ? this->fingerprint_hex : "-",
         this->path ? this->path->name : "-",
@@ -128,10 +130,22 @@
         this->status, forward->sends, forward->events, billed,
         this->meta.prompt_tokens, this->meta.output_tokens_max,
         this->meta.resume_after, this->resumes ? this->resumes : "-",
-        this->first_byte_ms, now_ms - forward->began_ms,
+        this->first_byte_ms, this->record_wait_ms, now_ms - forward->began_ms,
         this->document ? this->document->version : 0);
 }
 
+void
+MpGatewayCall_Finish(struct MpGatewayCall *this)
+{
+    MpGatewayCall_End(this, this->status < 500 ? "answered" : "target-error",
+                      MP_OK);
+    if (!this->response.req) {
+        MpGatewayCall_Free(this);
+        return;
+    }
+    MpCallerResponse_Finish(&this->response);
+}
+
 bool
 MpGatewayCall_IsResumable(const struct MpGatewayCall *this)
 {
@@ -210,10 +224,29 @@
     MpCallerResponse_Close(&this->response);
 }
 
+/* Returns whether the events of a stream that broke off can still reach its
+ * caller, when they are recorded. */
+static bool
+may_wait_for_record(const struct MpGatewayCall *this, int code)
+{
+    return !this->is_cut_held && this->timer.position &&
+           code != MP_ERROR_DRAINING;
+}
+
 void
 MpGatewayCall_GiveUp(struct MpGatewayCall *this, enum MpForwardStep step,
                      int code, int64_t retry_after_ms)
 {
+    if (step == MP_STEP_CUT && MpCallerResponse_IsHeld(&this->response)) {
+        if (may_wait_for_record(this, code)) {
+            this->is_cut_held = true;
+            this->held_code = code;
+            MpGatewaySuspect_End(this);
+            return;
+        }
+        MpGatewayVersions_DropHeld(this);
+        step = MP_STEP_FAIL;
+    }
     if (step == MP_STEP_CUT) {
         MpGatewayCall_End(this, "cut", code);
         if (!this->response.req) {
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -43,8 +43,13 @@
                     * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
                     * NULL: not known yet */
-    bool is_version_checked;     /* a stream that is taken up */
-    struct MpTakeUpQuery *query; /* to the quorum, under way */
+    bool is_version_checked;       /* a stream that is taken up */
+    struct MpTakeUpQuery *query;   /* to the quorum, under way */
+    struct MpStreamRecord *record; /* that its response waits for, or NULL */
+    int64_t record_wait_ms;        /* how long it did */
+    bool is_finish_held;           /* and all of the response is there */
+    bool is_cut_held;              /* and it broke off */
+    int held_code;                 /* error with which it broke off */
     char *resumes;    /* id of the request whose stream it takes up, or NULL */
     GByteArray *head; /* request line and headers sent in every attempt */
     struct MpRequestBody *body;         /* or NULL */
@@ -106,6 +111,9 @@
 void MpGatewayCall_End(struct MpGatewayCall *this, const char *outcome,
                        int code);
 
+/* Ends a call whose response is there as a whole. */
+void MpGatewayCall_Finish(struct MpGatewayCall *this);
+
 /* Reserves the call's worst-case budget, then starts the first attempt. */
 void MpGatewayCall_ReserveBudget(struct MpGatewayCall *this);
 
--- a/src/transport/GatewayMetrics.c
+++ b/src/transport/GatewayMetrics.c
@@ -72,6 +72,10 @@
                          (int64_t)this->target_pauses);
     MpMetrics_WriteValue(out, "mimosapath_retries_refused_total", NULL, NULL,
                          (int64_t)this->retries_refused);
+    MpMetrics_WriteValue(out, "mimosapath_stream_records_dropped_total", NULL,
+                         NULL, (int64_t)this->records_dropped);
+    MpMetrics_WriteValue(out, "mimosapath_stream_records_waiting", NULL, NULL,
+                         this->records.length + this->recording.length);
     MpMetrics_WriteValue(out, "mimosapath_tunnels_running", NULL, NULL,
                          this->tunnels.length);
     MpGatewaySpeed_WriteMetrics(this, out);
--- a/src/transport/GatewayVersions.c
+++ b/src/transport/GatewayVersions.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "state/Versions.h"
 #include "transport/GatewayAttempt.h"
+#include "transport/GatewayRequest.h"
 #include "transport/Log.h"
 
 #include <inttypes.h>
@@ -14,23 +15,24 @@
 #define QUERY_WAIT_MS 400
 /* Retry-After when the quorum cannot be reached, ms. */
 #define RETRY_AFTER_MS 200
-/* A record that the quorum has not confirmed after this time is given up, ms;
- * the stream cannot be taken up then. */
+/* Time in which the quorum must have confirmed records, ms: a few tries, as
+ * the leader may change.  Then they are sent anew. */
 #define RECORD_WAIT_MS 3000
+/* Pause before that, ms. */
+#define RECORD_RETRY_MS 100
 
-/* Streams without a record that are remembered at most. */
-#define RECENT_STREAMS_MAX 4096
+/* Records at most that wait for the quorum and hold no response. */
+#define RECORDS_MAX 4096
 
 struct MpTakeUpQuery {
     struct MpGatewayCall *call; /* NULL: it has ended */
 };
 
-/* A stream that began while its pool had one version.  It is recorded when the
- * pool gets another one. */
-struct MpRecentStream {
-    char *pool;
-    int64_t at_ms;
+struct MpStreamRecord {
     struct mp_stream_begun begun;
+    int64_t begun_ms;
+    int64_t lasts_ms;
+    struct MpGatewayCall *call; /* whose response waits for it, or NULL */
 };
 
 /* The id of a stream in the quorum: workspaces do not share ids. */
@@ -50,84 +52,164 @@
 
 static void send_records(struct MpGateway *gateway);
 
+static void
+record_free(struct MpStreamRecord *record)
+{
+    if (record->call) {
+        record->call->record = NULL;
+    }
+    g_free(record->begun.software);
+    g_free(record);
+}
+
+/* Sends a response that has waited for its record. */
+static void
+let_go(struct MpGatewayCall *call, int64_t begun_ms)
+{
+    call->record_wait_ms = MpLoop_Now() - begun_ms;
+    call->record = NULL;
+    call->first_byte_ms = MpLoop_Now() - call->forward.began_ms;
+    MpHistogram_Add(MpMetrics_Histogram(call->gateway->metrics,
+                                        "mimosapath_stream_record_wait_ms",
+                                        "path", call->path->name),
+                    (uint64_t)call->record_wait_ms);
+    MpCallerResponse_LetGo(&call->response);
+    if (call->is_finish_held) {
+        MpGatewayCall_Finish(call);
+    }
+    else if (call->is_cut_held) {
+        MpGatewayCall_GiveUp(call, MP_STEP_CUT, call->held_code, 0);
+    }
+}
+
+static void
+finish_records(struct MpGateway *gateway)
+{
+    struct MpStreamRecord *record = g_queue_pop_head(&gateway->recording);
+    while (record) {
+        struct MpGatewayCall *call = record->call;
+        record->call = NULL;
+        if (call) {
+            let_go(call, record->begun_ms);
+        }
+        record_free(record);
+        record = g_queue_pop_head(&gateway->recording);
+    }
+}
+
+static void
+drop_record(struct MpGateway *gateway, struct MpStreamRecord *record,
+            const char *reason)
+{
+    gateway->records_dropped++;
+    MpLog_Event(LOG_WARNING, "stream-record-dropped",
+                "version=%s reason=%s age_ms=%" PRId64 " dropped=%" PRIu64,
+                record->begun.software, reason,
+                MpLoop_Now() - record->begun_ms, gateway->records_dropped);
+    record_free(record);
+}
+
+static void
+on_record_timer(struct MpTimer *timer)
+{
+    send_records(timer->data);
+}
+
+/* Queues the records again, as long as their streams can be taken up. */
+static void
+repeat_records(struct MpGateway *gateway)
+{
+    int64_t now_ms = MpLoop_Now();
+    struct MpStreamRecord *record = g_queue_pop_tail(&gateway->recording);
+    while (record) {
+        if (now_ms - record->begun_ms > record->lasts_ms + MP_TAKE_UP_MAX_MS) {
+            drop_record(gateway, record, "age");
+        }
+        else {
+            g_queue_push_head(&gateway->records, record);
+        }
+        record = g_queue_pop_tail(&gateway->recording);
+    }
+    MpLoop_SetTimer(gateway->loop, &gateway->record_timer, RECORD_RETRY_MS,
+                    on_record_timer, gateway);
+}
+
 static void
 on_recorded(void *data, int code, const struct mp_result *result)
 {
     struct MpGateway *gateway = data;
-    (void)result;
-    gateway->is_recording = false;
-    if (code != MP_OK) {
-        MpLog_Event(LOG_WARNING, "streams-unrecorded", "error=%s",
-                    MpError_Name(code));
+    if (code == MP_OK && result->code == MP_OK) {
+        finish_records(gateway);
+        send_records(gateway);
+        return;
     }
-    send_records(gateway);
+    MpLog_Event(LOG_WARNING, "streams-unrecorded", "error=%s streams=%u",
+                MpError_Name(code == MP_OK ? result->code : code),
+                gateway->recording.length);
+    repeat_records(gateway);
 }
 
 /* Sends what has gathered while the last records were under way. */
 static void
 send_records(struct MpGateway *gateway)
 {
-    GArray *begun = gateway->begun_streams;
-    u_int count = MIN(begun->len, MP_STREAMS_MAX);
-    struct mp_command command = {.body = {.kind = MP_CMD_STREAMS}};
-    if (gateway->is_recording || count == 0) {
+    struct mp_command command = {.body = {.kind = MP_CMD_STREAMS_KEPT}};
+    struct mp_kept_streams *kept =
+        &command.body.mp_command_body_u.kept_streams;
+    u_int count = MIN(gateway->records.length, MP_STREAMS_MAX);
+    if (gateway->recording.length > 0 || count == 0 ||
+        gateway->record_timer.position) {
         return;
     }
-    command.body.mp_command_body_u.streams.list.list_val =
-        (struct mp_stream_begun *)begun->data;
-    command.body.mp_command_body_u.streams.list.list_len = count;
-    gateway->is_recording = true;
+    struct mp_stream_begun *list = g_new(struct mp_stream_begun, count);
+    kept->streams.list.list_val = list;
+    kept->streams.list.list_len = count;
+    for (u_int i = 0; i < count; i++) {
+        struct MpStreamRecord *record = g_queue_pop_head(&gateway->records);
+        list[i] = record->begun;
+        kept->lasts_ms = MAX(kept->lasts_ms, record->lasts_ms);
+        g_queue_push_tail(&gateway->recording, record);
+    }
     MpControlClient_Propose(gateway->control, &command,
                             MpLoop_Now() + RECORD_WAIT_MS, on_recorded,
                             gateway);
-    for (u_int i = 0; i < count; i++) {
-        g_free(g_array_index(begun, struct mp_stream_begun, i).software);
-    }
-    g_array_remove_range(begun, 0, count);
-}
-
-static void
-forget_oldest(struct MpGateway *gateway)
-{
-    struct MpRecentStream *stream = g_queue_pop_head(&gateway->recent_streams);
-    g_free(stream->pool);
-    g_free(stream->begun.software);
-    g_free(stream);
+    g_free(list);
 }
 
+/* Drops the oldest record that holds no response. */
 static void
-remember(struct MpGateway *gateway, const char *pool,
-         const struct mp_stream_begun *begun, int64_t now_ms)
+make_room(struct MpGateway *gateway)
 {
-    struct MpRecentStream *stream = g_new(struct MpRecentStream, 1);
-    const struct MpRecentStream *oldest;
-    *stream = (struct MpRecentStream){
-        .pool = g_strdup(pool), .at_ms = now_ms, .begun = *begun};
-    g_queue_push_tail(&gateway->recent_streams, stream);
-    oldest = g_queue_peek_head(&gateway->recent_streams);
-    while (gateway->recent_streams.length > RECENT_STREAMS_MAX ||
-           now_ms - oldest->at_ms > MP_TAKE_UP_MAX_MS) {
-        forget_oldest(gateway);
-        oldest = g_queue_peek_head(&gateway->recent_streams);
+    for (GList *link = gateway->records.head; link; link = link->next) {
+        struct MpStreamRecord *record = link->data;
+        if (!record->call) {
+            g_queue_delete_link(&gateway->records, link);
+            drop_record(gateway, record, "room");
+            return;
+        }
     }
 }
 
-/* Records the streams of a pool that are remembered. */
 static void
-record_recent(struct MpGateway *gateway, const char *pool)
+add_record(struct MpGatewayCall *call, bool is_held)
 {
-    GList *link = gateway->recent_streams.head;
-    while (link) {
-        struct MpRecentStream *stream = link->data;
-        GList *next = link->next;
-        if (strcmp(stream->pool, pool) == 0) {
-            g_array_append_val(gateway->begun_streams, stream->begun);
-            g_queue_delete_link(&gateway->recent_streams, link);
-            g_free(stream->pool);
-            g_free(stream);
-        }
-        link = next;
+    struct MpGateway *gateway = call->gateway;
+    struct MpStreamRecord *record = g_new(struct MpStreamRecord, 1);
+    int64_t now_ms = MpLoop_Now();
+    *record = (struct MpStreamRecord){
+        .begun = {.software = g_strdup(call->version)},
+        .begun_ms = now_ms,
+        .lasts_ms = MpForward_TimeLeft(&call->forward, now_ms),
+        .call = is_held ? call : NULL};
+    set_stream_id(call, call->id, record->begun.id);
+    if (is_held) {
+        call->record = record;
+        MpCallerResponse_Hold(&call->response);
     }
+    else if (gateway->records.length >= RECORDS_MAX) {
+        make_room(gateway);
+    }
+    g_queue_push_tail(&gateway->records, record);
     send_records(gateway);
 }
 
@@ -135,7 +217,6 @@
 MpGatewayVersions_NoteBegun(struct MpGatewayCall *call)
 {
     struct MpGateway *gateway = call->gateway;
-    int64_t now_ms = MpLoop_BootMs();
     bool is_new = !call->version;
     if (is_new) {
         call->version = g_strdup(call->target->version);
@@ -144,15 +225,36 @@
         strlen(call->version) > MP_NAME_MAX) {
         return;
     }
-    struct mp_stream_begun begun = {.software = g_strdup(call->version)};
-    set_stream_id(call, call->id, begun.id);
-    if (!MpVersionView_MustRecord(&gateway->versions, call->pool,
-                                  call->path->timeout_ms, now_ms)) {
-        remember(gateway, call->pool, &begun, now_ms);
-        return;
+    enum MpRecording recording = MpVersionView_GetRecording(
+        &gateway->versions, call->pool, call->version, call->path->timeout_ms,
+        gateway->control->heard_ms, MpLoop_BootMs());
+    if (recording != MP_RECORDING_NONE) {
+        add_record(call, recording == MP_RECORDING_FIRST);
+    }
+}
+
+void
+MpGatewayVersions_CancelRecord(struct MpGatewayCall *call)
+{
+    if (call->record) {
+        call->record->call = NULL;
+        call->record = NULL;
     }
-    g_array_append_val(gateway->begun_streams, begun);
-    send_records(gateway);
+}
+
+void
+MpGatewayVersions_DropHeld(struct MpGatewayCall *call)
+{
+    MpLog_Event(LOG_WARNING, "stream-not-recorded",
+                "id=%s version=%s events=%" PRId64, call->id, call->version,
+                call->forward.events);
+    MpGatewayVersions_CancelRecord(call);
+    MpCallerResponse_DropHeld(&call->response);
+    if (call->response.req) {
+        MpGatewayRequest_ClearHeaders(call->response.req);
+    }
+    call->forward.is_head_sent = false;
+    call->forward.may_have_run = true;
 }
 
 /* ---- versions ---- */
@@ -161,29 +263,26 @@
 MpGatewayVersions_Init(struct MpGateway *gateway)
 {
     MpVersionView_Init(&gateway->versions);
-    g_queue_init(&gateway->recent_streams);
-    gateway->begun_streams =
-        g_array_new(false, false, sizeof(struct mp_stream_begun));
+    g_queue_init(&gateway->records);
+    g_queue_init(&gateway->recording);
 }
 
 void
 MpGatewayVersions_Apply(struct MpGateway *gateway,
-                        const struct mp_pool_versions *pools, u_int count)
+                        const struct mp_pool_state *pools, u_int count)
 {
-    int64_t now_ms = MpLoop_BootMs();
-    MpVersionView_Apply(&gateway->versions, pools, count, now_ms);
+    MpVersionView_Apply(&gateway->versions, pools, count, MpLoop_BootMs());
     for (u_int i = 0; i < count; i++) {
-        u_int versions = pools[i].list.list_len;
+        const struct mp_pool_versions *versions = &pools[i].versions;
+        u_int names = versions->list.list_len;
         MpLog_Event(LOG_NOTICE, "versions-told",
-                    "pool=%s versions=%u newest=%s age_ms=%" PRId64,
-                    pools[i].pool, versions,
-                    versions > 0 ? pools[i].list.list_val[versions - 1].name
-                                 : "-",
-                    (int64_t)pools[i].age_ms);
-        if (MpVersionView_MustRecord(&gateway->versions, pools[i].pool, 0,
-                                     now_ms)) {
-            record_recent(gateway, pools[i].pool);
-        }
+                    "pool=%s versions=%u newest=%s age_ms=%" PRId64
+                    " base=%s base_age_ms=%" PRId64,
+                    versions->pool, names,
+                    names > 0 ? versions->list.list_val[names - 1].name : "-",
+                    (int64_t)versions->age_ms,
+                    pools[i].has_base ? pools[i].base : "-",
+                    (int64_t)pools[i].base_age_ms);
     }
 }
 
@@ -237,7 +336,11 @@
         return;
     }
     call->version = reply->software ? g_strdup(reply->software->name) : NULL;
-    log_take_up(call, "quorum", MpLoop_BootMs());
+    log_take_up(call,
+                !reply->software     ? "none"
+                : reply->is_recorded ? "record"
+                                     : "base",
+                MpLoop_BootMs());
     if (!refuse_if_gone(call)) {
         MpGatewayAttempt_Start(call);
     }
@@ -247,12 +350,13 @@
 ask_quorum(struct MpGatewayCall *call)
 {
     struct MpTakeUpQuery *query = g_new0(struct MpTakeUpQuery, 1);
-    char id[MP_HASH_BYTES];
+    char id[MP_HASH_BYTES] = {0};
     query->call = call;
     call->query = query;
     call->stage = MP_CALL_VERSION;
-    /* Without the id of its first request no record is found. */
-    set_stream_id(call, call->resumes ? call->resumes : "", id);
+    if (call->resumes) {
+        set_stream_id(call, call->resumes, id);
+    }
     MpControlClient_ReadStream(call->gateway->control, call->pool,
                                (const uint8_t *)id, call->path->timeout_ms,
                                MpLoop_Now() + QUERY_WAIT_MS, on_stream_read,
--- a/src/transport/ReplicaCalls.c
+++ b/src/transport/ReplicaCalls.c
@@ -458,6 +458,8 @@
                                            read->stream, read->stream_ms,
                                            MpLoop_WallMs())};
     reply.software = software.name ? &software : NULL;
+    reply.is_recorded =
+        MpVersions_IsRecorded(&this->machine.versions, read->stream);
     MpRpcCall_Reply(call, &reply);
 }
 
--- a/src/transport/ReplicaVersions.c
+++ b/src/transport/ReplicaVersions.c
@@ -86,6 +86,10 @@
 {
     uint64_t hash = XXH64(pool->pool, strlen(pool->pool), 1);
     hash = XXH64(&pool->changed_ms, sizeof(pool->changed_ms), hash);
+    hash = XXH64(&pool->base_ms, sizeof(pool->base_ms), hash);
+    if (pool->base) {
+        hash = XXH64(pool->base, strlen(pool->base) + 1, hash);
+    }
     for (guint i = 0; i < pool->names->len; i++) {
         const char *name = g_ptr_array_index(pool->names, i);
         hash = XXH64(name, strlen(name) + 1, hash);
@@ -93,20 +97,28 @@
     return hash;
 }
 
+/* Returns the time since at_ms, -1 if that is negative. */
+static int64_t
+age_of(int64_t at_ms)
+{
+    return at_ms < 0 ? -1 : MAX(MpLoop_WallMs() - at_ms, 0);
+}
+
 static void
-fill_pool(const struct MpPoolVersions *pool, struct mp_pool_versions *to)
+fill_pool(const struct MpPoolVersions *pool, struct mp_pool_state *to)
 {
     struct mp_version_name *list =
         g_new(struct mp_version_name, pool->names->len);
     for (guint i = 0; i < pool->names->len; i++) {
         list[i].name = g_ptr_array_index(pool->names, i);
     }
-    *to = (struct mp_pool_versions){
-        .pool = pool->pool,
-        .list = {.list_val = list, .list_len = pool->names->len},
-        .age_ms = pool->changed_ms < 0
-                      ? -1
-                      : MAX(MpLoop_WallMs() - pool->changed_ms, 0)};
+    *to = (struct mp_pool_state){
+        .versions = {.pool = pool->pool,
+                     .list = {.list_val = list, .list_len = pool->names->len},
+                     .age_ms = age_of(pool->changed_ms)},
+        .base = pool->base ? pool->base : (char *)"",
+        .has_base = pool->base != NULL,
+        .base_age_ms = age_of(pool->base_ms)};
 }
 
 void
@@ -126,7 +138,7 @@
         return;
     }
     reply->versions.versions_val =
-        g_new0(struct mp_pool_versions, g_hash_table_size(pools));
+        g_new0(struct mp_pool_state, g_hash_table_size(pools));
     g_hash_table_iter_init(&iter, pools);
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
            reply->versions.versions_len < MP_POOLS_MAX) {
@@ -140,7 +152,7 @@
 MpReplicaVersions_Free(struct mp_sync_reply *reply)
 {
     for (u_int i = 0; i < reply->versions.versions_len; i++) {
-        g_free(reply->versions.versions_val[i].list.list_val);
+        g_free(reply->versions.versions_val[i].versions.list.list_val);
     }
     g_free(reply->versions.versions_val);
 }
--- a/src/transport/Router.c
+++ b/src/transport/Router.c
@@ -263,7 +263,7 @@
 }
 
 static void
-on_versions(void *owner, const struct mp_pool_versions *pools, u_int count)
+on_versions(void *owner, const struct mp_pool_state *pools, u_int count)
 {
     struct MpRouter *this = owner;
     MpGatewayVersions_Apply(&this->gateway, pools, count);
--- a/tests/fuzz.t
+++ b/tests/fuzz.t
@@ -109,6 +109,11 @@
     73: ("overtaken zone order applied", "FuzzZones", 50),
     74: ("snapshot drops the drained zones", "FuzzZones", 50),
     75: ("drained target gets what no other takes", "FuzzRoster", 200),
+    76: ("former version taken for a new one", "FuzzVersions", 1000),
+    77: ("snapshot drops the bases of pools", "FuzzVersions", 200),
+    78: ("record ends before its stream", "FuzzVersions", 200),
+    79: ("first event sent before its record", "FuzzVersions", 200),
+    80: ("stream begun that cannot be recorded", "FuzzVersions", 200),
 }
 
 
