Tests: a fleet with the platform's dialect waits until each instance listens

Change: the constructor waits until all accept connections, and ends the run if one does not. No check is changed.

--- a/tests/pathfleet.py
+++ b/tests/pathfleet.py
@@ -258,6 +258,17 @@
                 "POST", "/config/replace",
                 json.dumps(document)).status == 200):
             raise SystemExit("the configuration is not accepted")
+        if not wait_for(lambda: all(self.is_listening(n)
+                                    for n in self.names)):
+            raise SystemExit("an instance does not listen")
+
+    def is_listening(self, name):
+        try:
+            socket.create_connection(("127.0.0.1", self.callers[name]),
+                                     2).close()
+        except OSError:
+            return False
+        return True
 
     def write_settings(self, name):
         super().write_settings(name)
