Requests that are read late are not sent for callers that have left

Cause: an instance that stands still, or has no processor time, leaves whole requests in the system's buffers, with the close of the connection behind them. It then read the requests and made the first attempt without asking for the caller; the look at the socket came up to 0.2 s later, when a request that may run once had been sent and goes on.

Change: before each attempt, first or later, the instance asks for how long the caller's side has been closed (TCP_INFO, which counts on while a process is stopped, and how late its own timers are). From 200 ms on, what may run again is not sent. The caller of what may run once is probed with the interim response 100, as it may have closed its sending side only: nobody reads where the connection is reset, and who acknowledges is served. The own API does the same. A new connection to a target is asked for again before the request is written to it. request-sent has closed_ms, so that first and later attempts for callers that left can be told apart.

Conclusion: whether a caller is there is asked when it counts, and the one case that looks like leaving and is not is told apart by the caller's own system.

--- a/src/transport/Exchange.c
+++ b/src/transport/Exchange.c
@@ -1,6 +1,7 @@
 #include "transport/Exchange.h"
 
 #include "state/Ledger.h"
+#include "transport/CallerProbe.h"
 #include "transport/HttpMemory.h"
 #include "transport/LeaseManager.h"
 #include "transport/Log.h"
@@ -84,6 +85,7 @@
 {
     g_queue_unlink(&this->router->exchanges, &this->link);
     MpLoop_ClearTimer(&this->timer);
+    g_clear_pointer(&this->probe, MpCallerProbe_Cancel);
     MpSse_Done(&this->sse);
     MpChat_Done(&this->chat);
     MpDocument_Unref(this->document);
@@ -289,6 +291,60 @@
     return true;
 }
 
+/* Ends a request that was opened, and is not sent. */
+static void
+end_unsent(struct MpExchange *this, int code)
+{
+    g_clear_pointer(&this->probe, MpCallerProbe_Cancel);
+    release_target(this);
+    if (this->req) {
+        MpExchange_Refuse(this, code, NULL,
+                          MpExchange_RetryAfter(this, BUSY_RETRY_AFTER_MS));
+    }
+    this->is_aborted = true;
+    MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
+}
+
+static void
+on_probed(void *owner, bool has_left)
+{
+    struct MpExchange *this = owner;
+    this->probe = NULL;
+    MpCallerProbe_Count(&this->router->metrics, has_left);
+    MpLog_Event(LOG_INFO, "caller-probed",
+                "id=%s left=%d attempts=%u took_ms=%" PRId64, this->request_id,
+                has_left, this->attempts, MpLoop_Now() - this->began_ms);
+    if (has_left) {
+        end_unsent(this, MP_ERROR_CLOSED);
+        return;
+    }
+    MpExchange_StartAttempt(this);
+}
+
+/* Starts the first attempt, unless the caller has left.  One that has closed
+ * its sending side a while ago is probed; what may run again is then given
+ * up. */
+static void
+start_if_wanted(struct MpExchange *this)
+{
+    if (!this->req) {
+        end_unsent(this, MP_ERROR_CLOSED);
+        return;
+    }
+    if (MpCallerProbe_ClosedMs(this->router->loop, this->req) <
+        MP_CALLER_CLOSED_MS) {
+        MpExchange_StartAttempt(this);
+        return;
+    }
+    bool has_left = !this->at_most_once && !MpExchange_HasCaller(this);
+    if (has_left || !MpCallerProbe_IsPossible(this->req)) {
+        end_unsent(this, MP_ERROR_CLOSED);
+        return;
+    }
+    this->probe =
+        MpCallerProbe_Start(this->router->loop, this->req, on_probed, this);
+}
+
 static void
 on_opened(void *data, int code, const struct mp_result *result)
 {
@@ -307,13 +363,7 @@
     }
     this->is_rerun = result->state == MP_RECORD_DONE;
     this->may_have_run = this->is_rerun || result->number != 0;
-    if (!this->req) {
-        release_target(this);
-        this->is_aborted = true;
-        MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
-        return;
-    }
-    MpExchange_StartAttempt(this);
+    start_if_wanted(this);
 }
 
 static void
@@ -360,13 +410,7 @@
 MpExchange_RunOffline(struct MpExchange *this)
 {
     MpLoop_ClearTimer(&this->timer);
-    if (!this->req) {
-        release_target(this);
-        this->is_aborted = true;
-        MpExchange_Settle(this, MP_RECORD_NOT_RUN, 0);
-        return;
-    }
-    MpExchange_StartAttempt(this);
+    start_if_wanted(this);
 }
 
 /* ---- arrival ---- */
@@ -494,7 +538,10 @@
      * waited for until the second call. */
     case MP_STAGE_OPENING:
     case MP_STAGE_REFUSING:
-        if (is_second_call) {
+        if (this->probe) {
+            end_unsent(this, MP_ERROR_DRAINING);
+        }
+        else if (is_second_call) {
             refuse_unread(this, MP_ERROR_DRAINING);
         }
         return;
@@ -529,6 +576,12 @@
         leave_queue(this);
         MpExchange_End(this);
         return;
+    case MP_STAGE_OPENING:
+        if (this->probe) {
+            end_unsent(this, MP_ERROR_CLOSED);
+            return;
+        }
+        break;
     case MP_STAGE_RUNNING:
         /* An at-most-once request continues, so that its outcome is
          * recorded. */
--- a/src/transport/Exchange.h
+++ b/src/transport/Exchange.h
@@ -51,8 +51,9 @@
     h2o_req_t *req; /* NULL once the caller has disconnected, or was sent a
                      * refusal */
     struct MpCallerLink *caller;
-    GByteArray *unsent;  /* data not yet passed to h2o */
-    GByteArray *sending; /* data that h2o is sending */
+    struct MpCallerProbe *probe; /* of the caller, in MP_STAGE_OPENING */
+    GByteArray *unsent;          /* data not yet passed to h2o */
+    GByteArray *sending;         /* data that h2o is sending */
     struct MpBodyLength length;
     bool is_head_sent;       /* the head of the response was sent */
     bool is_output_closed;   /* no more data follows unsent */
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -63,6 +63,7 @@
     enum MpForwardStep step = MpForward_EndAttempt(
         &this->forward, result, may_retry(this), MpLoop_Now());
     bool is_sent_again = step == MP_STEP_SEND || step == MP_STEP_RESUME;
+    this->is_caller_asked = false;
     if (is_sent_again && MpGatewayCall_EndWithoutCaller(this)) {
         return;
     }
@@ -290,8 +291,11 @@
     bool is_overloaded =
         result == MP_TARGET_NOT_SENT &&
         strcmp(MpTargetConn_FailureReason(conn), MP_DIAL_OVERLOADED) == 0;
+    bool is_unwanted =
+        result == MP_TARGET_NOT_SENT &&
+        strcmp(MpTargetConn_FailureReason(conn), MP_TARGET_UNWANTED) == 0;
     bool is_target_at_fault =
-        !is_peer_gone && !is_overloaded &&
+        !is_peer_gone && !is_overloaded && !is_unwanted &&
         !MpTargetPaths_IsInDoubt(&this->gateway->dialer.paths);
     release_target(this, is_target_at_fault ? MP_OUTCOME_FAILED
                                             : MP_OUTCOME_CANCELLED);
@@ -306,8 +310,14 @@
     run_next_step(this, result_of_break(this), MP_ERROR_STREAM_CUT);
 }
 
+static bool
+is_wanted(void *owner)
+{
+    return !MpGatewayCall_MayHaveLeft(owner);
+}
+
 static const struct MpTargetConnClass attempt_class = {
-    .head = on_head, .body = on_body, .end = on_end};
+    .is_wanted = is_wanted, .head = on_head, .body = on_body, .end = on_end};
 
 /* Bytes of the list of a request's parts in a log line. */
 #define PARTS_LOG_BYTES 128
@@ -378,13 +388,15 @@
         "id=%s same=%s parts=%s target=%s version=%s pool=%s attempt=%u "
         "wait_ms=%" PRId64 " tokens=%" PRId64
         " running=%d told_age_ms=%" PRId64 " list=%" PRIu64 " left_ms=%" PRId64
-        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64 " %s",
+        " limit_mrps=%" PRId64 " cold=%d permit_ms=%" PRId64
+        " closed_ms=%" PRId64 " %s",
         this->id ? this->id : "-", this->fingerprint_hex, parts,
         target->incarnation, target->version, this->pool, this->forward.sends,
         picked->wait_ms, picked->prefill_tokens, target->running,
         target->reported_ms > 0 ? now_ms - target->reported_ms : -1,
         gateway->roster.version, MpForward_TimeLeft(&this->forward, now_ms),
-        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms, speed);
+        target->limit.rate_mrps, this->is_cold, this->permit_wait_ms,
+        this->closed_ms, speed);
     g_clear_pointer(&this->permitted, g_free);
     this->permit_tries = 0;
     this->permit_wait_ms = 0;
@@ -476,7 +488,7 @@
 MpGatewayAttempt_Start(struct MpGatewayCall *this)
 {
     struct MpGateway *gateway = this->gateway;
-    if (MpGatewayVersions_Check(this)) {
+    if (MpGatewayCall_AskCaller(this) || MpGatewayVersions_Check(this)) {
         return;
     }
     struct MpPicked picked;
--- a/src/transport/GatewayCall.c
+++ b/src/transport/GatewayCall.c
@@ -1,6 +1,7 @@
 #include "transport/GatewayCall.h"
 
 #include "state/Error.h"
+#include "transport/CallerProbe.h"
 #include "transport/ErrorBody.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayLoad.h"
@@ -111,6 +112,7 @@
     int64_t now_ms = MpLoop_Now();
     this->stage = MP_CALL_ENDED;
     MpLoop_ClearTimer(&this->timer);
+    g_clear_pointer(&this->probe, MpCallerProbe_Cancel);
     MpGatewayPermits_Cancel(this);
     MpGatewayVersions_Cancel(this);
     MpGatewaySuspect_End(this);
@@ -481,10 +483,21 @@
         step == MP_STEP_FAIL ? MP_ERROR_OUTCOME_UNKNOWN : MP_ERROR_CLOSED, 0);
 }
 
+/* Returns whether a caller that may have left is probed.  What is given up
+ * anyway when its caller closes the sending side is not worth that. */
+static bool
+is_probed(const struct MpGatewayCall *this)
+{
+    return this->response.req && !this->forward.is_head_sent &&
+           MpCallerProbe_IsPossible(this->response.req) &&
+           (MpForward_SurvivesDisconnect(&this->forward) ||
+            !MpCallerResponse_IsDisconnected(&this->response));
+}
+
 bool
 MpGatewayCall_EndWithoutCaller(struct MpGatewayCall *this)
 {
-    if (!MpCallerResponse_IsDisconnected(&this->response)) {
+    if (!MpCallerResponse_IsDisconnected(&this->response) || is_probed(this)) {
         return false;
     }
     if (this->response.req) {
@@ -497,10 +510,64 @@
     return true;
 }
 
+bool
+MpGatewayCall_MayHaveLeft(struct MpGatewayCall *this)
+{
+    if (this->is_caller_asked) {
+        return false;
+    }
+    this->closed_ms =
+        this->response.req
+            ? MpCallerProbe_ClosedMs(this->gateway->loop, this->response.req)
+            : INT64_MAX;
+    return this->closed_ms >= MP_CALLER_CLOSED_MS;
+}
+
+static void
+on_probed(void *owner, bool has_left)
+{
+    struct MpGatewayCall *this = owner;
+    this->probe = NULL;
+    this->stage = MP_CALL_RUNNING;
+    MpCallerProbe_Count(this->gateway->metrics, has_left);
+    MpLog_Event(LOG_INFO, "caller-probed",
+                "id=%s same=%s left=%d closed_ms=%" PRId64
+                " attempts=%u took_ms=%" PRId64,
+                this->id ? this->id : "-", this->fingerprint_hex, has_left,
+                this->closed_ms, this->forward.sends,
+                MpLoop_Now() - this->forward.began_ms);
+    if (has_left) {
+        give_up_caller(this, MpForward_NoTarget(&this->forward));
+        return;
+    }
+    this->is_caller_asked = true;
+    MpGatewayAttempt_Start(this);
+}
+
+bool
+MpGatewayCall_AskCaller(struct MpGatewayCall *this)
+{
+    bool is_retry = this->forward.sends > 0 && !this->is_caller_asked;
+    bool may_have_left =
+        MpGatewayCall_MayHaveLeft(this) ||
+        (is_retry && MpCallerResponse_IsDisconnected(&this->response));
+    if (!may_have_left) {
+        return false;
+    }
+    if (!is_probed(this)) {
+        return MpGatewayCall_EndWithoutCaller(this);
+    }
+    this->stage = MP_CALL_CALLER;
+    this->probe = MpCallerProbe_Start(this->gateway->loop, this->response.req,
+                                      on_probed, this);
+    return true;
+}
+
 bool
 MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms)
 {
-    if (this->stage == MP_CALL_ENDED || !this->response.req ||
+    if (this->stage == MP_CALL_ENDED || this->stage == MP_CALL_CALLER ||
+        !this->response.req ||
         now_ms - this->caller_checked_ms < CALLER_CHECK_MS) {
         return false;
     }
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -19,6 +19,7 @@
 #define MP_FINGERPRINT_LOG_BYTES 8
 
 enum MpCallStage {
+    MP_CALL_CALLER,  /* finds out whether its caller has left */
     MP_CALL_TRIAL,   /* waits for a probe or for the quorum's decision */
     MP_CALL_BUDGET,  /* waits for budget of its workspace */
     MP_CALL_VERSION, /* waits for the version at which its stream began */
@@ -43,7 +44,11 @@
                     * NULL, if the dialect doesn't name requests */
     char *version; /* software version at which its stream began or goes on;
                     * NULL: not known yet */
-    bool is_version_checked;       /* a stream that is taken up */
+    bool is_version_checked;     /* a stream that is taken up */
+    struct MpCallerProbe *probe; /* of the caller, under way */
+    bool is_caller_asked;        /* it waits, for the attempt to come */
+    int64_t
+        closed_ms; /* how long its sending side was closed by then, -1: not */
     struct MpTakeUpQuery *query;   /* to the quorum, under way */
     struct MpStreamRecord *record; /* that its response waits for, or NULL */
     int64_t record_wait_ms;        /* how long it did */
@@ -138,10 +143,19 @@
  * or else of its path. */
 int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
 
-/* Ends a call whose caller has left, so that nothing more is sent for it.
- * Returns whether it has. */
+/* Ends a call whose caller has left, or has closed its sending side and is not
+ * probed, so that nothing more is sent for it.  Returns whether it has. */
 bool MpGatewayCall_EndWithoutCaller(struct MpGatewayCall *this);
 
+/* Returns whether the caller has closed its sending side a while ago, and was
+ * not probed since. */
+bool MpGatewayCall_MayHaveLeft(struct MpGatewayCall *this);
+
+/* Finds out, before an attempt, whether the caller has left.  Returns true if
+ * the call has ended, or if it waits for that and MpGatewayAttempt_Start is
+ * called again. */
+bool MpGatewayCall_AskCaller(struct MpGatewayCall *this);
+
 /* Checks whether the caller has disconnected, unless it was checked recently.
  * Returns true if it has and the call was ended. */
 bool MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
--- a/src/transport/Loop.c
+++ b/src/transport/Loop.c
@@ -91,7 +91,7 @@
 }
 
 static struct MpTimer *
-first_timer(struct MpLoop *this)
+first_timer(const struct MpLoop *this)
 {
     GSequenceIter *first = g_sequence_get_begin_iter(this->timers);
     return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
@@ -112,12 +112,22 @@
 {
     struct MpTimer *timer;
     this->now_ms = MpLoop_Now();
+    timer = first_timer(this);
+    this->late_ms = timer ? MAX(this->now_ms - timer->at_ms, 0) : 0;
     while ((timer = first_timer(this)) && timer->at_ms <= this->now_ms) {
         MpLoop_ClearTimer(timer);
         timer->callback(timer);
     }
 }
 
+int64_t
+MpLoop_DelayMs(const struct MpLoop *this)
+{
+    const struct MpTimer *timer = first_timer(this);
+    int64_t late_ms = timer ? MpLoop_Now() - timer->at_ms : 0;
+    return MAX(late_ms, this->late_ms);
+}
+
 /* Runs the pending callbacks of sockets that timers and hooks have used.  h2o
  * frees a closed socket at the start of its next iteration, even if a callback
  * of the socket is still pending. */
--- a/src/transport/Loop.h
+++ b/src/transport/Loop.h
@@ -35,6 +35,7 @@
     GSequence *timers;
     GArray *hooks; /* of struct MpLoopHook */
     int64_t now_ms;
+    int64_t late_ms; /* how late the timers were that fired last */
     bool is_stopped;
 };
 
@@ -50,6 +51,10 @@
 /* Returns the monotonic clock, ms. */
 int64_t MpLoop_Now(void);
 
+/* Returns for how long this loop has not come round, ms: how late its timers
+ * are, or were when they fired last. */
+int64_t MpLoop_DelayMs(const struct MpLoop *this);
+
 /* Returns a monotonic clock that also counts while the machine is suspended,
  * ms; for the age of what other machines may have changed meanwhile. */
 int64_t MpLoop_BootMs(void);
--- a/src/transport/TargetConn.c
+++ b/src/transport/TargetConn.c
@@ -499,6 +499,10 @@
         fail(this, MP_TARGET_NOT_SENT, "unrequested-data");
         return;
     }
+    if (this->klass->is_wanted && !this->klass->is_wanted(this->owner)) {
+        fail(this, MP_TARGET_NOT_SENT, MP_TARGET_UNWANTED);
+        return;
+    }
     MpTargetConn_Write(this);
 }
 
--- a/src/transport/TargetConn.h
+++ b/src/transport/TargetConn.h
@@ -69,7 +69,13 @@
 
 typedef void (*MpProbeDone)(void *owner, enum MpProbeResult result);
 
+/* Failure reason of a request that its owner did not want any more when its
+ * connection was there. */
+#define MP_TARGET_UNWANTED "caller-left"
+
 struct MpTargetConnClass {
+    /* Asked before a request is written to a new connection; or NULL. */
+    bool (*is_wanted)(void *owner);
     void (*head)(void *owner, const struct MpTargetHead *head);
     void (*body)(void *owner, const char *data, size_t size);
     /* The last callback of a request. */
