The caller's part of a call on a path has a file of its own

Change: what asks for the caller and ends calls without one is GatewayCaller; the functions keep their bodies, and the names follow the file. Conclusion: no change of behaviour.

--- a/src/coordination/VersionView.h
+++ b/src/coordination/VersionView.h
@@ -36,6 +36,7 @@
     MP_TAKE_UP_ASK   /* the quorum must say where the stream began */
 };
 
+/* How the version is recorded at which a stream begins. */
 enum MpRecording {
     MP_RECORDING_NONE,  /* a stream without a record is known to begin there */
     MP_RECORDING_LATER, /* without a record it cannot be taken up */
--- a/src/state/Versions.h
+++ b/src/state/Versions.h
@@ -42,7 +42,9 @@
     char *base;         /* NULL: none */
     int64_t base_ms;    /* since when; -1: from the start */
     int64_t absent_ms;  /* since when base is not in names; -1: it is */
-    GPtrArray *former;  /* of char *, oldest first */
+    GPtrArray *former;  /* of char *, oldest first: versions at which streams
+                         * may begin without a record, where a router does not
+                         * know the base */
 };
 
 struct MpVersions {
--- a/src/transport/Gateway.c
+++ b/src/transport/Gateway.c
@@ -3,6 +3,7 @@
 #include "state/Error.h"
 #include "transport/GatewayAttempt.h"
 #include "transport/GatewayCall.h"
+#include "transport/GatewayCaller.h"
 #include "transport/GatewayLoad.h"
 #include "transport/GatewayLoans.h"
 #include "transport/GatewayVersions.h"
@@ -381,7 +382,7 @@
     while (link) {
         struct MpGatewayCall *call = link->data;
         link = link->next;
-        if (!MpGatewayCall_CheckCaller(call, now_ms) &&
+        if (!MpGatewayCaller_Check(call, now_ms) &&
             call->stage == MP_CALL_BUDGET &&
             MpSlices_Missing(&this->slices, call->workspace,
                              call->reserved_mtok) == 0) {
--- a/src/transport/GatewayAttempt.c
+++ b/src/transport/GatewayAttempt.c
@@ -2,6 +2,7 @@
 
 #include "state/Error.h"
 #include "transport/GatewayAdmission.h"
+#include "transport/GatewayCaller.h"
 #include "transport/GatewayLoad.h"
 #include "transport/GatewayNotice.h"
 #include "transport/GatewayPermits.h"
@@ -64,7 +65,7 @@
         &this->forward, result, may_retry(this), MpLoop_Now());
     bool is_sent_again = step == MP_STEP_SEND || step == MP_STEP_RESUME;
     this->is_caller_asked = false;
-    if (is_sent_again && MpGatewayCall_EndWithoutCaller(this)) {
+    if (is_sent_again && MpGatewayCaller_EndIfLeft(this)) {
         return;
     }
     if (!is_sent_again) {
@@ -151,7 +152,7 @@
     }
     /* No response is started for a caller that has disconnected. */
     this->caller_checked_ms = 0;
-    if (MpGatewayCall_CheckCaller(this, now_ms)) {
+    if (MpGatewayCaller_Check(this, now_ms)) {
         return;
     }
     this->is_relayed = true;
@@ -313,7 +314,7 @@
 static bool
 is_wanted(void *owner)
 {
-    return !MpGatewayCall_MayHaveLeft(owner);
+    return !MpGatewayCaller_MayHaveLeft(owner);
 }
 
 static const struct MpTargetConnClass attempt_class = {
@@ -488,7 +489,7 @@
 MpGatewayAttempt_Start(struct MpGatewayCall *this)
 {
     struct MpGateway *gateway = this->gateway;
-    if (MpGatewayCall_AskCaller(this) || MpGatewayVersions_Check(this)) {
+    if (MpGatewayCaller_Ask(this) || MpGatewayVersions_Check(this)) {
         return;
     }
     struct MpPicked picked;
--- a/src/transport/GatewayCall.h
+++ b/src/transport/GatewayCall.h
@@ -143,21 +143,4 @@
  * or else of its path. */
 int64_t MpGatewayCall_Rank(const struct MpGatewayCall *this);
 
-/* Ends a call whose caller has left, or has closed its sending side and is not
- * probed, so that nothing more is sent for it.  Returns whether it has. */
-bool MpGatewayCall_EndWithoutCaller(struct MpGatewayCall *this);
-
-/* Returns whether the caller has closed its sending side a while ago, and was
- * not probed since. */
-bool MpGatewayCall_MayHaveLeft(struct MpGatewayCall *this);
-
-/* Finds out, before an attempt, whether the caller has left.  Returns true if
- * the call has ended, or if it waits for that and MpGatewayAttempt_Start is
- * called again. */
-bool MpGatewayCall_AskCaller(struct MpGatewayCall *this);
-
-/* Checks whether the caller has disconnected, unless it was checked recently.
- * Returns true if it has and the call was ended. */
-bool MpGatewayCall_CheckCaller(struct MpGatewayCall *this, int64_t now_ms);
-
 #endif
